Thin whole path: platform, engine, service, scorer and trainer stand-ins, entry, load tool, demo

Change: one binary (go-flags) with entry, check, load and standin subcommands. The entry (iris + net/http) answers GET /v1/entries, proxies OpenAI-compatible completions with SSE to engines chosen by a router (round_robin, least_loaded, marginal_cost after the paper), sends plain service calls with a platform marker so a non-idempotent one goes at most once, and serves pool claims: one entry per pool holds a lease (epoch as fencing number) in the platform stand-in and generates whole scored groups; other entries forward fetch/ack over WebSocket+CBOR. Cursor commits are conditional updates on the claim object, which the new leader stamps with its epoch.

Ruled out on the way: the platform stand-in first gave lagged instance writes the revision of their write, so watchers that had seen later revisions never saw them (entries listed only themselves); they now take their revision when they become visible.

--- /dev/null
+++ b/cfentry/engines.go
@@ -0,0 +1,349 @@
+package cfentry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/kataras/iris/v12"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cfconfig"
+)
+
+const (
+	// Engine priorities: live work goes before rollout work.
+	priorityLive    = 10
+	priorityRollout = 0
+	// maxAttempts bounds how many engines one request is tried on.
+	maxAttempts = 3
+	// pollTimeout bounds one load report read; an engine that does not
+	// answer in time counts as unreachable for that round.
+	pollTimeout = 500 * time.Millisecond
+	// unreachableAfter is the number of failed polls in a row after which
+	// an engine gets no new work: a crashed engine would otherwise keep
+	// receiving requests that fail on connect.
+	unreachableAfter = 2
+	maxBody          = 1 << 20
+)
+
+type (
+	engineSet struct {
+		entry   *Entry
+		scorer  string
+		client  *http.Client
+		mu      sync.Mutex
+		engines map[cf.EngineID]*engineState
+		seq     atomic.Int64
+	}
+
+	engineState struct {
+		settings cfconfig.Engine
+		load     cf.Load
+		failures int
+	}
+)
+
+func newEngineSet(site cfconfig.Site, e *Entry) *engineSet {
+	s := &engineSet{entry: e, scorer: "http://" + site.Scorer.Addr, client: &http.Client{}, engines: map[cf.EngineID]*engineState{}}
+	for _, en := range site.Engines {
+		s.engines[en.ID] = &engineState{settings: en, load: cf.Load{Engine: en.ID, Addr: en.Addr, Domain: en.Domain}}
+	}
+	return s
+}
+
+// poll reads every engine's load report once, in parallel.
+func (s *engineSet) poll(ctx context.Context) {
+	var wg sync.WaitGroup
+	for id, st := range s.engines {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			var l cf.Load
+			err := s.getJSON(ctx, "http://"+st.settings.Addr+"/v1/load", &l, pollTimeout)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if err != nil {
+				st.failures++
+				return
+			}
+			st.failures = 0
+			l.Engine, l.Addr, l.Domain = id, st.settings.Addr, st.settings.Domain
+			st.load = l
+		}()
+	}
+	wg.Wait()
+}
+
+// candidates returns the loads of engines that serve the role and are
+// reachable, marking those the instance list shows as leaving.
+func (s *engineSet) candidates(live bool, skip map[cf.EngineID]bool) []cf.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []cf.Load
+	for id, st := range s.engines {
+		role := st.settings.Role
+		if skip[id] || st.failures >= unreachableAfter ||
+			(live && role == cfconfig.RoleRollout) || (!live && role == cfconfig.RoleLive) {
+			continue
+		}
+		l := st.load
+		if in, ok := s.entry.instance(string(id)); ok && in.State == StateLeaving {
+			l.Leaving = true
+		}
+		out = append(out, l)
+	}
+	return out
+}
+
+func (s *engineSet) addr(id cf.EngineID) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engines[id].settings.Addr
+}
+
+// route places a job and logs the decision.
+func (s *engineSet) route(job cf.Job, skip map[cf.EngineID]bool) (cf.Decision, error) {
+	d, err := s.entry.router.Route(job, s.candidates(job.Live, skip))
+	if err == nil {
+		s.entry.decided(d, map[bool]string{true: "live", false: "rollout"}[job.Live])
+	}
+	return d, err
+}
+
+// Generate implements currantford.Backend: one rollout, non-streamed, at
+// rollout priority. A rollout is safe to run again, so an engine that fails
+// is skipped and another tried.
+func (s *engineSet) Generate(ctx context.Context, job cf.Job, prompt string) (cf.Generation, error) {
+	job.PromptTokens = cf.Tokens(len(strings.Fields(prompt)))
+	skip := map[cf.EngineID]bool{}
+	var last error
+	for range maxAttempts {
+		d, err := s.route(job, skip)
+		if err != nil {
+			return cf.Generation{}, err
+		}
+		body, _ := json.Marshal(struct {
+			Model     string    `json:"model"`
+			Prompt    string    `json:"prompt"`
+			MaxTokens cf.Tokens `json:"max_tokens"`
+			Priority  int       `json:"priority"`
+		}{"rollout", prompt, job.MaxTokens, priorityRollout})
+		start := time.Now()
+		var out struct {
+			Choices []struct {
+				Text string `json:"text"`
+			} `json:"choices"`
+			WeightVersions []cf.WeightVersion `json:"weight_versions"`
+		}
+		err = s.postJSON(ctx, "http://"+s.addr(d.Choice)+"/v1/completions", body, &out, time.Minute)
+		if err == nil && len(out.Choices) == 1 && len(out.WeightVersions) > 0 {
+			span := cf.MillisOf(time.Since(start))
+			s.entry.router.Observe(d.Choice, job.PromptTokens, job.MaxTokens, 0, span)
+			return cf.Generation{Text: out.Choices[0].Text, Weights: out.WeightVersions, Engine: d.Choice}, nil
+		}
+		s.entry.router.Observe(d.Choice, 0, 0, 0, 0)
+		last = eris.Wrapf(cf.ErrUnavailable, "rollout on %s: %v", d.Choice, err)
+		skip[d.Choice] = true
+	}
+	return cf.Generation{}, last
+}
+
+// Score implements currantford.Backend.
+func (s *engineSet) Score(ctx context.Context, prompt, text string) (float64, error) {
+	body, _ := json.Marshal(struct {
+		Prompt string `json:"prompt"`
+		Text   string `json:"text"`
+	}{prompt, text})
+	var out struct {
+		Score float64 `json:"score"`
+	}
+	err := s.postJSON(ctx, s.scorer+"/v1/score", body, &out, 10*time.Second)
+	return out.Score, err
+}
+
+// LoadWeights implements currantford.Backend: it orders every rollout and
+// shared engine. Engines that ignore fencing numbers get an order only after
+// check confirms the lease is still ours.
+func (s *engineSet) LoadWeights(ctx context.Context, version cf.WeightVersion, epoch cf.Epoch, check func(context.Context) error) error {
+	var errs []error
+	for _, st := range s.engines {
+		if st.settings.Role == cfconfig.RoleLive {
+			continue
+		}
+		if !st.settings.CheckFencing {
+			if err := check(ctx); err != nil {
+				return err
+			}
+		}
+		body, _ := json.Marshal(struct {
+			Version cf.WeightVersion `json:"weight_version"`
+			Epoch   cf.Epoch         `json:"epoch"`
+		}{version, epoch})
+		err := s.postJSON(ctx, "http://"+st.settings.Addr+"/v1/weights", body, nil, 5*time.Second)
+		if err != nil {
+			errs = append(errs, eris.Wrapf(err, "weights order to %s", st.settings.ID))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func (s *engineSet) getJSON(ctx context.Context, url string, out any, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	return s.do(req, out)
+}
+
+func (s *engineSet) postJSON(ctx context.Context, url string, body []byte, out any, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	return s.do(req, out)
+}
+
+func (s *engineSet) do(req *http.Request, out any) error {
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return eris.Wrapf(cf.ErrUnavailable, "%s: %v", req.URL.Host, err)
+	}
+	defer resp.Body.Close()
+	switch {
+	case resp.StatusCode == http.StatusConflict:
+		return eris.Wrapf(cf.ErrFenced, "%s refused", req.URL.Host)
+	case resp.StatusCode >= 300:
+		return eris.Wrapf(cf.ErrUnavailable, "%s: status %d", req.URL.Host, resp.StatusCode)
+	case out == nil:
+		return nil
+	}
+	return json.NewDecoder(resp.Body).Decode(out)
+}
+
+// handleCompletions serves the OpenAI-compatible completions API. The
+// caller's body is passed through with our priority added. Until the first
+// byte of the answer has reached the caller, a failed engine is skipped and
+// another tried: nothing the caller sees has run. Once bytes have gone, an
+// engine failure ends the stream with an error event that says the answer
+// is partial, so the caller never takes a cut answer for a whole one.
+func (e *Entry) handleCompletions(ctx iris.Context) {
+	body, err := io.ReadAll(io.LimitReader(ctx.Request().Body, maxBody))
+	var req map[string]json.RawMessage // the caller's body, passed through whole
+	if err != nil || json.Unmarshal(body, &req) != nil {
+		e.metrics.requests.WithLabelValues("completions", "bad_request").Inc()
+		refuse(ctx, http.StatusBadRequest, "invalid", "no", eris.New("body must be a JSON object"))
+		return
+	}
+	var size struct {
+		Prompt    json.RawMessage `json:"prompt"`
+		MaxTokens cf.Tokens       `json:"max_tokens"`
+	}
+	_ = json.Unmarshal(body, &size)
+	if size.MaxTokens <= 0 {
+		size.MaxTokens = 16
+	}
+	req["priority"] = json.RawMessage(fmt.Sprint(priorityLive))
+	body, _ = json.Marshal(req)
+	job := cf.Job{
+		ID:           cf.RequestID(fmt.Sprintf("%s-%d", e.self.ID, e.engines.seq.Add(1))),
+		PromptTokens: cf.Tokens(len(strings.Fields(string(size.Prompt)))),
+		MaxTokens:    size.MaxTokens,
+		Live:         true,
+	}
+	skip := map[cf.EngineID]bool{}
+	for range maxAttempts {
+		d, err := e.engines.route(job, skip)
+		if err != nil {
+			e.metrics.requests.WithLabelValues("completions", "no_engine").Inc()
+			refuse(ctx, http.StatusServiceUnavailable, "no_engine", "no", err)
+			return
+		}
+		sent, err := e.proxyCompletion(ctx, d.Choice, job, body)
+		if err == nil {
+			e.metrics.requests.WithLabelValues("completions", "ok").Inc()
+			return
+		}
+		if sent {
+			e.metrics.requests.WithLabelValues("completions", "partial").Inc()
+			e.log.Warn("engine failed mid-answer", zap.String("request_id", string(job.ID)), zap.String("engine", string(d.Choice)), zap.Error(err))
+			return
+		}
+		skip[d.Choice] = true
+	}
+	e.metrics.requests.WithLabelValues("completions", "engines_failed").Inc()
+	refuse(ctx, http.StatusServiceUnavailable, "engines_failed", "no", eris.New("every engine tried failed before answering"))
+}
+
+// proxyCompletion sends one attempt and copies the answer to the caller. It
+// reports whether any byte reached the caller.
+func (e *Entry) proxyCompletion(ctx iris.Context, engine cf.EngineID, job cf.Job, body []byte) (bool, error) {
+	start := time.Now()
+	req, err := http.NewRequestWithContext(ctx.Request().Context(), http.MethodPost,
+		"http://"+e.engines.addr(engine)+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return false, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := e.engines.client.Do(req)
+	if err != nil {
+		e.router.Observe(engine, 0, 0, 0, 0)
+		return false, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= 500 {
+		e.router.Observe(engine, 0, 0, 0, 0)
+		return false, eris.Errorf("engine %s: status %d", engine, resp.StatusCode)
+	}
+	w := ctx.ResponseWriter()
+	for _, h := range []string{"Content-Type", "Cache-Control"} {
+		if v := resp.Header.Get(h); v != "" {
+			w.Header().Set(h, v)
+		}
+	}
+	w.Header().Set("X-Currantford-Engine", string(engine))
+	w.WriteHeader(resp.StatusCode)
+	var first time.Duration
+	r := bufio.NewReader(resp.Body)
+	buf := make([]byte, 32<<10)
+	for {
+		n, rerr := r.Read(buf)
+		if n > 0 {
+			if first == 0 {
+				first = time.Since(start)
+			}
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				return true, werr
+			}
+			w.Flush()
+		}
+		if errors.Is(rerr, io.EOF) {
+			break
+		}
+		if rerr != nil {
+			e.router.Observe(engine, 0, 0, 0, 0)
+			_, _ = fmt.Fprintf(w, "data: {\"error\":{\"message\":\"engine failed mid-answer; the answer above is partial\",\"code\":\"partial\",\"ran\":\"partly\"}}\n\n")
+			w.Flush()
+			return true, rerr
+		}
+	}
+	total := time.Since(start)
+	e.router.Observe(engine, job.PromptTokens, job.MaxTokens, cf.MillisOf(first), cf.MillisOf(total-first))
+	return true, nil
+}
--- /dev/null
+++ b/cflog/log.go
@@ -0,0 +1,28 @@
+// Package cflog builds the project's loggers: zap, JSON lines on standard
+// error, one field set per process (component and instance id). Routing and
+// placement decisions are logged by the code that makes them, one line each,
+// with the message "decision".
+//
+// Usage:
+//
+//	log := cflog.New("entry", "entry-1")
+//	defer log.Sync()
+//	log.Info("decision", zap.Any("decision", d))
+package cflog
+
+import (
+	"os"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// New returns a JSON-line logger for one process.
+func New(component, id string) *zap.Logger {
+	enc := zap.NewProductionEncoderConfig()
+	enc.TimeKey = "ts_ms"
+	enc.EncodeTime = zapcore.EpochMillisTimeEncoder
+	enc.MessageKey = "msg"
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.Lock(os.Stderr), zap.InfoLevel)
+	return zap.New(core).With(zap.String("component", component), zap.String("id", id))
+}
--- /dev/null
+++ b/cfpeer/peer.go
@@ -0,0 +1,267 @@
+// Package cfpeer is the link between entry instances: request and answer
+// over one WebSocket connection per peer, each message CBOR-encoded.
+//
+// An entry that does not lead a pool forwards a trainer's fetch or
+// acknowledgement to the entry that does, so that trainers may use any
+// entry the list gives them. Calls carry an id; answers may come back in
+// any order. A broken connection fails every call waiting on it with
+// ErrUnavailable, and the next call dials again.
+//
+// Usage:
+//
+//	srv := cfpeer.NewServer()
+//	srv.Handle("fetch", func(ctx context.Context, body cbor.RawMessage) (any, error) { ... })
+//	mux.Handle("/v1/peer", srv)
+//	c := cfpeer.NewClient()
+//	defer c.Close()
+//	err := c.Call(ctx, "127.0.0.1:17102", "fetch", req, &batch)
+package cfpeer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	cf "currantford"
+)
+
+const readLimit = 8 << 20
+
+type (
+	// Message is one call or answer on the wire.
+	Message struct {
+		ID    uint64          `cbor:"id"`
+		Op    string          `cbor:"op,omitempty"`
+		Body  cbor.RawMessage `cbor:"body,omitempty"`
+		Error string          `cbor:"error,omitempty"`
+		Code  string          `cbor:"code,omitempty"`
+	}
+
+	// HandlerFunc answers one call.
+	HandlerFunc func(ctx context.Context, body cbor.RawMessage) (any, error)
+
+	// Server accepts peer connections. Close waits for running handlers.
+	Server struct {
+		handlers map[string]HandlerFunc
+		ctx      context.Context
+		cancel   context.CancelFunc
+		wg       sync.WaitGroup
+	}
+
+	// Client keeps one connection per peer address. Close waits for the
+	// readers it started.
+	Client struct {
+		mu    sync.Mutex
+		conns map[string]*conn
+		wg    sync.WaitGroup
+	}
+
+	conn struct {
+		ws      *websocket.Conn
+		mu      sync.Mutex
+		next    uint64
+		pending map[uint64]chan Message
+		broken  error
+	}
+)
+
+// sentinels maps wire codes to the root package's errors.
+var sentinels = map[string]error{
+	"not_found":   cf.ErrNotFound,
+	"conflict":    cf.ErrConflict,
+	"unavailable": cf.ErrUnavailable,
+	"not_leader":  cf.ErrNotLeader,
+	"fenced":      cf.ErrFenced,
+	"invalid":     cf.ErrInvalid,
+}
+
+// NewServer returns a server with no handlers.
+func NewServer() *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Server{handlers: map[string]HandlerFunc{}, ctx: ctx, cancel: cancel}
+}
+
+// Handle registers the handler of an op. Call it before serving.
+func (s *Server) Handle(op string, h HandlerFunc) { s.handlers[op] = h }
+
+// Close ends every connection and waits for running handlers.
+func (s *Server) Close() error {
+	s.cancel()
+	s.wg.Wait()
+	return nil
+}
+
+// ServeHTTP upgrades to WebSocket and answers calls until the peer leaves.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ws, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return
+	}
+	defer ws.CloseNow()
+	ws.SetReadLimit(readLimit)
+	for {
+		_, data, err := ws.Read(s.ctx)
+		if err != nil {
+			return
+		}
+		var m Message
+		if err := cbor.Unmarshal(data, &m); err != nil {
+			return
+		}
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			s.answer(ws, m)
+		}()
+	}
+}
+
+func (s *Server) answer(ws *websocket.Conn, m Message) {
+	reply := Message{ID: m.ID}
+	h, ok := s.handlers[m.Op]
+	var out any
+	var err error
+	if !ok {
+		err = eris.Wrapf(cf.ErrNotFound, "peer op %q", m.Op)
+	} else {
+		out, err = h(s.ctx, m.Body)
+	}
+	if err != nil {
+		reply.Error, reply.Code = err.Error(), code(err)
+	} else if reply.Body, err = cbor.Marshal(out); err != nil {
+		reply.Error, reply.Code = err.Error(), "invalid"
+	}
+	data, _ := cbor.Marshal(reply)
+	_ = ws.Write(s.ctx, websocket.MessageBinary, data)
+}
+
+func code(err error) string {
+	for c, s := range sentinels {
+		if errors.Is(err, s) {
+			return c
+		}
+	}
+	return "unavailable"
+}
+
+// NewClient returns a client with no connections.
+func NewClient() *Client { return &Client{conns: map[string]*conn{}} }
+
+// Close ends every connection and waits for their readers.
+func (c *Client) Close() error {
+	c.mu.Lock()
+	for addr, cn := range c.conns {
+		cn.ws.CloseNow()
+		delete(c.conns, addr)
+	}
+	c.mu.Unlock()
+	c.wg.Wait()
+	return nil
+}
+
+// Call sends op with body to the peer at addr and decodes the answer into
+// out. Errors from the peer come back as the root package's sentinels; a
+// connection that breaks gives ErrUnavailable, and whether the peer acted on
+// the call is then unknown.
+func (c *Client) Call(ctx context.Context, addr, op string, body, out any) error {
+	cn, err := c.conn(ctx, addr)
+	if err != nil {
+		return err
+	}
+	payload, err := cbor.Marshal(body)
+	if err != nil {
+		return eris.Wrap(err, "encode peer call")
+	}
+	cn.mu.Lock()
+	if cn.broken != nil {
+		cn.mu.Unlock()
+		return eris.Wrapf(cf.ErrUnavailable, "peer %s: %v", addr, cn.broken)
+	}
+	cn.next++
+	id := cn.next
+	ch := make(chan Message, 1)
+	cn.pending[id] = ch
+	cn.mu.Unlock()
+	defer func() {
+		cn.mu.Lock()
+		delete(cn.pending, id)
+		cn.mu.Unlock()
+	}()
+	data, _ := cbor.Marshal(Message{ID: id, Op: op, Body: payload})
+	if err := cn.ws.Write(ctx, websocket.MessageBinary, data); err != nil {
+		return eris.Wrapf(cf.ErrUnavailable, "peer %s write: %v", addr, err)
+	}
+	select {
+	case m := <-ch:
+		if m.Code != "" {
+			s, ok := sentinels[m.Code]
+			if !ok {
+				s = cf.ErrUnavailable
+			}
+			return eris.Wrapf(s, "peer %s: %s", addr, m.Error)
+		}
+		if out == nil {
+			return nil
+		}
+		return eris.Wrap(cbor.Unmarshal(m.Body, out), "decode peer answer")
+	case <-ctx.Done():
+		return eris.Wrapf(cf.ErrUnavailable, "peer %s: %v", addr, ctx.Err())
+	}
+}
+
+func (c *Client) conn(ctx context.Context, addr string) (*conn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if cn := c.conns[addr]; cn != nil {
+		return cn, nil
+	}
+	ws, _, err := websocket.Dial(ctx, "ws://"+addr+"/v1/peer", nil) //nolint:bodyclose // the library closes the handshake body itself
+	if err != nil {
+		return nil, eris.Wrapf(cf.ErrUnavailable, "dial peer %s: %v", addr, err)
+	}
+	ws.SetReadLimit(readLimit)
+	cn := &conn{ws: ws, pending: map[uint64]chan Message{}}
+	c.conns[addr] = cn
+	c.wg.Add(1)
+	go c.read(addr, cn)
+	return cn, nil
+}
+
+// read delivers answers to their callers. When the connection breaks, every
+// waiting call fails at once instead of waiting for its own timeout, and the
+// connection is forgotten so that the next call dials again.
+func (c *Client) read(addr string, cn *conn) {
+	defer c.wg.Done()
+	for {
+		_, data, err := cn.ws.Read(context.Background())
+		if err != nil {
+			cn.mu.Lock()
+			cn.broken = err
+			for id, ch := range cn.pending {
+				ch <- Message{ID: id, Code: "unavailable", Error: "connection lost"}
+			}
+			cn.mu.Unlock()
+			c.mu.Lock()
+			if c.conns[addr] == cn {
+				delete(c.conns, addr)
+			}
+			c.mu.Unlock()
+			return
+		}
+		var m Message
+		if cbor.Unmarshal(data, &m) != nil {
+			continue
+		}
+		cn.mu.Lock()
+		if ch, ok := cn.pending[m.ID]; ok {
+			ch <- m
+			delete(cn.pending, m.ID)
+		}
+		cn.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/cfplatform/client.go
@@ -0,0 +1,151 @@
+package cfplatform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	cf "currantford"
+)
+
+// callTimeout bounds one unary call. The platform answers in milliseconds;
+// a call that takes seconds is treated as an outage so that a slow platform
+// delays a controller instead of wedging it.
+const callTimeout = 3 * time.Second
+
+// Client reaches the object API over HTTP. It implements
+// currantford.ObjectStore and is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+var _ cf.ObjectStore = (*Client)(nil)
+
+// NewClient returns a client of the object API at base, such as
+// "http://127.0.0.1:7000".
+func NewClient(base string) *Client {
+	return &Client{base: base, http: &http.Client{}}
+}
+
+// Get returns one object, ErrNotFound, or ErrUnavailable.
+func (c *Client) Get(ctx context.Context, kind, name string) (cf.Object, error) {
+	var obj cf.Object
+	err := c.do(ctx, http.MethodGet, c.objectURL(kind, name, nil), nil, &obj, callTimeout)
+	return obj, err
+}
+
+// Put writes one object conditionally. On ErrConflict the returned object is
+// the current one. When the answer is lost (ErrUnavailable) the write may
+// have taken effect: callers re-read before they conclude anything.
+func (c *Client) Put(ctx context.Context, kind, name string, value []byte, ifVersion int64) (cf.Object, error) {
+	q := url.Values{}
+	if ifVersion != cf.AnyVersion {
+		q.Set("if_version", strconv.FormatInt(ifVersion, 10))
+	}
+	var obj cf.Object
+	err := c.do(ctx, http.MethodPut, c.objectURL(kind, name, q), value, &obj, callTimeout)
+	return obj, err
+}
+
+// Watch long-polls for objects of kind written after revision after.
+func (c *Client) Watch(ctx context.Context, kind string, after int64, wait time.Duration) ([]cf.Object, int64, error) {
+	q := url.Values{}
+	q.Set("after", strconv.FormatInt(after, 10))
+	q.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	var body struct {
+		Objects  []cf.Object `json:"objects"`
+		Revision int64       `json:"revision"`
+	}
+	u := c.base + "/v1/objects/" + url.PathEscape(kind) + "?" + q.Encode()
+	err := c.do(ctx, http.MethodGet, u, nil, &body, wait+callTimeout)
+	return body.Objects, body.Revision, err
+}
+
+// InjectFaults sets the stand-in's faults; it exists for tests and the load
+// tool and has no counterpart on the real platform.
+func (c *Client) InjectFaults(ctx context.Context, outage, slow cf.Millis, loseAnswers int) error {
+	body, _ := json.Marshal(struct {
+		Outage      cf.Millis `json:"outage_ms"`
+		Slow        cf.Millis `json:"slow_ms"`
+		LoseAnswers int       `json:"lose_answers"`
+	}{outage, slow, loseAnswers})
+	return c.do(ctx, http.MethodPost, c.base+"/v1/faults", body, nil, callTimeout)
+}
+
+func (c *Client) objectURL(kind, name string, q url.Values) string {
+	u := c.base + "/v1/objects/" + url.PathEscape(kind) + "/" + name
+	if len(q) > 0 {
+		u += "?" + q.Encode()
+	}
+	return u
+}
+
+func (c *Client) do(ctx context.Context, method, u string, body []byte, out any, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, u, bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "platform request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return eris.Wrapf(cf.ErrUnavailable, "platform %s: %v", method, err)
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		return eris.Wrapf(cf.ErrNotFound, "platform %s", u)
+	case http.StatusConflict:
+		if out != nil {
+			_ = json.NewDecoder(resp.Body).Decode(out)
+		}
+		return eris.Wrapf(cf.ErrConflict, "platform %s", u)
+	default:
+		return eris.Wrapf(cf.ErrUnavailable, "platform %s: status %d", method, resp.StatusCode)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+		return eris.Wrapf(cf.ErrUnavailable, "platform answer: %v", err)
+	}
+	return nil
+}
+
+// GetJSON reads one object and decodes its value into v.
+func GetJSON(ctx context.Context, s cf.ObjectStore, kind, name string, v any) (cf.Object, error) {
+	obj, err := s.Get(ctx, kind, name)
+	if err != nil {
+		return obj, err
+	}
+	if err := json.Unmarshal(obj.Value, v); err != nil {
+		return obj, eris.Wrap(fmt.Errorf("%w: %s/%s: %v", cf.ErrInvalid, kind, name, err), "decode object")
+	}
+	return obj, nil
+}
+
+// PutJSON encodes v and writes it conditionally.
+func PutJSON(ctx context.Context, s cf.ObjectStore, kind, name string, v any, ifVersion int64) (cf.Object, error) {
+	value, err := json.Marshal(v)
+	if err != nil {
+		return cf.Object{}, eris.Wrap(err, "encode object")
+	}
+	return s.Put(ctx, kind, name, value, ifVersion)
+}
+
+// Decode decodes an object's value into v.
+func Decode(obj cf.Object, v any) error {
+	if err := json.Unmarshal(obj.Value, v); err != nil {
+		return eris.Wrapf(cf.ErrInvalid, "object %s/%s: %v", obj.Kind, obj.Name, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/cfstandin/trainer.go
@@ -0,0 +1,246 @@
+package cfstandin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cfconfig"
+)
+
+const (
+	fetchWait   = 2 * time.Second
+	retryPause  = 300 * time.Millisecond
+	callTimeout = fetchWait + 8*time.Second
+)
+
+type (
+	// TrainerReport is what a trainer stand-in measured: the two figures
+	// the users weigh (idle time, staleness) and the delivery checks.
+	TrainerReport struct {
+		Trainer    string `json:"trainer"`
+		Steps      int    `json:"steps"`
+		Samples    int    `json:"samples"`
+		Duplicates int    `json:"duplicates"`
+		// Unattributed counts samples that named no weight version.
+		Unattributed int `json:"unattributed"`
+		// Idle is the time spent waiting for a step's samples; Busy the
+		// time spent training.
+		Idle         cf.Millis `json:"idle_ms"`
+		Busy         cf.Millis `json:"busy_ms"`
+		IdleFraction float64   `json:"idle_fraction"`
+		// Staleness at delivery: versions behind the pool's weights, and
+		// age since the sample was scored.
+		StaleVersionsMax cf.WeightVersion `json:"staleness_versions_max"`
+		StaleAgeP50      cf.Millis        `json:"staleness_ms_p50"`
+		StaleAgeMax      cf.Millis        `json:"staleness_ms_max"`
+		SpanningSwap     int              `json:"samples_spanning_a_swap"`
+		Retries          int              `json:"retries"`
+	}
+
+	trainer struct {
+		settings cfconfig.Trainer
+		client   *http.Client
+		entries  []string
+		next     int
+		log      *zap.Logger
+		seen     map[cf.SampleID]bool
+		ages     []cf.Millis
+		report   TrainerReport
+	}
+)
+
+// RunTrainer runs a trainer stand-in to its last step or until ctx ends. It
+// learns the entries from GET /v1/entries on bootstrap, and moves to the
+// next entry when one fails.
+func RunTrainer(ctx context.Context, settings cfconfig.Trainer, bootstrap string, log *zap.Logger) (TrainerReport, error) {
+	t := &trainer{settings: settings, client: &http.Client{Timeout: callTimeout}, entries: []string{bootstrap},
+		log: log, seen: map[cf.SampleID]bool{}, report: TrainerReport{Trainer: settings.Name}}
+	t.refreshEntries(ctx)
+	for step := 1; step <= settings.Steps && ctx.Err() == nil; step++ {
+		start := time.Now()
+		if err := t.collect(ctx); err != nil {
+			return t.finish(), err
+		}
+		t.report.Idle += cf.MillisOf(time.Since(start))
+		busy := time.Now()
+		select {
+		case <-time.After(settings.TrainTime.Duration()):
+		case <-ctx.Done():
+		}
+		t.publish(ctx, cf.WeightVersion(step))
+		t.report.Busy += cf.MillisOf(time.Since(busy))
+		t.report.Steps = step
+		log.Info("step done", zap.Int("step", step), zap.Int("samples", t.report.Samples))
+	}
+	return t.finish(), ctx.Err()
+}
+
+func (t *trainer) finish() TrainerReport {
+	r := t.report
+	if total := r.Idle + r.Busy; total > 0 {
+		r.IdleFraction = float64(r.Idle) / float64(total)
+	}
+	if len(t.ages) > 0 {
+		sort.Slice(t.ages, func(i, j int) bool { return t.ages[i] < t.ages[j] })
+		r.StaleAgeP50 = t.ages[len(t.ages)/2]
+		r.StaleAgeMax = t.ages[len(t.ages)-1]
+	}
+	return r
+}
+
+// collect fetches and acks batches until a step's samples are in hand.
+func (t *trainer) collect(ctx context.Context) error {
+	got := 0
+	for got < t.settings.StepSamples {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		batch, err := t.fetch(ctx, t.settings.StepSamples-got)
+		if err != nil {
+			t.retry(ctx, err)
+			continue
+		}
+		if len(batch.Samples) == 0 {
+			continue
+		}
+		if err := t.ack(ctx, batch.Cursor); err != nil {
+			// Not acknowledged: these samples are not ours; the leader
+			// delivers what is after the committed cursor again.
+			t.retry(ctx, err)
+			continue
+		}
+		for _, s := range batch.Samples {
+			t.take(s, batch.Weights)
+		}
+		got += len(batch.Samples)
+	}
+	return nil
+}
+
+func (t *trainer) take(s cf.Sample, current cf.WeightVersion) {
+	if t.seen[s.ID] {
+		t.report.Duplicates++
+	}
+	t.seen[s.ID] = true
+	t.report.Samples++
+	if len(s.Weights) == 0 {
+		t.report.Unattributed++
+		return
+	}
+	if len(s.Weights) > 1 {
+		t.report.SpanningSwap++
+	}
+	t.report.StaleVersionsMax = max(t.report.StaleVersionsMax, current-s.Weights[0])
+	t.ages = append(t.ages, s.Created.Since())
+}
+
+func (t *trainer) base() string { return t.entries[t.next%len(t.entries)] }
+
+func (t *trainer) retry(ctx context.Context, err error) {
+	t.report.Retries++
+	t.log.Info("trainer retry", zap.String("entry", t.base()), zap.Error(err))
+	t.next++
+	if t.next%len(t.entries) == 0 {
+		t.refreshEntries(ctx)
+	}
+	select {
+	case <-time.After(retryPause):
+	case <-ctx.Done():
+	}
+}
+
+func (t *trainer) claimURL(suffix string) string {
+	return fmt.Sprintf("%s/v1/pools/%s/claims/%s/%s", t.base(), url.PathEscape(string(t.settings.Pool)), url.PathEscape(string(t.settings.Claim)), suffix)
+}
+
+func (t *trainer) fetch(ctx context.Context, limit int) (cf.Batch, error) {
+	var b cf.Batch
+	u := t.claimURL("samples") + "?max=" + strconv.Itoa(limit) + "&wait_ms=" + strconv.FormatInt(fetchWait.Milliseconds(), 10)
+	err := t.call(ctx, http.MethodGet, u, nil, &b)
+	return b, err
+}
+
+// ack acknowledges a cursor, asking again while the outcome is unknown: an
+// ack is idempotent, so asking twice is safe.
+func (t *trainer) ack(ctx context.Context, cursor int64) error {
+	body, _ := json.Marshal(struct {
+		Cursor int64 `json:"cursor"`
+	}{cursor})
+	var err error
+	for range 5 {
+		var status int
+		status, err = t.callStatus(ctx, http.MethodPost, t.claimURL("ack"), body, nil)
+		if err == nil || status == http.StatusConflict || status == http.StatusBadRequest {
+			return err
+		}
+		t.retry(ctx, err)
+	}
+	return err
+}
+
+func (t *trainer) publish(ctx context.Context, v cf.WeightVersion) {
+	body, _ := json.Marshal(struct {
+		Version cf.WeightVersion `json:"weight_version"`
+	}{v})
+	for range 10 {
+		u := fmt.Sprintf("%s/v1/pools/%s/weights", t.base(), url.PathEscape(string(t.settings.Pool)))
+		err := t.call(ctx, http.MethodPost, u, body, nil)
+		if err == nil {
+			return
+		}
+		t.retry(ctx, err)
+	}
+}
+
+func (t *trainer) refreshEntries(ctx context.Context) {
+	var list struct {
+		Entries []struct {
+			URL string `json:"url"`
+		} `json:"entries"`
+	}
+	for _, base := range t.entries {
+		if t.call(ctx, http.MethodGet, base+"/v1/entries", nil, &list) == nil && len(list.Entries) > 0 {
+			t.entries = t.entries[:0]
+			for _, e := range list.Entries {
+				t.entries = append(t.entries, e.URL)
+			}
+			return
+		}
+	}
+}
+
+func (t *trainer) call(ctx context.Context, method, u string, body []byte, out any) error {
+	_, err := t.callStatus(ctx, method, u, body, out)
+	return err
+}
+
+func (t *trainer) callStatus(ctx context.Context, method, u string, body []byte, out any) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, method, u, bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := t.client.Do(req)
+	if err != nil {
+		return 0, eris.Wrapf(cf.ErrUnavailable, "%s %s: %v", method, u, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return resp.StatusCode, eris.Errorf("%s %s: status %d", method, u, resp.StatusCode)
+	}
+	if out == nil {
+		return resp.StatusCode, nil
+	}
+	return resp.StatusCode, json.NewDecoder(resp.Body).Decode(out)
+}
--- /dev/null
+++ b/commands/commands.go
@@ -0,0 +1,155 @@
+// Package commands is the command line of currantford: flags, wiring, start
+// and stop. The logic lives in the cf* packages.
+//
+// Usage:
+//
+//	currantford entry --id entry-1 [--config site.json]
+//	currantford check --config site.json
+//	currantford standin engine|platform|service|scorer|trainer ...
+//	currantford load [--plan plan.json] [--config site.json]
+package commands
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cfconfig"
+	"currantford/cfplatform"
+)
+
+// shutdownTimeout bounds a graceful stop after the drain.
+const shutdownTimeout = 30 * time.Second
+
+type (
+	// SiteOption is the settings flag shared by every command.
+	SiteOption struct {
+		Config string `long:"config" description:"site settings (JSON); the embedded default site when empty" value-name:"FILE"`
+	}
+)
+
+// Execute parses args and runs the command they name. It returns the exit
+// code.
+func Execute(args []string) int {
+	p := flags.NewParser(nil, flags.Default)
+	p.Name = "currantford"
+	p.LongDescription = "Currantford is a rollout service for reinforcement learning: entry instances route live " +
+		"requests to model engines and plain services, and deliver scored rollout samples to trainers once."
+	mustAdd(p.AddCommand("entry", "Run an entry instance",
+		"Run an entry instance: caller API, routing, pools, peers. Stops gracefully on SIGTERM.", &entryCommand{}))
+	mustAdd(p.AddCommand("check", "Validate a settings document",
+		"Validate a settings document and print each fault with its JSON path. Exits 1 on any fault.", &checkCommand{}))
+	mustAdd(p.AddCommand("load", "Drive a load and experiment plan",
+		"Drive live completions and plain-service calls against running entries, apply faults, write a journal and print a report.", &loadCommand{}))
+	standin, err := p.AddCommand("standin", "Run a stand-in of a system currantford serves",
+		"Run one stand-in process: engine, platform, service, scorer or trainer.", &struct{}{})
+	mustAdd(standin, err)
+	standin.SubcommandsOptional = false
+	mustAdd(standin.AddCommand("engine", "Run a model engine stand-in", "Run a model engine stand-in (OpenAI-compatible completions).", &engineCommand{}))
+	mustAdd(standin.AddCommand("platform", "Run the object API stand-in", "Run the platform's object API and instance list stand-in.", &platformCommand{}))
+	mustAdd(standin.AddCommand("service", "Run a plain service stand-in", "Run a plain service stand-in that records every call.", &serviceCommand{}))
+	mustAdd(standin.AddCommand("scorer", "Run the scoring service stand-in", "Run the scoring service stand-in.", &scorerCommand{}))
+	mustAdd(standin.AddCommand("trainer", "Run a trainer stand-in", "Run a trainer stand-in to its last step and print its report.", &trainerCommand{}))
+	if _, err := p.ParseArgs(args); err != nil {
+		var fe *flags.Error
+		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+			return 0
+		}
+		if !errors.As(err, &fe) {
+			_, _ = os.Stderr.WriteString("currantford: " + err.Error() + "\n")
+		}
+		return 1
+	}
+	return 0
+}
+
+func mustAdd(_ *flags.Command, err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+// site loads the settings or returns an error that lists every fault.
+func (o SiteOption) site() (cfconfig.Site, error) {
+	return cfconfig.Load(o.Config)
+}
+
+// signalled returns a context that ends on SIGTERM or SIGINT.
+func signalled() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
+
+// serveUntilSignal serves h on addr until SIGTERM or SIGINT, then marks the
+// instance leaving (if leave is set), keeps serving for drain so that those
+// who read the lagging instance list stop sending, and shuts down waiting
+// for every request in flight.
+func serveUntilSignal(addr string, h http.Handler, drain cf.Millis, leave func(context.Context), log *zap.Logger) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return eris.Wrapf(err, "listen %s", addr)
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	errc := make(chan error, 1)
+	go func() { errc <- srv.Serve(l) }()
+	log.Info("serving", zap.String("addr", addr))
+	ctx, stop := signalled()
+	defer stop()
+	select {
+	case err := <-errc:
+		return eris.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	log.Info("stopping", zap.Int64("drain_ms", int64(drain)))
+	sctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if leave != nil {
+		leave(sctx)
+		time.Sleep(drain.Duration())
+	}
+	err = srv.Shutdown(sctx)
+	log.Info("stopped")
+	return err
+}
+
+// registerInstance writes a stand-in's row of the instance list now and
+// every second, until ctx ends; the returned function marks it leaving.
+func registerInstance(ctx context.Context, site cfconfig.Site, id, role, addr string, domain cf.FailureDomain) func(context.Context) {
+	store := cfplatform.NewClient(site.PlatformURL())
+	write := func(ctx context.Context, state string) {
+		_, _ = cfplatform.PutJSON(ctx, store, cfplatform.KindInstance, id, struct {
+			ID        string           `json:"id"`
+			Role      string           `json:"role"`
+			Addr      string           `json:"addr"`
+			Domain    cf.FailureDomain `json:"failure_domain"`
+			State     string           `json:"state"`
+			Heartbeat cf.Millis        `json:"heartbeat_ms"`
+		}{id, role, addr, domain, state, cf.Now()}, cf.AnyVersion)
+	}
+	hctx, cancel := context.WithCancel(ctx)
+	go func() {
+		t := time.NewTicker(time.Second)
+		defer t.Stop()
+		for {
+			write(hctx, "live")
+			select {
+			case <-hctx.Done():
+				return
+			case <-t.C:
+			}
+		}
+	}()
+	return func(ctx context.Context) {
+		cancel()
+		write(ctx, "leaving")
+	}
+}
