Entry tests: openai-go client, bid at most once across entries, leaving engine

Found while writing the bid test: a caller that gave up cancelled the entry's send to the bid service, so a bid that did reach the service was never recorded in its platform marker and every repeat could only answer 'may have run'. The send now outlives the caller (bounded by the service's timeout_ms). Ruled out: the platform marker itself; the repeat saw it correctly as 'sending'.

The router ledger settled a failed request by its tokens, which a failed request reports as zero, so its work stayed in the ledger for ever; it now settles an average share.

Seeded fault: with the marker skipped (post directly), TestBidRunsAtMostOnce fails ('repeat on entry 2: status 0'); restored, it passes.

--- /dev/null
+++ b/cfentry/entry_test.go
@@ -0,0 +1,150 @@
+package cfentry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+)
+
+// TestOpenAIClient drives the entry with the published client library, so
+// the caller protocol is OpenAI's and not our reading of it.
+func TestOpenAIClient(t *testing.T) {
+	ts := startSite(t, 1, nil)
+	client := openai.NewClient(option.WithBaseURL(ts.urls[0]+"/v1/"), option.WithAPIKey("test"), option.WithMaxRetries(0))
+	params := openai.CompletionNewParams{
+		Model:     "forecast",
+		Prompt:    openai.CompletionNewParamsPromptUnion{OfString: openai.String("bayan hall store three")},
+		MaxTokens: openai.Int(6),
+	}
+	ctx := context.Background()
+	eventually(t, "engine load reports", func() bool {
+		_, err := client.Completions.New(ctx, params)
+		return err == nil
+	})
+	whole, err := client.Completions.New(ctx, params)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := len(strings.Fields(whole.Choices[0].Text)); got != 6 {
+		t.Fatalf("whole answer has %d tokens, want 6: %q", got, whole.Choices[0].Text)
+	}
+	stream := client.Completions.NewStreaming(ctx, params)
+	var text strings.Builder
+	for stream.Next() {
+		for _, c := range stream.Current().Choices {
+			text.WriteString(c.Text)
+		}
+	}
+	if err := stream.Err(); err != nil {
+		t.Fatal(err)
+	}
+	if text.String() != whole.Choices[0].Text {
+		t.Fatalf("streamed %q, whole %q: the same prompt must give the same answer", text.String(), whole.Choices[0].Text)
+	}
+}
+
+// TestBidRunsAtMostOnce: a bid must never reach the auction twice.
+//
+// Symptom: a buyer is charged twice for one bid.
+// Sequence: the bid service is slow; the caller gives up on entry 1 while
+// the bid is on its way, then sends the same Idempotency-Key to entry 2.
+// Cause: without the platform marker, entry 2 knows nothing of entry 1's
+// send and sends the bid again.
+func TestBidRunsAtMostOnce(t *testing.T) {
+	release := make(chan struct{})
+	var once sync.Once
+	slow := map[string]func(http.Handler) http.Handler{"bids": func(h http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPost {
+				<-release
+			}
+			h.ServeHTTP(w, r)
+		})
+	}}
+	ts := startSite(t, 2, slow)
+	defer once.Do(func() { close(release) })
+
+	send := func(url string, timeout time.Duration) (int, string) {
+		c := &http.Client{Timeout: timeout}
+		req, _ := http.NewRequest(http.MethodPost, url+"/v1/services/bids/call", bytes.NewReader([]byte(`{"pen":12,"price":410}`)))
+		req.Header.Set("Idempotency-Key", "bid-1")
+		resp, err := c.Do(req)
+		if err != nil {
+			return 0, ""
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode, resp.Header.Get("X-Currantford-Ran")
+	}
+	if status, _ := send(ts.urls[0], 200*time.Millisecond); status != 0 {
+		t.Fatalf("first try answered %d; the test needs it to time out", status)
+	}
+	status, ran := send(ts.urls[1], 2*time.Second)
+	if status != http.StatusConflict || ran != "unknown" {
+		t.Fatalf("repeat on entry 2: status %d ran %q, want 409 and \"unknown\"", status, ran)
+	}
+	once.Do(func() { close(release) })
+	eventually(t, "the first send to finish", func() bool {
+		status, _ := send(ts.urls[1], 2*time.Second)
+		return status == http.StatusOK
+	})
+	resp, err := http.Get("http://" + ts.site.Services[0].Addr + "/calls")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var counts struct {
+		Calls map[string]int `json:"calls"`
+	}
+	_ = json.NewDecoder(resp.Body).Decode(&counts)
+	if counts.Calls["bid-1"] != 1 {
+		t.Fatalf("bid-1 reached the service %d times, want 1", counts.Calls["bid-1"])
+	}
+}
+
+// TestLeavingEngineGetsNoNewWork: once the instance list shows an engine
+// leaving, no new live request goes to it.
+//
+// Symptom: requests keep landing on an engine being taken out, and are cut
+// off when it stops.
+// Sequence: the engine is marked leaving; the list lags; callers keep
+// sending.
+// Cause: routing on load reports alone, which still show it idle.
+func TestLeavingEngineGetsNoNewWork(t *testing.T) {
+	ts := startSite(t, 1, nil)
+	ts.setInstance(t, "forecast-1", "leaving")
+	post := func() string {
+		resp, err := http.Post(ts.urls[0]+"/v1/completions", "application/json",
+			strings.NewReader(`{"model":"forecast","prompt":"ring hall pen","max_tokens":2}`))
+		if err != nil {
+			return ""
+		}
+		defer resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return ""
+		}
+		return resp.Header.Get("X-Currantford-Engine")
+	}
+	// Wait until the lagging list has reached the entry: a request then
+	// goes elsewhere 20 times in a row.
+	eventually(t, "the leaving state to reach the entry", func() bool {
+		for range 20 {
+			if e := post(); e == "" || e == "forecast-1" {
+				return false
+			}
+		}
+		return true
+	})
+	for range 50 {
+		if e := post(); e == "forecast-1" {
+			t.Fatalf("a new request went to the leaving engine")
+		}
+	}
+}
--- a/cfentry/services.go
+++ b/cfentry/services.go
@@ -87,7 +87,11 @@
 	}
 	res, first := e.services.claim(name + "/" + key)
 	if first {
-		res.status, res.body, err = e.services.send(ctx.Request().Context(), sv, key, ctx.Params().Get("path"), body)
+		// The send outlives the caller: a caller that gives up must not
+		// cancel a bid that may already be at the service, or the outcome
+		// is never recorded and every repeat can only say "may have run".
+		sendCtx := context.WithoutCancel(ctx.Request().Context())
+		res.status, res.body, err = e.services.send(sendCtx, sv, key, ctx.Params().Get("path"), body)
 		e.services.finish(name+"/"+key, res, err)
 	} else {
 		select {
--- /dev/null
+++ b/cfentry/site_test.go
@@ -0,0 +1,131 @@
+package cfentry_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cfconfig"
+	"currantford/cfengine"
+	"currantford/cfentry"
+	"currantford/cfplatform"
+	"currantford/cfstandin"
+)
+
+// testSite is a small site in one test process: the platform, engines, the
+// services and the scorer stand-ins, and entries, each on its own loopback
+// port and reached over HTTP as in production.
+type testSite struct {
+	site     cfconfig.Site
+	platform *cfplatform.Server
+	store    *cfplatform.Client
+	entries  []*cfentry.Entry
+	urls     []string
+	services map[string]*cfstandin.Service
+	wrap     map[string]func(http.Handler) http.Handler
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func serve(t *testing.T, l net.Listener, h http.Handler) {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(func() { _ = srv.Close() })
+}
+
+// startSite starts a site with n entries. wrap may put a fault in front of
+// a service's handler, by service name.
+func startSite(t *testing.T, n int, wrap map[string]func(http.Handler) http.Handler) *testSite {
+	t.Helper()
+	ts := &testSite{site: cfconfig.Default(), services: map[string]*cfstandin.Service{}, wrap: wrap}
+	s := &ts.site
+	s.Platform.InstanceLag = 100
+	s.Lease = cfconfig.Lease{TTL: 600, Renew: 150}
+	s.LoadPoll = 50
+	s.Drain = 300
+	pl := listen(t)
+	s.Platform.Addr = pl.Addr().String()
+	ts.platform = cfplatform.NewServer(cfplatform.ServerSettings{InstanceLag: s.Platform.InstanceLag})
+	serve(t, pl, ts.platform.Handler())
+	ts.store = cfplatform.NewClient(s.PlatformURL())
+
+	for i := range s.Engines {
+		l := listen(t)
+		s.Engines[i].Addr = l.Addr().String()
+		e := cfengine.New(cfengine.Settings{ID: s.Engines[i].ID, Model: s.Engines[i].Model, LoadLag: 20, SwapDelay: 10, CheckFencing: s.Engines[i].CheckFencing})
+		t.Cleanup(func() { _ = e.Close() })
+		serve(t, l, e.Handler())
+	}
+	for i := range s.Services {
+		l := listen(t)
+		s.Services[i].Addr = l.Addr().String()
+		s.Services[i].Timeout = 2000
+		svc := cfstandin.NewService(s.Services[i].Name, s.Services[i].Idempotent)
+		ts.services[s.Services[i].Name] = svc
+		var h http.Handler = svc.Handler()
+		if w := wrap[s.Services[i].Name]; w != nil {
+			h = w(h)
+		}
+		serve(t, l, h)
+	}
+	sl := listen(t)
+	s.Scorer.Addr = sl.Addr().String()
+	serve(t, sl, cfstandin.ScorerHandler())
+
+	s.Entries = s.Entries[:n]
+	listeners := make([]net.Listener, n)
+	for i := range s.Entries {
+		listeners[i] = listen(t)
+		s.Entries[i].Addr = listeners[i].Addr().String()
+	}
+	for i := range s.Entries {
+		e, err := cfentry.New(*s, s.Entries[i].ID, zap.NewNop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		e.Run(context.Background())
+		go func() { _ = e.Serve(listeners[i]) }()
+		t.Cleanup(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			_ = e.Shutdown(ctx)
+		})
+		ts.entries = append(ts.entries, e)
+		ts.urls = append(ts.urls, "http://"+s.Entries[i].Addr)
+	}
+	return ts
+}
+
+// eventually polls cond every 20 ms for up to 5 s. It bounds waiting for
+// background work (load polls, watches); it asserts nothing about speed.
+func eventually(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	t.Fatalf("timed out waiting for %s", what)
+}
+
+// setInstance writes an instance-list row as the platform would.
+func (ts *testSite) setInstance(t *testing.T, id, state string) {
+	t.Helper()
+	_, err := cfplatform.PutJSON(context.Background(), ts.store, cfplatform.KindInstance, id,
+		cfentry.Instance{ID: id, Role: cfentry.RoleEngine, State: state, Heartbeat: cf.Now()}, cf.AnyVersion)
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/cfroute/route.go
+++ b/cfroute/route.go
@@ -186,8 +186,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.entry(engine)
-	l.inflight = max(l.inflight-1, 0)
-	l.work = max(l.work-(r.tauPre*float64(prompt)+r.tauDec*float64(output)), 0)
+	// A failed request reports no tokens, so the ledger settles an
+	// average share of its work rather than the request's own: pricing by
+	// tokens would leave a failed request's work in the ledger for ever,
+	// and the engine would look busier after each failure.
+	if l.inflight > 0 {
+		l.work -= l.work / float64(l.inflight)
+		l.inflight--
+	}
 	if !r.settings.Calibrate {
 		return
 	}
