Pool session golden file (datadriven); fix generation stalls found by it

Cause: the golden session of two entries sharing a pool hung twice. 1. Close waited for generation goroutines started by a KeepLease outside Run, which nothing stopped; Close now steps down first. 2. After a weight swap, a buffer full of now-stale samples stopped the generator (it judged the buffer full before dropping stale samples, and dropping did not wake it): the trainer would wait for ever. The generator now drops stale samples first, and a drop broadcasts. 3. The group counter advanced on idle turns, so prompts skipped; it now advances only when a group is made. Ruled out: the platform stand-in and the lease protocol; both behaved as the session expected.

The session proves in one file: whole groups only, redelivery until ack, idempotent ack, a lost answer after the commit took effect, stale samples dropped after a swap, weights never going back, and a paused leader fenced by its successor's stamp on the claim.

--- a/cfpool/claim.go
+++ b/cfpool/claim.go
@@ -29,10 +29,16 @@
 			p.mu.Unlock()
 			return
 		}
+		// Stale samples are dropped before the buffer is judged full: a
+		// buffer full of samples made by old weights would otherwise
+		// stop generation, and the trainer would wait for ever.
+		p.dropStaleLocked(log)
 		full := len(log.ready) >= log.settings.Buffer
 		wait := p.changed
 		group := log.groups
-		log.groups++
+		if !full {
+			log.groups++
+		}
 		p.mu.Unlock()
 		if full {
 			select {
@@ -168,7 +174,10 @@
 		}
 		kept = append(kept, s)
 	}
-	log.ready = kept
+	if len(kept) < len(log.ready) {
+		log.ready = kept
+		p.broadcastLocked()
+	}
 }
 
 // Ack commits cursor for a claim in the platform. It is idempotent: a cursor
--- a/cfpool/pool.go
+++ b/cfpool/pool.go
@@ -129,7 +129,7 @@
 	t := time.NewTicker(p.opts.Lease.Renew.Duration())
 	defer t.Stop()
 	for {
-		p.keepLease(ctx)
+		p.KeepLease(ctx)
 		select {
 		case <-ctx.Done():
 			p.stepDown("stopping")
@@ -144,6 +144,9 @@
 	if p.stop != nil {
 		p.stop()
 	}
+	// Generation may have been started by a KeepLease outside Run; stop
+	// it too, or Close would wait for it for ever.
+	p.stepDown("closing")
 	p.wg.Wait()
 	return nil
 }
@@ -157,8 +160,10 @@
 
 func (p *Pool) leaseName() string { return "pool/" + string(p.settings.Name) }
 
-// keepLease runs one round of the lease protocol.
-func (p *Pool) keepLease(ctx context.Context) {
+// KeepLease runs one round of the lease protocol: take the lease when it is
+// free or lapsed, renew it when held, follow the holder otherwise. Run calls
+// it every renew_ms; tests call it to step the protocol.
+func (p *Pool) KeepLease(ctx context.Context) {
 	start := time.Now()
 	ttl := p.opts.Lease.TTL
 	var cur leaseValue
@@ -305,3 +310,14 @@
 	defer p.mu.Unlock()
 	return p.weights
 }
+
+// Buffered returns how many scored samples of a claim wait for delivery
+// here; it is zero on an entry that does not lead the pool.
+func (p *Pool) Buffered(name cf.ClaimName) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if log := p.claims[name]; log != nil {
+		return len(log.ready)
+	}
+	return 0
+}
--- /dev/null
+++ b/cfpool/session_test.go
@@ -0,0 +1,148 @@
+package cfpool_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	cf "currantford"
+	"currantford/cfconfig"
+	"currantford/cfplatform"
+	"currantford/cfpool"
+)
+
+// backend is an in-memory engine fleet: every rollout is produced by the
+// weights most recently loaded.
+type backend struct {
+	mu      sync.Mutex
+	version cf.WeightVersion
+	n       int
+}
+
+func (b *backend) Generate(_ context.Context, _ cf.Job, prompt string) (cf.Generation, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.n++
+	return cf.Generation{Text: strings.Fields(prompt)[0], Weights: []cf.WeightVersion{b.version}, Engine: "e1"}, nil
+}
+
+func (b *backend) Score(_ context.Context, _, text string) (float64, error) {
+	return float64(len(text)) / 10, nil
+}
+
+func (b *backend) LoadWeights(ctx context.Context, v cf.WeightVersion, _ cf.Epoch, check func(context.Context) error) error {
+	if err := check(ctx); err != nil {
+		return err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.version = v
+	return nil
+}
+
+// TestSession replays whole sessions of two entries sharing one pool: lease
+// takeover, delivery by cursor, weight swaps and staleness, a lost answer
+// and a paused leader fenced by its successor.
+func TestSession(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		srv := httptest.NewServer(cfplatform.NewServer(cfplatform.ServerSettings{}).Handler())
+		defer srv.Close()
+		store := cfplatform.NewClient(srv.URL)
+		settings := cfconfig.Pool{Name: "forecast", GroupSize: 2, MaxTokens: 4, StaleVersions: 1, StaleAge: 60000,
+			Prompts: []string{"bayan hall", "tuul east"}, Claims: []cfconfig.Claim{{Name: "spoilage", Buffer: 4}}}
+		be := &backend{}
+		pools := map[string]*cfpool.Pool{}
+		for _, id := range []string{"a", "b"} {
+			p := cfpool.New(settings, cfpool.Options{Store: store, Backend: be, Holder: cf.EntryID(id), Addr: id,
+				Lease: cfconfig.Lease{TTL: 60000, Renew: 1000}})
+			defer p.Close()
+			pools[id] = p
+		}
+		ctx := context.Background()
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var entry string
+			if d.HasArg("entry") {
+				d.ScanArgs(t, "entry", &entry)
+			}
+			p := pools[entry]
+			switch d.Cmd {
+			case "lease":
+				p.KeepLease(ctx)
+				leader, _, _ := p.Leader()
+				return fmt.Sprintf("leader %s\n", leader)
+			case "settle":
+				// Wait until the leader's buffer is full: the generator
+				// is then idle and the session's next step is repeatable.
+				for deadline := time.Now().Add(5 * time.Second); p.Buffered("spoilage") < 4 && time.Now().Before(deadline); {
+					time.Sleep(5 * time.Millisecond)
+				}
+				return fmt.Sprintf("buffered %d\n", p.Buffered("spoilage"))
+			case "fetch":
+				var limit int
+				d.ScanArgs(t, "max", &limit)
+				b, err := p.Fetch(ctx, "spoilage", limit, 2*time.Second)
+				if err != nil {
+					return "error: " + kind(err) + "\n"
+				}
+				var out strings.Builder
+				for _, s := range b.Samples {
+					fmt.Fprintf(&out, "%s %s score=%.1f weights=%v\n", s.ID, s.Text, s.Score, s.Weights)
+				}
+				fmt.Fprintf(&out, "cursor %d pool_weights %d\n", b.Cursor, b.Weights)
+				return out.String()
+			case "ack":
+				var cursor int64
+				d.ScanArgs(t, "cursor", &cursor)
+				if err := p.Ack(ctx, "spoilage", cursor); err != nil {
+					return "error: " + kind(err) + "\n"
+				}
+				return "ok\n"
+			case "weights":
+				var v int64
+				d.ScanArgs(t, "version", &v)
+				if err := p.SetWeights(ctx, cf.WeightVersion(v)); err != nil {
+					return "error: " + kind(err) + "\n"
+				}
+				return "ok\n"
+			case "expire":
+				// The holder is paused past its lease: its lease lapses
+				// in the platform while it still believes it holds it.
+				obj, _ := store.Get(ctx, cfpool.KindLease, "pool/forecast")
+				value := strings.Replace(string(obj.Value), `"expires_ms":`, `"expires_ms":0,"was":`, 1)
+				if _, err := store.Put(ctx, cfpool.KindLease, "pool/forecast", []byte(value), obj.Version); err != nil {
+					return "error: " + err.Error() + "\n"
+				}
+				return "expired\n"
+			case "lose-answers":
+				var n int
+				d.ScanArgs(t, "n", &n)
+				_ = store.InjectFaults(ctx, 0, 0, n)
+				return "ok\n"
+			case "claim":
+				obj, err := store.Get(ctx, cfpool.KindClaim, "forecast/spoilage")
+				if err != nil {
+					return "error: " + kind(err) + "\n"
+				}
+				return string(obj.Value) + "\n"
+			}
+			t.Fatalf("unknown command %s", d.Cmd)
+			return ""
+		})
+	})
+}
+
+func kind(err error) string {
+	for _, s := range []error{cf.ErrNotLeader, cf.ErrFenced, cf.ErrConflict, cf.ErrUnavailable, cf.ErrInvalid, cf.ErrNotFound} {
+		if errors.Is(err, s) {
+			return s.Error()
+		}
+	}
+	return err.Error()
+}
