--- a/cfengine/engine.go
+++ b/cfengine/engine.go
@@ -380,3 +380,6 @@
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v)
 }
+
+// Settings returns the engine's settings.
+func (e *Engine) Settings() Settings { return e.settings }
--- a/cfentry/site_test.go
+++ b/cfentry/site_test.go
@@ -30,7 +30,7 @@
 	wrap     map[string]func(http.Handler) http.Handler
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -39,7 +39,7 @@
 	return l
 }
 
-func serve(t *testing.T, l net.Listener, h http.Handler) {
+func serve(t testing.TB, l net.Listener, h http.Handler) {
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
 	go func() { _ = srv.Serve(l) }()
 	t.Cleanup(func() { _ = srv.Close() })
@@ -47,7 +47,7 @@
 
 // startSite starts a site with n entries. wrap may put a fault in front of
 // a service's handler, by service name.
-func startSite(t *testing.T, n int, wrap map[string]func(http.Handler) http.Handler) *testSite {
+func startSite(t testing.TB, n int, wrap map[string]func(http.Handler) http.Handler) *testSite {
 	t.Helper()
 	ts := &testSite{site: cfconfig.Default(), services: map[string]*cfstandin.Service{}, wrap: wrap}
 	s := &ts.site
@@ -110,7 +110,7 @@
 
 // eventually polls cond every 20 ms for up to 5 s. It bounds waiting for
 // background work (load polls, watches); it asserts nothing about speed.
-func eventually(t *testing.T, what string, cond func() bool) {
+func eventually(t testing.TB, what string, cond func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
 		if cond() {
@@ -121,7 +121,7 @@
 }
 
 // setInstance writes an instance-list row as the platform would.
-func (ts *testSite) setInstance(t *testing.T, id, state string) {
+func (ts *testSite) setInstance(t testing.TB, id, state string) {
 	t.Helper()
 	_, err := cfplatform.PutJSON(context.Background(), ts.store, cfplatform.KindInstance, id,
 		cfentry.Instance{ID: id, Role: cfentry.RoleEngine, State: state, Heartbeat: cf.Now()}, cf.AnyVersion)
--- a/cfplatform/server.go
+++ b/cfplatform/server.go
@@ -27,6 +27,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -61,6 +62,7 @@
 		faults   Faults
 
 		calls *prometheus.CounterVec
+		total atomic.Int64
 		reg   *prometheus.Registry
 	}
 
@@ -93,6 +95,9 @@
 	return s
 }
 
+// Calls returns the number of object API calls served so far.
+func (s *Server) Calls() int64 { return s.total.Load() }
+
 // Handler returns the HTTP API.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -108,6 +113,7 @@
 func (s *Server) faulty(op string, h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.calls.WithLabelValues(op).Inc()
+		s.total.Add(1)
 		s.mu.Lock()
 		f := s.faults
 		s.mu.Unlock()
