--- a/cfentry/site_test.go
+++ b/cfentry/site_test.go
@@ -74,7 +74,7 @@
 		s.Services[i].Timeout = 2000
 		svc := cfstandin.NewService(s.Services[i].Name, s.Services[i].Idempotent)
 		ts.services[s.Services[i].Name] = svc
-		var h http.Handler = svc.Handler()
+		h := svc.Handler()
 		if w := wrap[s.Services[i].Name]; w != nil {
 			h = w(h)
 		}
--- a/cfpool/session_test.go
+++ b/cfpool/session_test.go
@@ -62,7 +62,7 @@
 		for _, id := range []string{"a", "b"} {
 			p := cfpool.New(settings, cfpool.Options{Store: store, Backend: be, Holder: cf.EntryID(id), Addr: id,
 				Lease: cfconfig.Lease{TTL: 60000, Renew: 1000}})
-			defer p.Close()
+			defer func() { _ = p.Close() }()
 			pools[id] = p
 		}
 		ctx := context.Background()
--- a/cfroute/bench_test.go
+++ b/cfroute/bench_test.go
@@ -89,7 +89,7 @@
 		e := cfengine.New(cfengine.Settings{ID: cf.EngineID(fmt.Sprintf("e%d", i)), Model: m, LoadLag: 50})
 		srv := httptest.NewServer(e.Handler())
 		defer srv.Close()
-		defer e.Close()
+		defer func() { _ = e.Close() }()
 		engines = append(engines, engine{e.Settings().ID, srv.URL})
 	}
 	s := cfroute.DefaultSettings()
