--- /dev/null
+++ b/cfentry/shutdown_test.go
@@ -0,0 +1,60 @@
+package cfentry_test
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestShutdownCutsOffNoRequest: a planned stop lets every answer finish.
+//
+// Symptom: a caller's streamed answer stops halfway during a deploy.
+// Sequence: a long streamed completion is in flight; the entry is told to
+// stop (SIGTERM runs Shutdown).
+// Cause: closing the listener and connections at once instead of marking
+// the entry leaving, draining, and waiting for requests in flight.
+func TestShutdownCutsOffNoRequest(t *testing.T) {
+	ts := startSite(t, 1, nil)
+	body := `{"model":"forecast","prompt":"tuul west frost","max_tokens":150,"stream":true}`
+	eventually(t, "an engine to be routable", func() bool {
+		resp, err := http.Post(ts.urls[0]+"/v1/completions", "application/json", strings.NewReader(`{"prompt":"x","max_tokens":1}`))
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	resp, err := http.Post(ts.urls[0]+"/v1/completions", "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	stopped := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		stopped <- ts.entries[0].Shutdown(ctx)
+	}()
+	tokens, done := 0, false
+	sc := bufio.NewScanner(resp.Body)
+	for sc.Scan() {
+		line := sc.Text()
+		switch {
+		case line == "data: [DONE]":
+			done = true
+		case strings.Contains(line, `"error"`):
+			t.Fatalf("stream carried an error: %s", line)
+		case strings.HasPrefix(line, "data: ") && !strings.Contains(line, `"finish_reason":"length"`):
+			tokens++
+		}
+	}
+	if !done || tokens != 150 {
+		t.Fatalf("answer cut off: %d of 150 tokens, done=%v", tokens, done)
+	}
+	if err := <-stopped; err != nil {
+		t.Fatalf("shutdown: %v", err)
+	}
+}
