--- a/cfpool/claim.go
+++ b/cfpool/claim.go
@@ -207,28 +207,19 @@
 	epoch, version := p.epoch, log.version
 	p.mu.Unlock()
 
-	obj, err := cfplatform.PutJSON(ctx, p.opts.Store, KindClaim, p.claimName(name), claimValue{Cursor: cursor, Epoch: epoch}, version)
+	newVersion, err := commitCursor(ctx, p.opts.Store, p.claimName(name), epoch, version, cursor)
+	if errors.Is(err, cf.ErrFenced) {
+		p.stepDown("claim fenced by a newer epoch")
+	}
 	if err != nil {
-		// The answer may be lost after the write took effect, or a newer
-		// leader may have stamped the claim: read to tell them apart.
-		var cur claimValue
-		obj, err = cfplatform.GetJSON(ctx, p.opts.Store, KindClaim, p.claimName(name), &cur)
-		switch {
-		case err != nil:
-			return eris.Wrapf(cf.ErrUnavailable, "ack %s: outcome unknown", p.claimName(name))
-		case cur.Epoch > epoch:
-			p.stepDown("claim fenced by a newer epoch")
-			return eris.Wrapf(cf.ErrFenced, "claim %s stamped by epoch %d, ours %d", name, cur.Epoch, epoch)
-		case cur.Epoch != epoch || cur.Cursor < cursor:
-			return eris.Wrapf(cf.ErrUnavailable, "ack %s did not take effect", p.claimName(name))
-		}
+		return err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if log = p.claims[name]; log == nil || p.epoch != epoch {
 		return eris.Wrapf(cf.ErrNotLeader, "pool %s", p.settings.Name)
 	}
-	log.committed, log.version = max(log.committed, cursor), obj.Version
+	log.committed, log.version = max(log.committed, cursor), newVersion
 	n := 0
 	for n < len(log.ready) && log.ready[n].Seq <= log.committed {
 		n++
@@ -238,6 +229,30 @@
 	return nil
 }
 
+// commitCursor writes cursor for epoch, on condition that the claim object
+// is still at version, the one this leader last wrote or read. It returns
+// the new version. A newer leader's stamp moves the version, so an old
+// leader's commit fails here (ErrFenced) instead of overwriting the cursor.
+// When the answer is lost, it reads the object back: the write may have
+// taken effect (then it succeeds) or not (ErrUnavailable, ack again).
+func commitCursor(ctx context.Context, store cf.ObjectStore, name string, epoch cf.Epoch, version, cursor int64) (int64, error) {
+	obj, err := cfplatform.PutJSON(ctx, store, KindClaim, name, claimValue{Cursor: cursor, Epoch: epoch}, version)
+	if err == nil {
+		return obj.Version, nil
+	}
+	var cur claimValue
+	obj, err = cfplatform.GetJSON(ctx, store, KindClaim, name, &cur)
+	switch {
+	case err != nil:
+		return 0, eris.Wrapf(cf.ErrUnavailable, "ack %s: outcome unknown", name)
+	case cur.Epoch > epoch:
+		return 0, eris.Wrapf(cf.ErrFenced, "claim %s stamped by epoch %d, ours %d", name, cur.Epoch, epoch)
+	case cur.Epoch != epoch || cur.Cursor < cursor:
+		return 0, eris.Wrapf(cf.ErrUnavailable, "ack %s did not take effect", name)
+	}
+	return obj.Version, nil
+}
+
 // SetWeights records a new weight version for the pool and orders the
 // engines to load it. A version lower than the current one is refused with
 // ErrConflict: weights never go back.
--- a/cfpool/pool.go
+++ b/cfpool/pool.go
@@ -275,22 +275,33 @@
 func (p *Pool) claimName(c cf.ClaimName) string { return string(p.settings.Name) + "/" + string(c) }
 
 func (p *Pool) stampClaim(ctx context.Context, c cfconfig.Claim, epoch cf.Epoch) (*claimLog, error) {
+	cur, version, err := stamp(ctx, p.opts.Store, p.claimName(c.Name), epoch)
+	if err != nil {
+		return nil, err
+	}
+	return &claimLog{settings: c, committed: cur.Cursor, version: version, next: cur.Cursor + 1}, nil
+}
+
+// stamp writes a new leader's epoch into a claim object, keeping its
+// cursor, and returns the cursor and the new version. It refuses
+// (ErrFenced) when a newer epoch has stamped it already.
+func stamp(ctx context.Context, store cf.ObjectStore, name string, epoch cf.Epoch) (claimValue, int64, error) {
 	var cur claimValue
-	obj, err := cfplatform.GetJSON(ctx, p.opts.Store, KindClaim, p.claimName(c.Name), &cur)
+	obj, err := cfplatform.GetJSON(ctx, store, KindClaim, name, &cur)
 	ifVersion := obj.Version
 	if errors.Is(err, cf.ErrNotFound) {
 		ifVersion = cf.CreateOnly
 	} else if err != nil {
-		return nil, err
+		return cur, 0, err
 	}
 	if cur.Epoch > epoch {
-		return nil, eris.Wrapf(cf.ErrFenced, "claim %s stamped by epoch %d", c.Name, cur.Epoch)
+		return cur, 0, eris.Wrapf(cf.ErrFenced, "claim %s stamped by epoch %d", name, cur.Epoch)
 	}
-	obj, err = cfplatform.PutJSON(ctx, p.opts.Store, KindClaim, p.claimName(c.Name), claimValue{Cursor: cur.Cursor, Epoch: epoch}, ifVersion)
+	obj, err = cfplatform.PutJSON(ctx, store, KindClaim, name, claimValue{Cursor: cur.Cursor, Epoch: epoch}, ifVersion)
 	if err != nil {
-		return nil, err
+		return cur, 0, err
 	}
-	return &claimLog{settings: c, committed: cur.Cursor, version: obj.Version, next: cur.Cursor + 1}, nil
+	return claimValue{Cursor: cur.Cursor, Epoch: epoch}, obj.Version, nil
 }
 
 // isLeaderLocked is true while our lease is valid by our own clock. A holder
