Reading pass: one decoder for peer calls, explicit leader routing, typed error body

Change: decodeCall serves the three handlers; leaderOf plus callLeader replace forward, each handler says plainly what runs here and what goes to the leader; errorBody is the one refusal type; commands use cfentry.Instance; the dead metric is gone; onceNotSent is a constant. No behaviour change intended.

--- a/cfentry/claims.go
+++ b/cfentry/claims.go
@@ -33,31 +33,25 @@
 	}
 )
 
+// registerPeerOps answers the calls other entries forward to this one
+// while it leads a pool.
 func (e *Entry) registerPeerOps() {
 	e.peerSrv.Handle("fetch", func(ctx context.Context, body cbor.RawMessage) (any, error) {
-		var c claimCall
-		if err := cbor.Unmarshal(body, &c); err != nil {
-			return nil, eris.Wrap(cf.ErrInvalid, err.Error())
-		}
-		p, err := e.pool(c.Pool)
+		c, p, err := e.decodeCall(body)
 		if err != nil {
 			return nil, err
 		}
 		return p.Fetch(ctx, c.Claim, c.Max, min(c.Wait.Duration(), maxFetchWait))
 	})
 	e.peerSrv.Handle("ack", func(ctx context.Context, body cbor.RawMessage) (any, error) {
-		var c claimCall
-		if err := cbor.Unmarshal(body, &c); err != nil {
-			return nil, eris.Wrap(cf.ErrInvalid, err.Error())
+		c, p, err := e.decodeCall(body)
+		if err != nil {
+			return nil, err
 		}
-		return nil, e.localAck(ctx, c)
+		return nil, p.Ack(ctx, c.Claim, c.Cursor)
 	})
 	e.peerSrv.Handle("weights", func(ctx context.Context, body cbor.RawMessage) (any, error) {
-		var c claimCall
-		if err := cbor.Unmarshal(body, &c); err != nil {
-			return nil, eris.Wrap(cf.ErrInvalid, err.Error())
-		}
-		p, err := e.pool(c.Pool)
+		c, p, err := e.decodeCall(body)
 		if err != nil {
 			return nil, err
 		}
@@ -65,6 +59,15 @@
 	})
 }
 
+func (e *Entry) decodeCall(body cbor.RawMessage) (claimCall, *cfpool.Pool, error) {
+	var c claimCall
+	if err := cbor.Unmarshal(body, &c); err != nil {
+		return c, nil, eris.Wrap(cf.ErrInvalid, err.Error())
+	}
+	p, err := e.pool(c.Pool)
+	return c, p, err
+}
+
 func (e *Entry) pool(name cf.PoolName) (*cfpool.Pool, error) {
 	p, ok := e.pools[name]
 	if !ok {
@@ -73,34 +76,26 @@
 	return p, nil
 }
 
-func (e *Entry) localAck(ctx context.Context, c claimCall) error {
-	p, err := e.pool(c.Pool)
-	if err != nil {
-		return err
-	}
-	return p.Ack(ctx, c.Claim, c.Cursor)
-}
-
-// forward runs op on the pool's leader: here if we lead, else over the peer
-// link. ErrNotLeader means the lease is changing hands.
-func (e *Entry) forward(ctx context.Context, op string, c claimCall, local func() (any, error), out any) error {
-	p, err := e.pool(c.Pool)
+// leaderOf returns the pool and, when another entry leads it, that
+// entry's address; "" means this entry leads. ErrNotLeader means the lease
+// is changing hands.
+func (e *Entry) leaderOf(name cf.PoolName) (*cfpool.Pool, string, error) {
+	p, err := e.pool(name)
 	if err != nil {
-		return err
+		return nil, "", err
 	}
 	leader, addr, known := p.Leader()
-	if !known {
-		return eris.Wrapf(cf.ErrNotLeader, "pool %s has no leader yet", c.Pool)
-	}
-	if leader == e.self.ID {
-		v, err := local()
-		if err == nil && out != nil {
-			if b, ok := v.(cf.Batch); ok {
-				*(out.(*cf.Batch)) = b
-			}
-		}
-		return err
+	switch {
+	case !known:
+		return nil, "", eris.Wrapf(cf.ErrNotLeader, "pool %s has no leader yet", name)
+	case leader == e.self.ID:
+		return p, "", nil
 	}
+	return p, addr, nil
+}
+
+// callLeader forwards c to the leading entry at addr over the peer link.
+func (e *Entry) callLeader(ctx context.Context, addr, op string, c claimCall, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.Wait.Duration()+peerTimeout)
 	defer cancel()
 	return e.peers.Call(ctx, addr, op, c, out)
@@ -112,10 +107,14 @@
 	wait, _ := strconv.ParseInt(ctx.URLParamDefault("wait_ms", "2000"), 10, 64)
 	c.Wait = min(cf.Millis(wait), cf.MillisOf(maxFetchWait))
 	var batch cf.Batch
-	err := e.forward(ctx.Request().Context(), "fetch", c, func() (any, error) {
-		p, _ := e.pool(c.Pool)
-		return p.Fetch(ctx.Request().Context(), c.Claim, c.Max, c.Wait.Duration())
-	}, &batch)
+	p, addr, err := e.leaderOf(c.Pool)
+	switch {
+	case err != nil:
+	case addr == "":
+		batch, err = p.Fetch(ctx.Request().Context(), c.Claim, c.Max, c.Wait.Duration())
+	default:
+		err = e.callLeader(ctx.Request().Context(), addr, "fetch", c, &batch)
+	}
 	if err != nil {
 		e.claimFailure(ctx, "fetch", err)
 		return
@@ -136,9 +135,14 @@
 		return
 	}
 	c := claimCall{Pool: cf.PoolName(ctx.Params().Get("pool")), Claim: cf.ClaimName(ctx.Params().Get("claim")), Cursor: body.Cursor}
-	err := e.forward(ctx.Request().Context(), "ack", c, func() (any, error) {
-		return nil, e.localAck(ctx.Request().Context(), c)
-	}, nil)
+	p, addr, err := e.leaderOf(c.Pool)
+	switch {
+	case err != nil:
+	case addr == "":
+		err = p.Ack(ctx.Request().Context(), c.Claim, c.Cursor)
+	default:
+		err = e.callLeader(ctx.Request().Context(), addr, "ack", c, nil)
+	}
 	if err != nil {
 		e.claimFailure(ctx, "ack", err)
 		return
@@ -158,10 +162,14 @@
 		return
 	}
 	c := claimCall{Pool: cf.PoolName(ctx.Params().Get("pool")), Version: body.Version}
-	err := e.forward(ctx.Request().Context(), "weights", c, func() (any, error) {
-		p, _ := e.pool(c.Pool)
-		return nil, p.SetWeights(ctx.Request().Context(), c.Version)
-	}, nil)
+	p, addr, err := e.leaderOf(c.Pool)
+	switch {
+	case err != nil:
+	case addr == "":
+		err = p.SetWeights(ctx.Request().Context(), c.Version)
+	default:
+		err = e.callLeader(ctx.Request().Context(), addr, "weights", c, nil)
+	}
 	if err != nil {
 		e.claimFailure(ctx, "weights", err)
 		return
--- a/cfentry/engines.go
+++ b/cfentry/engines.go
@@ -116,10 +116,15 @@
 // route places a job and logs the decision.
 func (s *engineSet) route(job cf.Job, skip map[cf.EngineID]bool) (cf.Decision, error) {
 	d, err := s.entry.router.Route(job, s.candidates(job.Live, skip))
-	if err == nil {
-		s.entry.decided(d, map[bool]string{true: "live", false: "rollout"}[job.Live])
+	if err != nil {
+		return d, err
+	}
+	kind := "rollout"
+	if job.Live {
+		kind = "live"
 	}
-	return d, err
+	s.entry.decided(d, kind)
+	return d, nil
 }
 
 // Generate implements currantford.Backend: one rollout, non-streamed, at
--- a/cfentry/entry.go
+++ b/cfentry/entry.go
@@ -87,10 +87,9 @@
 	}
 
 	metrics struct {
-		reg        *prometheus.Registry
-		requests   *prometheus.CounterVec
-		decisions  *prometheus.CounterVec
-		deliveries prometheus.Counter
+		reg       *prometheus.Registry
+		requests  *prometheus.CounterVec
+		decisions *prometheus.CounterVec
 	}
 )
 
@@ -135,10 +134,7 @@
 	m.decisions = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "currantford_entry_decisions_total", Help: "Routing decisions by policy and reason.",
 	}, []string{"policy", "reason"})
-	m.deliveries = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "currantford_entry_samples_acked_total", Help: "Samples acknowledged by trainers through this entry's pools.",
-	})
-	m.reg.MustRegister(m.requests, m.decisions, m.deliveries, collectors.NewGoCollector())
+	m.reg.MustRegister(m.requests, m.decisions, collectors.NewGoCollector())
 	return m
 }
 
@@ -333,23 +329,25 @@
 		zap.String("policy", d.Policy))
 }
 
+// errorBody is the body of every refusal. Ran is "no" only when the
+// request certainly did not run, "unknown" when it may have, "partly" for
+// a cut answer.
+type errorBody struct {
+	Error struct {
+		Message string `json:"message"`
+		Code    string `json:"code"`
+		Ran     string `json:"ran"`
+	} `json:"error"`
+}
+
 // refuse answers with an error body that says whether the request ran.
-// ran is "no" only when that is certain.
 func refuse(ctx iris.Context, status int, code, ran string, err error) {
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		ctx.Header("Retry-After", retryAfterSec)
 	}
 	ctx.Header("X-Currantford-Ran", ran)
 	ctx.StatusCode(status)
-	_ = ctx.JSON(struct {
-		Error struct {
-			Message string `json:"message"`
-			Code    string `json:"code"`
-			Ran     string `json:"ran"`
-		} `json:"error"`
-	}{Error: struct {
-		Message string `json:"message"`
-		Code    string `json:"code"`
-		Ran     string `json:"ran"`
-	}{err.Error(), code, ran}})
+	var body errorBody
+	body.Error.Message, body.Error.Code, body.Error.Ran = err.Error(), code, ran
+	_ = ctx.JSON(body)
 }
--- a/cfentry/services.go
+++ b/cfentry/services.go
@@ -33,6 +33,9 @@
 const (
 	onceSending = "sending"
 	onceDone    = "done"
+	// onceNotSent marks a call that failed to connect: no byte left, so
+	// a repeat may take the marker over and send.
+	onceNotSent = "not_sent"
 )
 
 type (
@@ -203,7 +206,7 @@
 			// Nothing left this process; still, the marker stays, so a
 			// repeat is answered "may have run" only if we cannot
 			// remove it.
-			if _, derr := cfplatform.PutJSON(ctx, store, KindOnce, name, onceValue{State: "not_sent", Entry: s.entry.self.ID}, marker.Version); derr == nil {
+			if _, derr := cfplatform.PutJSON(ctx, store, KindOnce, name, onceValue{State: onceNotSent, Entry: s.entry.self.ID}, marker.Version); derr == nil {
 				return 0, nil, eris.Wrapf(cf.ErrUnavailable, "service %s unreachable: %v", sv.Name, err)
 			}
 		}
@@ -225,7 +228,7 @@
 		return 0, nil, eris.Wrapf(cf.ErrMaybeRan, "%s: marker unreadable: %v", name, err)
 	case cur.State == onceDone:
 		return cur.Status, cur.Body, nil
-	case cur.State == "not_sent":
+	case cur.State == onceNotSent:
 		// The earlier try never left its entry: take the marker over.
 		if _, err := cfplatform.PutJSON(ctx, s.entry.store, KindOnce, name, onceValue{State: onceSending, Entry: s.entry.self.ID}, obj.Version); err != nil {
 			return 0, nil, eris.Wrapf(cf.ErrMaybeRan, "%s: %v", name, err)
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -25,6 +25,7 @@
 
 	cf "currantford"
 	"currantford/cfconfig"
+	"currantford/cfentry"
 	"currantford/cfplatform"
 )
 
@@ -126,21 +127,15 @@
 func registerInstance(ctx context.Context, site cfconfig.Site, id, role, addr string, domain cf.FailureDomain) func(context.Context) {
 	store := cfplatform.NewClient(site.PlatformURL())
 	write := func(ctx context.Context, state string) {
-		_, _ = cfplatform.PutJSON(ctx, store, cfplatform.KindInstance, id, struct {
-			ID        string           `json:"id"`
-			Role      string           `json:"role"`
-			Addr      string           `json:"addr"`
-			Domain    cf.FailureDomain `json:"failure_domain"`
-			State     string           `json:"state"`
-			Heartbeat cf.Millis        `json:"heartbeat_ms"`
-		}{id, role, addr, domain, state, cf.Now()}, cf.AnyVersion)
+		row := cfentry.Instance{ID: id, Role: role, Addr: addr, Domain: domain, State: state, Heartbeat: cf.Now()}
+		_, _ = cfplatform.PutJSON(ctx, store, cfplatform.KindInstance, id, row, cf.AnyVersion)
 	}
 	hctx, cancel := context.WithCancel(ctx)
 	go func() {
 		t := time.NewTicker(time.Second)
 		defer t.Stop()
 		for {
-			write(hctx, "live")
+			write(hctx, cfentry.StateLive)
 			select {
 			case <-hctx.Done():
 				return
@@ -150,6 +145,6 @@
 	}()
 	return func(ctx context.Context) {
 		cancel()
-		write(ctx, "leaving")
+		write(ctx, cfentry.StateLeaving)
 	}
 }
