Test: each sample delivered once across the loss of the pool's leader

TestSamplesOnceAcrossLeaderLoss runs the trainer stand-in through the non-leading entry; when the claim's cursor reaches 8 the leader stops; the other entry takes the lapsed lease and goes on.

--- /dev/null
+++ b/cfentry/delivery_test.go
@@ -0,0 +1,64 @@
+package cfentry_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"currantford/cfconfig"
+	"currantford/cfplatform"
+	"currantford/cfpool"
+	"currantford/cfstandin"
+)
+
+// TestSamplesOnceAcrossLeaderLoss: a trainer gets every sample once when
+// the entry leading its pool stops in the middle of a step.
+//
+// Symptom: a trainer trains on the same sample twice, or waits for ever.
+// Sequence: the trainer fetches and acks through the other entry (which
+// forwards over the peer link); the leader stops; its lease lapses; the
+// other entry takes over and goes on from the committed cursor.
+// Cause it guards against: a new leader starting from its own memory
+// instead of the cursor in the platform, or acks that are not idempotent.
+func TestSamplesOnceAcrossLeaderLoss(t *testing.T) {
+	ts := startSite(t, 2, nil)
+	ctx := context.Background()
+	var lease struct {
+		Entry string `json:"entry"`
+	}
+	eventually(t, "a pool leader", func() bool {
+		_, err := cfplatform.GetJSON(ctx, ts.store, cfpool.KindLease, "pool/forecast", &lease)
+		return err == nil && lease.Entry != ""
+	})
+	leader, survivor := 0, 1
+	if lease.Entry == string(ts.site.Entries[1].ID) {
+		leader, survivor = 1, 0
+	}
+	go func() {
+		var claim struct {
+			Cursor int64 `json:"cursor"`
+		}
+		for {
+			_, err := cfplatform.GetJSON(ctx, ts.store, cfpool.KindClaim, "forecast/spoilage", &claim)
+			if err == nil && claim.Cursor >= 8 {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		sctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+		defer cancel()
+		_ = ts.entries[leader].Shutdown(sctx)
+	}()
+	settings := cfconfig.Trainer{Name: "t", Pool: "forecast", Claim: "spoilage", StepSamples: 8, Steps: 5, TrainTime: 50}
+	rctx, cancel := context.WithTimeout(ctx, 30*time.Second)
+	defer cancel()
+	report, err := cfstandin.RunTrainer(rctx, settings, ts.urls[survivor], zap.NewNop())
+	if err != nil {
+		t.Fatalf("trainer stopped after %d steps: %v", report.Steps, err)
+	}
+	if report.Duplicates != 0 || report.Unattributed != 0 || report.Samples < 40 {
+		t.Fatalf("report %+v: want 0 duplicates, 0 unattributed, at least 40 samples", report)
+	}
+}
