Test: a bid refused during a platform outage is truly not run

TestBidRefusedNotRunDuringOutage: with the platform stand-in down the entry answers 503 with X-Currantford-Ran: no, and the bid service has no call for the key; after the outage the same key runs once. Seeded fault: an entry that sends without a readable marker when the platform is down: the test fails ('status 200 ran "", want 503 and "no"').

Conclusion: the at-most-once marker is what makes 'not run' true here; a cut between entry and service remains unproved (docs/INVARIANTS.md).

--- a/cfentry/entry_test.go
+++ b/cfentry/entry_test.go
@@ -148,3 +148,56 @@
 		}
 	}
 }
+
+// TestBidRefusedNotRunDuringOutage: during a platform outage a bid is
+// refused, the refusal says "not run", and that is true.
+//
+// Symptom: a buyer told "not run" finds the bid was taken, or a bid sent
+// with no at-most-once marker is later sent again.
+// Sequence: the platform is down; a bid arrives; then the platform comes
+// back and the caller repeats the same key.
+// Cause it guards against: sending before the marker exists, or saying
+// "not run" after the bytes may have left.
+func TestBidRefusedNotRunDuringOutage(t *testing.T) {
+	ts := startSite(t, 1, nil)
+	send := func() (int, string) {
+		req, _ := http.NewRequest(http.MethodPost, ts.urls[0]+"/v1/services/bids/call", strings.NewReader(`{"pen":3,"price":200}`))
+		req.Header.Set("Idempotency-Key", "bid-outage")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode, resp.Header.Get("X-Currantford-Ran")
+	}
+	calls := func() int {
+		resp, err := http.Get("http://" + ts.site.Services[0].Addr + "/calls")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		var counts struct {
+			Calls map[string]int `json:"calls"`
+		}
+		_ = json.NewDecoder(resp.Body).Decode(&counts)
+		return counts.Calls["bid-outage"]
+	}
+	if err := ts.store.InjectFaults(context.Background(), 60000, 0, 0); err != nil {
+		t.Fatal(err)
+	}
+	if status, ran := send(); status != http.StatusServiceUnavailable || ran != "no" {
+		t.Fatalf("during the outage: status %d ran %q, want 503 and \"no\"", status, ran)
+	}
+	if n := calls(); n != 0 {
+		t.Fatalf("refused as not run, yet the bid reached the service %d times", n)
+	}
+	if err := ts.store.InjectFaults(context.Background(), 0, 0, 0); err != nil {
+		t.Fatal(err)
+	}
+	if status, _ := send(); status != http.StatusOK {
+		t.Fatalf("after the outage: status %d, want 200", status)
+	}
+	if n := calls(); n != 1 {
+		t.Fatalf("bid reached the service %d times, want 1", n)
+	}
+}
