Test: an engine dying mid-stream gives the caller a partial-answer error

TestEngineDeathMidStreamIsToldPartial closes every connection of the engine serving a 400-token stream after 5 events; the caller must see no [DONE] and an error event saying "ran":"partly". The event is now marshalled from the one refusal type (errorBody) instead of a hand-written JSON string.

Conclusion: a cut answer is told as cut; completing it on another engine (resume) is not built.

--- a/cfentry/engines.go
+++ b/cfentry/engines.go
@@ -343,7 +343,10 @@
 		}
 		if rerr != nil {
 			e.router.Observe(engine, 0, 0, 0, 0)
-			_, _ = fmt.Fprintf(w, "data: {\"error\":{\"message\":\"engine failed mid-answer; the answer above is partial\",\"code\":\"partial\",\"ran\":\"partly\"}}\n\n")
+			var cut errorBody
+			cut.Error.Message, cut.Error.Code, cut.Error.Ran = "engine failed mid-answer; the answer above is partial", "partial", "partly"
+			event, _ := json.Marshal(cut)
+			_, _ = fmt.Fprintf(w, "data: %s\n\n", event)
 			w.Flush()
 			return true, rerr
 		}
--- a/cfentry/shutdown_test.go
+++ b/cfentry/shutdown_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	cf "currantford"
 )
 
 // TestShutdownCutsOffNoRequest: a planned stop lets every answer finish.
@@ -58,3 +60,49 @@
 		t.Fatalf("shutdown: %v", err)
 	}
 }
+
+// TestEngineDeathMidStreamIsToldPartial: a caller never takes a cut answer
+// for a whole one.
+//
+// Symptom: a forecast is published from half an answer.
+// Sequence: a streamed completion is under way; its engine dies (every
+// connection closed).
+// Cause it guards against: an entry that just ends the stream, which looks
+// to the caller like an answer that ended early on its own.
+func TestEngineDeathMidStreamIsToldPartial(t *testing.T) {
+	ts := startSite(t, 1, nil)
+	eventually(t, "an engine to be routable", func() bool {
+		resp, err := http.Post(ts.urls[0]+"/v1/completions", "application/json", strings.NewReader(`{"prompt":"x","max_tokens":1}`))
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	resp, err := http.Post(ts.urls[0]+"/v1/completions", "application/json",
+		strings.NewReader(`{"model":"forecast","prompt":"bayan b store two","max_tokens":400,"stream":true}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	engine := ts.engines[cf.EngineID(resp.Header.Get("X-Currantford-Engine"))]
+	if engine == nil {
+		t.Fatalf("no engine named in the answer")
+	}
+	sc := bufio.NewScanner(resp.Body)
+	lines, done, partial := 0, false, false
+	for sc.Scan() {
+		line := sc.Text()
+		if strings.HasPrefix(line, "data: ") {
+			lines++
+		}
+		if lines == 5 {
+			_ = engine.Close()
+		}
+		done = done || line == "data: [DONE]"
+		partial = partial || strings.Contains(line, `"ran":"partly"`)
+	}
+	if done || !partial {
+		t.Fatalf("after the engine died: done=%v partial-error=%v, want no [DONE] and a partial error event", done, partial)
+	}
+}
--- a/cfentry/site_test.go
+++ b/cfentry/site_test.go
@@ -27,6 +27,7 @@
 	entries  []*cfentry.Entry
 	urls     []string
 	services map[string]*cfstandin.Service
+	engines  map[cf.EngineID]*http.Server
 	wrap     map[string]func(http.Handler) http.Handler
 }
 
@@ -39,17 +40,18 @@
 	return l
 }
 
-func serve(t testing.TB, l net.Listener, h http.Handler) {
+func serve(t testing.TB, l net.Listener, h http.Handler) *http.Server {
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
 	go func() { _ = srv.Serve(l) }()
 	t.Cleanup(func() { _ = srv.Close() })
+	return srv
 }
 
 // startSite starts a site with n entries. wrap may put a fault in front of
 // a service's handler, by service name.
 func startSite(t testing.TB, n int, wrap map[string]func(http.Handler) http.Handler) *testSite {
 	t.Helper()
-	ts := &testSite{site: cfconfig.Default(), services: map[string]*cfstandin.Service{}, wrap: wrap}
+	ts := &testSite{site: cfconfig.Default(), services: map[string]*cfstandin.Service{}, engines: map[cf.EngineID]*http.Server{}, wrap: wrap}
 	s := &ts.site
 	s.Platform.InstanceLag = 100
 	s.Lease = cfconfig.Lease{TTL: 600, Renew: 150}
@@ -66,7 +68,7 @@
 		s.Engines[i].Addr = l.Addr().String()
 		e := cfengine.New(cfengine.Settings{ID: s.Engines[i].ID, Model: s.Engines[i].Model, LoadLag: 20, SwapDelay: 10, CheckFencing: s.Engines[i].CheckFencing})
 		t.Cleanup(func() { _ = e.Close() })
-		serve(t, l, e.Handler())
+		ts.engines[s.Engines[i].ID] = serve(t, l, e.Handler())
 	}
 	for i := range s.Services {
 		l := listen(t)
