--- a/cfstandin/trainer.go
+++ b/cfstandin/trainer.go
@@ -78,8 +78,12 @@
 		case <-time.After(settings.TrainTime.Duration()):
 		case <-ctx.Done():
 		}
-		t.publish(ctx, cf.WeightVersion(step))
 		t.report.Busy += cf.MillisOf(time.Since(busy))
+		// Time spent getting new weights accepted is time the trainer
+		// waits on the system: it counts as idle, not as training.
+		published := time.Now()
+		t.publish(ctx, cf.WeightVersion(step))
+		t.report.Idle += cf.MillisOf(time.Since(published))
 		t.report.Steps = step
 		log.Info("step done", zap.Int("step", step), zap.Int("samples", t.report.Samples))
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,8 +1,10 @@
 #!/usr/bin/env bash
 # Starts a small site of separate processes on loopback with the embedded
 # default settings, drives it for a bounded time, prints the summary and
-# stops every process it started, by pid.
+# stops every process it started, by pid. An optional argument names a load
+# plan (for example scripts/plans/faults.json); the embedded plan otherwise.
 set -euo pipefail
+plan=${1:+$(realpath "$1")}
 cd "$(dirname "$0")/.."
 dir=$(mktemp -d "${TMPDIR:-/tmp}/currantford-demo.XXXXXX")
 bin="$dir/currantford"
@@ -56,7 +58,7 @@
   fi
 done
 
-"$bin" load --journal "$dir/journal.jsonl" --trainer-report "$dir/trainer.json" \
+"$bin" load ${plan:+--plan "$plan"} --journal "$dir/journal.jsonl" --trainer-report "$dir/trainer.json" \
   --logs "$dir/entry-*.log" >"$dir/summary.json"
 cat "$dir/summary.json"
 echo "logs, journal and summary: $dir"
