--- a/cfentry/entry_test.go
+++ b/cfentry/entry_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"net/http"
 	"strings"
 	"sync"
@@ -95,17 +94,8 @@
 		status, _ := send(ts.urls[1], 2*time.Second)
 		return status == http.StatusOK
 	})
-	resp, err := http.Get("http://" + ts.site.Services[0].Addr + "/calls")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	var counts struct {
-		Calls map[string]int `json:"calls"`
-	}
-	_ = json.NewDecoder(resp.Body).Decode(&counts)
-	if counts.Calls["bid-1"] != 1 {
-		t.Fatalf("bid-1 reached the service %d times, want 1", counts.Calls["bid-1"])
+	if n := ts.serviceCalls(t, "bid-1"); n != 1 {
+		t.Fatalf("bid-1 reached the service %d times, want 1", n)
 	}
 }
 
@@ -170,18 +160,7 @@
 		defer resp.Body.Close()
 		return resp.StatusCode, resp.Header.Get("X-Currantford-Ran")
 	}
-	calls := func() int {
-		resp, err := http.Get("http://" + ts.site.Services[0].Addr + "/calls")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer resp.Body.Close()
-		var counts struct {
-			Calls map[string]int `json:"calls"`
-		}
-		_ = json.NewDecoder(resp.Body).Decode(&counts)
-		return counts.Calls["bid-outage"]
-	}
+	calls := func() int { return ts.serviceCalls(t, "bid-outage") }
 	if err := ts.store.InjectFaults(context.Background(), 60000, 0, 0); err != nil {
 		t.Fatal(err)
 	}
--- a/cfentry/shutdown_test.go
+++ b/cfentry/shutdown_test.go
@@ -21,14 +21,7 @@
 func TestShutdownCutsOffNoRequest(t *testing.T) {
 	ts := startSite(t, 1, nil)
 	body := `{"model":"forecast","prompt":"tuul west frost","max_tokens":150,"stream":true}`
-	eventually(t, "an engine to be routable", func() bool {
-		resp, err := http.Post(ts.urls[0]+"/v1/completions", "application/json", strings.NewReader(`{"prompt":"x","max_tokens":1}`))
-		if err != nil {
-			return false
-		}
-		resp.Body.Close()
-		return resp.StatusCode == http.StatusOK
-	})
+	ts.waitRoutable(t)
 	resp, err := http.Post(ts.urls[0]+"/v1/completions", "application/json", strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
@@ -71,14 +64,7 @@
 // to the caller like an answer that ended early on its own.
 func TestEngineDeathMidStreamIsToldPartial(t *testing.T) {
 	ts := startSite(t, 1, nil)
-	eventually(t, "an engine to be routable", func() bool {
-		resp, err := http.Post(ts.urls[0]+"/v1/completions", "application/json", strings.NewReader(`{"prompt":"x","max_tokens":1}`))
-		if err != nil {
-			return false
-		}
-		resp.Body.Close()
-		return resp.StatusCode == http.StatusOK
-	})
+	ts.waitRoutable(t)
 	resp, err := http.Post(ts.urls[0]+"/v1/completions", "application/json",
 		strings.NewReader(`{"model":"forecast","prompt":"bayan b store two","max_tokens":400,"stream":true}`))
 	if err != nil {
--- a/cfentry/site_test.go
+++ b/cfentry/site_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -131,3 +133,32 @@
 		t.Fatal(err)
 	}
 }
+
+// serviceCalls returns how many times key reached the bids service.
+func (ts *testSite) serviceCalls(t testing.TB, key string) int {
+	t.Helper()
+	resp, err := http.Get("http://" + ts.site.Services[0].Addr + "/calls")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var counts cfstandin.CallCounts
+	if err := json.NewDecoder(resp.Body).Decode(&counts); err != nil {
+		t.Fatal(err)
+	}
+	return counts.Calls[key]
+}
+
+// waitRoutable waits until the entry answers a one-token completion, that
+// is until its first load poll has made an engine routable.
+func (ts *testSite) waitRoutable(t testing.TB) {
+	t.Helper()
+	eventually(t, "an engine to be routable", func() bool {
+		resp, err := http.Post(ts.urls[0]+"/v1/completions", "application/json", strings.NewReader(`{"prompt":"x","max_tokens":1}`))
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+}
