--- /dev/null
+++ b/batch.go
@@ -0,0 +1,81 @@
+package currantford
+
+import (
+	"net/http"
+)
+
+type (
+	// BatchID names a batch; its submitter chooses it.
+	BatchID string
+	// ItemID names an item of a batch and is its request id at a target.
+	ItemID string
+	// GroupID names the items that share a prompt.
+	GroupID string
+	// ItemState is the outcome of a finished item.
+	ItemState string
+
+	// Item is one request of a batch.
+	Item struct {
+		ID      ItemID            `json:"id"`
+		Group   GroupID           `json:"group,omitempty"`
+		Path    string            `json:"path"`
+		Headers map[string]string `json:"headers,omitempty"`
+		Body    []byte            `json:"body,omitempty"`
+		Tokens  Tokens            `json:"tokens,omitempty"`
+		// LengthHint is the submitter's guess of the output tokens; zero
+		// when it made none.
+		LengthHint Tokens `json:"length_hint,omitempty"`
+	}
+
+	// Submission is a batch as it is accepted and kept in the store.
+	Submission struct {
+		ID           BatchID       `json:"id"`
+		Host         string        `json:"host"`
+		Path         string        `json:"path"`
+		Step         int64         `json:"step"`
+		Model        ModelName     `json:"model"`
+		MinVersion   WeightVersion `json:"min_version"`
+		TargetGroups int           `json:"target_groups"`
+		Accepted     Millis        `json:"accepted_ms"`
+		Items        []Item        `json:"items"`
+	}
+
+	// BatchStatus is the status of a batch's object.
+	BatchStatus struct {
+		Ended bool `json:"ended"`
+	}
+
+	// Result is a finished item at its position in the batch.
+	Result struct {
+		ID       ItemID          `json:"id" cbor:"id"`
+		State    ItemState       `json:"state" cbor:"state"`
+		Output   string          `json:"output" cbor:"output"`
+		Versions []WeightVersion `json:"versions" cbor:"versions"`
+	}
+
+	// ResultPage is a read of a batch's results from a position on.
+	ResultPage struct {
+		Total   int      `cbor:"total"`
+		Next    int      `cbor:"next"`
+		Results []Result `cbor:"results"`
+	}
+
+	// Request is one caller attempt as an entry instance took it.
+	Request struct {
+		ID       RequestID
+		Method   string
+		Host     string
+		Path     string // path and query
+		Route    string // path alone
+		Header   http.Header
+		Body     []byte
+		Deadline Millis // what the caller still waits, zero when unsaid
+		Received Millis // Uptime at which the request was taken
+	}
+)
+
+// States of an item's result.
+const (
+	ItemDone   ItemState = "done"
+	ItemFailed ItemState = "failed"
+)
--- /dev/null
+++ b/cfbalance/balance.go
@@ -0,0 +1,169 @@
+// Package cfbalance chooses the target of a single request and decides what a
+// failed attempt allows. It makes no calls and has no clock of its own.
+//
+// The load it answers: many short requests from entry instances that do not
+// see each other's work, targets of different speed, and targets that fail
+// while their entry in the instance list still looks well.
+//
+// Usage:
+//
+//	b := cfbalance.New()
+//	t, ok := b.Choose(candidates, tried, now)
+//	b.Sent(t.ID)
+//	b.Answered(t.ID, outcome, load, took, now)
+package cfbalance
+
+import (
+	"sync"
+
+	cf "currantford"
+)
+
+type (
+	// Outcome is what an attempt came to.
+	Outcome int
+
+	// Balancer holds what an instance has learned of the targets from
+	// their answers. It is safe for concurrent use.
+	Balancer struct {
+		mu    sync.Mutex
+		state map[cf.InstanceID]*state
+	}
+
+	state struct {
+		sent     int // requests of this instance in flight
+		load     cf.TargetLoad
+		loadAt   cf.Millis
+		avoid    cf.Millis
+		failures int
+		took     float64 // smoothed time of an answer, ms
+		seen     cf.Millis
+	}
+)
+
+// Outcomes of an attempt.
+const (
+	// Answered: a whole answer came.
+	Answered Outcome = iota
+	// Full: the target did not run the request.
+	Full
+	// Failed: the target or the connection failed, and may have run it.
+	Failed
+	// Unreached: no connection could be had.
+	Unreached
+	// Abandoned: the attempt was given up for reasons of our own.
+	Abandoned
+)
+
+const (
+	// loadFresh is how long a target's word on its load counts.
+	loadFresh cf.Millis = 1000
+	// avoidFull and avoidFailed keep requests off a target that was full or
+	// failed; a second failure in a row doubles the span, up to avoidMost.
+	avoidFull   cf.Millis = 50
+	avoidFailed cf.Millis = 300
+	avoidMost   cf.Millis = 2400
+	// smooth is the weight of the newest time in the smoothed one.
+	smooth = 0.2
+	// forget drops what is known of targets that are not heard of any more.
+	forget cf.Millis = 60000
+)
+
+// New returns a balancer that knows nothing.
+func New() *Balancer { return &Balancer{state: map[cf.InstanceID]*state{}} }
+
+func (b *Balancer) of(id cf.InstanceID) *state {
+	s := b.state[id]
+	if s == nil {
+		s = &state{}
+		b.state[id] = s
+	}
+	return s
+}
+
+// Choose returns the candidate that should answer soonest, leaving out those
+// in tried. Targets that failed lately are chosen only if no other is left.
+func (b *Balancer) Choose(candidates []cf.Target, tried map[cf.InstanceID]bool, draw float64, now cf.Millis) (cf.Target, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	best := -1
+	bestScore := 0.0
+	// Ties are broken by a random start, or all instances would send to the
+	// same target.
+	n := len(candidates)
+	first := int(draw * float64(n))
+	for i := range n {
+		j := (first + i) % n
+		t := candidates[j]
+		if tried[t.ID] {
+			continue
+		}
+		s := b.of(t.ID)
+		s.seen = now
+		score := s.score(t, now)
+		if best < 0 || score < bestScore {
+			best, bestScore = j, score
+		}
+	}
+	if best < 0 {
+		return cf.Target{}, false
+	}
+	return candidates[best], true
+}
+
+// avoidScore puts targets that failed lately behind all others.
+const avoidScore = 1e6
+
+func (s *state) score(t cf.Target, now cf.Millis) float64 {
+	queue := float64(s.sent)
+	if now-s.loadAt < loadFresh {
+		queue = max(queue, float64(s.load.Running+s.load.Waiting))
+	}
+	slots := float64(max(t.Slots, 1))
+	score := (1 + queue/slots) * max(s.took, 1)
+	if now < s.avoid {
+		score += avoidScore
+	}
+	return score
+}
+
+// Sent records that a request goes to a target.
+func (b *Balancer) Sent(id cf.InstanceID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.of(id).sent++
+}
+
+// Done records what came of a request.
+func (b *Balancer) Done(id cf.InstanceID, o Outcome, load *cf.TargetLoad, took, now cf.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.of(id)
+	s.sent--
+	s.seen = now
+	if load != nil {
+		s.load, s.loadAt = *load, now
+	}
+	switch o {
+	case Answered:
+		s.failures = 0
+		s.took += smooth * (float64(took) - s.took)
+	case Full:
+		s.avoid = now + avoidFull
+	case Failed, Unreached:
+		s.avoid = now + min(avoidFailed<<min(s.failures, 4), avoidMost)
+		s.failures++
+	case Abandoned:
+		// Slower than what we waited for, at least.
+		s.took = max(s.took, float64(took))
+	}
+	b.prune(now)
+}
+
+func (b *Balancer) prune(now cf.Millis) {
+	for id, s := range b.state {
+		if s.sent <= 0 && now-s.seen > forget {
+			delete(b.state, id)
+		}
+	}
+}
--- /dev/null
+++ b/cfbatch/batch.go
@@ -0,0 +1,168 @@
+// Package cfbatch keeps one batch's results: which items are listed, at which
+// position, and what the next chunk of results in the store is. It makes no
+// calls itself.
+//
+// Results are kept as numbered chunks, one object each, created only if the
+// object does not exist. Whoever creates chunk n has read chunks 0 to n-1 and
+// lists no item that they hold. So two executors of one batch, or a write
+// that takes effect seconds late, can't list an item twice or change a
+// position, without any lease.
+//
+// Usage:
+//
+//	b := cfbatch.New(submission)
+//	err := b.Apply(chunk.Name, chunk.Results)
+//	name, results := b.Unlisted(finished)
+package cfbatch
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+
+	"github.com/rotisserie/eris"
+
+	cf "currantford"
+)
+
+// maxPageBytes bounds one read of results; the callers' protocol allows 1 MB.
+const maxPageBytes = 700 << 10
+
+type (
+	// Batch is an accepted batch with its results.
+	Batch struct {
+		Sub    cf.Submission
+		Ended  bool
+		index  map[cf.ItemID]int
+		listed map[cf.ItemID]bool
+		// results is nil once Drop was called; count and chunks stay.
+		results []cf.Result
+		chunks  int
+		dropped bool
+		groups  map[cf.GroupID]int // items not yet listed
+		whole   int                // groups with all items listed
+	}
+
+	// Chunk is the spec of a chunk's object.
+	Chunk struct {
+		Results []cf.Result `json:"results"`
+	}
+)
+
+// New returns a batch without results.
+func New(sub cf.Submission) *Batch {
+	b := &Batch{
+		Sub: sub, index: make(map[cf.ItemID]int, len(sub.Items)), listed: map[cf.ItemID]bool{},
+		groups: map[cf.GroupID]int{},
+	}
+	for i, it := range sub.Items {
+		b.index[it.ID] = i
+		b.groups[it.Group]++
+	}
+	return b
+}
+
+// Load rebuilds a batch from its object and the objects of its chunks.
+func Load(object cf.Record, chunks []cf.Record) (*Batch, error) {
+	var sub cf.Submission
+	if err := json.Unmarshal(object.Spec, &sub); err != nil {
+		return nil, eris.Wrapf(cf.ErrInvalid, "batch %s: %v", object.Name, err)
+	}
+	b := New(sub)
+	b.Ended = Ended(object)
+	return b, b.ApplyAll(chunks)
+}
+
+// Ended says whether a batch's object says that it was ended.
+func Ended(object cf.Record) bool {
+	var st cf.BatchStatus
+	if len(object.Status) == 0 || json.Unmarshal(object.Status, &st) != nil {
+		return false // no status was written yet
+	}
+	return st.Ended
+}
+
+// ApplyAll takes chunks in any order; those already known are passed over.
+func (b *Batch) ApplyAll(chunks []cf.Record) error {
+	sort.Slice(chunks, func(i, j int) bool { return chunks[i].Name < chunks[j].Name })
+	for _, r := range chunks {
+		var c Chunk
+		if err := json.Unmarshal(r.Spec, &c); err != nil {
+			return eris.Wrapf(cf.ErrInvalid, "chunk %s of batch %s: %v", r.Name, b.Sub.ID, err)
+		}
+		b.Apply(r.Name, c.Results)
+	}
+	return nil
+}
+
+// Apply takes the chunk called name if it is the next one.
+func (b *Batch) Apply(name string, results []cf.Result) bool {
+	if name != b.NextChunk() {
+		return false
+	}
+	b.chunks++
+	for _, r := range results {
+		b.list(r)
+	}
+	return true
+}
+
+func (b *Batch) list(r cf.Result) {
+	if !b.dropped {
+		b.results = append(b.results, r)
+	}
+	if b.listed[r.ID] {
+		return
+	}
+	b.listed[r.ID] = true
+	g := b.Sub.Items[b.index[r.ID]].Group
+	if b.groups[g]--; b.groups[g] == 0 {
+		b.whole++
+	}
+}
+
+// NextChunk is the name of the chunk to create next.
+func (b *Batch) NextChunk() string { return fmt.Sprintf("%06d", b.chunks) }
+
+// Listed says whether an item has its position.
+func (b *Batch) Listed(id cf.ItemID) bool { return b.listed[id] }
+
+// Item returns an item of the batch.
+func (b *Batch) Item(id cf.ItemID) (cf.Item, bool) {
+	i, ok := b.index[id]
+	if !ok {
+		return cf.Item{}, false
+	}
+	return b.Sub.Items[i], true
+}
+
+// Complete says whether every item is listed.
+func (b *Batch) Complete() bool { return len(b.listed) == len(b.Sub.Items) }
+
+// WholeGroups counts the groups of which every item is listed.
+func (b *Batch) WholeGroups() int { return b.whole }
+
+// GroupLeft counts a group's items that are not listed.
+func (b *Batch) GroupLeft(g cf.GroupID) int { return b.groups[g] }
+
+// Dropped says whether the results were dropped from memory.
+func (b *Batch) Dropped() bool { return b.dropped }
+
+// Drop forgets the results, which the store keeps, to give memory back.
+func (b *Batch) Drop() { b.results, b.dropped = nil, true }
+
+// Page returns the results from position after on, at most about 700 KB, and
+// at least one if there is one.
+func (b *Batch) Page(after int) cf.ResultPage {
+	p := cf.ResultPage{Total: len(b.Sub.Items), Next: max(after, 0)}
+	size := 0
+	for i := p.Next; i < len(b.results); i++ {
+		size += len(b.results[i].Output)
+		if len(p.Results) > 0 && size > maxPageBytes {
+			break
+		}
+		p.Results = append(p.Results, b.results[i])
+	}
+	p.Next += len(p.Results)
+	return p
+}
--- /dev/null
+++ b/cfbatch/pending.go
@@ -0,0 +1,92 @@
+package cfbatch
+
+import (
+	cf "currantford"
+)
+
+const (
+	// flushAge is the longest that a finished item waits for others to be
+	// written with it. Each write is paid for, and a step is worth nothing
+	// more before its last group is whole.
+	flushAge cf.Millis = 700
+	// flushBytes keeps a chunk well under the store's value limit of 1 MB.
+	flushBytes = 300 << 10
+)
+
+// Pending holds the finished items of a batch that are not in the store yet.
+type Pending struct {
+	results []cf.Result
+	since   cf.Millis
+	bytes   int
+	writing bool
+}
+
+// Add takes a finished item.
+func (p *Pending) Add(r cf.Result, now cf.Millis) {
+	if len(p.results) == 0 {
+		p.since = now
+	}
+	p.results = append(p.results, r)
+	p.bytes += len(r.Output)
+}
+
+// Len counts the items that wait.
+func (p *Pending) Len() int { return len(p.results) }
+
+// Due says whether to write a chunk now: the groups that the submitter waits
+// for are whole, everything is finished, or the oldest has waited enough.
+func (p *Pending) Due(b *Batch, now cf.Millis) bool {
+	if p.writing || len(p.results) == 0 {
+		return false
+	}
+	if now-p.since >= flushAge || p.bytes >= flushBytes {
+		return true
+	}
+	return p.completes(b)
+}
+
+func (p *Pending) completes(b *Batch) bool {
+	left := map[cf.GroupID]int{}
+	whole := b.WholeGroups()
+	for _, r := range p.results {
+		it, _ := b.Item(r.ID)
+		n, ok := left[it.Group]
+		if !ok {
+			n = b.GroupLeft(it.Group)
+		}
+		left[it.Group] = n - 1
+		if n == 1 {
+			whole++
+		}
+	}
+	return whole > b.WholeGroups() && whole >= b.Sub.TargetGroups
+}
+
+// Take returns the results to write as the next chunk and marks a write as
+// under way; the results stay until Wrote.
+func (p *Pending) Take() []cf.Result {
+	p.writing = true
+	size := 0
+	for i, r := range p.results {
+		if size += len(r.Output); i > 0 && size > flushBytes {
+			return p.results[:i]
+		}
+	}
+	return p.results
+}
+
+// Wrote ends a write, whatever came of it: the results that the batch lists
+// by now are dropped, the others wait for the next.
+func (p *Pending) Wrote(b *Batch, now cf.Millis) {
+	p.writing = false
+	var rest []cf.Result
+	p.bytes = 0
+	for _, r := range p.results {
+		if b.Listed(r.ID) {
+			continue
+		}
+		rest = append(rest, r)
+		p.bytes += len(r.Output)
+	}
+	p.results, p.since = rest, now
+}
--- /dev/null
+++ b/cfcoord/batches.go
@@ -0,0 +1,303 @@
+package cfcoord
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cfbatch"
+	"currantford/cfwatch"
+)
+
+const (
+	// batchWait bounds a watch of batches; a connection that went silent is
+	// noticed after it, and a step is due within seconds.
+	batchWait cf.Millis = 2000
+	// versionWait bounds a watch of weight versions.
+	versionWait cf.Millis = 2000
+	// retirementWait bounds a watch of retirements, which allow seconds.
+	retirementWait cf.Millis = 5000
+	// chunkRetry is the pause after a chunk could not be written.
+	chunkRetry = 250 * time.Millisecond
+	// keepEnded is how long an ended batch's results stay in memory.
+	keepEnded cf.Millis = 3000
+)
+
+func (c *Coordinator) batchWatcher() *cfwatch.Watcher {
+	return &cfwatch.Watcher{
+		Store: c.Store, Kind: cf.KindBatch, Wait: batchWait, Log: c.Log,
+		List: func(list cf.Records) error {
+			for _, r := range list.Items {
+				if err := c.takeBatch(r); err != nil {
+					return err
+				}
+			}
+			c.mu.Lock()
+			c.loaded = true
+			c.mu.Unlock()
+			c.Kick()
+			return nil
+		},
+		Change: c.takeBatch,
+	}
+}
+
+// takeBatch takes a batch's object as the store shows it.
+func (c *Coordinator) takeBatch(r cf.Record) error {
+	id := cf.BatchID(r.Name)
+	c.mu.Lock()
+	st := c.batches[id]
+	c.mu.Unlock()
+	if r.Deleted {
+		c.mu.Lock()
+		delete(c.batches, id)
+		c.mu.Unlock()
+		return nil
+	}
+	if st == nil {
+		var err error
+		if st, err = c.loadBatch(r); err != nil || st == nil {
+			return err
+		}
+	}
+	if cfbatch.Ended(r) {
+		c.endBatch(st)
+	}
+	c.Kick()
+	return nil
+}
+
+// loadBatch reads a batch's results and begins to keep it. An ended batch
+// stays in the store alone.
+func (c *Coordinator) loadBatch(r cf.Record) (*state, error) {
+	if cfbatch.Ended(r) {
+		return nil, nil
+	}
+	var chunks cf.Records
+	// A batch that the store has just created has no results; only one that
+	// an earlier coordinator may have worked on is worth a call.
+	if c.isLoaded() {
+		chunks = cf.Records{}
+	} else {
+		var err error
+		for {
+			chunks, err = c.Store.List(c.ctx, cf.KindResults(cf.BatchID(r.Name)))
+			if err == nil {
+				break
+			}
+			c.Log.Warn("results_not_read", zap.String("batch_id", r.Name), zap.Error(err))
+			if !c.pause(loadRetry) {
+				return nil, err
+			}
+		}
+	}
+	b, err := cfbatch.Load(r, chunks.Items)
+	if err != nil {
+		return nil, err
+	}
+	st := &state{batch: b, changed: make(chan struct{})}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.batches[b.Sub.ID] = st
+	return st, nil
+}
+
+func (c *Coordinator) isLoaded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.loaded
+}
+
+// endBatch stops what an ended batch has under way.
+func (c *Coordinator) endBatch(st *state) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if st.batch.Ended {
+		return
+	}
+	st.batch.Ended = true
+	st.ended = cf.Uptime()
+	stop := c.planner.EndBatch(st.batch.Sub.ID)
+	for _, w := range stop {
+		if cancel := c.runs[w]; cancel != nil {
+			cancel()
+		}
+	}
+	c.Log.Info("batch_ended", zap.String("batch_id", string(st.batch.Sub.ID)), zap.Int("stopped", len(stop)),
+		zap.Int("groups_whole", st.batch.WholeGroups()), zap.Bool("complete", st.batch.Complete()),
+		zap.Int64("took_ms", int64(cf.Now()-st.batch.Sub.Accepted)))
+	c.dropLater(st)
+}
+
+// dropLater gives an ended batch's memory back; reads then go to the store.
+func (c *Coordinator) dropLater(st *state) {
+	c.wg.Go(func() {
+		if !c.pause(keepEnded.Duration()) {
+			return
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.batches, st.batch.Sub.ID)
+	})
+}
+
+// startChunk writes the next chunk of a batch's results.
+func (c *Coordinator) startChunk(st *state) {
+	results := st.pending.Take()
+	name := st.batch.NextChunk()
+	id := st.batch.Sub.ID
+	c.wg.Go(func() {
+		_, err := c.Store.Create(c.ctx, cf.KindResults(id), name, cfbatch.Chunk{Results: results})
+		if err == nil {
+			c.wroteChunk(st, name, results)
+			return
+		}
+		// The chunk may be there all the same, or another's: what the store
+		// holds decides.
+		c.rereadChunks(st, name, err)
+	})
+}
+
+func (c *Coordinator) wroteChunk(st *state, name string, results []cf.Result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	st.batch.Apply(name, results)
+	c.Metrics.Chunks.WithLabelValues("written").Inc()
+	c.Log.Info("results_listed", zap.String("batch_id", string(st.batch.Sub.ID)), zap.String("chunk", name),
+		zap.Int("items", len(results)), zap.Int("groups_whole", st.batch.WholeGroups()))
+	c.listed(st)
+}
+
+// listed wakes readers after a change of the listed results.
+func (c *Coordinator) listed(st *state) {
+	st.pending.Wrote(st.batch, cf.Uptime())
+	close(st.changed)
+	st.changed = make(chan struct{})
+	c.Kick()
+}
+
+func (c *Coordinator) rereadChunks(st *state, name string, cause error) {
+	c.Metrics.Chunks.WithLabelValues("reread").Inc()
+	c.Log.Warn("chunk_in_doubt", zap.String("batch_id", string(st.batch.Sub.ID)), zap.String("chunk", name), zap.Error(cause))
+	for c.ctx.Err() == nil {
+		chunks, err := c.Store.List(c.ctx, cf.KindResults(st.batch.Sub.ID))
+		if err != nil {
+			c.pause(chunkRetry)
+			continue
+		}
+		c.mu.Lock()
+		if err := st.batch.ApplyAll(chunks.Items); err != nil {
+			c.Log.Error("chunks_not_taken", zap.String("batch_id", string(st.batch.Sub.ID)), zap.Error(err))
+		}
+		c.listed(st)
+		c.mu.Unlock()
+		return
+	}
+}
+
+// Results reads a batch, waiting for a result at position after. It returns
+// ErrNotLeader when only the store can tell.
+func (c *Coordinator) Results(ctx context.Context, id cf.BatchID, after int, wait cf.Millis) (cf.ResultPage, error) {
+	deadline := time.NewTimer(wait.Duration())
+	defer deadline.Stop()
+	for {
+		c.mu.Lock()
+		st := c.batches[id]
+		if st == nil || !c.Duty.Valid() {
+			c.mu.Unlock()
+			return cf.ResultPage{}, cf.ErrNotLeader
+		}
+		page, changed := st.batch.Page(after), st.changed
+		done := st.batch.Complete() || st.batch.Ended
+		c.mu.Unlock()
+		if len(page.Results) > 0 || done || wait <= 0 {
+			return page, nil
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			wait = 0
+		case <-ctx.Done():
+			return cf.ResultPage{}, eris.Wrap(cf.ErrUnavailable, "caller gone")
+		case <-c.ctx.Done():
+			return cf.ResultPage{}, cf.ErrNotLeader
+		}
+	}
+}
+
+// ItemBody returns the body of an item of an open batch.
+func (c *Coordinator) ItemBody(id cf.BatchID, item cf.ItemID) ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	st := c.batches[id]
+	if st == nil || !c.Duty.Valid() {
+		return nil, cf.ErrNotLeader
+	}
+	it, ok := st.batch.Item(item)
+	if !ok {
+		return nil, cf.ErrNotFound
+	}
+	return it.Body, nil
+}
+
+func (c *Coordinator) versionWatcher() *cfwatch.Watcher {
+	take := func(r cf.Record) error {
+		changed, err := c.Site.ApplyVersion(r)
+		if changed {
+			c.Log.Info("version_named", zap.String("model", r.Name), zap.Int64("revision", int64(r.Rev)))
+			c.Kick()
+		}
+		return err
+	}
+	return &cfwatch.Watcher{
+		Store: c.Store, Kind: c.Codec.Kinds().Versions, Wait: versionWait, Log: c.Log, Change: take,
+		List: func(list cf.Records) error {
+			var errs []error
+			for _, r := range list.Items {
+				errs = append(errs, take(r))
+			}
+			return errors.Join(errs...)
+		},
+	}
+}
+
+func (c *Coordinator) retirementWatcher() *cfwatch.Watcher {
+	take := func(r cf.Record) error {
+		if r.Deleted {
+			return nil
+		}
+		want, err := json.Marshal(c.Codec.RetirementDone())
+		if err != nil || string(r.Status) == string(want) {
+			return err
+		}
+		// Nothing that must last lies on an instance, so one that is to go
+		// is empty at once.
+		c.Log.Info("retirement_done", zap.String("instance", r.Name))
+		return c.retire(r.Name)
+	}
+	return &cfwatch.Watcher{
+		Store: c.Store, Kind: c.Codec.Kinds().Retirements, Wait: retirementWait, Log: c.Log, Change: take,
+		List: func(list cf.Records) error {
+			var errs []error
+			for _, r := range list.Items {
+				errs = append(errs, take(r))
+			}
+			return errors.Join(errs...)
+		},
+	}
+}
+
+func (c *Coordinator) retire(name string) error {
+	for {
+		err := c.Store.SetStatus(c.ctx, c.Codec.Kinds().Retirements, name, c.Codec.RetirementDone())
+		if err == nil || errors.Is(err, cf.ErrNotFound) || c.ctx.Err() != nil {
+			return nil
+		}
+		c.pause(chunkRetry)
+	}
+}
--- /dev/null
+++ b/cfcoord/coordinator.go
@@ -0,0 +1,254 @@
+// Package cfcoord is the coordinator's duty: it runs the items of accepted
+// batches on the model engines, lists their results in the store, brings the
+// engines to the weights that trainers name, and answers reads of batches.
+// One entry instance at a time has the duty, by a lease in the store.
+//
+// It holds nothing that must last: batches, their ends and their results lie
+// in the store, and a successor rebuilds itself from them. What is in memory
+// alone is work under way, which is run again.
+//
+// The decisions are cfrollout's (placement, swaps), cfbatch's (positions,
+// chunks) and cflease's; this package carries them out.
+//
+// Usage:
+//
+//	c := cfcoord.New(options)
+//	c.Start()
+//	defer c.Close()
+//	page, err := c.Results(ctx, id, after, wait)
+package cfcoord
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cfbatch"
+	"currantford/cfrollout"
+	"currantford/cfsite"
+)
+
+const (
+	// tick is how often the planner looks again without an event: for
+	// engines whose penalty has passed and chunks that have come of age.
+	tick = 50 * time.Millisecond
+	// idleTick is the same while no work is open.
+	idleTick = 250 * time.Millisecond
+	// loadRetry is the pause after the store refused the first load.
+	loadRetry = 200 * time.Millisecond
+)
+
+type (
+	// Duty is what the coordinator must know of its lease.
+	Duty interface {
+		// Valid says whether this instance may answer as the coordinator.
+		Valid() bool
+		// MayOrder says whether it may give orders, and with which number.
+		MayOrder() (cf.Revision, bool)
+	}
+
+	// Options are what a coordinator works with.
+	Options struct {
+		Self    cf.EntryID
+		Store   cf.Store
+		Targets cf.Targets
+		Site    *cfsite.Site
+		Codec   cfsite.Codec
+		Duty    Duty
+		Metrics *Metrics
+		Log     *zap.Logger
+	}
+
+	// Coordinator runs batches while its instance has the duty. It is safe
+	// for concurrent use. Close stops it and waits for all it started.
+	Coordinator struct {
+		Options
+		ctx    context.Context
+		cancel context.CancelFunc
+		wg     sync.WaitGroup
+		kick   chan struct{}
+
+		mu      sync.Mutex
+		loaded  bool
+		planner *cfrollout.Planner
+		batches map[cf.BatchID]*state
+		runs    map[*cfrollout.Work]context.CancelFunc
+		seqs    map[cf.InstanceID]int64
+	}
+
+	// state is a batch with what waits to be listed.
+	state struct {
+		batch   *cfbatch.Batch
+		pending cfbatch.Pending
+		changed chan struct{} // closed when a result was listed
+		added   bool          // the planner has it
+		ended   cf.Millis
+	}
+
+	// Metrics are the coordinator's counters; they outlive one duty.
+	Metrics struct {
+		Runs    *prometheus.CounterVec
+		Orders  *prometheus.CounterVec
+		Chunks  *prometheus.CounterVec
+		ItemRun prometheus.Histogram
+	}
+)
+
+// NewMetrics registers the coordinator's metrics.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		Runs: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "currantford_item_runs_total", Help: "Runs of batch items at engines by outcome."}, []string{"outcome"}),
+		Orders: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "currantford_weight_orders_total", Help: "Weight orders to engines by outcome."}, []string{"outcome"}),
+		Chunks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "currantford_result_chunks_total", Help: "Chunks of results written to the store by outcome."}, []string{"outcome"}),
+		ItemRun: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "currantford_item_run_seconds", Help: "Time of one item's run at an engine.",
+			Buckets: prometheus.ExponentialBuckets(0.05, 2, 9)}),
+	}
+	reg.MustRegister(m.Runs, m.Orders, m.Chunks, m.ItemRun)
+	return m
+}
+
+// New returns a coordinator that has not started.
+func New(o Options) *Coordinator {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Coordinator{
+		Options: o, ctx: ctx, cancel: cancel, kick: make(chan struct{}, 1),
+		planner: cfrollout.New(cfrollout.DefaultLimits),
+		batches: map[cf.BatchID]*state{}, runs: map[*cfrollout.Work]context.CancelFunc{},
+		seqs: map[cf.InstanceID]int64{},
+	}
+}
+
+// Start begins the duty: it loads the batches and runs what is open.
+func (c *Coordinator) Start() {
+	c.wg.Go(c.loop)
+	c.wg.Go(func() { c.batchWatcher().Run(c.ctx) })
+	c.wg.Go(func() { c.versionWatcher().Run(c.ctx) })
+	c.wg.Go(func() { c.retirementWatcher().Run(c.ctx) })
+}
+
+// Close ends the duty and waits for all it started.
+func (c *Coordinator) Close() error {
+	c.cancel()
+	c.wg.Wait()
+	return nil
+}
+
+// Kick makes the planner look now.
+func (c *Coordinator) Kick() {
+	select {
+	case c.kick <- struct{}{}:
+	default: // a look is due already
+	}
+}
+
+func (c *Coordinator) loop() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-timer.C:
+		case <-c.kick:
+		case <-c.Site.Changed():
+		}
+		timer.Reset(c.look())
+	}
+}
+
+// look carries out what the planner decides now; it returns when to look
+// again if nothing happens before.
+func (c *Coordinator) look() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	config := c.Site.Config()
+	if config == nil || !c.loaded || !c.Duty.Valid() {
+		return tick
+	}
+	now := cf.Uptime()
+	c.refresh(config)
+	for _, w := range c.planner.Place(now) {
+		c.startRun(w)
+	}
+	if term, ok := c.Duty.MayOrder(); ok {
+		for _, s := range c.planner.Swaps(now) {
+			c.startSwap(s, term)
+		}
+	}
+	for _, w := range c.planner.Expire(cf.Now()) {
+		c.finish(w, cf.ItemFailed, "waited too long", now)
+	}
+	for _, st := range c.batches {
+		if st.pending.Due(st.batch, now) {
+			c.startChunk(st)
+		}
+	}
+	if c.planner.Busy() {
+		return tick
+	}
+	return idleTick
+}
+
+// refresh brings the planner up to what the site shows.
+func (c *Coordinator) refresh(config *cfsite.Config) {
+	models := map[cf.ServiceName][]cf.ModelName{}
+	for _, s := range config.Services {
+		if len(s.Models) > 0 {
+			models[s.Name] = s.Models
+		}
+		for _, m := range s.Models {
+			c.planner.SetVersion(m, c.Site.Version(m))
+		}
+	}
+	c.planner.SetEngines(c.Site.Targets(), models)
+	for _, st := range c.batches {
+		if !st.added && !st.batch.Ended {
+			c.open(config, st)
+		}
+	}
+}
+
+// open hands a batch to the planner.
+func (c *Coordinator) open(config *cfsite.Config, st *state) {
+	sub := &st.batch.Sub
+	route, ok := config.Match(sub.Host, sub.Path)
+	if !ok {
+		return // its route is not there, now or yet
+	}
+	st.added = true
+	terms := cfrollout.Terms{
+		Service: route.Pick(0), MaxAttempts: route.MaxAttempts, SingleVersion: route.SingleVersion, MaxWait: route.MaxWait,
+	}
+	ready := c.planner.AddBatch(st.batch, terms)
+	c.Log.Info("batch_opened", zap.String("batch_id", string(sub.ID)), zap.String("model", string(sub.Model)),
+		zap.Int64("step", sub.Step), zap.Int64("min_version", int64(sub.MinVersion)), zap.Int("items", len(sub.Items)),
+		zap.Int("ready", len(ready)), zap.Int64("config_version", int64(config.Version)))
+	for _, w := range ready {
+		c.finish(w, cf.ItemDone, "", cf.Uptime())
+	}
+}
+
+// finish puts an item among those to be listed.
+func (c *Coordinator) finish(w *cfrollout.Work, s cf.ItemState, reason string, now cf.Millis) {
+	st := c.batches[w.Batch.Sub.ID]
+	if st == nil || st.batch.Listed(w.Item.ID) {
+		return
+	}
+	r := cf.Result{ID: w.Item.ID, State: s}
+	if s == cf.ItemDone {
+		r.Output, r.Versions = join(w.Text.Data), w.Text.Versions
+	} else {
+		c.Log.Info("item_given_up", zap.String("batch_id", string(w.Batch.Sub.ID)), zap.String("request_id", string(w.Item.ID)),
+			zap.String("reason", reason), zap.Int("failures", w.Failures))
+	}
+	st.pending.Add(r, now)
+	c.Kick()
+}
--- /dev/null
+++ b/cfcoord/runs.go
@@ -0,0 +1,128 @@
+package cfcoord
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cfrollout"
+)
+
+const (
+	// stall is how long an engine may send nothing before a run is resumed
+	// at another. Events come every 40 to 200 ms; a load of weights under
+	// a run takes about a second.
+	stall = 2500 * time.Millisecond
+	// runTimeout is the deadline of one run at an engine; the longest items
+	// take about 7 s on an engine at normal speed.
+	runTimeout cf.Millis = 30000
+)
+
+var outcomeNames = map[cfrollout.Outcome]string{
+	cfrollout.OutcomeDone: "done", cfrollout.OutcomeFailed: "failed", cfrollout.OutcomeNever: "never",
+	cfrollout.OutcomeNotRun: "not_run", cfrollout.OutcomeBroken: "broken", cfrollout.OutcomeStopped: "stopped",
+}
+
+// startRun runs an item at the engine the planner chose.
+func (c *Coordinator) startRun(w *cfrollout.Work) {
+	e, ok := c.planner.Engine(w.Engine)
+	if !ok {
+		c.planner.Finished(w, cfrollout.OutcomeNotRun, cf.Uptime())
+		return
+	}
+	ctx, cancel := context.WithCancel(c.ctx)
+	c.runs[w] = cancel
+	item, host, version := w.Item, w.Batch.Sub.Host, w.Version
+	c.wg.Go(func() {
+		defer cancel()
+		started := time.Now()
+		outcome, reason := c.run(ctx, e.Target, host, item, version, &w.Text)
+		c.Metrics.Runs.WithLabelValues(outcomeNames[outcome]).Inc()
+		c.Metrics.ItemRun.Observe(time.Since(started).Seconds())
+		c.ended(w, e.Target, outcome, reason)
+	})
+}
+
+// ended takes the end of a run back to the planner.
+func (c *Coordinator) ended(w *cfrollout.Work, t cf.Target, outcome cfrollout.Outcome, reason string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.runs, w)
+	now := cf.Uptime()
+	if c.ctx.Err() != nil {
+		return // the duty is over; a successor runs the item again
+	}
+	c.Log.Info("item_run", zap.String("request_id", string(w.Item.ID)), zap.String("batch_id", string(w.Batch.Sub.ID)),
+		zap.String("target", string(t.ID)), zap.String("outcome", outcomeNames[outcome]), zap.String("reason", reason),
+		zap.Int64("version", int64(w.Version)), zap.Int64("events", int64(w.Text.Last)),
+		zap.Int64("took_ms", int64(now-w.Started)))
+	if outcome == cfrollout.OutcomeNotRun && !c.planner.Loading(t.ID) {
+		c.checkVersions(t)
+	}
+	if c.planner.Finished(w, outcome, now) {
+		state := cf.ItemFailed
+		if outcome == cfrollout.OutcomeDone {
+			state = cf.ItemDone
+		}
+		c.finish(w, state, reason, now)
+	}
+	c.Kick()
+}
+
+// collector gathers an item's text and keeps its watchdog from firing.
+type collector struct {
+	text     *cfrollout.Text
+	watchdog *time.Timer
+}
+
+func (k collector) Start(cf.TargetAnswer) error { return nil }
+
+func (k collector) Event(ev cf.StreamEvent) error {
+	k.watchdog.Reset(stall)
+	return k.text.Append(ev)
+}
+
+// run sends one item to one engine and collects its text after what text
+// holds already.
+func (c *Coordinator) run(outer context.Context, t cf.Target, host string, item cf.Item, version cf.WeightVersion, text *cfrollout.Text) (cfrollout.Outcome, string) {
+	ctx, cancel := context.WithCancel(outer)
+	defer cancel()
+	watchdog := time.AfterFunc(stall, cancel)
+	defer watchdog.Stop()
+	header := make(http.Header, len(item.Headers)+4)
+	for k, v := range item.Headers {
+		header.Set(k, v)
+	}
+	answer, err := c.Targets.Stream(ctx, t, cf.TargetCall{
+		ID: cf.RequestID(item.ID), Method: http.MethodPost, Host: host, Path: item.Path, Header: header, Body: item.Body,
+		Timeout: runTimeout, ResumeAfter: text.Last, ExpectVersion: version,
+	}, collector{text, watchdog})
+	if err != nil && outer.Err() != nil {
+		return cfrollout.OutcomeStopped, "batch ended"
+	}
+	return classify(answer, err)
+}
+
+// classify maps what came of a run to what the planner knows.
+func classify(answer cf.TargetAnswer, err error) (cfrollout.Outcome, string) {
+	switch {
+	case err != nil:
+		return cfrollout.OutcomeBroken, err.Error()
+	case answer.NotRun:
+		return cfrollout.OutcomeNotRun, http.StatusText(answer.Status)
+	case answer.Status/100 == 2:
+		return cfrollout.OutcomeDone, ""
+	case answer.Status == http.StatusUnprocessableEntity:
+		return cfrollout.OutcomeNever, "target says never"
+	case answer.Status == http.StatusInternalServerError:
+		return cfrollout.OutcomeFailed, "target failed"
+	default:
+		return cfrollout.OutcomeBroken, http.StatusText(answer.Status)
+	}
+}
+
+func join(data []string) string { return strings.Join(data, "\n") }
--- /dev/null
+++ b/cfcoord/weights.go
@@ -0,0 +1,166 @@
+package cfcoord
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cfrollout"
+)
+
+const (
+	// loadFirst is when a load is first looked for: an undisturbed load
+	// takes 0.9 s.
+	loadFirst = 850 * time.Millisecond
+	// loadPoll is the pause between looks after that.
+	loadPoll = 150 * time.Millisecond
+	// loadMost is when an order counts as lost. A load beside others takes
+	// longer, and an order may be carried out seconds late.
+	loadMost = 6 * time.Second
+)
+
+// startSwap gives a weight order and follows it until the engine holds the
+// version.
+func (c *Coordinator) startSwap(s cfrollout.Swap, term cf.Revision) {
+	seq := c.seqs[s.Target.ID]
+	c.wg.Go(func() {
+		err := c.swap(s, term, seq)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		outcome := "done"
+		if err != nil {
+			outcome = err.Error()
+			c.planner.SwapFailed(s.Target.ID, cf.Uptime())
+		} else {
+			c.planner.SwapDone(s.Target.ID, s.Model, s.Version)
+		}
+		c.Metrics.Orders.WithLabelValues(orderLabel(err)).Inc()
+		c.Log.Info("weights_swapped", zap.String("target", string(s.Target.ID)), zap.String("model", string(s.Model)),
+			zap.Int64("version", int64(s.Version)), zap.Int64("term", int64(term)), zap.String("outcome", outcome))
+		c.Kick()
+	})
+}
+
+func orderLabel(err error) string {
+	switch {
+	case err == nil:
+		return "done"
+	case errors.Is(err, cf.ErrConflict):
+		return "conflict"
+	case errors.Is(err, cf.ErrUnavailable):
+		return "no_answer"
+	default:
+		return "refused"
+	}
+}
+
+func (c *Coordinator) swap(s cfrollout.Swap, term cf.Revision, seq int64) error {
+	c.Log.Info("weights_ordered", zap.String("target", string(s.Target.ID)), zap.String("model", string(s.Model)),
+		zap.Int64("version", int64(s.Version)), zap.Int64("term", int64(term)), zap.Int64("expect_seq", seq),
+		zap.Bool("keep_runs", s.KeepRuns))
+	order := cf.WeightOrder{
+		Model: s.Model, Version: s.Version, KeepRuns: s.KeepRuns, Holder: c.Self, Fence: term, ExpectSeq: seq,
+	}
+	// The lease may have lapsed since the planner decided.
+	if _, ok := c.Duty.MayOrder(); !ok {
+		return cf.ErrNotLeader
+	}
+	err := c.Targets.Order(c.ctx, s.Target, order)
+	if errors.Is(err, cf.ErrConflict) {
+		return c.recount(s, err)
+	}
+	if err != nil && !errors.Is(err, cf.ErrUnavailable) {
+		return err
+	}
+	// Without an answer the order may still be carried out.
+	return c.await(s)
+}
+
+// recount reads an engine's order counter after an order that did not match
+// it, so that the next one does.
+func (c *Coordinator) recount(s cfrollout.Swap, cause error) error {
+	r, err := c.Targets.Report(c.ctx, s.Target)
+	if err != nil {
+		return err
+	}
+	c.noteSeq(s.Target.ID, r.Seq)
+	if holds(r, s) {
+		return nil
+	}
+	return cause
+}
+
+// await asks an engine for its weights until it holds the version.
+func (c *Coordinator) await(s cfrollout.Swap) error {
+	deadline := time.Now().Add(loadMost)
+	if !c.pause(loadFirst) {
+		return c.ctx.Err()
+	}
+	for {
+		r, err := c.Targets.Report(c.ctx, s.Target)
+		if err == nil {
+			c.noteSeq(s.Target.ID, r.Seq)
+			if holds(r, s) && !r.Busy {
+				return nil
+			}
+		}
+		if _, up := c.Site.Target(s.Target.ID); !up {
+			return cf.ErrNotFound
+		}
+		if time.Now().After(deadline) {
+			if err != nil {
+				return err
+			}
+			return context.DeadlineExceeded
+		}
+		if !c.pause(loadPoll) {
+			return c.ctx.Err()
+		}
+	}
+}
+
+func holds(r cf.TargetReport, s cfrollout.Swap) bool {
+	for _, m := range r.Models {
+		if m.Name == s.Model {
+			return m.Version >= s.Version
+		}
+	}
+	return false
+}
+
+func (c *Coordinator) noteSeq(id cf.InstanceID, seq int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seqs[id] = seq
+}
+
+func (c *Coordinator) pause(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-c.ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// checkVersions reads an engine's weights after it refused an item: an order
+// of a coordinator before may have changed them.
+func (c *Coordinator) checkVersions(t cf.Target) {
+	c.wg.Go(func() {
+		r, err := c.Targets.Report(c.ctx, t)
+		if err != nil {
+			return // the next refusal asks again
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.seqs[t.ID] = r.Seq
+		for _, m := range r.Models {
+			c.planner.SwapDone(t.ID, m.Name, m.Version)
+		}
+	})
+}
--- /dev/null
+++ b/cfingress/batches.go
@@ -0,0 +1,155 @@
+package cfingress
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cfbatch"
+)
+
+const (
+	// submitBudget is how long an instance tries to write a batch before it
+	// turns it away: a few answers of a slow store, and less than a caller
+	// needs to try another instance.
+	submitBudget = 1500 * time.Millisecond
+	// endBudget is the same for the end of a batch.
+	endBudget = 2 * time.Second
+	// storeRetry is the pause between tries.
+	storeRetry = 120 * time.Millisecond
+	// storeBack is when a caller should come back after the store refused:
+	// outages last seconds.
+	storeBack cf.Millis = 1500
+)
+
+// Submit accepts a batch: once its object is in the store it is kept, and the
+// coordinator, which watches for new ones, runs it.
+func (in *Ingress) Submit(ctx context.Context, sub cf.Submission) error {
+	sub.Accepted = cf.Now()
+	started := cf.Uptime()
+	ctx, cancel := context.WithTimeout(ctx, submitBudget)
+	defer cancel()
+	doubt := false // a write without an answer may still take effect
+	var err error
+	for tries := 1; ; tries++ {
+		_, err = in.Store.Create(ctx, cf.KindBatch, string(sub.ID), sub)
+		if err == nil || errors.Is(err, cf.ErrConflict) {
+			// A conflict is the batch itself: submitted before, or written
+			// by a try whose answer was lost.
+			in.Log.Info("batch_accepted", zap.String("batch_id", string(sub.ID)), zap.Int("items", len(sub.Items)),
+				zap.Int("tries", tries), zap.Bool("again", err != nil), zap.Int64("took_ms", int64(cf.Uptime()-started)))
+			in.countBatch("submit", "accepted", started)
+			return nil
+		}
+		doubt = doubt || errors.Is(err, cf.ErrUnavailable)
+		if !wait(ctx, storeRetry) {
+			break
+		}
+	}
+	in.Log.Warn("batch_not_accepted", zap.String("batch_id", string(sub.ID)), zap.Bool("in_doubt", doubt), zap.Error(err))
+	in.countBatch("submit", "not_accepted", started)
+	if doubt {
+		return eris.Wrap(cf.ErrUnavailable, "the store did not answer")
+	}
+	return &cf.Refusal{After: storeBack, Reason: "the store takes no batches now"}
+}
+
+// Results reads a batch at the coordinator, or from the store where the
+// coordinator can't be asked.
+func (in *Ingress) Results(ctx context.Context, id cf.BatchID, after int, longest cf.Millis) (cf.ResultPage, error) {
+	started := cf.Uptime()
+	page, err := in.Coordinator.Results(ctx, id, after, longest)
+	if err == nil {
+		in.countBatch("results", "coordinator", started)
+		return page, nil
+	}
+	b, err := in.readStore(ctx, id)
+	if err != nil {
+		in.Log.Warn("results_not_read", zap.String("batch_id", string(id)), zap.Int("after", after), zap.Error(err))
+		in.countBatch("results", "failed", started)
+		return cf.ResultPage{}, err
+	}
+	in.countBatch("results", "store", started)
+	return b.Page(after), nil
+}
+
+// readStore reads a batch with its results from the store.
+func (in *Ingress) readStore(ctx context.Context, id cf.BatchID) (*cfbatch.Batch, error) {
+	object, err := in.Store.Get(ctx, cf.KindBatch, string(id))
+	if err != nil {
+		return nil, unsure(err)
+	}
+	chunks, err := in.Store.List(ctx, cf.KindResults(id))
+	if err != nil {
+		return nil, unsure(err)
+	}
+	return cfbatch.Load(object, chunks.Items)
+}
+
+// unsure turns a failed read into a refusal: a read changes nothing, and only
+// the store's own word may say that a batch does not exist.
+func unsure(err error) error {
+	if errors.Is(err, cf.ErrNotFound) {
+		return err
+	}
+	return &cf.Refusal{After: storeBack / 3, Reason: err.Error()}
+}
+
+// ItemBody returns the body of an item.
+func (in *Ingress) ItemBody(ctx context.Context, id cf.BatchID, item cf.ItemID) ([]byte, error) {
+	body, err := in.Coordinator.ItemBody(ctx, id, item)
+	if err == nil || errors.Is(err, cf.ErrNotFound) {
+		return body, err
+	}
+	object, err := in.Store.Get(ctx, cf.KindBatch, string(id))
+	if err != nil {
+		return nil, unsure(err)
+	}
+	b, err := cfbatch.Load(object, nil)
+	if err != nil {
+		return nil, err
+	}
+	it, ok := b.Item(item)
+	if !ok {
+		return nil, cf.ErrNotFound
+	}
+	return it.Body, nil
+}
+
+// End ends a batch. The end lies in the store, so that a coordinator that
+// takes over does not start its items again.
+func (in *Ingress) End(ctx context.Context, id cf.BatchID) error {
+	ctx, cancel := context.WithTimeout(ctx, endBudget)
+	defer cancel()
+	for {
+		err := in.Store.SetStatus(ctx, cf.KindBatch, string(id), cf.BatchStatus{Ended: true})
+		if err == nil || errors.Is(err, cf.ErrNotFound) {
+			in.Log.Info("batch_end_taken", zap.String("batch_id", string(id)), zap.Error(err))
+			return err
+		}
+		if !wait(ctx, storeRetry) {
+			in.Log.Warn("batch_end_not_taken", zap.String("batch_id", string(id)), zap.Error(err))
+			return unsure(err)
+		}
+	}
+}
+
+func (in *Ingress) countBatch(call, outcome string, started cf.Millis) {
+	in.Metrics.Requests.WithLabelValues(call, outcome).Inc()
+	in.Metrics.Took.WithLabelValues(call).Observe(float64(cf.Uptime()-started) / 1000)
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/cfingress/forward.go
@@ -0,0 +1,246 @@
+package cfingress
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cfbalance"
+	"currantford/cfsite"
+)
+
+const (
+	// noTargetRetry is when a caller should come back while a service has
+	// no target at all; a target that starts is listed within a heartbeat.
+	noTargetRetry cf.Millis = 1000
+	// fullRetry is when a caller should come back after every target was
+	// full: a slot frees within a mean answer.
+	fullRetry cf.Millis = 100
+)
+
+// attempt is what came of one send.
+type attempt struct {
+	target cf.Target
+	answer cf.TargetAnswer
+	err    error
+	took   cf.Millis
+}
+
+// forwarding is one request on its way through the targets.
+type forwarding struct {
+	in       *Ingress
+	req      *cf.Request
+	route    cfsite.Route
+	service  cf.ServiceName
+	version  cfsite.ConfigVersion
+	attempts *cfbalance.Attempts
+	tried    map[cf.InstanceID]bool
+	results  chan attempt
+	pending  int
+	last     *attempt // a failure that a target answered, to be passed on
+}
+
+// Forward answers a request by sending it to a target of its route.
+func (in *Ingress) Forward(ctx context.Context, req *cf.Request, w http.ResponseWriter) {
+	config := in.Site.Config()
+	route, ok := config.Match(req.Host, req.Route)
+	if !ok {
+		in.Log.Info("no_route", zap.String("request_id", string(req.ID)), zap.String("host", req.Host), zap.String("path", req.Route),
+			zap.Int64("config_version", int64(config.Version)))
+		http.Error(w, "no route", http.StatusNotFound)
+		in.count("forward", "no_route", req)
+		return
+	}
+	deadline := req.Received + route.Timeout
+	if req.Deadline > 0 && (route.Timeout <= 0 || req.Deadline < route.Timeout) {
+		deadline = req.Received + req.Deadline
+	}
+	f := &forwarding{
+		in: in, req: req, route: route, service: route.Pick(rand.Float64()), version: config.Version,
+		attempts: cfbalance.NewAttempts(route, deadline), tried: map[cf.InstanceID]bool{}, results: make(chan attempt, 8),
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.attempts.Left(cf.Uptime()).Duration())
+	defer cancel()
+	if route.Kind == cfsite.KindStream {
+		f.stream(ctx, w)
+		return
+	}
+	f.whole(ctx, w)
+}
+
+// whole forwards a request whose answer is passed on once it is whole, so
+// that an answer cut short can be asked for again at another target.
+func (f *forwarding) whole(ctx context.Context, w http.ResponseWriter) {
+	for {
+		if f.pending == 0 && !f.send(ctx) {
+			f.settle(w)
+			return
+		}
+		var hedge <-chan time.Time
+		if after, ok := f.attempts.HedgeAfter(); ok && f.pending == 1 {
+			t := time.NewTimer(after.Duration())
+			defer t.Stop()
+			hedge = t.C
+		}
+		select {
+		case a := <-f.results:
+			f.pending--
+			if f.take(a) {
+				f.pass(w, a)
+				return
+			}
+		case <-hedge:
+			f.send(ctx)
+		case <-ctx.Done():
+			f.expire(ctx, w)
+			return
+		}
+	}
+}
+
+// send starts one attempt; false when there is no target or no attempt left.
+func (f *forwarding) send(ctx context.Context) bool {
+	now := cf.Uptime()
+	if ctx.Err() != nil || !f.attempts.MaySend(now) {
+		return false
+	}
+	target, ok := f.in.balancer.Choose(f.in.Site.Usable(f.service), f.tried, rand.Float64(), now)
+	if !ok {
+		return false
+	}
+	f.tried[target.ID] = true
+	f.attempts.Sent()
+	f.pending++
+	f.in.balancer.Sent(target.ID)
+	f.in.Log.Info("request_sent", zap.String("request_id", string(f.req.ID)), zap.String("route", f.route.Name),
+		zap.String("target", string(target.ID)), zap.Int("tried", len(f.tried)), zap.Int64("left_ms", int64(f.attempts.Left(now))),
+		zap.Int64("config_version", int64(f.version)), zap.Int64("targets_revision", int64(f.in.Site.TargetsAt())))
+	call := f.call(now)
+	go func() {
+		answer, err := f.in.Targets.Send(ctx, target, call)
+		f.results <- attempt{target, answer, err, cf.Uptime() - now}
+	}()
+	return true
+}
+
+func (f *forwarding) call(now cf.Millis) cf.TargetCall {
+	return cf.TargetCall{
+		ID: f.req.ID, Method: f.req.Method, Host: f.req.Host, Path: f.req.Path, Header: f.req.Header, Body: f.req.Body,
+		Timeout: f.attempts.Left(now), FreshConnection: !f.route.Idempotent(),
+	}
+}
+
+// take judges an attempt; true when its answer is the caller's.
+func (f *forwarding) take(a attempt) bool {
+	outcome := cfbalance.Answered
+	good := false
+	switch {
+	case errors.Is(a.err, cf.ErrNotRun):
+		outcome = cfbalance.Unreached
+	case a.err != nil:
+		outcome = cfbalance.Failed
+		f.attempts.Ran()
+	case a.answer.NotRun:
+		outcome = cfbalance.Full
+	case a.answer.Status >= http.StatusInternalServerError:
+		outcome = cfbalance.Failed
+		f.attempts.Ran()
+		f.last = &a
+	default:
+		good = true
+	}
+	f.in.balancer.Done(a.target.ID, outcome, a.answer.Load, a.took, cf.Uptime())
+	if !good {
+		f.in.Log.Warn("attempt_failed", zap.String("request_id", string(f.req.ID)), zap.String("target", string(a.target.ID)),
+			zap.Int("status", a.answer.Status), zap.Bool("not_run", outcome == cfbalance.Full || outcome == cfbalance.Unreached),
+			zap.Int64("took_ms", int64(a.took)), zap.Error(a.err))
+	}
+	return good
+}
+
+// abandon gives up what is still under way; its end is noted later.
+func (f *forwarding) abandon() {
+	if f.pending == 0 {
+		return
+	}
+	n, results, balancer := f.pending, f.results, f.in.balancer
+	go func() {
+		for range n {
+			a := <-results
+			balancer.Done(a.target.ID, cfbalance.Abandoned, a.answer.Load, a.took, cf.Uptime())
+		}
+	}()
+}
+
+// pass hands a target's answer to the caller.
+func (f *forwarding) pass(w http.ResponseWriter, a attempt) {
+	f.abandon()
+	h := w.Header()
+	for k, v := range a.answer.Header {
+		h[k] = v
+	}
+	h.Set("Content-Length", strconv.Itoa(len(a.answer.Body)))
+	w.WriteHeader(a.answer.Status)
+	if f.req.Method != http.MethodHead {
+		_, _ = w.Write(a.answer.Body) // a caller that has gone is seen by the server
+	}
+	f.in.Log.Info("request_answered", zap.String("request_id", string(f.req.ID)), zap.String("target", string(a.target.ID)),
+		zap.Int("status", a.answer.Status), zap.Int64("took_ms", int64(cf.Uptime()-f.req.Received)))
+	f.in.count("forward", "answered", f.req)
+}
+
+// settle ends a request for which no attempt is under way or left.
+func (f *forwarding) settle(w http.ResponseWriter) {
+	if f.attempts.Next(cf.Uptime()) != cfbalance.GiveUp {
+		after := fullRetry
+		if len(f.tried) == 0 {
+			after = noTargetRetry
+		}
+		f.refuse(w, after)
+		return
+	}
+	if f.last != nil {
+		f.pass(w, *f.last)
+		return
+	}
+	f.fail(w, http.StatusBadGateway, "no target answered")
+}
+
+// expire ends a request whose time is up or whose caller has gone.
+func (f *forwarding) expire(ctx context.Context, w http.ResponseWriter) {
+	f.abandon()
+	if errors.Is(ctx.Err(), context.Canceled) {
+		f.in.Log.Info("caller_gone", zap.String("request_id", string(f.req.ID)), zap.Int64("after_ms", int64(cf.Uptime()-f.req.Received)))
+		f.in.count("forward", "caller_gone", f.req)
+		panic(http.ErrAbortHandler)
+	}
+	f.fail(w, http.StatusGatewayTimeout, "no answer in time")
+}
+
+// refuse turns away a request that surely has not run.
+func (f *forwarding) refuse(w http.ResponseWriter, after cf.Millis) {
+	f.in.Log.Warn("request_refused", zap.String("request_id", string(f.req.ID)), zap.String("service", string(f.service)),
+		zap.Int("tried", len(f.tried)), zap.Int64("retry_after_ms", int64(after)),
+		zap.Int64("config_version", int64(f.version)), zap.Int64("targets_revision", int64(f.in.Site.TargetsAt())))
+	w.Header().Set("Retry-After", strconv.FormatFloat(float64(after)/1000, 'f', 3, 64))
+	http.Error(w, "no target has room", http.StatusServiceUnavailable)
+	f.in.count("forward", "refused", f.req)
+}
+
+func (f *forwarding) fail(w http.ResponseWriter, status int, reason string) {
+	f.in.Log.Warn("request_failed", zap.String("request_id", string(f.req.ID)), zap.Int("status", status), zap.String("reason", reason),
+		zap.Int("tried", len(f.tried)), zap.Int64("took_ms", int64(cf.Uptime()-f.req.Received)))
+	http.Error(w, reason, status)
+	f.in.count("forward", "failed", f.req)
+}
+
+func (in *Ingress) count(call, outcome string, req *cf.Request) {
+	in.Metrics.Requests.WithLabelValues(call, outcome).Inc()
+	in.Metrics.Took.WithLabelValues(call).Observe(float64(cf.Uptime()-req.Received) / 1000)
+}
--- /dev/null
+++ b/cfingress/ingress.go
@@ -0,0 +1,114 @@
+// Package cfingress is what an entry instance does for callers: it forwards
+// requests to targets, accepts batches, answers reads of them, and tells
+// callers which instances to use. The decisions are cfbalance's (targets,
+// attempts), cfsite's (routes) and cfmember's (instances).
+//
+// Usage:
+//
+//	in := cfingress.New(options)
+//	handler := platform.NewCallers(in, log)
+package cfingress
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cfbalance"
+	"currantford/cfmember"
+	"currantford/cfsite"
+)
+
+const (
+	// resolveTTL is how long callers keep an address list. Some keep it
+	// three times as long, which must fit into a planned stop.
+	resolveTTL cf.Millis = 1500
+	// resolveMost bounds the address list.
+	resolveMost = 64
+)
+
+type (
+	// Coordinator reads batches at whichever instance has the duty. It
+	// returns ErrNotLeader or ErrUnavailable when only the store can tell.
+	Coordinator interface {
+		Results(ctx context.Context, id cf.BatchID, after int, wait cf.Millis) (cf.ResultPage, error)
+		ItemBody(ctx context.Context, id cf.BatchID, item cf.ItemID) ([]byte, error)
+	}
+
+	// Members shows the instances that take callers.
+	Members interface {
+		Live() []cfmember.Entry
+	}
+
+	// Options are what an ingress works with.
+	Options struct {
+		Store       cf.Store
+		Targets     cf.Targets
+		Site        *cfsite.Site
+		Coordinator Coordinator
+		Members     Members
+		Metrics     *Metrics
+		Log         *zap.Logger
+	}
+
+	// Ingress implements currantford.Ingress.
+	Ingress struct {
+		Options
+		balancer *cfbalance.Balancer
+		stopping atomic.Bool
+	}
+
+	// Metrics are the ingress's counters.
+	Metrics struct {
+		Requests *prometheus.CounterVec
+		Took     *prometheus.HistogramVec
+	}
+)
+
+var _ cf.Ingress = (*Ingress)(nil)
+
+// NewMetrics registers the ingress's metrics.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		Requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "currantford_requests_total", Help: "Callers' requests by call and outcome."}, []string{"call", "outcome"}),
+		Took: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "currantford_request_seconds", Help: "Time to answer callers' requests by call.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 11)}, []string{"call"}),
+	}
+	reg.MustRegister(m.Requests, m.Took)
+	return m
+}
+
+// New returns an ingress.
+func New(o Options) *Ingress { return &Ingress{Options: o, balancer: cfbalance.New()} }
+
+// Stop makes the instance not ready: callers are sent elsewhere, and those
+// who still come are served.
+func (in *Ingress) Stop() { in.stopping.Store(true) }
+
+// Ready says whether callers may be sent to this instance.
+func (in *Ingress) Ready() bool { return !in.stopping.Load() && in.Site.Config() != nil }
+
+// Resolve returns the addresses for a caller in domain.
+func (in *Ingress) Resolve(domain cf.FailureDomain) ([]string, cf.Millis) {
+	return cfmember.Nearest(in.Members.Live(), domain, resolveMost), resolveTTL
+}
+
+// Limits returns the bounds on what callers may send.
+func (in *Ingress) Limits() (cf.CallerLimits, bool) {
+	c := in.Site.Config()
+	if c == nil {
+		return cf.CallerLimits{}, false
+	}
+	return cf.CallerLimits{BodyBytes: c.Limits.BodyBytes}, true
+}
+
+// TakesBatches says whether host and path belong to a route for batches.
+func (in *Ingress) TakesBatches(host, path string) bool {
+	r, ok := in.Site.Config().Match(host, path)
+	return ok && r.Kind == cfsite.KindBatch
+}
--- /dev/null
+++ b/cfingress/stream.go
@@ -0,0 +1,114 @@
+package cfingress
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cfbalance"
+)
+
+// streamStall is how long a resumable stream may send nothing before it is
+// resumed at another target; callers give up after two seconds or more.
+const streamStall = 1200 * time.Millisecond
+
+// streamSink passes events on as they arrive. Across resumes the caller sees
+// one answer, with the headers of the first target.
+type streamSink struct {
+	w        http.ResponseWriter
+	flush    *http.ResponseController
+	started  bool
+	last     cf.EventID
+	watchdog *time.Timer
+}
+
+func (s *streamSink) Start(a cf.TargetAnswer) error {
+	if s.started {
+		return nil
+	}
+	s.started = true
+	for k, v := range a.Header {
+		s.w.Header()[k] = v
+	}
+	s.w.WriteHeader(a.Status)
+	return s.flush.Flush()
+}
+
+func (s *streamSink) Event(ev cf.StreamEvent) error {
+	if ev.ID != s.last+1 {
+		return cf.ErrBadAnswer
+	}
+	if s.watchdog != nil {
+		s.watchdog.Reset(streamStall)
+	}
+	s.last = ev.ID
+	if _, err := s.w.Write(ev.Raw); err != nil {
+		return err
+	}
+	return s.flush.Flush()
+}
+
+// stream forwards a request whose answer is a stream of events, and resumes
+// it at another target where its route allows.
+func (f *forwarding) stream(ctx context.Context, w http.ResponseWriter) {
+	sink := &streamSink{w: w, flush: http.NewResponseController(w)}
+	for {
+		now := cf.Uptime()
+		target, ok := f.in.balancer.Choose(f.in.Site.Usable(f.service), f.tried, rand.Float64(), now)
+		if !ok || ctx.Err() != nil || !f.attempts.MaySend(now) {
+			f.endStream(ctx, w, sink)
+			return
+		}
+		f.tried[target.ID] = true
+		f.attempts.Sent()
+		f.in.balancer.Sent(target.ID)
+		a := f.streamOnce(ctx, target, sink, now)
+		if a.err == nil && a.answer.Status/100 == 2 {
+			f.in.balancer.Done(target.ID, cfbalance.Answered, a.answer.Load, a.took, cf.Uptime())
+			f.in.Log.Info("stream_answered", zap.String("request_id", string(f.req.ID)), zap.String("target", string(target.ID)),
+				zap.Int64("events", int64(sink.last)), zap.Int("tried", len(f.tried)))
+			f.in.count("stream", "answered", f.req)
+			return
+		}
+		if f.take(a) { // a refusal of the target's own, such as 400
+			f.pass(w, a)
+			return
+		}
+	}
+}
+
+func (f *forwarding) streamOnce(ctx context.Context, target cf.Target, sink *streamSink, now cf.Millis) attempt {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if f.route.Resumable {
+		sink.watchdog = time.AfterFunc(streamStall, cancel)
+		defer sink.watchdog.Stop()
+	}
+	call := f.call(now)
+	call.ResumeAfter = sink.last
+	f.in.Log.Info("stream_sent", zap.String("request_id", string(f.req.ID)), zap.String("target", string(target.ID)),
+		zap.Int64("resume_after", int64(sink.last)), zap.Int64("left_ms", int64(f.attempts.Left(now))),
+		zap.Int64("config_version", int64(f.version)))
+	answer, err := f.in.Targets.Stream(ctx, target, call, sink)
+	return attempt{target, answer, err, cf.Uptime() - now}
+}
+
+// endStream ends a stream that no target completes. One that has begun is
+// broken off, so that it does not look complete.
+func (f *forwarding) endStream(ctx context.Context, w http.ResponseWriter, sink *streamSink) {
+	if sink.started || errors.Is(ctx.Err(), context.Canceled) {
+		f.in.Log.Warn("stream_broken_off", zap.String("request_id", string(f.req.ID)), zap.Int64("events", int64(sink.last)))
+		f.in.count("stream", "broken_off", f.req)
+		panic(http.ErrAbortHandler)
+	}
+	if ctx.Err() != nil {
+		f.fail(w, http.StatusGatewayTimeout, "no answer in time")
+		return
+	}
+	f.settle(w)
+}
--- /dev/null
+++ b/cflease/lease.go
@@ -0,0 +1,159 @@
+// Package cflease decides about a lease that is kept as one object of the
+// platform's store: when a candidate may take it, how long a holder may act,
+// and from when on it may give orders to targets. It makes no calls itself.
+//
+// Targets do not all check fencing numbers, so time keeps two holders apart:
+// a holder acts only for Validity after it sent its last successful renewal;
+// a candidate takes the lease only after it saw no renewal for Takeover; and
+// a new holder gives no order for Handover after it took the lease. All spans
+// are measured on a clock that goes on while the machine is suspended.
+//
+// Usage:
+//
+//	l := cflease.New(self, cflease.DefaultBounds)
+//	l.Observe(record.Rev, holder, now)
+//	if l.MayTake(now) {
+//		// write the object on condition of l.Rev(), then
+//		l.Acquired(rev, sentAt)
+//	}
+package cflease
+
+import (
+	cf "currantford"
+)
+
+type (
+	// Bounds are the spans of the protocol.
+	Bounds struct {
+		// Renew is how often a holder renews.
+		Renew cf.Millis
+		// Validity is how long a holder acts after sending a renewal.
+		Validity cf.Millis
+		// Takeover is how long a candidate sees no renewal before it takes
+		// the lease; it is longer than Validity by the clocks' drift.
+		Takeover cf.Millis
+		// Handover is how long a new holder waits before its first order.
+		Handover cf.Millis
+	}
+
+	// Holder is the spec of a lease's object.
+	Holder struct {
+		Entry cf.EntryID `json:"entry"`
+		Addr  string     `json:"addr"`
+		// Term is one more than the revision at which the holder before this
+		// one was replaced; it only grows, and is the fencing number.
+		Term cf.Revision `json:"term"`
+		// Ordering is set once the handover has passed: a holder that
+		// restarts need not wait for itself.
+		Ordering bool `json:"ordering"`
+		// Renewal makes each renewal a change of the object.
+		Renewal int64 `json:"renewal"`
+		// Released is set by a holder that stopped as planned.
+		Released bool `json:"released,omitempty"`
+	}
+
+	// Lease is one candidate's view of a lease. It is not safe for
+	// concurrent use.
+	Lease struct {
+		self   cf.EntryID
+		bounds Bounds
+
+		rev     cf.Revision
+		holder  Holder
+		seenAt  cf.Millis
+		held    bool
+		sentAt  cf.Millis
+		orderAt cf.Millis
+	}
+)
+
+// DefaultBounds suit a store that answers in milliseconds and targets that
+// must not hear two holders within 3 s. A holder survives one lost renewal;
+// another takes over 2.2 s after the last one.
+var DefaultBounds = Bounds{Renew: 700, Validity: 1800, Takeover: 2200, Handover: 3000}
+
+// New returns the view of a candidate that has seen nothing.
+func New(self cf.EntryID, bounds Bounds) *Lease {
+	return &Lease{self: self, bounds: bounds}
+}
+
+// Observe takes the lease's object as read from the store at now.
+func (l *Lease) Observe(rev cf.Revision, h Holder, now cf.Millis) {
+	if rev <= l.rev {
+		return
+	}
+	l.rev, l.holder, l.seenAt = rev, h, now
+	if h.Entry != l.self {
+		l.held = false
+	}
+}
+
+// MayTake says whether a conditional write at Rev may take the lease: there
+// is no holder, its time has passed, or it was this instance before a
+// restart.
+func (l *Lease) MayTake(now cf.Millis) bool {
+	if l.held {
+		return false
+	}
+	h := l.holder
+	return h.Entry == "" || h.Entry == l.self || h.Released || now-l.seenAt >= l.bounds.Takeover
+}
+
+// Rev is the revision on which the next write must be conditional; zero
+// means that the object must be created.
+func (l *Lease) Rev() cf.Revision { return l.rev }
+
+// Holder is the holder last seen.
+func (l *Lease) Holder() Holder { return l.holder }
+
+// Next returns the object to write to take or renew the lease at now.
+func (l *Lease) Next(addr string, now cf.Millis) Holder {
+	h := l.holder
+	if !l.held {
+		// The same instance, restarted, is the same holder to a target, but
+		// its number must still grow beyond that of orders it sent before.
+		h.Term = l.rev + 1
+		h.Ordering = h.Ordering && h.Entry == l.self
+	} else if now >= l.orderAt {
+		h.Ordering = true
+	}
+	h.Entry, h.Addr, h.Released = l.self, addr, false
+	h.Renewal++
+	return h
+}
+
+// Acquired records that the write of h, sent at sentAt, took effect as rev.
+func (l *Lease) Acquired(rev cf.Revision, h Holder, sentAt, now cf.Millis) {
+	if rev <= l.rev {
+		return
+	}
+	if !l.held {
+		l.orderAt = now + l.bounds.Handover
+		if h.Ordering || l.holder.Entry == "" {
+			l.orderAt = now
+		}
+	}
+	l.rev, l.holder, l.seenAt = rev, h, now
+	l.held, l.sentAt = true, sentAt
+}
+
+// Lost records that another holds the lease or that it can't be told.
+func (l *Lease) Lost() { l.held = false }
+
+// Valid says whether this instance may act as the holder at now.
+func (l *Lease) Valid(now cf.Millis) bool {
+	return l.held && now-l.sentAt < l.bounds.Validity
+}
+
+// MayOrder says whether this instance may give orders to targets at now.
+func (l *Lease) MayOrder(now cf.Millis) bool {
+	return l.Valid(now) && now >= l.orderAt
+}
+
+// RenewDue says whether the holder should renew at now.
+func (l *Lease) RenewDue(now cf.Millis) bool {
+	return l.held && now-l.sentAt >= l.bounds.Renew
+}
+
+// Term is the fencing number for orders.
+func (l *Lease) Term() cf.Revision { return l.holder.Term }
--- /dev/null
+++ b/cflog/async.go
@@ -0,0 +1,65 @@
+package cflog
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+)
+
+// queueLines bounds the lines that wait to be written, about 1 MB. A reader
+// that stops reading must not stop the process: further lines are counted and
+// dropped.
+const queueLines = 4096
+
+// Async writes lines in the background and never blocks its callers. Close
+// writes what waits.
+type Async struct {
+	out     io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+	wg      sync.WaitGroup
+	once    sync.Once
+}
+
+// NewAsync returns a writer in front of out.
+func NewAsync(out io.Writer) *Async {
+	a := &Async{out: out, lines: make(chan []byte, queueLines)}
+	a.wg.Go(a.run)
+	return a
+}
+
+// Write queues one line, or drops it if the queue is full.
+func (a *Async) Write(p []byte) (int, error) {
+	line := append([]byte(nil), p...)
+	select {
+	case a.lines <- line:
+	default:
+		a.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+// Dropped counts the lines that were dropped.
+func (a *Async) Dropped() int64 { return a.dropped.Load() }
+
+// Sync implements zapcore.WriteSyncer; lines are written as they come.
+func (a *Async) Sync() error { return nil }
+
+// Close writes what waits. Nothing may be written after it.
+func (a *Async) Close() error {
+	a.once.Do(func() { close(a.lines) })
+	a.wg.Wait()
+	return nil
+}
+
+// run writes lines, several in one call where several wait.
+func (a *Async) run() {
+	var buf []byte
+	for line := range a.lines {
+		buf = append(buf[:0], line...)
+		for len(a.lines) > 0 && len(buf) < 32<<10 {
+			buf = append(buf, <-a.lines...)
+		}
+		_, _ = a.out.Write(buf) // there is nowhere else to report it
+	}
+}
--- a/cflog/log.go
+++ b/cflog/log.go
@@ -26,3 +26,15 @@
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.Lock(os.Stderr), zap.InfoLevel)
 	return zap.New(core).With(zap.String("component", component), zap.String("id", id))
 }
+
+// NewStdout returns a JSON-line logger on standard output that never blocks,
+// and the writer to close at the end.
+func NewStdout(component, id string) (*zap.Logger, *Async) {
+	w := NewAsync(os.Stdout)
+	enc := zap.NewProductionEncoderConfig()
+	enc.TimeKey = "ts_ms"
+	enc.EncodeTime = zapcore.EpochMillisTimeEncoder
+	enc.MessageKey = "msg"
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), w, zap.InfoLevel)
+	return zap.New(core).With(zap.String("component", component), zap.String("id", id)), w
+}
--- /dev/null
+++ b/cfnode/candidate.go
@@ -0,0 +1,220 @@
+package cfnode
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cflease"
+)
+
+const (
+	leaseName = "coordinator"
+	// candidateTick is how often a candidate or holder looks at its clock.
+	candidateTick = 100 * time.Millisecond
+	// probeEvery is how often a candidate without word of the coordinator
+	// reads the lease.
+	probeEvery cf.Millis = 600
+	// takeSpread draws the moment of a takeover at random, so that usually
+	// one instance writes and the others see its lease.
+	takeSpread = 250 * time.Millisecond
+)
+
+// candidate competes for the coordinator's lease and keeps it renewed.
+type candidate struct {
+	self  cf.EntryID
+	addr  string
+	store cf.Store
+	log   *zap.Logger
+	// word returns when the coordinator was last heard from.
+	word func() cf.Millis
+	// acquired and lost start and end the duty.
+	acquired func()
+	lost     func()
+
+	mu     sync.Mutex
+	lease  *cflease.Lease
+	probed cf.Millis
+	held   bool
+	closed bool
+}
+
+// Valid implements cfcoord.Duty.
+func (c *candidate) Valid() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease.Valid(cf.Uptime())
+}
+
+// MayOrder implements cfcoord.Duty.
+func (c *candidate) MayOrder() (cf.Revision, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease.Term(), c.lease.MayOrder(cf.Uptime())
+}
+
+// holder returns the lease as last seen.
+func (c *candidate) holder() (cflease.Holder, cf.Revision) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease.Holder(), c.lease.Rev()
+}
+
+// observe takes the lease as another instance or the store shows it.
+func (c *candidate) observe(rev cf.Revision, h cflease.Holder) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lease.Observe(rev, h, cf.Uptime())
+}
+
+func (c *candidate) run(ctx context.Context) {
+	ticker := time.NewTicker(candidateTick)
+	defer ticker.Stop()
+	for {
+		c.step(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (c *candidate) step(ctx context.Context) {
+	now := cf.Uptime()
+	c.mu.Lock()
+	valid, renew, may, rev := c.lease.Valid(now), c.lease.RenewDue(now), c.lease.MayTake(now), c.lease.Rev()
+	c.mu.Unlock()
+	if c.held {
+		if !valid {
+			c.stepDown("not renewed in time")
+			return
+		}
+		if renew {
+			c.write(ctx)
+		}
+		return
+	}
+	if rev > 0 && now-c.word() < probeEvery {
+		return
+	}
+	if now-c.probed >= probeEvery {
+		c.probed = now
+		c.probe(ctx)
+		return
+	}
+	if may && rev > 0 {
+		time.Sleep(rand.N(takeSpread))
+		c.probe(ctx)
+		c.mu.Lock()
+		may = c.lease.MayTake(cf.Uptime())
+		c.mu.Unlock()
+		if may {
+			c.write(ctx)
+		}
+	}
+}
+
+// probe reads the lease; where there is none yet it is created.
+func (c *candidate) probe(ctx context.Context) {
+	r, err := c.store.Get(ctx, cf.KindLease, leaseName)
+	switch {
+	case err == nil:
+		c.take(r)
+	case errors.Is(err, cf.ErrNotFound):
+		c.write(ctx)
+		return
+	default:
+		return // the watchers log that the store is lost
+	}
+	// The instance that held the lease before its restart goes on at once.
+	if h, _ := c.holder(); h.Entry == c.self {
+		c.write(ctx)
+	}
+}
+
+func (c *candidate) take(r cf.Record) {
+	var h cflease.Holder
+	if err := json.Unmarshal(r.Spec, &h); err != nil {
+		c.log.Error("lease_not_read", zap.Error(err))
+		return
+	}
+	c.observe(r.Rev, h)
+}
+
+// write takes or renews the lease.
+func (c *candidate) write(ctx context.Context) {
+	sent := cf.Uptime()
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return
+	}
+	next, rev := c.lease.Next(c.addr, sent), c.lease.Rev()
+	c.mu.Unlock()
+	var r cf.Record
+	var err error
+	if rev == 0 {
+		r, err = c.store.Create(ctx, cf.KindLease, leaseName, next)
+	} else {
+		r, err = c.store.Replace(ctx, cf.KindLease, leaseName, rev, next)
+	}
+	switch {
+	case err == nil:
+		c.mu.Lock()
+		c.lease.Acquired(r.Rev, next, sent, cf.Uptime())
+		c.mu.Unlock()
+		if !c.held {
+			c.held = true
+			c.log.Info("lease_taken", zap.Int64("term", int64(next.Term)), zap.Int64("revision", int64(r.Rev)))
+			c.acquired()
+		}
+	case errors.Is(err, cf.ErrConflict):
+		c.take(r)
+		c.resolveConflict(r, next)
+	default:
+		// Unknown: the next read shows whether it took effect.
+		c.log.Warn("lease_write_failed", zap.Int64("revision", int64(rev)), zap.Error(err))
+	}
+}
+
+// resolveConflict handles a write that found another revision: if it is this
+// instance's own write, whose answer was lost, the lease is still its own.
+func (c *candidate) resolveConflict(r cf.Record, next cflease.Holder) {
+	h, _ := c.holder()
+	if c.held && h.Entry != c.self {
+		c.stepDown("taken by " + string(h.Entry))
+	}
+}
+
+func (c *candidate) stepDown(reason string) {
+	c.mu.Lock()
+	c.lease.Lost()
+	c.mu.Unlock()
+	c.held = false
+	c.log.Warn("lease_lost", zap.String("reason", reason))
+	c.lost()
+}
+
+// release gives the lease up at a planned stop, so that another instance
+// takes over at once.
+func (c *candidate) release(ctx context.Context) {
+	c.mu.Lock()
+	c.closed = true
+	next, rev, held := c.lease.Holder(), c.lease.Rev(), c.held
+	c.mu.Unlock()
+	if !held {
+		return
+	}
+	c.stepDown("planned stop")
+	next.Released = true
+	if _, err := c.store.Replace(ctx, cf.KindLease, leaseName, rev, next); err != nil {
+		c.log.Warn("lease_not_released", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/cfnode/feed.go
@@ -0,0 +1,210 @@
+package cfnode
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cflease"
+	"currantford/cfmember"
+	"currantford/cfwatch"
+)
+
+const (
+	opFeed    = "feed"
+	opResults = "results"
+	opItem    = "item"
+	opStore   = "store"
+
+	// feedWait is how long the coordinator holds a feed call without news;
+	// each call is also the caller's report that it is alive.
+	feedWait cf.Millis = 400
+	// feedGrace is what an answer may take beyond that.
+	feedGrace cf.Millis = 350
+	// feedSilence is how long an instance relies on the last answer before
+	// it watches the store itself.
+	feedSilence cf.Millis = 900
+	// feedRetry is the pause after a failed call.
+	feedRetry = 150 * time.Millisecond
+)
+
+type (
+	// feedCall reports an instance and asks for what it does not know.
+	feedCall struct {
+		Entry   cfmember.Entry `cbor:"entry"`
+		Leaving bool           `cbor:"leaving,omitempty"`
+		// Term and Relayed are those of the last answer; Config is the
+		// revision of the configuration in force.
+		Term    cf.Revision `cbor:"term"`
+		Relayed int64       `cbor:"relayed"`
+		Config  cf.Revision `cbor:"config"`
+	}
+
+	// feedAnswer brings an instance up to the coordinator's view.
+	feedAnswer struct {
+		Holder  cflease.Holder   `cbor:"holder"`
+		Rev     cf.Revision      `cbor:"rev"`
+		Fresh   bool             `cbor:"fresh"`
+		Relayed int64            `cbor:"relayed"`
+		Config  *cf.Record       `cbor:"config,omitempty"`
+		Targets []cf.Target      `cbor:"targets,omitempty"`
+		At      cf.Revision      `cbor:"at"`
+		Members []cfmember.Entry `cbor:"members"`
+	}
+
+	// feed is what an instance has from the coordinator.
+	feed struct {
+		heard   atomic.Int64 // Uptime of the last fresh answer
+		mu      sync.Mutex
+		members []cfmember.Entry
+		term    cf.Revision
+		relayed int64
+	}
+)
+
+// fresh says whether the view from the coordinator is current.
+func (f *feed) fresh(now cf.Millis) bool { return now-cf.Millis(f.heard.Load()) < feedSilence }
+
+// serveFeed answers another instance's feed call.
+func (n *Node) serveFeed(ctx context.Context, body cbor.RawMessage) (any, error) {
+	var call feedCall
+	if err := cbor.Unmarshal(body, &call); err != nil {
+		return nil, cf.ErrInvalid
+	}
+	if !n.candidate.Valid() {
+		return nil, cf.ErrNotLeader
+	}
+	n.hear(call)
+	holder, _ := n.candidate.holder()
+	relayed, changed := n.site.Relay()
+	if call.Term == holder.Term && call.Relayed == relayed {
+		timer := time.NewTimer(feedWait.Duration())
+		defer timer.Stop()
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			return nil, cf.ErrUnavailable
+		}
+		relayed, _ = n.site.Relay()
+	}
+	holder, rev := n.candidate.holder()
+	if !n.candidate.Valid() {
+		return nil, cf.ErrNotLeader
+	}
+	a := feedAnswer{Holder: holder, Rev: rev, Fresh: n.viewFresh(cf.Uptime()), Relayed: relayed, Members: n.Live()}
+	if !a.Fresh {
+		return a, nil
+	}
+	if r := n.site.ConfigRecord(); r.Rev > call.Config {
+		a.Config = &r
+	}
+	if call.Term != holder.Term || call.Relayed != relayed {
+		a.At = n.site.TargetsAt()
+		for _, t := range n.site.Targets() {
+			t.Models = nil // only the coordinator gives orders
+			a.Targets = append(a.Targets, t)
+		}
+	}
+	return a, nil
+}
+
+func (n *Node) hear(call feedCall) {
+	n.memberMu.Lock()
+	defer n.memberMu.Unlock()
+	call.Entry.Ready = call.Entry.Ready && !call.Leaving
+	n.members.Heard(call.Entry, cf.Uptime())
+}
+
+// viewFresh says whether this instance's own watches are current.
+func (n *Node) viewFresh(now cf.Millis) bool {
+	w := n.watching.Load()
+	return w != nil && w.config.Age(now) < cfwatch.SiteFresh && w.targets.Age(now) < cfwatch.SiteFresh
+}
+
+// runFeed asks the coordinator for news until ctx ends.
+func (n *Node) runFeed(ctx context.Context) {
+	connected := ""
+	for ctx.Err() == nil {
+		holder, _ := n.candidate.holder()
+		if holder.Entry == "" || holder.Entry == n.settings.Entry {
+			connected = ""
+			sleep(ctx, feedRetry)
+			continue
+		}
+		err := n.feedOnce(ctx, holder.Addr)
+		switch {
+		case err == nil && connected != holder.Addr:
+			n.log.Info("coordinator_found", zap.String("entry", string(holder.Entry)), zap.Int64("term", int64(holder.Term)))
+			connected = holder.Addr
+		case err != nil:
+			if connected != "" && ctx.Err() == nil {
+				n.log.Warn("coordinator_lost", zap.String("entry", string(holder.Entry)), zap.Error(err))
+			}
+			connected = ""
+			sleep(ctx, feedRetry)
+		}
+	}
+}
+
+func (n *Node) feedOnce(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, (feedWait + feedGrace).Duration())
+	defer cancel()
+	asked := cf.Uptime()
+	n.feed.mu.Lock()
+	call := feedCall{
+		Entry: n.self(), Leaving: n.leaving.Load(), Term: n.feed.term, Relayed: n.feed.relayed,
+		Config: n.site.ConfigRecord().Rev,
+	}
+	n.feed.mu.Unlock()
+	var a feedAnswer
+	if err := n.peers.Call(ctx, addr, opFeed, call, &a); err != nil {
+		return err
+	}
+	n.takeFeed(a, asked)
+	return nil
+}
+
+func (n *Node) takeFeed(a feedAnswer, asked cf.Millis) {
+	n.candidate.observe(a.Rev, a.Holder)
+	n.feed.mu.Lock()
+	n.feed.members = a.Members
+	n.feed.mu.Unlock()
+	if !a.Fresh {
+		return
+	}
+	if a.Config != nil {
+		changed, err := n.site.ApplyConfig(*a.Config)
+		if err != nil {
+			n.log.Error("change_not_taken", zap.String("kind", "config"), zap.Error(err))
+		}
+		if changed {
+			n.log.Info("config_in_force", zap.Int64("config_version", int64(n.site.Config().Version)),
+				zap.Int64("revision", int64(a.Config.Rev)), zap.String("source", "coordinator"))
+		}
+	}
+	if a.At > 0 {
+		gone, applied := n.site.ReplaceTargets(a.Targets, a.At, cf.Uptime())
+		n.log.Info("targets_relayed", zap.Int("targets", len(a.Targets)), zap.Int("gone", len(gone)), zap.Bool("applied", applied),
+			zap.Int64("revision", int64(a.At)))
+	}
+	n.feed.mu.Lock()
+	n.feed.term, n.feed.relayed = a.Holder.Term, a.Relayed
+	n.feed.mu.Unlock()
+	// The answer left after the call: it is at least as new as asked.
+	n.feed.heard.Store(int64(max(asked, cf.Uptime()-feedWait)))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/cfnode/node.go
@@ -0,0 +1,253 @@
+// Package cfnode is one process of the deployment: it serves callers, shares
+// what it knows with the other entry instances, and competes for the
+// coordinator's duty.
+//
+// Only the coordinator watches the store all the time. The others ask it for
+// news (the feed); an instance that hears nothing from it watches the store
+// itself, and takes the duty over when the lease has not been renewed. So the
+// store's calls grow with the number of duties, not of instances, and no
+// instance depends on another to learn a configuration in time.
+//
+// Usage:
+//
+//	node := cfnode.New(settings, adapter, registry, log)
+//	err := node.Run(ctx) // returns after a planned stop
+package cfnode
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cfcoord"
+	"currantford/cfingress"
+	"currantford/cflease"
+	"currantford/cfmember"
+	"currantford/cfpeer"
+	"currantford/cfsite"
+	"currantford/cfwatch"
+)
+
+// watchTick is how often an instance checks whether it must watch the store
+// itself.
+const watchTick = 100 * time.Millisecond
+
+type (
+	// Relay passes calls to the store through other instances; the adapter
+	// knows their form.
+	Relay interface {
+		// SetRelay sets how a call reaches another instance.
+		SetRelay(call func(ctx context.Context, body, answer any) error)
+		// Relayed carries out a call that another instance passed on.
+		Relayed(ctx context.Context, body []byte) (any, error)
+	}
+
+	// Adapter is what the process uses of its platform.
+	Adapter struct {
+		Store   cf.Store
+		Targets cf.Targets
+		Codec   cfsite.Codec
+		Relay   Relay
+	}
+
+	// Node is one entry instance. Close waits for all it started.
+	Node struct {
+		settings Settings
+		adapter  Adapter
+		log      *zap.Logger
+		site     *cfsite.Site
+		ingress  *cfingress.Ingress
+		metrics  *cfcoord.Metrics
+
+		candidate *candidate
+		coord     atomic.Pointer[cfcoord.Coordinator]
+		watching  atomic.Pointer[watching]
+		feed      feed
+		peers     *cfpeer.Client
+		peerSrv   *cfpeer.Server
+		leaving   atomic.Bool
+
+		memberMu sync.Mutex
+		members  cfmember.Table
+
+		ctx    context.Context
+		cancel context.CancelFunc
+		wg     sync.WaitGroup
+	}
+
+	// watching is a running pair of watchers.
+	watching struct {
+		config, targets *cfwatch.Watcher
+		cancel          context.CancelFunc
+		wg              sync.WaitGroup
+	}
+)
+
+// New returns a node that has not started.
+func New(s Settings, a Adapter, reg prometheus.Registerer, log *zap.Logger) *Node {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{
+		settings: s, adapter: a, log: log, site: cfsite.New(a.Codec), metrics: cfcoord.NewMetrics(reg),
+		peers: cfpeer.NewClient(), peerSrv: cfpeer.NewServer(), ctx: ctx, cancel: cancel,
+	}
+	bounds := cflease.DefaultBounds
+	bounds.Handover = s.Bounds.LeaseMs + handoverSlack
+	n.candidate = &candidate{
+		self: s.Entry, addr: s.Listen.Peers, store: a.Store, log: log, lease: cflease.New(s.Entry, bounds),
+		word: func() cf.Millis { return cf.Millis(n.feed.heard.Load()) }, acquired: n.beginDuty, lost: n.endDuty,
+	}
+	n.ingress = cfingress.New(cfingress.Options{
+		Store: a.Store, Targets: a.Targets, Site: n.site, Coordinator: reader{n}, Members: n,
+		Metrics: cfingress.NewMetrics(reg), Log: log,
+	})
+	n.peerSrv.Handle(opFeed, n.serveFeed)
+	n.peerSrv.Handle(opResults, n.serveResults)
+	n.peerSrv.Handle(opItem, n.serveItem)
+	n.peerSrv.Handle(opStore, func(ctx context.Context, body cbor.RawMessage) (any, error) { return a.Relay.Relayed(ctx, body) })
+	a.Relay.SetRelay(n.relay)
+	return n
+}
+
+// handoverSlack is added to the span between two holders' orders, for what an
+// order may be under way.
+const handoverSlack cf.Millis = 200
+
+// Ingress returns what the node offers to callers.
+func (n *Node) Ingress() cf.Ingress { return n.ingress }
+
+// PeerHandler returns the handler for the other instances.
+func (n *Node) PeerHandler() *cfpeer.Server { return n.peerSrv }
+
+// Start begins to work.
+func (n *Node) Start() {
+	n.wg.Go(func() { n.candidate.run(n.ctx) })
+	n.wg.Go(func() { n.runFeed(n.ctx) })
+	n.wg.Go(n.runWatch)
+}
+
+// Leave takes the instance out of the callers' address lists and hands the
+// coordinator's duty on; requests are still served.
+func (n *Node) Leave() {
+	n.leaving.Store(true)
+	n.ingress.Stop()
+	n.hear(feedCall{Entry: n.self(), Leaving: true})
+}
+
+// HandOver gives up the coordinator's duty, if the instance has it.
+func (n *Node) HandOver(ctx context.Context) { n.candidate.release(ctx) }
+
+// Close stops and waits for all that was started.
+func (n *Node) Close() error {
+	n.cancel()
+	n.wg.Wait()
+	n.endDuty()
+	if w := n.watching.Load(); w != nil {
+		w.close()
+	}
+	_ = n.peers.Close()
+	return n.peerSrv.Close()
+}
+
+// self describes this instance to the coordinator.
+func (n *Node) self() cfmember.Entry {
+	return cfmember.Entry{
+		ID: n.settings.Entry, Addr: n.settings.Listen.Callers, Domain: n.settings.Domain, Ready: n.ingress.Ready(),
+	}
+}
+
+// Live implements cfingress.Members: as coordinator from the instances' own
+// reports, else as the coordinator last told.
+func (n *Node) Live() []cfmember.Entry {
+	if n.candidate.Valid() {
+		n.memberMu.Lock()
+		defer n.memberMu.Unlock()
+		now := cf.Uptime()
+		n.members.Heard(n.self(), now)
+		return n.members.Live(now)
+	}
+	n.feed.mu.Lock()
+	defer n.feed.mu.Unlock()
+	var out []cfmember.Entry
+	known := false
+	for _, e := range n.feed.members {
+		if e.ID == n.settings.Entry {
+			known = true
+			if !n.ingress.Ready() {
+				continue
+			}
+		}
+		out = append(out, e)
+	}
+	if !known && n.ingress.Ready() {
+		out = append(out, n.self())
+	}
+	return out
+}
+
+func (n *Node) beginDuty() {
+	n.memberMu.Lock()
+	n.feed.mu.Lock()
+	n.members.Adopt(n.feed.members, cf.Uptime())
+	n.feed.mu.Unlock()
+	n.memberMu.Unlock()
+	c := cfcoord.New(cfcoord.Options{
+		Self: n.settings.Entry, Store: n.adapter.Store, Targets: n.adapter.Targets, Site: n.site, Codec: n.adapter.Codec,
+		Duty: n.candidate, Metrics: n.metrics, Log: n.log,
+	})
+	n.coord.Store(c)
+	c.Start()
+}
+
+func (n *Node) endDuty() {
+	if c := n.coord.Swap(nil); c != nil {
+		_ = c.Close()
+	}
+}
+
+// runWatch watches the store while this instance has the duty or hears
+// nothing from the coordinator.
+func (n *Node) runWatch() {
+	ticker := time.NewTicker(watchTick)
+	defer ticker.Stop()
+	for {
+		now := cf.Uptime()
+		w := n.watching.Load()
+		// The instance that has the duty serves the others by its watches.
+		need := n.coord.Load() != nil || !n.feed.fresh(now)
+		switch {
+		case need && w == nil:
+			n.watching.Store(n.watch())
+		case !need && w != nil:
+			n.watching.Store(nil)
+			w.close()
+		}
+		for _, t := range n.site.Sweep(now) {
+			n.log.Info("target_changed", zap.String("target", string(t.ID)), zap.Bool("gone", true), zap.String("reason", "lapsed"))
+		}
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) watch() *watching {
+	ctx, cancel := context.WithCancel(n.ctx)
+	w := &watching{cancel: cancel}
+	w.config, w.targets = cfwatch.ForSite(n.adapter.Store, n.site, n.adapter.Codec, n.log)
+	w.wg.Go(func() { w.config.Run(ctx) })
+	w.wg.Go(func() { w.targets.Run(ctx) })
+	return w
+}
+
+func (w *watching) close() {
+	w.cancel()
+	w.wg.Wait()
+}
--- /dev/null
+++ b/cfnode/process.go
@@ -0,0 +1,153 @@
+package cfnode
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+
+	cf "currantford"
+)
+
+const (
+	// leaveFor is how long a stopping instance still serves callers: three
+	// times as long as they are told to keep an address list, and the time
+	// in which the other instances hear of it.
+	leaveFor = 5200 * time.Millisecond
+	// windDownAfter is when kept connections begin to be closed, each after
+	// an answer.
+	windDownAfter = 2500 * time.Millisecond
+	// graceReserve is kept of the grace for the end itself.
+	graceReserve = 600 * time.Millisecond
+	// handOverBudget bounds the handing over of the coordinator's duty.
+	handOverBudget = 800 * time.Millisecond
+	// gcPercent trades processor time for memory: a process holds a few
+	// megabytes and is billed for its peak.
+	gcPercent = 50
+)
+
+// Handlers are what the adapter serves for a node.
+type Handlers struct {
+	Callers   http.Handler
+	Ready     http.Handler
+	Directory http.Handler
+}
+
+// Process is a running process: its servers around a node.
+type Process struct {
+	settings Settings
+	node     *Node
+	log      *zap.Logger
+	callers  *Server
+	others   []*Server
+}
+
+// StartProcess binds the settings' addresses and starts the node.
+func StartProcess(s Settings, node *Node, h Handlers, reg *prometheus.Registry, log *zap.Logger) (*Process, error) {
+	debug.SetGCPercent(gcPercent)
+	p := &Process{settings: s, node: node, log: log}
+	idle := func() cf.Millis {
+		if c := node.site.Config(); c != nil {
+			return c.Limits.IdleTimeout
+		}
+		return 0
+	}
+	unlimited := func() cf.Millis { return 0 }
+	peers := http.NewServeMux()
+	peers.Handle("/v1/peer", node.PeerHandler())
+	listeners := []struct {
+		addr    string
+		handler http.Handler
+	}{
+		{s.Listen.Peers, peers},
+		{s.Listen.Ready, h.Ready},
+		{s.Listen.Directory, h.Directory},
+		{s.Listen.Metrics, promhttp.HandlerFor(reg, promhttp.HandlerOpts{})},
+	}
+	for _, l := range listeners {
+		if l.addr == "" {
+			continue
+		}
+		srv, err := Serve(l.addr, l.handler, unlimited)
+		if err != nil {
+			return nil, err
+		}
+		p.others = append(p.others, srv)
+	}
+	if s.Listen.Callers != "" {
+		srv, err := Serve(s.Listen.Callers, h.Callers, idle)
+		if err != nil {
+			return nil, err
+		}
+		p.callers = srv
+	}
+	node.Start()
+	log.Info("started", zap.String("failure_domain", string(s.Domain)), zap.String("callers", s.Listen.Callers),
+		zap.String("store", s.Store.Addr))
+	return p, nil
+}
+
+// Run serves until a signal asks it to stop, then stops as planned.
+func (p *Process) Run(reload func() error) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			p.log.Info("stopping", zap.String("signal", sig.String()))
+			break
+		}
+		err := reload()
+		p.log.Info("reloaded", zap.Error(err))
+	}
+	p.stop()
+}
+
+// stop takes the instance out of use without cutting off a request.
+func (p *Process) stop() {
+	began := time.Now()
+	grace := time.Duration(p.settings.Bounds.GraceS*float64(time.Second)) - graceReserve
+	p.node.Leave()
+	ctx, cancel := context.WithTimeout(context.Background(), handOverBudget)
+	p.node.HandOver(ctx)
+	cancel()
+	if p.callers != nil {
+		time.Sleep(max(0, min(windDownAfter, grace/2)-time.Since(began)))
+		p.callers.windDown()
+		time.Sleep(max(0, min(leaveFor, grace*3/4)-time.Since(began)))
+		ctx, cancel = context.WithTimeout(context.Background(), max(0, grace-time.Since(began)))
+		if err := p.callers.Shutdown(ctx); err != nil {
+			p.log.Warn("requests_cut_off", zap.Error(err))
+		}
+		cancel()
+	}
+	_ = p.node.Close()
+	ctx, cancel = context.WithTimeout(context.Background(), graceReserve/3)
+	defer cancel()
+	for _, s := range p.others {
+		_ = s.Shutdown(ctx) // peers and scrapers may still be connected
+	}
+	p.log.Info("stopped", zap.Int64("took_ms", time.Since(began).Milliseconds()))
+}
+
+// WaitForStop returns when a signal asks the process to stop.
+func WaitForStop(log *zap.Logger) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for sig := range signals {
+		if sig == syscall.SIGHUP {
+			log.Info("reloaded")
+			continue
+		}
+		log.Info("stopping", zap.String("signal", sig.String()))
+		return
+	}
+}
--- /dev/null
+++ b/cfnode/reads.go
@@ -0,0 +1,97 @@
+package cfnode
+
+import (
+	"context"
+
+	"github.com/fxamacker/cbor/v2"
+
+	cf "currantford"
+)
+
+// readGrace is what a read at the coordinator may take beyond its wait before
+// the store is asked instead.
+const readGrace cf.Millis = 500
+
+type (
+	resultsCall struct {
+		Batch cf.BatchID `cbor:"batch"`
+		After int        `cbor:"after"`
+		Wait  cf.Millis  `cbor:"wait"`
+	}
+
+	itemCall struct {
+		Batch cf.BatchID `cbor:"batch"`
+		Item  cf.ItemID  `cbor:"item"`
+	}
+
+	// reader reads batches at the coordinator, wherever it is.
+	reader struct{ n *Node }
+)
+
+// Results implements cfingress.Coordinator.
+func (r reader) Results(ctx context.Context, id cf.BatchID, after int, wait cf.Millis) (cf.ResultPage, error) {
+	if c := r.n.coord.Load(); c != nil {
+		return c.Results(ctx, id, after, wait)
+	}
+	var page cf.ResultPage
+	err := r.n.ask(ctx, opResults, wait+readGrace, resultsCall{id, after, wait}, &page)
+	return page, err
+}
+
+// ItemBody implements cfingress.Coordinator.
+func (r reader) ItemBody(ctx context.Context, id cf.BatchID, item cf.ItemID) ([]byte, error) {
+	if c := r.n.coord.Load(); c != nil {
+		return c.ItemBody(id, item)
+	}
+	var body []byte
+	err := r.n.ask(ctx, opItem, readGrace, itemCall{id, item}, &body)
+	return body, err
+}
+
+func (n *Node) serveResults(ctx context.Context, body cbor.RawMessage) (any, error) {
+	var call resultsCall
+	if err := cbor.Unmarshal(body, &call); err != nil {
+		return nil, cf.ErrInvalid
+	}
+	c := n.coord.Load()
+	if c == nil {
+		return nil, cf.ErrNotLeader
+	}
+	return c.Results(ctx, call.Batch, call.After, call.Wait)
+}
+
+func (n *Node) serveItem(_ context.Context, body cbor.RawMessage) (any, error) {
+	var call itemCall
+	if err := cbor.Unmarshal(body, &call); err != nil {
+		return nil, cf.ErrInvalid
+	}
+	c := n.coord.Load()
+	if c == nil {
+		return nil, cf.ErrNotLeader
+	}
+	return c.ItemBody(call.Batch, call.Item)
+}
+
+// ask calls the coordinator.
+func (n *Node) ask(ctx context.Context, op string, timeout cf.Millis, call, answer any) error {
+	holder, _ := n.candidate.holder()
+	if holder.Entry == "" || holder.Entry == n.settings.Entry {
+		return cf.ErrNotLeader
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	defer cancel()
+	return n.peers.Call(ctx, holder.Addr, op, call, answer)
+}
+
+// relay passes a call to the store through the coordinator, which reaches the
+// store as long as it has its lease.
+func (n *Node) relay(ctx context.Context, body, answer any) error {
+	if n.coord.Load() != nil {
+		return cf.ErrUnavailable
+	}
+	return n.ask(ctx, opStore, relayTimeout, body, answer)
+}
+
+// relayTimeout bounds a call passed on; the store's own answer takes
+// milliseconds.
+const relayTimeout cf.Millis = 1000
--- a/cfpeer/peer.go
+++ b/cfpeer/peer.go
@@ -57,10 +57,17 @@
 	// readers it started.
 	Client struct {
 		mu    sync.Mutex
-		conns map[string]*conn
+		slots map[string]*slot
 		wg    sync.WaitGroup
 	}
 
+	// slot is the connection to one peer. Its lock is held while dialling:
+	// a peer that does not answer holds up calls to itself only.
+	slot struct {
+		mu   sync.Mutex
+		conn *conn
+	}
+
 	conn struct {
 		ws      *websocket.Conn
 		mu      sync.Mutex
@@ -150,14 +157,17 @@
 }
 
 // NewClient returns a client with no connections.
-func NewClient() *Client { return &Client{conns: map[string]*conn{}} }
+func NewClient() *Client { return &Client{slots: map[string]*slot{}} }
 
 // Close ends every connection and waits for their readers.
 func (c *Client) Close() error {
 	c.mu.Lock()
-	for addr, cn := range c.conns {
-		cn.ws.CloseNow()
-		delete(c.conns, addr)
+	for _, s := range c.slots {
+		s.mu.Lock()
+		if s.conn != nil {
+			_ = s.conn.ws.CloseNow() // the reader ends with its error
+		}
+		s.mu.Unlock()
 	}
 	c.mu.Unlock()
 	c.wg.Wait()
@@ -210,15 +220,21 @@
 		}
 		return eris.Wrap(cbor.Unmarshal(m.Body, out), "decode peer answer")
 	case <-ctx.Done():
+		// A connection can go silent without a reset. One on which an answer
+		// is overdue is given up, so that the next call dials again.
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			_ = cn.ws.CloseNow()
+		}
 		return eris.Wrapf(cf.ErrUnavailable, "peer %s: %v", addr, ctx.Err())
 	}
 }
 
 func (c *Client) conn(ctx context.Context, addr string) (*conn, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if cn := c.conns[addr]; cn != nil {
-		return cn, nil
+	s := c.slot(addr)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn != nil && !s.conn.isBroken() {
+		return s.conn, nil
 	}
 	ws, _, err := websocket.Dial(ctx, "ws://"+addr+"/v1/peer", nil) //nolint:bodyclose // the library closes the handshake body itself
 	if err != nil {
@@ -226,16 +242,33 @@
 	}
 	ws.SetReadLimit(readLimit)
 	cn := &conn{ws: ws, pending: map[uint64]chan Message{}}
-	c.conns[addr] = cn
+	s.conn = cn
 	c.wg.Add(1)
-	go c.read(addr, cn)
+	go c.read(cn)
 	return cn, nil
 }
 
+func (c *Client) slot(addr string) *slot {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.slots[addr]
+	if s == nil {
+		s = &slot{}
+		c.slots[addr] = s
+	}
+	return s
+}
+
+func (cn *conn) isBroken() bool {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	return cn.broken != nil
+}
+
 // read delivers answers to their callers. When the connection breaks, every
 // waiting call fails at once instead of waiting for its own timeout, and the
 // connection is forgotten so that the next call dials again.
-func (c *Client) read(addr string, cn *conn) {
+func (c *Client) read(cn *conn) {
 	defer c.wg.Done()
 	for {
 		_, data, err := cn.ws.Read(context.Background())
@@ -246,11 +279,6 @@
 				ch <- Message{ID: id, Code: "unavailable", Error: "connection lost"}
 			}
 			cn.mu.Unlock()
-			c.mu.Lock()
-			if c.conns[addr] == cn {
-				delete(c.conns, addr)
-			}
-			c.mu.Unlock()
 			return
 		}
 		var m Message
--- /dev/null
+++ b/cfrollout/place.go
@@ -0,0 +1,167 @@
+package cfrollout
+
+import (
+	cf "currantford"
+)
+
+// Outcome is how a run at an engine ended.
+type Outcome int
+
+// Outcomes of a run.
+const (
+	// OutcomeDone: the text is complete.
+	OutcomeDone Outcome = iota
+	// OutcomeFailed: the engine answered that the attempt failed.
+	OutcomeFailed
+	// OutcomeNever: the item can never be done.
+	OutcomeNever
+	// OutcomeNotRun: the engine was full or loading.
+	OutcomeNotRun
+	// OutcomeBroken: the stream broke off or stalled; it can be resumed.
+	OutcomeBroken
+	// OutcomeStopped: the run was stopped because its batch ended.
+	OutcomeStopped
+)
+
+// Place returns the items to start now, each with its engine set.
+func (p *Planner) Place(now cf.Millis) []*Work {
+	var out []*Work
+	engines := p.sortedEngines()
+	for _, o := range p.sorted() {
+		rest := o.waiting[:0]
+		for _, w := range o.waiting {
+			e := p.choose(engines, w, now)
+			if e == nil {
+				rest = append(rest, w)
+				continue
+			}
+			p.start(o, w, e, now)
+			out = append(out, w)
+		}
+		clear(o.waiting[len(rest):])
+		o.waiting = rest
+	}
+	return out
+}
+
+func (p *Planner) start(o *open, w *Work, e *Engine, now cf.Millis) {
+	w.Engine, w.Version, w.Started = e.ID, e.versions[w.Batch.Sub.Model], now
+	w.Oldest = w.Version
+	for _, v := range w.Text.Versions {
+		w.Oldest = min(w.Oldest, v)
+	}
+	e.Running++
+	e.groups[w.Item.Group]++
+	o.running[w.Item.ID] = w
+}
+
+// choose returns the engine with the most room that may run w, preferring
+// one that runs the item's group already while it is not much fuller.
+func (p *Planner) choose(engines []*Engine, w *Work, now cf.Millis) *Engine {
+	var best *Engine
+	bestLoad := 0
+	for _, e := range engines {
+		if !e.takes(w, now) {
+			continue
+		}
+		load := e.Running
+		if e.groups[w.Item.Group] > 0 {
+			load -= p.limits.Affinity
+		}
+		if best == nil || load < bestLoad {
+			best, bestLoad = e, load
+		}
+	}
+	return best
+}
+
+// takes says whether an engine can start an item now.
+func (e *Engine) takes(w *Work, now cf.Millis) bool {
+	return e.Running < e.Slots && now >= e.avoid && e.loading == 0 && e.serves(w)
+}
+
+// serves says whether an engine is of the item's share and its weights fit.
+func (e *Engine) serves(w *Work) bool {
+	if e.Draining || e.Service != w.Terms.Service || e.Share != w.Batch.Sub.Model {
+		return false
+	}
+	v := e.versions[e.Share]
+	if v < w.Batch.Sub.MinVersion {
+		return false
+	}
+	if w.Terms.SingleVersion && len(w.Text.Versions) > 0 {
+		return w.Text.Versions[0] == v
+	}
+	return true
+}
+
+// Finished takes the end of a run. It returns true when the item is to be
+// listed, as done or as failed; otherwise it waits again.
+func (p *Planner) Finished(w *Work, outcome Outcome, now cf.Millis) (list bool) {
+	if e := p.engines[w.Engine]; e != nil {
+		e.Running--
+		if e.groups[w.Item.Group]--; e.groups[w.Item.Group] <= 0 {
+			delete(e.groups, w.Item.Group)
+		}
+		p.judge(e, outcome, now)
+	}
+	w.Engine = ""
+	o := p.batches[w.Batch.Sub.ID]
+	if o != nil {
+		delete(o.running, w.Item.ID)
+	}
+	switch outcome {
+	case OutcomeDone:
+		w.Text.Complete = true
+	case OutcomeFailed:
+		w.Failures++
+	}
+	if o == nil {
+		delete(p.orphans, w.Item.ID)
+		p.keep(w)
+		return false
+	}
+	switch {
+	case outcome == OutcomeDone, outcome == OutcomeNever, w.Failures >= max(w.Terms.MaxAttempts, 1):
+		return true
+	}
+	if w.Terms.SingleVersion && len(w.Text.Versions) > 1 {
+		w.Text = Text{}
+	}
+	// First in line: others of its group have run, and the step waits for it.
+	o.waiting = append([]*Work{w}, o.waiting...)
+	return false
+}
+
+// judge keeps new items off an engine for a while after it failed one.
+func (p *Planner) judge(e *Engine, outcome Outcome, now cf.Millis) {
+	switch outcome {
+	case OutcomeNotRun:
+		e.avoid = now + p.limits.FullPenalty
+	case OutcomeFailed, OutcomeBroken:
+		e.failures++
+		e.avoid = now + p.limits.Penalty
+	case OutcomeDone:
+		e.failures = 0
+	}
+}
+
+// Expire returns the waiting items of batches that have waited for longer
+// than their route allows, as of the wall clock; they are to be listed as
+// failed.
+func (p *Planner) Expire(wall cf.Millis) []*Work {
+	var out []*Work
+	for _, o := range p.batches {
+		if o.terms.MaxWait <= 0 || wall-o.batch.Sub.Accepted < o.terms.MaxWait+expireSlack {
+			continue
+		}
+		out = append(out, o.waiting...)
+		o.waiting = nil
+	}
+	return out
+}
+
+// expireSlack covers the difference between the wall clocks of the instance
+// that accepted a batch and of the one that gives its items up: an item given
+// up too early breaks a promise, one given up late costs nothing.
+const expireSlack cf.Millis = 5000
--- /dev/null
+++ b/cfrollout/planner.go
@@ -0,0 +1,380 @@
+// Package cfrollout decides where and when the items of batches run, and when
+// which engine loads which weights. It has no connections and no clock of its
+// own: the coordinator feeds it events with their time and carries out what it
+// returns.
+//
+// The load it answers: a trainer hands in a whole step at once, several times
+// more items than the engines have slots, and waits for most of its groups; a
+// new weight version is named just before, and the step after this one needs
+// it. Each model therefore has its own share of the engines (loads are paid
+// for, and an engine that loads serves nobody); a step starts at once on the
+// version its share holds, and an engine loads the next version when nothing
+// waits that it could run.
+//
+// Usage:
+//
+//	p := cfrollout.New(cfrollout.DefaultLimits)
+//	p.SetEngines(targets, models)
+//	p.AddBatch(batch, route, now)
+//	for _, run := range p.Place(now) { ... p.Finished(run, outcome, now) }
+//	for _, swap := range p.Swaps(now) { ... p.SwapDone(swap.Engine, version) }
+package cfrollout
+
+import (
+	"fmt"
+	"sort"
+
+	cf "currantford"
+	"currantford/cfbatch"
+)
+
+type (
+	// Limits bound what the planner starts.
+	Limits struct {
+		// Loads is how many engines load weights at once; beyond two each
+		// load was measured to take longer.
+		Loads int
+		// UrgentLoads is the bound while work waits for a version that no
+		// engine of its share holds.
+		UrgentLoads int
+		// Penalty keeps new items off an engine that failed one.
+		Penalty cf.Millis
+		// FullPenalty keeps them off one that was full or loading.
+		FullPenalty cf.Millis
+		// Affinity is how many more running items an engine may have and
+		// still be preferred for reading the group's shared prompt already.
+		Affinity int
+	}
+
+	// Terms is what a batch's route asks for.
+	Terms struct {
+		Service       cf.ServiceName
+		MaxAttempts   int
+		SingleVersion bool
+		MaxWait       cf.Millis
+	}
+
+	// Engine is a model target with what is known of it.
+	Engine struct {
+		cf.Target
+		// Share is the model that it serves.
+		Share    cf.ModelName
+		Running  int
+		loading  cf.WeightVersion // zero when it loads nothing
+		avoid    cf.Millis        // no new items until then
+		versions map[cf.ModelName]cf.WeightVersion
+		groups   map[cf.GroupID]int
+		failures int
+	}
+
+	// Text is what has been generated of an item.
+	Text struct {
+		Last     cf.EventID
+		Data     []string
+		Versions []cf.WeightVersion
+		Complete bool
+	}
+
+	// Work is an item that waits or runs.
+	Work struct {
+		Batch    *cfbatch.Batch
+		Item     cf.Item
+		Terms    Terms
+		Failures int // answers that count as failed attempts
+		Text     Text
+		Engine   cf.InstanceID // where it runs, empty while it waits
+		Version  cf.WeightVersion
+		// Oldest is the oldest version of the text, as of the run's start.
+		Oldest  cf.WeightVersion
+		Started cf.Millis
+		order   int
+	}
+
+	// Swap asks for a weight order.
+	Swap struct {
+		Target   cf.Target
+		Model    cf.ModelName
+		Version  cf.WeightVersion
+		KeepRuns bool
+	}
+
+	// Planner holds the state. It is not safe for concurrent use.
+	Planner struct {
+		limits  Limits
+		engines map[cf.InstanceID]*Engine
+		named   map[cf.ModelName]cf.WeightVersion
+		models  map[cf.ServiceName][]cf.ModelName
+		need    Need
+		batches map[cf.BatchID]*open
+		carry   map[cf.ItemID]*Work
+		// orphans run on for a batch to come, though theirs was ended.
+		orphans map[cf.ItemID]*Work
+		seq     int
+	}
+
+	open struct {
+		batch   *cfbatch.Batch
+		terms   Terms
+		seq     int
+		waiting []*Work
+		running map[cf.ItemID]*Work
+	}
+)
+
+// DefaultLimits suit engines that answer refusals at once.
+var DefaultLimits = Limits{Loads: 2, UrgentLoads: 3, Penalty: 1500, FullPenalty: 150, Affinity: 2}
+
+// New returns a planner that knows no engines.
+func New(limits Limits) *Planner {
+	return &Planner{
+		limits: limits, engines: map[cf.InstanceID]*Engine{}, named: map[cf.ModelName]cf.WeightVersion{},
+		models: map[cf.ServiceName][]cf.ModelName{}, need: Need{}, batches: map[cf.BatchID]*open{},
+		carry: map[cf.ItemID]*Work{}, orphans: map[cf.ItemID]*Work{},
+	}
+}
+
+// SetEngines takes the targets that are up, and the models of each service.
+// Targets of services without models are passed over.
+func (p *Planner) SetEngines(targets []cf.Target, models map[cf.ServiceName][]cf.ModelName) {
+	p.models = models
+	seen := map[cf.InstanceID]bool{}
+	for _, t := range targets {
+		if len(models[t.Service]) == 0 {
+			continue
+		}
+		seen[t.ID] = true
+		e := p.engines[t.ID]
+		if e == nil {
+			e = &Engine{versions: map[cf.ModelName]cf.WeightVersion{}, groups: map[cf.GroupID]int{}}
+			p.engines[t.ID] = e
+		}
+		e.Target = t
+		for _, m := range t.Models {
+			e.hold(m.Name, m.Version)
+		}
+	}
+	for id := range p.engines {
+		if !seen[id] {
+			delete(p.engines, id)
+		}
+	}
+	p.divide()
+}
+
+// hold records that an engine has a version. Versions of one start of an
+// engine only rise; the instance list shows them late.
+func (e *Engine) hold(m cf.ModelName, v cf.WeightVersion) {
+	if v > e.versions[m] {
+		e.versions[m] = v
+	}
+	if m == e.Share && e.loading > 0 && e.versions[m] >= e.loading {
+		e.loading = 0
+	}
+}
+
+// divide assigns the engines that are not leaving to the models.
+func (p *Planner) divide() {
+	for service, models := range p.models {
+		var shares []share
+		for id, e := range p.engines {
+			if e.Service != service || e.Draining {
+				continue
+			}
+			cost := e.Running
+			if e.loading > 0 || e.versions[e.Share] >= p.Named(e.Share) {
+				cost += e.Slots
+			}
+			shares = append(shares, share{id: id, model: e.Share, moveCost: cost})
+		}
+		for id, m := range assign(shares, models, p.need) {
+			if e := p.engines[id]; e.Share != m {
+				e.Share, e.loading = m, 0
+			}
+		}
+	}
+}
+
+// Named returns the newest version named for a model.
+func (p *Planner) Named(m cf.ModelName) cf.WeightVersion { return max(p.named[m], 1) }
+
+// SetVersion takes a version that a trainer has named.
+func (p *Planner) SetVersion(m cf.ModelName, v cf.WeightVersion) {
+	p.named[m] = max(p.named[m], v)
+}
+
+// AddBatch takes a batch; its listed items are done. It returns items that
+// are complete already, because an earlier batch generated them.
+func (p *Planner) AddBatch(b *cfbatch.Batch, terms Terms) []*Work {
+	if p.batches[b.Sub.ID] != nil || b.Ended {
+		return nil
+	}
+	p.seq++
+	o := &open{batch: b, terms: terms, seq: p.seq, running: map[cf.ItemID]*Work{}}
+	p.batches[b.Sub.ID] = o
+	var ready []*Work
+	tokens := 0.0
+	for _, it := range b.Sub.Items {
+		tokens += float64(max(it.Tokens, 1))
+		if b.Listed(it.ID) {
+			continue
+		}
+		if p.adopt(o, it) {
+			continue
+		}
+		w := &Work{Batch: b, Item: it, Terms: terms}
+		if old := p.carry[it.ID]; old != nil {
+			delete(p.carry, it.ID)
+			if fits(old.Text, b.Sub.MinVersion, terms.SingleVersion) {
+				w.Text = old.Text
+			}
+		}
+		if w.Text.Complete {
+			ready = append(ready, w)
+			continue
+		}
+		o.waiting = append(o.waiting, w)
+	}
+	order(o.waiting)
+	p.need[b.Sub.Model] = tokens
+	p.divide()
+	return ready
+}
+
+// adopt lets a run go on for a batch that asks for its item again.
+func (p *Planner) adopt(o *open, it cf.Item) bool {
+	w := p.orphans[it.ID]
+	if w == nil || w.Oldest < o.batch.Sub.MinVersion {
+		return false
+	}
+	delete(p.orphans, it.ID)
+	w.Batch, w.Terms = o.batch, o.terms
+	o.running[it.ID] = w
+	return true
+}
+
+// fits says whether text may be part of a sample of a batch.
+func fits(t Text, least cf.WeightVersion, single bool) bool {
+	for _, v := range t.Versions {
+		if v < least {
+			return false
+		}
+	}
+	return !single || len(t.Versions) <= 1
+}
+
+// order sorts a step's items: groups left over from the step before come
+// first, as submitted; then long items before short ones, so that the step
+// does not end with its longest item alone on an engine.
+func order(works []*Work) {
+	for i, w := range works {
+		w.order = i
+	}
+	sort.SliceStable(works, func(i, j int) bool {
+		a, b := works[i], works[j]
+		if (a.Text.Last > 0) != (b.Text.Last > 0) {
+			return a.Text.Last > 0
+		}
+		if a.Item.LengthHint != b.Item.LengthHint {
+			return a.Item.LengthHint > b.Item.LengthHint
+		}
+		return a.order < b.order
+	})
+}
+
+// EndBatch takes the end of a batch. It returns the runs to stop: those whose
+// text no later step could use.
+func (p *Planner) EndBatch(id cf.BatchID) []*Work {
+	o := p.batches[id]
+	if o == nil {
+		return nil
+	}
+	delete(p.batches, id)
+	for _, w := range o.waiting {
+		p.keep(w)
+	}
+	var stop []*Work
+	for _, w := range o.running {
+		// The next step asks for newer weights than this one did.
+		if w.Oldest <= o.batch.Sub.MinVersion {
+			stop = append(stop, w)
+			continue
+		}
+		p.orphans[w.Item.ID] = w
+	}
+	return stop
+}
+
+// carryMost bounds the texts kept for a later step.
+const carryMost = 2000
+
+// keep stores an unfinished item's text for a later batch with the item.
+func (p *Planner) keep(w *Work) {
+	if w.Text.Last == 0 {
+		return
+	}
+	if len(p.carry) >= carryMost {
+		clear(p.carry)
+	}
+	p.carry[w.Item.ID] = w
+}
+
+// Open returns the batches that are not ended.
+func (p *Planner) Open() []cf.BatchID {
+	out := make([]cf.BatchID, 0, len(p.batches))
+	for id := range p.batches {
+		out = append(out, id)
+	}
+	return out
+}
+
+// Busy says whether any work waits or runs.
+func (p *Planner) Busy() bool {
+	for _, o := range p.batches {
+		if len(o.waiting)+len(o.running) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Engine returns what is known of an engine.
+func (p *Planner) Engine(id cf.InstanceID) (Engine, bool) {
+	e := p.engines[id]
+	if e == nil {
+		return Engine{}, false
+	}
+	return *e, true
+}
+
+// sorted returns the open batches, oldest first.
+func (p *Planner) sorted() []*open {
+	out := make([]*open, 0, len(p.batches))
+	for _, o := range p.batches {
+		out = append(out, o)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].seq < out[j].seq })
+	return out
+}
+
+func (p *Planner) sortedEngines() []*Engine {
+	out := make([]*Engine, 0, len(p.engines))
+	for _, e := range p.engines {
+		out = append(out, e)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// Append takes the next event of an item's stream. An event that does not
+// follow the last one is refused: two runs' texts would be mixed.
+func (t *Text) Append(ev cf.StreamEvent) error {
+	if ev.ID != t.Last+1 {
+		return fmt.Errorf("%w: event %d after %d", cf.ErrBadAnswer, ev.ID, t.Last)
+	}
+	t.Last = ev.ID
+	t.Data = append(t.Data, ev.Data)
+	if n := len(t.Versions); n == 0 || t.Versions[n-1] != ev.Version {
+		t.Versions = append(t.Versions, ev.Version)
+	}
+	return nil
+}
--- /dev/null
+++ b/cfsite/config.go
@@ -0,0 +1,163 @@
+// Package cfsite holds what an instance believes of its site: the
+// configuration in force, the targets with their drain state, and the weight
+// versions that trainers have named. It has no clock and no connections: the
+// watchers feed it records, the deciders read it.
+//
+// Usage:
+//
+//	site := cfsite.New(codec)
+//	changed, err := site.ApplyConfig(record)
+//	route, ok := site.Config().Match(host, path)
+package cfsite
+
+import (
+	"strings"
+
+	cf "currantford"
+)
+
+type (
+	// ConfigVersion numbers configurations; a higher one replaces a lower.
+	ConfigVersion int64
+
+	// RouteKind says what may be repeated.
+	RouteKind int
+
+	// Config is one version of the operator's configuration.
+	Config struct {
+		Version  ConfigVersion
+		Routes   []Route
+		Services []Service
+		Limits   Limits
+	}
+
+	// Route maps requests of a host and path prefix to services.
+	Route struct {
+		Name   string
+		Host   string
+		Prefix string
+		Kind   RouteKind
+		Split  []Share
+		// Timeout is the longest time a request is kept waiting.
+		Timeout cf.Millis
+		// SLO is the time in which an answer is worth most.
+		SLO         cf.Millis
+		Priority    int // zero is the most important
+		MaxAttempts int // most targets that one attempt may be sent to
+		// MaxWait, BatchSLO and SingleVersion concern batches: when an item
+		// may be given up, when all are due, and whether one weight version
+		// must have produced a sample.
+		MaxWait       cf.Millis
+		BatchSLO      cf.Millis
+		SingleVersion bool
+		// Resumable streams may go on at another target.
+		Resumable bool
+	}
+
+	// Share is one service of a split route.
+	Share struct {
+		Service cf.ServiceName
+		Weight  float64
+	}
+
+	// Service is a group of interchangeable targets.
+	Service struct {
+		Name       cf.ServiceName
+		HealthPath string
+		MaxConns   int
+		// Slots, TokensPerEvent and Models are set for model targets.
+		Slots          int
+		TokensPerEvent int
+		Models         []cf.ModelName
+	}
+
+	// Limits bound what a caller may send.
+	Limits struct {
+		HeaderBytes   int64
+		BodyBytes     int64
+		HeaderTimeout cf.Millis
+		IdleTimeout   cf.Millis
+	}
+
+	// Kinds names the kinds of the store that others write.
+	Kinds struct {
+		Config      string
+		Targets     string
+		Versions    string
+		Retirements string
+	}
+
+	// Codec decodes the records that others write.
+	Codec interface {
+		Kinds() Kinds
+		Config(cf.Record) (Config, error)
+		Target(cf.Record) (cf.Target, error)
+		Version(cf.Record) (cf.ModelState, error)
+		RetirementDone() any
+	}
+)
+
+// Route kinds.
+const (
+	// KindOnce requests may run at most once.
+	KindOnce RouteKind = iota
+	// KindIdempotent requests may run more than once.
+	KindIdempotent
+	// KindStream answers are streams; they run at most once unless the
+	// route is resumable.
+	KindStream
+	// KindBatch routes take batches.
+	KindBatch
+)
+
+// Match returns the route of host whose prefix is the longest that begins
+// path.
+func (c *Config) Match(host, path string) (Route, bool) {
+	best := -1
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if r.Host != host || !strings.HasPrefix(path, r.Prefix) {
+			continue
+		}
+		if best < 0 || len(r.Prefix) > len(c.Routes[best].Prefix) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Route{}, false
+	}
+	return c.Routes[best], true
+}
+
+// Service returns a service by name.
+func (c *Config) Service(name cf.ServiceName) (Service, bool) {
+	for _, s := range c.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
+
+// Pick chooses a service of a split route; draw is uniform in [0, 1).
+func (r *Route) Pick(draw float64) cf.ServiceName {
+	total := 0.0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	draw *= total
+	for _, s := range r.Split {
+		if draw -= s.Weight; draw < 0 {
+			return s.Service
+		}
+	}
+	if len(r.Split) == 0 {
+		return ""
+	}
+	return r.Split[len(r.Split)-1].Service
+}
+
+// Idempotent says whether a request may run more than once.
+func (r *Route) Idempotent() bool {
+	return r.Kind == KindIdempotent || r.Kind == KindBatch || r.Kind == KindStream && r.Resumable
+}
--- /dev/null
+++ b/cfsite/site.go
@@ -0,0 +1,297 @@
+package cfsite
+
+import (
+	"reflect"
+	"sort"
+	"sync"
+
+	cf "currantford"
+)
+
+// Site is an instance's view of its site. It is safe for concurrent use.
+type Site struct {
+	codec Codec
+
+	mu       sync.RWMutex
+	config   *Config
+	configAt cf.Record
+	targets  map[cf.InstanceID]entry
+	at       cf.Revision
+	versions map[cf.ModelName]cf.WeightVersion
+	changed  chan struct{}
+	// grace is until when an entry that vanishes is kept as lapsed.
+	grace cf.Millis
+	// relayed counts the changes that other instances must hear of, and
+	// relay is closed at the next one.
+	relayed int64
+	relay   chan struct{}
+}
+
+type entry struct {
+	target cf.Target
+	rev    cf.Revision
+	lapsed bool
+}
+
+// lapseGrace is how long after the store's return an entry may be missing:
+// entries lapse while the store is away, and targets that live are listed
+// again within two seconds. Dropping them at once would leave a service
+// without targets just after each outage.
+const lapseGrace cf.Millis = 2200
+
+// New returns a view that knows nothing.
+func New(codec Codec) *Site {
+	return &Site{
+		codec: codec, targets: map[cf.InstanceID]entry{}, versions: map[cf.ModelName]cf.WeightVersion{},
+		changed: make(chan struct{}), relay: make(chan struct{}),
+	}
+}
+
+// Changed returns a channel that is closed at the next change.
+func (s *Site) Changed() <-chan struct{} {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.changed
+}
+
+func (s *Site) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Relay returns the count of the changes that other instances must hear of,
+// and a channel that is closed at the next one. A target's weights are not
+// among them: only the coordinator uses those.
+func (s *Site) Relay() (int64, <-chan struct{}) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.relayed, s.relay
+}
+
+func (s *Site) notifyRelay() {
+	s.relayed++
+	close(s.relay)
+	s.relay = make(chan struct{})
+}
+
+// StoreRegained records that the store answers again after it did not.
+func (s *Site) StoreRegained(now cf.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.grace = now + lapseGrace
+}
+
+// Sweep drops the entries that lapsed and did not come back. It returns them.
+func (s *Site) Sweep(now cf.Millis) []cf.Target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now < s.grace {
+		return nil
+	}
+	var gone []cf.Target
+	for id, e := range s.targets {
+		if e.lapsed {
+			gone = append(gone, e.target)
+			delete(s.targets, id)
+		}
+	}
+	if len(gone) > 0 {
+		s.notify()
+		s.notifyRelay()
+	}
+	return gone
+}
+
+// lapse says whether a vanished entry is kept for now.
+func (s *Site) lapse(e entry, now cf.Millis) bool {
+	return now < s.grace && !e.target.Draining
+}
+
+// Config returns the configuration in force, nil before any is known.
+func (s *Site) Config() *Config {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.config
+}
+
+// ConfigRecord returns the record that the configuration in force came from.
+func (s *Site) ConfigRecord() cf.Record {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.configAt
+}
+
+// ApplyConfig takes a configuration unless a newer one is in force. Without
+// this check a stale list or a late relay would bring an old configuration
+// back, and callers would see dropped routes answer again.
+func (s *Site) ApplyConfig(r cf.Record) (bool, error) {
+	s.mu.RLock()
+	known := s.configAt.Rev
+	s.mu.RUnlock()
+	if r.Deleted || r.Rev <= known {
+		return false, nil
+	}
+	c, err := s.codec.Config(r)
+	if err != nil {
+		return false, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.config != nil && (c.Version <= s.config.Version || r.Rev <= s.configAt.Rev) {
+		return false, nil
+	}
+	s.config, s.configAt = &c, r
+	s.notify()
+	s.notifyRelay()
+	return true, nil
+}
+
+// ApplyTarget takes one change of the instance list. It returns the target
+// and whether the view changed. Records older than the one held are ignored.
+func (s *Site) ApplyTarget(r cf.Record, now cf.Millis) (cf.Target, bool, error) {
+	id := cf.InstanceID(r.Name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, known := s.targets[id]
+	if known && r.Rev < old.rev {
+		return cf.Target{}, false, nil
+	}
+	if r.Deleted {
+		if !known {
+			return old.target, false, nil
+		}
+		if s.lapse(old, now) {
+			old.lapsed = true
+			s.targets[id] = old
+			return old.target, false, nil
+		}
+		delete(s.targets, id)
+		s.notify()
+		s.notifyRelay()
+		return old.target, true, nil
+	}
+	t, err := s.codec.Target(r)
+	if err != nil {
+		return cf.Target{}, false, err
+	}
+	if r.Rev < s.at && !known {
+		// Gone since: a later list did not hold it.
+		return t, false, nil
+	}
+	s.targets[id] = entry{target: t, rev: r.Rev}
+	s.notify()
+	if !known || !sameButWeights(old.target, t) {
+		s.notifyRelay()
+	}
+	return t, true, nil
+}
+
+// ReplaceTargets takes a whole list of targets as of a revision. A list that
+// is older than the view is ignored. It returns the targets that are gone.
+func (s *Site) ReplaceTargets(list []cf.Target, at cf.Revision, now cf.Millis) (gone []cf.Target, applied bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at < s.at {
+		return nil, false
+	}
+	fresh := make(map[cf.InstanceID]entry, len(list))
+	for _, t := range list {
+		if old, ok := s.targets[t.ID]; ok && old.rev > at {
+			fresh[t.ID] = old
+			continue
+		}
+		fresh[t.ID] = entry{target: t, rev: at}
+	}
+	for id, old := range s.targets {
+		if _, ok := fresh[id]; ok {
+			continue
+		}
+		if s.lapse(old, now) {
+			old.lapsed = true
+			fresh[id] = old
+			continue
+		}
+		gone = append(gone, old.target)
+	}
+	s.targets, s.at = fresh, at
+	s.notify()
+	s.notifyRelay()
+	return gone, true
+}
+
+func sameButWeights(a, b cf.Target) bool {
+	a.Models, b.Models = nil, nil
+	return reflect.DeepEqual(a, b)
+}
+
+// Advance records that the view of targets is current as of a revision.
+func (s *Site) Advance(at cf.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at = max(s.at, at)
+}
+
+// TargetsAt returns the revision as of which the view of targets is current.
+func (s *Site) TargetsAt() cf.Revision {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.at
+}
+
+// Targets returns all targets, sorted by id.
+func (s *Site) Targets() []cf.Target {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	out := make([]cf.Target, 0, len(s.targets))
+	for _, e := range s.targets {
+		out = append(out, e.target)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// Usable returns the targets of a service that take new work.
+func (s *Site) Usable(service cf.ServiceName) []cf.Target {
+	var out []cf.Target
+	for _, t := range s.Targets() {
+		if t.Service == service && !t.Draining {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// Target returns a target by its instance id.
+func (s *Site) Target(id cf.InstanceID) (cf.Target, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	e, ok := s.targets[id]
+	return e.target, ok
+}
+
+// ApplyVersion takes a version that a trainer has named; versions only rise.
+func (s *Site) ApplyVersion(r cf.Record) (bool, error) {
+	if r.Deleted {
+		return false, nil
+	}
+	m, err := s.codec.Version(r)
+	if err != nil {
+		return false, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m.Version <= s.versions[m.Name] {
+		return false, nil
+	}
+	s.versions[m.Name] = m.Version
+	s.notify()
+	return true, nil
+}
+
+// Version returns the newest version that a trainer has named for a model,
+// or 1, the version that targets start with.
+func (s *Site) Version(m cf.ModelName) cf.WeightVersion {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return max(s.versions[m], 1)
+}
--- /dev/null
+++ b/cfwatch/site.go
@@ -0,0 +1,82 @@
+package cfwatch
+
+import (
+	"errors"
+
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cfsite"
+)
+
+const (
+	// siteWait bounds the watches of the configuration and the targets. A
+	// watcher whose link to the store was cut believes itself current for
+	// this long, and a change must be in force within two seconds.
+	siteWait cf.Millis = 700
+	// SiteFresh is the age beyond which a view of the site is doubted: a
+	// whole wait and a slow answer.
+	SiteFresh cf.Millis = 1100
+	// targetPause lets the changes of targets gather between calls.
+	targetPause cf.Millis = 100
+)
+
+// configName is the object that holds the newest configuration.
+const configName = "main"
+
+// ForSite returns the watchers that keep site's configuration and targets
+// current.
+func ForSite(store cf.Store, site *cfsite.Site, codec cfsite.Codec, log *zap.Logger) (config, targets *Watcher) {
+	kinds := codec.Kinds()
+	takeConfig := func(r cf.Record) error {
+		if r.Name != configName {
+			return nil
+		}
+		changed, err := site.ApplyConfig(r)
+		if changed {
+			log.Info("config_in_force", zap.Int64("config_version", int64(site.Config().Version)), zap.Int64("revision", int64(r.Rev)),
+				zap.String("source", "store"))
+		}
+		return err
+	}
+	config = &Watcher{
+		Store: store, Kind: kinds.Config, Wait: siteWait, Log: log, Change: takeConfig,
+		List: func(list cf.Records) error {
+			var errs []error
+			for _, r := range list.Items {
+				errs = append(errs, takeConfig(r))
+			}
+			return errors.Join(errs...)
+		},
+	}
+	targets = &Watcher{
+		Store: store, Kind: kinds.Targets, Wait: siteWait, Pause: targetPause, Log: log,
+		Change: func(r cf.Record) error {
+			t, changed, err := site.ApplyTarget(r, cf.Uptime())
+			if changed {
+				log.Info("target_changed", zap.String("target", r.Name), zap.String("service", string(t.Service)),
+					zap.Bool("draining", t.Draining), zap.Bool("gone", r.Deleted), zap.Int64("revision", int64(r.Rev)))
+			}
+			return err
+		},
+		List: func(list cf.Records) error {
+			var errs []error
+			var ts []cf.Target
+			for _, r := range list.Items {
+				t, err := codec.Target(r)
+				if err != nil {
+					errs = append(errs, err)
+					continue
+				}
+				ts = append(ts, t)
+			}
+			gone, applied := site.ReplaceTargets(ts, list.At, cf.Uptime())
+			log.Info("targets_listed", zap.Int("targets", len(ts)), zap.Int("gone", len(gone)), zap.Bool("applied", applied),
+				zap.Int64("revision", int64(list.At)))
+			return errors.Join(errs...)
+		},
+		Contact:  site.Advance,
+		Regained: func() { site.StoreRegained(cf.Uptime()) },
+	}
+	return config, targets
+}
--- /dev/null
+++ b/cfwatch/watch.go
@@ -0,0 +1,158 @@
+// Package cfwatch keeps a view of one kind of the store current: it lists
+// once, then follows the changes, and lists again when the store has dropped
+// its history.
+//
+// Usage:
+//
+//	w := cfwatch.Watcher{Store: store, Kind: "config", Wait: 2000, List: ..., Change: ...}
+//	go w.Run(ctx)
+//	age := w.Age(currantford.Uptime())
+package cfwatch
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	cf "currantford"
+)
+
+// Retry pauses after a failed call to the store. Calls to a store that is
+// down are paid for too, and all instances notice an outage together: the
+// pause grows and is drawn at random.
+const (
+	retryFirst = 150 * time.Millisecond
+	retryMost  = 900 * time.Millisecond
+)
+
+// Watcher follows one kind. Its fields are set before Run.
+type Watcher struct {
+	Store cf.Store
+	Kind  string
+	// Wait is the longest that a watch call stays open. A watch that went
+	// silent is noticed only after it.
+	Wait cf.Millis
+	// Pause lets changes gather before the next call, since each call is
+	// paid for.
+	Pause cf.Millis
+	// List takes the whole kind, Change one change of it.
+	List   func(cf.Records) error
+	Change func(cf.Record) error
+	// Contact is called after each answer, with the revision as of which
+	// the view is current.
+	Contact func(at cf.Revision)
+	// Regained is called before the first answer after failed calls is
+	// taken.
+	Regained func()
+	Log      *zap.Logger
+
+	contact atomic.Int64
+	at      cf.Revision
+	listed  bool
+	failing bool
+}
+
+// Age returns how long ago the view was known to be current.
+func (w *Watcher) Age(now cf.Millis) cf.Millis {
+	at := cf.Millis(w.contact.Load())
+	if at == 0 {
+		return 1 << 40
+	}
+	return now - at
+}
+
+// Listed says whether the first list has been taken.
+func (w *Watcher) Listed() bool { return w.contact.Load() > 0 }
+
+// Run follows the kind until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	retry := retryFirst
+	for ctx.Err() == nil {
+		err := w.step(ctx)
+		if err == nil {
+			retry = retryFirst
+			sleep(ctx, w.Pause.Duration())
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if !w.failing {
+			w.Log.Warn("store_lost", zap.String("kind", w.Kind), zap.Error(err))
+		}
+		w.failing = true
+		sleep(ctx, retry/2+rand.N(retry))
+		retry = min(2*retry, retryMost)
+	}
+}
+
+// answered notes that the store answered.
+func (w *Watcher) answered() {
+	if !w.failing {
+		return
+	}
+	w.failing = false
+	w.Log.Info("store_regained", zap.String("kind", w.Kind))
+	if w.Regained != nil {
+		w.Regained()
+	}
+}
+
+func (w *Watcher) step(ctx context.Context) error {
+	// A list or an empty watch shows the view as of when it was asked for.
+	asked := cf.Uptime()
+	if !w.listed {
+		list, err := w.Store.List(ctx, w.Kind)
+		if err != nil {
+			return err
+		}
+		w.answered()
+		if err := w.List(list); err != nil {
+			w.Log.Error("list_not_taken", zap.String("kind", w.Kind), zap.Error(err))
+		}
+		w.listed = true
+		w.reached(list.At, asked)
+		return nil
+	}
+	changes, err := w.Store.Watch(ctx, w.Kind, w.at, w.Wait)
+	if errors.Is(err, cf.ErrHistoryGone) {
+		w.Log.Info("watch_history_gone", zap.String("kind", w.Kind), zap.Int64("since", int64(w.at)))
+		w.listed = false
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	w.answered()
+	for _, r := range changes.Items {
+		if err := w.Change(r); err != nil {
+			w.Log.Error("change_not_taken", zap.String("kind", w.Kind), zap.String("name", r.Name), zap.Error(err))
+		}
+	}
+	w.reached(changes.At, cf.Uptime())
+	return nil
+}
+
+func (w *Watcher) reached(at cf.Revision, when cf.Millis) {
+	w.at = max(w.at, at)
+	w.contact.Store(int64(when))
+	if w.Contact != nil {
+		w.Contact(w.at)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/cmd/currantford-node/main.go
@@ -0,0 +1,13 @@
+// Command currantford-node is the program of a currantford deployment. Run
+// "currantford-node --help" for its commands.
+package main
+
+import (
+	"os"
+
+	"currantford/nodecommands"
+)
+
+func main() {
+	os.Exit(nodecommands.Execute(os.Args[1:]))
+}
--- /dev/null
+++ b/ingress.go
@@ -0,0 +1,54 @@
+package currantford
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+)
+
+type (
+	// Refusal turns a request away that surely has not run. It is an
+	// ErrRefused that says when to come back.
+	Refusal struct {
+		After  Millis
+		Reason string
+	}
+
+	// CallerLimits bound what a caller may send.
+	CallerLimits struct {
+		BodyBytes int64
+	}
+
+	// Ingress is what an entry instance offers to callers; the adapter
+	// translates their protocol into it.
+	Ingress interface {
+		// Ready says whether callers may be sent to this instance.
+		Ready() bool
+		// Resolve returns the addresses of the entry instances that take
+		// callers, those of the caller's failure domain first.
+		Resolve(domain FailureDomain) (addrs []string, ttl Millis)
+		// Limits returns false before any configuration is known.
+		Limits() (CallerLimits, bool)
+		// TakesBatches says whether a request is the submission of a batch.
+		TakesBatches(host, path string) bool
+		// Forward answers a request by sending it to a target.
+		Forward(ctx context.Context, req *Request, w http.ResponseWriter)
+		// Submit accepts a batch for good, or returns an ErrRefused,
+		// ErrNotFound, or ErrUnavailable when it is not known which.
+		Submit(ctx context.Context, sub Submission) error
+		// Results reads a batch from a position on, waiting for one result.
+		Results(ctx context.Context, id BatchID, after int, wait Millis) (ResultPage, error)
+		// ItemBody returns the body of an item.
+		ItemBody(ctx context.Context, id BatchID, item ItemID) ([]byte, error)
+		// End ends a batch: none of its items is started any more.
+		End(ctx context.Context, id BatchID) error
+	}
+)
+
+// Error says why and until when.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("refused: %s, come back in %d ms", r.Reason, r.After)
+}
+
+// Is makes a Refusal an ErrRefused.
+func (r *Refusal) Is(target error) bool { return target == ErrRefused }
--- /dev/null
+++ b/nodecommands/commands.go
@@ -0,0 +1,123 @@
+// Package nodecommands is the command line of the deployed processes: flags,
+// wiring, start and stop. The logic lives in the cf* packages.
+//
+// Usage:
+//
+//	currantford-node entry --settings /etc/currantford/local.json
+//	currantford-node standby --settings FILE
+//	currantford-node check --settings FILE
+package nodecommands
+
+import (
+	"errors"
+	"net/http"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"currantford/cflog"
+	"currantford/cfnode"
+	"currantford/platform"
+)
+
+// idlePerTarget bounds the kept connections to one target: as many as a
+// model engine runs items at once.
+const idlePerTarget = 12
+
+type (
+	// SettingsOption is the settings flag shared by every command.
+	SettingsOption struct {
+		Settings string `long:"settings" env:"CURRANTFORD_NODE_FILE" required:"true" description:"settings of this process (JSON)" value-name:"FILE"`
+	}
+
+	entryCommand   struct{ SettingsOption }
+	standbyCommand struct{ SettingsOption }
+	checkCommand   struct{ SettingsOption }
+)
+
+// Execute parses args and runs the command they name. It returns the exit
+// code.
+func Execute(args []string) int {
+	p := flags.NewParser(nil, flags.Default)
+	p.Name = "currantford-node"
+	p.LongDescription = "The processes of a currantford deployment."
+	mustAdd(p.AddCommand("entry", "Run an entry instance",
+		"Run an entry instance: callers, targets, batches, and the coordinator's duty when it falls to it. Stops as planned on SIGTERM.", &entryCommand{}))
+	mustAdd(p.AddCommand("standby", "Hold an instance with a disk",
+		"Hold an instance that has a disk. Everything that must last lies in the platform's store, so it keeps nothing.", &standbyCommand{}))
+	mustAdd(p.AddCommand("check", "Check a settings file",
+		"Check a settings file and print each fault with its JSON path. Exits 1 on any fault.", &checkCommand{}))
+	if _, err := p.ParseArgs(args); err != nil {
+		var fe *flags.Error
+		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+			return 0
+		}
+		if !errors.As(err, &fe) {
+			_, _ = os.Stderr.WriteString("currantford-node: " + err.Error() + "\n")
+		}
+		return 1
+	}
+	return 0
+}
+
+func mustAdd(_ *flags.Command, err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+// Execute implements flags.Commander.
+func (c *checkCommand) Execute([]string) error {
+	_, err := cfnode.ReadSettings(c.Settings)
+	return err
+}
+
+// Execute implements flags.Commander.
+func (c *entryCommand) Execute([]string) error {
+	s, err := cfnode.ReadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	log, out := cflog.NewStdout("entry", string(s.Entry))
+	defer out.Close()
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "currantford_log_lines_dropped_total", Help: "Log lines dropped because standard output was not read.",
+	}, func() float64 { return float64(out.Dropped()) }))
+	store := platform.NewStore(s.Store.Addr, reg)
+	defer store.Close()
+	targets := platform.NewTargets(idlePerTarget, reg)
+	defer targets.Close()
+	node := cfnode.New(s, cfnode.Adapter{
+		Store: store, Targets: targets, Codec: platform.Codec{}, Relay: platform.NewRelay(store),
+	}, reg, log)
+	callers := platform.NewCallers(node.Ingress(), log)
+	p, err := cfnode.StartProcess(s, node, cfnode.Handlers{
+		Callers: callers, Ready: http.HandlerFunc(callers.ServeReady), Directory: http.HandlerFunc(callers.ServeDirectory),
+	}, reg, log)
+	if err != nil {
+		log.Error("not_started", zap.Error(err))
+		return err
+	}
+	p.Run(func() error {
+		_, err := cfnode.ReadSettings(c.Settings)
+		return err
+	})
+	return nil
+}
+
+// Execute implements flags.Commander.
+func (c *standbyCommand) Execute([]string) error {
+	s, err := cfnode.ReadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	log, out := cflog.NewStdout("standby", string(s.Entry))
+	defer out.Close()
+	log.Info("started", zap.String("failure_domain", string(s.Domain)))
+	cfnode.WaitForStop(log)
+	log.Info("stopped")
+	return nil
+}
--- /dev/null
+++ b/target.go
@@ -0,0 +1,133 @@
+package currantford
+
+import (
+	"context"
+	"errors"
+	"net/http"
+)
+
+type (
+	// InstanceID names one start of a target; a restart has a new one.
+	InstanceID string
+	// ServiceName names a group of interchangeable targets.
+	ServiceName string
+	// ModelName names a model whose weights are versioned.
+	ModelName string
+
+	// ModelState is a model as a target holds it.
+	ModelState struct {
+		Name    ModelName     `cbor:"name"`
+		Version WeightVersion `cbor:"version"`
+	}
+
+	// Target is one back end as the instance list shows it.
+	Target struct {
+		ID       InstanceID    `cbor:"id"`
+		Service  ServiceName   `cbor:"service"`
+		Addr     string        `cbor:"addr"`
+		Domain   FailureDomain `cbor:"failure_domain"`
+		Slots    int           `cbor:"slots"`
+		Draining bool          `cbor:"draining"`
+		Models   []ModelState  `cbor:"models,omitempty"`
+	}
+
+	// TargetLoad is what a target says of itself in an answer.
+	TargetLoad struct {
+		Running int
+		Waiting int
+		Slots   int
+	}
+
+	// TargetCall is one request as it is sent to one target.
+	TargetCall struct {
+		ID      RequestID
+		Method  string
+		Host    string
+		Path    string // path and query, as the caller sent them
+		Header  http.Header
+		Body    []byte
+		Timeout Millis // what is left of the caller's deadline
+		// ResumeAfter is the last event already delivered; zero starts anew.
+		ResumeAfter EventID
+		// ExpectVersion makes a target with other weights refuse.
+		ExpectVersion WeightVersion
+		// FreshConnection forbids a kept connection: on one that the target
+		// is closing it is unknown whether the request was read.
+		FreshConnection bool
+	}
+
+	// TargetAnswer is a target's whole answer to a call.
+	TargetAnswer struct {
+		Status int
+		Header http.Header
+		Body   []byte
+		// NotRun is the target's word that it did not run the request.
+		NotRun bool
+		// Misdirected: another instance has the address now.
+		Misdirected bool
+		Load        *TargetLoad
+	}
+
+	// EventID numbers the events of a stream, from 1.
+	EventID int64
+
+	// StreamEvent is one event of a target's stream.
+	StreamEvent struct {
+		ID      EventID
+		Data    string
+		Version WeightVersion
+		// Raw is the event as the target sent it, blank line included.
+		Raw []byte
+	}
+
+	// StreamSink receives a stream; an error ends the run.
+	StreamSink interface {
+		// Start is called once, when a success begins.
+		Start(TargetAnswer) error
+		// Event is called for each whole event, in order.
+		Event(StreamEvent) error
+	}
+
+	// WeightOrder tells a target to load a version of a model.
+	WeightOrder struct {
+		Model   ModelName
+		Version WeightVersion
+		// KeepRuns lets running streams go on under the new version;
+		// without it the target finishes them first.
+		KeepRuns bool
+		Holder   EntryID
+		Fence    Revision
+		// ExpectSeq is the target's order counter; a late copy of an order
+		// finds another value and is refused.
+		ExpectSeq int64
+	}
+
+	// TargetReport is a model target's account of its orders and weights.
+	TargetReport struct {
+		Models []ModelState
+		Busy   bool
+		Seq    int64
+	}
+
+	// Targets sends work and orders to targets. Errors: ErrNotRun (the
+	// request surely did not reach a handler), ErrMaybeRan, ErrBadAnswer.
+	Targets interface {
+		// Send sends a request and returns the whole answer.
+		Send(ctx context.Context, t Target, call TargetCall) (TargetAnswer, error)
+		// Stream sends a request whose answer is a stream of events. The
+		// answer's body is only set when the status is not a success.
+		Stream(ctx context.Context, t Target, call TargetCall, sink StreamSink) (TargetAnswer, error)
+		Report(ctx context.Context, t Target) (TargetReport, error)
+		// Order returns nil when the target accepted the order or the order
+		// already held, ErrConflict when the order's counter did not match.
+		Order(ctx context.Context, t Target, o WeightOrder) error
+	}
+)
+
+var (
+	// ErrNotRun: the request was certainly not run by the target.
+	ErrNotRun = errors.New("request was not run")
+	// ErrBadAnswer: the target's answer was cut short, malformed or belongs
+	// to another request; the request may have run.
+	ErrBadAnswer = errors.New("bad answer from target")
+)
