System tests: the programs as separate processes against stand-ins of the store and the targets

Each failure test opens with symptom, sequence and cause: SIGKILL and SIGSTOP of the coordinator, lost and late writes, a store outage, late orders, broken streams, all processes killed right after an acceptance.

--- a/cfpeer/peer.go
+++ b/cfpeer/peer.go
@@ -276,7 +276,7 @@
 			cn.mu.Lock()
 			cn.broken = err
 			for id, ch := range cn.pending {
-				ch <- Message{ID: id, Code: "unavailable", Error: "connection lost"}
+				ch <- Message{ID: id, Code: "unavailable", Error: "connection lost: " + err.Error()}
 			}
 			cn.mu.Unlock()
 			return
--- /dev/null
+++ b/systemtest/batch_test.go
@@ -0,0 +1,370 @@
+package systemtest
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"currantford/platform/standin"
+)
+
+// A calm step: accepted at one entry, run on the engines, read at all.
+func TestStepIsServedWhole(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 3, engines: 3})
+	b := step("b1", "m0", 4, 4, 10)
+	s.accept(b)
+	s.readAll(b)
+	body, err := s.other().do(http.MethodGet, "/currantford/items/b1?id="+b.Items[0].ID, "", nil)
+	if err != nil || string(body.body) != "prompt" {
+		t.Errorf("body of an item: %q, %v", body.body, err)
+	}
+}
+
+// Symptom: a step is lost, or an item is listed twice, when the coordinator
+// dies in mid-step.
+// Sequence: a batch is accepted and half run; the coordinator is killed with
+// SIGKILL; another entry takes the lease and runs what is not listed.
+// Cause guarded against: results kept in memory alone, or a successor that
+// lists items without having read the chunks before.
+func TestCoordinatorKilledInMidStep(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 3, engines: 3, event: 30 * time.Millisecond})
+	b := step("b1", "m0", 14, 4, 20)
+	s.accept(b)
+	eventually(t, "first results", func() bool {
+		p, _, err := s.other().read("b1", 0, 0)
+		return err == nil && len(p.Results) > 0
+	})
+	killed := s.coordinator()
+	killed.kill()
+	s.readAll(b)
+	if c := s.coordinator(); c == killed {
+		t.Errorf("the killed entry still has the lease")
+	}
+}
+
+// Symptom: a batch is accepted and never runs.
+// Sequence: the store executes writes and loses their answers, or executes
+// them seconds late; the entry that took the batch retries, and the caller
+// hands it in again elsewhere.
+// Cause guarded against: taking a lost answer for a refusal, and a late
+// duplicate of a chunk that lists items twice.
+func TestLostAndLateWrites(t *testing.T) {
+	for _, late := range []time.Duration{0, 700 * time.Millisecond} {
+		t.Run(fmt.Sprint("late_", late), func(t *testing.T) {
+			t.Parallel()
+			s := startSite(t, options{entries: 3, engines: 3})
+			s.store.SetFaults(standin.StoreFaults{LoseAnswers: 2, Late: late})
+			batches := []batch{step("b1", "m0", 4, 4, 15), step("b2", "m0", 4, 4, 25)}
+			for _, b := range batches {
+				s.accept(b)
+			}
+			time.Sleep(time.Second)
+			s.store.SetFaults(standin.StoreFaults{})
+			for _, b := range batches {
+				s.readAll(b)
+			}
+		})
+	}
+}
+
+// Symptom: a step is accepted twice and its items are listed twice.
+// Sequence: its submitter gets no answer and hands it in at another entry
+// while the first still works on it.
+// Cause guarded against: acceptance decided by each entry alone.
+func TestBatchHandedInTwice(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 3, engines: 2})
+	b := step("b1", "m0", 3, 4, 10)
+	statuses := make(chan int, 6)
+	for i := range 6 {
+		go func() { statuses <- s.entries[i%3].submit(b).status }()
+	}
+	for range 6 {
+		if st := <-statuses; st != http.StatusAccepted {
+			t.Errorf("status %d, want 202", st)
+		}
+	}
+	s.readAll(b)
+	if n := len(s.store.Names("currantford-batches")); n != 1 {
+		t.Errorf("%d batches in the store", n)
+	}
+}
+
+// Symptom: a batch refused with 503 runs later.
+// Sequence: the store answers 503 to every call; the batch is handed in and
+// refused; the store comes back.
+// Cause guarded against: a refusal while a write may still take effect.
+func TestRefusedBatchNeverRuns(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 2, engines: 2})
+	s.store.SetFaults(standin.StoreFaults{Busy: true})
+	b := step("b1", "m0", 2, 2, 5)
+	r := s.other().submit(b)
+	if r.status != http.StatusServiceUnavailable || r.header.Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q; want 503 and a time", r.status, r.header.Get("Retry-After"))
+	}
+	s.store.SetFaults(standin.StoreFaults{})
+	time.Sleep(1500 * time.Millisecond)
+	if runs := s.runs(); len(runs) != 0 {
+		t.Errorf("%d items of a refused batch ran", len(runs))
+	}
+	if _, r, _ := s.other().read("b1", 0, 0); r.status != http.StatusNotFound {
+		t.Errorf("read of a refused batch: %d, want 404", r.status)
+	}
+}
+
+// Symptom: a batch whose write was not answered is refused as not run.
+// Sequence: the store takes connections and answers nothing.
+// Cause guarded against: mapping "no answer" to 503.
+func TestBatchInDoubtIsNotCalledRefused(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 2, engines: 2})
+	s.store.SetFaults(standin.StoreFaults{Down: true})
+	if r := s.other().submit(step("b1", "m0", 2, 2, 5)); r.status != http.StatusGatewayTimeout {
+		t.Errorf("status %d, want 504: the write may still take effect", r.status)
+	}
+}
+
+// Symptom: an item's text misses an event, or has one twice.
+// Sequence: each run of an item is broken off in mid-event after 4 events;
+// the item is resumed, at any engine, until it is whole.
+// Cause guarded against: counting an event that was not whole, or joining two
+// runs without Last-Event-Id.
+func TestBrokenStreamsAreResumed(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 2, engines: 3})
+	for _, e := range s.engines {
+		e.SetFaults(standin.EngineFaults{BreakAfter: 4})
+	}
+	b := step("b1", "m0", 1, 3, 11)
+	s.accept(b)
+	s.readAll(b)
+	for id, runs := range s.runs() {
+		last := 0
+		for _, r := range runs {
+			if r.From != 0 && r.From <= last {
+				t.Errorf("item %s resumed after %d, before after %d", id, r.From, last)
+			}
+			last = r.From
+		}
+		if len(runs) < 3 {
+			t.Errorf("item %s of 11 events ran %d times with 4 a run", id, len(runs))
+		}
+	}
+}
+
+// Symptom: an item that can't be done is tried for ever, or given up after
+// one failure.
+// Sequence: every engine answers 500 (an attempt that failed), or 422 (it can
+// never be done).
+func TestFailingItemsAreGivenUp(t *testing.T) {
+	for status, most := range map[int]int{http.StatusInternalServerError: 3, http.StatusUnprocessableEntity: 1} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			t.Parallel()
+			s := startSite(t, options{entries: 2, engines: 4})
+			for _, e := range s.engines {
+				e.SetFaults(standin.EngineFaults{Status: status})
+			}
+			b := step("b1", "m0", 1, 2, 5)
+			s.accept(b)
+			for _, r := range s.readAll(b) {
+				if r.State != "down" {
+					t.Errorf("item %s is %s", r.ID, r.State)
+				}
+			}
+			for id, runs := range s.runs() {
+				if len(runs) != most {
+					t.Errorf("item %s reached engines %d times, want %d", id, len(runs), most)
+				}
+			}
+		})
+	}
+}
+
+// Symptom: an item runs after its batch was ended.
+// Sequence: a batch with more items than slots is ended while most wait; then
+// the coordinator is killed, and its successor reads the batch from the store.
+// Cause guarded against: an end known to one process alone.
+func TestEndedBatchStartsNothing(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 3, engines: 1, event: 50 * time.Millisecond})
+	b := step("b1", "m0", 5, 4, 40)
+	s.accept(b)
+	eventually(t, "runs", func() bool { return len(s.runs()) > 0 })
+	eventually(t, "the end's answer", func() bool {
+		r, err := s.other().do(http.MethodDelete, "/currantford/lots/b1", "", nil)
+		return err == nil && r.status == http.StatusOK
+	})
+	time.Sleep(300 * time.Millisecond)
+	before := len(s.runs())
+	old := s.coordinator()
+	old.kill()
+	s.waitCoordinator(old.id)
+	next := step("b2", "m0", 1, 2, 3)
+	s.accept(next)
+	s.readAll(next)
+	if after := len(s.runs()); after != before+2 {
+		t.Errorf("%d items ran after the end, beside the 2 of the next batch", after-before-2)
+	}
+}
+
+// Symptom: a sample names weights that did not make it, or is older than its
+// step allows; or an engine never gets the new weights.
+// Sequence: a trainer names version after version and hands in a step that
+// asks for the one before at least.
+func TestStepsFollowNamedVersions(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 2, engines: 4, models: []string{"m0", "m1"}})
+	for v := 1; v <= 4; v++ {
+		for _, m := range []string{"m0", "m1"} {
+			if v > 1 {
+				s.name(m, v)
+			}
+			b := step(fmt.Sprintf("%s-s%d", m, v), m, 2, 4, 6)
+			b.Step, b.MinVersion = v, max(v-1, 1)
+			s.accept(b)
+			results := s.readAll(b)
+			made := map[string]map[int64]bool{}
+			for id, runs := range s.runs() {
+				made[id] = map[int64]bool{}
+				for _, r := range runs {
+					made[id][r.Version] = true
+				}
+			}
+			for _, r := range results {
+				if len(r.Versions) == 0 || !made[r.ID][int64(r.Versions[0])] {
+					t.Errorf("item %s names versions %v, engines ran it with %v", r.ID, r.Versions, made[r.ID])
+				}
+			}
+			if r, err := s.entries[0].do(http.MethodDelete, "/currantford/lots/"+b.id, "", nil); err != nil || r.status != http.StatusOK {
+				t.Errorf("end: %d %v", r.status, err)
+			}
+		}
+	}
+	for _, e := range s.engines {
+		for _, o := range e.Orders() {
+			if o.Fence == 0 {
+				t.Errorf("order without a fencing number: %+v", o)
+			}
+		}
+	}
+}
+
+// Symptom: two holders' orders reach one engine within the time that must lie
+// between them, or with falling numbers.
+// Sequence: the coordinator is frozen by SIGSTOP while versions are named;
+// another entry takes over and orders; the frozen one wakes up.
+// Cause guarded against: a holder that trusts its own clock after a pause, and
+// a successor that orders at once.
+func TestFrozenCoordinatorGivesNoLateOrders(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 3, engines: 2, load: 50 * time.Millisecond})
+	s.name("m0", 2)
+	eventually(t, "version 2", func() bool { return s.engines[0].Version("m0") == 2 && s.engines[1].Version("m0") == 2 })
+	old := s.coordinator()
+	old.signal(syscall.SIGSTOP)
+	s.name("m0", 3)
+	s.waitCoordinator(old.id)
+	eventually(t, "version 3", func() bool { return s.engines[0].Version("m0") == 3 && s.engines[1].Version("m0") == 3 })
+	old.signal(syscall.SIGCONT)
+	s.name("m0", 4)
+	eventually(t, "version 4", func() bool { return s.engines[0].Version("m0") == 4 && s.engines[1].Version("m0") == 4 })
+	checkOrders(t, s)
+}
+
+// checkOrders checks the orders at each engine: numbers never fall, one number
+// has one owner, and two owners' orders lie 3 s apart.
+func checkOrders(t *testing.T, s *site) {
+	t.Helper()
+	for _, e := range s.engines {
+		orders := e.Orders()
+		for i := 1; i < len(orders); i++ {
+			a, b := orders[i-1], orders[i]
+			if b.Fence < a.Fence {
+				t.Errorf("%s: number %d after %d", e.ID, b.Fence, a.Fence)
+			}
+			if a.Owner != b.Owner && (a.Fence == b.Fence || b.At.Sub(a.At) < 3*time.Second) {
+				t.Errorf("%s: %+v and %+v are %s apart", e.ID, a, b, b.At.Sub(a.At))
+			}
+		}
+	}
+}
+
+// Symptom: an order that its engine carries out late brings old weights back.
+// Sequence: the engine leaves an order unanswered and carries it out 1.5 s
+// later, when a newer version has been ordered.
+// Cause guarded against: an order without the engine's order count.
+func TestLateOrderDoesNotBringOldWeightsBack(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 2, engines: 1, load: 50 * time.Millisecond})
+	s.engines[0].SetFaults(standin.EngineFaults{LateOrders: 1500 * time.Millisecond})
+	s.name("m0", 2)
+	time.Sleep(500 * time.Millisecond)
+	s.engines[0].SetFaults(standin.EngineFaults{})
+	s.name("m0", 3)
+	eventually(t, "version 3", func() bool { return s.engines[0].Version("m0") == 3 })
+	time.Sleep(2 * time.Second)
+	if v := s.engines[0].Version("m0"); v != 3 {
+		t.Errorf("version %d after a late order, want 3", v)
+	}
+	last := int64(0)
+	for _, o := range s.engines[0].Orders() {
+		if o.Version < last {
+			t.Errorf("version %d ordered after %d", o.Version, last)
+		}
+		last = o.Version
+	}
+}
+
+// Symptom: batches are lost when every process dies at once.
+// Sequence: all entries are killed right after an acceptance, and start again.
+func TestAllKilledRightAfterAcceptance(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 3, engines: 2})
+	b := step("b1", "m0", 3, 4, 10)
+	s.accept(b)
+	for _, e := range s.entries {
+		e.kill()
+	}
+	for _, e := range s.entries {
+		e.start()
+	}
+	for _, e := range s.entries {
+		e.waitReady()
+	}
+	s.readAll(b)
+}
+
+// Symptom: a step waits for the whole of a store's outage and more.
+// Sequence: the store is down for 3 s in mid-step and then back; what the
+// engines finish meanwhile is listed afterwards.
+func TestStoreOutageInMidStep(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 3, engines: 2, event: 30 * time.Millisecond})
+	b := step("b1", "m0", 4, 4, 15)
+	s.accept(b)
+	eventually(t, "runs", func() bool { return len(s.runs()) > 0 })
+	s.store.SetFaults(standin.StoreFaults{Down: true})
+	time.Sleep(3 * time.Second)
+	s.store.SetFaults(standin.StoreFaults{})
+	s.readAll(b)
+}
+
+// Symptom: an instance that is to be emptied waits for ever.
+func TestRetirementIsDoneAtOnce(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 2, engines: 1})
+	s.store.Put("retirements", "disk-1", map[string]any{"over-s": 10})
+	eventually(t, "the retirement's end", func() bool {
+		var st struct {
+			State string `json:"state"`
+		}
+		_ = json.Unmarshal(s.store.Status("retirements", "disk-1"), &st)
+		return st.State == "done"
+	})
+}
--- /dev/null
+++ b/systemtest/site_test.go
@@ -0,0 +1,509 @@
+// Package systemtest runs the deployed programs as separate processes on
+// loopback, against stand-ins of the platform that live in the test process,
+// and checks what callers, targets and the store see.
+package systemtest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"currantford/platform/standin"
+)
+
+const (
+	host        = "site.example"
+	batchPrefix = "/rollouts/"
+	plainPrefix = "/logs/"
+	service     = "engines"
+	plain       = "logs"
+	// patience bounds every wait of a test; nothing asserts on speed.
+	patience = 40 * time.Second
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "currantford-systemtest")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "currantford-node")
+	build := exec.Command("go", "build", "-o", binary, "currantford/cmd/currantford-node")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("build: %v\n%s", err, out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+type (
+	// options shape a site.
+	options struct {
+		entries, engines, plains int
+		models                   []string
+		config                   func(map[string]any)
+		load                     time.Duration
+		event                    time.Duration
+	}
+
+	// site is a small deployment.
+	site struct {
+		t       *testing.T
+		store   *standin.Store
+		engines []*standin.Engine
+		plains  []*standin.Engine
+		entries []*entry
+		config  map[string]any
+		addr    string
+	}
+
+	// entry is one process.
+	entry struct {
+		t        *testing.T
+		id       string
+		callers  string
+		ready    string
+		settings string
+		logPath  string
+		cmd      *exec.Cmd
+		done     chan struct{}
+	}
+
+	item struct {
+		ID      string            `json:"id"`
+		Path    string            `json:"path"`
+		Headers map[string]string `json:"headers"`
+		Body    []byte            `json:"body"`
+		Tokens  int               `json:"tokens"`
+		Group   string            `json:"group"`
+	}
+
+	batch struct {
+		id           string
+		Step         int    `json:"step"`
+		Model        string `json:"model"`
+		MinVersion   int    `json:"min-version"`
+		TargetGroups int    `json:"target-groups"`
+		Items        []item `json:"items"`
+	}
+
+	result struct {
+		ID       string `json:"id"`
+		State    string `json:"state"`
+		Output   string `json:"output"`
+		Versions []int  `json:"versions"`
+	}
+
+	page struct {
+		Total   int      `json:"total"`
+		Next    int      `json:"next-token"`
+		Results []result `json:"results"`
+	}
+)
+
+func listen(t *testing.T, h http.Handler) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	return l.Addr().String()
+}
+
+// nextPort hands out ports below the range from which the system draws its
+// own: a port that was free a moment ago could otherwise be some other
+// connection's by the time an entry listens on it.
+var nextPort atomic.Int64
+
+const firstPort = 21000
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	for range 1000 {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1))
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		l.Close()
+		return addr
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+// startSite starts stand-ins and entries and waits until all are ready.
+func startSite(t *testing.T, o options) *site {
+	t.Helper()
+	if len(o.models) == 0 {
+		o.models = []string{"m0"}
+	}
+	if o.load == 0 {
+		o.load = 100 * time.Millisecond
+	}
+	if o.event == 0 {
+		o.event = 10 * time.Millisecond
+	}
+	s := &site{t: t, store: standin.NewStore()}
+	s.addr = listen(t, s.store)
+	for i := range o.engines {
+		s.engines = append(s.engines, s.target(fmt.Sprintf("i-engine-%d", i), service, o.models, o))
+	}
+	for i := range o.plains {
+		s.plains = append(s.plains, s.target(fmt.Sprintf("i-plain-%d", i), plain, nil, o))
+	}
+	s.config = defaultConfig(o.models)
+	if o.config != nil {
+		o.config(s.config)
+	}
+	s.store.Put("config", "main", s.config)
+	for i := range o.entries {
+		s.entries = append(s.entries, s.newEntry(i))
+	}
+	for _, e := range s.entries {
+		e.start()
+	}
+	for _, e := range s.entries {
+		e.waitReady()
+	}
+	s.waitCoordinator("")
+	return s
+}
+
+func (s *site) target(id, svc string, models []string, o options) *standin.Engine {
+	var e *standin.Engine
+	addr := listen(s.t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.ServeHTTP(w, r) }))
+	e = standin.NewEngine(standin.EngineSettings{
+		ID: id, Service: svc, Domain: "domain-a", Addr: addr, Slots: 4, Models: models, EventEvery: o.event, Load: o.load,
+	}, s.store)
+	return e
+}
+
+func defaultConfig(models []string) map[string]any {
+	var ms []map[string]any
+	for _, m := range models {
+		ms = append(ms, map[string]any{"name": m})
+	}
+	return map[string]any{
+		"version": 1,
+		"routes": []map[string]any{
+			{"name": "r-batch", "host": host, "path-prefix": batchPrefix, "kind": "rollout", "timeout-ms": 10000, "slo-ms": 400,
+				"priority": 1, "service": service, "max-attempts": 3, "max-wait-s": 40.0, "batch-slo-ms": 7500, "can-resume": true},
+			{"name": "r-logs", "host": host, "path-prefix": plainPrefix, "kind": "safe", "timeout-ms": 2000, "slo-ms": 150,
+				"priority": 2, "service": plain, "max-attempts": 2},
+			{"name": "r-bids", "host": host, "path-prefix": "/bids/", "kind": "unsafe", "timeout-ms": 2000, "slo-ms": 150,
+				"priority": 2, "service": plain, "max-attempts": 2},
+		},
+		"services": []map[string]any{
+			{"name": service, "health-path": "/health", "max-conns": 100, "engine": map[string]any{"slots": 4, "stride": 58, "models": ms}},
+			{"name": plain, "health-path": "/health", "max-conns": 100},
+		},
+		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+	}
+}
+
+func (s *site) newEntry(i int) *entry {
+	e := &entry{t: s.t, id: fmt.Sprintf("entry-%d", i), callers: freeAddr(s.t), ready: freeAddr(s.t)}
+	dir := s.t.TempDir()
+	e.settings, e.logPath = filepath.Join(dir, "settings.json"), filepath.Join(dir, "log")
+	raw, err := json.Marshal(map[string]any{
+		"entry": e.id, "failure_domain": fmt.Sprintf("domain-%c", 'a'+i%2),
+		"listen": map[string]any{"callers": e.callers, "ready": e.ready, "directory": freeAddr(s.t), "peers": freeAddr(s.t)},
+		"store":  map[string]any{"addr": s.addr, "value_bytes": 1 << 20},
+		"bounds": map[string]any{"grace_s": 8, "lease_ms": 3000},
+		"memory": map[string]any{"limit_mb": 200},
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if err := os.WriteFile(e.settings, raw, 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	return e
+}
+
+// start runs the process; a test's end kills it and, if the test failed,
+// prints its log.
+func (e *entry) start() {
+	e.t.Helper()
+	log, err := os.OpenFile(e.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	defer log.Close()
+	e.cmd = exec.Command(binary, "entry", "--settings", e.settings)
+	e.cmd.Stdout, e.cmd.Stderr = log, log
+	if err := e.cmd.Start(); err != nil {
+		e.t.Fatal(err)
+	}
+	cmd, done := e.cmd, make(chan struct{})
+	e.done = done
+	go func() {
+		_ = cmd.Wait() // killed processes end with an error
+		close(done)
+	}()
+	e.t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		<-done
+		if e.t.Failed() {
+			raw, _ := os.ReadFile(e.logPath)
+			e.t.Logf("log of %s:\n%s", e.id, tail(raw, 4000))
+		}
+	})
+}
+
+func tail(b []byte, n int) []byte { return b[max(0, len(b)-n):] }
+
+func (e *entry) signal(sig syscall.Signal) {
+	e.t.Helper()
+	if err := e.cmd.Process.Signal(sig); err != nil {
+		e.t.Fatal(err)
+	}
+}
+
+func (e *entry) kill() {
+	e.signal(syscall.SIGKILL)
+	<-e.done
+}
+
+func (e *entry) waitReady() {
+	e.t.Helper()
+	eventually(e.t, e.id+" ready", func() bool {
+		resp, err := http.Get("http://" + e.ready + "/currantford/ready")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+}
+
+// coordinator returns the entry that holds the lease in the store.
+func (s *site) coordinator() *entry {
+	var h struct {
+		Entry string `json:"entry"`
+	}
+	if raw := s.store.Spec("currantford-leases", "coordinator"); raw != nil {
+		_ = json.Unmarshal(raw, &h)
+	}
+	for _, e := range s.entries {
+		if e.id == h.Entry {
+			return e
+		}
+	}
+	return nil
+}
+
+// waitCoordinator waits for a holder other than not.
+func (s *site) waitCoordinator(not string) *entry {
+	s.t.Helper()
+	var c *entry
+	eventually(s.t, "a coordinator", func() bool {
+		c = s.coordinator()
+		return c != nil && c.id != not
+	})
+	return c
+}
+
+// other returns an entry that is not the coordinator.
+func (s *site) other() *entry {
+	c := s.coordinator()
+	for _, e := range s.entries {
+		if e != c {
+			return e
+		}
+	}
+	return s.entries[0]
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !f() {
+		if time.Now().After(deadline) {
+			t.Fatalf("no %s in %s", what, patience)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// step returns a batch of groups of size items with so many events each.
+func step(id, model string, groups, size, events int) batch {
+	b := batch{id: id, Step: 1, Model: model, MinVersion: 1, TargetGroups: groups}
+	for g := range groups {
+		for i := range size {
+			b.Items = append(b.Items, item{
+				ID: fmt.Sprintf("%s-%d-%d", id, g, i), Path: batchPrefix + "generate", Group: fmt.Sprintf("%s-g%d", id, g),
+				Headers: map[string]string{"Currantford-Model": model, "Currantford-Tokens-Used": fmt.Sprintf("100,%d", events*58)},
+				Body:    []byte("prompt"), Tokens: 100 + events*58,
+			})
+		}
+	}
+	return b
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (e *entry) do(method, path, id string, body []byte, header ...string) (reply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.callers+path, bytes.NewReader(body))
+	if err != nil {
+		return reply{}, err
+	}
+	req.Host = host
+	if id != "" {
+		req.Header.Set("Currantford-Request-Id", id)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{}, err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header, raw}, err
+}
+
+// submit hands a batch in once.
+func (e *entry) submit(b batch) reply {
+	e.t.Helper()
+	raw, err := json.Marshal(b)
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	r, err := e.do(http.MethodPost, batchPrefix+b.id, b.id, raw)
+	if err != nil {
+		e.t.Logf("submit: %v", err)
+		return reply{}
+	}
+	return r
+}
+
+// accept hands a batch in until it is accepted, as its submitter would.
+func (s *site) accept(b batch) {
+	s.t.Helper()
+	n := 0
+	eventually(s.t, "acceptance", func() bool {
+		n++
+		return s.entries[n%len(s.entries)].submit(b).status == http.StatusAccepted
+	})
+}
+
+func (e *entry) read(id string, after int, wait time.Duration) (page, reply, error) {
+	r, err := e.do(http.MethodGet, "/currantford/lots/"+id+"?after="+strconv.Itoa(after), "", nil,
+		"Currantford-Wait-Ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	var p page
+	if err == nil && r.status == http.StatusOK {
+		err = json.Unmarshal(r.body, &p)
+	}
+	return p, r, err
+}
+
+// readAll reads a batch to its end at the entries in turn, and checks what
+// holds for every batch: positions never change, no item stands twice, and
+// each text is whole.
+func (s *site) readAll(b batch) []result {
+	s.t.Helper()
+	var out []result
+	n := 0
+	eventually(s.t, "all results of "+b.id, func() bool {
+		n++
+		p, _, err := s.entries[n%len(s.entries)].read(b.id, len(out), 300*time.Millisecond)
+		if err == nil {
+			out = append(out, p.Results...)
+		}
+		return len(out) >= len(b.Items)
+	})
+	s.check(b, out)
+	for _, e := range s.entries {
+		p, _, err := e.read(b.id, 0, 0)
+		if err != nil || p.Total == 0 {
+			continue // stopped, or can't be sure
+		}
+		for i, r := range p.Results {
+			if fmt.Sprint(r) != fmt.Sprint(out[i]) {
+				s.t.Errorf("position %d of %s at %s: %v, read before: %v", i, b.id, e.id, r, out[i])
+			}
+		}
+	}
+	return out
+}
+
+func (s *site) check(b batch, results []result) {
+	s.t.Helper()
+	if len(results) != len(b.Items) {
+		s.t.Errorf("%s has %d results for %d items", b.id, len(results), len(b.Items))
+	}
+	items := map[string]item{}
+	for _, it := range b.Items {
+		items[it.ID] = it
+	}
+	seen := map[string]bool{}
+	for _, r := range results {
+		if seen[r.ID] {
+			s.t.Errorf("item %s stands twice", r.ID)
+		}
+		seen[r.ID] = true
+		if r.State != "done" {
+			continue
+		}
+		if want := wholeText(items[r.ID]); r.Output != want {
+			s.t.Errorf("item %s: text %.80q, want %.80q", r.ID, r.Output, want)
+		}
+		for _, v := range r.Versions {
+			if v < b.MinVersion {
+				s.t.Errorf("item %s made by version %d, under %d", r.ID, v, b.MinVersion)
+			}
+		}
+	}
+}
+
+func wholeText(it item) string {
+	var lines []string
+	for n := 1; n <= standin.Events(it.Headers["Currantford-Tokens-Used"]); n++ {
+		lines = append(lines, standin.EventData(it.ID, n))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// name makes a version of a model known, as its trainer does.
+func (s *site) name(model string, version int) {
+	s.store.Put("versions", model, map[string]any{"model": model, "version": version})
+}
+
+// runs returns the runs at all engines by item.
+func (s *site) runs() map[string][]standin.Run {
+	out := map[string][]standin.Run{}
+	for _, e := range s.engines {
+		for _, r := range e.Runs() {
+			out[r.ID] = append(out[r.ID], r)
+		}
+	}
+	return out
+}
+
