Peer link: a caller that goes away no longer closes the shared connection

Symptom: entries lost the coordinator for half a second right after finding it (system test log: 'use of closed network connection'), then watched the store themselves, which is paid for. Cause: the WebSocket library closes a connection when the context of a write ends; watchers that were stopped relayed their cancelled calls on the link. Ruled out: the server side (it logged no close), the dial context. Change: writes have a context of their own; cancelled calls are not relayed.

--- /dev/null
+++ b/cfpeer/cancel_test.go
@@ -0,0 +1,63 @@
+package cfpeer_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"currantford/cfpeer"
+)
+
+// Symptom: an instance loses the coordinator for half a second, again and
+// again, although both run and the link is sound.
+// Sequence: a call waits for its answer; another caller on the same link goes
+// away, and its call is made with a context that is cancelled already.
+// Cause: the WebSocket library closes a connection when a write's context is
+// cancelled, and the caller's context was handed to it.
+func TestCancelledCallLeavesOthersAlone(t *testing.T) {
+	srv := cfpeer.NewServer()
+	release := make(chan struct{})
+	srv.Handle("wait", func(context.Context, cbor.RawMessage) (any, error) {
+		<-release
+		return "done", nil
+	})
+	srv.Handle("echo", func(context.Context, cbor.RawMessage) (any, error) { return "echo", nil })
+	mux := http.NewServeMux()
+	mux.Handle("/v1/peer", srv)
+	ts := httptest.NewServer(mux)
+	defer ts.Close()
+	defer srv.Close()
+	addr := strings.TrimPrefix(ts.URL, "http://")
+	c := cfpeer.NewClient()
+	defer c.Close()
+	answer := make(chan error, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var got string
+	if err := c.Call(ctx, addr, "echo", nil, &got); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		var out string
+		answer <- c.Call(ctx, addr, "wait", nil, &out)
+	}()
+	gone, leave := context.WithCancel(ctx)
+	leave()
+	// The library chooses at random whether it sees the context before or
+	// after it has begun to write.
+	for range 50 {
+		if err := c.Call(gone, addr, "echo", nil, &got); err == nil {
+			t.Error("a call with a cancelled context succeeded")
+		}
+	}
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	if err := <-answer; err != nil {
+		t.Errorf("the waiting call failed with the cancelled one: %v", err)
+	}
+}
--- a/cfpeer/peer.go
+++ b/cfpeer/peer.go
@@ -22,6 +22,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
@@ -30,7 +31,12 @@
 	cf "currantford"
 )
 
-const readLimit = 8 << 20
+const (
+	readLimit = 8 << 20
+	// writeTimeout bounds a write to a peer that does not read; a sound one
+	// takes a message within milliseconds.
+	writeTimeout = time.Second
+)
 
 type (
 	// Message is one call or answer on the wire.
@@ -179,6 +185,9 @@
 // connection that breaks gives ErrUnavailable, and whether the peer acted on
 // the call is then unknown.
 func (c *Client) Call(ctx context.Context, addr, op string, body, out any) error {
+	if ctx.Err() != nil {
+		return eris.Wrapf(cf.ErrUnavailable, "peer %s: %v", addr, ctx.Err())
+	}
 	cn, err := c.conn(ctx, addr)
 	if err != nil {
 		return err
@@ -203,7 +212,7 @@
 		cn.mu.Unlock()
 	}()
 	data, _ := cbor.Marshal(Message{ID: id, Op: op, Body: payload})
-	if err := cn.ws.Write(ctx, websocket.MessageBinary, data); err != nil {
+	if err := cn.write(data); err != nil {
 		return eris.Wrapf(cf.ErrUnavailable, "peer %s write: %v", addr, err)
 	}
 	select {
@@ -259,6 +268,15 @@
 	return s
 }
 
+// write sends one message. It does not take the caller's context: the library
+// closes the connection when a write's context ends, and one caller that goes
+// away would fail all calls of its process that wait for answers.
+func (cn *conn) write(data []byte) error {
+	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	defer cancel()
+	return cn.ws.Write(ctx, websocket.MessageBinary, data)
+}
+
 func (cn *conn) isBroken() bool {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
