--- a/cfbatch/batch.go
+++ b/cfbatch/batch.go
@@ -31,10 +31,10 @@
 type (
 	// Batch is an accepted batch with its results.
 	Batch struct {
-		Sub    cf.Submission
-		Ended  bool
-		index  map[cf.ItemID]int
-		listed map[cf.ItemID]bool
+		Sub     cf.Submission
+		Ended   bool
+		index   map[cf.ItemID]int
+		listed  map[cf.ItemID]bool
 		results []cf.Result
 		chunks  int
 		size    int
--- a/cfcoord/coordinator.go
+++ b/cfcoord/coordinator.go
@@ -142,6 +142,17 @@
 	return nil
 }
 
+// Texts returns what was generated of items that are not listed yet, for the
+// successor. It is called after Close.
+func (c *Coordinator) Texts() map[cf.ItemID]cfrollout.Text {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.planner.Texts()
+}
+
+// Adopt takes the texts of the coordinator before. It is called before Start.
+func (c *Coordinator) Adopt(texts map[cf.ItemID]cfrollout.Text) { c.planner.Adopt(texts) }
+
 // Kick makes the planner look now.
 func (c *Coordinator) Kick() {
 	select {
--- a/cfcoord/weights.go
+++ b/cfcoord/weights.go
@@ -25,9 +25,8 @@
 // startSwap gives a weight order and follows it until the engine holds the
 // version.
 func (c *Coordinator) startSwap(s cfrollout.Swap, term cf.Revision) {
-	seq := c.seqs[s.Target.ID]
 	c.wg.Go(func() {
-		err := c.swap(s, term, seq)
+		err := c.swap(s, term)
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		outcome := "done"
@@ -57,7 +56,11 @@
 	}
 }
 
-func (c *Coordinator) swap(s cfrollout.Swap, term cf.Revision, seq int64) error {
+func (c *Coordinator) swap(s cfrollout.Swap, term cf.Revision) error {
+	seq, err := c.countOrders(s.Target)
+	if err != nil {
+		return err
+	}
 	c.Log.Info("weights_ordered", zap.String("target", string(s.Target.ID)), zap.String("model", string(s.Model)),
 		zap.Int64("version", int64(s.Version)), zap.Int64("term", int64(term)), zap.Int64("expect_seq", seq),
 		zap.Bool("keep_runs", s.KeepRuns))
@@ -68,9 +71,19 @@
 	if _, ok := c.Duty.MayOrder(); !ok {
 		return cf.ErrNotLeader
 	}
-	err := c.Targets.Order(c.ctx, s.Target, order)
+	err = c.Targets.Order(c.ctx, s.Target, order)
 	if errors.Is(err, cf.ErrConflict) {
-		return c.recount(s, err)
+		// Another coordinator's orders, or one of ours without an answer,
+		// have moved the engine's counter, or it carries one out now.
+		r, err := c.Targets.Report(c.ctx, s.Target)
+		if err != nil {
+			return err
+		}
+		c.noteSeq(s.Target.ID, r.Seq)
+		if holds(r, s) && !r.Busy {
+			return nil
+		}
+		return cf.ErrConflict
 	}
 	if err != nil && !errors.Is(err, cf.ErrUnavailable) {
 		return err
@@ -79,18 +92,20 @@
 	return c.await(s)
 }
 
-// recount reads an engine's order counter after an order that did not match
-// it, so that the next one does.
-func (c *Coordinator) recount(s cfrollout.Swap, cause error) error {
-	r, err := c.Targets.Report(c.ctx, s.Target)
-	if err != nil {
-		return err
+// countOrders reads an engine's order counter before the first order to it.
+func (c *Coordinator) countOrders(t cf.Target) (int64, error) {
+	c.mu.Lock()
+	seq, known := c.seqs[t.ID]
+	c.mu.Unlock()
+	if known {
+		return seq, nil
 	}
-	c.noteSeq(s.Target.ID, r.Seq)
-	if holds(r, s) {
-		return nil
+	r, err := c.Targets.Report(c.ctx, t)
+	if err != nil {
+		return 0, err
 	}
-	return cause
+	c.noteSeq(t.ID, r.Seq)
+	return r.Seq, nil
 }
 
 // await asks an engine for its weights until it holds the version.
--- a/cflease/lease.go
+++ b/cflease/lease.go
@@ -60,6 +60,7 @@
 
 		rev     cf.Revision
 		holder  Holder
+		dead    bool // the holder's process has ended
 		seenAt  cf.Millis
 		held    bool
 		sentAt  cf.Millis
@@ -82,12 +83,24 @@
 	if rev <= l.rev {
 		return
 	}
-	l.rev, l.holder, l.seenAt = rev, h, now
+	l.rev, l.holder, l.seenAt, l.dead = rev, h, now, false
 	if h.Entry != l.self {
 		l.held = false
 	}
 }
 
+// HolderDead records that the process of the holder of term has ended: its
+// machine refuses connections. It acts no more, so the lease need not run
+// out; the handover is still waited for.
+func (l *Lease) HolderDead(term cf.Revision) {
+	if l.holder.Term == term && !l.held {
+		l.dead = true
+	}
+}
+
+// Abandoned says whether the holder is known to have stopped.
+func (l *Lease) Abandoned() bool { return l.dead || l.holder.Released }
+
 // MayTake says whether a conditional write at Rev may take the lease: there
 // is no holder, its time has passed, or it was this instance before a
 // restart.
@@ -96,7 +109,7 @@
 		return false
 	}
 	h := l.holder
-	return h.Entry == "" || h.Entry == l.self || h.Released || now-l.seenAt >= l.bounds.Takeover
+	return h.Entry == "" || h.Entry == l.self || l.Abandoned() || now-l.seenAt >= l.bounds.Takeover
 }
 
 // Rev is the revision on which the next write must be conditional; zero
@@ -133,7 +146,7 @@
 			l.orderAt = now
 		}
 	}
-	l.rev, l.holder, l.seenAt = rev, h, now
+	l.rev, l.holder, l.seenAt, l.dead = rev, h, now, false
 	l.held, l.sentAt = true, sentAt
 }
 
--- a/cfnode/candidate.go
+++ b/cfnode/candidate.go
@@ -35,7 +35,7 @@
 	// word returns when the coordinator was last heard from.
 	word func() cf.Millis
 	// acquired and lost start and end the duty.
-	acquired func()
+	acquired func(before cflease.Holder)
 	lost     func()
 
 	mu     sync.Mutex
@@ -66,6 +66,13 @@
 	return c.lease.Holder(), c.lease.Rev()
 }
 
+// holderDead notes that the holder's process has ended.
+func (c *candidate) holderDead(h cflease.Holder) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lease.HolderDead(h.Term)
+}
+
 // observe takes the lease as another instance or the store shows it.
 func (c *candidate) observe(rev cf.Revision, h cflease.Holder) {
 	c.mu.Lock()
@@ -90,6 +97,7 @@
 	now := cf.Uptime()
 	c.mu.Lock()
 	valid, renew, may, rev := c.lease.Valid(now), c.lease.RenewDue(now), c.lease.MayTake(now), c.lease.Rev()
+	abandoned := c.lease.Abandoned()
 	c.mu.Unlock()
 	if c.held {
 		if !valid {
@@ -101,7 +109,7 @@
 		}
 		return
 	}
-	if rev > 0 && now-c.word() < probeEvery {
+	if rev > 0 && !abandoned && now-c.word() < probeEvery {
 		return
 	}
 	if now-c.probed >= probeEvery {
@@ -156,6 +164,7 @@
 		c.mu.Unlock()
 		return
 	}
+	before := c.lease.Holder()
 	next, rev := c.lease.Next(c.addr, sent), c.lease.Rev()
 	c.mu.Unlock()
 	var r cf.Record
@@ -173,7 +182,7 @@
 		if !c.held {
 			c.held = true
 			c.log.Info("lease_taken", zap.Int64("term", int64(next.Term)), zap.Int64("revision", int64(r.Rev)))
-			c.acquired()
+			c.acquired(before)
 		}
 	case errors.Is(err, cf.ErrConflict):
 		c.take(r)
--- a/cfnode/feed.go
+++ b/cfnode/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	cf "currantford"
 	"currantford/cflease"
 	"currantford/cfmember"
+	"currantford/cfpeer"
 	"currantford/cfwatch"
 )
 
@@ -20,6 +22,7 @@
 	opResults = "results"
 	opItem    = "item"
 	opStore   = "store"
+	opTexts   = "texts"
 
 	// feedWait is how long the coordinator holds a feed call without news;
 	// each call is also the caller's report that it is alive.
@@ -143,6 +146,9 @@
 			n.log.Info("coordinator_found", zap.String("entry", string(holder.Entry)), zap.Int64("term", int64(holder.Term)))
 			connected = holder.Addr
 		case err != nil:
+			if errors.Is(err, cfpeer.ErrNoProcess) {
+				n.candidate.holderDead(holder)
+			}
 			if connected != "" && ctx.Err() == nil {
 				n.log.Warn("coordinator_lost", zap.String("entry", string(holder.Entry)), zap.Error(err))
 			}
--- a/cfnode/node.go
+++ b/cfnode/node.go
@@ -30,6 +30,7 @@
 	"currantford/cflease"
 	"currantford/cfmember"
 	"currantford/cfpeer"
+	"currantford/cfrollout"
 	"currantford/cfsite"
 	"currantford/cfwatch"
 )
@@ -72,6 +73,8 @@
 		peers     *cfpeer.Client
 		peerSrv   *cfpeer.Server
 		leaving   atomic.Bool
+		// texts are what this instance had generated when its duty ended.
+		texts atomic.Pointer[map[cf.ItemID]cfrollout.Text]
 
 		memberMu sync.Mutex
 		members  cfmember.Table
@@ -109,6 +112,7 @@
 	n.peerSrv.Handle(opFeed, n.serveFeed)
 	n.peerSrv.Handle(opResults, n.serveResults)
 	n.peerSrv.Handle(opItem, n.serveItem)
+	n.peerSrv.Handle(opTexts, n.serveTexts)
 	n.peerSrv.Handle(opStore, func(ctx context.Context, body cbor.RawMessage) (any, error) { return a.Relay.Relayed(ctx, body) })
 	a.Relay.SetRelay(n.relay)
 	return n
@@ -190,7 +194,7 @@
 	return out
 }
 
-func (n *Node) beginDuty() {
+func (n *Node) beginDuty(before cflease.Holder) {
 	n.memberMu.Lock()
 	n.feed.mu.Lock()
 	n.members.Adopt(n.feed.members, cf.Uptime())
@@ -200,6 +204,7 @@
 		Self: n.settings.Entry, Store: n.adapter.Store, Targets: n.adapter.Targets, Site: n.site, Codec: n.adapter.Codec,
 		Duty: n.candidate, Metrics: n.metrics, Log: n.log,
 	})
+	c.Adopt(n.textsOf(before))
 	n.coord.Store(c)
 	c.Start()
 }
@@ -207,6 +212,8 @@
 func (n *Node) endDuty() {
 	if c := n.coord.Swap(nil); c != nil {
 		_ = c.Close()
+		texts := c.Texts()
+		n.texts.Store(&texts)
 	}
 }
 
--- a/cfpeer/peer.go
+++ b/cfpeer/peer.go
@@ -22,6 +22,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/coder/websocket"
@@ -83,6 +84,11 @@
 	}
 )
 
+// ErrNoProcess: the peer's machine is up and nothing listens at its address,
+// so its process has ended. A process that hangs, or a link that is cut, does
+// not look like this.
+var ErrNoProcess = errors.New("no process at the peer's address")
+
 // sentinels maps wire codes to the root package's errors.
 var sentinels = map[string]error{
 	"not_found":   cf.ErrNotFound,
@@ -246,6 +252,9 @@
 		return s.conn, nil
 	}
 	ws, _, err := websocket.Dial(ctx, "ws://"+addr+"/v1/peer", nil) //nolint:bodyclose // the library closes the handshake body itself
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, eris.Wrapf(ErrNoProcess, "dial peer %s", addr)
+	}
 	if err != nil {
 		return nil, eris.Wrapf(cf.ErrUnavailable, "dial peer %s: %v", addr, err)
 	}
--- a/cfrollout/pace.go
+++ b/cfrollout/pace.go
@@ -18,16 +18,17 @@
 	// pace counts: the first events of a run come in bursts.
 	paceEvents           = 4
 	paceSpan   cf.Millis = 200
-	// moveRatio is how much slower than another an engine must be for its
-	// runs to be moved: a moved run reads its text again, a few
-	// milliseconds, and loses the event under way.
-	moveRatio = 1.25
+	// moveGain is the least that a move must be expected to save: a moved
+	// run reads its text again, loses the event under way, and costs a
+	// connection.
+	moveGain = 250
+	// residual is what a run is expected to have left, as a part of what it
+	// has made: lengths are spread widely, so one that has made more has
+	// more to come.
+	residual = 0.5
 	// moveRest is how long a run stays after it was moved: the pace of its
 	// new engine must show first.
 	moveRest cf.Millis = 800
-	// moveEvents is how many events a run must have made: lengths are
-	// spread widely, so one that has made more has more to come.
-	moveEvents = 6
 )
 
 // Progress is what a run has shown so far. The run notes it, the planner
@@ -152,7 +153,7 @@
 // better returns an engine that a run should move to.
 func (p *Planner) better(engines []*Engine, w *Work, typical float64, taken map[cf.InstanceID]int, now cf.Millis) *Engine {
 	from := p.engines[w.Engine]
-	if from == nil || now-w.Started < moveRest || w.Progress.events.Load() < moveEvents {
+	if from == nil || now-w.Started < moveRest {
 		return nil
 	}
 	pace, ok := w.Progress.pace(now)
@@ -169,7 +170,8 @@
 			best, bestPace = e, x
 		}
 	}
-	if best == nil || pace < moveRatio*bestPace {
+	left := residual * float64(w.Progress.events.Load())
+	if best == nil || left*(pace-bestPace) < moveGain {
 		return nil
 	}
 	return best
--- a/cfrollout/planner.go
+++ b/cfrollout/planner.go
@@ -39,6 +39,8 @@
 		UrgentLoads int
 		// Penalty keeps new items off an engine that failed one.
 		Penalty cf.Millis
+		// OrderRest is the pause after an order that was not taken.
+		OrderRest cf.Millis
 		// FullPenalty keeps them off one that was full or loading.
 		FullPenalty cf.Millis
 		// Affinity makes an engine that has read a group's prompt count as
@@ -62,6 +64,7 @@
 		Running  int
 		loading  cf.WeightVersion // zero when it loads nothing
 		avoid    cf.Millis        // no new items until then
+		rest     cf.Millis        // no new order until then
 		versions map[cf.ModelName]cf.WeightVersion
 		groups   map[cf.GroupID]int
 		failures int
@@ -72,10 +75,10 @@
 
 	// Text is what has been generated of an item.
 	Text struct {
-		Last     cf.EventID
-		Data     []string
-		Versions []cf.WeightVersion
-		Complete bool
+		Last     cf.EventID         `cbor:"last"`
+		Data     []string           `cbor:"data"`
+		Versions []cf.WeightVersion `cbor:"versions"`
+		Complete bool               `cbor:"complete"`
 	}
 
 	// Work is an item that waits or runs.
@@ -117,20 +120,18 @@
 		carry   map[cf.ItemID]*Work
 		// orphans run on for a batch to come, though theirs was ended.
 		orphans map[cf.ItemID]*Work
-		seq     int
 	}
 
 	open struct {
 		batch   *cfbatch.Batch
 		terms   Terms
-		seq     int
 		waiting []*Work
 		running map[cf.ItemID]*Work
 	}
 )
 
 // DefaultLimits suit engines that answer refusals at once.
-var DefaultLimits = Limits{Loads: 2, UrgentLoads: 3, Penalty: 1500, FullPenalty: 150, Affinity: 0.94}
+var DefaultLimits = Limits{Loads: 2, UrgentLoads: 3, Penalty: 1500, OrderRest: 400, FullPenalty: 150, Affinity: 0.94}
 
 // New returns a planner that knows no engines.
 func New(limits Limits) *Planner {
@@ -147,8 +148,8 @@
 	p.models = models
 	seen := map[cf.InstanceID]bool{}
 	for _, t := range targets {
-		if len(models[t.Service]) == 0 {
-			continue
+		if len(models[t.Service]) == 0 || len(t.Models) == 0 {
+			continue // no model target, or its weights are not known yet
 		}
 		seen[t.ID] = true
 		e := p.engines[t.ID]
@@ -188,6 +189,9 @@
 			if e.Service != service || e.Draining {
 				continue
 			}
+			if e.Share == "" {
+				e.Share = p.closest(e, models)
+			}
 			cost := e.Running
 			if e.loading > 0 || e.versions[e.Share] >= p.Named(e.Share) {
 				cost += e.Slots
@@ -202,6 +206,29 @@
 	}
 }
 
+// closest returns the model whose newest version an engine is closest to. A
+// coordinator that takes over finds the shares of the one before by it: an
+// engine given to another model would have to load weights first, and the
+// first orders must wait for the handover.
+func (p *Planner) closest(e *Engine, models []cf.ModelName) cf.ModelName {
+	var best cf.ModelName
+	lag := cf.WeightVersion(0)
+	same := true
+	for i, m := range models {
+		l := p.Named(m) - e.versions[m]
+		if i > 0 && l != lag {
+			same = false
+		}
+		if i == 0 || l < lag {
+			best, lag = m, l
+		}
+	}
+	if same {
+		return "" // no model is closer than another
+	}
+	return best
+}
+
 // Named returns the newest version named for a model.
 func (p *Planner) Named(m cf.ModelName) cf.WeightVersion { return max(p.named[m], 1) }
 
@@ -216,8 +243,7 @@
 	if p.batches[b.Sub.ID] != nil || b.Ended {
 		return nil
 	}
-	p.seq++
-	o := &open{batch: b, terms: terms, seq: p.seq, running: map[cf.ItemID]*Work{}}
+	o := &open{batch: b, terms: terms, running: map[cf.ItemID]*Work{}}
 	p.batches[b.Sub.ID] = o
 	var ready []*Work
 	tokens := 0.0
@@ -326,6 +352,34 @@
 	p.carry[w.Item.ID] = w
 }
 
+// Texts returns what has been generated of items that are not listed. It is
+// called when no item runs any more.
+func (p *Planner) Texts() map[cf.ItemID]Text {
+	out := map[cf.ItemID]Text{}
+	add := func(w *Work) {
+		if w.Text.Last > 0 {
+			out[w.Item.ID] = w.Text
+		}
+	}
+	for _, w := range p.carry {
+		add(w)
+	}
+	for _, o := range p.batches {
+		for _, w := range o.waiting {
+			add(w)
+		}
+	}
+	p.eachRunning(add)
+	return out
+}
+
+// Adopt takes the texts of a planner before, for batches added from now on.
+func (p *Planner) Adopt(texts map[cf.ItemID]Text) {
+	for id, t := range texts {
+		p.carry[id] = &Work{Item: cf.Item{ID: id}, Text: t}
+	}
+}
+
 // Open returns the batches that are not ended.
 func (p *Planner) Open() []cf.BatchID {
 	out := make([]cf.BatchID, 0, len(p.batches))
@@ -354,13 +408,21 @@
 	return *e, true
 }
 
-// sorted returns the open batches, oldest first.
+// sorted returns the open batches, those accepted first before the others:
+// their trainers give up first. A coordinator that takes over finds them in no
+// order.
 func (p *Planner) sorted() []*open {
 	out := make([]*open, 0, len(p.batches))
 	for _, o := range p.batches {
 		out = append(out, o)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].seq < out[j].seq })
+	sort.Slice(out, func(i, j int) bool {
+		a, b := &out[i].batch.Sub, &out[j].batch.Sub
+		if a.Accepted != b.Accepted {
+			return a.Accepted < b.Accepted
+		}
+		return a.ID < b.ID
+	})
 	return out
 }
 
--- /dev/null
+++ b/cfrollout/planner_test.go
@@ -0,0 +1,323 @@
+package cfrollout_test
+
+import (
+	"fmt"
+	"testing"
+
+	cf "currantford"
+	"currantford/cfbatch"
+	"currantford/cfrollout"
+)
+
+const service cf.ServiceName = "engines"
+
+var terms = cfrollout.Terms{Service: service, MaxAttempts: 3, MaxWait: 40000}
+
+// fleet returns n engines with 4 slots that hold the versions of held.
+func fleet(n int, held ...cf.ModelState) []cf.Target {
+	var out []cf.Target
+	for i := range n {
+		out = append(out, cf.Target{
+			ID: cf.InstanceID(fmt.Sprintf("e%02d", i)), Service: service, Slots: 4, Models: held,
+		})
+	}
+	return out
+}
+
+func models(names ...cf.ModelName) map[cf.ServiceName][]cf.ModelName {
+	return map[cf.ServiceName][]cf.ModelName{service: names}
+}
+
+// step returns a batch of groups of size items.
+func step(id cf.BatchID, m cf.ModelName, least cf.WeightVersion, groups, size int) *cfbatch.Batch {
+	sub := cf.Submission{ID: id, Model: m, MinVersion: least, TargetGroups: groups}
+	for g := range groups {
+		for i := range size {
+			sub.Items = append(sub.Items, cf.Item{
+				ID: cf.ItemID(fmt.Sprintf("%s-%d-%d", id, g, i)), Group: cf.GroupID(fmt.Sprintf("%s-%d", id, g)), Tokens: 100,
+			})
+		}
+	}
+	return cfbatch.New(sub)
+}
+
+// generate lets a run make events at a pace from one moment to another.
+func generate(t *testing.T, w *cfrollout.Work, from, to, pace cf.Millis) {
+	t.Helper()
+	for now := from; now <= to; now += pace {
+		if err := w.Text.Append(cf.StreamEvent{ID: w.Text.Last + 1, Data: "x", Version: w.Version}); err != nil {
+			t.Fatal(err)
+		}
+		w.Progress.Note(now)
+	}
+}
+
+func shares(p *cfrollout.Planner, targets []cf.Target) map[cf.InstanceID]cf.ModelName {
+	out := map[cf.InstanceID]cf.ModelName{}
+	for _, t := range targets {
+		e, _ := p.Engine(t.ID)
+		out[t.ID] = e.Share
+	}
+	return out
+}
+
+// Every model has its share of the engines, and no engine is left out.
+func TestEnginesAreDividedAmongModels(t *testing.T) {
+	p := cfrollout.New(cfrollout.DefaultLimits)
+	held := []cf.ModelState{{Name: "a", Version: 1}, {Name: "b", Version: 1}, {Name: "c", Version: 1}}
+	targets := fleet(11, held...)
+	p.SetEngines(targets, models("a", "b", "c"))
+	count := map[cf.ModelName]int{}
+	for _, m := range shares(p, targets) {
+		count[m]++
+	}
+	for _, m := range []cf.ModelName{"a", "b", "c"} {
+		if count[m] < 3 || count[m] > 4 {
+			t.Errorf("model %s has %d of 11 engines", m, count[m])
+		}
+	}
+}
+
+// Symptom: after a change of coordinator a step stands still for seconds.
+// Sequence: the engines hold different models' newest versions; a coordinator
+// without any memory divides them.
+// Cause: a division that ignored what the engines hold gave them to models
+// whose weights they lack, and no order may be given during the handover.
+func TestSuccessorKeepsTheShares(t *testing.T) {
+	names := []cf.ModelName{"a", "b", "c"}
+	targets := fleet(11)
+	old := map[cf.InstanceID]cf.ModelName{}
+	for i, t := range targets {
+		old[t.ID] = names[(2*i+1)%3]
+	}
+	after := cfrollout.New(cfrollout.DefaultLimits)
+	for _, m := range names {
+		after.SetVersion(m, 5)
+	}
+	for i := range targets {
+		state := []cf.ModelState{{Name: "a", Version: 1}, {Name: "b", Version: 1}, {Name: "c", Version: 1}}
+		for j := range state {
+			if state[j].Name == old[targets[i].ID] {
+				state[j].Version = 4
+			}
+		}
+		targets[i].Models = state
+	}
+	after.SetEngines(targets, models(names...))
+	for id, m := range shares(after, targets) {
+		if m != old[id] {
+			t.Errorf("engine %s changed from %s to %s", id, old[id], m)
+		}
+	}
+}
+
+// A lost engine costs its share one engine, and moves at most one other.
+func TestLostEngineMovesFewOthers(t *testing.T) {
+	p := cfrollout.New(cfrollout.DefaultLimits)
+	held := []cf.ModelState{{Name: "a", Version: 1}, {Name: "b", Version: 1}}
+	targets := fleet(8, held...)
+	p.SetEngines(targets, models("a", "b"))
+	old := shares(p, targets)
+	for lost := range targets {
+		left := append(append([]cf.Target{}, targets[:lost]...), targets[lost+1:]...)
+		q := cfrollout.New(cfrollout.DefaultLimits)
+		q.SetEngines(targets, models("a", "b"))
+		q.SetEngines(left, models("a", "b"))
+		moved := 0
+		for id, m := range shares(q, left) {
+			if old[id] != m {
+				moved++
+			}
+		}
+		if moved > 1 {
+			t.Errorf("the loss of %s moved %d engines", targets[lost].ID, moved)
+		}
+	}
+}
+
+// Symptom: a step waits for the whole of a load although engines hold a
+// version that it allows.
+// Sequence: version 2 is named and the step that allows version 1 arrives.
+func TestStepStartsOnTheOldestVersionAllowed(t *testing.T) {
+	p := cfrollout.New(cfrollout.DefaultLimits)
+	p.SetEngines(fleet(2, cf.ModelState{Name: "a", Version: 1}), models("a"))
+	p.SetVersion("a", 2)
+	p.AddBatch(step("s", "a", 1, 3, 4), terms)
+	if n := len(p.Place(0)); n != 8 {
+		t.Errorf("%d items started, want all 8 slots taken", n)
+	}
+	if s := p.Swaps(0); len(s) != 0 {
+		t.Errorf("%d engines load while items wait that they could run", len(s))
+	}
+}
+
+// Engines load when nothing waits for them, one at least serving all the time.
+func TestSwapsLeaveOneEngineServing(t *testing.T) {
+	p := cfrollout.New(cfrollout.Limits{Loads: 10, UrgentLoads: 10, Affinity: 1})
+	p.SetEngines(fleet(3, cf.ModelState{Name: "a", Version: 1}), models("a"))
+	p.SetVersion("a", 2)
+	first := p.Swaps(0)
+	if len(first) != 2 {
+		t.Fatalf("%d of 3 engines load at once, want 2", len(first))
+	}
+	for _, s := range first {
+		p.SwapDone(s.Target.ID, s.Model, s.Version)
+	}
+	if second := p.Swaps(0); len(second) != 1 {
+		t.Errorf("%d engines load then, want the third", len(second))
+	}
+}
+
+// An engine whose version is below what the waiting step allows loads at once
+// and more of them together, since nothing can run.
+func TestBlockedStepLoadsAtOnce(t *testing.T) {
+	p := cfrollout.New(cfrollout.DefaultLimits)
+	p.SetEngines(fleet(4, cf.ModelState{Name: "a", Version: 1}), models("a"))
+	p.SetVersion("a", 3)
+	p.AddBatch(step("s", "a", 2, 2, 4), terms)
+	if n := len(p.Place(0)); n != 0 {
+		t.Errorf("%d items started on weights that are too old", n)
+	}
+	if n := len(p.Swaps(0)); n != cfrollout.DefaultLimits.UrgentLoads {
+		t.Errorf("%d engines load, want %d", n, cfrollout.DefaultLimits.UrgentLoads)
+	}
+}
+
+// Symptom: a sample on a route for one version names two.
+// Sequence: its run breaks off, and is resumed on other weights.
+func TestSingleVersionTextIsNotContinuedOnOthers(t *testing.T) {
+	p := cfrollout.New(cfrollout.DefaultLimits)
+	targets := fleet(2, cf.ModelState{Name: "a", Version: 1})
+	p.SetEngines(targets, models("a"))
+	single := terms
+	single.SingleVersion = true
+	p.AddBatch(step("s", "a", 1, 1, 1), single)
+	w := p.Place(0)[0]
+	generate(t, w, 0, 100, 20)
+	p.SwapDone("e00", "a", 2)
+	p.SwapDone("e01", "a", 2)
+	p.Finished(w, cfrollout.OutcomeBroken, 200)
+	for _, again := range p.Place(5000) {
+		if len(again.Text.Versions) > 0 && again.Text.Versions[0] != again.Version {
+			t.Errorf("text of version %v goes on with %d", again.Text.Versions, again.Version)
+		}
+	}
+}
+
+// Load: an engine turns four times slower in mid-step. Its runs move to
+// engines with room, once nothing waits to start, and resume where they were.
+func TestRunsMoveOffASlowEngine(t *testing.T) {
+	p := cfrollout.New(cfrollout.DefaultLimits)
+	p.SetEngines(fleet(3, cf.ModelState{Name: "a", Version: 1}), models("a"))
+	p.AddBatch(step("s", "a", 1, 2, 4), terms)
+	works := p.Place(0)
+	for _, w := range works {
+		pace := cf.Millis(40)
+		if w.Engine == "e00" {
+			pace = 160
+		}
+		generate(t, w, 10, 1900, pace)
+	}
+	moves := p.Moves(2000)
+	if len(moves) == 0 {
+		t.Fatal("no run moves off the slow engine")
+	}
+	for _, w := range moves {
+		if w.Engine != "e00" {
+			t.Errorf("a run moves off the fast engine %s", w.Engine)
+		}
+		last := w.Text.Last
+		p.Finished(w, cfrollout.OutcomeStopped, 2010)
+		for _, again := range p.Place(2010) {
+			if again.Engine == "e00" || again.Text.Last != last {
+				t.Errorf("run goes on at %s after event %d, want another engine after %d", again.Engine, again.Text.Last, last)
+			}
+		}
+	}
+}
+
+// Symptom: runs move back and forth and read their prompts again each time.
+// Sequence: all engines are equally fast.
+func TestEvenEnginesKeepTheirRuns(t *testing.T) {
+	p := cfrollout.New(cfrollout.DefaultLimits)
+	p.SetEngines(fleet(3, cf.ModelState{Name: "a", Version: 1}), models("a"))
+	p.AddBatch(step("s", "a", 1, 2, 4), terms)
+	for _, w := range p.Place(0) {
+		generate(t, w, 10, 1900, 40)
+	}
+	if moves := p.Moves(2000); len(moves) != 0 {
+		t.Errorf("%d runs move between even engines", len(moves))
+	}
+}
+
+// A group that its step left unfinished goes on from its text in the next
+// step, if the weights fit; a run that was still under way is not repeated.
+func TestLeftOverGroupGoesOn(t *testing.T) {
+	p := cfrollout.New(cfrollout.DefaultLimits)
+	p.SetEngines(fleet(2, cf.ModelState{Name: "a", Version: 2}), models("a"))
+	p.SetVersion("a", 2)
+	p.AddBatch(step("s", "a", 1, 1, 2), terms)
+	works := p.Place(0)
+	for _, w := range works {
+		generate(t, w, 0, 400, 40)
+	}
+	if stopped := p.EndBatch("s"); len(stopped) != 0 {
+		t.Errorf("%d runs stopped whose text the next step can use", len(stopped))
+	}
+	p.Finished(works[0], cfrollout.OutcomeDone, 500) // after its batch's end
+	next := step("t", "a", 2, 1, 0)
+	for _, w := range works {
+		next.Sub.Items = append(next.Sub.Items, w.Item)
+	}
+	ready := p.AddBatch(cfbatch.New(next.Sub), terms)
+	if len(ready) != 1 || ready[0].Item.ID != works[0].Item.ID {
+		t.Errorf("%d items ready, want the one that finished", len(ready))
+	}
+	if n := len(p.Place(600)); n != 0 {
+		t.Errorf("%d runs started, want the other adopted", n)
+	}
+	if !p.Finished(works[1], cfrollout.OutcomeDone, 700) {
+		t.Error("the adopted run is not listed for the next step")
+	}
+}
+
+// Text made by weights that are too old for the next step is thrown away.
+func TestStaleTextIsNotReused(t *testing.T) {
+	p := cfrollout.New(cfrollout.DefaultLimits)
+	p.SetEngines(fleet(1, cf.ModelState{Name: "a", Version: 1}), models("a"))
+	b := step("s", "a", 1, 1, 1)
+	p.AddBatch(b, terms)
+	w := p.Place(0)[0]
+	generate(t, w, 0, 400, 40)
+	stopped := p.EndBatch("s")
+	if len(stopped) != 1 {
+		t.Fatalf("%d runs stopped, want 1", len(stopped))
+	}
+	p.Finished(w, cfrollout.OutcomeStopped, 500)
+	p.SwapDone("e00", "a", 2)
+	sub := b.Sub
+	sub.ID, sub.MinVersion = "t", 2
+	p.AddBatch(cfbatch.New(sub), terms)
+	if again := p.Place(600); len(again) != 1 || again[0].Text.Last != 0 {
+		t.Errorf("stale text goes on: %+v", again)
+	}
+}
+
+// BenchmarkPlace measures one look of the planner, at three sizes of a step
+// and its engines.
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("engines_%d", n), func(b *testing.B) {
+			targets := fleet(n, cf.ModelState{Name: "a", Version: 1})
+			for b.Loop() {
+				p := cfrollout.New(cfrollout.DefaultLimits)
+				p.SetEngines(targets, models("a"))
+				p.AddBatch(step("s", "a", 1, n, 4), terms)
+				if len(p.Place(0)) == 0 {
+					b.Fatal("nothing placed")
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(4*n), "ns/item")
+		})
+	}
+}
--- a/cfrollout/swap.go
+++ b/cfrollout/swap.go
@@ -53,7 +53,7 @@
 
 // due says whether an engine should load its share's newest version.
 func (p *Planner) due(e *Engine, now cf.Millis) bool {
-	if e.Draining || e.Share == "" || e.loading > 0 || now < e.avoid || e.versions[e.Share] >= p.Named(e.Share) {
+	if e.Draining || e.Share == "" || e.loading > 0 || now < e.rest || e.versions[e.Share] >= p.Named(e.Share) {
 		return false
 	}
 	for _, o := range p.batches {
@@ -121,7 +121,7 @@
 func (p *Planner) SwapFailed(id cf.InstanceID, now cf.Millis) {
 	if e := p.engines[id]; e != nil {
 		e.loading = 0
-		e.avoid = now + p.limits.Penalty
+		e.rest = now + p.limits.OrderRest
 	}
 }
 
