--- /dev/null
+++ b/cfbalance/balance_test.go
@@ -0,0 +1,153 @@
+package cfbalance_test
+
+import (
+	"fmt"
+	"testing"
+
+	cf "currantford"
+	"currantford/cfbalance"
+	"currantford/cfsite"
+)
+
+func targets(n int) []cf.Target {
+	var out []cf.Target
+	for i := range n {
+		out = append(out, cf.Target{ID: cf.InstanceID(rune('a' + i)), Slots: 4})
+	}
+	return out
+}
+
+// Load: one of four targets fails every request while its entry in the
+// instance list looks well. Few requests reach it.
+func TestFailingTargetGetsLittleWork(t *testing.T) {
+	b := cfbalance.New()
+	sent := map[cf.InstanceID]int{}
+	for i := range 200 {
+		now := cf.Millis(i * 20)
+		target, _ := b.Choose(targets(4), nil, float64(i%7)/7, now)
+		sent[target.ID]++
+		b.Sent(target.ID)
+		if target.ID == "a" {
+			b.Done(target.ID, cfbalance.Failed, nil, 5, now+5)
+			continue
+		}
+		b.Done(target.ID, cfbalance.Answered, nil, 25, now+25)
+	}
+	if sent["a"] > 20 {
+		t.Errorf("%d of 200 requests went to a target that fails all", sent["a"])
+	}
+}
+
+// Load: one target takes eight times as long. It gets a small part.
+func TestSlowTargetGetsLessWork(t *testing.T) {
+	b := cfbalance.New()
+	sent := map[cf.InstanceID]int{}
+	for i := range 200 {
+		now := cf.Millis(i * 50)
+		target, _ := b.Choose(targets(4), nil, float64(i%7)/7, now)
+		sent[target.ID]++
+		b.Sent(target.ID)
+		took := cf.Millis(25)
+		if target.ID == "a" {
+			took = 200
+		}
+		b.Done(target.ID, cfbalance.Answered, nil, took, now+took)
+	}
+	if sent["a"] > 30 {
+		t.Errorf("%d of 200 requests went to the slow target", sent["a"])
+	}
+}
+
+// When all targets have failed lately, one is still chosen: a refusal would be
+// worse than a try.
+func TestFailedTargetsAreBetterThanNone(t *testing.T) {
+	b := cfbalance.New()
+	for _, x := range targets(2) {
+		b.Sent(x.ID)
+		b.Done(x.ID, cfbalance.Failed, nil, 5, 0)
+	}
+	if _, ok := b.Choose(targets(2), nil, 0, 10); !ok {
+		t.Error("no target chosen")
+	}
+	if _, ok := b.Choose(targets(2), map[cf.InstanceID]bool{"a": true, "b": true}, 0, 10); ok {
+		t.Error("a target was chosen twice for one request")
+	}
+}
+
+// A target that says it is busy gets less, also from an instance that has sent
+// it nothing.
+func TestReportedLoadCounts(t *testing.T) {
+	b := cfbalance.New()
+	for _, x := range targets(2) {
+		b.Sent(x.ID)
+		load := &cf.TargetLoad{Running: 1, Slots: 4}
+		if x.ID == "a" {
+			load = &cf.TargetLoad{Running: 4, Waiting: 6, Slots: 4}
+		}
+		b.Done(x.ID, cfbalance.Answered, load, 25, 0)
+	}
+	if got, _ := b.Choose(targets(2), nil, 0, 10); got.ID != "b" {
+		t.Errorf("chose %s", got.ID)
+	}
+}
+
+// What a request that can't be repeated allows after each kind of failure.
+func TestAttemptsOfEachKind(t *testing.T) {
+	cases := []struct {
+		name  string
+		kind  cfsite.RouteKind
+		ran   bool
+		sends int
+		want  cfbalance.Step
+	}{
+		{"idempotent, may have run", cfsite.KindIdempotent, true, 1, cfbalance.TryAgain},
+		{"idempotent, may have run, tried enough", cfsite.KindIdempotent, true, 2, cfbalance.GiveUp},
+		{"idempotent, not run, tried enough", cfsite.KindIdempotent, false, 2, cfbalance.Refuse},
+		{"once, may have run", cfsite.KindOnce, true, 1, cfbalance.GiveUp},
+		{"once, not run", cfsite.KindOnce, false, 1, cfbalance.TryAgain},
+		{"once, not run, tried enough", cfsite.KindOnce, false, 2, cfbalance.Refuse},
+	}
+	for _, c := range cases {
+		a := cfbalance.NewAttempts(cfsite.Route{Kind: c.kind, MaxAttempts: 2}, 1000)
+		for range c.sends {
+			a.Sent()
+		}
+		if c.ran {
+			a.Ran()
+		}
+		if got := a.Next(10); got != c.want {
+			t.Errorf("%s: step %d, want %d", c.name, got, c.want)
+		}
+		if a.MaySend(1000) {
+			t.Errorf("%s: may be sent after its deadline", c.name)
+		}
+	}
+}
+
+// Only idempotent requests are sent twice at once.
+func TestOnlyIdempotentRequestsAreHedged(t *testing.T) {
+	for kind, want := range map[cfsite.RouteKind]bool{cfsite.KindIdempotent: true, cfsite.KindOnce: false, cfsite.KindStream: false} {
+		a := cfbalance.NewAttempts(cfsite.Route{Kind: kind, MaxAttempts: 2, SLO: 150}, 1000)
+		a.Sent()
+		if _, ok := a.HedgeAfter(); ok != want {
+			t.Errorf("kind %d hedged: %v", kind, ok)
+		}
+	}
+}
+
+// BenchmarkChoose measures one choice at three sizes.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{4, 64, 1024} {
+		ts := make([]cf.Target, n)
+		for i := range ts {
+			ts[i] = cf.Target{ID: cf.InstanceID(rune(i)), Slots: 4}
+		}
+		b.Run(fmt.Sprintf("targets_%d", n), func(b *testing.B) {
+			bal := cfbalance.New()
+			for b.Loop() {
+				bal.Choose(ts, nil, 0.5, 10)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(n), "ns/target")
+		})
+	}
+}
--- /dev/null
+++ b/cfbatch/batch_test.go
@@ -0,0 +1,176 @@
+package cfbatch_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	cf "currantford"
+	"currantford/cfbatch"
+)
+
+func submission(groups, size int) cf.Submission {
+	sub := cf.Submission{ID: "b", TargetGroups: groups}
+	for g := range groups {
+		for i := range size {
+			sub.Items = append(sub.Items, cf.Item{ID: cf.ItemID(fmt.Sprintf("%d-%d", g, i)), Group: cf.GroupID(fmt.Sprint(g))})
+		}
+	}
+	return sub
+}
+
+func done(id cf.ItemID) cf.Result {
+	return cf.Result{ID: id, State: cf.ItemDone, Output: "text of " + string(id)}
+}
+
+// chunkStore holds chunk objects, created only if they do not exist.
+type chunkStore map[string]cf.Record
+
+func (s chunkStore) create(name string, results []cf.Result) bool {
+	if _, ok := s[name]; ok {
+		return false
+	}
+	raw, err := json.Marshal(cfbatch.Chunk{Results: results})
+	if err != nil {
+		panic(err)
+	}
+	s[name] = cf.Record{Name: name, Spec: raw}
+	return true
+}
+
+func (s chunkStore) records() []cf.Record {
+	var out []cf.Record
+	for _, r := range s {
+		out = append(out, r)
+	}
+	return out
+}
+
+// Symptom: an item stands at two positions, or a position changes.
+// Sequence: two executors finish the same items and write chunks, each knowing
+// more or less of what the other has written; some writes take effect late.
+// Cause guarded against: a chunk written without having read those before it.
+func TestTwoExecutorsListEachItemOnce(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 4))
+	for range 60 {
+		sub := submission(5, 4)
+		store := chunkStore{}
+		executors := []*cfbatch.Batch{cfbatch.New(sub), cfbatch.New(sub)}
+		type write struct {
+			name    string
+			results []cf.Result
+		}
+		var lateWrites []write
+		seen := cfbatch.New(sub)
+		for range 120 {
+			b := executors[random.IntN(2)]
+			var fresh []cf.Result
+			for _, it := range sub.Items {
+				if !b.Listed(it.ID) && random.IntN(4) == 0 {
+					fresh = append(fresh, done(it.ID))
+				}
+			}
+			switch random.IntN(4) {
+			case 0:
+				if err := b.ApplyAll(store.records()); err != nil {
+					t.Fatal(err)
+				}
+			case 1:
+				lateWrites = append(lateWrites, write{b.NextChunk(), fresh})
+			case 2:
+				for _, w := range lateWrites {
+					store.create(w.name, w.results)
+				}
+				lateWrites = nil
+			default:
+				if store.create(b.NextChunk(), fresh) {
+					b.Apply(b.NextChunk(), fresh)
+				}
+			}
+			checkPrefix(t, seen, store)
+		}
+	}
+}
+
+// checkPrefix reads the store as any instance would, and checks that what was
+// read before is still there and no item stands twice.
+func checkPrefix(t *testing.T, seen *cfbatch.Batch, store chunkStore) {
+	t.Helper()
+	now := cfbatch.New(seen.Sub)
+	if err := now.ApplyAll(store.records()); err != nil {
+		t.Fatal(err)
+	}
+	before, after := seen.Page(0).Results, now.Page(0).Results
+	if len(after) < len(before) {
+		t.Fatalf("%d results, %d before", len(after), len(before))
+	}
+	ids := map[cf.ItemID]bool{}
+	for i, r := range after {
+		if ids[r.ID] {
+			t.Fatalf("item %s stands twice", r.ID)
+		}
+		ids[r.ID] = true
+		if i < len(before) && before[i].ID != r.ID {
+			t.Fatalf("position %d held %s, now %s", i, before[i].ID, r.ID)
+		}
+	}
+	if err := seen.ApplyAll(store.records()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestPagesGoOnWhereTheLastEnded(t *testing.T) {
+	b := cfbatch.New(submission(3, 2))
+	var all []cf.Result
+	for _, it := range b.Sub.Items {
+		r := done(it.ID)
+		r.Output = string(make([]byte, 300<<10))
+		all = append(all, r)
+	}
+	b.Apply(b.NextChunk(), all)
+	next, n := 0, 0
+	for next < len(all) {
+		p := b.Page(next)
+		if len(p.Results) == 0 || p.Next != next+len(p.Results) || p.Total != 6 {
+			t.Fatalf("page at %d: %d results, next %d, total %d", next, len(p.Results), p.Next, p.Total)
+		}
+		next = p.Next
+		n++
+	}
+	if n < 2 {
+		t.Error("1.8 MB in one page")
+	}
+	if p := b.Page(99); len(p.Results) != 0 {
+		t.Error("results beyond the end")
+	}
+}
+
+// A chunk is written at once when the groups that the trainer waits for are
+// whole, else when its oldest result has waited.
+func TestChunksAreWrittenWhenTheStepIsWhole(t *testing.T) {
+	sub := submission(3, 2)
+	sub.TargetGroups = 2
+	b := cfbatch.New(sub)
+	var p cfbatch.Pending
+	for i, id := range []cf.ItemID{"0-0", "0-1", "1-0"} {
+		p.Add(done(id), cf.Millis(i))
+		if p.Due(b, 100) {
+			t.Errorf("due after %s, before two groups are whole", id)
+		}
+	}
+	p.Add(done("1-1"), 10)
+	if !p.Due(b, 100) {
+		t.Fatal("not due although two groups are whole")
+	}
+	results := p.Take()
+	if p.Due(b, 5000) {
+		t.Error("due while a chunk is being written")
+	}
+	p.Add(done("2-0"), 20)
+	b.Apply(b.NextChunk(), results)
+	p.Wrote(b, 30)
+	if p.Len() != 1 || p.Due(b, 100) || !p.Due(b, 5000) {
+		t.Errorf("%d left, due early %v, due late %v", p.Len(), p.Due(b, 100), p.Due(b, 5000))
+	}
+}
--- /dev/null
+++ b/cfmember/table_test.go
@@ -0,0 +1,44 @@
+package cfmember_test
+
+import (
+	"testing"
+
+	"currantford/cfmember"
+)
+
+// Symptom: callers are sent to an instance that is dead, not ready or stopping.
+func TestSilentAndUnreadyInstancesDropOut(t *testing.T) {
+	var table cfmember.Table
+	table.Heard(cfmember.Entry{ID: "a", Ready: true}, 0)
+	table.Heard(cfmember.Entry{ID: "b", Ready: true}, 0)
+	table.Heard(cfmember.Entry{ID: "c", Ready: false}, 0)
+	if n := len(table.Live(100)); n != 2 {
+		t.Errorf("%d live, want the two that are ready", n)
+	}
+	table.Heard(cfmember.Entry{ID: "a", Ready: true}, cfmember.Silence)
+	table.Heard(cfmember.Entry{ID: "b", Ready: false}, cfmember.Silence)
+	if live := table.Live(cfmember.Silence + 1); len(live) != 1 || live[0].ID != "a" {
+		t.Errorf("live: %v", live)
+	}
+}
+
+// Symptom: after a change of coordinator all callers go to one instance.
+// Sequence: a new coordinator has heard of nobody yet.
+func TestSuccessorAdoptsTheTable(t *testing.T) {
+	var table cfmember.Table
+	table.Adopt([]cfmember.Entry{{ID: "a", Ready: true}, {ID: "b", Ready: true}}, 1000)
+	if n := len(table.Live(1100)); n != 2 {
+		t.Errorf("%d live right after the change", n)
+	}
+	if n := len(table.Live(1001 + cfmember.Silence)); n != 0 {
+		t.Errorf("%d live that never reported", n)
+	}
+}
+
+func TestNearestFirst(t *testing.T) {
+	entries := []cfmember.Entry{{Addr: "1", Domain: "x"}, {Addr: "2", Domain: "y"}, {Addr: "3", Domain: "y"}}
+	got := cfmember.Nearest(entries, "y", 2)
+	if len(got) != 2 || got[0] != "2" || got[1] != "3" {
+		t.Errorf("nearest: %v", got)
+	}
+}
--- a/cfsite/site.go
+++ b/cfsite/site.go
@@ -157,6 +157,8 @@
 		return cf.Target{}, false, nil
 	}
 	if r.Deleted {
+		// A relayed list, or an event from before, must not bring it back.
+		s.at = max(s.at, r.Rev)
 		if !known {
 			return old.target, false, nil
 		}
--- a/nodecommands/commands.go
+++ b/nodecommands/commands.go
@@ -81,15 +81,15 @@
 		return err
 	}
 	log, out := cflog.NewStdout("entry", string(s.Entry))
-	defer out.Close()
+	defer func() { _ = out.Close() }()
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "currantford_log_lines_dropped_total", Help: "Log lines dropped because standard output was not read.",
 	}, func() float64 { return float64(out.Dropped()) }))
 	store := platform.NewStore(s.Store.Addr, reg)
-	defer store.Close()
+	defer func() { _ = store.Close() }()
 	targets := platform.NewTargets(idlePerTarget, reg)
-	defer targets.Close()
+	defer func() { _ = targets.Close() }()
 	node := cfnode.New(s, cfnode.Adapter{
 		Store: store, Targets: targets, Codec: platform.Codec{}, Relay: platform.NewRelay(store),
 	}, reg, log)
@@ -115,7 +115,7 @@
 		return err
 	}
 	log, out := cflog.NewStdout("standby", string(s.Entry))
-	defer out.Close()
+	defer func() { _ = out.Close() }()
 	log.Info("started", zap.String("failure_domain", string(s.Domain)))
 	cfnode.WaitForStop(log)
 	log.Info("stopped")
--- /dev/null
+++ b/systemtest/request_test.go
@@ -0,0 +1,313 @@
+package systemtest
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"currantford/platform/standin"
+)
+
+func requestSite(t *testing.T, plains int) *site {
+	t.Helper()
+	return startSite(t, options{entries: 2, engines: 1, plains: plains})
+}
+
+func (e *entry) post(path, id, body string) reply {
+	e.t.Helper()
+	r, err := e.do(http.MethodPost, path, id, []byte(body), "Currantford-Deadline-Ms", "1500")
+	if err != nil {
+		e.t.Logf("%s: %v", id, err)
+	}
+	return r
+}
+
+func ran(es []*standin.Engine, id string) int {
+	n := 0
+	for _, e := range es {
+		for _, r := range e.Runs() {
+			if r.ID == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func TestRequestIsForwardedAsItIs(t *testing.T) {
+	t.Parallel()
+	s := requestSite(t, 2)
+	r := s.entries[0].post(plainPrefix+"a%2Fb?x=1%20", "r1", "reading")
+	if r.status != http.StatusOK || string(r.body) != "echo reading" || r.header.Get("Currantford-Response-Stamp") != "stamp-r1" {
+		t.Errorf("answer %d %q, stamp %q", r.status, r.body, r.header.Get("Currantford-Response-Stamp"))
+	}
+	if r := s.entries[0].post("/nowhere/", "r2", "x"); r.status != http.StatusNotFound {
+		t.Errorf("no route: %d", r.status)
+	}
+	if r := s.entries[0].post(plainPrefix+"a", "r3", strings.Repeat("x", 1<<20+1)); r.status != http.StatusRequestEntityTooLarge {
+		t.Errorf("body over the limit: %d", r.status)
+	}
+	for _, run := range s.plains[0].Runs() {
+		if run.Left == "" {
+			t.Error("a request without a deadline reached a target")
+		}
+	}
+}
+
+// Symptom: callers get 404 for what the configuration allows, at an instance
+// that has just started.
+// Sequence: an instance starts while the store is down.
+func TestNoConfigurationIsNotNoRoute(t *testing.T) {
+	t.Parallel()
+	s := requestSite(t, 1)
+	s.store.SetFaults(standin.StoreFaults{Busy: true})
+	for _, e := range s.entries {
+		e.kill()
+	}
+	e := s.entries[0]
+	e.start()
+	eventually(t, "an answer", func() bool {
+		r, err := e.do(http.MethodPost, plainPrefix+"a", "r1", []byte("x"))
+		if err == nil && r.status != http.StatusServiceUnavailable {
+			t.Fatalf("status %d before any configuration is known, want 503", r.status)
+		}
+		return err == nil
+	})
+	if r, err := http.Get("http://" + e.ready + "/currantford/ready"); err != nil || r.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("ready without a configuration: %v %v", r, err)
+	} else {
+		r.Body.Close()
+	}
+}
+
+// Symptom: a bid is recorded twice, or refused although it was recorded.
+// Sequence: targets take the bid and break the connection, or answer as if to
+// another request.
+// Cause guarded against: a retry of what may have run, a 503 for it.
+func TestBidRunsAtMostOnce(t *testing.T) {
+	t.Parallel()
+	s := requestSite(t, 3)
+	for _, e := range s.plains {
+		e.SetFaults(standin.EngineFaults{WrongID: true})
+	}
+	r := s.entries[0].post("/bids/a", "bid1", "100")
+	if n := ran(s.plains, "bid1"); n != 1 {
+		t.Errorf("the bid ran %d times", n)
+	}
+	if r.status != http.StatusBadGateway {
+		t.Errorf("status %d for a bid that may have run, want 502", r.status)
+	}
+	for _, e := range s.plains {
+		e.SetFaults(standin.EngineFaults{Full: true})
+	}
+	r = s.entries[0].post("/bids/a", "bid2", "100")
+	if n := ran(s.plains, "bid2"); n != 0 || r.status != http.StatusServiceUnavailable || r.header.Get("Retry-After") == "" {
+		t.Errorf("full targets: status %d, Retry-After %q, ran %d times", r.status, r.header.Get("Retry-After"), n)
+	}
+}
+
+// Symptom: a caller gets another caller's answer.
+// Sequence: one of two targets sends answers of other requests; log readings
+// may be repeated, so each gets its own from the other target.
+func TestAnswersOfOthersAreNotPassedOn(t *testing.T) {
+	t.Parallel()
+	s := requestSite(t, 2)
+	s.plains[0].SetFaults(standin.EngineFaults{WrongID: true})
+	for i := range 20 {
+		id, body := fmt.Sprintf("r%d", i), fmt.Sprintf("reading %d", i)
+		r := s.entries[i%2].post(plainPrefix+"a", id, body)
+		if r.status != http.StatusOK || string(r.body) != "echo "+body {
+			t.Errorf("%s: %d %q", id, r.status, r.body)
+		}
+	}
+}
+
+// Symptom: a target that is leaving gets new work.
+func TestDrainingTargetGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	s := requestSite(t, 2)
+	s.plains[0].Drain()
+	time.Sleep(1500 * time.Millisecond)
+	before := len(s.plains[0].Runs())
+	for i := range 20 {
+		s.entries[i%2].post(plainPrefix+"a", fmt.Sprintf("r%d", i), "x")
+	}
+	if after := len(s.plains[0].Runs()); after != before {
+		t.Errorf("%d requests reached a draining target", after-before)
+	}
+}
+
+// Symptom: a request is run by another service whose target has taken over an
+// address.
+// Sequence: a target is gone and its address belongs to another instance,
+// while the instance list still shows the old one.
+func TestAddressReuseRunsNothing(t *testing.T) {
+	t.Parallel()
+	s := requestSite(t, 1)
+	s.store.Put("servers", "i-ghost", map[string]any{
+		"service": plain, "addr": s.engines[0].Addr, "zone": "domain-a", "slots": 4, "state": "ready",
+	})
+	time.Sleep(time.Second)
+	for i := range 10 {
+		if r := s.entries[i%2].post(plainPrefix+"a", fmt.Sprintf("r%d", i), "x"); r.status != http.StatusOK {
+			t.Errorf("status %d", r.status)
+		}
+	}
+	if n := len(s.engines[0].Runs()); n != 0 {
+		t.Errorf("%d requests ran at another service", n)
+	}
+}
+
+// Symptom: a target works on for a caller that has gone.
+func TestCallerGoneStopsTheTarget(t *testing.T) {
+	t.Parallel()
+	s := requestSite(t, 1)
+	s.plains[0].SetFaults(standin.EngineFaults{Silent: true})
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.entries[0].callers+"/bids/a", strings.NewReader("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = host
+	req.Header.Set("Currantford-Request-Id", "r1")
+	go func() {
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			resp.Body.Close()
+		}
+	}()
+	eventually(t, "the run", func() bool { return ran(s.plains, "r1") == 1 })
+	cancel()
+	eventually(t, "the target to be free", func() bool { return s.plains[0].Running() == 0 })
+}
+
+// Symptom: a configuration is not in force, or an older one comes back.
+// Sequence: the route moves to another service; the store drops its history,
+// then the coordinator is frozen, so that the others must watch by themselves.
+func TestConfigurationComesInForceEverywhere(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 3, engines: 1, plains: 1})
+	drop := func(version int, keep bool) {
+		c := map[string]any{}
+		raw, _ := json.Marshal(s.config)
+		_ = json.Unmarshal(raw, &c)
+		c["version"] = version
+		if !keep {
+			c["routes"] = c["routes"].([]any)[:1]
+		}
+		s.store.Put("config", "main", c)
+	}
+	inForce := func(e *entry, want int) bool {
+		r, err := e.do(http.MethodPost, plainPrefix+"a", "r", []byte("x"))
+		return err == nil && r.status == want
+	}
+	s.store.Forget()
+	drop(5, false)
+	s.store.Forget()
+	for _, e := range s.entries {
+		eventually(t, "the dropped route at "+e.id, func() bool { return inForce(e, http.StatusNotFound) })
+	}
+	frozen := s.coordinator()
+	frozen.signal(syscall.SIGSTOP)
+	drop(9, true)
+	for _, e := range s.entries {
+		if e == frozen {
+			continue
+		}
+		eventually(t, "the added route at "+e.id, func() bool { return inForce(e, http.StatusOK) })
+	}
+	frozen.signal(syscall.SIGCONT)
+	eventually(t, "the added route at the frozen entry", func() bool { return inForce(frozen, http.StatusOK) })
+	for range 20 {
+		for _, e := range s.entries {
+			if !inForce(e, http.StatusOK) {
+				t.Errorf("%s went back to an older configuration", e.id)
+			}
+		}
+	}
+}
+
+// Symptom: a planned stop cuts off requests, or loses the coordinator's work.
+// Sequence: the coordinator gets SIGTERM while requests keep coming on kept
+// connections and a step runs.
+func TestPlannedStopCutsOffNothing(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 2, engines: 2, plains: 2, event: 20 * time.Millisecond})
+	b := step("b1", "m0", 2, 4, 60)
+	s.accept(b)
+	e := s.coordinator()
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id := fmt.Sprintf("r%d-%d", i, n)
+				r, err := e.do(http.MethodPost, "/bids/a", id, []byte("x"))
+				if err != nil {
+					if ran(s.plains, id) > 0 {
+						t.Errorf("%s was cut off: %v", id, err)
+					}
+					return // it does not listen any more
+				}
+				if r.status != http.StatusOK {
+					t.Errorf("%s: %d", id, r.status)
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	e.signal(syscall.SIGTERM)
+	eventually(t, "not ready", func() bool {
+		r, err := http.Get("http://" + e.ready + "/currantford/ready")
+		if err != nil {
+			return true
+		}
+		r.Body.Close()
+		return r.StatusCode == http.StatusServiceUnavailable
+	})
+	s.readAll(b)
+	<-e.done
+	close(stop)
+	wg.Wait()
+	for id, runs := range s.runs() {
+		if last := runs[len(runs)-1]; len(runs) > 1 && last.From == 0 {
+			t.Errorf("item %s began again after the planned stop", id)
+		}
+	}
+}
+
+// The store sees few calls while nothing happens, however many entries run.
+func TestIdleSiteAsksTheStoreLittle(t *testing.T) {
+	t.Parallel()
+	calls := func(entries int) int {
+		s := startSite(t, options{entries: entries, engines: 1})
+		time.Sleep(2 * time.Second)
+		count := func() int {
+			n := 0
+			for _, c := range s.store.Calls() {
+				n += c
+			}
+			return n
+		}
+		before := count()
+		time.Sleep(3 * time.Second)
+		return count() - before
+	}
+	two, six := calls(2), calls(6)
+	t.Logf("calls to the store in 3 s: 2 entries %d, 6 entries %d", two, six)
+	if six > 2*two {
+		t.Errorf("calls grow with the entries: %d for 2, %d for 6", two, six)
+	}
+}
--- a/systemtest/site_test.go
+++ b/systemtest/site_test.go
@@ -143,7 +143,7 @@
 		if err != nil {
 			continue
 		}
-		l.Close()
+		_ = l.Close()
 		return addr
 	}
 	t.Fatal("no free port")
