Large batches in parts, batches that need not be kept are removed, shorter log lines

Cause: a batch over the store's value limit (about 800 items of 600 bytes) could never be accepted; nothing in the store expires by itself; eris's stacks made failure lines several times longer than their fields.

--- a/batch.go
+++ b/batch.go
@@ -37,7 +37,10 @@
 		MinVersion   WeightVersion `json:"min_version"`
 		TargetGroups int           `json:"target_groups"`
 		Accepted     Millis        `json:"accepted_ms"`
-		Items        []Item        `json:"items"`
+		Items        []Item        `json:"items,omitempty"`
+		// Parts counts the objects that hold the items, zero where this one
+		// does.
+		Parts int `json:"parts,omitempty"`
 	}
 
 	// BatchStatus is the status of a batch's object.
--- a/cfbatch/batch.go
+++ b/cfbatch/batch.go
@@ -61,17 +61,6 @@
 	return b
 }
 
-// Load rebuilds a batch from its object and the objects of its chunks.
-func Load(object cf.Record, chunks []cf.Record) (*Batch, error) {
-	var sub cf.Submission
-	if err := json.Unmarshal(object.Spec, &sub); err != nil {
-		return nil, eris.Wrapf(cf.ErrInvalid, "batch %s: %v", object.Name, err)
-	}
-	b := New(sub)
-	b.Ended = Ended(object)
-	return b, b.ApplyAll(chunks)
-}
-
 // Ended says whether a batch's object says that it was ended.
 func Ended(object cf.Record) bool {
 	var st cf.BatchStatus
--- a/cfcoord/batches.go
+++ b/cfcoord/batches.go
@@ -12,6 +12,7 @@
 
 	cf "currantford"
 	"currantford/cfbatch"
+	"currantford/cflog"
 	"currantford/cfwatch"
 )
 
@@ -81,27 +82,22 @@
 	if cfbatch.Ended(r) {
 		return nil, nil
 	}
-	var chunks cf.Records
 	// A batch that the store has just created has no results; only one that
 	// an earlier coordinator may have worked on is worth a call.
-	if c.isLoaded() {
-		chunks = cf.Records{}
-	} else {
+	results := !c.isLoaded()
+	var b *cfbatch.Batch
+	for {
 		var err error
-		for {
-			chunks, err = c.Store.List(c.ctx, cf.KindResults(cf.BatchID(r.Name)))
-			if err == nil {
-				break
-			}
-			c.Log.Warn("results_not_read", zap.String("batch_id", r.Name), zap.Error(err))
-			if !c.pause(loadRetry) {
-				return nil, err
-			}
+		if b, err = cfbatch.Fetch(c.ctx, c.Store, r, results); err == nil {
+			break
+		}
+		if errors.Is(err, cf.ErrInvalid) {
+			return nil, err
+		}
+		c.Log.Warn("batch_not_read", zap.String("batch_id", r.Name), cflog.Error(err))
+		if !c.pause(loadRetry) {
+			return nil, err
 		}
-	}
-	b, err := cfbatch.Load(r, chunks.Items)
-	if err != nil {
-		return nil, err
 	}
 	st := &state{batch: b, changed: make(chan struct{})}
 	c.mu.Lock()
@@ -189,7 +185,7 @@
 
 func (c *Coordinator) rereadChunks(st *state, name string, cause error) {
 	c.Metrics.Chunks.WithLabelValues("reread").Inc()
-	c.Log.Warn("chunk_in_doubt", zap.String("batch_id", string(st.batch.Sub.ID)), zap.String("chunk", name), zap.Error(cause))
+	c.Log.Warn("chunk_in_doubt", zap.String("batch_id", string(st.batch.Sub.ID)), zap.String("chunk", name), cflog.Error(cause))
 	for c.ctx.Err() == nil {
 		chunks, err := c.Store.List(c.ctx, cf.KindResults(st.batch.Sub.ID))
 		if err != nil {
@@ -198,7 +194,7 @@
 		}
 		c.mu.Lock()
 		if err := st.batch.ApplyAll(chunks.Items); err != nil {
-			c.Log.Error("chunks_not_taken", zap.String("batch_id", string(st.batch.Sub.ID)), zap.Error(err))
+			c.Log.Error("chunks_not_taken", zap.String("batch_id", string(st.batch.Sub.ID)), cflog.Error(err))
 		}
 		c.listed(st)
 		c.mu.Unlock()
--- a/cfcoord/coordinator.go
+++ b/cfcoord/coordinator.go
@@ -59,6 +59,9 @@
 		Site    *cfsite.Site
 		Codec   cfsite.Codec
 		Duty    Duty
+		// KeepResults is how long after its acceptance an ended batch can
+		// still be read.
+		KeepResults cf.Millis
 		// Neighbour takes copies of the texts under way.
 		Neighbour Neighbour
 		Metrics   *Metrics
@@ -133,6 +136,7 @@
 func (c *Coordinator) Start() {
 	c.wg.Go(c.loop)
 	c.wg.Go(c.mirror)
+	c.wg.Go(c.sweep)
 	c.wg.Go(func() { c.batchWatcher().Run(c.ctx) })
 	c.wg.Go(func() { c.versionWatcher().Run(c.ctx) })
 	c.wg.Go(func() { c.retirementWatcher().Run(c.ctx) })
--- /dev/null
+++ b/cfcoord/expire_test.go
@@ -0,0 +1,57 @@
+package cfcoord
+
+import (
+	"context"
+	"testing"
+
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cfbatch"
+	"currantford/cfstandin"
+)
+
+// Symptom: the store grows for ever, or a batch vanishes while it can still be
+// read.
+// Sequence: batches of different age, ended and not, are swept.
+func TestSweepRemovesOnlyWhatNeedNotBeKept(t *testing.T) {
+	ctx := context.Background()
+	store := cfstandin.NewMemStore()
+	c := New(Options{Store: store, KeepResults: 120_000, Log: zap.NewNop()})
+	now := cf.Millis(100_000_000)
+	cases := map[cf.BatchID]struct {
+		age   cf.Millis
+		ended bool
+		kept  bool
+	}{
+		"ended-just-now":  {1_000, true, true},
+		"ended-readable":  {150_000, true, true}, // within the clocks' slack
+		"ended-long-ago":  {181_000, true, false},
+		"open-long-ago":   {181_000, false, true},
+		"open-abandonned": {abandonedAfter, false, false},
+	}
+	for id, b := range cases {
+		sub := cf.Submission{ID: id, Accepted: now - b.age, Items: []cf.Item{{ID: "i", Body: make([]byte, 100)}}}
+		if err := cfbatch.Create(ctx, store, sub, 1<<20); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := store.Create(ctx, cf.KindResults(id), "000000", cfbatch.Chunk{}); err != nil {
+			t.Fatal(err)
+		}
+		if b.ended {
+			if err := store.SetStatus(ctx, cf.KindBatch, string(id), cf.BatchStatus{Ended: true}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if err := c.sweepOnce(ctx, now); err != nil {
+		t.Fatal(err)
+	}
+	for id, b := range cases {
+		_, err := store.Get(ctx, cf.KindBatch, string(id))
+		results, _ := store.List(ctx, cf.KindResults(id))
+		if kept := err == nil; kept != b.kept || (len(results.Items) > 0) != b.kept {
+			t.Errorf("%s: kept %v with %d chunks, want %v", id, kept, len(results.Items), b.kept)
+		}
+	}
+}
--- a/cfingress/batches.go
+++ b/cfingress/batches.go
@@ -10,6 +10,7 @@
 
 	cf "currantford"
 	"currantford/cfbatch"
+	"currantford/cflog"
 )
 
 const (
@@ -36,7 +37,7 @@
 	doubt := false // a write without an answer may still take effect
 	var err error
 	for tries := 1; ; tries++ {
-		_, err = in.Store.Create(ctx, cf.KindBatch, string(sub.ID), sub)
+		err = cfbatch.Create(ctx, in.Store, sub, in.ValueBytes)
 		if err == nil || errors.Is(err, cf.ErrConflict) {
 			// A conflict is the batch itself: submitted before, or written
 			// by a try whose answer was lost.
@@ -45,12 +46,16 @@
 			in.countBatch("submit", "accepted", started)
 			return nil
 		}
+		if errors.Is(err, cf.ErrInvalid) {
+			in.Log.Warn("batch_invalid", zap.String("batch_id", string(sub.ID)), cflog.Error(err))
+			return err
+		}
 		doubt = doubt || errors.Is(err, cf.ErrUnavailable)
 		if !wait(ctx, storeRetry) {
 			break
 		}
 	}
-	in.Log.Warn("batch_not_accepted", zap.String("batch_id", string(sub.ID)), zap.Bool("in_doubt", doubt), zap.Error(err))
+	in.Log.Warn("batch_not_accepted", zap.String("batch_id", string(sub.ID)), zap.Bool("in_doubt", doubt), cflog.Error(err))
 	in.countBatch("submit", "not_accepted", started)
 	if doubt {
 		return eris.Wrap(cf.ErrUnavailable, "the store did not answer")
@@ -69,7 +74,7 @@
 	}
 	b, err := in.readStore(ctx, id)
 	if err != nil {
-		in.Log.Warn("results_not_read", zap.String("batch_id", string(id)), zap.Int("after", after), zap.Error(err))
+		in.Log.Warn("results_not_read", zap.String("batch_id", string(id)), zap.Int("after", after), cflog.Error(err))
 		in.countBatch("results", "failed", started)
 		return cf.ResultPage{}, err
 	}
@@ -83,11 +88,11 @@
 	if err != nil {
 		return nil, unsure(err)
 	}
-	chunks, err := in.Store.List(ctx, cf.KindResults(id))
+	b, err := cfbatch.Fetch(ctx, in.Store, object, true)
 	if err != nil {
 		return nil, unsure(err)
 	}
-	return cfbatch.Load(object, chunks.Items)
+	return b, nil
 }
 
 // unsure turns a failed read into a refusal: a read changes nothing, and only
@@ -109,9 +114,9 @@
 	if err != nil {
 		return nil, unsure(err)
 	}
-	b, err := cfbatch.Load(object, nil)
+	b, err := cfbatch.Fetch(ctx, in.Store, object, false)
 	if err != nil {
-		return nil, err
+		return nil, unsure(err)
 	}
 	it, ok := b.Item(item)
 	if !ok {
@@ -128,11 +133,11 @@
 	for {
 		err := in.Store.SetStatus(ctx, cf.KindBatch, string(id), cf.BatchStatus{Ended: true})
 		if err == nil || errors.Is(err, cf.ErrNotFound) {
-			in.Log.Info("batch_end_taken", zap.String("batch_id", string(id)), zap.Error(err))
+			in.Log.Info("batch_end_taken", zap.String("batch_id", string(id)), cflog.Error(err))
 			return err
 		}
 		if !wait(ctx, storeRetry) {
-			in.Log.Warn("batch_end_not_taken", zap.String("batch_id", string(id)), zap.Error(err))
+			in.Log.Warn("batch_end_not_taken", zap.String("batch_id", string(id)), cflog.Error(err))
 			return unsure(err)
 		}
 	}
--- a/cfingress/forward.go
+++ b/cfingress/forward.go
@@ -12,6 +12,7 @@
 
 	cf "currantford"
 	"currantford/cfbalance"
+	"currantford/cflog"
 	"currantford/cfsite"
 )
 
@@ -159,7 +160,7 @@
 	if !good {
 		f.in.Log.Warn("attempt_failed", zap.String("request_id", string(f.req.ID)), zap.String("target", string(a.target.ID)),
 			zap.Int("status", a.answer.Status), zap.Bool("not_run", outcome == cfbalance.Full || outcome == cfbalance.Unreached),
-			zap.Int64("took_ms", int64(a.took)), zap.Error(a.err))
+			zap.Int64("took_ms", int64(a.took)), cflog.Error(a.err))
 	}
 	return good
 }
--- a/cfingress/ingress.go
+++ b/cfingress/ingress.go
@@ -50,8 +50,10 @@
 		Site        *cfsite.Site
 		Coordinator Coordinator
 		Members     Members
-		Metrics     *Metrics
-		Log         *zap.Logger
+		// ValueBytes is the store's limit for one object.
+		ValueBytes int64
+		Metrics    *Metrics
+		Log        *zap.Logger
 	}
 
 	// Ingress implements currantford.Ingress.
--- a/cflog/log.go
+++ b/cflog/log.go
@@ -38,3 +38,12 @@
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), w, zap.InfoLevel)
 	return zap.New(core).With(zap.String("component", component), zap.String("id", id)), w
 }
+
+// Error returns the field of an error's message. zap.Error would add the call
+// stack that eris keeps, which is longer than all other fields together.
+func Error(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
--- a/cfnode/candidate.go
+++ b/cfnode/candidate.go
@@ -12,6 +12,7 @@
 
 	cf "currantford"
 	"currantford/cflease"
+	"currantford/cflog"
 )
 
 const (
@@ -150,7 +151,7 @@
 func (c *candidate) take(r cf.Record) {
 	var h cflease.Holder
 	if err := json.Unmarshal(r.Spec, &h); err != nil {
-		c.log.Error("lease_not_read", zap.Error(err))
+		c.log.Error("lease_not_read", cflog.Error(err))
 		return
 	}
 	c.observe(r.Rev, h)
@@ -189,7 +190,7 @@
 		c.resolveConflict(r, next)
 	default:
 		// Unknown: the next read shows whether it took effect.
-		c.log.Warn("lease_write_failed", zap.Int64("revision", int64(rev)), zap.Error(err))
+		c.log.Warn("lease_write_failed", zap.Int64("revision", int64(rev)), cflog.Error(err))
 	}
 }
 
@@ -224,6 +225,6 @@
 	c.stepDown("planned stop")
 	next.Released = true
 	if _, err := c.store.Replace(ctx, cf.KindLease, leaseName, rev, next); err != nil {
-		c.log.Warn("lease_not_released", zap.Error(err))
+		c.log.Warn("lease_not_released", cflog.Error(err))
 	}
 }
--- a/cfnode/feed.go
+++ b/cfnode/feed.go
@@ -12,6 +12,7 @@
 
 	cf "currantford"
 	"currantford/cflease"
+	"currantford/cflog"
 	"currantford/cfmember"
 	"currantford/cfpeer"
 	"currantford/cfwatch"
@@ -151,7 +152,7 @@
 				n.candidate.holderDead(holder)
 			}
 			if connected != "" && ctx.Err() == nil {
-				n.log.Warn("coordinator_lost", zap.String("entry", string(holder.Entry)), zap.Error(err))
+				n.log.Warn("coordinator_lost", zap.String("entry", string(holder.Entry)), cflog.Error(err))
 			}
 			connected = ""
 			sleep(ctx, feedRetry)
@@ -188,7 +189,7 @@
 	if a.Config != nil {
 		changed, err := n.site.ApplyConfig(*a.Config)
 		if err != nil {
-			n.log.Error("change_not_taken", zap.String("kind", "config"), zap.Error(err))
+			n.log.Error("change_not_taken", zap.String("kind", "config"), cflog.Error(err))
 		}
 		if changed {
 			n.log.Info("config_in_force", zap.Int64("config_version", int64(n.site.Config().Version)),
--- a/cfnode/node.go
+++ b/cfnode/node.go
@@ -108,7 +108,8 @@
 	}
 	n.ingress = cfingress.New(cfingress.Options{
 		Store: a.Store, Targets: a.Targets, Site: n.site, Coordinator: reader{n}, Members: n,
-		Metrics: cfingress.NewMetrics(reg), Log: log,
+		ValueBytes: s.Store.ValueBytes,
+		Metrics:    cfingress.NewMetrics(reg), Log: log,
 	})
 	n.peerSrv.Handle(opFeed, n.serveFeed)
 	n.peerSrv.Handle(opResults, n.serveResults)
@@ -205,7 +206,7 @@
 	n.memberMu.Unlock()
 	c := cfcoord.New(cfcoord.Options{
 		Self: n.settings.Entry, Store: n.adapter.Store, Targets: n.adapter.Targets, Site: n.site, Codec: n.adapter.Codec,
-		Duty: n.candidate, Neighbour: neighbour{n}, Metrics: n.metrics, Log: n.log,
+		Duty: n.candidate, KeepResults: cf.Millis(n.settings.Bounds.KeepResultsS * 1000), Neighbour: neighbour{n}, Metrics: n.metrics, Log: n.log,
 	})
 	c.Adopt(n.gatherTexts(before, members))
 	n.coord.Store(c)
--- a/cfnode/process.go
+++ b/cfnode/process.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
+	"currantford/cflog"
 )
 
 const (
@@ -105,7 +106,7 @@
 			break
 		}
 		err := reload()
-		p.log.Info("reloaded", zap.Error(err))
+		p.log.Info("reloaded", cflog.Error(err))
 	}
 	p.stop()
 }
@@ -124,7 +125,7 @@
 		time.Sleep(max(0, min(leaveFor, grace*3/4)-time.Since(began)))
 		ctx, cancel = context.WithTimeout(context.Background(), max(0, grace-time.Since(began)))
 		if err := p.callers.Shutdown(ctx); err != nil {
-			p.log.Warn("requests_cut_off", zap.Error(err))
+			p.log.Warn("requests_cut_off", cflog.Error(err))
 		}
 		cancel()
 	}
--- a/cfnode/settings.go
+++ b/cfnode/settings.go
@@ -46,6 +46,9 @@
 		// GraceS is how long a stop may take, in seconds, before the process
 		// is killed.
 		GraceS float64 `json:"grace_s"`
+		// KeepResultsS is how long, in seconds after its acceptance, an ended
+		// batch can still be read.
+		KeepResultsS float64 `json:"keep_results_s"`
 		// LeaseMs is how long two holders' orders must lie apart.
 		LeaseMs cf.Millis `json:"lease_ms"`
 	}
@@ -103,6 +106,9 @@
 	if s.Bounds.GraceS <= 0 {
 		bad("bounds.grace_s", "must be over 0")
 	}
+	if s.Bounds.KeepResultsS <= 0 {
+		bad("bounds.keep_results_s", "must be over 0")
+	}
 	if s.Bounds.LeaseMs <= 0 {
 		bad("bounds.lease_ms", "must be over 0")
 	}
--- a/cfwatch/watch.go
+++ b/cfwatch/watch.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
+	"currantford/cflog"
 )
 
 // Retry pauses after a failed call to the store. Calls to a store that is
@@ -82,7 +83,7 @@
 			return
 		}
 		if !w.failing {
-			w.Log.Warn("store_lost", zap.String("kind", w.Kind), zap.Error(err))
+			w.Log.Warn("store_lost", zap.String("kind", w.Kind), cflog.Error(err))
 		}
 		w.failing = true
 		sleep(ctx, retry/2+rand.N(retry))
@@ -112,7 +113,7 @@
 		}
 		w.answered()
 		if err := w.List(list); err != nil {
-			w.Log.Error("list_not_taken", zap.String("kind", w.Kind), zap.Error(err))
+			w.Log.Error("list_not_taken", zap.String("kind", w.Kind), cflog.Error(err))
 		}
 		w.listed = true
 		w.reached(list.At, asked)
@@ -130,7 +131,7 @@
 	w.answered()
 	for _, r := range changes.Items {
 		if err := w.Change(r); err != nil {
-			w.Log.Error("change_not_taken", zap.String("kind", w.Kind), zap.String("name", r.Name), zap.Error(err))
+			w.Log.Error("change_not_taken", zap.String("kind", w.Kind), zap.String("name", r.Name), cflog.Error(err))
 		}
 	}
 	w.reached(changes.At, cf.Uptime())
--- a/nodecommands/commands.go
+++ b/nodecommands/commands.go
@@ -98,7 +98,7 @@
 		Callers: callers, Ready: http.HandlerFunc(callers.ServeReady), Directory: http.HandlerFunc(callers.ServeDirectory),
 	}, reg, log)
 	if err != nil {
-		log.Error("not_started", zap.Error(err))
+		log.Error("not_started", cflog.Error(err))
 		return err
 	}
 	p.Run(func() error {
--- a/store.go
+++ b/store.go
@@ -52,6 +52,9 @@
 	KindLease = "currantford-leases"
 	// KindBatch holds accepted batches, one object each.
 	KindBatch = "currantford-batches"
+	// kindParts is the head of the kind that holds one batch's items, where
+	// they do not fit into its object.
+	kindParts = "currantford-parts-"
 	// kindResults is the head of the kind that holds one batch's results.
 	kindResults = "currantford-results-"
 )
@@ -64,6 +67,9 @@
 	ErrHistoryGone = errors.New("watch history is gone")
 )
 
+// KindParts is the kind under which the items of a large batch are kept.
+func KindParts(id BatchID) string { return kindParts + string(id) }
+
 // KindResults is the kind under which the results of a batch are kept, one
 // object per chunk. A kind of its own lets one list call read a batch.
 func KindResults(id BatchID) string { return kindResults + string(id) }
--- a/systemtest/batch_test.go
+++ b/systemtest/batch_test.go
@@ -92,6 +92,23 @@
 	}
 }
 
+// Symptom: a step that is larger than one object of the store is never
+// accepted.
+func TestLargeStep(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 2, engines: 4, valueBytes: 80 << 10, event: time.Millisecond})
+	b := step("b1", "m0", 60, 4, 3)
+	s.accept(b)
+	old := s.coordinator()
+	old.kill()
+	s.waitCoordinator(old.id) // it reads the parts from the store
+	s.readAll(b)
+	body, err := s.coordinator().do(http.MethodGet, "/currantford/items/b1?id="+b.Items[200].ID, "", nil)
+	if err != nil || string(body.body) != "prompt" {
+		t.Errorf("body of an item: %q, %v", body.body, err)
+	}
+}
+
 // Symptom: a step is accepted twice and its items are listed twice.
 // Sequence: its submitter gets no answer and hands it in at another entry
 // while the first still works on it.
--- a/systemtest/site_test.go
+++ b/systemtest/site_test.go
@@ -57,6 +57,7 @@
 		entries, engines, plains int
 		models                   []string
 		config                   func(map[string]any)
+		valueBytes               int
 		load                     time.Duration
 		event                    time.Duration
 	}
@@ -70,6 +71,8 @@
 		entries []*entry
 		config  map[string]any
 		addr    string
+
+		valueBytes int
 	}
 
 	// entry is one process.
@@ -162,7 +165,10 @@
 	if o.event == 0 {
 		o.event = 10 * time.Millisecond
 	}
-	s := &site{t: t, store: standin.NewStore()}
+	if o.valueBytes == 0 {
+		o.valueBytes = 1 << 20
+	}
+	s := &site{t: t, store: standin.NewStore(), valueBytes: o.valueBytes}
 	s.addr = listen(t, s.store)
 	for i := range o.engines {
 		s.engines = append(s.engines, s.target(fmt.Sprintf("i-engine-%d", i), service, o.models, o))
@@ -227,8 +233,8 @@
 	raw, err := json.Marshal(map[string]any{
 		"entry": e.id, "failure_domain": fmt.Sprintf("domain-%c", 'a'+i%2),
 		"listen": map[string]any{"callers": e.callers, "ready": e.ready, "directory": freeAddr(s.t), "peers": freeAddr(s.t)},
-		"store":  map[string]any{"addr": s.addr, "value_bytes": 1 << 20},
-		"bounds": map[string]any{"grace_s": 8, "lease_ms": 3000},
+		"store":  map[string]any{"addr": s.addr, "value_bytes": s.valueBytes},
+		"bounds": map[string]any{"grace_s": 8, "keep_results_s": 120, "lease_ms": 3000},
 		"memory": map[string]any{"limit_mb": 200},
 	})
 	if err != nil {
