--- a/cfcoord/expire_test.go
+++ b/cfcoord/expire_test.go
@@ -24,11 +24,11 @@
 		ended bool
 		kept  bool
 	}{
-		"ended-just-now":  {1_000, true, true},
-		"ended-readable":  {150_000, true, true}, // within the clocks' slack
-		"ended-long-ago":  {181_000, true, false},
-		"open-long-ago":   {181_000, false, true},
-		"open-abandonned": {abandonedAfter, false, false},
+		"ended-just-now": {1_000, true, true},
+		"ended-readable": {150_000, true, true}, // within the clocks' slack
+		"ended-long-ago": {181_000, true, false},
+		"open-long-ago":  {181_000, false, true},
+		"open-abandoned": {abandonedAfter, false, false},
 	}
 	for id, b := range cases {
 		sub := cf.Submission{ID: id, Accepted: now - b.age, Items: []cf.Item{{ID: "i", Body: make([]byte, 100)}}}
