A holder that can't renew goes on; finished texts survive; copies never join two runs

Change: the holder keeps its runs while nobody else holds the lease, for 15 s at most; a candidate waits the whole takeover time after the store's return; a successor calls the holder before it, which stops and hands over its texts, finished ones too; texts carry the run they began with. A store that refuses is reported to the submitter after three refusals instead of 1.5 s. Tests: TestStoreOutageInMidStep (now: nothing runs twice; seen failing), TestMirrorDoesNotJoinTwoRuns (seen failing).

--- a/cfcoord/batches.go
+++ b/cfcoord/batches.go
@@ -177,6 +177,11 @@
 
 // listed wakes readers after a change of the listed results.
 func (c *Coordinator) listed(st *state) {
+	for id := range c.finished {
+		if st.batch.Listed(id) {
+			delete(c.finished, id)
+		}
+	}
 	st.pending.Wrote(st.batch, cf.Uptime())
 	close(st.changed)
 	st.changed = make(chan struct{})
--- a/cfcoord/coordinator.go
+++ b/cfcoord/coordinator.go
@@ -20,6 +20,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -47,6 +48,9 @@
 	Duty interface {
 		// Valid says whether this instance may answer as the coordinator.
 		Valid() bool
+		// Held says whether it is the coordinator as far as it knows: enough
+		// for work that two may do without harm.
+		Held() bool
 		// MayOrder says whether it may give orders, and with which number.
 		MayOrder() (cf.Revision, bool)
 	}
@@ -82,7 +86,9 @@
 		planner *cfrollout.Planner
 		batches map[cf.BatchID]*state
 		runs    map[*cfrollout.Work]context.CancelFunc
-		seqs    map[cf.InstanceID]int64
+		// finished are the texts that are complete and not listed yet.
+		finished map[cf.ItemID]cfrollout.Text
+		seqs     map[cf.InstanceID]int64
 		// endedOrder lists the ended batches in memory, oldest first.
 		endedOrder []cf.BatchID
 	}
@@ -128,7 +134,8 @@
 		Options: o, ctx: ctx, cancel: cancel, kick: make(chan struct{}, 1),
 		planner: cfrollout.New(cfrollout.DefaultLimits),
 		batches: map[cf.BatchID]*state{}, runs: map[*cfrollout.Work]context.CancelFunc{},
-		seqs: map[cf.InstanceID]int64{},
+		finished: map[cf.ItemID]cfrollout.Text{},
+		seqs:     map[cf.InstanceID]int64{},
 	}
 }
 
@@ -154,7 +161,9 @@
 func (c *Coordinator) Texts() map[cf.ItemID]cfrollout.Text {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.planner.Texts()
+	out := c.planner.Texts()
+	maps.Copy(out, c.finished)
+	return out
 }
 
 // Adopt takes the texts of the coordinator before. It is called before Start.
@@ -189,7 +198,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	config := c.Site.Config()
-	if config == nil || !c.loaded || !c.Duty.Valid() {
+	if config == nil || !c.loaded || !c.Duty.Held() {
 		return tick
 	}
 	now := cf.Uptime()
@@ -267,6 +276,7 @@
 	r := cf.Result{ID: w.Item.ID, State: s}
 	if s == cf.ItemDone {
 		r.Output, r.Versions = join(w.Text.Data), w.Text.Versions
+		c.finished[w.Item.ID] = w.Text
 	} else {
 		c.Log.Info("item_given_up", zap.String("batch_id", string(w.Batch.Sub.ID)), zap.String("request_id", string(w.Item.ID)),
 			zap.String("reason", reason), zap.Int("failures", w.Failures))
--- a/cfcoord/mirror.go
+++ b/cfcoord/mirror.go
@@ -22,10 +22,16 @@
 	Mirror struct {
 		Term  cf.Revision                  `cbor:"term"`
 		Texts map[cf.ItemID]cfrollout.Text `cbor:"texts"`
-		// Ended are the runs that have ended since the last part.
+		// Ended are the texts that are listed, or given up, since then.
 		Ended []cf.ItemID `cbor:"ended,omitempty"`
 	}
 
+	// copiedText is how much of which text was copied.
+	copiedText struct {
+		origin uint64
+		last   cf.EventID
+	}
+
 	// Neighbour takes copies of texts; it returns false when none was
 	// reached.
 	Neighbour interface {
@@ -37,7 +43,7 @@
 func (c *Coordinator) mirror() {
 	ticker := time.NewTicker(mirrorEvery)
 	defer ticker.Stop()
-	copied := map[cf.ItemID]cf.EventID{}
+	copied := map[cf.ItemID]copiedText{}
 	whole := true
 	for {
 		select {
@@ -60,23 +66,33 @@
 // changedTexts returns the texts under way that grew since the last copy, and
 // notes them as copied. Each is sent from its beginning only once: later parts
 // hold what is new.
-func (c *Coordinator) changedTexts(copied map[cf.ItemID]cf.EventID) Mirror {
+func (c *Coordinator) changedTexts(copied map[cf.ItemID]copiedText) Mirror {
 	term, _ := c.Duty.MayOrder()
 	part := Mirror{Term: term, Texts: map[cf.ItemID]cfrollout.Text{}}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	running := map[cf.ItemID]bool{}
+	held := map[cf.ItemID]bool{}
+	add := func(id cf.ItemID, t *cfrollout.Text) {
+		held[id] = true
+		from := copied[id]
+		if from.origin != t.Origin {
+			from = copiedText{} // the item has begun anew
+		}
+		if t.Last > from.last && (t.Complete || t.Last >= mirrorLeast) {
+			part.Texts[id] = t.After(from.last)
+			copied[id] = copiedText{t.Origin, t.Last}
+		}
+	}
 	for w := range c.runs {
-		running[w.Item.ID] = true
 		w.Mu.Lock()
-		if t := w.Text; t.Last >= mirrorLeast && t.Last > copied[w.Item.ID] {
-			part.Texts[w.Item.ID] = t.After(copied[w.Item.ID])
-			copied[w.Item.ID] = t.Last
-		}
+		add(w.Item.ID, &w.Text)
 		w.Mu.Unlock()
 	}
+	for id, t := range c.finished {
+		add(id, &t)
+	}
 	for id := range copied {
-		if !running[id] {
+		if !held[id] {
 			delete(copied, id)
 			part.Ended = append(part.Ended, id)
 		}
--- a/cfcoord/mirror_test.go
+++ b/cfcoord/mirror_test.go
@@ -7,8 +7,10 @@
 	"currantford/cfrollout"
 )
 
-func text(from, to int) cfrollout.Text {
-	t := cfrollout.Text{Last: cf.EventID(to)}
+func text(from, to int) cfrollout.Text { return textOf(1, from, to) }
+
+func textOf(origin uint64, from, to int) cfrollout.Text {
+	t := cfrollout.Text{Origin: origin, Last: cf.EventID(to)}
 	for range to - from {
 		t.Data = append(t.Data, "x")
 	}
@@ -43,3 +45,44 @@
 		t.Error("a text of an earlier term is kept")
 	}
 }
+
+// Symptom: a sample's text goes on with a run that was not asked to take it up
+// there.
+// Sequence: a step ends while an item of it runs; the next step asks for the
+// item again, and its old text does not fit, so it begins anew, all between two
+// copies; then the coordinator is frozen and its successor takes the copies.
+// Cause: the copy went on from the last event that had been copied, which was
+// the earlier run's.
+func TestMirrorDoesNotJoinTwoRuns(t *testing.T) {
+	var m Mirror
+	m.Take(part(1, "a", textOf(1, 0, 40)), true)
+	m.Take(part(1, "a", textOf(2, 40, 45)), false)
+	if got, ok := m.Texts["a"]; ok {
+		t.Errorf("a text of two runs is kept: %d events", got.Last)
+	}
+	c := New(Options{Duty: held{}})
+	w := &cfrollout.Work{Item: cf.Item{ID: "a"}}
+	c.runs[w] = func() {}
+	write := func(n int) {
+		for range n {
+			if err := w.Text.Append(cf.StreamEvent{ID: w.Text.Last + 1, Data: "x", Version: 1}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	copied := map[cf.ItemID]copiedText{}
+	write(40)
+	c.changedTexts(copied)
+	w.Text = cfrollout.Text{}
+	write(45)
+	if got := c.changedTexts(copied).Texts["a"]; !got.FromStart() {
+		t.Errorf("the copy of a new run begins after event %d", int(got.Last)-len(got.Data))
+	}
+}
+
+// held is the duty of a coordinator that has it.
+type held struct{}
+
+func (held) Valid() bool                   { return true }
+func (held) Held() bool                    { return true }
+func (held) MayOrder() (cf.Revision, bool) { return 1, true }
--- a/cfingress/batches.go
+++ b/cfingress/batches.go
@@ -14,17 +14,19 @@
 )
 
 const (
-	// submitBudget is how long an instance tries to write a batch before it
-	// turns it away: a few answers of a slow store, and less than a caller
-	// needs to try another instance.
+	// submitBudget is how long an instance tries to write a batch when the
+	// store does not answer: a few answers of a slow store.
 	submitBudget = 1500 * time.Millisecond
+	// submitRefusals is how often the store may refuse before the batch is
+	// turned away: one refusal may be a burst over its rate.
+	submitRefusals = 3
 	// endBudget is the same for the end of a batch.
 	endBudget = 2 * time.Second
 	// storeRetry is the pause between tries.
 	storeRetry = 120 * time.Millisecond
 	// storeBack is when a caller should come back after the store refused:
-	// outages last seconds.
-	storeBack cf.Millis = 1500
+	// outages last seconds, and how many can't be told.
+	storeBack cf.Millis = 1000
 )
 
 // Submit accepts a batch: once its object is in the store it is kept, and the
@@ -34,6 +36,7 @@
 	started := cf.Uptime()
 	ctx, cancel := context.WithTimeout(ctx, submitBudget)
 	defer cancel()
+	refused := 0
 	doubt := false // a write without an answer may still take effect
 	var err error
 	for tries := 1; ; tries++ {
@@ -51,7 +54,10 @@
 			return err
 		}
 		doubt = doubt || errors.Is(err, cf.ErrUnavailable)
-		if !wait(ctx, storeRetry) {
+		if errors.Is(err, cf.ErrRefused) {
+			refused++
+		}
+		if refused == submitRefusals && !doubt || !wait(ctx, storeRetry) {
 			break
 		}
 	}
@@ -101,7 +107,7 @@
 	if errors.Is(err, cf.ErrNotFound) {
 		return err
 	}
-	return &cf.Refusal{After: storeBack / 3, Reason: err.Error()}
+	return &cf.Refusal{After: storeBack / 2, Reason: err.Error()}
 }
 
 // ItemBody returns the body of an item.
--- a/cflease/lease.go
+++ b/cflease/lease.go
@@ -150,6 +150,16 @@
 	l.held, l.sentAt = true, sentAt
 }
 
+// Held says whether this instance is the holder as far as it knows. While the
+// store is away a holder can't renew, and nobody can take over: it goes on
+// with what needs no lease.
+func (l *Lease) Held() bool { return l.held }
+
+// StoreAway records that the store was not reached at now: a holder that could
+// not renew for that reason has not stopped, and gets the whole takeover time
+// once the store is back.
+func (l *Lease) StoreAway(now cf.Millis) { l.seenAt = now }
+
 // Lost records that another holds the lease or that it can't be told.
 func (l *Lease) Lost() { l.held = false }
 
@@ -168,5 +178,8 @@
 	return l.held && now-l.sentAt >= l.bounds.Renew
 }
 
+// SentAt is when the last renewal that took effect was sent.
+func (l *Lease) SentAt() cf.Millis { return l.sentAt }
+
 // Term is the fencing number for orders.
 func (l *Lease) Term() cf.Revision { return l.holder.Term }
--- a/cfnode/candidate.go
+++ b/cfnode/candidate.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,6 +23,12 @@
 	// probeEvery is how often a candidate without word of the coordinator
 	// reads the lease.
 	probeEvery cf.Millis = 600
+	// renewRetry is the pause after a renewal that failed: less than half of
+	// a lease's validity, and not a call at each tick of an outage.
+	renewRetry cf.Millis = 300
+	// lapseMost is how long a holder that can't renew goes on. All steps
+	// that it knows are over by then.
+	lapseMost cf.Millis = 15000
 	// takeSpread draws the moment of a takeover at random, so that usually
 	// one instance writes and the others see its lease.
 	takeSpread = 250 * time.Millisecond
@@ -39,11 +46,16 @@
 	acquired func(before cflease.Holder)
 	lost     func()
 
-	mu     sync.Mutex
-	lease  *cflease.Lease
-	probed cf.Millis
-	held   bool
-	closed bool
+	mu    sync.Mutex
+	lease *cflease.Lease
+
+	probed  cf.Millis
+	held    bool
+	lapsed  bool      // held, and not renewed in time
+	renewAt cf.Millis // the next try to renew after one that failed
+	// deposed is set when a successor has called.
+	deposed atomic.Bool
+	closed  bool
 }
 
 // Valid implements cfcoord.Duty.
@@ -53,6 +65,23 @@
 	return c.lease.Valid(cf.Uptime())
 }
 
+// Held implements cfcoord.Duty.
+func (c *candidate) Held() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease.Held()
+}
+
+// depose makes this instance give up a duty that another has taken with a
+// higher term.
+func (c *candidate) depose(term cf.Revision) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lease.Held() && term > c.lease.Term() {
+		c.deposed.Store(true)
+	}
+}
+
 // MayOrder implements cfcoord.Duty.
 func (c *candidate) MayOrder() (cf.Revision, bool) {
 	c.mu.Lock()
@@ -101,13 +130,7 @@
 	abandoned := c.lease.Abandoned()
 	c.mu.Unlock()
 	if c.held {
-		if !valid {
-			c.stepDown("not renewed in time")
-			return
-		}
-		if renew {
-			c.write(ctx)
-		}
+		c.hold(ctx, now, valid, renew)
 		return
 	}
 	if rev > 0 && !abandoned && now-c.word() < probeEvery {
@@ -130,6 +153,33 @@
 	}
 }
 
+// hold renews the lease. A holder that can't is not over while nobody else has
+// taken it: it goes on with what needs no lease, such as the runs under way,
+// which would otherwise be lost in each outage of the store.
+func (c *candidate) hold(ctx context.Context, now cf.Millis, valid, renew bool) {
+	if c.deposed.Load() {
+		c.stepDown("a successor has called")
+		return
+	}
+	if valid != !c.lapsed {
+		c.lapsed = !valid
+		c.log.Warn("lease_validity_changed", zap.Bool("valid", valid))
+	}
+	if !valid && now-c.lastSent() > lapseMost {
+		c.stepDown("not renewed for too long")
+		return
+	}
+	if renew && now >= c.renewAt {
+		c.write(ctx)
+	}
+}
+
+func (c *candidate) lastSent() cf.Millis {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease.SentAt()
+}
+
 // probe reads the lease; where there is none yet it is created.
 func (c *candidate) probe(ctx context.Context) {
 	r, err := c.store.Get(ctx, cf.KindLease, leaseName)
@@ -140,7 +190,11 @@
 		c.write(ctx)
 		return
 	default:
-		return // the watchers log that the store is lost
+		// The watchers log that the store is lost.
+		c.mu.Lock()
+		c.lease.StoreAway(cf.Uptime())
+		c.mu.Unlock()
+		return
 	}
 	// The instance that held the lease before its restart goes on at once.
 	if h, _ := c.holder(); h.Entry == c.self {
@@ -186,28 +240,24 @@
 			c.acquired(before)
 		}
 	case errors.Is(err, cf.ErrConflict):
+		// It may be this instance's own write, whose answer was lost.
 		c.take(r)
-		c.resolveConflict(r, next)
+		if h, _ := c.holder(); c.held && h.Entry != c.self {
+			c.stepDown("taken by " + string(h.Entry))
+		}
 	default:
-		// Unknown: the next read shows whether it took effect.
+		// Unknown: the next write shows whether it took effect.
+		c.renewAt = cf.Uptime() + renewRetry
 		c.log.Warn("lease_write_failed", zap.Int64("revision", int64(rev)), cflog.Error(err))
 	}
 }
 
-// resolveConflict handles a write that found another revision: if it is this
-// instance's own write, whose answer was lost, the lease is still its own.
-func (c *candidate) resolveConflict(r cf.Record, next cflease.Holder) {
-	h, _ := c.holder()
-	if c.held && h.Entry != c.self {
-		c.stepDown("taken by " + string(h.Entry))
-	}
-}
-
 func (c *candidate) stepDown(reason string) {
 	c.mu.Lock()
 	c.lease.Lost()
 	c.mu.Unlock()
-	c.held = false
+	c.held, c.lapsed = false, false
+	c.deposed.Store(false)
 	c.log.Warn("lease_lost", zap.String("reason", reason))
 	c.lost()
 }
--- a/cfnode/texts.go
+++ b/cfnode/texts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
@@ -17,9 +18,18 @@
 // textsTimeout bounds the question for texts and the copying of them. Half a
 // megabyte takes tens of milliseconds; an instance that was lost does not
 // answer.
-const textsTimeout cf.Millis = 250
+const textsTimeout cf.Millis = 300
+
+// deposeWait is how long a successor's question waits for this instance to
+// stop its runs.
+const deposeWait = 200 * time.Millisecond
 
 type (
+	// textsCall asks for texts on behalf of the holder of a term.
+	textsCall struct {
+		Term cf.Revision `cbor:"term"`
+	}
+
 	// mirrorCall copies a part of the texts under way.
 	mirrorCall struct {
 		Part  cfcoord.Mirror `cbor:"part"`
@@ -83,10 +93,19 @@
 }
 
 // serveTexts answers a coordinator that takes over with what this instance
-// generated when it had the duty, or holds as a neighbour's mirror.
-func (n *Node) serveTexts(context.Context, cbor.RawMessage) (any, error) {
-	if n.candidate.Valid() {
-		return nil, cf.ErrConflict // it still runs them itself
+// generated when it had the duty, or holds as a neighbour's mirror. An instance
+// that did not know of its successor yet stops its runs first.
+func (n *Node) serveTexts(_ context.Context, body cbor.RawMessage) (any, error) {
+	var call textsCall
+	if err := cbor.Unmarshal(body, &call); err != nil {
+		return nil, cf.ErrInvalid
+	}
+	n.candidate.depose(call.Term)
+	for waited := time.Duration(0); n.coord.Load() != nil; waited += watchTick / 4 {
+		if waited >= deposeWait {
+			return nil, cf.ErrConflict
+		}
+		time.Sleep(watchTick / 4)
 	}
 	return n.heldTexts(), nil
 }
@@ -116,14 +135,15 @@
 // planned stop all of it, after a crash all but the last moments.
 func (n *Node) gatherTexts(before cflease.Holder, members []cfmember.Entry) map[cf.ItemID]cfrollout.Text {
 	addrs := map[string]bool{}
-	if before.Entry != "" && before.Entry != n.settings.Entry && before.Released {
+	if before.Entry != "" && before.Entry != n.settings.Entry {
 		addrs[before.Addr] = true
 	}
 	for _, e := range members {
-		if e.ID != n.settings.Entry && e.ID != before.Entry {
+		if e.ID != n.settings.Entry {
 			addrs[e.Peers] = true
 		}
 	}
+	term, _ := n.candidate.MayOrder()
 	ctx, cancel := context.WithTimeout(n.ctx, textsTimeout.Duration())
 	defer cancel()
 	var wg sync.WaitGroup
@@ -133,7 +153,7 @@
 	for addr := range addrs {
 		wg.Go(func() {
 			var texts map[cf.ItemID]cfrollout.Text
-			if n.peers.Call(ctx, addr, opTexts, nil, &texts) != nil {
+			if n.peers.Call(ctx, addr, opTexts, textsCall{term}, &texts) != nil {
 				return // a cache that is not reached is a cache miss
 			}
 			mu.Lock()
--- a/cfrollout/planner.go
+++ b/cfrollout/planner.go
@@ -22,6 +22,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sort"
 	"sync"
 
@@ -76,6 +77,9 @@
 
 	// Text is what has been generated of an item.
 	Text struct {
+		// Origin names the run that made the first event; the texts of two
+		// runs that both began anew must not be joined.
+		Origin   uint64             `cbor:"origin"`
 		Last     cf.EventID         `cbor:"last"`
 		Data     []string           `cbor:"data"`
 		Versions []cf.WeightVersion `cbor:"versions"`
@@ -461,7 +465,7 @@
 func (t *Text) After(n cf.EventID) Text {
 	from := int(n) - int(t.Last) + len(t.Data) // Data may begin after event 0
 	return Text{
-		Last: t.Last, Data: append([]string(nil), t.Data[max(from, 0):]...),
+		Origin: t.Origin, Last: t.Last, Data: append([]string(nil), t.Data[max(from, 0):]...),
 		Versions: append([]cf.WeightVersion(nil), t.Versions...), Complete: t.Complete,
 	}
 }
@@ -469,10 +473,11 @@
 // FromStart says whether t holds every event up to its last.
 func (t Text) FromStart() bool { return len(t.Data) == int(t.Last) }
 
-// Join returns t with next after it, false when an event lies between them.
+// Join returns t with next after it, false when an event lies between them or
+// they belong to different runs.
 func (t Text) Join(next Text) (Text, bool) {
 	first := next.Last - cf.EventID(len(next.Data))
-	if first != t.Last {
+	if first != t.Last || next.Origin != t.Origin {
 		return Text{}, false
 	}
 	next.Data = append(t.Data, next.Data...)
@@ -485,6 +490,9 @@
 	if ev.ID != t.Last+1 {
 		return fmt.Errorf("%w: event %d after %d", cf.ErrBadAnswer, ev.ID, t.Last)
 	}
+	if t.Last == 0 {
+		t.Origin = rand.Uint64()
+	}
 	t.Last = ev.ID
 	t.Data = append(t.Data, ev.Data)
 	if n := len(t.Versions); n == 0 || t.Versions[n-1] != ev.Version {
--- a/systemtest/batch_test.go
+++ b/systemtest/batch_test.go
@@ -377,9 +377,11 @@
 	s.readAll(b)
 }
 
-// Symptom: a step waits for the whole of a store's outage and more.
-// Sequence: the store is down for 3 s in mid-step and then back; what the
-// engines finish meanwhile is listed afterwards.
+// Symptom: a step waits for the whole of a store's outage and then begins anew.
+// Sequence: the store is down for 4 s in mid-step, longer than the lease is
+// valid, and then back; what the engines finish meanwhile is listed afterwards.
+// Cause: a coordinator that could not renew its lease dropped its runs and what
+// they had finished, though nobody else could take the lease either.
 func TestStoreOutageInMidStep(t *testing.T) {
 	t.Parallel()
 	s := startSite(t, options{entries: 3, engines: 2, event: 30 * time.Millisecond})
@@ -387,9 +389,17 @@
 	s.accept(b)
 	eventually(t, "runs", func() bool { return len(s.runs()) > 0 })
 	s.store.SetFaults(standin.StoreFaults{Down: true})
-	time.Sleep(3 * time.Second)
+	time.Sleep(4 * time.Second)
+	if n := len(s.runs()); n != len(b.Items) {
+		t.Errorf("%d of %d items ran during the outage", n, len(b.Items))
+	}
 	s.store.SetFaults(standin.StoreFaults{})
 	s.readAll(b)
+	for id, runs := range s.runs() {
+		if len(runs) != 1 {
+			t.Errorf("item %s ran %d times", id, len(runs))
+		}
+	}
 }
 
 // Symptom: an instance that is to be emptied waits for ever.
