--- a/cfcoord/mirror.go
+++ b/cfcoord/mirror.go
@@ -100,6 +100,17 @@
 	return part
 }
 
+// Snapshot returns the texts as they are now. They share no memory with the
+// mirror: parts that arrive later would otherwise be written over the events
+// that whoever took the texts has appended.
+func (m *Mirror) Snapshot() map[cf.ItemID]cfrollout.Text {
+	out := make(map[cf.ItemID]cfrollout.Text, len(m.Texts))
+	for id, t := range m.Texts {
+		out[id] = t.Clone()
+	}
+	return out
+}
+
 // Take adds a part to a mirror. A part that does not follow what is held, or
 // belongs to another term, replaces it.
 func (m *Mirror) Take(part Mirror, whole bool) {
--- a/cfcoord/mirror_test.go
+++ b/cfcoord/mirror_test.go
@@ -86,3 +86,26 @@
 func (held) Valid() bool                   { return true }
 func (held) Held() bool                    { return true }
 func (held) MayOrder() (cf.Revision, bool) { return 1, true }
+
+// Symptom: a sample's text goes on with events of a run that was not asked to
+// take it up there.
+// Sequence: an entry that holds a neighbour's copies takes the duty over and
+// resumes a text; the coordinator before, which was frozen, wakes up and sends
+// one more part of its own run.
+// Cause: the resumed text and the mirror shared one array, so the late part was
+// written over the events of the new run.
+func TestLatePartDoesNotReachTheResumedText(t *testing.T) {
+	var m Mirror
+	m.Take(part(1, "a", text(0, 10)), true)
+	m.Take(part(1, "a", text(10, 14)), false)
+	p := cfrollout.New(cfrollout.DefaultLimits)
+	resumed := m.Snapshot()["a"]
+	p.Adopt(map[cf.ItemID]cfrollout.Text{"a": resumed})
+	if err := resumed.Append(cf.StreamEvent{ID: 15, Data: "new run", Version: 1}); err != nil {
+		t.Fatal(err)
+	}
+	m.Take(part(1, "a", text(14, 15)), false)
+	if got := resumed.Data[14]; got != "new run" {
+		t.Errorf("event 15 of the resumed text is %q", got)
+	}
+}
--- a/cfnode/texts.go
+++ b/cfnode/texts.go
@@ -113,7 +113,7 @@
 func (n *Node) heldTexts() map[cf.ItemID]cfrollout.Text {
 	out := map[cf.ItemID]cfrollout.Text{}
 	n.mirrors.mu.Lock()
-	merge(out, n.mirrors.held.Texts)
+	merge(out, n.mirrors.held.Snapshot())
 	n.mirrors.mu.Unlock()
 	if own := n.texts.Load(); own != nil {
 		merge(out, *own)
--- a/cfrollout/planner.go
+++ b/cfrollout/planner.go
@@ -23,6 +23,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync"
 
@@ -402,7 +403,7 @@
 		if !t.FromStart() {
 			continue
 		}
-		p.carry[id] = &Work{Item: cf.Item{ID: id}, Text: t}
+		p.carry[id] = &Work{Item: cf.Item{ID: id}, Text: t.Clone()}
 	}
 }
 
@@ -461,6 +462,13 @@
 	return out
 }
 
+// Clone returns a copy that shares no memory with t.
+func (t *Text) Clone() Text {
+	c := *t
+	c.Data, c.Versions = slices.Clone(t.Data), slices.Clone(t.Versions)
+	return c
+}
+
 // After returns what follows event n, as a copy.
 func (t *Text) After(n cf.EventID) Text {
 	from := int(n) - int(t.Last) + len(t.Data) // Data may begin after event 0
@@ -480,7 +488,7 @@
 	if first != t.Last || next.Origin != t.Origin {
 		return Text{}, false
 	}
-	next.Data = append(t.Data, next.Data...)
+	next.Data = slices.Concat(t.Data, next.Data)
 	return next, true
 }
 
--- a/systemtest/site_test.go
+++ b/systemtest/site_test.go
@@ -25,11 +25,12 @@
 )
 
 const (
-	host        = "site.example"
-	batchPrefix = "/rollouts/"
-	plainPrefix = "/logs/"
+	host        = standin.SiteHost
+	batchPrefix = standin.BatchPrefix
+	plainPrefix = standin.PlainPrefix
 	service     = "engines"
 	plain       = "logs"
+	slots       = 4
 	// patience bounds every wait of a test; nothing asserts on speed.
 	patience = 40 * time.Second
 )
@@ -176,7 +177,7 @@
 	for i := range o.plains {
 		s.plains = append(s.plains, s.target(fmt.Sprintf("i-plain-%d", i), plain, nil, o))
 	}
-	s.config = defaultConfig(o.models)
+	s.config = standin.SiteConfig(o.models, slots)
 	if o.config != nil {
 		o.config(s.config)
 	}
@@ -198,34 +199,11 @@
 	var e *standin.Engine
 	addr := listen(s.t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.ServeHTTP(w, r) }))
 	e = standin.NewEngine(standin.EngineSettings{
-		ID: id, Service: svc, Domain: "domain-a", Addr: addr, Slots: 4, Models: models, EventEvery: o.event, Load: o.load,
+		ID: id, Service: svc, Domain: "domain-a", Addr: addr, Slots: slots, Models: models, EventEvery: o.event, Load: o.load,
 	}, s.store)
 	return e
 }
 
-func defaultConfig(models []string) map[string]any {
-	var ms []map[string]any
-	for _, m := range models {
-		ms = append(ms, map[string]any{"name": m})
-	}
-	return map[string]any{
-		"version": 1,
-		"routes": []map[string]any{
-			{"name": "r-batch", "host": host, "path-prefix": batchPrefix, "kind": "rollout", "timeout-ms": 10000, "slo-ms": 400,
-				"priority": 1, "service": service, "max-attempts": 3, "max-wait-s": 40.0, "batch-slo-ms": 7500, "can-resume": true},
-			{"name": "r-logs", "host": host, "path-prefix": plainPrefix, "kind": "safe", "timeout-ms": 2000, "slo-ms": 150,
-				"priority": 2, "service": plain, "max-attempts": 2},
-			{"name": "r-bids", "host": host, "path-prefix": "/bids/", "kind": "unsafe", "timeout-ms": 2000, "slo-ms": 150,
-				"priority": 2, "service": plain, "max-attempts": 2},
-		},
-		"services": []map[string]any{
-			{"name": service, "health-path": "/health", "max-conns": 100, "engine": map[string]any{"slots": 4, "stride": 58, "models": ms}},
-			{"name": plain, "health-path": "/health", "max-conns": 100},
-		},
-		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-	}
-}
-
 func (s *site) newEntry(i int) *entry {
 	e := &entry{t: s.t, id: fmt.Sprintf("entry-%d", i), callers: freeAddr(s.t), ready: freeAddr(s.t)}
 	dir := s.t.TempDir()
