--- a/cfcoord/coordinator.go
+++ b/cfcoord/coordinator.go
@@ -72,6 +72,9 @@
 		Neighbour Neighbour
 		Metrics   *Metrics
 		Log       *zap.Logger
+		// KeepSlowRuns and NoTextCopies turn moves and copies off.
+		KeepSlowRuns bool
+		NoTextCopies bool
 	}
 
 	// Coordinator runs batches while its instance has the duty. It is safe
@@ -146,7 +149,9 @@
 // Start begins the duty: it loads the batches and runs what is open.
 func (c *Coordinator) Start() {
 	c.wg.Go(c.loop)
-	c.wg.Go(c.mirror)
+	if !c.NoTextCopies {
+		c.wg.Go(c.mirror)
+	}
 	c.wg.Go(c.sweep)
 	c.wg.Go(func() { c.batchWatcher().Run(c.ctx) })
 	c.wg.Go(func() { c.versionWatcher().Run(c.ctx) })
@@ -217,8 +222,10 @@
 			c.startSwap(s, term)
 		}
 	}
-	for _, w := range c.planner.Moves(now) {
-		c.move(w)
+	if !c.KeepSlowRuns {
+		for _, w := range c.planner.Moves(now) {
+			c.move(w)
+		}
 	}
 	for _, w := range c.planner.Expire(cf.Now()) {
 		c.finish(w, cf.ItemFailed, "waited too long", now)
--- a/cfnode/node.go
+++ b/cfnode/node.go
@@ -207,6 +207,7 @@
 	c := cfcoord.New(cfcoord.Options{
 		Self: n.settings.Entry, Store: n.adapter.Store, Targets: n.adapter.Targets, Site: n.site, Codec: n.adapter.Codec,
 		Duty: n.candidate, KeepResults: cf.Millis(n.settings.Bounds.KeepResultsS * 1000), Neighbour: neighbour{n}, Metrics: n.metrics, Log: n.log,
+		KeepSlowRuns: n.settings.Policy.KeepSlowRuns, NoTextCopies: n.settings.Policy.NoTextCopies,
 	})
 	c.Adopt(n.gatherTexts(before, members))
 	n.coord.Store(c)
--- a/cfnode/settings.go
+++ b/cfnode/settings.go
@@ -22,6 +22,15 @@
 		Store  StoreSettings    `json:"store"`
 		Bounds Bounds           `json:"bounds"`
 		Memory MemorySettings   `json:"memory"`
+		Policy PolicySettings   `json:"policy"`
+	}
+
+	// PolicySettings turn decisions off, to measure what they bring.
+	PolicySettings struct {
+		// KeepSlowRuns leaves runs on engines that have turned slow.
+		KeepSlowRuns bool `json:"keep_slow_runs"`
+		// NoTextCopies keeps no copies of texts at a neighbour.
+		NoTextCopies bool `json:"no_text_copies"`
 	}
 
 	// Listen holds the addresses to serve at, IP:PORT each. An empty one is
