Word of accepted and ended batches to the coordinator; a log line for each placement

Ruled out: acceptance (1 ms), the lease (valid). Change: the entry that takes a batch or its end tells the coordinator, which reads it if the watch has not brought it within 60 ms.

--- a/cfcoord/batches.go
+++ b/cfcoord/batches.go
@@ -102,10 +102,50 @@
 	st := &state{batch: b, changed: make(chan struct{})}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	// The watch and an instance's word may bring the same batch.
+	if known := c.batches[b.Sub.ID]; known != nil {
+		return known, nil
+	}
 	c.batches[b.Sub.ID] = st
 	return st, nil
 }
 
+// hintPause is how long an instance's word on a batch waits for the watch,
+// which usually brings the batch within milliseconds.
+const hintPause = 60 * time.Millisecond
+
+// Changed is an instance's word that a batch was accepted or ended. Without it
+// a watch whose connection has gone silent would hold a step up until it times
+// out: 2 s were seen after an outage of the store.
+func (c *Coordinator) Changed(id cf.BatchID, ended bool) {
+	if c.ctx.Err() != nil {
+		return
+	}
+	c.wg.Go(func() {
+		if !c.pause(hintPause) || c.knows(id, ended) {
+			return
+		}
+		r, err := c.Store.Get(c.ctx, cf.KindBatch, string(id))
+		if err == nil {
+			err = c.takeBatch(r)
+		}
+		c.Log.Info("batch_hint_taken", zap.String("batch_id", string(id)), zap.Bool("ended", ended), cflog.Error(err))
+	})
+}
+
+func (c *Coordinator) knows(id cf.BatchID, ended bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.loaded {
+		return true // the first list will bring it
+	}
+	st := c.batches[id]
+	if ended {
+		return st == nil || st.batch.Ended
+	}
+	return st != nil
+}
+
 func (c *Coordinator) isLoaded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/cfcoord/runs.go
+++ b/cfcoord/runs.go
@@ -37,6 +37,9 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	c.runs[w] = cancel
 	item, host, version := w.Item, w.Batch.Sub.Host, w.Version
+	c.Log.Info("item_placed", zap.String("request_id", string(item.ID)), zap.String("batch_id", string(w.Batch.Sub.ID)),
+		zap.String("target", string(e.ID)), zap.Int64("version", int64(version)), zap.Int64("resume_after", int64(w.Text.Last)),
+		zap.Int("failures", w.Failures), zap.Int("running_there", e.Running), zap.Float64("event_ms_there", e.Pace()))
 	c.wg.Go(func() {
 		defer cancel()
 		started := time.Now()
--- a/cfingress/batches.go
+++ b/cfingress/batches.go
@@ -47,6 +47,7 @@
 			in.Log.Info("batch_accepted", zap.String("batch_id", string(sub.ID)), zap.Int("items", len(sub.Items)),
 				zap.Int("tries", tries), zap.Bool("again", err != nil), zap.Int64("took_ms", int64(cf.Uptime()-started)))
 			in.countBatch("submit", "accepted", started)
+			in.Coordinator.Changed(sub.ID, false)
 			return nil
 		}
 		if errors.Is(err, cf.ErrInvalid) {
@@ -140,6 +141,7 @@
 		err := in.Store.SetStatus(ctx, cf.KindBatch, string(id), cf.BatchStatus{Ended: true})
 		if err == nil || errors.Is(err, cf.ErrNotFound) {
 			in.Log.Info("batch_end_taken", zap.String("batch_id", string(id)), cflog.Error(err))
+			in.Coordinator.Changed(id, true)
 			return err
 		}
 		if !wait(ctx, storeRetry) {
--- a/cfingress/ingress.go
+++ b/cfingress/ingress.go
@@ -36,6 +36,9 @@
 	Coordinator interface {
 		Results(ctx context.Context, id cf.BatchID, after int, wait cf.Millis) (cf.ResultPage, error)
 		ItemBody(ctx context.Context, id cf.BatchID, item cf.ItemID) ([]byte, error)
+		// Changed tells it that a batch was accepted or ended; it learns
+		// the same from the store, perhaps later.
+		Changed(id cf.BatchID, ended bool)
 	}
 
 	// Members shows the instances that take callers.
--- a/cfnode/feed.go
+++ b/cfnode/feed.go
@@ -22,6 +22,7 @@
 	opFeed    = "feed"
 	opResults = "results"
 	opItem    = "item"
+	opChanged = "changed"
 	opStore   = "store"
 	opTexts   = "texts"
 	opMirror  = "mirror"
--- a/cfnode/node.go
+++ b/cfnode/node.go
@@ -114,6 +114,7 @@
 	n.peerSrv.Handle(opFeed, n.serveFeed)
 	n.peerSrv.Handle(opResults, n.serveResults)
 	n.peerSrv.Handle(opItem, n.serveItem)
+	n.peerSrv.Handle(opChanged, n.serveChanged)
 	n.peerSrv.Handle(opTexts, n.serveTexts)
 	n.peerSrv.Handle(opMirror, n.serveMirror)
 	n.peerSrv.Handle(opStore, func(ctx context.Context, body cbor.RawMessage) (any, error) { return a.Relay.Relayed(ctx, body) })
--- a/cfnode/reads.go
+++ b/cfnode/reads.go
@@ -24,6 +24,11 @@
 		Item  cf.ItemID  `cbor:"item"`
 	}
 
+	changedCall struct {
+		Batch cf.BatchID `cbor:"batch"`
+		Ended bool       `cbor:"ended"`
+	}
+
 	// reader reads batches at the coordinator, wherever it is.
 	reader struct{ n *Node }
 )
@@ -48,6 +53,32 @@
 	return body, err
 }
 
+// Changed implements cfingress.Coordinator.
+func (r reader) Changed(id cf.BatchID, ended bool) {
+	if c := r.n.coord.Load(); c != nil {
+		c.Changed(id, ended)
+		return
+	}
+	r.n.wg.Go(func() {
+		var ok bool
+		// Nothing depends on its arrival: the store brings the same.
+		_ = r.n.ask(r.n.ctx, opChanged, readGrace, changedCall{id, ended}, &ok)
+	})
+}
+
+func (n *Node) serveChanged(_ context.Context, body cbor.RawMessage) (any, error) {
+	var call changedCall
+	if err := cbor.Unmarshal(body, &call); err != nil {
+		return nil, cf.ErrInvalid
+	}
+	c := n.coord.Load()
+	if c == nil {
+		return nil, cf.ErrNotLeader
+	}
+	c.Changed(call.Batch, call.Ended)
+	return true, nil
+}
+
 func (n *Node) serveResults(ctx context.Context, body cbor.RawMessage) (any, error) {
 	var call resultsCall
 	if err := cbor.Unmarshal(body, &call); err != nil {
--- a/cfrollout/pace.go
+++ b/cfrollout/pace.go
@@ -110,6 +110,10 @@
 	return pace * (1 + slotCost*float64(e.Running+1))
 }
 
+// Pace returns the milliseconds that an event takes with one run, zero where
+// it has not shown yet.
+func (e *Engine) Pace() float64 { return e.pace }
+
 // typical is the pace assumed of an engine that has not shown its own.
 func (p *Planner) typical() float64 {
 	sum, n := 0.0, 0
--- a/cftrial/plan.go
+++ b/cftrial/plan.go
@@ -47,7 +47,7 @@
 		Kind FaultKind    `json:"kind"`
 		At   standin.Span `json:"at_ms"`
 		For  standin.Span `json:"for_ms"`
-		// Count is how many engines it concerns, Times how much slower they
+		// Count is how many targets it concerns, Times how much slower they
 		// are, Every which of the store's writes lose their answer.
 		Count int     `json:"count"`
 		Times float64 `json:"times"`
@@ -70,6 +70,7 @@
 	EngineSlow  FaultKind = "engine_slow"
 	EngineBreak FaultKind = "engine_break"
 	EngineFull  FaultKind = "engine_full"
+	PlainFull   FaultKind = "plain_full"
 )
 
 // slowStore is the delay of a slow store's answers, 75 times the usual.
@@ -121,7 +122,7 @@
 	}
 	for i, f := range p.Faults {
 		switch f.Kind {
-		case StoreDown, StoreSlow, StoreLost, EngineSlow, EngineBreak, EngineFull:
+		case StoreDown, StoreSlow, StoreLost, EngineSlow, EngineBreak, EngineFull, PlainFull:
 		default:
 			bad(fmt.Sprintf("faults[%d].kind", i), fmt.Sprintf("unknown kind %q", f.Kind))
 		}
--- a/cftrial/run.go
+++ b/cftrial/run.go
@@ -189,12 +189,16 @@
 	case StoreLost:
 		site.Store.SetFaults(standin.StoreFaults{LoseAnswers: max(f.Every, 1)})
 	default:
-		engines := site.Engines[:min(max(f.Count, 1), len(site.Engines))]
-		for _, e := range engines {
+		targets := site.Engines
+		if f.Kind == PlainFull {
+			targets = site.Plains
+		}
+		targets = targets[:min(max(f.Count, 1), len(targets))]
+		for _, e := range targets {
 			e.SetFaults(engineFault(f))
 		}
 		return func() {
-			for _, e := range engines {
+			for _, e := range targets {
 				e.SetFaults(standin.EngineFaults{})
 			}
 		}
