Soak: two holders' orders are measured by their arrival

Two of 50 seeds (3, 36) failed the check: a late order's carrying out, up to 3 s after its arrival, was taken for its giving. Trace (seed 36): arrivals 3.68 s apart, 2.95 s between carryings out. The case is allowed: a holder's orders end with its lease, and its engine's order counter keeps a late one harmless; that numbers never fall is still checked in the order of carrying out.

--- a/systemtest/batch_test.go
+++ b/systemtest/batch_test.go
@@ -315,7 +315,8 @@
 }
 
 // checkOrders checks the orders at each engine: numbers never fall, one number
-// has one owner, and two owners' orders lie 3 s apart.
+// has one owner, and two owners' orders arrive 3 s apart. An order that its
+// engine carries out late was given when it arrived.
 func checkOrders(t *testing.T, s *site) {
 	t.Helper()
 	for _, e := range s.engines {
@@ -325,8 +326,8 @@
 			if b.Fence < a.Fence {
 				t.Errorf("%s: number %d after %d", e.ID, b.Fence, a.Fence)
 			}
-			if a.Owner != b.Owner && (a.Fence == b.Fence || b.At.Sub(a.At) < 3*time.Second) {
-				t.Errorf("%s: %+v and %+v are %s apart", e.ID, a, b, b.At.Sub(a.At))
+			if a.Owner != b.Owner && (a.Fence == b.Fence || b.Arrived.Sub(a.Arrived) < 3*time.Second) {
+				t.Errorf("%s: %+v and %+v are %s apart, their arrivals %s", e.ID, a, b, b.At.Sub(a.At), b.Arrived.Sub(a.Arrived))
 			}
 		}
 	}
--- a/systemtest/soak_test.go
+++ b/systemtest/soak_test.go
@@ -18,7 +18,7 @@
 )
 
 var (
-	soakSeeds   = flag.String("soak.seeds", "1", "seeds of the fault soak, such as 1,2,10-20")
+	soakSeeds   = flag.String("soak.seeds", "1,3,36", "seeds of the fault soak, such as 1,2,10-20")
 	soakSeconds = flag.Int("soak.seconds", 10, "length of each seed")
 )
 
@@ -36,7 +36,8 @@
 // position changed, bids at most once and never after a refusal, orders of two
 // holders 3 s apart with rising numbers. Seeds that ever failed:
 //
-//	none so far
+//	3, 36: an engine carried an order out 0.7 s late; the check took that time
+//	for the order's own (2.95 s to the next holder's; arrivals 3.68 s apart)
 func TestSoak(t *testing.T) {
 	for _, seed := range parseSeeds(t, *soakSeeds) {
 		t.Run(fmt.Sprint("seed_", seed), func(t *testing.T) {
