--- /dev/null
+++ b/cfcoord/operator.go
@@ -0,0 +1,56 @@
+package cfcoord
+
+import (
+	"encoding/json"
+	"errors"
+
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cfwatch"
+)
+
+func (c *Coordinator) versionWatcher() *cfwatch.Watcher {
+	take := func(r cf.Record) error {
+		changed, err := c.Site.ApplyVersion(r)
+		if changed {
+			c.Log.Info("version_named", zap.String("model", r.Name), zap.Int64("revision", int64(r.Rev)))
+			c.Kick()
+		}
+		return err
+	}
+	return &cfwatch.Watcher{
+		Store: c.Store, Kind: c.Codec.Kinds().Versions, Wait: versionWait, Log: c.Log, Change: take,
+		List: cfwatch.Each(take),
+	}
+}
+
+func (c *Coordinator) retirementWatcher() *cfwatch.Watcher {
+	take := func(r cf.Record) error {
+		if r.Deleted {
+			return nil
+		}
+		want, err := json.Marshal(c.Codec.RetirementDone())
+		if err != nil || string(r.Status) == string(want) {
+			return err
+		}
+		// Nothing that must last lies on an instance, so one that is to go
+		// is empty at once.
+		c.Log.Info("retirement_done", zap.String("instance", r.Name))
+		return c.retire(r.Name)
+	}
+	return &cfwatch.Watcher{
+		Store: c.Store, Kind: c.Codec.Kinds().Retirements, Wait: retirementWait, Log: c.Log, Change: take,
+		List: cfwatch.Each(take),
+	}
+}
+
+func (c *Coordinator) retire(name string) error {
+	for {
+		err := c.Store.SetStatus(c.ctx, c.Codec.Kinds().Retirements, name, c.Codec.RetirementDone())
+		if err == nil || errors.Is(err, cf.ErrNotFound) || c.ctx.Err() != nil {
+			return nil
+		}
+		c.pause(chunkRetry)
+	}
+}
--- a/cfcoord/runs.go
+++ b/cfcoord/runs.go
@@ -17,6 +17,10 @@
 	// at another. Events come every 40 to 200 ms; a load of weights under
 	// a run takes about a second.
 	stall = 2500 * time.Millisecond
+	// itemUrgency ranks items behind callers' own requests, which targets
+	// take as 5: someone waits for each of those, and for an item only with
+	// its whole step.
+	itemUrgency = 6
 	// runTimeout is the deadline of one run at an engine; the longest items
 	// take about 7 s on an engine at normal speed.
 	runTimeout cf.Millis = 30000
@@ -115,7 +119,7 @@
 	}
 	answer, err := c.Targets.Stream(ctx, t, cf.TargetCall{
 		ID: cf.RequestID(item.ID), Method: http.MethodPost, Host: host, Path: item.Path, Header: header, Body: item.Body,
-		Timeout: runTimeout, ResumeAfter: w.Text.Last, ExpectVersion: version,
+		Urgency: itemUrgency, Ranked: true, Timeout: runTimeout, ResumeAfter: w.Text.Last, ExpectVersion: version,
 	}, collector{w, watchdog})
 	if err != nil && outer.Err() != nil {
 		return cfrollout.OutcomeStopped, "ended or moved"
--- a/cfcoord/weights.go
+++ b/cfcoord/weights.go
@@ -152,16 +152,7 @@
 	c.seqs[id] = seq
 }
 
-func (c *Coordinator) pause(d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-c.ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
+func (c *Coordinator) pause(d time.Duration) bool { return cf.Sleep(c.ctx, d) }
 
 // checkVersions reads an engine's weights after it refused an item: an order
 // of a coordinator before may have changed them.
--- a/cfingress/batches.go
+++ b/cfingress/batches.go
@@ -58,7 +58,7 @@
 		if errors.Is(err, cf.ErrRefused) {
 			refused++
 		}
-		if refused == submitRefusals && !doubt || !wait(ctx, storeRetry) {
+		if refused == submitRefusals && !doubt || !cf.Sleep(ctx, storeRetry) {
 			break
 		}
 	}
@@ -144,7 +144,7 @@
 			in.Coordinator.Changed(id, true)
 			return err
 		}
-		if !wait(ctx, storeRetry) {
+		if !cf.Sleep(ctx, storeRetry) {
 			in.Log.Warn("batch_end_not_taken", zap.String("batch_id", string(id)), cflog.Error(err))
 			return unsure(err)
 		}
@@ -155,14 +155,3 @@
 	in.Metrics.Requests.WithLabelValues(call, outcome).Inc()
 	in.Metrics.Took.WithLabelValues(call).Observe(float64(cf.Uptime()-started) / 1000)
 }
-
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/cfnode/feed.go
+++ b/cfnode/feed.go
@@ -140,7 +140,7 @@
 		holder, _ := n.candidate.holder()
 		if holder.Entry == "" || holder.Entry == n.settings.Entry {
 			connected = ""
-			sleep(ctx, feedRetry)
+			cf.Sleep(ctx, feedRetry)
 			continue
 		}
 		err := n.feedOnce(ctx, holder.Addr)
@@ -156,7 +156,7 @@
 				n.log.Warn("coordinator_lost", zap.String("entry", string(holder.Entry)), cflog.Error(err))
 			}
 			connected = ""
-			sleep(ctx, feedRetry)
+			cf.Sleep(ctx, feedRetry)
 		}
 	}
 }
@@ -213,12 +213,3 @@
 	}
 	n.feed.heard.Store(int64(heard))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/cfnode/process.go
+++ b/cfnode/process.go
@@ -32,6 +32,9 @@
 	// gcPercent trades processor time for memory: a process holds a few
 	// megabytes and is billed for its peak.
 	gcPercent = 50
+	// memoryPart is the percentage of the process's limit from which on the
+	// collector works harder; beyond the limit the process is killed.
+	memoryPart = 80
 )
 
 // Handlers are what the adapter serves for a node.
@@ -53,6 +56,9 @@
 // StartProcess binds the settings' addresses and starts the node.
 func StartProcess(s Settings, node *Node, h Handlers, reg *prometheus.Registry, log *zap.Logger) (*Process, error) {
 	debug.SetGCPercent(gcPercent)
+	if s.Memory.LimitMB > 0 {
+		debug.SetMemoryLimit(s.Memory.LimitMB << 20 * memoryPart / 100)
+	}
 	p := &Process{settings: s, node: node, log: log}
 	idle := func() cf.Millis {
 		if c := node.site.Config(); c != nil {
--- /dev/null
+++ b/cfrollout/text.go
@@ -0,0 +1,66 @@
+package cfrollout
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	cf "currantford"
+)
+
+// fits says whether text may be part of a sample of a batch.
+func fits(t Text, least cf.WeightVersion, single bool) bool {
+	for _, v := range t.Versions {
+		if v < least {
+			return false
+		}
+	}
+	return !single || len(t.Versions) <= 1
+}
+
+// Clone returns a copy that shares no memory with t.
+func (t *Text) Clone() Text {
+	c := *t
+	c.Data, c.Versions = slices.Clone(t.Data), slices.Clone(t.Versions)
+	return c
+}
+
+// After returns what follows event n, as a copy.
+func (t *Text) After(n cf.EventID) Text {
+	from := int(n) - int(t.Last) + len(t.Data) // Data may begin after event 0
+	return Text{
+		Origin: t.Origin, Last: t.Last, Data: append([]string(nil), t.Data[max(from, 0):]...),
+		Versions: append([]cf.WeightVersion(nil), t.Versions...), Complete: t.Complete,
+	}
+}
+
+// FromStart says whether t holds every event up to its last.
+func (t Text) FromStart() bool { return len(t.Data) == int(t.Last) }
+
+// Join returns t with next after it, false when an event lies between them or
+// they belong to different runs.
+func (t Text) Join(next Text) (Text, bool) {
+	first := next.Last - cf.EventID(len(next.Data))
+	if first != t.Last || next.Origin != t.Origin {
+		return Text{}, false
+	}
+	next.Data = slices.Concat(t.Data, next.Data)
+	return next, true
+}
+
+// Append takes the next event of an item's stream. An event that does not
+// follow the last one is refused: two runs' texts would be mixed.
+func (t *Text) Append(ev cf.StreamEvent) error {
+	if ev.ID != t.Last+1 {
+		return fmt.Errorf("%w: event %d after %d", cf.ErrBadAnswer, ev.ID, t.Last)
+	}
+	if t.Last == 0 {
+		t.Origin = rand.Uint64()
+	}
+	t.Last = ev.ID
+	t.Data = append(t.Data, ev.Data)
+	if n := len(t.Versions); n == 0 || t.Versions[n-1] != ev.Version {
+		t.Versions = append(t.Versions, ev.Version)
+	}
+	return nil
+}
--- a/cfwatch/site.go
+++ b/cfwatch/site.go
@@ -41,13 +41,7 @@
 	}
 	config = &Watcher{
 		Store: store, Kind: kinds.Config, Wait: siteWait, Log: log, Change: takeConfig,
-		List: func(list cf.Records) error {
-			var errs []error
-			for _, r := range list.Items {
-				errs = append(errs, takeConfig(r))
-			}
-			return errors.Join(errs...)
-		},
+		List: Each(takeConfig),
 	}
 	targets = &Watcher{
 		Store: store, Kind: kinds.Targets, Wait: siteWait, Pause: targetPause, Log: log,
--- a/cfwatch/watch.go
+++ b/cfwatch/watch.go
@@ -76,7 +76,7 @@
 		err := w.step(ctx)
 		if err == nil {
 			retry = retryFirst
-			sleep(ctx, w.Pause.Duration())
+			cf.Sleep(ctx, w.Pause.Duration())
 			continue
 		}
 		if ctx.Err() != nil {
@@ -86,7 +86,7 @@
 			w.Log.Warn("store_lost", zap.String("kind", w.Kind), cflog.Error(err))
 		}
 		w.failing = true
-		sleep(ctx, retry/2+rand.N(retry))
+		cf.Sleep(ctx, retry/2+rand.N(retry))
 		retry = min(2*retry, retryMost)
 	}
 }
@@ -146,14 +146,13 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+// Each returns a List that takes every record of a kind on its own.
+func Each(take func(cf.Record) error) func(cf.Records) error {
+	return func(list cf.Records) error {
+		var errs []error
+		for _, r := range list.Items {
+			errs = append(errs, take(r))
+		}
+		return errors.Join(errs...)
 	}
 }
--- a/clock.go
+++ b/clock.go
@@ -1,6 +1,29 @@
 package currantford
 
-import "golang.org/x/sys/unix"
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Sleep waits for d, or until ctx ends; it returns false then.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
 
 // Uptime returns the span since the machine started. Unlike Go's monotonic
 // clock it goes on while the machine is suspended: a lease holder that slept
--- a/target.go
+++ b/target.go
@@ -51,6 +51,10 @@
 		ResumeAfter EventID
 		// ExpectVersion makes a target with other weights refuse.
 		ExpectVersion WeightVersion
+		// Urgency ranks the call at a target, 0 first, where Ranked is set;
+		// a target admits more urgent calls first.
+		Urgency int
+		Ranked  bool
 		// FreshConnection forbids a kept connection: on one that the target
 		// is closing it is unknown whether the request was read.
 		FreshConnection bool
