Open batches follow the configuration; texts of one version start anew; memory for bodies is bounded

Found by reading, none seen in a run: - a batch kept its route's service and existence from when it was opened; a version that drops or moves the route would have been ignored for its items (TestOpenBatchFollowsTheConfiguration, seen failing); - a broken-off text on a single-version route waited for ever once its share had loaded the next version (TestSingleVersionTextStartsAnew..., seen failing); - split routes sent every batch to their first service; now by the batch's id; - many large bodies at once could end the process (TestBodiesBeyondTheMemory...).

--- a/cfcoord/coordinator.go
+++ b/cfcoord/coordinator.go
@@ -20,6 +20,7 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"maps"
 	"sync"
 	"time"
@@ -95,7 +96,8 @@
 		finished map[cf.ItemID]cfrollout.Text
 		seqs     map[cf.InstanceID]int64
 		// seen is the count of the site's changes that the planner knows.
-		seen int64
+		seen       int64
+		configSeen cfsite.ConfigVersion
 		// endedOrder lists the ended batches in memory, oldest first.
 		endedOrder []cf.BatchID
 	}
@@ -247,13 +249,36 @@
 		c.refreshEngines(config)
 		c.seen = changes
 	}
+	reroute := config.Version != c.configSeen
+	c.configSeen = config.Version
 	for _, st := range c.batches {
-		if !st.added && !st.batch.Ended {
+		switch {
+		case st.batch.Ended:
+		case !st.added:
 			c.open(config, st)
+		case reroute:
+			terms, ok := termsOf(config, &st.batch.Sub)
+			c.planner.SetTerms(st.batch.Sub.ID, terms, ok)
 		}
 	}
 }
 
+// termsOf returns what a configuration says of a batch, false if it has no
+// route for it. Of a split route a batch goes to one service as a whole, by its
+// id, so that its groups share prompts and a successor decides the same.
+func termsOf(config *cfsite.Config, sub *cf.Submission) (cfrollout.Terms, bool) {
+	route, ok := config.Match(sub.Host, sub.Path)
+	if !ok {
+		return cfrollout.Terms{}, false
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(sub.ID)) // a hash takes everything
+	return cfrollout.Terms{
+		Service: route.Pick(float64(h.Sum32()) / (1 << 32)), MaxAttempts: route.MaxAttempts,
+		SingleVersion: route.SingleVersion, MaxWait: route.MaxWait,
+	}, true
+}
+
 func (c *Coordinator) refreshEngines(config *cfsite.Config) {
 	models := map[cf.ServiceName][]cf.ModelName{}
 	for _, s := range config.Services {
@@ -270,14 +295,11 @@
 // open hands a batch to the planner.
 func (c *Coordinator) open(config *cfsite.Config, st *state) {
 	sub := &st.batch.Sub
-	route, ok := config.Match(sub.Host, sub.Path)
+	terms, ok := termsOf(config, sub)
 	if !ok {
 		return // its route is not there, now or yet
 	}
 	st.added = true
-	terms := cfrollout.Terms{
-		Service: route.Pick(0), MaxAttempts: route.MaxAttempts, SingleVersion: route.SingleVersion, MaxWait: route.MaxWait,
-	}
 	ready := c.planner.AddBatch(st.batch, terms)
 	c.Log.Info("batch_opened", zap.String("batch_id", string(sub.ID)), zap.String("model", string(sub.Model)),
 		zap.Int64("step", sub.Step), zap.Int64("min_version", int64(sub.MinVersion)), zap.Int("items", len(sub.Items)),
--- a/cfingress/ingress.go
+++ b/cfingress/ingress.go
@@ -55,14 +55,17 @@
 		Members     Members
 		// ValueBytes is the store's limit for one object.
 		ValueBytes int64
-		Metrics    *Metrics
-		Log        *zap.Logger
+		// MemoryBytes is the process's memory limit, zero if there is none.
+		MemoryBytes int64
+		Metrics     *Metrics
+		Log         *zap.Logger
 	}
 
 	// Ingress implements currantford.Ingress.
 	Ingress struct {
 		Options
 		balancer *cfbalance.Balancer
+		bodies   bodies
 		stopping atomic.Bool
 	}
 
@@ -89,7 +92,9 @@
 }
 
 // New returns an ingress.
-func New(o Options) *Ingress { return &Ingress{Options: o, balancer: cfbalance.New()} }
+func New(o Options) *Ingress {
+	return &Ingress{Options: o, balancer: cfbalance.New(), bodies: bodies{most: o.MemoryBytes / bodyPart}}
+}
 
 // Stop makes the instance not ready: callers are sent elsewhere, and those
 // who still come are served.
--- a/cfrollout/place.go
+++ b/cfrollout/place.go
@@ -29,12 +29,16 @@
 	var out []*Work
 	typical := p.typical()
 	for _, o := range p.sorted() {
+		if o.paused {
+			continue
+		}
 		engines := p.share(o)
 		// Items that have not begun differ in nothing that matters here: if
 		// one finds no engine, the others find none.
 		full := false
 		rest := o.waiting[:0]
 		for _, w := range o.waiting {
+			w.restart(engines)
 			var e *Engine
 			if fresh := w.Text.Last == 0 && w.Avoid == ""; !fresh || !full {
 				e = p.choose(engines, w, typical, now)
@@ -53,6 +57,21 @@
 	return out
 }
 
+// restart drops a text that no engine can go on with: on a route for samples of
+// one version, the engines have all loaded another since. It would wait for
+// ever.
+func (w *Work) restart(engines []*Engine) {
+	if !w.Terms.SingleVersion || len(w.Text.Versions) == 0 {
+		return
+	}
+	for _, e := range engines {
+		if !e.Draining && e.versions[e.Share] == w.Text.Versions[0] {
+			return
+		}
+	}
+	w.Text = Text{}
+}
+
 func (p *Planner) start(o *open, w *Work, e *Engine, now cf.Millis) {
 	w.Engine, w.Version, w.Started = e.ID, e.versions[w.Batch.Sub.Model], now
 	w.Oldest = w.Version
--- a/cfrollout/planner.go
+++ b/cfrollout/planner.go
@@ -137,6 +137,7 @@
 	open struct {
 		batch   *cfbatch.Batch
 		terms   Terms
+		paused  bool
 		waiting []*Work
 		running map[cf.ItemID]*Work
 	}
@@ -199,6 +200,26 @@
 	return ready
 }
 
+// SetTerms takes what the configuration now in force says of an open batch. A
+// batch whose route is gone starts nothing more: its items may go nowhere.
+func (p *Planner) SetTerms(id cf.BatchID, terms Terms, routed bool) {
+	o := p.batches[id]
+	if o == nil {
+		return
+	}
+	o.paused = !routed
+	if !routed {
+		return
+	}
+	o.terms = terms
+	for _, w := range o.waiting {
+		w.Terms = terms
+	}
+	for _, w := range o.running {
+		w.Terms = terms // for its next run
+	}
+}
+
 // adopt lets a run go on for a batch that asks for its item again.
 func (p *Planner) adopt(o *open, it cf.Item) bool {
 	w := p.orphans[it.ID]
--- a/cfrollout/planner_test.go
+++ b/cfrollout/planner_test.go
@@ -348,3 +348,53 @@
 		})
 	}
 }
+
+// Symptom: an item of a route for samples of one version waits for ever.
+// Sequence: its run breaks off; before it is resumed, all engines of its share
+// load the next version.
+func TestSingleVersionTextStartsAnewWhenItsVersionIsGone(t *testing.T) {
+	p := cfrollout.New(cfrollout.DefaultLimits)
+	p.SetEngines(fleet(2, cf.ModelState{Name: "a", Version: 1}), models("a"))
+	single := terms
+	single.SingleVersion = true
+	p.AddBatch(step("s", "a", 1, 1, 1), single)
+	w := p.Place(0)[0]
+	generate(t, w, 0, 100, 20)
+	p.Finished(w, cfrollout.OutcomeBroken, 200)
+	p.SwapDone("e00", "a", 2)
+	p.SwapDone("e01", "a", 2)
+	again := p.Place(5000)
+	if len(again) != 1 || again[0].Text.Last != 0 || again[0].Version != 2 {
+		t.Errorf("started again: %+v", again)
+	}
+}
+
+// Symptom: items run by a route that the operator has dropped, or at the
+// service that it went to before.
+// Sequence: a batch is open when the configuration changes.
+func TestOpenBatchFollowsTheConfiguration(t *testing.T) {
+	p := cfrollout.New(cfrollout.DefaultLimits)
+	held := cf.ModelState{Name: "a", Version: 1}
+	targets := fleet(1, held)
+	other := fleet(2, held)[1]
+	other.Service = "others"
+	p.SetEngines(append(targets, other), map[cf.ServiceName][]cf.ModelName{service: {"a"}, "others": {"a"}})
+	p.AddBatch(step("s", "a", 1, 3, 4), terms)
+	first := p.Place(0)
+	if len(first) != 4 {
+		t.Fatalf("%d items started", len(first))
+	}
+	p.SetTerms("s", cfrollout.Terms{}, false)
+	p.Finished(first[0], cfrollout.OutcomeDone, 10)
+	if n := len(p.Place(20)); n != 0 {
+		t.Errorf("%d items started without a route", n)
+	}
+	moved := terms
+	moved.Service = "others"
+	p.SetTerms("s", moved, true)
+	for _, w := range p.Place(30) {
+		if w.Engine != other.ID {
+			t.Errorf("item started at %s, of the service before", w.Engine)
+		}
+	}
+}
--- a/cfrollout/swap.go
+++ b/cfrollout/swap.go
@@ -36,7 +36,7 @@
 			continue // no engine serves it
 		}
 		d.single = d.single || o.terms.SingleVersion
-		if len(o.waiting) > 0 {
+		if len(o.waiting) > 0 && !o.paused {
 			d.least = append(d.least, o.batch.Sub.MinVersion)
 		}
 	}
--- a/ingress.go
+++ b/ingress.go
@@ -29,6 +29,9 @@
 		Resolve(domain FailureDomain) (addrs []string, ttl Millis)
 		// Limits returns false before any configuration is known.
 		Limits() (CallerLimits, bool)
+		// ReserveBody takes room in memory for a body of n bytes, -1 if its
+		// length is not said, until release is called.
+		ReserveBody(n int64) (release func(), err error)
 		// TakesBatches says whether a request is the submission of a batch.
 		TakesBatches(host, path string) bool
 		// Forward answers a request by sending it to a target.
