--- a/cfnode/candidate.go
+++ b/cfnode/candidate.go
@@ -29,6 +29,9 @@
 	// lapseMost is how long a holder that can't renew goes on. All steps
 	// that it knows are over by then.
 	lapseMost cf.Millis = 15000
+	// doubtEvery is the same while the holder denies that it is: after a
+	// planned stop the lease is free, and every moment of it is idle time.
+	doubtEvery cf.Millis = 250
 	// takeSpread draws the moment of a takeover at random, so that usually
 	// one instance writes and the others see its lease.
 	takeSpread = 250 * time.Millisecond
@@ -53,6 +56,9 @@
 	held    bool
 	lapsed  bool      // held, and not renewed in time
 	renewAt cf.Millis // the next try to renew after one that failed
+	// doubted is set when the instance believed to be the holder says that
+	// it is not.
+	doubted atomic.Bool
 	// deposed is set when a successor has called.
 	deposed atomic.Bool
 	closed  bool
@@ -96,6 +102,9 @@
 	return c.lease.Holder(), c.lease.Rev()
 }
 
+// doubt notes that the instance believed to be the holder denies it.
+func (c *candidate) doubt() { c.doubted.Store(true) }
+
 // holderDead notes that the holder's process has ended.
 func (c *candidate) holderDead(h cflease.Holder) {
 	c.mu.Lock()
@@ -133,11 +142,13 @@
 		c.hold(ctx, now, valid, renew)
 		return
 	}
-	if rev > 0 && !abandoned && now-c.word() < probeEvery {
+	doubted := c.doubted.Load()
+	if rev > 0 && !abandoned && !doubted && now-c.word() < probeEvery {
 		return
 	}
-	if now-c.probed >= probeEvery {
+	if since := now - c.probed; since >= probeEvery || doubted && since >= doubtEvery {
 		c.probed = now
+		c.doubted.Store(false)
 		c.probe(ctx)
 		return
 	}
--- a/cfnode/feed.go
+++ b/cfnode/feed.go
@@ -149,8 +149,11 @@
 			n.log.Info("coordinator_found", zap.String("entry", string(holder.Entry)), zap.Int64("term", int64(holder.Term)))
 			connected = holder.Addr
 		case err != nil:
-			if errors.Is(err, cfpeer.ErrNoProcess) {
+			switch {
+			case errors.Is(err, cfpeer.ErrNoProcess):
 				n.candidate.holderDead(holder)
+			case errors.Is(err, cf.ErrNotLeader):
+				n.candidate.doubt()
 			}
 			if connected != "" && ctx.Err() == nil {
 				n.log.Warn("coordinator_lost", zap.String("entry", string(holder.Entry)), cflog.Error(err))
