--- a/cfnode/node.go
+++ b/cfnode/node.go
@@ -109,7 +109,7 @@
 	n.ingress = cfingress.New(cfingress.Options{
 		Store: a.Store, Targets: a.Targets, Site: n.site, Coordinator: reader{n}, Members: n,
 		ValueBytes: s.Store.ValueBytes, MemoryBytes: s.Memory.LimitMB << 20,
-		Metrics:    cfingress.NewMetrics(reg), Log: log,
+		Metrics: cfingress.NewMetrics(reg), Log: log,
 	})
 	n.peerSrv.Handle(opFeed, n.serveFeed)
 	n.peerSrv.Handle(opResults, n.serveResults)
