Ended batches of another coordinator are read from the store

Found by reading, not seen in a run: a chunk of the coordinator before can take effect after its successor has read the batch, and be seen by a read of the store only. Test: TestEndedBatchOfAnotherIsReadFromTheStore, seen failing.

--- a/cfcoord/batches.go
+++ b/cfcoord/batches.go
@@ -96,7 +96,7 @@
 			return nil, err
 		}
 	}
-	st := &state{batch: b, changed: make(chan struct{})}
+	st := &state{batch: b, changed: make(chan struct{}), inherited: results}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// The watch and an instance's word may bring the same batch.
@@ -170,7 +170,9 @@
 	c.trim()
 }
 
-// trim drops the oldest ended batches beyond what is kept in memory.
+// trim drops the oldest ended batches beyond what is kept in memory, and those
+// of which a chunk of the coordinator before may still arrive in the store: it
+// would be seen by a read of the store and be missing here.
 func (c *Coordinator) trim() {
 	size := 0
 	for _, id := range slices.Backward(c.endedOrder) {
@@ -178,7 +180,9 @@
 		if st == nil {
 			continue
 		}
-		if size += st.batch.Size(); size > keepEnded && st.pending.Len() == 0 {
+		size += st.batch.Size()
+		late := st.inherited && !st.batch.Complete()
+		if (late || size > keepEnded) && st.pending.Len() == 0 {
 			delete(c.batches, id)
 		}
 	}
--- a/cfcoord/chunks.go
+++ b/cfcoord/chunks.go
@@ -45,6 +45,9 @@
 	st.pending.Wrote(st.batch, cf.Uptime())
 	close(st.changed)
 	st.changed = make(chan struct{})
+	if st.batch.Ended {
+		c.trim()
+	}
 	c.Kick()
 }
 
--- a/cfcoord/coordinator.go
+++ b/cfcoord/coordinator.go
@@ -108,6 +108,8 @@
 		pending cfbatch.Pending
 		changed chan struct{} // closed when a result was listed
 		added   bool          // the planner has it
+		// inherited: a coordinator before may have a chunk of it under way.
+		inherited bool
 	}
 
 	// Metrics are the coordinator's counters; they outlive one duty.
--- /dev/null
+++ b/cfcoord/reads_test.go
@@ -0,0 +1,51 @@
+package cfcoord
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cfbatch"
+	"currantford/cfstandin"
+)
+
+// Symptom: a result that had been read is not there any more.
+// Sequence: a coordinator is deposed with a chunk of a batch under way; its
+// successor takes the batch over, and the trainer ends it unfinished; the chunk
+// takes effect; a read of the store shows it, and a read of the successor's
+// memory afterwards does not.
+func TestEndedBatchOfAnotherIsReadFromTheStore(t *testing.T) {
+	ctx := context.Background()
+	store := cfstandin.NewMemStore()
+	c := New(Options{Store: store, Duty: held{}, Log: zap.NewNop()})
+	load := func(id cf.BatchID) *state {
+		sub := cf.Submission{ID: id, Items: []cf.Item{{ID: "1"}, {ID: "2"}}}
+		if err := cfbatch.Create(ctx, store, sub, 1<<20); err != nil {
+			t.Fatal(err)
+		}
+		object, err := store.Get(ctx, cf.KindBatch, string(id))
+		if err != nil {
+			t.Fatal(err)
+		}
+		st, err := c.loadBatch(object)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return st
+	}
+	inherited := load("of another")
+	c.loaded = true
+	own := load("its own")
+	for _, st := range []*state{inherited, own} {
+		c.endBatch(st)
+	}
+	if _, err := c.Results(ctx, "of another", 0, 0); !errors.Is(err, cf.ErrNotLeader) {
+		t.Errorf("an inherited batch is read from memory: %v", err)
+	}
+	if _, err := c.Results(ctx, "its own", 0, 0); err != nil {
+		t.Errorf("a batch of its own is not read from memory: %v", err)
+	}
+}
--- a/cfnode/candidate.go
+++ b/cfnode/candidate.go
@@ -162,7 +162,7 @@
 		return
 	}
 	if may && rev > 0 {
-		time.Sleep(rand.N(takeSpread))
+		cf.Sleep(ctx, rand.N(takeSpread))
 		c.probe(ctx)
 		c.mu.Lock()
 		may = c.lease.MayTake(cf.Uptime())
