A planned stop ends the candidacy before it gives the lease up; race detector for the programs

Cause: the lease was given up while the loop that renews it still ran. Change: the loop ends first; a renewal that was under way and took effect is given up too.

--- a/cfnode/candidate.go
+++ b/cfnode/candidate.go
@@ -64,7 +64,6 @@
 	answered atomic.Int64
 	// deposed is set when a successor has called.
 	deposed atomic.Bool
-	closed  bool
 }
 
 // Valid implements cfcoord.Duty.
@@ -235,10 +234,6 @@
 func (c *candidate) write(ctx context.Context) {
 	sent := cf.Uptime()
 	c.mu.Lock()
-	if c.closed {
-		c.mu.Unlock()
-		return
-	}
 	before := c.lease.Holder()
 	next, rev := c.lease.Next(c.addr, sent), c.lease.Rev()
 	c.mu.Unlock()
@@ -282,19 +277,24 @@
 	c.lost()
 }
 
-// release gives the lease up at a planned stop, so that another instance
-// takes over at once.
+// release gives the lease up at a planned stop, so that another instance takes
+// over at once. It is called after run has ended.
 func (c *candidate) release(ctx context.Context) {
-	c.mu.Lock()
-	c.closed = true
-	next, rev, held := c.lease.Holder(), c.lease.Rev(), c.held
-	c.mu.Unlock()
-	if !held {
+	if !c.held {
 		return
 	}
+	next, rev := c.holder()
 	c.stepDown("planned stop")
 	next.Released = true
-	if _, err := c.store.Replace(ctx, cf.KindLease, leaseName, rev, next); err != nil {
+	r, err := c.store.Replace(ctx, cf.KindLease, leaseName, rev, next)
+	if errors.Is(err, cf.ErrConflict) {
+		// A renewal that was under way when run ended has taken effect.
+		c.take(r)
+		if h, rev := c.holder(); h.Entry == c.self {
+			_, err = c.store.Replace(ctx, cf.KindLease, leaseName, rev, next)
+		}
+	}
+	if err != nil {
 		c.log.Warn("lease_not_released", cflog.Error(err))
 	}
 }
--- a/cfnode/node.go
+++ b/cfnode/node.go
@@ -83,6 +83,10 @@
 		ctx    context.Context
 		cancel context.CancelFunc
 		wg     sync.WaitGroup
+		// candidacy ends before the rest at a planned stop.
+		candidacy     context.Context
+		endCandidacy  context.CancelFunc
+		candidateDone chan struct{}
 	}
 
 	// watching is a running pair of watchers.
@@ -99,7 +103,9 @@
 	n := &Node{
 		settings: s, adapter: a, log: log, site: cfsite.New(a.Codec), metrics: cfcoord.NewMetrics(reg),
 		peers: cfpeer.NewClient(), peerSrv: cfpeer.NewServer(), ctx: ctx, cancel: cancel,
+		candidateDone: make(chan struct{}),
 	}
+	n.candidacy, n.endCandidacy = context.WithCancel(ctx)
 	bounds := cflease.DefaultBounds
 	bounds.Handover = s.Bounds.LeaseMs + handoverSlack
 	n.candidate = &candidate{
@@ -134,7 +140,10 @@
 
 // Start begins to work.
 func (n *Node) Start() {
-	n.wg.Go(func() { n.candidate.run(n.ctx) })
+	n.wg.Go(func() {
+		defer close(n.candidateDone)
+		n.candidate.run(n.candidacy)
+	})
 	n.wg.Go(func() { n.runFeed(n.ctx) })
 	n.wg.Go(n.runWatch)
 }
@@ -147,8 +156,13 @@
 	n.hear(feedCall{Entry: n.self(), Leaving: true})
 }
 
-// HandOver gives up the coordinator's duty, if the instance has it.
-func (n *Node) HandOver(ctx context.Context) { n.candidate.release(ctx) }
+// HandOver gives up the coordinator's duty, if the instance has it, and does not
+// take it any more.
+func (n *Node) HandOver(ctx context.Context) {
+	n.endCandidacy()
+	<-n.candidateDone // its calls to the store end with their context
+	n.candidate.release(ctx)
+}
 
 // Close stops and waits for all that was started.
 func (n *Node) Close() error {
--- a/systemtest/site_test.go
+++ b/systemtest/site_test.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -35,15 +36,23 @@
 	patience = 40 * time.Second
 )
 
-var binary string
+var (
+	binary string
+	race   = flag.Bool("programs.race", false, "build the programs with the race detector; a race that it finds fails the test")
+)
 
 func TestMain(m *testing.M) {
+	flag.Parse()
 	dir, err := os.MkdirTemp("", "currantford-systemtest")
 	if err != nil {
 		panic(err)
 	}
 	binary = filepath.Join(dir, "currantford-node")
-	build := exec.Command("go", "build", "-o", binary, "currantford/cmd/currantford-node")
+	args := []string{"build", "-o", binary}
+	if *race {
+		args = append(args, "-race")
+	}
+	build := exec.Command("go", append(args, "currantford/cmd/currantford-node")...)
 	if out, err := build.CombinedOutput(); err != nil {
 		panic(fmt.Sprintf("build: %v\n%s", err, out))
 	}
@@ -247,8 +256,11 @@
 	e.t.Cleanup(func() {
 		_ = cmd.Process.Kill()
 		<-done
+		raw, _ := os.ReadFile(e.logPath)
+		if i := bytes.Index(raw, []byte("WARNING: DATA RACE")); i >= 0 {
+			e.t.Errorf("race in %s:\n%s", e.id, raw[i:min(i+4000, len(raw))])
+		}
 		if e.t.Failed() {
-			raw, _ := os.ReadFile(e.logPath)
 			e.t.Logf("log of %s:\n%s", e.id, tail(raw, 4000))
 		}
 	})
