A relayed write without an answer is no refusal

Change: only a relay that surely wrote nothing leaves the refusal standing; the link between instances tells calls that never left from calls without an answer. An end of a batch that is in doubt is answered 504 instead of 503.

--- a/batch.go
+++ b/batch.go
@@ -68,8 +68,8 @@
 		ID       RequestID
 		Method   string
 		Host     string
-		Path     string // path and query
-		Route    string // path alone
+		Path     string // path and query, as the caller sent them
+		Route    string // path alone, decoded, by which the route is found
 		Header   http.Header
 		Body     []byte
 		Deadline Millis // what the caller still waits, zero when unsaid
--- a/cfingress/batches.go
+++ b/cfingress/batches.go
@@ -146,6 +146,9 @@
 		}
 		if !cf.Sleep(ctx, storeRetry) {
 			in.Log.Warn("batch_end_not_taken", zap.String("batch_id", string(id)), cflog.Error(err))
+			if errors.Is(err, cf.ErrUnavailable) {
+				return err // it may have been taken
+			}
 			return unsure(err)
 		}
 	}
--- a/cfnode/reads.go
+++ b/cfnode/reads.go
@@ -118,7 +118,7 @@
 // store as long as it has its lease.
 func (n *Node) relay(ctx context.Context, body, answer any) error {
 	if n.coord.Load() != nil {
-		return cf.ErrUnavailable
+		return cf.ErrRefused // this instance is the one that others would ask
 	}
 	return n.ask(ctx, opStore, relayTimeout, body, answer)
 }
--- a/cfpeer/peer.go
+++ b/cfpeer/peer.go
@@ -97,8 +97,21 @@
 	"not_leader":  cf.ErrNotLeader,
 	"fenced":      cf.ErrFenced,
 	"invalid":     cf.ErrInvalid,
+	"refused":     cf.ErrRefused,
 }
 
+// notSent is an error of a call that never left: it is unavailable, and was
+// certainly not carried out.
+type notSent struct{ cause error }
+
+func (e *notSent) Error() string { return "not sent: " + e.cause.Error() }
+
+// Is makes it an ErrUnavailable and an ErrNotRun.
+func (e *notSent) Is(target error) bool { return target == cf.ErrUnavailable || target == cf.ErrNotRun }
+
+// Unwrap keeps the cause, such as ErrNoProcess.
+func (e *notSent) Unwrap() error { return e.cause }
+
 // NewServer returns a server with no handlers.
 func NewServer() *Server {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -192,11 +205,11 @@
 // the call is then unknown.
 func (c *Client) Call(ctx context.Context, addr, op string, body, out any) error {
 	if ctx.Err() != nil {
-		return eris.Wrapf(cf.ErrUnavailable, "peer %s: %v", addr, ctx.Err())
+		return &notSent{eris.Wrapf(ctx.Err(), "peer %s", addr)}
 	}
 	cn, err := c.conn(ctx, addr)
 	if err != nil {
-		return err
+		return &notSent{err}
 	}
 	payload, err := cbor.Marshal(body)
 	if err != nil {
--- a/currantford.go
+++ b/currantford.go
@@ -9,6 +9,10 @@
 // configuration versions) lives in the platform's object API, reached through
 // the ObjectStore interface; nothing of ours is a consensus group.
 //
+// The deployed system (docs/SYSTEM.md) is built on the interfaces Store, Targets
+// and Ingress, which the adapter in platform/ implements or translates; batches
+// of rollout items (Submission, Result) take the place of pools and claims.
+//
 // Usage:
 //
 //	var r currantford.Router = cfroute.New(settings.Routing)
