A stop answers every request that it has read

Cause: 2.5 s after SIGTERM kept connections were wound down by the library, which closes those that it takes for idle; it takes a connection for active only once it has read a request's whole head, and closed one under a request in between. Ruled out: the grace (5 s left), the target (its run was cut by us). Change: connections of our own, which are closed only while nothing of a request has been read, and drop what arrives afterwards; winding down is a header on the answers.

--- a/cfnode/server.go
+++ b/cfnode/server.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -25,18 +27,85 @@
 	reapSlack cf.Millis = 2000
 	// defaultIdle holds until a configuration is known.
 	defaultIdle cf.Millis = 60000
+	// stopTick is how often a stop looks whether the connections have ended.
+	stopTick = 10 * time.Millisecond
 )
 
-// Server is an HTTP server whose idle limit may change while it runs. Close
-// waits until it has stopped.
-type Server struct {
-	http *http.Server
-	idle func() cf.Millis
+type (
+	// Server is an HTTP server whose idle limit may change while it runs, and
+	// which answers every request that it has read, also while it stops.
+	Server struct {
+		http    *http.Server
+		ln      net.Listener
+		idle    func() cf.Millis
+		closing atomic.Bool // answers end their connections
 
-	mu    sync.Mutex
-	since map[net.Conn]cf.Millis // idle connections
-	stop  chan struct{}
-	wg    sync.WaitGroup
+		mu    sync.Mutex
+		conns map[*conn]cf.Millis // since when idle, zero while busy
+		stop  chan struct{}
+		wg    sync.WaitGroup
+	}
+
+	// conn is a caller's connection that can be closed only while no request
+	// of it has been read. The library takes a connection for idle until it
+	// has read a request's whole head, and would close it under a request
+	// that is then passed on and never answered.
+	conn struct {
+		net.Conn
+		mu      sync.Mutex
+		busy    bool // bytes of a request have been read
+		closing bool // nothing more is read
+	}
+
+	// listener hands out connections as conn.
+	listener struct{ net.Listener }
+)
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c}, nil
+}
+
+// Read implements net.Conn. Bytes that arrive after the connection was closed
+// as idle are dropped: a request that crosses the close is not passed on.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 {
+		if c.closing && !c.busy {
+			return 0, io.EOF
+		}
+		c.busy = true
+	}
+	return n, err
+}
+
+// closeIdle closes the connection if no request of it has been read; else it
+// ends after its answer.
+func (c *conn) closeIdle() {
+	c.mu.Lock()
+	c.closing = true
+	busy := c.busy
+	c.mu.Unlock()
+	if !busy {
+		_ = c.Conn.Close()
+	}
+}
+
+// rest notes that a request was answered and the next one may come.
+func (c *conn) rest() {
+	c.mu.Lock()
+	c.busy = false
+	closing := c.closing
+	c.mu.Unlock()
+	if closing {
+		_ = c.Conn.Close()
+	}
 }
 
 // Serve listens on addr. idle tells the longest that a connection may be
@@ -46,21 +115,41 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s", addr)
 	}
-	s := &Server{idle: idle, since: map[net.Conn]cf.Millis{}, stop: make(chan struct{})}
-	s.http = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ConnState: s.track}
-	s.wg.Go(func() { _ = s.http.Serve(ln) }) // ends with ErrServerClosed
+	s := &Server{ln: ln, idle: idle, conns: map[*conn]cf.Millis{}, stop: make(chan struct{})}
+	s.http = &http.Server{Handler: s.ending(h), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ConnState: s.track}
+	s.wg.Go(func() { _ = s.http.Serve(listener{ln}) }) // ends with the listener
 	s.wg.Go(s.reap)
 	return s, nil
 }
 
-func (s *Server) track(c net.Conn, st http.ConnState) {
+// ending lets answers end their connections once the server winds down.
+func (s *Server) ending(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.closing.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) track(nc net.Conn, st http.ConnState) {
+	c, ok := nc.(*conn)
+	if !ok {
+		return
+	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	switch st {
+	case http.StateNew, http.StateIdle:
+		s.conns[c] = cf.Uptime()
+	case http.StateActive:
+		s.conns[c] = 0
+	default: // closed, or taken over by another protocol
+		delete(s.conns, c)
+	}
+	s.mu.Unlock()
 	if st == http.StateIdle {
-		s.since[c] = cf.Uptime()
-		return
+		c.rest()
 	}
-	delete(s.since, c)
 }
 
 // reap closes connections that were idle for longer than the limit.
@@ -78,24 +167,52 @@
 			limit = defaultIdle
 		}
 		now := cf.Uptime()
-		s.mu.Lock()
-		for c, at := range s.since {
-			if now-at > limit+reapSlack {
-				_ = c.Close()
-				delete(s.since, c)
-			}
+		s.closeWhere(func(since cf.Millis) bool { return since > 0 && now-since > limit+reapSlack })
+	}
+}
+
+// closeWhere closes the connections that choose picks, if they are idle.
+func (s *Server) closeWhere(choose func(since cf.Millis) bool) {
+	s.mu.Lock()
+	var chosen []*conn
+	for c, since := range s.conns {
+		if choose(since) {
+			chosen = append(chosen, c)
 		}
-		s.mu.Unlock()
+	}
+	s.mu.Unlock()
+	for _, c := range chosen {
+		c.closeIdle()
 	}
 }
 
-// Wind down: answers from now on close their connections.
-func (s *Server) windDown() { s.http.SetKeepAlivesEnabled(false) }
+// windDown makes answers from now on end their connections.
+func (s *Server) windDown() { s.closing.Store(true) }
 
-// Shutdown stops listening and waits for the requests in progress.
+// Shutdown stops listening, closes what is idle, and waits for the requests
+// that have been read to be answered, until ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
-	err := s.http.Shutdown(ctx)
+	s.windDown()
+	_ = s.ln.Close()
+	var err error
+	for err == nil {
+		// Also those that were accepted at the last moment.
+		s.closeWhere(func(cf.Millis) bool { return true })
+		if s.open() == 0 {
+			break
+		}
+		if !cf.Sleep(ctx, stopTick) {
+			err = eris.Wrapf(ctx.Err(), "%d connections are still in use", s.open())
+		}
+	}
+	_ = s.http.Close()
 	close(s.stop)
 	s.wg.Wait()
 	return err
 }
+
+func (s *Server) open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
--- /dev/null
+++ b/cfnode/server_test.go
@@ -0,0 +1,89 @@
+package cfnode
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	cf "currantford"
+)
+
+// Symptom: around a planned stop a request is passed on to a target, and its
+// connection ends without an answer.
+// Sequence: a caller sends its next request on a kept connection just as the
+// server closes the connections that it takes for idle.
+// Cause: the library marks a connection as active only after it has read the
+// request's head, and closes it as idle until then.
+func TestStopAnswersEveryRequestItHasRead(t *testing.T) {
+	lost := 0
+	for range 40 {
+		lost += stopUnderLoad(t)
+	}
+	if lost > 0 {
+		t.Errorf("%d requests reached the handler and got no answer", lost)
+	}
+}
+
+// stopUnderLoad stops a server while callers send one request after the other
+// on kept connections. It returns how many were handled and not answered.
+func stopUnderLoad(t *testing.T) int {
+	t.Helper()
+	var handled, answered atomic.Int64
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	_ = l.Close()
+	srv, err := Serve(addr, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		handled.Add(1)
+		_, _ = fmt.Fprint(w, "ok")
+	}), func() cf.Millis { return 0 })
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	for range 16 {
+		wg.Go(func() { answered.Add(keepAsking(addr)) })
+	}
+	time.Sleep(20 * time.Millisecond)
+	srv.windDown()
+	time.Sleep(5 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if err := srv.Shutdown(ctx); err != nil {
+		t.Error(err)
+	}
+	wg.Wait()
+	return int(handled.Load() - answered.Load())
+}
+
+// keepAsking sends requests on one connection until it ends; it returns how
+// many were answered.
+func keepAsking(addr string) int64 {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		return 0
+	}
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for n := int64(0); ; n++ {
+		if _, err := conn.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n")); err != nil {
+			return n
+		}
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			return n
+		}
+		_ = resp.Body.Close()
+		if resp.Close {
+			return n + 1
+		}
+	}
+}
