--- a/cfnode/server.go
+++ b/cfnode/server.go
@@ -93,7 +93,7 @@
 	busy := c.busy
 	c.mu.Unlock()
 	if !busy {
-		_ = c.Conn.Close()
+		_ = c.Close()
 	}
 }
 
@@ -104,7 +104,7 @@
 	closing := c.closing
 	c.mu.Unlock()
 	if closing {
-		_ = c.Conn.Close()
+		_ = c.Close()
 	}
 }
 
--- a/cfnode/server_test.go
+++ b/cfnode/server_test.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return 0
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	r := bufio.NewReader(conn)
 	for n := int64(0); ; n++ {
 		if _, err := conn.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n")); err != nil {
