--- a/cfcoord/chunks.go
+++ b/cfcoord/chunks.go
@@ -43,8 +43,7 @@
 		}
 	}
 	st.pending.Wrote(st.batch, cf.Uptime())
-	close(st.changed)
-	st.changed = make(chan struct{})
+	st.wake()
 	if st.batch.Ended {
 		c.trim()
 	}
--- a/cfcoord/coordinator.go
+++ b/cfcoord/coordinator.go
@@ -184,6 +184,12 @@
 // Adopt takes the texts of the coordinator before. It is called before Start.
 func (c *Coordinator) Adopt(texts map[cf.ItemID]cfrollout.Text) { c.planner.Adopt(texts) }
 
+// wake lets readers see a change of the listed results. c.mu is held.
+func (st *state) wake() {
+	close(st.changed)
+	st.changed = make(chan struct{})
+}
+
 // Kick makes the planner look now.
 func (c *Coordinator) Kick() {
 	select {
--- a/cfrollout/planner.go
+++ b/cfrollout/planner.go
@@ -319,15 +319,6 @@
 	}
 }
 
-// Open returns the batches that are not ended.
-func (p *Planner) Open() []cf.BatchID {
-	out := make([]cf.BatchID, 0, len(p.batches))
-	for id := range p.batches {
-		out = append(out, id)
-	}
-	return out
-}
-
 // Busy says whether any work waits or runs.
 func (p *Planner) Busy() bool {
 	for _, o := range p.batches {
--- a/cfwatch/watch.go
+++ b/cfwatch/watch.go
@@ -66,9 +66,6 @@
 	return now - at
 }
 
-// Listed says whether the first list has been taken.
-func (w *Watcher) Listed() bool { return w.contact.Load() > 0 }
-
 // Run follows the kind until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	retry := retryFirst
--- a/systemtest/site_test.go
+++ b/systemtest/site_test.go
@@ -16,7 +16,6 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -419,86 +418,3 @@
 	}
 	return p, r, err
 }
-
-// readAll reads a batch to its end at the entries in turn, and checks what
-// holds for every batch: positions never change, no item stands twice, and
-// each text is whole.
-func (s *site) readAll(b batch) []result {
-	s.t.Helper()
-	var out []result
-	n := 0
-	eventually(s.t, "all results of "+b.id, func() bool {
-		n++
-		p, _, err := s.entries[n%len(s.entries)].read(b.id, len(out), 300*time.Millisecond)
-		if err == nil {
-			out = append(out, p.Results...)
-		}
-		return len(out) >= len(b.Items)
-	})
-	s.check(b, out)
-	for _, e := range s.entries {
-		p, _, err := e.read(b.id, 0, 0)
-		if err != nil || p.Total == 0 {
-			continue // stopped, or can't be sure
-		}
-		for i, r := range p.Results {
-			if fmt.Sprint(r) != fmt.Sprint(out[i]) {
-				s.t.Errorf("position %d of %s at %s: %v, read before: %v", i, b.id, e.id, r, out[i])
-			}
-		}
-	}
-	return out
-}
-
-func (s *site) check(b batch, results []result) {
-	s.t.Helper()
-	if len(results) != len(b.Items) {
-		s.t.Errorf("%s has %d results for %d items", b.id, len(results), len(b.Items))
-	}
-	items := map[string]item{}
-	for _, it := range b.Items {
-		items[it.ID] = it
-	}
-	seen := map[string]bool{}
-	for _, r := range results {
-		if seen[r.ID] {
-			s.t.Errorf("item %s stands twice", r.ID)
-		}
-		seen[r.ID] = true
-		if r.State != "done" {
-			continue
-		}
-		if want := wholeText(items[r.ID]); r.Output != want {
-			s.t.Errorf("item %s: text %.80q, want %.80q", r.ID, r.Output, want)
-		}
-		for _, v := range r.Versions {
-			if v < b.MinVersion {
-				s.t.Errorf("item %s made by version %d, under %d", r.ID, v, b.MinVersion)
-			}
-		}
-	}
-}
-
-func wholeText(it item) string {
-	var lines []string
-	for n := 1; n <= standin.Events(it.Headers["Currantford-Tokens-Used"]); n++ {
-		lines = append(lines, standin.EventData(it.ID, n))
-	}
-	return strings.Join(lines, "\n")
-}
-
-// name makes a version of a model known, as its trainer does.
-func (s *site) name(model string, version int) {
-	s.store.Put("versions", model, map[string]any{"model": model, "version": version})
-}
-
-// runs returns the runs at all engines by item.
-func (s *site) runs() map[string][]standin.Run {
-	out := map[string][]standin.Run{}
-	for _, e := range s.engines {
-		for _, r := range e.Runs() {
-			out[r.ID] = append(out[r.ID], r)
-		}
-	}
-	return out
-}
