A caller resumes its own stream; a failure never stands among events

Cause, found by reading the forwarder against what callers may do: a stream's first event was expected to be 1 even when the caller asked to resume after event n, so a resumed stream was taken for a broken answer at every target; and a target's own refusal (404, 400) to a resume was passed on into an answer that had begun, which then looked complete. Ruled out: the adapter dropping the caller's Last-Event-Id (it was passed on, but not known to the forwarder). Before: both new tests of cfingress failed ("id: 1 .. id: 5" for a resume after 3; "nothing here" behind event 2). After: they pass.

--- a/batch.go
+++ b/batch.go
@@ -74,6 +74,9 @@
 		Body     []byte
 		Deadline Millis // what the caller still waits, zero when unsaid
 		Received Millis // Uptime at which the request was taken
+		// ResumeAfter is the last event that the caller of a stream has, from
+		// an attempt before this one; zero if it begins anew.
+		ResumeAfter EventID
 	}
 )
 
--- /dev/null
+++ b/cfingress/fakes_test.go
@@ -0,0 +1,92 @@
+package cfingress_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cfingress"
+	"currantford/cfsite"
+)
+
+const host = "site.example"
+
+type (
+	// codec decodes records written as the product's own types.
+	codec struct{}
+
+	// targets answers as its functions say.
+	targets struct {
+		cf.Targets
+		send   func(cf.Target, cf.TargetCall) (cf.TargetAnswer, error)
+		stream func(cf.Target, cf.TargetCall, cf.StreamSink) (cf.TargetAnswer, error)
+	}
+)
+
+func (codec) Kinds() cfsite.Kinds { return cfsite.Kinds{} }
+
+func (codec) Config(r cf.Record) (cfsite.Config, error) {
+	var c cfsite.Config
+	return c, json.Unmarshal(r.Spec, &c)
+}
+
+func (codec) Target(r cf.Record) (cf.Target, error) {
+	var t cf.Target
+	return t, json.Unmarshal(r.Spec, &t)
+}
+
+func (codec) Version(r cf.Record) (cf.ModelState, error) {
+	var m cf.ModelState
+	return m, json.Unmarshal(r.Spec, &m)
+}
+
+func (codec) RetirementDone() any { return nil }
+
+func (t targets) Send(_ context.Context, to cf.Target, call cf.TargetCall) (cf.TargetAnswer, error) {
+	return t.send(to, call)
+}
+
+func (t targets) Stream(_ context.Context, to cf.Target, call cf.TargetCall, sink cf.StreamSink) (cf.TargetAnswer, error) {
+	return t.stream(to, call, sink)
+}
+
+// newIngress returns an instance with one route, at /x/, to the targets named.
+func newIngress(t *testing.T, to cf.Targets, route cfsite.Route, ids ...cf.InstanceID) *cfingress.Ingress {
+	t.Helper()
+	site := cfsite.New(codec{})
+	record := func(name string, v any) cf.Record {
+		raw, err := json.Marshal(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return cf.Record{Name: name, Rev: 1, Spec: raw}
+	}
+	route.Host, route.Prefix, route.Split = host, "/x/", []cfsite.Share{{Service: "s", Weight: 1}}
+	if _, err := site.ApplyConfig(record("main", cfsite.Config{Version: 1, Routes: []cfsite.Route{route}})); err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range ids {
+		if _, _, err := site.ApplyTarget(record(string(id), cf.Target{ID: id, Service: "s", Slots: 4}), cf.Uptime()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return cfingress.New(cfingress.Options{
+		Targets: to, Site: site, Metrics: cfingress.NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
+	})
+}
+
+// ask sends one request; broken tells that its connection was broken off.
+func ask(in *cfingress.Ingress, req cf.Request) (w *httptest.ResponseRecorder, broken bool) {
+	w = httptest.NewRecorder()
+	defer func() { broken = recover() != nil }()
+	req.Method, req.Host, req.Route, req.Path = http.MethodPost, host, "/x/a", "/x/a"
+	req.Received = cf.Uptime()
+	in.Forward(context.Background(), &req, w)
+	return w, false
+}
--- a/cfingress/stream.go
+++ b/cfingress/stream.go
@@ -56,7 +56,7 @@
 // stream forwards a request whose answer is a stream of events, and resumes
 // it at another target where its route allows.
 func (f *forwarding) stream(ctx context.Context, w http.ResponseWriter) {
-	sink := &streamSink{w: w, flush: http.NewResponseController(w)}
+	sink := &streamSink{w: w, flush: http.NewResponseController(w), last: f.req.ResumeAfter}
 	for {
 		now := cf.Uptime()
 		target, ok := f.in.balancer.Choose(f.in.Site.Usable(f.service), f.tried, rand.Float64(), now)
@@ -76,6 +76,11 @@
 			return
 		}
 		if f.take(a) { // a refusal of the target's own, such as 400
+			if sink.started {
+				// Passed on now, it would stand among the events of a
+				// stream that then looks complete.
+				f.breakOff(sink)
+			}
 			f.pass(w, a)
 			return
 		}
@@ -102,9 +107,7 @@
 // broken off, so that it does not look complete.
 func (f *forwarding) endStream(ctx context.Context, w http.ResponseWriter, sink *streamSink) {
 	if sink.started || errors.Is(ctx.Err(), context.Canceled) {
-		f.in.Log.Warn("stream_broken_off", zap.String("request_id", string(f.req.ID)), zap.Int64("events", int64(sink.last)))
-		f.in.count("stream", "broken_off", f.req)
-		panic(http.ErrAbortHandler)
+		f.breakOff(sink)
 	}
 	if ctx.Err() != nil {
 		f.fail(w, http.StatusGatewayTimeout, "no answer in time")
@@ -112,3 +115,10 @@
 	}
 	f.settle(w)
 }
+
+// breakOff closes the caller's connection in the midst of its answer.
+func (f *forwarding) breakOff(sink *streamSink) {
+	f.in.Log.Warn("stream_broken_off", zap.String("request_id", string(f.req.ID)), zap.Int64("events", int64(sink.last)))
+	f.in.count("stream", "broken_off", f.req)
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/cfingress/stream_test.go
@@ -0,0 +1,75 @@
+package cfingress_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/rotisserie/eris"
+
+	cf "currantford"
+	"currantford/cfsite"
+)
+
+var resumable = cfsite.Route{Kind: cfsite.KindStream, Resumable: true, MaxAttempts: 3, Timeout: 5000}
+
+// events hands on the events from first to last.
+func events(sink cf.StreamSink, first, last cf.EventID) error {
+	for id := first; id <= last; id++ {
+		if err := sink.Event(cf.StreamEvent{ID: id, Raw: []byte(fmt.Sprintf("id: %d\n\n", id))}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func startStream(sink cf.StreamSink) (cf.TargetAnswer, error) {
+	answer := cf.TargetAnswer{Status: http.StatusOK, Header: http.Header{}}
+	return answer, sink.Start(answer)
+}
+
+// Symptom: a caller that resumes its own stream gets nothing, at any target.
+// Sequence: the caller's connection breaks after event 3; it asks again with
+// that event as the last it has; a target goes on with event 4.
+// Cause: the instance expected every stream to begin with event 1 and took the
+// target's answer for a broken one.
+func TestCallerResumesItsStream(t *testing.T) {
+	to := targets{stream: func(_ cf.Target, call cf.TargetCall, sink cf.StreamSink) (cf.TargetAnswer, error) {
+		answer, err := startStream(sink)
+		if err == nil {
+			err = events(sink, call.ResumeAfter+1, 5)
+		}
+		return answer, err
+	}}
+	in := newIngress(t, to, resumable, "a", "b")
+	w, broken := ask(in, cf.Request{ID: "r", ResumeAfter: 3})
+	if want := "id: 4\n\nid: 5\n\n"; broken || w.Body.String() != want {
+		t.Errorf("broken %t, events %q, want %q", broken, w.Body, want)
+	}
+}
+
+// Symptom: a stream ends as complete with a failure's text in the midst of its
+// events.
+// Sequence: a stream breaks off after event 2; the target asked to resume it
+// answers that it knows no such path.
+// Cause: the failure was passed on to a caller whose answer had begun.
+func TestFailureAfterTheStreamBeganBreaksItOff(t *testing.T) {
+	to := targets{stream: func(_ cf.Target, call cf.TargetCall, sink cf.StreamSink) (cf.TargetAnswer, error) {
+		if call.ResumeAfter > 0 {
+			return cf.TargetAnswer{Status: http.StatusNotFound, Header: http.Header{}, Body: []byte("nothing here")}, nil
+		}
+		answer, err := startStream(sink)
+		if err == nil {
+			err = events(sink, 1, 2)
+		}
+		if err == nil {
+			err = eris.Wrap(cf.ErrBadAnswer, "broken off")
+		}
+		return answer, err
+	}}
+	in := newIngress(t, to, resumable, "a", "b")
+	w, broken := ask(in, cf.Request{ID: "r"})
+	if want := "id: 1\n\nid: 2\n\n"; !broken || w.Body.String() != want {
+		t.Errorf("broken %t, events %q, want them broken off after %q", broken, w.Body, want)
+	}
+}
