--- a/cfbalance/attempts.go
+++ b/cfbalance/attempts.go
@@ -1,6 +1,9 @@
 package cfbalance
 
 import (
+	"errors"
+	"net/http"
+
 	cf "currantford"
 	"currantford/cfsite"
 )
@@ -14,17 +17,16 @@
 		ran      bool
 	}
 
-	// Step is what to do after an attempt failed or is late.
-	Step int
+	// Ending is how a request ends that no target answers.
+	Ending int
 )
 
-// Steps.
+// Endings.
 const (
-	// TryAgain: send it to another target.
-	TryAgain Step = iota
-	// Refuse: it has surely not run; turn it away with when to come back.
-	Refuse
-	// GiveUp: it may have run and may not be repeated, or was tried enough.
+	// Refuse: it has surely not run and never will; turn it away with when to
+	// come back.
+	Refuse Ending = iota
+	// GiveUp: it may have run; nothing may be promised.
 	GiveUp
 )
 
@@ -53,8 +55,25 @@
 // Sent counts a send that reached a target.
 func (a *Attempts) Sent() { a.sends++ }
 
-// Ran records that a target may have run the request.
-func (a *Attempts) Ran() { a.ran = true }
+// Judge takes the end of an attempt; good says that its answer is the caller's.
+// Whatever is not surely unrun counts as run: a bid sent once more, or refused
+// as not run, could be recorded twice.
+func (a *Attempts) Judge(answer cf.TargetAnswer, err error) (o Outcome, good bool) {
+	switch {
+	case errors.Is(err, cf.ErrNotRun):
+		return Unreached, false
+	case err != nil:
+		a.ran = true
+		return Failed, false
+	case answer.NotRun:
+		return Full, false
+	case answer.Status >= http.StatusInternalServerError:
+		a.ran = true
+		return Failed, false
+	default:
+		return Answered, true
+	}
+}
 
 // HedgeAfter returns how long to wait for an answer before the request is
 // also sent elsewhere, false where that is not allowed.
@@ -65,14 +84,11 @@
 	return cf.Millis(float64(a.route.SLO) * hedgePart), true
 }
 
-// Next says what follows when no attempt is under way any more.
-func (a *Attempts) Next(now cf.Millis) Step {
-	switch {
-	case a.MaySend(now):
-		return TryAgain
-	case !a.ran:
-		return Refuse
-	default:
+// End says how the request ends when no attempt is under way, and none is left
+// or no target.
+func (a *Attempts) End() Ending {
+	if a.ran {
 		return GiveUp
 	}
+	return Refuse
 }
--- a/cfbalance/balance_test.go
+++ b/cfbalance/balance_test.go
@@ -98,14 +98,15 @@
 		kind  cfsite.RouteKind
 		ran   bool
 		sends int
-		want  cfbalance.Step
+		again bool
+		end   cfbalance.Ending
 	}{
-		{"idempotent, may have run", cfsite.KindIdempotent, true, 1, cfbalance.TryAgain},
-		{"idempotent, may have run, tried enough", cfsite.KindIdempotent, true, 2, cfbalance.GiveUp},
-		{"idempotent, not run, tried enough", cfsite.KindIdempotent, false, 2, cfbalance.Refuse},
-		{"once, may have run", cfsite.KindOnce, true, 1, cfbalance.GiveUp},
-		{"once, not run", cfsite.KindOnce, false, 1, cfbalance.TryAgain},
-		{"once, not run, tried enough", cfsite.KindOnce, false, 2, cfbalance.Refuse},
+		{"idempotent, may have run", cfsite.KindIdempotent, true, 1, true, cfbalance.GiveUp},
+		{"idempotent, may have run, tried enough", cfsite.KindIdempotent, true, 2, false, cfbalance.GiveUp},
+		{"idempotent, not run, tried enough", cfsite.KindIdempotent, false, 2, false, cfbalance.Refuse},
+		{"once, may have run", cfsite.KindOnce, true, 1, false, cfbalance.GiveUp},
+		{"once, not run", cfsite.KindOnce, false, 1, true, cfbalance.Refuse},
+		{"once, not run, tried enough", cfsite.KindOnce, false, 2, false, cfbalance.Refuse},
 	}
 	for _, c := range cases {
 		a := cfbalance.NewAttempts(cfsite.Route{Kind: c.kind, MaxAttempts: 2}, 1000)
@@ -113,10 +114,13 @@
 			a.Sent()
 		}
 		if c.ran {
-			a.Ran()
+			a.Judge(cf.TargetAnswer{}, cf.ErrMaybeRan)
 		}
-		if got := a.Next(10); got != c.want {
-			t.Errorf("%s: step %d, want %d", c.name, got, c.want)
+		if got := a.MaySend(10); got != c.again {
+			t.Errorf("%s: may be sent again %t, want %t", c.name, got, c.again)
+		}
+		if got := a.End(); got != c.end {
+			t.Errorf("%s: ending %d, want %d", c.name, got, c.end)
 		}
 		if a.MaySend(1000) {
 			t.Errorf("%s: may be sent after its deadline", c.name)
--- a/cfingress/forward.go
+++ b/cfingress/forward.go
@@ -139,22 +139,9 @@
 
 // take judges an attempt; true when its answer is the caller's.
 func (f *forwarding) take(a attempt) bool {
-	outcome := cfbalance.Answered
-	good := false
-	switch {
-	case errors.Is(a.err, cf.ErrNotRun):
-		outcome = cfbalance.Unreached
-	case a.err != nil:
-		outcome = cfbalance.Failed
-		f.attempts.Ran()
-	case a.answer.NotRun:
-		outcome = cfbalance.Full
-	case a.answer.Status >= http.StatusInternalServerError:
-		outcome = cfbalance.Failed
-		f.attempts.Ran()
+	outcome, good := f.attempts.Judge(a.answer, a.err)
+	if outcome == cfbalance.Failed && a.err == nil {
 		f.last = &a
-	default:
-		good = true
 	}
 	f.in.balancer.Done(a.target.ID, outcome, a.answer.Load, a.took, cf.Uptime())
 	if !good {
@@ -198,7 +185,7 @@
 
 // settle ends a request for which no attempt is under way or left.
 func (f *forwarding) settle(w http.ResponseWriter) {
-	if f.attempts.Next(cf.Uptime()) != cfbalance.GiveUp {
+	if f.attempts.End() == cfbalance.Refuse {
 		after := fullRetry
 		if len(f.tried) == 0 {
 			after = noTargetRetry
