Links through a loopback proxy, steps measured for their trainers, returns planned

Bids over cut links: at most one run, no false refusal (4 variants); the coordinator cut off from the store one way: steps whole, orders apart. Cause: 100 ms for all, with one retry each, brings them back while it is still full.

--- a/cfbalance/balance.go
+++ b/cfbalance/balance.go
@@ -37,6 +37,7 @@
 		avoid    cf.Millis
 		failures int
 		took     float64 // smoothed time of an answer, ms
+		work     float64 // the same of answers that had not to queue
 		seen     cf.Millis
 	}
 )
@@ -148,6 +149,12 @@
 	case Answered:
 		s.failures = 0
 		s.took += smooth * (float64(took) - s.took)
+		if load == nil || load.Waiting == 0 {
+			if s.work == 0 {
+				s.work = float64(took)
+			}
+			s.work += smooth * (float64(took) - s.work)
+		}
 	case Full:
 		s.avoid = now + avoidFull
 	case Failed, Unreached:
--- /dev/null
+++ b/cfbalance/returns.go
@@ -0,0 +1,87 @@
+package cfbalance
+
+import (
+	"sync"
+
+	cf "currantford"
+)
+
+const (
+	// leastReturn is the shortest that a refused caller is told to wait: its
+	// new connection alone takes some milliseconds.
+	leastReturn cf.Millis = 50
+	// mostReturn bounds the promise where places free slowly; what a service
+	// does in three seconds is not known now.
+	mostReturn cf.Millis = 3000
+	// heedPart is the part of a caller's time left within which it heeds the
+	// time that it is told.
+	heedPart = 3
+	// freeAfter is the part of an answer's time after which the first place
+	// of a full service frees: on average its requests are half done.
+	freeAfter = 0.5
+)
+
+type (
+	// Throughput is how a service frees places, as its answers have shown.
+	Throughput struct {
+		// Work is the mean time of an answer at a target without a queue,
+		// PerMs the places that free a millisecond over all targets.
+		Work, PerMs float64
+	}
+
+	// Returns tells refused callers when to come back, each at a time of its
+	// own: a caller tries again once or twice only, and one that comes back
+	// before a place is free, or with all others at once, is lost.
+	//
+	// The load it answers: a burst of several times what a service takes,
+	// refused within a fraction of the time of an answer. It is safe for
+	// concurrent use.
+	Returns struct {
+		mu   sync.Mutex
+		next map[cf.ServiceName]float64 // Uptime of the next free place
+	}
+)
+
+// NewReturns returns a plan without promises.
+func NewReturns() *Returns { return &Returns{next: map[cf.ServiceName]float64{}} }
+
+// After returns when a caller with so much time left should come back to a full
+// service. instances is how many share the service's places.
+func (r *Returns) After(service cf.ServiceName, t Throughput, instances int, left, now cf.Millis) cf.Millis {
+	if t.PerMs <= 0 {
+		return leastReturn
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at := max(r.next[service], float64(now)+freeAfter*t.Work)
+	r.next[service] = at + float64(max(instances, 1))/t.PerMs
+	after := cf.Millis(at) - now
+	if most := min(mostReturn, left/heedPart); after > most {
+		// It comes back then in any case; the place goes to the next.
+		r.next[service] = at
+		after = most
+	}
+	return max(after, leastReturn)
+}
+
+// Throughput returns how the candidates free places; targets that have failed
+// lately or have not answered yet count for nothing.
+func (b *Balancer) Throughput(candidates []cf.Target, now cf.Millis) Throughput {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var t Throughput
+	known := 0
+	for _, c := range candidates {
+		s := b.state[c.ID]
+		if s == nil || s.work <= 0 || s.failures > 0 && now < s.avoid {
+			continue
+		}
+		known++
+		t.Work += s.work
+		t.PerMs += float64(max(c.Slots, 1)) / s.work
+	}
+	if known > 0 {
+		t.Work /= float64(known)
+	}
+	return t
+}
--- a/cfbatch/batch.go
+++ b/cfbatch/batch.go
@@ -132,6 +132,12 @@
 // GroupLeft counts a group's items that are not listed.
 func (b *Batch) GroupLeft(g cf.GroupID) int { return b.groups[g] }
 
+// ListedCount counts the results.
+func (b *Batch) ListedCount() int { return len(b.results) }
+
+// ListedFrom returns the results from position n on.
+func (b *Batch) ListedFrom(n int) []cf.Result { return b.results[min(n, len(b.results)):] }
+
 // Size is the bytes of text that the batch holds.
 func (b *Batch) Size() int { return b.size }
 
--- a/cfcoord/batches.go
+++ b/cfcoord/batches.go
@@ -96,7 +96,7 @@
 			return nil, err
 		}
 	}
-	st := &state{batch: b, changed: make(chan struct{}), inherited: results, loadedAt: cf.Uptime()}
+	st := &state{batch: b, changed: make(chan struct{}), inherited: results, loadedAt: cf.Uptime(), measured: b.ListedCount()}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// The watch and an instance's word may bring the same batch.
--- a/cfcoord/chunks.go
+++ b/cfcoord/chunks.go
@@ -43,6 +43,7 @@
 		}
 	}
 	st.pending.Wrote(st.batch, cf.Uptime())
+	c.served(st)
 	st.wake()
 	if st.batch.Ended {
 		c.trim()
--- a/cfcoord/coordinator.go
+++ b/cfcoord/coordinator.go
@@ -95,6 +95,7 @@
 		// finished are the texts that are complete and not listed yet.
 		finished map[cf.ItemID]cfrollout.Text
 		seqs     map[cf.InstanceID]int64
+		named    named
 		// seen is the count of the site's changes that the planner knows.
 		seen       int64
 		configSeen cfsite.ConfigVersion
@@ -112,6 +113,11 @@
 		inherited bool
 		loadedAt  cf.Millis
 		rereadAt  cf.Millis // when its chunks were last read again
+		// measured counts the listed results whose staleness was measured,
+		// stalest is the most of them, served that the trainer has enough.
+		measured int
+		stalest  cf.WeightVersion
+		served   bool
 	}
 
 	// Metrics are the coordinator's counters; they outlive one duty.
@@ -120,6 +126,10 @@
 		Orders  *prometheus.CounterVec
 		Chunks  *prometheus.CounterVec
 		ItemRun prometheus.Histogram
+		// StepWait, StaleVersions and StaleSeconds are what trainers feel.
+		StepWait      *prometheus.HistogramVec
+		StaleVersions *prometheus.HistogramVec
+		StaleSeconds  *prometheus.HistogramVec
 	}
 )
 
@@ -135,8 +145,17 @@
 		ItemRun: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "currantford_item_run_seconds", Help: "Time of one item's run at an engine.",
 			Buckets: prometheus.ExponentialBuckets(0.05, 2, 9)}),
+		StepWait: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "currantford_step_wait_seconds", Help: "Time from a step's acceptance until the groups that its trainer waits for are whole.",
+			Buckets: prometheus.ExponentialBuckets(0.25, 2, 12)}, []string{"model"}),
+		StaleVersions: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "currantford_sample_staleness_versions", Help: "Versions that a sample's oldest weights are behind the newest named, when it is listed.",
+			Buckets: []float64{0, 1, 2, 4}}, []string{"model"}),
+		StaleSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "currantford_sample_staleness_seconds", Help: "Time since a sample's oldest weights were superseded, when it is listed.",
+			Buckets: prometheus.ExponentialBuckets(0.25, 2, 12)}, []string{"model"}),
 	}
-	reg.MustRegister(m.Runs, m.Orders, m.Chunks, m.ItemRun)
+	reg.MustRegister(m.Runs, m.Orders, m.Chunks, m.ItemRun, m.StepWait, m.StaleVersions, m.StaleSeconds)
 	return m
 }
 
@@ -148,7 +167,7 @@
 		planner: cfrollout.New(cfrollout.DefaultLimits),
 		batches: map[cf.BatchID]*state{}, runs: map[*cfrollout.Work]context.CancelFunc{},
 		finished: map[cf.ItemID]cfrollout.Text{},
-		seqs:     map[cf.InstanceID]int64{},
+		seqs:     map[cf.InstanceID]int64{}, named: named{},
 	}
 }
 
@@ -297,6 +316,7 @@
 		}
 		for _, m := range s.Models {
 			c.planner.SetVersion(m, c.Site.Version(m))
+			c.named.note(m, c.planner.Named(m), cf.Uptime())
 		}
 	}
 	c.planner.SetEngines(c.Site.Targets(), models)
--- a/cfcoord/reads.go
+++ b/cfcoord/reads.go
@@ -43,6 +43,7 @@
 	if st.batch.NextChunk() != before {
 		c.Log.Info("results_inherited", zap.String("batch_id", string(st.batch.Sub.ID)), zap.Int("groups_whole", st.batch.WholeGroups()))
 		st.pending.Settle(st.batch, cf.Uptime())
+		c.served(st)
 		st.wake()
 	}
 	return nil
--- /dev/null
+++ b/cfcoord/served.go
@@ -0,0 +1,72 @@
+package cfcoord
+
+import (
+	"go.uber.org/zap"
+
+	cf "currantford"
+)
+
+// namedKept is how many versions of a model are remembered with the time at
+// which they were named; samples are a version or two behind.
+const namedKept = 16
+
+// named remembers when versions of models were named, as this instance saw it.
+type named map[cf.ModelName]map[cf.WeightVersion]cf.Millis
+
+// note takes a model's newest version.
+func (n named) note(m cf.ModelName, v cf.WeightVersion, now cf.Millis) {
+	if n[m] == nil {
+		n[m] = map[cf.WeightVersion]cf.Millis{}
+	}
+	if _, known := n[m][v]; known {
+		return
+	}
+	n[m][v] = now
+	delete(n[m], v-namedKept)
+}
+
+// supersededFor returns how long ago the version after v was named, false where
+// it was before this instance looked.
+func (n named) supersededFor(m cf.ModelName, v cf.WeightVersion, now cf.Millis) (cf.Millis, bool) {
+	at, ok := n[m][v+1]
+	return now - at, ok
+}
+
+// served measures what was listed of a batch since the last call: how stale
+// each sample is when its trainer can first read it, and how long the trainer
+// waited for as much as it asked for, which is its idle time. c.mu is held.
+func (c *Coordinator) served(st *state) {
+	now := cf.Uptime()
+	sub := &st.batch.Sub
+	for _, r := range st.batch.ListedFrom(st.measured) {
+		st.measured++
+		if len(r.Versions) == 0 {
+			continue // given up
+		}
+		oldest := r.Versions[0]
+		for _, v := range r.Versions {
+			oldest = min(oldest, v)
+		}
+		behind := c.planner.Named(sub.Model) - oldest
+		st.stalest = max(st.stalest, behind)
+		c.Metrics.StaleVersions.WithLabelValues(string(sub.Model)).Observe(float64(behind))
+		age := cf.Millis(0)
+		if behind > 0 {
+			var known bool
+			if age, known = c.named.supersededFor(sub.Model, oldest, now); !known {
+				continue
+			}
+		}
+		c.Metrics.StaleSeconds.WithLabelValues(string(sub.Model)).Observe(float64(age) / 1000)
+	}
+	enough := st.batch.Complete() || sub.TargetGroups > 0 && st.batch.WholeGroups() >= sub.TargetGroups
+	if st.served || !enough {
+		return
+	}
+	st.served = true
+	waited := cf.Now() - sub.Accepted
+	c.Metrics.StepWait.WithLabelValues(string(sub.Model)).Observe(float64(waited) / 1000)
+	c.Log.Info("step_served", zap.String("batch_id", string(sub.ID)), zap.String("model", string(sub.Model)),
+		zap.Int64("step", sub.Step), zap.Int64("waited_ms", int64(waited)), zap.Int("groups_whole", st.batch.WholeGroups()),
+		zap.Int64("stalest_versions", int64(st.stalest)))
+}
--- a/cfingress/fakes_test.go
+++ b/cfingress/fakes_test.go
@@ -12,6 +12,7 @@
 
 	cf "currantford"
 	"currantford/cfingress"
+	"currantford/cfmember"
 	"currantford/cfsite"
 )
 
@@ -21,6 +22,9 @@
 	// codec decodes records written as the product's own types.
 	codec struct{}
 
+	// members is an instance alone.
+	members struct{}
+
 	// targets answers as its functions say.
 	targets struct {
 		cf.Targets
@@ -29,6 +33,8 @@
 	}
 )
 
+func (members) Live() []cfmember.Entry { return nil }
+
 func (codec) Kinds() cfsite.Kinds { return cfsite.Kinds{} }
 
 func (codec) Config(r cf.Record) (cfsite.Config, error) {
@@ -77,7 +83,7 @@
 		}
 	}
 	return cfingress.New(cfingress.Options{
-		Targets: to, Site: site, Metrics: cfingress.NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
+		Members: members{}, Targets: to, Site: site, Metrics: cfingress.NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
 	})
 }
 
--- a/cfingress/forward.go
+++ b/cfingress/forward.go
@@ -20,9 +20,6 @@
 	// noTargetRetry is when a caller should come back while a service has
 	// no target at all; a target that starts is listed within a heartbeat.
 	noTargetRetry cf.Millis = 1000
-	// fullRetry is when a caller should come back after every target was
-	// full: a slot frees within a mean answer.
-	fullRetry cf.Millis = 100
 )
 
 // attempt is what came of one send.
@@ -186,11 +183,7 @@
 // settle ends a request for which no attempt is under way or left.
 func (f *forwarding) settle(w http.ResponseWriter) {
 	if f.attempts.End() == cfbalance.Refuse {
-		after := fullRetry
-		if len(f.tried) == 0 {
-			after = noTargetRetry
-		}
-		f.refuse(w, after)
+		f.refuse(w, f.comeBack())
 		return
 	}
 	if f.last != nil {
@@ -211,6 +204,17 @@
 	f.fail(w, http.StatusGatewayTimeout, "no answer in time")
 }
 
+// comeBack returns when the caller of a request that found no place should try
+// again.
+func (f *forwarding) comeBack() cf.Millis {
+	if len(f.tried) == 0 {
+		return noTargetRetry
+	}
+	now := cf.Uptime()
+	throughput := f.in.balancer.Throughput(f.in.Site.Usable(f.service), now)
+	return f.in.returns.After(f.service, throughput, len(f.in.Members.Live()), f.attempts.Left(now), now)
+}
+
 // refuse turns away a request that surely has not run.
 func (f *forwarding) refuse(w http.ResponseWriter, after cf.Millis) {
 	f.in.Log.Warn("request_refused", zap.String("request_id", string(f.req.ID)), zap.String("service", string(f.service)),
--- a/cfingress/ingress.go
+++ b/cfingress/ingress.go
@@ -65,6 +65,7 @@
 	Ingress struct {
 		Options
 		balancer *cfbalance.Balancer
+		returns  *cfbalance.Returns
 		bodies   bodies
 		stopping atomic.Bool
 	}
@@ -93,7 +94,7 @@
 
 // New returns an ingress.
 func New(o Options) *Ingress {
-	return &Ingress{Options: o, balancer: cfbalance.New(), bodies: bodies{most: o.MemoryBytes / bodyPart}}
+	return &Ingress{Options: o, balancer: cfbalance.New(), returns: cfbalance.NewReturns(), bodies: bodies{most: o.MemoryBytes / bodyPart}}
 }
 
 // Stop makes the instance not ready: callers are sent elsewhere, and those
--- /dev/null
+++ b/systemtest/link_test.go
@@ -0,0 +1,134 @@
+package systemtest
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Symptom: a bid is recorded twice, or refused although it was recorded or
+// still may be.
+// Sequence: the link between the instance and a service loses answers, loses
+// requests, or resets, while bids are under way; then it heals and delivers what
+// it held.
+// Cause guarded against: a bid sent again at another target, or a promise that
+// it has not run, after its bytes have left the instance.
+func TestBidsOverACutLinkRunAtMostOnce(t *testing.T) {
+	t.Parallel()
+	faults := map[string]linkFaults{
+		"answers held":  {HoldDown: true},
+		"requests held": {HoldUp: true},
+		"silent":        {HoldUp: true, HoldDown: true},
+		"slow":          {Delay: 200 * time.Millisecond},
+	}
+	for name, f := range faults {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startSite(t, options{entries: 2, engines: 1, plains: 3, links: true})
+			statuses := s.bidsWhile(t, func() {
+				for _, p := range s.plainLinks {
+					p.set(f)
+				}
+				time.Sleep(700 * time.Millisecond)
+				for _, p := range s.plainLinks {
+					p.reset()
+				}
+				time.Sleep(700 * time.Millisecond)
+				for _, p := range s.plainLinks {
+					p.set(linkFaults{})
+				}
+			})
+			t.Logf("statuses %v", statuses)
+		})
+	}
+}
+
+// bidsWhile sends bids at all instances while do runs and until what was held
+// has arrived, checks each, and returns how many had which status.
+func (s *site) bidsWhile(t *testing.T, do func()) map[int]int {
+	t.Helper()
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	byID, counts := map[string]int{}, map[int]int{}
+	stop := make(chan struct{})
+	for i, e := range s.entries {
+		wg.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(30 * time.Millisecond):
+				}
+				id := fmt.Sprintf("bid-%d-%d", i, n)
+				wg.Go(func() {
+					r := e.post("/bids/a", id, "100")
+					mu.Lock()
+					defer mu.Unlock()
+					byID[id] = r.status
+					counts[r.status]++
+				})
+			}
+		})
+	}
+	do()
+	close(stop)
+	wg.Wait()
+	time.Sleep(500 * time.Millisecond) // what the links held has arrived
+	for id, status := range byID {
+		n := ran(s.plains, id)
+		if n > 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+		if n > 0 && status == http.StatusServiceUnavailable {
+			t.Errorf("%s was refused as not run, and ran", id)
+		}
+		if n == 0 && status == http.StatusOK {
+			t.Errorf("%s was answered and has not run", id)
+		}
+	}
+	return counts
+}
+
+// Symptom: log readings fail while a service has sound targets.
+// Sequence: the link to one of two targets falls silent; nothing is reset.
+func TestReadingsGoAroundASilentLink(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 2, engines: 1, plains: 2, links: true})
+	s.plainLinks[0].set(linkFaults{HoldUp: true, HoldDown: true})
+	for i := range 20 {
+		id := fmt.Sprintf("r%d", i)
+		if r := s.entries[i%2].post(plainPrefix+"a", id, "x"); r.status != http.StatusOK {
+			t.Errorf("%s: status %d", id, r.status)
+		}
+	}
+}
+
+// Symptom: orders of two coordinators cross, or a step is lost, when the
+// coordinator alone is cut off from the store.
+// Sequence: the link between the coordinator and the store is cut one way, each
+// way in turn, in the middle of a step; another instance takes over; the link
+// heals and delivers late what it held.
+func TestCoordinatorCutFromTheStore(t *testing.T) {
+	t.Parallel()
+	for name, f := range map[string]linkFaults{"answers held": {HoldDown: true}, "requests held": {HoldUp: true}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startSite(t, options{entries: 3, engines: 3, links: true, event: 20 * time.Millisecond})
+			before := s.coordinator()
+			b := step("b1", "m0", 3, 4, 40)
+			s.accept(b)
+			time.Sleep(200 * time.Millisecond)
+			before.storeLink.set(f)
+			after := s.waitCoordinator(before.id)
+			s.readAll(b)
+			before.storeLink.set(linkFaults{})
+			c := step("b2", "m0", 2, 4, 10)
+			s.accept(c)
+			s.readAll(c)
+			checkOrders(t, s)
+			t.Logf("from %s to %s", before.id, after.id)
+		})
+	}
+}
--- /dev/null
+++ b/systemtest/proxy_test.go
@@ -0,0 +1,156 @@
+package systemtest
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+type (
+	// linkFaults are what a link does to its bytes. Held bytes are not lost:
+	// they arrive, late, when the link heals, as through a cut network.
+	linkFaults struct {
+		// HoldUp and HoldDown keep back what flows to the server and to the
+		// client.
+		HoldUp, HoldDown bool
+		// Delay is added to each way.
+		Delay time.Duration
+	}
+
+	// proxy is a loopback link to one server.
+	proxy struct {
+		ln     net.Listener
+		server string
+
+		mu     sync.Mutex
+		faults linkFaults
+		healed chan struct{} // closed at each change of the faults
+		conns  map[*net.TCPConn]bool
+		closed bool
+	}
+)
+
+// newProxy starts a link to a server; a test's end closes it.
+func newProxy(t *testing.T, server string) *proxy {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &proxy{ln: ln, server: server, healed: make(chan struct{}), conns: map[*net.TCPConn]bool{}}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return // closed
+			}
+			wg.Go(func() { p.carry(c.(*net.TCPConn)) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = ln.Close()
+		p.mu.Lock()
+		p.closed = true
+		p.mu.Unlock()
+		p.set(linkFaults{})
+		p.reset()
+		wg.Wait()
+	})
+	return p
+}
+
+func (p *proxy) addr() string { return p.ln.Addr().String() }
+
+// set replaces the faults.
+func (p *proxy) set(f linkFaults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+	close(p.healed)
+	p.healed = make(chan struct{})
+}
+
+// reset breaks the open connections, with what is held in them.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		_ = c.SetLinger(0) // a reset instead of an orderly end
+		_ = c.Close()
+	}
+}
+
+// add notes a connection, false once the proxy has closed.
+func (p *proxy) add(cs ...*net.TCPConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range cs {
+		if p.closed {
+			_ = c.Close()
+			continue
+		}
+		p.conns[c] = true
+	}
+	return !p.closed
+}
+
+func (p *proxy) drop(cs ...*net.TCPConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range cs {
+		_ = c.Close()
+		delete(p.conns, c)
+	}
+}
+
+func (p *proxy) carry(client *net.TCPConn) {
+	out, err := net.Dial("tcp", p.server)
+	if err != nil {
+		_ = client.Close()
+		return
+	}
+	server := out.(*net.TCPConn)
+	if !p.add(client, server) {
+		return
+	}
+	defer p.drop(client, server)
+	var wg sync.WaitGroup
+	wg.Go(func() { p.pump(client, server, func(f linkFaults) bool { return f.HoldUp }) })
+	wg.Go(func() { p.pump(server, client, func(f linkFaults) bool { return f.HoldDown }) })
+	wg.Wait()
+}
+
+// pump carries one direction until its source ends, which it passes on.
+func (p *proxy) pump(from, to *net.TCPConn, held func(linkFaults) bool) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		p.wait(held)
+		if n > 0 {
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				_ = from.Close()
+				return
+			}
+		}
+		if err != nil {
+			_ = to.CloseWrite()
+			return
+		}
+	}
+}
+
+// wait returns when the link lets bytes through.
+func (p *proxy) wait(held func(linkFaults) bool) {
+	for {
+		p.mu.Lock()
+		f, healed := p.faults, p.healed
+		p.mu.Unlock()
+		if !held(f) {
+			time.Sleep(f.Delay)
+			return
+		}
+		<-healed
+	}
+}
--- a/systemtest/site_test.go
+++ b/systemtest/site_test.go
@@ -67,8 +67,11 @@
 		models                   []string
 		config                   func(map[string]any)
 		valueBytes               int
-		load                     time.Duration
-		event                    time.Duration
+		// links puts a proxy before each target and, for each entry, before
+		// the store.
+		links bool
+		load  time.Duration
+		event time.Duration
 	}
 
 	// site is a small deployment.
@@ -80,8 +83,11 @@
 		entries []*entry
 		config  map[string]any
 		addr    string
+		// engineLinks and plainLinks lead to the targets, where asked for.
+		engineLinks, plainLinks []*proxy
 
 		valueBytes int
+		links      bool
 	}
 
 	// entry is one process.
@@ -92,8 +98,10 @@
 		ready    string
 		settings string
 		logPath  string
-		cmd      *exec.Cmd
-		done     chan struct{}
+		// storeLink leads to the store, where asked for.
+		storeLink *proxy
+		cmd       *exec.Cmd
+		done      chan struct{}
 	}
 
 	item struct {
@@ -177,7 +185,7 @@
 	if o.valueBytes == 0 {
 		o.valueBytes = 1 << 20
 	}
-	s := &site{t: t, store: standin.NewStore(), valueBytes: o.valueBytes}
+	s := &site{t: t, store: standin.NewStore(), valueBytes: o.valueBytes, links: o.links}
 	s.addr = listen(t, s.store)
 	for i := range o.engines {
 		s.engines = append(s.engines, s.target(fmt.Sprintf("i-engine-%d", i), service, o.models, o))
@@ -206,6 +214,15 @@
 func (s *site) target(id, svc string, models []string, o options) *standin.Engine {
 	var e *standin.Engine
 	addr := listen(s.t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.ServeHTTP(w, r) }))
+	if o.links {
+		link := newProxy(s.t, addr)
+		addr = link.addr()
+		if svc == plain {
+			s.plainLinks = append(s.plainLinks, link)
+		} else {
+			s.engineLinks = append(s.engineLinks, link)
+		}
+	}
 	e = standin.NewEngine(standin.EngineSettings{
 		ID: id, Service: svc, Domain: "domain-a", Addr: addr, Slots: slots, Models: models, EventEvery: o.event, Load: o.load,
 	}, s.store)
@@ -214,12 +231,17 @@
 
 func (s *site) newEntry(i int) *entry {
 	e := &entry{t: s.t, id: fmt.Sprintf("entry-%d", i), callers: freeAddr(s.t), ready: freeAddr(s.t)}
+	store := s.addr
+	if s.links {
+		e.storeLink = newProxy(s.t, s.addr)
+		store = e.storeLink.addr()
+	}
 	dir := s.t.TempDir()
 	e.settings, e.logPath = filepath.Join(dir, "settings.json"), filepath.Join(dir, "log")
 	raw, err := json.Marshal(map[string]any{
 		"entry": e.id, "failure_domain": fmt.Sprintf("domain-%c", 'a'+i%2),
 		"listen": map[string]any{"callers": e.callers, "ready": e.ready, "directory": freeAddr(s.t), "peers": freeAddr(s.t)},
-		"store":  map[string]any{"addr": s.addr, "value_bytes": s.valueBytes},
+		"store":  map[string]any{"addr": store, "value_bytes": s.valueBytes},
 		"bounds": map[string]any{"grace_s": 8, "keep_results_s": 120, "lease_ms": 3000},
 		"memory": map[string]any{"limit_mb": 200},
 	})
--- a/systemtest/soak_test.go
+++ b/systemtest/soak_test.go
@@ -18,10 +18,14 @@
 )
 
 var (
-	soakSeeds   = flag.String("soak.seeds", "1,3,36", "seeds of the fault soak, such as 1,2,10-20")
+	soakSeeds   = flag.String("soak.seeds", "1,3,36,1001", "seeds of the fault soak, such as 1,2,10-20")
 	soakSeconds = flag.Int("soak.seconds", 10, "length of each seed")
 )
 
+// linkSeeds is the first seed that also cuts, slows and resets links; those
+// before play what they always did.
+const linkSeeds = 1000
+
 // soak plays random faults on a small site while trainers and callers use it.
 type soak struct {
 	*site
@@ -70,7 +74,7 @@
 func runSoak(t *testing.T, seed uint64) {
 	models := []string{"m0", "m1"}
 	s := &soak{
-		site:   startSite(t, options{entries: 4, engines: 5, plains: 3, models: models, load: 150 * time.Millisecond, event: 8 * time.Millisecond}),
+		site:   startSite(t, options{entries: 4, engines: 5, plains: 3, models: models, load: 150 * time.Millisecond, event: 8 * time.Millisecond, links: true}),
 		random: rand.New(rand.NewPCG(seed, 9)), bids: map[string][]int{}, down: map[*entry]bool{},
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(*soakSeconds)*time.Second)
@@ -92,17 +96,20 @@
 		wg.Go(func() { tr.Run(ctx, time.Now()) })
 	}
 	wg.Go(func() { s.bid(ctx, seed) })
-	s.play(ctx)
+	s.play(ctx, seed)
 	wg.Wait()
 	s.heal()
 	s.finish(t, trainers)
 }
 
 // play injects one fault after the other; some overlap.
-func (s *soak) play(ctx context.Context) {
+func (s *soak) play(ctx context.Context, seed uint64) {
 	faults := []func(){
 		s.killOne, s.freezeOne, s.stopOne, s.storeDown, s.storeBusy, s.storeLost, s.storeSlow, s.store.Forget, s.engineTrouble, s.lateOrders,
 	}
+	if seed >= linkSeeds {
+		faults = append(faults, s.targetLink, s.storeLink)
+	}
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for ctx.Err() == nil {
@@ -214,7 +221,33 @@
 	}
 }
 
+// disturb makes a link slow, holds it one way or both, or resets it.
+func (s *soak) disturb(p *proxy) {
+	faults := []linkFaults{
+		{HoldUp: true}, {HoldDown: true}, {HoldUp: true, HoldDown: true}, {Delay: s.span(20, 300)}, {},
+	}
+	p.set(faults[s.draw(len(faults))])
+	time.Sleep(s.span(300, 3500))
+	if s.draw(2) == 0 {
+		p.reset()
+	}
+	p.set(linkFaults{})
+}
+
+func (s *soak) targetLink() {
+	links := append(append([]*proxy{}, s.engineLinks...), s.plainLinks...)
+	s.disturb(links[s.draw(len(links))])
+}
+
+func (s *soak) storeLink() { s.disturb(s.entries[s.draw(len(s.entries))].storeLink) }
+
 func (s *soak) heal() {
+	for _, p := range append(append([]*proxy{}, s.engineLinks...), s.plainLinks...) {
+		p.set(linkFaults{})
+	}
+	for _, e := range s.entries {
+		e.storeLink.set(linkFaults{})
+	}
 	s.store.SetFaults(standin.StoreFaults{})
 	for _, e := range append(append([]*standin.Engine{}, s.engines...), s.plains...) {
 		e.SetFaults(standin.EngineFaults{})
