Models take turns where engines are fewer; a large step leaves each model one

Cause: the division of the engines rounded a large model's part up before the last model had any, and with fewer engines than models the last models in the list never had one: their trainers starved for as long as it lasted. Ruled out: steps of the starved model being refused or given up (they waited). Before: TestLargeStepsLeaveEachModelAnEngine, models a, b, c had 2, 1, 0 of 3 engines; TestFewerEnginesThanModelsTakeTurns, steps done a 6, b 0, c 0. After: 1, 1, 1; all three models' steps are done in turn.

--- a/cfrollout/engines.go
+++ b/cfrollout/engines.go
@@ -1,6 +1,7 @@
 package cfrollout
 
 import (
+	"slices"
 	"sort"
 
 	cf "currantford"
@@ -47,6 +48,7 @@
 
 // divide assigns the engines that are not leaving to the models.
 func (p *Planner) divide() {
+	p.scarce = false
 	for service, models := range p.models {
 		var shares []share
 		newest := p.newest(service)
@@ -63,6 +65,10 @@
 			}
 			shares = append(shares, share{id: id, model: e.Share, moveCost: cost})
 		}
+		if len(shares) < len(models) {
+			p.scarce = true
+			models = p.turns(service, models)[:len(shares)]
+		}
 		for id, m := range assign(shares, models, p.need) {
 			if e := p.engines[id]; e.Share != m {
 				e.Share, e.loading = m, 0
@@ -72,6 +78,32 @@
 	p.index()
 }
 
+// turns orders the models of a service that has fewer engines than models: those
+// with work that waits first, the longest wait before the others. A model's turn
+// ends when all its items run, so that no trainer starves for another's steps.
+func (p *Planner) turns(service cf.ServiceName, models []cf.ModelName) []cf.ModelName {
+	oldest := map[cf.ModelName]cf.Millis{}
+	for _, o := range p.batches {
+		if o.terms.Service != service || o.paused || len(o.waiting) == 0 {
+			continue
+		}
+		m := o.batch.Sub.Model
+		if at, known := oldest[m]; !known || o.batch.Sub.Accepted < at {
+			oldest[m] = o.batch.Sub.Accepted
+		}
+	}
+	out := slices.Clone(models)
+	sort.SliceStable(out, func(i, j int) bool {
+		a, waits := oldest[out[i]]
+		b, others := oldest[out[j]]
+		if waits != others {
+			return waits
+		}
+		return waits && a < b
+	})
+	return out
+}
+
 // index rebuilds the shares' lists.
 func (p *Planner) index() {
 	p.shares = map[shareKey][]*Engine{}
--- a/cfrollout/place.go
+++ b/cfrollout/place.go
@@ -26,6 +26,9 @@
 
 // Place returns the items to start now, each with its engine set.
 func (p *Planner) Place(now cf.Millis) []*Work {
+	if p.scarce {
+		p.divide() // the models take turns
+	}
 	var out []*Work
 	typical := p.typical()
 	for _, o := range p.sorted() {
--- a/cfrollout/planner.go
+++ b/cfrollout/planner.go
@@ -127,6 +127,8 @@
 		orphans map[cf.ItemID]*Work
 		// shares indexes the engines by what they serve, sorted by id.
 		shares map[shareKey][]*Engine
+		// scarce: a service has fewer engines than models.
+		scarce bool
 	}
 
 	shareKey struct {
--- a/cfrollout/shares.go
+++ b/cfrollout/shares.go
@@ -69,13 +69,15 @@
 	quota := map[cf.ModelName]int{}
 	parts := make([]part, 0, len(models))
 	left := n
-	for _, m := range models {
+	for i, m := range models {
 		exact := float64(n) * weight(need, m) / total
 		q := int(exact)
 		if q == 0 && left > 0 {
 			q = 1
 		}
-		q = min(q, left)
+		// One is left for each model after it: steps a thousand times as
+		// large would else leave a small trainer without any.
+		q = max(min(q, left-(len(models)-1-i)), 0)
 		quota[m] = q
 		left -= q
 		parts = append(parts, part{m, exact - float64(q)})
--- /dev/null
+++ b/cfrollout/shares_test.go
@@ -0,0 +1,71 @@
+package cfrollout_test
+
+import (
+	"testing"
+
+	cf "currantford"
+	"currantford/cfrollout"
+)
+
+// Symptom: a trainer's steps are never begun while others' are.
+// Load: three models on three engines; one model's steps are a thousand times
+// as large as the others'.
+// Cause: the large model's part was rounded up before the last model had one.
+func TestLargeStepsLeaveEachModelAnEngine(t *testing.T) {
+	p := cfrollout.New(cfrollout.DefaultLimits)
+	held := []cf.ModelState{{Name: "a", Version: 1}, {Name: "b", Version: 1}, {Name: "c", Version: 1}}
+	targets := fleet(3, held...)
+	p.SetEngines(targets, models("a", "b", "c"))
+	p.AddBatch(step("large", "a", 1, 100, 10), terms)
+	p.AddBatch(step("small-b", "b", 1, 1, 1), terms)
+	p.AddBatch(step("small-c", "c", 1, 1, 1), terms)
+	count := map[cf.ModelName]int{}
+	for _, m := range shares(p, targets) {
+		count[m]++
+	}
+	for _, m := range []cf.ModelName{"a", "b", "c"} {
+		if count[m] != 1 {
+			t.Errorf("model %s has %d of 3 engines, want 1", m, count[m])
+		}
+	}
+}
+
+// Symptom: a trainer starves after engines are lost.
+// Load: three models, each with a step of twice the slots, on the one engine that
+// is left; a and b hand in a new step as soon as one is done.
+// Cause: an engine served one model, whose work never ended.
+func TestFewerEnginesThanModelsTakeTurns(t *testing.T) {
+	p := cfrollout.New(cfrollout.DefaultLimits)
+	held := []cf.ModelState{{Name: "a", Version: 1}, {Name: "b", Version: 1}, {Name: "c", Version: 1}}
+	p.SetEngines(fleet(1, held...), models("a", "b", "c"))
+	accepted := cf.Millis(0)
+	left := map[cf.ModelName]int{}
+	add := func(m cf.ModelName) {
+		accepted++
+		b := step(cf.BatchID(string(m)+string(rune('0'+accepted))), m, 1, 2, 4)
+		b.Sub.Accepted = accepted
+		left[m] = len(b.Sub.Items)
+		p.AddBatch(b, terms)
+	}
+	for _, m := range []cf.ModelName{"a", "b", "c"} {
+		add(m)
+	}
+	done := map[cf.ModelName]int{}
+	for now := cf.Millis(0); now < 12000; now += 1000 {
+		for _, w := range p.Place(now) {
+			m := w.Batch.Sub.Model
+			p.Finished(w, cfrollout.OutcomeDone, now+500)
+			if left[m]--; left[m] > 0 {
+				continue
+			}
+			done[m]++
+			p.EndBatch(w.Batch.Sub.ID)
+			if m != "c" {
+				add(m)
+			}
+		}
+	}
+	if done["c"] != 1 || done["a"] < 2 || done["b"] < 2 {
+		t.Errorf("steps done: %v, want c's and two or more of a and b each", done)
+	}
+}
