A stopping coordinator keeps its duty to the end and names its successor

Four changes: the duty is handed on at the end of the grace, not at its start; to the youngest instance that has settled, which has been restarted already; the successor is told instead of finding out (0.5 s); and it waits from the last order that may have been given, which the released lease tells, not from its takeover. Ruled out: engines short of slots; requests cut off by the stop (none).

--- a/cfcoord/coordinator.go
+++ b/cfcoord/coordinator.go
@@ -56,6 +56,8 @@
 		Held() bool
 		// MayOrder says whether it may give orders, and with which number.
 		MayOrder() (cf.Revision, bool)
+		// Ordered notes that an order is given now, or has just ended.
+		Ordered()
 	}
 
 	// Options are what a coordinator works with.
--- a/cfcoord/mirror_test.go
+++ b/cfcoord/mirror_test.go
@@ -86,6 +86,7 @@
 func (held) Valid() bool                   { return true }
 func (held) Held() bool                    { return true }
 func (held) MayOrder() (cf.Revision, bool) { return 1, true }
+func (held) Ordered()                      {}
 
 // Symptom: a sample's text goes on with events of a run that was not asked to
 // take it up there.
--- a/cfcoord/weights.go
+++ b/cfcoord/weights.go
@@ -71,7 +71,10 @@
 	if _, ok := c.Duty.MayOrder(); !ok {
 		return cf.ErrNotLeader
 	}
+	// A successor waits from the last moment at which it may have arrived.
+	c.Duty.Ordered()
 	err = c.Targets.Order(c.ctx, s.Target, order)
+	c.Duty.Ordered()
 	if errors.Is(err, cf.ErrConflict) {
 		// Another coordinator's orders, or one of ours without an answer,
 		// have moved the engine's counter, or it carries one out now.
--- a/cflease/explore_test.go
+++ b/cflease/explore_test.go
@@ -27,6 +27,7 @@
 	writeLost          // the same, its answer is lost
 	writeLate          // the same, it takes effect at any later tick
 	restart            // its process ends and starts again
+	release            // stops as planned
 	lateArrives        // the late write takes effect, if it still may
 	actions
 )
@@ -35,6 +36,9 @@
 // protocol is crossed with some steps to spare.
 const exploreTick cf.Millis = 800
 
+// forgetful bounds let a released lease say that no order was given lately.
+var forgetful = cflease.Bounds{Renew: 700, Validity: 1800, Takeover: 2200, Handover: 3201}
+
 // explore plays every schedule of so many ticks, one candidate acting in each,
 // and returns the first pair of orders that breaks the rule.
 func explore(b cflease.Bounds, ticks int) (states int, broken *[2]order) {
@@ -100,6 +104,16 @@
 			return w, false
 		}
 		*l = *cflease.New(ids[who], b)
+	case release:
+		if !l.Held() {
+			return w, false
+		}
+		h := l.Release("", w.now)
+		if b == forgetful {
+			h.OrderedAgo = b.Handover
+		}
+		l.Lost()
+		w.reg.write(l.Rev(), h)
 	case lateArrives:
 		if w.late.at == 0 || who == 1 {
 			return w, false
@@ -117,6 +131,7 @@
 		if !w.leases[i].MayOrder(w.now) {
 			continue
 		}
+		w.leases[i].Ordered(w.now)
 		o := order{ids[i], w.leases[i].Term(), w.now}
 		if other := w.last[1-i]; other.at > 0 && (o.at-other.at < 3000 || o.term <= other.term) {
 			return &[2]order{other, o}
@@ -145,6 +160,7 @@
 	for name, b := range map[string]cflease.Bounds{
 		"handover too short": {Renew: 700, Validity: 1800, Takeover: 2200, Handover: 100},
 		"taken too soon":     {Renew: 700, Validity: 5000, Takeover: 500, Handover: 3200},
+		"orders forgotten":   forgetful,
 	} {
 		if _, broken := explore(b, 10); broken == nil {
 			t.Errorf("%s: not found", name)
--- a/cflease/lease.go
+++ b/cflease/lease.go
@@ -50,6 +50,12 @@
 		Renewal int64 `json:"renewal"`
 		// Released is set by a holder that stopped as planned.
 		Released bool `json:"released,omitempty"`
+		// Successor is the instance that it would have take the lease; the
+		// others wait a little.
+		Successor cf.EntryID `json:"successor,omitempty"`
+		// OrderedAgo is how long before its release the last order may have
+		// been given, by it or by a holder before.
+		OrderedAgo cf.Millis `json:"ordered_ago_ms,omitempty"`
 	}
 
 	// Lease is one candidate's view of a lease. It is not safe for
@@ -58,13 +64,16 @@
 		self   cf.EntryID
 		bounds Bounds
 
-		rev     cf.Revision
-		holder  Holder
-		dead    bool // the holder's process has ended
-		seenAt  cf.Millis
-		held    bool
-		sentAt  cf.Millis
-		orderAt cf.Millis
+		rev    cf.Revision
+		holder Holder
+		dead   bool // the holder's process has ended
+		seenAt cf.Millis
+		held   bool
+		sentAt cf.Millis
+		// orderAt is when this instance may order; orderedAt is the latest
+		// moment at which it or a holder before it may have ordered.
+		orderAt   cf.Millis
+		orderedAt cf.Millis
 	}
 )
 
@@ -109,9 +118,16 @@
 		return false
 	}
 	h := l.holder
+	if h.Released && h.Successor != "" && h.Successor != l.self && now-l.seenAt < successorTime {
+		return false
+	}
 	return h.Entry == "" || h.Entry == l.self || l.Abandoned() || now-l.seenAt >= l.bounds.Takeover
 }
 
+// successorTime is how long a named successor has before any other instance may
+// take a released lease: two of its looks at the store.
+const successorTime cf.Millis = 700
+
 // Rev is the revision on which the next write must be conditional; zero
 // means that the object must be created.
 func (l *Lease) Rev() cf.Revision { return l.rev }
@@ -130,7 +146,7 @@
 	} else if now >= l.orderAt {
 		h.Ordering = true
 	}
-	h.Entry, h.Addr, h.Released = l.self, addr, false
+	h.Entry, h.Addr, h.Released, h.Successor, h.OrderedAgo = l.self, addr, false, "", 0
 	h.Renewal++
 	return h
 }
@@ -141,9 +157,14 @@
 		return
 	}
 	if !l.held {
-		l.orderAt = now + l.bounds.Handover
+		wait := l.bounds.Handover
+		if l.holder.Released {
+			wait = max(wait-l.holder.OrderedAgo, 0)
+		}
+		l.orderAt = now + wait
+		l.orderedAt = l.orderAt - l.bounds.Handover
 		if h.Ordering || l.holder.Entry == "" {
-			l.orderAt = now
+			l.orderAt, l.orderedAt = now, now
 		}
 	}
 	l.rev, l.holder, l.seenAt, l.dead = rev, h, now, false
@@ -182,6 +203,18 @@
 	return l.Valid(now) && now >= l.orderAt
 }
 
+// Ordered records that an order is given, or has just been answered, at now.
+func (l *Lease) Ordered(now cf.Millis) { l.orderedAt = max(l.orderedAt, now) }
+
+// Release returns the object to write to give the lease up at now, to successor
+// where there is one. The holder has ended all its calls.
+func (l *Lease) Release(successor cf.EntryID, now cf.Millis) Holder {
+	h := l.holder
+	h.Released, h.Successor = true, successor
+	h.OrderedAgo = max(now-l.orderedAt, 0)
+	return h
+}
+
 // RenewDue says whether the holder should renew at now.
 func (l *Lease) RenewDue(now cf.Millis) bool {
 	return l.held && now-l.sentAt >= l.bounds.Renew
--- a/cflease/lease_test.go
+++ b/cflease/lease_test.go
@@ -209,6 +209,12 @@
 			if l.MayTake(now) || l.RenewDue(now) {
 				writes = append(writes, late{l.Rev(), l.Next("x", now), now + 2000})
 			}
+		case 4: // a planned stop, as often as a write would do
+			if l.Held() && s%4 == 0 {
+				h := l.Release(ids[1-i], now)
+				l.Lost()
+				r.write(l.Rev(), h)
+			}
 		default:
 			if r.rev > 0 && l.Rev() == 0 {
 				l.Observe(r.rev, r.h, now)
@@ -223,6 +229,7 @@
 			if !c.MayOrder(now) {
 				continue
 			}
+			c.Ordered(now)
 			o := order{ids[j], c.Term(), now}
 			for other, p := range last {
 				if other != o.by && (o.at-p.at < 3000 || o.term <= p.term) {
@@ -267,3 +274,24 @@
 		}
 	}
 }
+
+// A released lease goes to the successor that it names; if that one does not take
+// it, any other may.
+func TestNamedSuccessorIsWaitedFor(t *testing.T) {
+	l, named := cflease.New("b", cflease.DefaultBounds), cflease.New("c", cflease.DefaultBounds)
+	released := cflease.Holder{Entry: "a", Term: 1, Released: true, Successor: "c"}
+	l.Observe(5, released, 1000)
+	named.Observe(5, released, 1000)
+	if !named.MayTake(1000) {
+		t.Error("the named successor may not take the lease")
+	}
+	if l.MayTake(1500) {
+		t.Error("another may take it at once")
+	}
+	if !l.MayTake(1800) {
+		t.Error("nobody else may take it once the successor had its time")
+	}
+	if next := named.Next("addr", 1100); next.Successor != "" || next.Released {
+		t.Errorf("the new holder's lease says %+v", next)
+	}
+}
--- a/cfmember/table.go
+++ b/cfmember/table.go
@@ -23,6 +23,8 @@
 		Peers  string           `cbor:"peers"` // for the other instances
 		Domain cf.FailureDomain `cbor:"failure_domain"`
 		Ready  bool             `cbor:"ready"`
+		// Age is how long its process had run when it said so.
+		Age cf.Millis `cbor:"age"`
 	}
 
 	// Table holds the entry instances heard of. The zero value is empty. It
@@ -74,6 +76,31 @@
 	return out
 }
 
+// settled is the age from which on an instance can take a duty over: it has
+// its view of the site, which takes about 0.3 s, and has not ended right after
+// its start.
+const settled cf.Millis = 600
+
+// Successor returns the instance that should take a duty over from one that
+// stops as planned: the youngest that has settled. In a rolling restart the
+// young ones have been restarted, and the others will be, so that the duty moves
+// once or twice and not with each of its holders.
+func Successor(entries []Entry, self cf.EntryID) (Entry, bool) {
+	best := -1
+	for i, e := range entries {
+		if e.ID == self || e.Age < settled {
+			continue
+		}
+		if best < 0 || e.Age < entries[best].Age {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Entry{}, false
+	}
+	return entries[best], true
+}
+
 // Nearest returns the addresses of entries, those of domain first.
 func Nearest(entries []Entry, domain cf.FailureDomain, most int) []string {
 	var near, far []string
--- a/cfnode/candidate.go
+++ b/cfnode/candidate.go
@@ -59,11 +59,16 @@
 	// doubted is set when the instance believed to be the holder says that
 	// it is not.
 	doubted atomic.Bool
+	// offered is set when a holder has named this instance as its successor.
+	offered atomic.Bool
 	// answered is when the instance believed to be the holder last answered
 	// at all.
 	answered atomic.Int64
 	// deposed is set when a successor has called.
 	deposed atomic.Bool
+	// leaving is set when the instance stops: it keeps the duty for a while
+	// and does not take it.
+	leaving atomic.Bool
 }
 
 // Valid implements cfcoord.Duty.
@@ -97,6 +102,13 @@
 	return c.lease.Term(), c.lease.MayOrder(cf.Uptime())
 }
 
+// Ordered implements cfcoord.Duty.
+func (c *candidate) Ordered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lease.Ordered(cf.Uptime())
+}
+
 // holder returns the lease as last seen.
 func (c *candidate) holder() (cflease.Holder, cf.Revision) {
 	c.mu.Lock()
@@ -144,13 +156,21 @@
 	now := cf.Uptime()
 	c.mu.Lock()
 	valid, renew, may, rev := c.lease.Valid(now), c.lease.RenewDue(now), c.lease.MayTake(now), c.lease.Rev()
-	abandoned := c.lease.Abandoned()
+	abandoned, named := c.lease.Abandoned(), c.lease.Holder().Successor == c.self
 	c.mu.Unlock()
 	if c.held {
 		c.hold(ctx, now, valid, renew)
 		return
 	}
+	if c.leaving.Load() {
+		return
+	}
 	doubted := c.doubted.Load()
+	if c.offered.Swap(false) {
+		c.probe(ctx)
+		c.takeOffered(ctx)
+		return
+	}
 	if rev > 0 && !abandoned && !doubted && now-c.word() < probeEvery {
 		return
 	}
@@ -161,7 +181,9 @@
 		return
 	}
 	if may && rev > 0 {
-		cf.Sleep(ctx, rand.N(takeSpread))
+		if !named {
+			cf.Sleep(ctx, rand.N(takeSpread))
+		}
 		c.probe(ctx)
 		c.mu.Lock()
 		may = c.lease.MayTake(cf.Uptime())
@@ -172,6 +194,16 @@
 	}
 }
 
+// takeOffered takes a lease that was released in this instance's favour.
+func (c *candidate) takeOffered(ctx context.Context) {
+	c.mu.Lock()
+	may := c.lease.MayTake(cf.Uptime()) && c.lease.Holder().Successor == c.self
+	c.mu.Unlock()
+	if may {
+		c.write(ctx)
+	}
+}
+
 // hold renews the lease. A holder that can't is not over while nobody else has
 // taken it: it goes on with what needs no lease, such as the runs under way,
 // which would otherwise be lost in each outage of the store.
@@ -277,15 +309,18 @@
 	c.lost()
 }
 
-// release gives the lease up at a planned stop, so that another instance takes
-// over at once. It is called after run has ended.
-func (c *candidate) release(ctx context.Context) {
+// release gives the lease up at a planned stop, so that the successor takes over
+// at once; false if it did not hold it or could not. It is called after run has
+// ended.
+func (c *candidate) release(ctx context.Context, successor cf.EntryID) bool {
 	if !c.held {
-		return
+		return false
 	}
-	next, rev := c.holder()
 	c.stepDown("planned stop")
-	next.Released = true
+	c.mu.Lock()
+	next, rev := c.lease.Release(successor, cf.Uptime()), c.lease.Rev()
+	c.mu.Unlock()
+	c.log.Info("lease_released", zap.String("successor", string(successor)), zap.Int64("ordered_ago_ms", int64(next.OrderedAgo)))
 	r, err := c.store.Replace(ctx, cf.KindLease, leaseName, rev, next)
 	if errors.Is(err, cf.ErrConflict) {
 		// A renewal that was under way when run ended has taken effect.
@@ -297,4 +332,5 @@
 	if err != nil {
 		c.log.Warn("lease_not_released", cflog.Error(err))
 	}
+	return err == nil
 }
--- a/cfnode/feed.go
+++ b/cfnode/feed.go
@@ -26,6 +26,7 @@
 	opStore   = "store"
 	opTexts   = "texts"
 	opMirror  = "mirror"
+	opOffered = "offered"
 
 	// feedWait is how long the coordinator holds a feed call without news;
 	// each call is also the caller's report that it is alive.
--- a/cfnode/node.go
+++ b/cfnode/node.go
@@ -28,6 +28,7 @@
 	"currantford/cfcoord"
 	"currantford/cfingress"
 	"currantford/cflease"
+	"currantford/cflog"
 	"currantford/cfmember"
 	"currantford/cfpeer"
 	"currantford/cfrollout"
@@ -73,6 +74,7 @@
 		peers     *cfpeer.Client
 		peerSrv   *cfpeer.Server
 		leaving   atomic.Bool
+		started   cf.Millis
 		// texts are what this instance had generated when its duty ended.
 		texts   atomic.Pointer[map[cf.ItemID]cfrollout.Text]
 		mirrors mirrors
@@ -103,7 +105,7 @@
 	n := &Node{
 		settings: s, adapter: a, log: log, site: cfsite.New(a.Codec), metrics: cfcoord.NewMetrics(reg),
 		peers: cfpeer.NewClient(), peerSrv: cfpeer.NewServer(), ctx: ctx, cancel: cancel,
-		candidateDone: make(chan struct{}),
+		started: cf.Uptime(), candidateDone: make(chan struct{}),
 	}
 	n.candidacy, n.endCandidacy = context.WithCancel(ctx)
 	bounds := cflease.DefaultBounds
@@ -122,6 +124,10 @@
 	n.peerSrv.Handle(opItem, n.serveItem)
 	n.peerSrv.Handle(opChanged, n.serveChanged)
 	n.peerSrv.Handle(opTexts, n.serveTexts)
+	n.peerSrv.Handle(opOffered, func(context.Context, cbor.RawMessage) (any, error) {
+		n.candidate.offered.Store(true)
+		return true, nil
+	})
 	n.peerSrv.Handle(opMirror, n.serveMirror)
 	n.peerSrv.Handle(opStore, func(ctx context.Context, body cbor.RawMessage) (any, error) { return a.Relay.Relayed(ctx, body) })
 	a.Relay.SetRelay(n.relay)
@@ -148,10 +154,11 @@
 	n.wg.Go(n.runWatch)
 }
 
-// Leave takes the instance out of the callers' address lists and hands the
-// coordinator's duty on; requests are still served.
+// Leave takes the instance out of the callers' address lists, and out of those
+// that take the coordinator's duty; requests are still served.
 func (n *Node) Leave() {
 	n.leaving.Store(true)
+	n.candidate.leaving.Store(true)
 	n.ingress.Stop()
 	n.hear(feedCall{Entry: n.self(), Leaving: true})
 }
@@ -161,7 +168,14 @@
 func (n *Node) HandOver(ctx context.Context) {
 	n.endCandidacy()
 	<-n.candidateDone // its calls to the store end with their context
-	n.candidate.release(ctx)
+	successor, _ := cfmember.Successor(n.Live(), n.settings.Entry)
+	if !n.candidate.release(ctx, successor.ID) || successor.ID == "" {
+		return
+	}
+	var ok bool
+	if err := n.peers.Call(ctx, successor.Peers, opOffered, struct{}{}, &ok); err != nil {
+		n.log.Info("successor_not_told", cflog.Error(err)) // it looks at the store by itself
+	}
 }
 
 // Close stops and waits for all that was started.
@@ -180,6 +194,7 @@
 func (n *Node) self() cfmember.Entry {
 	return cfmember.Entry{
 		ID: n.settings.Entry, Addr: n.settings.Listen.Callers, Peers: n.settings.Listen.Peers, Domain: n.settings.Domain, Ready: n.ingress.Ready(),
+		Age: cf.Uptime() - n.started,
 	}
 }
 
--- a/cfnode/process.go
+++ b/cfnode/process.go
@@ -122,13 +122,20 @@
 	began := time.Now()
 	grace := time.Duration(p.settings.Bounds.GraceS*float64(time.Second)) - graceReserve
 	p.node.Leave()
+	leave := min(leaveFor, grace*3/4)
+	if p.callers != nil {
+		time.Sleep(max(0, min(windDownAfter, grace/2)-time.Since(began)))
+		p.callers.windDown()
+		time.Sleep(max(0, leave-handOverBudget-time.Since(began)))
+	}
+	// The duty is kept while the instance is there anyway: each change of it
+	// holds the weight orders up for seconds, and in a rolling restart those
+	// that could take it now are stopped next.
 	ctx, cancel := context.WithTimeout(context.Background(), handOverBudget)
 	p.node.HandOver(ctx)
 	cancel()
 	if p.callers != nil {
-		time.Sleep(max(0, min(windDownAfter, grace/2)-time.Since(began)))
-		p.callers.windDown()
-		time.Sleep(max(0, min(leaveFor, grace*3/4)-time.Since(began)))
+		time.Sleep(max(0, leave-time.Since(began)))
 		ctx, cancel = context.WithTimeout(context.Background(), max(0, grace-time.Since(began)))
 		if err := p.callers.Shutdown(ctx); err != nil {
 			p.log.Warn("requests_cut_off", cflog.Error(err))
