--- a/cfmember/successor_test.go
+++ b/cfmember/successor_test.go
@@ -30,3 +30,32 @@
 		}
 	}
 }
+
+// The list is made anew only when it changes: an instance comes, leaves, is not
+// ready, or falls silent.
+func TestLiveCountsItsChanges(t *testing.T) {
+	var table cfmember.Table
+	a, b := cfmember.Entry{ID: "a", Ready: true}, cfmember.Entry{ID: "b", Ready: true}
+	expect := func(now cf.Millis, entries int, changes int64) {
+		t.Helper()
+		if live := table.Live(now); len(live) != entries || table.Changes() != changes {
+			t.Errorf("at %d: %d live, %d changes; want %d and %d", now, len(live), table.Changes(), entries, changes)
+		}
+	}
+	table.Heard(a, 0)
+	table.Heard(b, 0)
+	expect(0, 2, 1)
+	a.Age = 700
+	table.Heard(a, 700)
+	expect(700, 2, 1)
+	expect(cfmember.Silence+1, 1, 2)
+	table.Heard(b, 1600)
+	expect(1600, 2, 3)
+	b.Ready = false
+	table.Heard(b, 1700)
+	expect(1700, 1, 4)
+	if fresh := table.Fresh(1700); len(fresh) != 1 || fresh[0].Age != 700 {
+		t.Errorf("fresh list %+v", fresh)
+	}
+	expect(1700, 1, 4)
+}
--- a/cfmember/table.go
+++ b/cfmember/table.go
@@ -10,6 +10,7 @@
 package cfmember
 
 import (
+	"slices"
 	"sort"
 
 	cf "currantford"
@@ -31,6 +32,11 @@
 	// is not safe for concurrent use.
 	Table struct {
 		heard map[cf.EntryID]heard
+		// live is the list as of its last change, which changes counts;
+		// stale is when an instance may drop out of it, at the earliest.
+		live    []Entry
+		changes int64
+		stale   cf.Millis
 	}
 
 	heard struct {
@@ -48,7 +54,12 @@
 	if t.heard == nil {
 		t.heard = map[cf.EntryID]heard{}
 	}
+	old, known := t.heard[e.ID]
 	t.heard[e.ID] = heard{e, now}
+	old.entry.Age = e.Age // changes with each report
+	if !known || old.entry != e {
+		t.stale = 0
+	}
 }
 
 // Adopt takes a table from a coordinator before: until each instance has had
@@ -60,20 +71,50 @@
 	}
 }
 
-// Live returns the instances that take callers, sorted by id.
+// Live returns the instances that take callers, sorted by id. The list is kept
+// until it changes, and not to be changed: 300 instances ask for it 750 times a
+// second.
 func (t *Table) Live(now cf.Millis) []Entry {
-	var out []Entry
+	if now < t.stale {
+		return t.live
+	}
+	live, stale := t.collect(now)
+	t.stale = stale
+	if !slices.EqualFunc(live, t.live, func(a, b Entry) bool {
+		a.Age = b.Age
+		return a == b
+	}) || t.changes == 0 {
+		t.live = live
+		t.changes++
+	}
+	return t.live
+}
+
+// Changes counts the changes of Live.
+func (t *Table) Changes() int64 { return t.changes }
+
+// Fresh returns the same as Live, each instance with its latest age.
+func (t *Table) Fresh(now cf.Millis) []Entry {
+	live, _ := t.collect(now)
+	return live
+}
+
+// collect returns the instances that take callers, and when one of those heard
+// of may drop out.
+func (t *Table) collect(now cf.Millis) (live []Entry, stale cf.Millis) {
+	stale = now + Silence
 	for id, h := range t.heard {
 		if now-h.at > Silence {
 			delete(t.heard, id)
 			continue
 		}
+		stale = min(stale, h.at+Silence+1)
 		if h.entry.Ready {
-			out = append(out, h.entry)
+			live = append(live, h.entry)
 		}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
-	return out
+	sort.Slice(live, func(i, j int) bool { return live[i].ID < live[j].ID })
+	return live, stale
 }
 
 // settled is the age from which on an instance can take a duty over: it has
--- a/cfnode/feed.go
+++ b/cfnode/feed.go
@@ -15,6 +15,7 @@
 	"currantford/cflog"
 	"currantford/cfmember"
 	"currantford/cfpeer"
+	"currantford/cfsite"
 	"currantford/cfwatch"
 )
 
@@ -45,23 +46,28 @@
 	feedCall struct {
 		Entry   cfmember.Entry `cbor:"entry"`
 		Leaving bool           `cbor:"leaving,omitempty"`
-		// Term and Relayed are those of the last answer; Config is the
-		// revision of the configuration in force.
+		// Term, News and Members are those of the last answer; Sum is that
+		// of the view of targets, Config the revision of the configuration
+		// in force.
 		Term    cf.Revision `cbor:"term"`
-		Relayed int64       `cbor:"relayed"`
+		News    int64       `cbor:"news"`
+		Members int64       `cbor:"members"`
+		Sum     uint64      `cbor:"sum"`
 		Config  cf.Revision `cbor:"config"`
 	}
 
-	// feedAnswer brings an instance up to the coordinator's view.
+	// feedAnswer brings an instance up to the coordinator's view. What the
+	// instance has already is left out.
 	feedAnswer struct {
-		Holder  cflease.Holder   `cbor:"holder"`
-		Rev     cf.Revision      `cbor:"rev"`
-		Fresh   bool             `cbor:"fresh"`
-		Relayed int64            `cbor:"relayed"`
-		Config  *cf.Record       `cbor:"config,omitempty"`
-		Targets []cf.Target      `cbor:"targets,omitempty"`
-		At      cf.Revision      `cbor:"at"`
-		Members []cfmember.Entry `cbor:"members"`
+		Holder cflease.Holder `cbor:"holder"`
+		Rev    cf.Revision    `cbor:"rev"`
+		Fresh  bool           `cbor:"fresh"`
+		Config *cf.Record     `cbor:"config,omitempty"`
+		News   *cfsite.News   `cbor:"news,omitempty"`
+		// MembersAt counts the changes of the list of members, which is sent
+		// where it has changed.
+		MembersAt int64            `cbor:"members_at"`
+		Members   []cfmember.Entry `cbor:"members,omitempty"`
 	}
 
 	// feed is what an instance has from the coordinator.
@@ -69,8 +75,10 @@
 		heard   atomic.Int64 // Uptime of the last fresh answer
 		mu      sync.Mutex
 		members []cfmember.Entry
-		term    cf.Revision
-		relayed int64
+		// term, news and membersAt say what the instance has.
+		term      cf.Revision
+		news      int64
+		membersAt int64
 	}
 )
 
@@ -88,9 +96,13 @@
 	}
 	n.hear(call)
 	holder, _ := n.candidate.holder()
-	relayed, changed := n.site.Relay()
-	if call.Term == holder.Term && call.Relayed == relayed {
-		timer := time.NewTimer(feedWait.Duration())
+	count, changed := n.site.Relay()
+	wait := feedWait.Duration()
+	if !n.viewFresh(cf.Uptime()) {
+		wait = feedRetry // there is nothing to tell yet
+	}
+	if call.Term == holder.Term && call.News == count || wait == feedRetry {
+		timer := time.NewTimer(wait)
 		defer timer.Stop()
 		select {
 		case <-changed:
@@ -98,29 +110,38 @@
 		case <-ctx.Done():
 			return nil, cf.ErrUnavailable
 		}
-		relayed, _ = n.site.Relay()
 	}
 	holder, rev := n.candidate.holder()
 	if !n.candidate.Valid() {
 		return nil, cf.ErrNotLeader
 	}
-	a := feedAnswer{Holder: holder, Rev: rev, Fresh: n.viewFresh(cf.Uptime()), Relayed: relayed, Members: n.Live()}
+	a := feedAnswer{Holder: holder, Rev: rev, Fresh: n.viewFresh(cf.Uptime())}
+	same := call.Term == holder.Term
+	a.Members, a.MembersAt = n.memberList()
+	if same && call.Members == a.MembersAt {
+		a.Members = nil
+	}
 	if !a.Fresh {
 		return a, nil
 	}
 	if r := n.site.ConfigRecord(); r.Rev > call.Config {
 		a.Config = &r
 	}
-	if call.Term != holder.Term || call.Relayed != relayed {
-		a.At = n.site.TargetsAt()
-		for _, t := range n.site.Targets() {
-			t.Models = nil // only the coordinator gives orders
-			a.Targets = append(a.Targets, t)
-		}
+	if count, _ := n.site.Relay(); !same || call.News != count {
+		news := n.newsFor(call, same)
+		a.News = &news
 	}
 	return a, nil
 }
 
+// newsFor returns what an instance must hear of the targets.
+func (n *Node) newsFor(call feedCall, same bool) cfsite.News {
+	if same {
+		return n.site.NewsSince(call.News)
+	}
+	return n.site.AllNews(call.Sum)
+}
+
 func (n *Node) hear(call feedCall) {
 	n.memberMu.Lock()
 	defer n.memberMu.Unlock()
@@ -171,8 +192,8 @@
 	asked := cf.Uptime()
 	n.feed.mu.Lock()
 	call := feedCall{
-		Entry: n.self(), Leaving: n.leaving.Load(), Term: n.feed.term, Relayed: n.feed.relayed,
-		Config: n.site.ConfigRecord().Rev,
+		Entry: n.self(), Leaving: n.leaving.Load(), Term: n.feed.term, News: n.feed.news, Members: n.feed.membersAt,
+		Sum: n.site.Sum(), Config: n.site.ConfigRecord().Rev,
 	}
 	n.feed.mu.Unlock()
 	var a feedAnswer
@@ -187,7 +208,9 @@
 	n.candidate.heard()
 	n.candidate.observe(a.Rev, a.Holder)
 	n.feed.mu.Lock()
-	n.feed.members = a.Members
+	if a.MembersAt != n.feed.membersAt || a.Holder.Term != n.feed.term {
+		n.feed.members, n.feed.membersAt = a.Members, a.MembersAt
+	}
 	n.feed.mu.Unlock()
 	if !a.Fresh {
 		return
@@ -202,14 +225,7 @@
 				zap.Int64("revision", int64(a.Config.Rev)), zap.String("source", "coordinator"))
 		}
 	}
-	if a.At > 0 {
-		gone, applied := n.site.ReplaceTargets(a.Targets, a.At, cf.Uptime())
-		n.log.Info("targets_relayed", zap.Int("targets", len(a.Targets)), zap.Int("gone", len(gone)), zap.Bool("applied", applied),
-			zap.Int64("revision", int64(a.At)))
-	}
-	n.feed.mu.Lock()
-	n.feed.term, n.feed.relayed = a.Holder.Term, a.Relayed
-	n.feed.mu.Unlock()
+	n.takeNews(a.Holder.Term, a.News)
 	// The answer shows the view as of its sending. One that took longer than
 	// a call may was held up on the way, or this machine was suspended.
 	heard := cf.Uptime()
@@ -218,3 +234,23 @@
 	}
 	n.feed.heard.Store(int64(heard))
 }
+
+// takeNews takes what the coordinator tells of the targets. A view that differs
+// afterwards is asked for as a whole.
+func (n *Node) takeNews(term cf.Revision, news *cfsite.News) {
+	n.feed.mu.Lock()
+	n.feed.term = term
+	n.feed.mu.Unlock()
+	if news == nil {
+		return
+	}
+	same := n.site.TakeNews(*news, cf.Uptime())
+	n.log.Info("targets_relayed", zap.Int("targets", len(news.Targets)), zap.Int("gone", len(news.Gone)), zap.Bool("whole", news.Whole),
+		zap.Bool("same", same), zap.Int64("revision", int64(news.At)))
+	n.feed.mu.Lock()
+	defer n.feed.mu.Unlock()
+	n.feed.news = news.Count
+	if !same {
+		n.feed.term = 0
+	}
+}
--- a/cfnode/node.go
+++ b/cfnode/node.go
@@ -168,7 +168,7 @@
 func (n *Node) HandOver(ctx context.Context) {
 	n.endCandidacy()
 	<-n.candidateDone // its calls to the store end with their context
-	successor, _ := cfmember.Successor(n.Live(), n.settings.Entry)
+	successor := n.successor()
 	if !n.candidate.release(ctx, successor.ID) || successor.ID == "" {
 		return
 	}
@@ -202,11 +202,8 @@
 // reports, else as the coordinator last told.
 func (n *Node) Live() []cfmember.Entry {
 	if n.candidate.Valid() {
-		n.memberMu.Lock()
-		defer n.memberMu.Unlock()
-		now := cf.Uptime()
-		n.members.Heard(n.self(), now)
-		return n.members.Live(now)
+		members, _ := n.memberList()
+		return members
 	}
 	n.feed.mu.Lock()
 	defer n.feed.mu.Unlock()
@@ -227,6 +224,25 @@
 	return out
 }
 
+// memberList returns the instances as the coordinator has heard of them, and the
+// count of the list's changes.
+func (n *Node) memberList() ([]cfmember.Entry, int64) {
+	n.memberMu.Lock()
+	defer n.memberMu.Unlock()
+	now := cf.Uptime()
+	n.members.Heard(n.self(), now)
+	live := n.members.Live(now)
+	return live, n.members.Changes()
+}
+
+// successor returns the instance that should take the duty over.
+func (n *Node) successor() cfmember.Entry {
+	n.memberMu.Lock()
+	defer n.memberMu.Unlock()
+	e, _ := cfmember.Successor(n.members.Fresh(cf.Uptime()), n.settings.Entry)
+	return e
+}
+
 func (n *Node) beginDuty(before cflease.Holder) {
 	n.memberMu.Lock()
 	n.feed.mu.Lock()
--- a/cfrollout/swap.go
+++ b/cfrollout/swap.go
@@ -1,8 +1,8 @@
 package cfrollout
 
 import (
+	"container/heap"
 	"slices"
-	"sort"
 
 	cf "currantford"
 )
@@ -43,44 +43,71 @@
 	return out
 }
 
+// swapCandidate is an engine that should load its share's newest version.
+type swapCandidate struct {
+	engine *Engine
+	// urgent: something waits that its version may not run.
+	urgent bool
+}
+
+// swapQueue is a heap of candidates, the one to load first at its head. Only a
+// few may load at once: sorting all of 3,000 at each look took 2.9 ms, and two
+// thirds of the coordinator's processor.
+type swapQueue []swapCandidate
+
+func (q swapQueue) Len() int      { return len(q) }
+func (q swapQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+func (q swapQueue) Less(i, j int) bool {
+	a, b := q[i], q[j]
+	if a.urgent != b.urgent {
+		return a.urgent
+	}
+	if a.engine.Running != b.engine.Running {
+		return a.engine.Running < b.engine.Running
+	}
+	return a.engine.ID < b.engine.ID
+}
+
+func (q *swapQueue) Push(x any) { *q = append(*q, x.(swapCandidate)) }
+
+func (q *swapQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
 // Swaps returns the weight orders to give now and marks their engines as
 // loading. An engine loads when nothing waits that it could run: before, the
 // load would hold up work; much later, the next step would find it without
 // the version it needs.
 func (p *Planner) Swaps(now cf.Millis) []Swap {
+	loading := p.loading()
+	if loading >= max(p.limits.Loads, p.limits.UrgentLoads) {
+		return nil
+	}
 	demands := p.demands()
-	var due []*Engine
+	var due swapQueue
 	for k, es := range p.shares {
+		d := demands[k]
 		for _, e := range es {
-			if p.due(e, demands[k], now) {
-				due = append(due, e)
+			if p.due(e, d, now) {
+				due = append(due, swapCandidate{e, d.blocked(e.versions[e.Share])})
 			}
 		}
 	}
-	if len(due) == 0 {
-		return nil
-	}
-	urgent := func(e *Engine) bool { return demands[shareKey{e.Service, e.Share}].blocked(e.versions[e.Share]) }
-	sort.Slice(due, func(i, j int) bool {
-		a, b := due[i], due[j]
-		if ua, ub := urgent(a), urgent(b); ua != ub {
-			return ua
-		}
-		if a.Running != b.Running {
-			return a.Running < b.Running
-		}
-		return a.ID < b.ID
-	})
-	loading := p.loading()
+	heap.Init(&due)
 	var out []Swap
-	for _, e := range due {
+	for len(due) > 0 {
+		c := heap.Pop(&due).(swapCandidate)
 		limit := p.limits.Loads
-		if urgent(e) {
+		if c.urgent {
 			limit = p.limits.UrgentLoads
 		}
 		if loading >= limit {
 			break // those after it are not more urgent
 		}
+		e := c.engine
 		if !p.spared(e) {
 			continue
 		}
@@ -118,17 +145,17 @@
 	if e.versions[e.Share] < oldest {
 		return true
 	}
-	others, serving := 0, 0
+	alone := true
 	for _, x := range p.shares[shareKey{e.Service, e.Share}] {
 		if x == e || x.Draining {
 			continue
 		}
-		others++
 		if x.loading == 0 && x.versions[x.Share] >= oldest {
-			serving++
+			return true
 		}
+		alone = false
 	}
-	return others == 0 || serving > 0
+	return alone
 }
 
 // SwapDone records that an engine holds a version.
--- a/cfsite/site.go
+++ b/cfsite/site.go
@@ -22,16 +22,21 @@
 	changes  int64
 	// grace is until when an entry that vanishes is kept as lapsed.
 	grace cf.Millis
-	// relayed counts the changes that other instances must hear of, and
-	// relay is closed at the next one.
-	relayed int64
-	relay   chan struct{}
+	relay relay
+	// sorted and usable are Targets and Usable as of the changes counted,
+	// for readers that ask more often than anything changes.
+	sorted []cf.Target
+	usable map[cf.ServiceName][]cf.Target
 }
 
 type entry struct {
 	target cf.Target
 	rev    cf.Revision
 	lapsed bool
+	// sum is the target's part of the view's sum, relayedAt the count of the
+	// relayed changes at its last one.
+	sum       uint64
+	relayedAt int64
 }
 
 // lapseGrace is how long after the store's return an entry may be missing:
@@ -44,7 +49,7 @@
 func New(codec Codec) *Site {
 	return &Site{
 		codec: codec, targets: map[cf.InstanceID]entry{}, versions: map[cf.ModelName]cf.WeightVersion{},
-		changed: make(chan struct{}), relay: make(chan struct{}),
+		changed: make(chan struct{}), relay: newRelay(),
 	}
 }
 
@@ -64,23 +69,31 @@
 
 func (s *Site) notify() {
 	s.changes++
+	s.sorted, s.usable = nil, nil
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-// Relay returns the count of the changes that other instances must hear of,
-// and a channel that is closed at the next one. A target's weights are not
-// among them: only the coordinator uses those.
-func (s *Site) Relay() (int64, <-chan struct{}) {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	return s.relayed, s.relay
+// put takes a target into the view, and into the relay if others must hear of
+// its change.
+func (s *Site) put(e entry) {
+	id := e.target.ID
+	e.sum = sumOf(e.target)
+	old, known := s.targets[id]
+	e.relayedAt = old.relayedAt
+	if !known || old.sum != e.sum {
+		e.relayedAt = s.relay.count + 1
+		delete(s.relay.gone, id)
+	}
+	s.relay.sum ^= old.sum ^ e.sum
+	s.targets[id] = e
 }
 
-func (s *Site) notifyRelay() {
-	s.relayed++
-	close(s.relay)
-	s.relay = make(chan struct{})
+// remove takes a target out of the view.
+func (s *Site) remove(id cf.InstanceID) {
+	s.relay.sum ^= s.targets[id].sum
+	delete(s.targets, id)
+	s.relay.bury(id)
 }
 
 // StoreRegained records that the store answers again after it did not.
@@ -101,12 +114,12 @@
 	for id, e := range s.targets {
 		if e.lapsed {
 			gone = append(gone, e.target)
-			delete(s.targets, id)
+			s.remove(id)
 		}
 	}
 	if len(gone) > 0 {
 		s.notify()
-		s.notifyRelay()
+		s.relay.notify()
 	}
 	return gone
 }
@@ -151,7 +164,7 @@
 	}
 	s.config, s.configAt = &c, r
 	s.notify()
-	s.notifyRelay()
+	s.relay.notify()
 	return true, nil
 }
 
@@ -176,9 +189,9 @@
 			s.targets[id] = old
 			return old.target, false, nil
 		}
-		delete(s.targets, id)
+		s.remove(id)
 		s.notify()
-		s.notifyRelay()
+		s.relay.notify()
 		return old.target, true, nil
 	}
 	t, err := s.codec.Target(r)
@@ -189,10 +202,13 @@
 		// Gone since: a later list did not hold it.
 		return t, false, nil
 	}
-	s.targets[id] = entry{target: t, rev: r.Rev}
+	s.put(entry{target: t, rev: r.Rev})
+	if known && !old.lapsed && reflect.DeepEqual(old.target, t) {
+		return t, false, nil // a heartbeat alone
+	}
 	s.notify()
-	if !known || !sameButWeights(old.target, t) {
-		s.notifyRelay()
+	if s.targets[id].sum != old.sum {
+		s.relay.notify()
 	}
 	return t, true, nil
 }
@@ -205,36 +221,34 @@
 	if at < s.at {
 		return nil, false
 	}
-	fresh := make(map[cf.InstanceID]entry, len(list))
+	listed := make(map[cf.InstanceID]bool, len(list))
+	before := s.relay.sum
 	for _, t := range list {
-		if old, ok := s.targets[t.ID]; ok && old.rev > at {
-			fresh[t.ID] = old
-			continue
+		listed[t.ID] = true
+		if old, ok := s.targets[t.ID]; !ok || old.rev <= at {
+			s.put(entry{target: t, rev: at})
 		}
-		fresh[t.ID] = entry{target: t, rev: at}
 	}
 	for id, old := range s.targets {
-		if _, ok := fresh[id]; ok {
+		if listed[id] {
 			continue
 		}
 		if s.lapse(old, now) {
 			old.lapsed = true
-			fresh[id] = old
+			s.targets[id] = old
 			continue
 		}
 		gone = append(gone, old.target)
+		s.remove(id)
 	}
-	s.targets, s.at = fresh, at
+	s.at = at
 	s.notify()
-	s.notifyRelay()
+	if s.relay.sum != before {
+		s.relay.notify()
+	}
 	return gone, true
 }
 
-func sameButWeights(a, b cf.Target) bool {
-	a.Models, b.Models = nil, nil
-	return reflect.DeepEqual(a, b)
-}
-
 // Advance records that the view of targets is current as of a revision.
 func (s *Site) Advance(at cf.Revision) {
 	s.mu.Lock()
@@ -249,26 +263,52 @@
 	return s.at
 }
 
-// Targets returns all targets, sorted by id.
+// Targets returns all targets, sorted by id. The list is not to be changed.
 func (s *Site) Targets() []cf.Target {
 	s.mu.RLock()
-	defer s.mu.RUnlock()
-	out := make([]cf.Target, 0, len(s.targets))
-	for _, e := range s.targets {
-		out = append(out, e.target)
+	sorted := s.sorted
+	s.mu.RUnlock()
+	if sorted != nil {
+		return sorted
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
-	return out
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list()
+}
+
+// list returns the targets, sorted by id. s.mu is held.
+func (s *Site) list() []cf.Target {
+	if s.sorted == nil {
+		s.sorted = make([]cf.Target, 0, len(s.targets))
+		for _, e := range s.targets {
+			s.sorted = append(s.sorted, e.target)
+		}
+		sort.Slice(s.sorted, func(i, j int) bool { return s.sorted[i].ID < s.sorted[j].ID })
+	}
+	return s.sorted
 }
 
-// Usable returns the targets of a service that take new work.
+// Usable returns the targets of a service that take new work. The list is not to
+// be changed. It is kept until the view changes: made anew for each request it
+// cost 1.2 ms with 3,000 targets.
 func (s *Site) Usable(service cf.ServiceName) []cf.Target {
-	var out []cf.Target
-	for _, t := range s.Targets() {
+	s.mu.RLock()
+	out, known := s.usable[service]
+	s.mu.RUnlock()
+	if known {
+		return out
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.list() {
 		if t.Service == service && !t.Draining {
 			out = append(out, t)
 		}
 	}
+	if s.usable == nil {
+		s.usable = map[cf.ServiceName][]cf.Target{}
+	}
+	s.usable[service] = out
 	return out
 }
 
