How many engines may load weights at once is learned

How many loads a weight store serves at full speed is not told, and differs. Now the planner allows half as many more after a round that took as long as usual, finds the bound, and tries above it again after 30 s, then twice as long each time. Ruled out: slots (they stood idle), the coordinator's processor (19 s in 5,300).

--- a/cfcoord/weights.go
+++ b/cfcoord/weights.go
@@ -29,16 +29,18 @@
 		err := c.swap(s, term)
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		outcome := "done"
+		outcome, limit := "done", 0
 		if err != nil {
 			outcome = err.Error()
 			c.planner.SwapFailed(s.Target.ID, cf.Uptime())
 		} else {
+			limit = c.planner.SwapTook(s.Target.ID, cf.Uptime())
 			c.planner.SwapDone(s.Target.ID, s.Model, s.Version)
 		}
 		c.Metrics.Orders.WithLabelValues(orderLabel(err)).Inc()
 		c.Log.Info("weights_swapped", zap.String("target", string(s.Target.ID)), zap.String("model", string(s.Model)),
-			zap.Int64("version", int64(s.Version)), zap.Int64("term", int64(term)), zap.String("outcome", outcome))
+			zap.Int64("version", int64(s.Version)), zap.Int64("term", int64(term)), zap.String("outcome", outcome),
+			zap.Int("loads_allowed", limit))
 		c.Kick()
 	})
 }
--- /dev/null
+++ b/cfrollout/loads.go
@@ -0,0 +1,101 @@
+package cfrollout
+
+import (
+	cf "currantford"
+)
+
+const (
+	// slowLoad is how much longer than usual a load takes that others slow
+	// down: loads are seen to end at steps of 0.15 s of about 1 s.
+	slowLoad = 1.25
+	// oddLoad is how much longer a load takes that tells nothing of those
+	// beside it: its order was carried out late, or its engine is slow.
+	oddLoad = 2.5
+	// slowMost is how many slow loads in one round end a try.
+	slowMost = 2
+	// usualWeight lets the usual time follow engines that change.
+	usualWeight = 0.05
+	// firstRest is the pause after a bound was found before the next try
+	// above it; it doubles up to mostRest, as each try slows a round down.
+	firstRest cf.Millis = 30000
+	mostRest  cf.Millis = 600000
+)
+
+// loadPace learns how many engines may load weights at once. The weight store
+// serves some loads at full speed and slows all of them down beyond; how many is
+// not told, and differs with its size: two with 10 engines, nine with 44. With
+// two for 44 engines a fleet is never through with a version before the next.
+//
+// After a round of loads that took as long as usual it allows half as many more,
+// or one more below a bound that was found; after a slow round it goes back to
+// what was proved.
+type loadPace struct {
+	limit  int
+	least  int
+	proved int // the most that were as fast as usual
+	// usual is the time of a load that nothing slows down, in ms.
+	usual      float64
+	good, slow int // loads of this round
+	// bound was found too many, and is tried again at retry.
+	bound int
+	retry cf.Millis
+	rest  cf.Millis
+}
+
+func newLoadPace(least int) loadPace {
+	return loadPace{limit: least, least: least, proved: least, rest: firstRest}
+}
+
+// took takes the time of a load that ran beside others, itself counted. More
+// than the limit run at once while work waits for them.
+func (l *loadPace) took(beside int, took, now cf.Millis) {
+	ms := float64(took)
+	if l.usual == 0 || ms < l.usual {
+		l.usual = ms
+	}
+	if ms > l.usual*oddLoad || beside < l.limit {
+		return
+	}
+	if ms > l.usual*slowLoad {
+		l.slow++
+		if l.slow >= slowMost {
+			l.back(beside, now)
+		}
+		return
+	}
+	l.usual += usualWeight * (ms - l.usual)
+	l.good++
+	if l.good >= beside {
+		l.onward(beside, now)
+	}
+}
+
+// back ends a round that was slow.
+func (l *loadPace) back(beside int, now cf.Millis) {
+	l.good, l.slow = 0, 0
+	if beside > l.limit && l.bound == beside && now < l.retry {
+		return // known
+	}
+	l.bound = beside
+	l.proved = max(min(l.proved, beside-1), l.least)
+	l.limit = min(l.limit, l.proved)
+	l.retry = now + l.rest
+	l.rest = min(2*l.rest, mostRest)
+}
+
+// onward ends a round that was as fast as usual.
+func (l *loadPace) onward(beside int, now cf.Millis) {
+	l.good, l.slow = 0, 0
+	if l.bound == beside {
+		l.bound, l.rest = 0, firstRest // it is none any more
+	}
+	l.proved = max(l.proved, beside)
+	next := l.proved + max(l.proved/2, 1)
+	if l.bound > 0 {
+		next = l.proved + 1
+	}
+	if l.bound > 0 && next >= l.bound && now < l.retry {
+		next = l.proved
+	}
+	l.limit = max(l.limit, next)
+}
--- /dev/null
+++ b/cfrollout/loads_test.go
@@ -0,0 +1,67 @@
+package cfrollout
+
+import (
+	"testing"
+
+	cf "currantford"
+)
+
+// weightStore serves so many loads at full speed; each further one makes all of
+// them longer.
+func loadTime(serves, beside int) cf.Millis {
+	over := max(beside-serves, 0)
+	return cf.Millis(1000 + 300*over)
+}
+
+// Load: a fleet follows versions named all the time, from a weight store whose
+// size is not known. The bound is found, and tried above only now and then.
+func TestLoadsAtOnceFollowTheWeightStore(t *testing.T) {
+	for _, serves := range []int{2, 3, 9} {
+		l := newLoadPace(2)
+		slow, rounds := 0, 0
+		now := cf.Millis(0)
+		for now < 120_000 {
+			beside := l.limit
+			took := loadTime(serves, beside)
+			if l.limit > serves {
+				slow++
+			}
+			rounds++
+			now += took
+			for range beside {
+				l.took(beside, took, now)
+			}
+		}
+		t.Logf("%d served at full speed: limit %d, %d of %d rounds slow", serves, l.limit, slow, rounds)
+		if l.limit < serves || l.limit > serves+1 {
+			t.Errorf("limit %d where %d are served at full speed", l.limit, serves)
+		}
+		if slow > 5 {
+			t.Errorf("%d of %d rounds were slow", slow, rounds)
+		}
+	}
+}
+
+// One slow engine, an order carried out late, and loads that ran with few others
+// move nothing.
+func TestOddLoadsDoNotMoveTheLimit(t *testing.T) {
+	l := newLoadPace(2)
+	l.took(2, 1000, 0)
+	l.took(2, 4000, 0) // carried out late
+	l.took(1, 1000, 0)
+	l.took(1, 1000, 0)
+	if l.limit != 2 {
+		t.Errorf("limit %d, want 2", l.limit)
+	}
+	l.took(2, 1000, 0)
+	if l.limit != 3 {
+		t.Errorf("limit %d after a whole round, want 3", l.limit)
+	}
+	l.took(3, 1400, 0) // one alone
+	l.took(3, 1000, 0)
+	l.took(3, 1000, 0)
+	l.took(3, 1000, 0)
+	if l.limit != 4 {
+		t.Errorf("limit %d after one slow load in a good round, want 4", l.limit)
+	}
+}
--- a/cfrollout/planner.go
+++ b/cfrollout/planner.go
@@ -31,8 +31,8 @@
 type (
 	// Limits bound what the planner starts.
 	Limits struct {
-		// Loads is how many engines load weights at once; beyond two each
-		// load was measured to take longer.
+		// Loads is how many engines load weights at once until it is known
+		// how many may, and at the least.
 		Loads int
 		// UrgentLoads is the bound while work waits for a version that no
 		// engine of its share holds.
@@ -60,14 +60,19 @@
 	Engine struct {
 		cf.Target
 		// Share is the model that it serves.
-		Share    cf.ModelName
-		Running  int
-		loading  cf.WeightVersion // zero when it loads nothing
-		avoid    cf.Millis        // no new items until then
-		rest     cf.Millis        // no new order until then
-		versions map[cf.ModelName]cf.WeightVersion
-		groups   map[cf.GroupID]int
-		failures int
+		Share   cf.ModelName
+		Running int
+		loading cf.WeightVersion // zero when it loads nothing
+		// loadBegan is when, beside how many at most, and pure that no run
+		// held the load up.
+		loadBegan cf.Millis
+		beside    int
+		pure      bool
+		avoid     cf.Millis // no new items until then
+		rest      cf.Millis // no new order until then
+		versions  map[cf.ModelName]cf.WeightVersion
+		groups    map[cf.GroupID]int
+		failures  int
 		// pace is the milliseconds that an event takes with one run, as far
 		// as shown.
 		pace float64
@@ -129,6 +134,7 @@
 		shares map[shareKey][]*Engine
 		// scarce: a service has fewer engines than models.
 		scarce bool
+		loads  loadPace
 	}
 
 	shareKey struct {
@@ -153,7 +159,7 @@
 	return &Planner{
 		limits: limits, engines: map[cf.InstanceID]*Engine{}, named: map[cf.ModelName]cf.WeightVersion{},
 		models: map[cf.ServiceName][]cf.ModelName{}, need: Need{}, batches: map[cf.BatchID]*open{},
-		carry: map[cf.ItemID]*Work{}, orphans: map[cf.ItemID]*Work{},
+		carry: map[cf.ItemID]*Work{}, orphans: map[cf.ItemID]*Work{}, loads: newLoadPace(limits.Loads),
 	}
 }
 
--- a/cfrollout/swap.go
+++ b/cfrollout/swap.go
@@ -83,7 +83,8 @@
 // the version it needs.
 func (p *Planner) Swaps(now cf.Millis) []Swap {
 	loading := p.loading()
-	if loading >= max(p.limits.Loads, p.limits.UrgentLoads) {
+	urgent := max(p.loads.limit, p.limits.UrgentLoads)
+	if loading >= urgent {
 		return nil
 	}
 	demands := p.demands()
@@ -100,9 +101,9 @@
 	var out []Swap
 	for len(due) > 0 {
 		c := heap.Pop(&due).(swapCandidate)
-		limit := p.limits.Loads
+		limit := p.loads.limit
 		if c.urgent {
-			limit = p.limits.UrgentLoads
+			limit = urgent
 		}
 		if loading >= limit {
 			break // those after it are not more urgent
@@ -114,11 +115,37 @@
 		loading++
 		e.loading = p.Named(e.Share)
 		single := demands[shareKey{e.Service, e.Share}].single
+		e.loadBegan, e.beside, e.pure = now, 0, !single || e.Running == 0
 		out = append(out, Swap{Target: e.Target, Model: e.Share, Version: e.loading, KeepRuns: !single})
 	}
+	if len(out) > 0 {
+		p.noteBeside(loading)
+	}
 	return out
 }
 
+// noteBeside records how many engines load now with each that does.
+func (p *Planner) noteBeside(loading int) {
+	for _, e := range p.engines {
+		if e.loading > 0 {
+			e.beside = max(e.beside, loading)
+		}
+	}
+}
+
+// SwapTook learns from a load that has just been seen to end.
+func (p *Planner) SwapTook(id cf.InstanceID, now cf.Millis) (limit int) {
+	e := p.engines[id]
+	if e == nil || e.loadBegan == 0 {
+		return p.loads.limit
+	}
+	if e.pure {
+		p.loads.took(e.beside, now-e.loadBegan, now)
+	}
+	e.loadBegan = 0
+	return p.loads.limit
+}
+
 func (p *Planner) loading() int {
 	n := 0
 	for _, e := range p.engines {
