A takeover runs nothing before it knows what has changed since its list

Now batches are read beside the watch, four at once, their ends are noted meanwhile, and nothing is run before the first changes since the list are in. Ruled out: the entry's word on the end (sent, and ignored until loaded), a silent watch (it answered). Before: TestBatchEndedDuringATakeoverIsNotRun, 2 items of the ended batch run.

--- a/cfcoord/batches.go
+++ b/cfcoord/batches.go
@@ -31,62 +31,103 @@
 
 func (c *Coordinator) batchWatcher() *cfwatch.Watcher {
 	return &cfwatch.Watcher{
-		Store: c.Store, Kind: cf.KindBatch, Wait: batchWait, Log: c.Log,
+		Store: c.Store, Kind: cf.KindBatch, Wait: batchWait, Log: c.Log, Change: c.takeBatch,
 		List: func(list cf.Records) error {
-			for _, r := range list.Items {
-				if err := c.takeBatch(r); err != nil {
-					return err
-				}
-			}
+			err := cfwatch.Each(c.takeBatch)(list)
 			c.mu.Lock()
-			c.loaded = true
-			c.mu.Unlock()
-			c.Kick()
-			return nil
+			defer c.mu.Unlock()
+			c.known = true
+			return err
+		},
+		CaughtUp: func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.current = true
+			c.checkLoaded()
 		},
-		Change: c.takeBatch,
 	}
 }
 
-// takeBatch takes a batch's object as the store shows it.
+// takeBatch takes a batch's object as the store shows it. A batch that is not
+// known yet is read beside the watch: a read takes up to seconds when the store
+// is slow, and the end of a batch must be seen at once.
 func (c *Coordinator) takeBatch(r cf.Record) error {
 	id := cf.BatchID(r.Name)
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	defer c.Kick()
+	ended := cfbatch.Ended(r)
+	if l := c.loads[id]; l != nil {
+		l.ended, l.removed = l.ended || ended, l.removed || r.Deleted
+		return nil
+	}
 	st := c.batches[id]
-	c.mu.Unlock()
-	if r.Deleted {
-		c.mu.Lock()
+	switch {
+	case r.Deleted:
 		delete(c.batches, id)
-		c.mu.Unlock()
-		return nil
+	case st != nil && ended:
+		c.endBatch(st)
+	case st == nil && !ended: // an ended batch stays in the store alone
+		l := &load{inherited: !c.known}
+		c.loads[id] = l
+		c.wg.Go(func() { c.load(r, l) })
 	}
-	if st == nil {
-		var err error
-		if st, err = c.loadBatch(r); err != nil || st == nil {
-			return err
-		}
+	return nil
+}
+
+// load reads a batch and begins to keep it.
+func (c *Coordinator) load(r cf.Record, l *load) {
+	select {
+	case c.loadSlots <- struct{}{}:
+	case <-c.ctx.Done():
+		return
+	}
+	st, err := c.readBatch(r, l.inherited)
+	<-c.loadSlots
+	if c.ctx.Err() != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.loads, cf.BatchID(r.Name))
+	defer c.checkLoaded()
+	if err != nil {
+		c.Log.Error("change_not_taken", zap.String("kind", cf.KindBatch), zap.String("name", r.Name), cflog.Error(err))
+		return
 	}
-	if cfbatch.Ended(r) {
+	if l.removed {
+		return
+	}
+	c.batches[st.batch.Sub.ID] = st
+	if l.ended {
 		c.endBatch(st)
 	}
+}
+
+// checkLoaded notes when nothing from before this duty is left to be read. c.mu
+// is held.
+func (c *Coordinator) checkLoaded() {
 	c.Kick()
-	return nil
+	if c.loaded || !c.current {
+		return
+	}
+	for _, l := range c.loads {
+		if l.inherited {
+			return
+		}
+	}
+	c.loaded = true
 }
 
-// loadBatch reads a batch's results and begins to keep it. An ended batch
-// stays in the store alone.
-func (c *Coordinator) loadBatch(r cf.Record) (*state, error) {
-	if cfbatch.Ended(r) {
-		return nil, nil
-	}
-	// A batch that the store has just created has no results; only one that
-	// an earlier coordinator may have worked on is worth a call.
-	results := !c.isLoaded()
-	var b *cfbatch.Batch
+// readBatch reads a batch, with its results where an earlier coordinator may have
+// worked on it; a batch that was created since has none.
+func (c *Coordinator) readBatch(r cf.Record, inherited bool) (*state, error) {
 	for {
-		var err error
-		if b, err = cfbatch.Fetch(c.ctx, c.Store, r, results); err == nil {
-			break
+		b, err := cfbatch.Fetch(c.ctx, c.Store, r, inherited)
+		if err == nil {
+			return &state{
+				batch: b, changed: make(chan struct{}), inherited: inherited, loadedAt: cf.Uptime(), measured: b.ListedCount(),
+			}, nil
 		}
 		if errors.Is(err, cf.ErrInvalid) {
 			return nil, err
@@ -96,15 +137,6 @@
 			return nil, err
 		}
 	}
-	st := &state{batch: b, changed: make(chan struct{}), inherited: results, loadedAt: cf.Uptime(), measured: b.ListedCount()}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	// The watch and an instance's word may bring the same batch.
-	if known := c.batches[b.Sub.ID]; known != nil {
-		return known, nil
-	}
-	c.batches[b.Sub.ID] = st
-	return st, nil
 }
 
 // hintPause is how long an instance's word on a batch waits for the watch,
@@ -136,23 +168,15 @@
 	if !c.loaded {
 		return true // the first list will bring it
 	}
-	st := c.batches[id]
+	st, l := c.batches[id], c.loads[id]
 	if ended {
-		return st == nil || st.batch.Ended
+		return l != nil && l.ended || l == nil && (st == nil || st.batch.Ended)
 	}
-	return st != nil
-}
-
-func (c *Coordinator) isLoaded() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.loaded
+	return st != nil || l != nil
 }
 
-// endBatch stops what an ended batch has under way.
+// endBatch stops what an ended batch has under way. c.mu is held.
 func (c *Coordinator) endBatch(st *state) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if st.batch.Ended {
 		return
 	}
--- a/cfcoord/coordinator.go
+++ b/cfcoord/coordinator.go
@@ -42,7 +42,10 @@
 	idleTick = 250 * time.Millisecond
 	// lookSpacing is how long a look waits for more events after the first.
 	lookSpacing = 2 * time.Millisecond
-	// loadRetry is the pause after the store refused the first load.
+	// loadsAtOnce is how many batches are read from the store at once at a
+	// takeover: reads take 4 ms and more each, and half a megabyte of memory.
+	loadsAtOnce = 4
+	// loadRetry is the pause after the store refused a read of a batch.
 	loadRetry = 200 * time.Millisecond
 )
 
@@ -88,12 +91,19 @@
 		cancel context.CancelFunc
 		wg     sync.WaitGroup
 		kick   chan struct{}
+		// loadSlots bounds the batches that are read at once.
+		loadSlots chan struct{}
+
+		mu sync.Mutex
+		// known: the batches from before this duty have been listed; current:
+		// what has changed since, too; loaded: they have all been read.
+		known, current, loaded bool
 
-		mu      sync.Mutex
-		loaded  bool
 		planner *cfrollout.Planner
 		batches map[cf.BatchID]*state
-		runs    map[*cfrollout.Work]context.CancelFunc
+		// loads are the batches that are being read.
+		loads map[cf.BatchID]*load
+		runs  map[*cfrollout.Work]context.CancelFunc
 		// finished are the texts that are complete and not listed yet.
 		finished map[cf.ItemID]cfrollout.Text
 		seqs     map[cf.InstanceID]int64
@@ -105,6 +115,13 @@
 		endedOrder []cf.BatchID
 	}
 
+	// load is a batch that is being read from the store, with what has become
+	// of it meanwhile.
+	load struct {
+		ended, removed bool
+		inherited      bool
+	}
+
 	// state is a batch with what waits to be listed.
 	state struct {
 		batch   *cfbatch.Batch
@@ -167,7 +184,7 @@
 	return &Coordinator{
 		Options: o, ctx: ctx, cancel: cancel, kick: make(chan struct{}, 1),
 		planner: cfrollout.New(cfrollout.DefaultLimits),
-		batches: map[cf.BatchID]*state{}, runs: map[*cfrollout.Work]context.CancelFunc{},
+		batches: map[cf.BatchID]*state{}, loads: map[cf.BatchID]*load{}, loadSlots: make(chan struct{}, loadsAtOnce), runs: map[*cfrollout.Work]context.CancelFunc{},
 		finished: map[cf.ItemID]cfrollout.Text{},
 		seqs:     map[cf.InstanceID]int64{}, named: named{},
 	}
--- a/cfcoord/reads_test.go
+++ b/cfcoord/reads_test.go
@@ -21,7 +21,7 @@
 	ctx := context.Background()
 	store := cfstandin.NewMemStore()
 	c := New(Options{Store: store, Duty: held{}, Log: zap.NewNop()})
-	load := func(id cf.BatchID) *state {
+	load := func(id cf.BatchID, inherited bool) *state {
 		sub := cf.Submission{ID: id, Items: []cf.Item{{ID: "1"}, {ID: "2"}}}
 		if err := cfbatch.Create(ctx, store, sub, 1<<20); err != nil {
 			t.Fatal(err)
@@ -30,15 +30,14 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		st, err := c.loadBatch(object)
+		st, err := c.readBatch(object, inherited)
 		if err != nil {
 			t.Fatal(err)
 		}
+		c.batches[id] = st
 		return st
 	}
-	inherited := load("of another")
-	c.loaded = true
-	own := load("its own")
+	inherited, own := load("of another", true), load("its own", false)
 	for _, st := range []*state{inherited, own} {
 		c.endBatch(st)
 	}
@@ -67,11 +66,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	st, err := c.loadBatch(object)
+	st, err := c.readBatch(object, true)
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.loaded = true
+	c.batches["b"] = st
 	st.pending.Add(cf.Result{ID: "1", State: cf.ItemDone, Output: "x"}, cf.Uptime())
 	late := cfbatch.Chunk{Results: []cf.Result{{ID: "1", State: cf.ItemDone, Output: "x"}}}
 	if _, err := store.Create(ctx, cf.KindResults("b"), "000000", late); err != nil {
--- /dev/null
+++ b/cfcoord/takeover_test.go
@@ -0,0 +1,144 @@
+package cfcoord
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cfbatch"
+	"currantford/cfsite"
+	"currantford/cfstandin"
+)
+
+type (
+	// slowStore holds reads of results up, and answers watches late.
+	slowStore struct {
+		*cfstandin.MemStore
+		reading chan struct{} // receives at each read of results
+		release chan struct{}
+	}
+
+	// countingTargets counts the runs that reach them.
+	countingTargets struct {
+		cf.Targets
+		runs atomic.Int64
+	}
+
+	// jsonCodec decodes records written as the product's own types.
+	jsonCodec struct{}
+)
+
+func (s slowStore) List(ctx context.Context, kind string) (cf.Records, error) {
+	out, err := s.MemStore.List(ctx, kind)
+	if strings.Contains(kind, "results") {
+		select {
+		case s.reading <- struct{}{}:
+		default:
+		}
+		<-s.release
+	}
+	return out, err
+}
+
+func (s slowStore) Watch(ctx context.Context, kind string, since cf.Revision, wait cf.Millis) (cf.Records, error) {
+	cf.Sleep(ctx, 50*time.Millisecond)
+	return s.MemStore.Watch(ctx, kind, since, wait)
+}
+
+func (t *countingTargets) Stream(ctx context.Context, _ cf.Target, _ cf.TargetCall, _ cf.StreamSink) (cf.TargetAnswer, error) {
+	t.runs.Add(1)
+	<-ctx.Done()
+	return cf.TargetAnswer{}, ctx.Err()
+}
+
+func (*countingTargets) Report(context.Context, cf.Target) (cf.TargetReport, error) {
+	return cf.TargetReport{}, cf.ErrUnavailable
+}
+
+func (jsonCodec) Kinds() cfsite.Kinds {
+	return cfsite.Kinds{Versions: "versions", Retirements: "retirements"}
+}
+
+func (jsonCodec) Config(r cf.Record) (cfsite.Config, error) {
+	var c cfsite.Config
+	return c, json.Unmarshal(r.Spec, &c)
+}
+
+func (jsonCodec) Target(r cf.Record) (cf.Target, error) {
+	var t cf.Target
+	return t, json.Unmarshal(r.Spec, &t)
+}
+
+func (jsonCodec) Version(r cf.Record) (cf.ModelState, error) {
+	var m cf.ModelState
+	return m, json.Unmarshal(r.Spec, &m)
+}
+
+func (jsonCodec) RetirementDone() any { return nil }
+
+// engineSite returns a view with one engine and a route for batches.
+func engineSite(t *testing.T) *cfsite.Site {
+	t.Helper()
+	site := cfsite.New(jsonCodec{})
+	raw, err := json.Marshal(cfsite.Config{
+		Version:  1,
+		Routes:   []cfsite.Route{{Host: "h", Prefix: "/", Kind: cfsite.KindBatch, Split: []cfsite.Share{{Service: "s", Weight: 1}}}},
+		Services: []cfsite.Service{{Name: "s", Models: []cf.ModelName{"m"}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := site.ApplyConfig(cf.Record{Name: "main", Rev: 1, Spec: raw}); err != nil {
+		t.Fatal(err)
+	}
+	site.ReplaceTargets([]cf.Target{{ID: "e", Service: "s", Slots: 4, Models: []cf.ModelState{{Name: "m", Version: 1}}}}, 1, 0)
+	return site
+}
+
+// Symptom: an item of a batch reaches an engine 3.6 s after the batch's end was
+// acknowledged.
+// Sequence: all machines lose power; the new coordinator lists the batches, and
+// reads their results for seconds; meanwhile a trainer ends one of them.
+// Cause: the coordinator began to run what it had listed before it had seen what
+// had changed since.
+func TestBatchEndedDuringATakeoverIsNotRun(t *testing.T) {
+	ctx := context.Background()
+	store := slowStore{cfstandin.NewMemStore(), make(chan struct{}, 1), make(chan struct{})}
+	sub := cf.Submission{ID: "b", Host: "h", Path: "/", Model: "m", MinVersion: 1, Items: []cf.Item{{ID: "1"}, {ID: "2"}}}
+	if err := cfbatch.Create(ctx, store, sub, 1<<20); err != nil {
+		t.Fatal(err)
+	}
+	targets := &countingTargets{}
+	c := New(Options{
+		Store: store, Targets: targets, Site: engineSite(t), Codec: jsonCodec{}, Duty: held{}, NoTextCopies: true,
+		KeepResults: 120_000, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
+	})
+	c.Start()
+	defer c.Close()
+	<-store.reading
+	if err := store.SetStatus(ctx, cf.KindBatch, "b", cf.BatchStatus{Ended: true}); err != nil {
+		t.Fatal(err)
+	}
+	close(store.release)
+	time.Sleep(300 * time.Millisecond)
+	if n := targets.runs.Load(); n > 0 {
+		t.Errorf("%d items of an ended batch were run", n)
+	}
+	open := sub
+	open.ID, open.Items = "c", []cf.Item{{ID: "3"}}
+	if err := cfbatch.Create(ctx, store, open, 1<<20); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(20 * time.Second); targets.runs.Load() != 1; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d runs of the batch that came after", targets.runs.Load())
+		}
+	}
+}
--- a/cfwatch/watch.go
+++ b/cfwatch/watch.go
@@ -43,6 +43,9 @@
 	// List takes the whole kind, Change one change of it.
 	List   func(cf.Records) error
 	Change func(cf.Record) error
+	// CaughtUp is called once the changes since a list have been taken too:
+	// what a List does with a list may take seconds, and is then out of date.
+	CaughtUp func()
 	// Contact is called after each answer, with the revision as of which
 	// the view is current.
 	Contact func(at cf.Revision)
@@ -54,6 +57,7 @@
 	contact atomic.Int64
 	at      cf.Revision
 	listed  bool
+	behind  bool // since the list no changes were asked for
 	failing bool
 }
 
@@ -112,11 +116,15 @@
 		if err := w.List(list); err != nil {
 			w.Log.Error("list_not_taken", zap.String("kind", w.Kind), cflog.Error(err))
 		}
-		w.listed = true
+		w.listed, w.behind = true, w.CaughtUp != nil
 		w.reached(list.At, asked)
 		return nil
 	}
-	changes, err := w.Store.Watch(ctx, w.Kind, w.at, w.Wait)
+	wait := w.Wait
+	if w.behind {
+		wait = 1 // what is there now
+	}
+	changes, err := w.Store.Watch(ctx, w.Kind, w.at, wait)
 	if errors.Is(err, cf.ErrHistoryGone) {
 		w.Log.Info("watch_history_gone", zap.String("kind", w.Kind), zap.Int64("since", int64(w.at)))
 		w.listed = false
@@ -132,6 +140,10 @@
 		}
 	}
 	w.reached(changes.At, cf.Uptime())
+	if w.behind {
+		w.behind = false
+		w.CaughtUp()
+	}
 	return nil
 }
 
