A handover counts from the holder's end, not from its successor's takeover

Of a holder replaced on condition of the revision last seen, the last order lies before its end, or before that revision's time is over.

--- a/cflease/explore_test.go
+++ b/cflease/explore_test.go
@@ -15,6 +15,7 @@
 	late   late // one write under way, at is zero if none
 	last   [2]order
 	now    cf.Millis
+	ended  [2]bool // its process has ended and not begun to act again
 }
 
 // action is what one candidate does in a tick.
@@ -28,6 +29,7 @@
 	writeLate          // the same, it takes effect at any later tick
 	restart            // its process ends and starts again
 	release            // stops as planned
+	seesDead           // finds that the other's process has ended
 	lateArrives        // the late write takes effect, if it still may
 	actions
 )
@@ -78,6 +80,7 @@
 	l := &w.leases[who]
 	w.now += exploreTick
 	may := l.MayTake(w.now) || l.RenewDue(w.now)
+	w.ended[who] = a == restart
 	switch a {
 	case rest:
 		return w, who == 0
@@ -104,6 +107,11 @@
 			return w, false
 		}
 		*l = *cflease.New(ids[who], b)
+	case seesDead:
+		if !w.ended[1-who] || l.Holder().Entry != ids[1-who] {
+			return w, false
+		}
+		l.HolderDead(l.Holder().Term, w.now)
 	case release:
 		if !l.Held() {
 			return w, false
--- a/cflease/lease.go
+++ b/cflease/lease.go
@@ -66,7 +66,8 @@
 
 		rev    cf.Revision
 		holder Holder
-		dead   bool // the holder's process has ended
+		dead   bool // the holder's process has ended, as seen at deadAt
+		deadAt cf.Millis
 		seenAt cf.Millis
 		held   bool
 		sentAt cf.Millis
@@ -101,9 +102,9 @@
 // HolderDead records that the process of the holder of term has ended: its
 // machine refuses connections. It acts no more, so the lease need not run
 // out; the handover is still waited for.
-func (l *Lease) HolderDead(term cf.Revision) {
-	if l.holder.Term == term && !l.held {
-		l.dead = true
+func (l *Lease) HolderDead(term cf.Revision, now cf.Millis) {
+	if l.holder.Term == term && !l.held && !l.dead {
+		l.dead, l.deadAt = true, now
 	}
 }
 
@@ -157,12 +158,8 @@
 		return
 	}
 	if !l.held {
-		wait := l.bounds.Handover
-		if l.holder.Released {
-			wait = max(wait-l.holder.OrderedAgo, 0)
-		}
-		l.orderAt = now + wait
-		l.orderedAt = l.orderAt - l.bounds.Handover
+		l.orderedAt = l.lastOrder(now)
+		l.orderAt = l.orderedAt + l.bounds.Handover
 		if h.Ordering || l.holder.Entry == "" {
 			l.orderAt, l.orderedAt = now, now
 		}
@@ -171,6 +168,21 @@
 	l.held, l.sentAt = true, sentAt
 }
 
+// lastOrder returns the latest moment at which a holder before may have given an
+// order, for an instance that has just replaced it on condition of the revision
+// last seen: none was written since. Until the handover has passed from then on
+// no engine follows a new version.
+func (l *Lease) lastOrder(now cf.Millis) cf.Millis {
+	switch {
+	case l.holder.Released:
+		return now - min(l.holder.OrderedAgo, l.bounds.Handover)
+	case l.dead:
+		return min(l.deadAt, now) // its process had ended
+	default:
+		return min(l.seenAt+l.bounds.Takeover, now) // its last renewal was over
+	}
+}
+
 // Held says whether this instance is the holder as far as it knows. While the
 // store is away a holder can't renew, and nobody can take over: it goes on
 // with what needs no lease.
--- a/cflease/lease_test.go
+++ b/cflease/lease_test.go
@@ -125,11 +125,11 @@
 	a, b := cflease.New("a", bounds), cflease.New("b", bounds)
 	take(r, a, 0)
 	b.Observe(r.rev, r.h, 10)
-	b.HolderDead(r.h.Term + 1) // another holder's
+	b.HolderDead(r.h.Term+1, 15) // another holder's
 	if b.MayTake(20) {
 		t.Error("taken on word of another holder's end")
 	}
-	b.HolderDead(r.h.Term)
+	b.HolderDead(r.h.Term, 20)
 	if !b.MayTake(20) || !take(r, b, 20) {
 		t.Error("not taken though the holder's process has ended")
 	}
--- a/cfnode/candidate.go
+++ b/cfnode/candidate.go
@@ -129,7 +129,7 @@
 func (c *candidate) holderDead(h cflease.Holder) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lease.HolderDead(h.Term)
+	c.lease.HolderDead(h.Term, cf.Uptime())
 }
 
 // observe takes the lease as another instance or the store shows it.
