--- a/cfcoord/coordinator.go
+++ b/cfcoord/coordinator.go
@@ -25,7 +25,6 @@
 	"sync"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	cf "currantford"
@@ -138,46 +137,8 @@
 		stalest  cf.WeightVersion
 		served   bool
 	}
-
-	// Metrics are the coordinator's counters; they outlive one duty.
-	Metrics struct {
-		Runs    *prometheus.CounterVec
-		Orders  *prometheus.CounterVec
-		Chunks  *prometheus.CounterVec
-		ItemRun prometheus.Histogram
-		// StepWait, StaleVersions and StaleSeconds are what trainers feel.
-		StepWait      *prometheus.HistogramVec
-		StaleVersions *prometheus.HistogramVec
-		StaleSeconds  *prometheus.HistogramVec
-	}
 )
 
-// NewMetrics registers the coordinator's metrics.
-func NewMetrics(reg prometheus.Registerer) *Metrics {
-	m := &Metrics{
-		Runs: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "currantford_item_runs_total", Help: "Runs of batch items at engines by outcome."}, []string{"outcome"}),
-		Orders: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "currantford_weight_orders_total", Help: "Weight orders to engines by outcome."}, []string{"outcome"}),
-		Chunks: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "currantford_result_chunks_total", Help: "Chunks of results written to the store by outcome."}, []string{"outcome"}),
-		ItemRun: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Name: "currantford_item_run_seconds", Help: "Time of one item's run at an engine.",
-			Buckets: prometheus.ExponentialBuckets(0.05, 2, 9)}),
-		StepWait: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "currantford_step_wait_seconds", Help: "Time from a step's acceptance until the groups that its trainer waits for are whole.",
-			Buckets: prometheus.ExponentialBuckets(0.25, 2, 12)}, []string{"model"}),
-		StaleVersions: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "currantford_sample_staleness_versions", Help: "Versions that a sample's oldest weights are behind the newest named, when it is listed.",
-			Buckets: []float64{0, 1, 2, 4}}, []string{"model"}),
-		StaleSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "currantford_sample_staleness_seconds", Help: "Time since a sample's oldest weights were superseded, when it is listed.",
-			Buckets: prometheus.ExponentialBuckets(0.25, 2, 12)}, []string{"model"}),
-	}
-	reg.MustRegister(m.Runs, m.Orders, m.Chunks, m.ItemRun, m.StepWait, m.StaleVersions, m.StaleSeconds)
-	return m
-}
-
 // New returns a coordinator that has not started.
 func New(o Options) *Coordinator {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/cfcoord/takeover_test.go
+++ b/cfcoord/takeover_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -30,9 +29,6 @@
 		cf.Targets
 		runs atomic.Int64
 	}
-
-	// jsonCodec decodes records written as the product's own types.
-	jsonCodec struct{}
 )
 
 func (s slowStore) List(ctx context.Context, kind string) (cf.Records, error) {
@@ -62,40 +58,16 @@
 	return cf.TargetReport{}, cf.ErrUnavailable
 }
 
-func (jsonCodec) Kinds() cfsite.Kinds {
-	return cfsite.Kinds{Versions: "versions", Retirements: "retirements"}
-}
-
-func (jsonCodec) Config(r cf.Record) (cfsite.Config, error) {
-	var c cfsite.Config
-	return c, json.Unmarshal(r.Spec, &c)
-}
-
-func (jsonCodec) Target(r cf.Record) (cf.Target, error) {
-	var t cf.Target
-	return t, json.Unmarshal(r.Spec, &t)
-}
-
-func (jsonCodec) Version(r cf.Record) (cf.ModelState, error) {
-	var m cf.ModelState
-	return m, json.Unmarshal(r.Spec, &m)
-}
-
-func (jsonCodec) RetirementDone() any { return nil }
-
 // engineSite returns a view with one engine and a route for batches.
 func engineSite(t *testing.T) *cfsite.Site {
 	t.Helper()
-	site := cfsite.New(jsonCodec{})
-	raw, err := json.Marshal(cfsite.Config{
+	site := cfsite.New(cfstandin.Codec{})
+	config := cfsite.Config{
 		Version:  1,
 		Routes:   []cfsite.Route{{Host: "h", Prefix: "/", Kind: cfsite.KindBatch, Split: []cfsite.Share{{Service: "s", Weight: 1}}}},
 		Services: []cfsite.Service{{Name: "s", Models: []cf.ModelName{"m"}}},
-	})
-	if err != nil {
-		t.Fatal(err)
 	}
-	if _, err := site.ApplyConfig(cf.Record{Name: "main", Rev: 1, Spec: raw}); err != nil {
+	if _, err := site.ApplyConfig(cfstandin.Record("main", 1, config)); err != nil {
 		t.Fatal(err)
 	}
 	site.ReplaceTargets([]cf.Target{{ID: "e", Service: "s", Slots: 4, Models: []cf.ModelState{{Name: "m", Version: 1}}}}, 1, 0)
@@ -117,7 +89,7 @@
 	}
 	targets := &countingTargets{}
 	c := New(Options{
-		Store: store, Targets: targets, Site: engineSite(t), Codec: jsonCodec{}, Duty: held{}, NoTextCopies: true,
+		Store: store, Targets: targets, Site: engineSite(t), Codec: cfstandin.Codec{}, Duty: held{}, NoTextCopies: true,
 		KeepResults: 120_000, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
 	})
 	c.Start()
--- a/cfingress/fakes_test.go
+++ b/cfingress/fakes_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -14,14 +13,12 @@
 	"currantford/cfingress"
 	"currantford/cfmember"
 	"currantford/cfsite"
+	"currantford/cfstandin"
 )
 
 const host = "site.example"
 
 type (
-	// codec decodes records written as the product's own types.
-	codec struct{}
-
 	// members is an instance alone.
 	members struct{}
 
@@ -35,25 +32,6 @@
 
 func (members) Live() []cfmember.Entry { return nil }
 
-func (codec) Kinds() cfsite.Kinds { return cfsite.Kinds{} }
-
-func (codec) Config(r cf.Record) (cfsite.Config, error) {
-	var c cfsite.Config
-	return c, json.Unmarshal(r.Spec, &c)
-}
-
-func (codec) Target(r cf.Record) (cf.Target, error) {
-	var t cf.Target
-	return t, json.Unmarshal(r.Spec, &t)
-}
-
-func (codec) Version(r cf.Record) (cf.ModelState, error) {
-	var m cf.ModelState
-	return m, json.Unmarshal(r.Spec, &m)
-}
-
-func (codec) RetirementDone() any { return nil }
-
 func (t targets) Send(_ context.Context, to cf.Target, call cf.TargetCall) (cf.TargetAnswer, error) {
 	return t.send(to, call)
 }
@@ -65,20 +43,13 @@
 // newIngress returns an instance with one route, at /x/, to the targets named.
 func newIngress(t *testing.T, to cf.Targets, route cfsite.Route, ids ...cf.InstanceID) *cfingress.Ingress {
 	t.Helper()
-	site := cfsite.New(codec{})
-	record := func(name string, v any) cf.Record {
-		raw, err := json.Marshal(v)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return cf.Record{Name: name, Rev: 1, Spec: raw}
-	}
+	site := cfsite.New(cfstandin.Codec{})
 	route.Host, route.Prefix, route.Split = host, "/x/", []cfsite.Share{{Service: "s", Weight: 1}}
-	if _, err := site.ApplyConfig(record("main", cfsite.Config{Version: 1, Routes: []cfsite.Route{route}})); err != nil {
+	if _, err := site.ApplyConfig(cfstandin.Record("main", 1, cfsite.Config{Version: 1, Routes: []cfsite.Route{route}})); err != nil {
 		t.Fatal(err)
 	}
 	for _, id := range ids {
-		if _, _, err := site.ApplyTarget(record(string(id), cf.Target{ID: id, Service: "s", Slots: 4}), cf.Uptime()); err != nil {
+		if _, _, err := site.ApplyTarget(cfstandin.Record(string(id), 1, cf.Target{ID: id, Service: "s", Slots: 4}), cf.Uptime()); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/cfsite/relay_test.go
+++ b/cfsite/relay_test.go
@@ -7,6 +7,7 @@
 
 	cf "currantford"
 	"currantford/cfsite"
+	"currantford/cfstandin"
 )
 
 // sameTargets says whether two views show the same targets, weights left out.
@@ -28,7 +29,7 @@
 func TestNewsKeepViewsEqual(t *testing.T) {
 	for seed := range uint64(50) {
 		random := rand.New(rand.NewPCG(seed, 1))
-		source, follower := cfsite.New(codec{}), cfsite.New(codec{})
+		source, follower := cfsite.New(cfstandin.Codec{}), cfsite.New(cfstandin.Codec{})
 		count, known := int64(0), false
 		hear := func() {
 			news := source.AllNews(follower.Sum())
@@ -42,7 +43,7 @@
 		}
 		for rev := cf.Revision(1); rev < 200; rev++ {
 			name := fmt.Sprintf("t%d", random.IntN(12))
-			r := record(t, name, rev, cf.Target{
+			r := cfstandin.Record(name, rev, cf.Target{
 				ID: cf.InstanceID(name), Service: "s", Addr: fmt.Sprint(random.IntN(3)), Draining: random.IntN(4) == 0,
 				Models: []cf.ModelState{{Name: "m", Version: cf.WeightVersion(rev)}},
 			})
@@ -64,7 +65,7 @@
 // Symptom: an instance that was cut off for long keeps targets that are gone.
 // Sequence: more targets leave than are remembered.
 func TestNewsBeyondMemoryAreTheWholeView(t *testing.T) {
-	source, follower := cfsite.New(codec{}), cfsite.New(codec{})
+	source, follower := cfsite.New(cfstandin.Codec{}), cfsite.New(cfstandin.Codec{})
 	var list []cf.Target
 	for i := range 6000 {
 		list = append(list, cf.Target{ID: cf.InstanceID(fmt.Sprint(i)), Service: "s"})
@@ -75,7 +76,7 @@
 		t.Fatal("the first news are not the whole view")
 	}
 	for i := range 5000 {
-		r := record(t, fmt.Sprint(i), cf.Revision(i+2), nil)
+		r := cfstandin.Record(fmt.Sprint(i), cf.Revision(i+2), nil)
 		r.Deleted = true
 		if _, _, err := source.ApplyTarget(r, 0); err != nil {
 			t.Fatal(err)
@@ -89,7 +90,7 @@
 // An instance with the same targets, from its own watch, is sent no list by a
 // coordinator that it hears for the first time; one that differs is sent all.
 func TestEqualViewsNeedNoList(t *testing.T) {
-	source, follower := cfsite.New(codec{}), cfsite.New(codec{})
+	source, follower := cfsite.New(cfstandin.Codec{}), cfsite.New(cfstandin.Codec{})
 	list := []cf.Target{{ID: "a", Service: "s", Slots: 4}, {ID: "b", Service: "s", Slots: 4}}
 	source.ReplaceTargets(list, 5, 0)
 	follower.ReplaceTargets(list, 4, 0)
@@ -106,11 +107,11 @@
 // Symptom: the coordinator spends its processor on instances that are all well.
 // Load: 3,000 targets write their entries every second, unchanged.
 func TestHeartbeatsAloneChangeNothing(t *testing.T) {
-	s := cfsite.New(codec{})
+	s := cfsite.New(cfstandin.Codec{})
 	target := cf.Target{ID: "a", Service: "s", Models: []cf.ModelState{{Name: "m", Version: 1}}}
-	_, _, _ = s.ApplyTarget(record(t, "a", 1, target), 0)
+	_, _, _ = s.ApplyTarget(cfstandin.Record("a", 1, target), 0)
 	before := s.Changes()
-	if _, changed, _ := s.ApplyTarget(record(t, "a", 2, target), 0); changed || s.Changes() != before {
+	if _, changed, _ := s.ApplyTarget(cfstandin.Record("a", 2, target), 0); changed || s.Changes() != before {
 		t.Error("a heartbeat counts as a change")
 	}
 }
--- a/cfsite/site_test.go
+++ b/cfsite/site_test.go
@@ -1,51 +1,20 @@
 package cfsite_test
 
 import (
-	"encoding/json"
 	"testing"
 
 	cf "currantford"
 	"currantford/cfsite"
+	"currantford/cfstandin"
 )
 
-// codec decodes records written as the product's own types.
-type codec struct{}
-
-func (codec) Kinds() cfsite.Kinds { return cfsite.Kinds{} }
-
-func (codec) Config(r cf.Record) (cfsite.Config, error) {
-	var c cfsite.Config
-	return c, json.Unmarshal(r.Spec, &c)
-}
-
-func (codec) Target(r cf.Record) (cf.Target, error) {
-	var t cf.Target
-	return t, json.Unmarshal(r.Spec, &t)
-}
-
-func (codec) Version(r cf.Record) (cf.ModelState, error) {
-	var m cf.ModelState
-	return m, json.Unmarshal(r.Spec, &m)
-}
-
-func (codec) RetirementDone() any { return nil }
-
-func record(t *testing.T, name string, rev cf.Revision, v any) cf.Record {
-	t.Helper()
-	raw, err := json.Marshal(v)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return cf.Record{Name: name, Rev: rev, Spec: raw}
-}
-
 // Symptom: a dropped route answers again.
 // Sequence: a new configuration is in force; a stale list, or a relay from an
 // instance that was cut off, brings an older one.
 func TestConfigurationNeverGoesBack(t *testing.T) {
-	s := cfsite.New(codec{})
+	s := cfsite.New(cfstandin.Codec{})
 	apply := func(rev cf.Revision, v cfsite.ConfigVersion) bool {
-		changed, err := s.ApplyConfig(record(t, "main", rev, cfsite.Config{Version: v}))
+		changed, err := s.ApplyConfig(cfstandin.Record("main", rev, cfsite.Config{Version: v}))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -83,17 +52,17 @@
 
 // Symptom: a request goes to a target that is leaving, or is gone.
 func TestDrainingTargetsAreNotUsable(t *testing.T) {
-	s := cfsite.New(codec{})
+	s := cfsite.New(cfstandin.Codec{})
 	up := cf.Target{ID: "a", Service: "x"}
-	_, _, _ = s.ApplyTarget(record(t, "a", 1, up), 0)
-	_, _, _ = s.ApplyTarget(record(t, "b", 2, cf.Target{ID: "b", Service: "x", Draining: true}), 0)
+	_, _, _ = s.ApplyTarget(cfstandin.Record("a", 1, up), 0)
+	_, _, _ = s.ApplyTarget(cfstandin.Record("b", 2, cf.Target{ID: "b", Service: "x", Draining: true}), 0)
 	if got := s.Usable("x"); len(got) != 1 || got[0].ID != "a" {
 		t.Fatalf("usable: %v", got)
 	}
-	gone := record(t, "a", 3, up)
+	gone := cfstandin.Record("a", 3, up)
 	gone.Deleted = true
 	_, _, _ = s.ApplyTarget(gone, 0)
-	_, _, _ = s.ApplyTarget(record(t, "a", 1, up), 0) // an older event again
+	_, _, _ = s.ApplyTarget(cfstandin.Record("a", 1, up), 0) // an older event again
 	if got := s.Usable("x"); len(got) != 0 {
 		t.Errorf("usable after its removal: %v", got)
 	}
@@ -102,7 +71,7 @@
 // Symptom: a target that is gone comes back.
 // Sequence: an instance lists the targets, another's older list arrives.
 func TestOlderListIsIgnored(t *testing.T) {
-	s := cfsite.New(codec{})
+	s := cfsite.New(cfstandin.Codec{})
 	s.ReplaceTargets([]cf.Target{{ID: "a", Service: "x"}}, 10, 0)
 	if _, applied := s.ReplaceTargets([]cf.Target{{ID: "b", Service: "x"}}, 9, 0); applied {
 		t.Error("an older list was taken")
@@ -114,7 +83,7 @@
 // Sequence: entries lapse while the store is away; it returns; those whose
 // targets live are listed again within two seconds, the others are gone.
 func TestLapsedTargetsAreKeptForAWhile(t *testing.T) {
-	s := cfsite.New(codec{})
+	s := cfsite.New(cfstandin.Codec{})
 	a, b := cf.Target{ID: "a", Service: "x"}, cf.Target{ID: "b", Service: "x"}
 	s.ReplaceTargets([]cf.Target{a, b}, 10, 0)
 	s.StoreRegained(1000)
@@ -122,7 +91,7 @@
 	if n := len(s.Usable("x")); n != 2 {
 		t.Fatalf("%d usable right after the store's return", n)
 	}
-	_, _, _ = s.ApplyTarget(record(t, "a", 21, a), 2000)
+	_, _, _ = s.ApplyTarget(cfstandin.Record("a", 21, a), 2000)
 	if gone := s.Sweep(2500); len(gone) != 0 {
 		t.Errorf("dropped too soon: %v", gone)
 	}
@@ -136,9 +105,9 @@
 
 // Weight versions that trainers name only rise.
 func TestNamedVersionsOnlyRise(t *testing.T) {
-	s := cfsite.New(codec{})
+	s := cfsite.New(cfstandin.Codec{})
 	for i, v := range []cf.WeightVersion{2, 4, 3} {
-		_, _ = s.ApplyVersion(record(t, "m", cf.Revision(i+1), cf.ModelState{Name: "m", Version: v}))
+		_, _ = s.ApplyVersion(cfstandin.Record("m", cf.Revision(i+1), cf.ModelState{Name: "m", Version: v}))
 	}
 	if v := s.Version("m"); v != 4 {
 		t.Errorf("version %d, want 4", v)
@@ -151,17 +120,17 @@
 // A change of weights alone is not passed on to the other instances: it would
 // wake all of them several times a second for nothing.
 func TestWeightsAloneAreNotRelayed(t *testing.T) {
-	s := cfsite.New(codec{})
+	s := cfsite.New(cfstandin.Codec{})
 	target := cf.Target{ID: "a", Service: "x", Models: []cf.ModelState{{Name: "m", Version: 1}}}
-	_, _, _ = s.ApplyTarget(record(t, "a", 1, target), 0)
+	_, _, _ = s.ApplyTarget(cfstandin.Record("a", 1, target), 0)
 	before, _ := s.Relay()
 	target.Models = []cf.ModelState{{Name: "m", Version: 2}}
-	_, _, _ = s.ApplyTarget(record(t, "a", 2, target), 0)
+	_, _, _ = s.ApplyTarget(cfstandin.Record("a", 2, target), 0)
 	if after, _ := s.Relay(); after != before {
 		t.Error("a change of weights is relayed")
 	}
 	target.Draining = true
-	_, _, _ = s.ApplyTarget(record(t, "a", 3, target), 0)
+	_, _, _ = s.ApplyTarget(cfstandin.Record("a", 3, target), 0)
 	if after, _ := s.Relay(); after == before {
 		t.Error("a drain is not relayed")
 	}
