A sample of two versions is never listed on a route for one

Cause: a run whose weights change under it was only begun anew if it broke off; one that went on to its end was listed as it was. Weights change under such runs when an order is carried out late, or given between two steps: it let runs go on because no open batch forbade it, while a run went on for the step to come. Ruled out: texts taken over from an earlier step (looked at), a resume on other weights (looked at). Before: both tests of cfrollout/single_test.go failed.

--- a/cfrollout/place.go
+++ b/cfrollout/place.go
@@ -147,6 +147,14 @@
 	if o != nil {
 		delete(o.running, w.Item.ID)
 	}
+	if w.mixed() {
+		// An order that was carried out late, or given between two steps, has
+		// changed the weights under the run. It begins anew.
+		w.Text = Text{}
+		if outcome == OutcomeDone {
+			outcome = OutcomeStopped
+		}
+	}
 	switch outcome {
 	case OutcomeDone:
 		w.Text.Complete = true
@@ -162,14 +170,14 @@
 	case outcome == OutcomeDone, outcome == OutcomeNever, w.Failures >= max(w.Terms.MaxAttempts, 1):
 		return true
 	}
-	if w.Terms.SingleVersion && len(w.Text.Versions) > 1 {
-		w.Text = Text{}
-	}
 	// First in line: others of its group have run, and the step waits for it.
 	o.waiting = append([]*Work{w}, o.waiting...)
 	return false
 }
 
+// mixed says whether a text was made by several versions where one is asked for.
+func (w *Work) mixed() bool { return w.Terms.SingleVersion && len(w.Text.Versions) > 1 }
+
 // judge keeps new items off an engine for a while after it failed one.
 func (p *Planner) judge(e *Engine, outcome Outcome, now cf.Millis) {
 	switch outcome {
--- a/cfrollout/planner.go
+++ b/cfrollout/planner.go
@@ -132,6 +132,9 @@
 		orphans map[cf.ItemID]*Work
 		// shares indexes the engines by what they serve, sorted by id.
 		shares map[shareKey][]*Engine
+		// single are the models whose latest batch asks for samples of one
+		// version each; its runs may go on when it has ended.
+		single map[cf.ModelName]bool
 		// scarce: a service has fewer engines than models.
 		scarce bool
 		loads  loadPace
@@ -159,7 +162,7 @@
 	return &Planner{
 		limits: limits, engines: map[cf.InstanceID]*Engine{}, named: map[cf.ModelName]cf.WeightVersion{},
 		models: map[cf.ServiceName][]cf.ModelName{}, need: Need{}, batches: map[cf.BatchID]*open{},
-		carry: map[cf.ItemID]*Work{}, orphans: map[cf.ItemID]*Work{}, loads: newLoadPace(limits.Loads),
+		carry: map[cf.ItemID]*Work{}, orphans: map[cf.ItemID]*Work{}, single: map[cf.ModelName]bool{}, loads: newLoadPace(limits.Loads),
 	}
 }
 
@@ -204,6 +207,7 @@
 	}
 	order(o.waiting)
 	p.need[b.Sub.Model] = tokens
+	p.single[b.Sub.Model] = terms.SingleVersion
 	p.divide()
 	return ready
 }
@@ -220,6 +224,7 @@
 		return
 	}
 	o.terms = terms
+	p.single[o.batch.Sub.Model] = terms.SingleVersion
 	for _, w := range o.waiting {
 		w.Terms = terms
 	}
--- /dev/null
+++ b/cfrollout/single_test.go
@@ -0,0 +1,57 @@
+package cfrollout_test
+
+import (
+	"testing"
+
+	cf "currantford"
+	"currantford/cfrollout"
+)
+
+var singleTerms = cfrollout.Terms{Service: service, MaxAttempts: 3, MaxWait: 40000, SingleVersion: true}
+
+// Symptom: a sample of a route for single versions was made by two.
+// Sequence: an engine's weights change in the midst of a run, by an order that
+// was carried out late or given between two steps; the run goes on to its end.
+// Cause: only texts that had to be resumed were looked at for their versions.
+func TestTextOfTwoVersionsIsNotListedAsOne(t *testing.T) {
+	p := cfrollout.New(cfrollout.DefaultLimits)
+	p.SetEngines(fleet(1, cf.ModelState{Name: "a", Version: 4}), models("a"))
+	p.AddBatch(step("b", "a", 4, 1, 1), singleTerms)
+	w := p.Place(0)[0]
+	for i, v := range []cf.WeightVersion{4, 5} {
+		if err := w.Text.Append(cf.StreamEvent{ID: cf.EventID(i + 1), Data: "x", Version: v}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if p.Finished(w, cfrollout.OutcomeDone, 10) {
+		t.Fatal("a text of two versions is to be listed")
+	}
+	again := p.Place(20)
+	if len(again) != 1 || again[0].Text.Last != 0 {
+		t.Fatalf("%d items are placed again, want one that begins anew", len(again))
+	}
+	if again[0].Failures != 0 {
+		t.Error("it counts as a failure of the item")
+	}
+}
+
+// Symptom and sequence as above, between two steps: no batch is open, and a run
+// goes on for the step to come, which may ask for its item again.
+// Cause: the order let runs go on, because no open batch forbade it.
+func TestOrdersBetweenStepsWaitForSingleVersionRuns(t *testing.T) {
+	p := cfrollout.New(cfrollout.DefaultLimits)
+	p.SetEngines(fleet(2, cf.ModelState{Name: "a", Version: 4}), models("a"))
+	p.AddBatch(step("b", "a", 3, 1, 1), singleTerms)
+	p.Place(0)
+	p.EndBatch("b")
+	p.SetVersion("a", 5)
+	swaps := p.Swaps(10)
+	if len(swaps) == 0 {
+		t.Fatal("no orders")
+	}
+	for _, s := range swaps {
+		if s.KeepRuns {
+			t.Errorf("the order to %s lets runs go on", s.Target.ID)
+		}
+	}
+}
--- a/cfrollout/swap.go
+++ b/cfrollout/swap.go
@@ -11,8 +11,6 @@
 type demand struct {
 	// least are the oldest versions that waiting batches allow.
 	least []cf.WeightVersion
-	// single: a batch wants samples of one version each.
-	single bool
 }
 
 // served says whether something waits that version v may run.
@@ -35,7 +33,6 @@
 		if d == nil {
 			continue // no engine serves it
 		}
-		d.single = d.single || o.terms.SingleVersion
 		if len(o.waiting) > 0 && !o.paused {
 			d.least = append(d.least, o.batch.Sub.MinVersion)
 		}
@@ -114,7 +111,7 @@
 		}
 		loading++
 		e.loading = p.Named(e.Share)
-		single := demands[shareKey{e.Service, e.Share}].single
+		single := p.single[e.Share]
 		e.loadBegan, e.beside, e.pure = now, 0, !single || e.Running == 0
 		out = append(out, Swap{Target: e.Target, Model: e.Share, Version: e.loading, KeepRuns: !single})
 	}
