--- a/cfcoord/takeover_test.go
+++ b/cfcoord/takeover_test.go
@@ -93,7 +93,7 @@
 		KeepResults: 120_000, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
 	})
 	c.Start()
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	<-store.reading
 	if err := store.SetStatus(ctx, cf.KindBatch, "b", cf.BatchStatus{Ended: true}); err != nil {
 		t.Fatal(err)
--- a/cfcoord/weights_test.go
+++ b/cfcoord/weights_test.go
@@ -39,7 +39,7 @@
 	c := New(Options{
 		Targets: targets, Site: engineSite(t), Duty: held{}, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
 	})
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	err := c.swap(cfrollout.Swap{Target: cf.Target{ID: "e"}, Model: "m", Version: 2}, 1)
 	if !errors.Is(err, errNotTaken) {
 		t.Errorf("error %v, want %v", err, errNotTaken)
