--- a/cfnode/feed.go
+++ b/cfnode/feed.go
@@ -95,26 +95,40 @@
 		return nil, cf.ErrNotLeader
 	}
 	n.hear(call)
+	if err := n.awaitNews(ctx, call); err != nil {
+		return nil, err
+	}
+	if !n.candidate.Valid() {
+		return nil, cf.ErrNotLeader
+	}
+	return n.answerFeed(call), nil
+}
+
+// awaitNews holds a call until there is something to tell, for a while.
+func (n *Node) awaitNews(ctx context.Context, call feedCall) error {
 	holder, _ := n.candidate.holder()
 	count, changed := n.site.Relay()
 	wait := feedWait.Duration()
-	if !n.viewFresh(cf.Uptime()) {
-		wait = feedRetry // there is nothing to tell yet
+	switch {
+	case !n.viewFresh(cf.Uptime()):
+		wait = feedRetry // nothing can be told yet
+	case call.Term != holder.Term || call.News != count:
+		return nil
 	}
-	if call.Term == holder.Term && call.News == count || wait == feedRetry {
-		timer := time.NewTimer(wait)
-		defer timer.Stop()
-		select {
-		case <-changed:
-		case <-timer.C:
-		case <-ctx.Done():
-			return nil, cf.ErrUnavailable
-		}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+		return cf.ErrUnavailable
 	}
+	return nil
+}
+
+// answerFeed tells an instance what it does not know.
+func (n *Node) answerFeed(call feedCall) feedAnswer {
 	holder, rev := n.candidate.holder()
-	if !n.candidate.Valid() {
-		return nil, cf.ErrNotLeader
-	}
 	a := feedAnswer{Holder: holder, Rev: rev, Fresh: n.viewFresh(cf.Uptime())}
 	same := call.Term == holder.Term
 	a.Members, a.MembersAt = n.memberList()
@@ -122,7 +136,7 @@
 		a.Members = nil
 	}
 	if !a.Fresh {
-		return a, nil
+		return a
 	}
 	if r := n.site.ConfigRecord(); r.Rev > call.Config {
 		a.Config = &r
@@ -131,7 +145,7 @@
 		news := n.newsFor(call, same)
 		a.News = &news
 	}
-	return a, nil
+	return a
 }
 
 // newsFor returns what an instance must hear of the targets.
