--- a/cfbalance/balance.go
+++ b/cfbalance/balance.go
@@ -1,5 +1,6 @@
-// Package cfbalance chooses the target of a single request and decides what a
-// failed attempt allows. It makes no calls and has no clock of its own.
+// Package cfbalance chooses the target of a single request, decides what a failed
+// attempt allows, and when a refused caller comes back. It makes no calls and has
+// no clock of its own.
 //
 // The load it answers: many short requests from entry instances that do not
 // see each other's work, targets of different speed, and targets that fail
@@ -10,7 +11,8 @@
 //	b := cfbalance.New()
 //	t, ok := b.Choose(candidates, tried, now)
 //	b.Sent(t.ID)
-//	b.Answered(t.ID, outcome, load, took, now)
+//	outcome, good := attempts.Judge(answer, err)
+//	b.Done(t.ID, outcome, answer.Load, took, now)
 package cfbalance
 
 import (
--- a/cfrollout/planner.go
+++ b/cfrollout/planner.go
@@ -63,11 +63,11 @@
 		Share   cf.ModelName
 		Running int
 		loading cf.WeightVersion // zero when it loads nothing
-		// loadBegan is when, beside how many at most, and pure that no run
-		// held the load up.
+		// loadBegan is when, beside how many at most, and undelayed that no
+		// run held the load up.
 		loadBegan cf.Millis
 		beside    int
-		pure      bool
+		undelayed bool
 		avoid     cf.Millis // no new items until then
 		rest      cf.Millis // no new order until then
 		versions  map[cf.ModelName]cf.WeightVersion
--- a/cfrollout/swap.go
+++ b/cfrollout/swap.go
@@ -84,17 +84,7 @@
 	if loading >= urgent {
 		return nil
 	}
-	demands := p.demands()
-	var due swapQueue
-	for k, es := range p.shares {
-		d := demands[k]
-		for _, e := range es {
-			if p.due(e, d, now) {
-				due = append(due, swapCandidate{e, d.blocked(e.versions[e.Share])})
-			}
-		}
-	}
-	heap.Init(&due)
+	due := p.dueSwaps(now)
 	var out []Swap
 	for len(due) > 0 {
 		c := heap.Pop(&due).(swapCandidate)
@@ -112,7 +102,7 @@
 		loading++
 		e.loading = p.Named(e.Share)
 		single := p.single[e.Share]
-		e.loadBegan, e.beside, e.pure = now, 0, !single || e.Running == 0
+		e.loadBegan, e.beside, e.undelayed = now, 0, !single || e.Running == 0
 		out = append(out, Swap{Target: e.Target, Model: e.Share, Version: e.loading, KeepRuns: !single})
 	}
 	if len(out) > 0 {
@@ -121,6 +111,22 @@
 	return out
 }
 
+// dueSwaps returns the engines that should load, as a heap.
+func (p *Planner) dueSwaps(now cf.Millis) swapQueue {
+	demands := p.demands()
+	var due swapQueue
+	for k, es := range p.shares {
+		d := demands[k]
+		for _, e := range es {
+			if p.due(e, d, now) {
+				due = append(due, swapCandidate{e, d.blocked(e.versions[e.Share])})
+			}
+		}
+	}
+	heap.Init(&due)
+	return due
+}
+
 // noteBeside records how many engines load now with each that does.
 func (p *Planner) noteBeside(loading int) {
 	for _, e := range p.engines {
@@ -136,7 +142,7 @@
 	if e == nil || e.loadBegan == 0 {
 		return p.loads.limit
 	}
-	if e.pure {
+	if e.undelayed {
 		p.loads.took(e.beside, now-e.loadBegan, now)
 	}
 	e.loadBegan = 0
