Dead fields out, a two-valued type becomes a question, reads of batches named apart

A target's entry that has not changed is not hashed before that is found. A hedge's timer is not deferred once a turn of its loop. Ruled out: keeping the fields for what may come (admission by priority would decode it then); one computation of the engines' typical pace a look (the paces change between its two uses). Behaviour: unchanged; the tests ask for the same cases with the same strictness.

--- a/cfbalance/attempts.go
+++ b/cfbalance/attempts.go
@@ -16,18 +16,6 @@
 		sends    int // sends that reached a target
 		ran      bool
 	}
-
-	// Ending is how a request ends that no target answers.
-	Ending int
-)
-
-// Endings.
-const (
-	// Refuse: it has surely not run and never will; turn it away with when to
-	// come back.
-	Refuse Ending = iota
-	// GiveUp: it may have run; nothing may be promised.
-	GiveUp
 )
 
 // hedgePart is the part of a route's SLO after which an idempotent request
@@ -84,11 +72,6 @@
 	return cf.Millis(float64(a.route.SLO) * hedgePart), true
 }
 
-// End says how the request ends when no attempt is under way, and none is left
-// or no target.
-func (a *Attempts) End() Ending {
-	if a.ran {
-		return GiveUp
-	}
-	return Refuse
-}
+// MayHaveRun says whether a target may have run the request, or may yet: then it
+// is not to be refused, for a refusal promises that it has not and never will.
+func (a *Attempts) MayHaveRun() bool { return a.ran }
--- a/cfbalance/balance_test.go
+++ b/cfbalance/balance_test.go
@@ -92,14 +92,14 @@
 		ran   bool
 		sends int
 		again bool
-		end   cfbalance.Ending
+		maybe bool
 	}{
-		{"idempotent, may have run", cfsite.KindIdempotent, true, 1, true, cfbalance.GiveUp},
-		{"idempotent, may have run, tried enough", cfsite.KindIdempotent, true, 2, false, cfbalance.GiveUp},
-		{"idempotent, not run, tried enough", cfsite.KindIdempotent, false, 2, false, cfbalance.Refuse},
-		{"once, may have run", cfsite.KindOnce, true, 1, false, cfbalance.GiveUp},
-		{"once, not run", cfsite.KindOnce, false, 1, true, cfbalance.Refuse},
-		{"once, not run, tried enough", cfsite.KindOnce, false, 2, false, cfbalance.Refuse},
+		{"idempotent, may have run", cfsite.KindIdempotent, true, 1, true, true},
+		{"idempotent, may have run, tried enough", cfsite.KindIdempotent, true, 2, false, true},
+		{"idempotent, not run, tried enough", cfsite.KindIdempotent, false, 2, false, false},
+		{"once, may have run", cfsite.KindOnce, true, 1, false, true},
+		{"once, not run", cfsite.KindOnce, false, 1, true, false},
+		{"once, not run, tried enough", cfsite.KindOnce, false, 2, false, false},
 	}
 	for _, c := range cases {
 		a := cfbalance.NewAttempts(cfsite.Route{Kind: c.kind, MaxAttempts: 2}, 1000)
@@ -112,8 +112,8 @@
 		if got := a.MaySend(10); got != c.again {
 			t.Errorf("%s: may be sent again %t, want %t", c.name, got, c.again)
 		}
-		if got := a.End(); got != c.end {
-			t.Errorf("%s: ending %d, want %d", c.name, got, c.end)
+		if got := a.MayHaveRun(); got != c.maybe {
+			t.Errorf("%s: may have run %t, want %t", c.name, got, c.maybe)
 		}
 		if a.MaySend(1000) {
 			t.Errorf("%s: may be sent after its deadline", c.name)
--- a/cfbalance/explore_test.go
+++ b/cfbalance/explore_test.go
@@ -149,7 +149,7 @@
 		}
 		next := w.clone()
 		next.tries[i].told = failed
-		if t.attempts.End() == cfbalance.Refuse {
+		if !t.attempts.MayHaveRun() {
 			next.tries[i].told = refused
 		}
 		x.play(next)
--- a/cfcoord/batches.go
+++ b/cfcoord/batches.go
@@ -57,8 +57,8 @@
 	defer c.mu.Unlock()
 	defer c.Kick()
 	ended := cfbatch.Ended(r)
-	if l := c.loads[id]; l != nil {
-		l.ended, l.removed = l.ended || ended, l.removed || r.Deleted
+	if rd := c.readings[id]; rd != nil {
+		rd.ended, rd.removed = rd.ended || ended, rd.removed || r.Deleted
 		return nil
 	}
 	st := c.batches[id]
@@ -68,38 +68,38 @@
 	case st != nil && ended:
 		c.endBatch(st)
 	case st == nil && !ended: // an ended batch stays in the store alone
-		l := &load{inherited: !c.known}
-		c.loads[id] = l
-		c.wg.Go(func() { c.load(r, l) })
+		rd := &reading{inherited: !c.known}
+		c.readings[id] = rd
+		c.wg.Go(func() { c.load(r, rd) })
 	}
 	return nil
 }
 
 // load reads a batch and begins to keep it.
-func (c *Coordinator) load(r cf.Record, l *load) {
+func (c *Coordinator) load(r cf.Record, rd *reading) {
 	select {
-	case c.loadSlots <- struct{}{}:
+	case c.readSlots <- struct{}{}:
 	case <-c.ctx.Done():
 		return
 	}
-	st, err := c.readBatch(r, l.inherited)
-	<-c.loadSlots
+	st, err := c.readBatch(r, rd.inherited)
+	<-c.readSlots
 	if c.ctx.Err() != nil {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.loads, cf.BatchID(r.Name))
+	delete(c.readings, cf.BatchID(r.Name))
 	defer c.checkLoaded()
 	if err != nil {
 		c.Log.Error("change_not_taken", zap.String("kind", cf.KindBatch), zap.String("name", r.Name), cflog.Error(err))
 		return
 	}
-	if l.removed {
+	if rd.removed {
 		return
 	}
 	c.batches[st.batch.Sub.ID] = st
-	if l.ended {
+	if rd.ended {
 		c.endBatch(st)
 	}
 }
@@ -111,8 +111,8 @@
 	if c.loaded || !c.current {
 		return
 	}
-	for _, l := range c.loads {
-		if l.inherited {
+	for _, rd := range c.readings {
+		if rd.inherited {
 			return
 		}
 	}
@@ -133,7 +133,7 @@
 			return nil, err
 		}
 		c.Log.Warn("batch_not_read", zap.String("batch_id", r.Name), cflog.Error(err))
-		if !c.pause(loadRetry) {
+		if !c.pause(readRetry) {
 			return nil, err
 		}
 	}
@@ -168,11 +168,15 @@
 	if !c.loaded {
 		return true // the first list will bring it
 	}
-	st, l := c.batches[id], c.loads[id]
-	if ended {
-		return l != nil && l.ended || l == nil && (st == nil || st.batch.Ended)
+	st, rd := c.batches[id], c.readings[id]
+	switch {
+	case !ended:
+		return st != nil || rd != nil
+	case rd != nil:
+		return rd.ended
+	default:
+		return st == nil || st.batch.Ended
 	}
-	return st != nil || l != nil
 }
 
 // endBatch stops what an ended batch has under way. c.mu is held.
--- a/cfcoord/coordinator.go
+++ b/cfcoord/coordinator.go
@@ -41,11 +41,11 @@
 	idleTick = 250 * time.Millisecond
 	// lookSpacing is how long a look waits for more events after the first.
 	lookSpacing = 2 * time.Millisecond
-	// loadsAtOnce is how many batches are read from the store at once at a
+	// readsAtOnce is how many batches are read from the store at once at a
 	// takeover: reads take 4 ms and more each, and half a megabyte of memory.
-	loadsAtOnce = 4
-	// loadRetry is the pause after the store refused a read of a batch.
-	loadRetry = 200 * time.Millisecond
+	readsAtOnce = 4
+	// readRetry is the pause after the store refused a read of a batch.
+	readRetry = 200 * time.Millisecond
 )
 
 type (
@@ -90,8 +90,8 @@
 		cancel context.CancelFunc
 		wg     sync.WaitGroup
 		kick   chan struct{}
-		// loadSlots bounds the batches that are read at once.
-		loadSlots chan struct{}
+		// readSlots bounds the batches that are read at once.
+		readSlots chan struct{}
 
 		mu sync.Mutex
 		// known: the batches from before this duty have been listed; current:
@@ -100,9 +100,9 @@
 
 		planner *cfrollout.Planner
 		batches map[cf.BatchID]*state
-		// loads are the batches that are being read.
-		loads map[cf.BatchID]*load
-		runs  map[*cfrollout.Work]context.CancelFunc
+		// readings are the batches that are being read.
+		readings map[cf.BatchID]*reading
+		runs     map[*cfrollout.Work]context.CancelFunc
 		// finished are the texts that are complete and not listed yet.
 		finished map[cf.ItemID]cfrollout.Text
 		seqs     map[cf.InstanceID]int64
@@ -114,9 +114,9 @@
 		endedOrder []cf.BatchID
 	}
 
-	// load is a batch that is being read from the store, with what has become
-	// of it meanwhile.
-	load struct {
+	// reading is a batch that is being read from the store, with what has
+	// become of it meanwhile.
+	reading struct {
 		ended, removed bool
 		inherited      bool
 	}
@@ -145,7 +145,8 @@
 	return &Coordinator{
 		Options: o, ctx: ctx, cancel: cancel, kick: make(chan struct{}, 1),
 		planner: cfrollout.New(cfrollout.DefaultLimits),
-		batches: map[cf.BatchID]*state{}, loads: map[cf.BatchID]*load{}, loadSlots: make(chan struct{}, loadsAtOnce), runs: map[*cfrollout.Work]context.CancelFunc{},
+		batches: map[cf.BatchID]*state{}, readings: map[cf.BatchID]*reading{}, readSlots: make(chan struct{}, readsAtOnce),
+		runs:     map[*cfrollout.Work]context.CancelFunc{},
 		finished: map[cf.ItemID]cfrollout.Text{},
 		seqs:     map[cf.InstanceID]int64{}, named: named{},
 	}
--- a/cfingress/forward.go
+++ b/cfingress/forward.go
@@ -82,9 +82,7 @@
 		}
 		var hedge <-chan time.Time
 		if after, ok := f.attempts.HedgeAfter(); ok && f.pending == 1 {
-			t := time.NewTimer(after.Duration())
-			defer t.Stop()
-			hedge = t.C
+			hedge = time.After(after.Duration())
 		}
 		select {
 		case a := <-f.results:
@@ -182,7 +180,7 @@
 
 // settle ends a request for which no attempt is under way or left.
 func (f *forwarding) settle(w http.ResponseWriter) {
-	if f.attempts.End() == cfbalance.Refuse {
+	if !f.attempts.MayHaveRun() {
 		f.refuse(w, f.comeBack())
 		return
 	}
--- a/cfrollout/place.go
+++ b/cfrollout/place.go
@@ -184,10 +184,7 @@
 	case OutcomeNotRun:
 		e.avoid = now + p.limits.FullPenalty
 	case OutcomeFailed, OutcomeBroken:
-		e.failures++
 		e.avoid = now + p.limits.Penalty
-	case OutcomeDone:
-		e.failures = 0
 	}
 }
 
--- a/cfrollout/planner.go
+++ b/cfrollout/planner.go
@@ -15,9 +15,9 @@
 //
 //	p := cfrollout.New(cfrollout.DefaultLimits)
 //	p.SetEngines(targets, models)
-//	p.AddBatch(batch, route, now)
+//	p.AddBatch(batch, terms)
 //	for _, run := range p.Place(now) { ... p.Finished(run, outcome, now) }
-//	for _, swap := range p.Swaps(now) { ... p.SwapDone(swap.Engine, version) }
+//	for _, swap := range p.Swaps(now) { ... p.SwapDone(target, model, version) }
 package cfrollout
 
 import (
@@ -72,7 +72,6 @@
 		rest      cf.Millis // no new order until then
 		versions  map[cf.ModelName]cf.WeightVersion
 		groups    map[cf.GroupID]int
-		failures  int
 		// pace is the milliseconds that an event takes with one run, as far
 		// as shown.
 		pace float64
--- a/cfsite/config.go
+++ b/cfsite/config.go
@@ -42,13 +42,11 @@
 		Timeout cf.Millis
 		// SLO is the time in which an answer is worth most.
 		SLO         cf.Millis
-		Priority    int // zero is the most important
 		MaxAttempts int // most targets that one attempt may be sent to
-		// MaxWait, BatchSLO and SingleVersion concern batches: when an item
-		// may be given up, when all are due, and whether one weight version
-		// must have produced a sample.
+		// MaxWait and SingleVersion concern batches: when an item may be
+		// given up, and whether one weight version must have produced a
+		// sample.
 		MaxWait       cf.Millis
-		BatchSLO      cf.Millis
 		SingleVersion bool
 		// Resumable streams may go on at another target.
 		Resumable bool
@@ -62,21 +60,15 @@
 
 	// Service is a group of interchangeable targets.
 	Service struct {
-		Name       cf.ServiceName
-		HealthPath string
-		MaxConns   int
-		// Slots, TokensPerEvent and Models are set for model targets.
-		Slots          int
-		TokensPerEvent int
-		Models         []cf.ModelName
+		Name cf.ServiceName
+		// Models is set for model targets.
+		Models []cf.ModelName
 	}
 
 	// Limits bound what a caller may send.
 	Limits struct {
-		HeaderBytes   int64
-		BodyBytes     int64
-		HeaderTimeout cf.Millis
-		IdleTimeout   cf.Millis
+		BodyBytes   int64
+		IdleTimeout cf.Millis
 	}
 
 	// Kinds names the kinds of the store that others write.
@@ -129,16 +121,6 @@
 	return c.Routes[best], true
 }
 
-// Service returns a service by name.
-func (c *Config) Service(name cf.ServiceName) (Service, bool) {
-	for _, s := range c.Services {
-		if s.Name == name {
-			return s, true
-		}
-	}
-	return Service{}, false
-}
-
 // Pick chooses a service of a split route; draw is uniform in [0, 1).
 func (r *Route) Pick(draw float64) cf.ServiceName {
 	total := 0.0
--- a/cfsite/site.go
+++ b/cfsite/site.go
@@ -202,10 +202,12 @@
 		// Gone since: a later list did not hold it.
 		return t, false, nil
 	}
-	s.put(entry{target: t, rev: r.Rev})
 	if known && !old.lapsed && reflect.DeepEqual(old.target, t) {
+		old.rev = r.Rev
+		s.targets[id] = old
 		return t, false, nil // a heartbeat alone
 	}
+	s.put(entry{target: t, rev: r.Rev})
 	s.notify()
 	if s.targets[id].sum != old.sum {
 		s.relay.notify()
--- a/target.go
+++ b/target.go
@@ -67,9 +67,7 @@
 		Body   []byte
 		// NotRun is the target's word that it did not run the request.
 		NotRun bool
-		// Misdirected: another instance has the address now.
-		Misdirected bool
-		Load        *TargetLoad
+		Load   *TargetLoad
 	}
 
 	// EventID numbers the events of a stream, from 1.
