--- a/batch.go
+++ b/batch.go
@@ -25,6 +25,19 @@
 		// LengthHint is the submitter's guess of the output tokens; zero
 		// when it made none.
 		LengthHint Tokens `json:"length_hint,omitempty"`
+		// Reward is the request whose answer scores the finished text; nil
+		// where samples carry no score.
+		Reward *RewardCall `json:"reward,omitempty"`
+	}
+
+	// RewardCall asks a plain service to score an item's text. It goes out
+	// once the text is complete, may be repeated, and is sent by the route of
+	// its own host and path.
+	RewardCall struct {
+		ID   RequestID `json:"id"`
+		Host string    `json:"host"`
+		Path string    `json:"path"`
+		Body []byte    `json:"body,omitempty"`
 	}
 
 	// Submission is a batch as it is accepted and kept in the store.
@@ -54,6 +67,9 @@
 		State    ItemState       `json:"state" cbor:"state"`
 		Output   string          `json:"output" cbor:"output"`
 		Versions []WeightVersion `json:"versions" cbor:"versions"`
+		// Score is the signature of the answer to the item's reward call;
+		// empty for items without one.
+		Score string `json:"score,omitempty" cbor:"score,omitempty"`
 	}
 
 	// ResultPage is a read of a batch's results from a position on.
--- a/cfbatch/pending.go
+++ b/cfbatch/pending.go
@@ -48,8 +48,19 @@
 }
 
 func (p *Pending) completes(b *Batch) bool {
-	left := map[cf.GroupID]int{}
 	whole := b.WholeGroups()
+	for _, left := range p.Missing(b) {
+		if left == 0 {
+			whole++
+		}
+	}
+	return whole > b.WholeGroups() && whole >= b.Sub.TargetGroups
+}
+
+// Missing counts, for each group with items that wait here, those of its items
+// that have no result at all.
+func (p *Pending) Missing(b *Batch) map[cf.GroupID]int {
+	left := map[cf.GroupID]int{}
 	for _, r := range p.results {
 		it, _ := b.Item(r.ID)
 		n, ok := left[it.Group]
@@ -57,11 +68,8 @@
 			n = b.GroupLeft(it.Group)
 		}
 		left[it.Group] = n - 1
-		if n == 1 {
-			whole++
-		}
 	}
-	return whole > b.WholeGroups() && whole >= b.Sub.TargetGroups
+	return left
 }
 
 // Take returns the results to write as the next chunk and marks a write as
--- a/cfcoord/batches.go
+++ b/cfcoord/batches.go
@@ -64,6 +64,9 @@
 	st := c.batches[id]
 	switch {
 	case r.Deleted:
+		if st != nil {
+			c.endBatch(st)
+		}
 		delete(c.batches, id)
 	case st != nil && ended:
 		c.endBatch(st)
@@ -185,6 +188,7 @@
 		return
 	}
 	st.batch.Ended = true
+	c.dropRewards(st.batch.Sub.ID)
 	stop := c.planner.EndBatch(st.batch.Sub.ID)
 	for _, w := range stop {
 		if cancel := c.runs[w]; cancel != nil {
--- a/cfcoord/coordinator.go
+++ b/cfcoord/coordinator.go
@@ -20,7 +20,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"maps"
 	"sync"
 	"time"
@@ -103,7 +102,9 @@
 		// readings are the batches that are being read.
 		readings map[cf.BatchID]*reading
 		runs     map[*cfrollout.Work]context.CancelFunc
-		// finished are the texts that are complete and not listed yet.
+		rewards  rewards
+		// finished are the texts that are complete and not listed yet, scored
+		// or not.
 		finished map[cf.ItemID]cfrollout.Text
 		seqs     map[cf.InstanceID]int64
 		named    named
@@ -148,6 +149,7 @@
 		batches: map[cf.BatchID]*state{}, readings: map[cf.BatchID]*reading{}, readSlots: make(chan struct{}, readsAtOnce),
 		runs:     map[*cfrollout.Work]context.CancelFunc{},
 		finished: map[cf.ItemID]cfrollout.Text{},
+		rewards:  newRewards(),
 		seqs:     map[cf.InstanceID]int64{}, named: named{},
 	}
 }
@@ -239,20 +241,28 @@
 			c.move(w)
 		}
 	}
-	for _, w := range c.planner.Expire(cf.Now()) {
-		c.finish(w, cf.ItemFailed, "waited too long", now)
-	}
+	c.placeRewards(config, now)
+	c.expire(now)
 	for _, st := range c.batches {
 		if st.pending.Due(st.batch, now) {
 			c.startChunk(st)
 		}
 	}
-	if c.planner.Busy() {
+	if c.planner.Busy() || c.rewards.planner.Len() > 0 {
 		return tick
 	}
 	return idleTick
 }
 
+// expire gives up what has waited for longer than its route allows.
+func (c *Coordinator) expire(now cf.Millis) {
+	wall := cf.Now()
+	for _, w := range c.planner.Expire(wall) {
+		c.giveUp(w, "waited too long", now)
+	}
+	c.expireRewards(now, wall)
+}
+
 // refresh brings the planner up to what the site shows.
 func (c *Coordinator) refresh(config *cfsite.Config) {
 	if changes := c.Site.Changes(); changes != c.seen {
@@ -281,10 +291,8 @@
 	if !ok {
 		return cfrollout.Terms{}, false
 	}
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(sub.ID)) // a hash takes everything
 	return cfrollout.Terms{
-		Service: route.Pick(float64(h.Sum32()) / (1 << 32)), MaxAttempts: route.MaxAttempts,
+		Service: route.Pick(drawOf(string(sub.ID))), MaxAttempts: route.MaxAttempts,
 		SingleVersion: route.SingleVersion, MaxWait: route.MaxWait,
 	}, true
 }
@@ -316,24 +324,52 @@
 		zap.Int64("step", sub.Step), zap.Int64("min_version", int64(sub.MinVersion)), zap.Int("items", len(sub.Items)),
 		zap.Int("ready", len(ready)), zap.Int64("config_version", int64(config.Version)))
 	for _, w := range ready {
-		c.finish(w, cf.ItemDone, "", cf.Uptime())
+		c.complete(w, cf.Uptime())
 	}
 }
 
-// finish puts an item among those to be listed.
-func (c *Coordinator) finish(w *cfrollout.Work, s cf.ItemState, reason string, now cf.Millis) {
-	st := c.batches[w.Batch.Sub.ID]
-	if st == nil || st.batch.Listed(w.Item.ID) {
+// complete takes a complete text: its reward is asked for, or it is listed. Until
+// then its copies let a successor go on from here.
+func (c *Coordinator) complete(w *cfrollout.Work, now cf.Millis) {
+	st := c.unlisted(w)
+	if st == nil {
+		return
+	}
+	c.finished[w.Item.ID] = w.Text
+	if w.Item.Reward == nil {
+		c.list(w, "", now)
 		return
 	}
-	r := cf.Result{ID: w.Item.ID, State: s}
-	if s == cf.ItemDone {
-		r.Output, r.Versions = join(w.Text.Data), w.Text.Versions
-		c.finished[w.Item.ID] = w.Text
-	} else {
+	c.rewards.add(w, now)
+	c.Kick()
+}
+
+// list puts a text among those to be listed.
+func (c *Coordinator) list(w *cfrollout.Work, score string, now cf.Millis) {
+	if st := c.unlisted(w); st != nil {
+		st.pending.Add(cf.Result{
+			ID: w.Item.ID, State: cf.ItemDone, Output: join(w.Text.Data), Versions: w.Text.Versions, Score: score,
+		}, now)
+		c.Kick()
+	}
+}
+
+// giveUp puts an item that is not done among those to be listed.
+func (c *Coordinator) giveUp(w *cfrollout.Work, reason string, now cf.Millis) {
+	delete(c.finished, w.Item.ID)
+	if st := c.unlisted(w); st != nil {
 		c.Log.Info("item_given_up", zap.String("batch_id", string(w.Batch.Sub.ID)), zap.String("request_id", string(w.Item.ID)),
 			zap.String("reason", reason), zap.Int("failures", w.Failures))
+		st.pending.Add(cf.Result{ID: w.Item.ID, State: cf.ItemFailed}, now)
+		c.Kick()
 	}
-	st.pending.Add(r, now)
-	c.Kick()
+}
+
+// unlisted returns the batch of an item that has no position yet, else nil.
+func (c *Coordinator) unlisted(w *cfrollout.Work) *state {
+	st := c.batches[w.Batch.Sub.ID]
+	if st == nil || st.batch.Listed(w.Item.ID) {
+		return nil
+	}
+	return st
 }
--- a/cfcoord/metrics.go
+++ b/cfcoord/metrics.go
@@ -8,6 +8,9 @@
 	Orders  *prometheus.CounterVec
 	Chunks  *prometheus.CounterVec
 	ItemRun prometheus.Histogram
+	// Rewards and RewardTook count and time single tries.
+	Rewards    *prometheus.CounterVec
+	RewardTook prometheus.Histogram
 	// StepWait, StaleVersions and StaleSeconds are what trainers feel.
 	StepWait      *prometheus.HistogramVec
 	StaleVersions *prometheus.HistogramVec
@@ -26,6 +29,11 @@
 		ItemRun: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "currantford_item_run_seconds", Help: "Time of one item's run at an engine.",
 			Buckets: prometheus.ExponentialBuckets(0.05, 2, 9)}),
+		Rewards: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "currantford_reward_calls_total", Help: "Tries of reward calls by outcome."}, []string{"outcome"}),
+		RewardTook: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "currantford_reward_call_seconds", Help: "Time of one try of a reward call.",
+			Buckets: prometheus.ExponentialBuckets(0.025, 2, 9)}),
 		StepWait: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "currantford_step_wait_seconds", Help: "Time from a step's acceptance until the groups that its trainer waits for are whole.",
 			Buckets: prometheus.ExponentialBuckets(0.25, 2, 12)}, []string{"model"}),
@@ -36,6 +44,6 @@
 			Name: "currantford_sample_staleness_seconds", Help: "Time since a sample's oldest weights were superseded, when it is listed.",
 			Buckets: prometheus.ExponentialBuckets(0.25, 2, 12)}, []string{"model"}),
 	}
-	reg.MustRegister(m.Runs, m.Orders, m.Chunks, m.ItemRun, m.StepWait, m.StaleVersions, m.StaleSeconds)
+	reg.MustRegister(m.Runs, m.Orders, m.Chunks, m.ItemRun, m.Rewards, m.RewardTook, m.StepWait, m.StaleVersions, m.StaleSeconds)
 	return m
 }
--- a/cfcoord/mirror.go
+++ b/cfcoord/mirror.go
@@ -28,8 +28,9 @@
 
 	// copiedText is how much of which text was copied.
 	copiedText struct {
-		origin uint64
-		last   cf.EventID
+		origin   uint64
+		last     cf.EventID
+		complete bool
 	}
 
 	// Neighbour takes copies of texts; it returns false when none was
@@ -78,9 +79,13 @@
 		if from.origin != t.Origin {
 			from = copiedText{} // the item has begun anew
 		}
-		if t.Last > from.last && (t.Complete || t.Last >= mirrorLeast) {
+		// That a text is complete is news too: a successor that does not know
+		// would ask an engine for what follows its last event, and only then
+		// for its reward.
+		grown := t.Last > from.last && t.Last >= mirrorLeast
+		if grown || t.Complete && !from.complete {
 			part.Texts[id] = t.After(from.last)
-			copied[id] = copiedText{t.Origin, t.Last}
+			copied[id] = copiedText{t.Origin, t.Last, t.Complete}
 		}
 	}
 	for w := range c.runs {
--- a/cfcoord/mirror_test.go
+++ b/cfcoord/mirror_test.go
@@ -110,3 +110,27 @@
 		t.Errorf("event 15 of the resumed text is %q", got)
 	}
 }
+
+// Symptom: after the loss of a coordinator a complete text is asked for again at
+// an engine.
+// Sequence: a text is copied with its last event while its run still holds the
+// stream open; the run ends, its reward is asked for, and the coordinator dies.
+// Cause: no event was new, so the copy never learned that the text is complete.
+func TestMirrorLearnsThatATextIsComplete(t *testing.T) {
+	c := New(Options{Duty: held{}})
+	w := &cfrollout.Work{Item: cf.Item{ID: "a"}, Text: text(0, 10)}
+	c.runs[w] = func() {}
+	copied := map[cf.ItemID]copiedText{}
+	var m Mirror
+	m.Take(c.changedTexts(copied), true)
+	delete(c.runs, w)
+	w.Text.Complete = true
+	c.finished["a"] = w.Text
+	m.Take(c.changedTexts(copied), false)
+	if got := m.Texts["a"]; !got.Complete || got.Last != 10 || !got.FromStart() {
+		t.Errorf("the copy of a complete text: complete %v, %d events up to %d", got.Complete, len(got.Data), got.Last)
+	}
+	if again := c.changedTexts(copied); len(again.Texts) > 0 {
+		t.Error("a complete text is copied over and over")
+	}
+}
--- /dev/null
+++ b/cfcoord/rewards.go
@@ -0,0 +1,187 @@
+package cfcoord
+
+import (
+	"context"
+	"hash/fnv"
+	"net/http"
+
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cfbatch"
+	"currantford/cflog"
+	"currantford/cfreward"
+	"currantford/cfrollout"
+	"currantford/cfsite"
+)
+
+// rewardTimeout is the deadline of a try of a reward call, here and at its
+// target. The longest answers take 1.5 s; one that is later is asked for elsewhere
+// long before. A target that takes a call and says nothing would hold it for ever.
+const rewardTimeout cf.Millis = 3000
+
+// rewards are the reward calls of complete texts, with what runs of them.
+type rewards struct {
+	planner *cfreward.Planner
+	works   map[cf.ItemID]*cfrollout.Work
+	cancels map[*cfreward.Attempt]context.CancelFunc
+}
+
+func newRewards() rewards {
+	return rewards{
+		planner: cfreward.New(cfreward.DefaultLimits), works: map[cf.ItemID]*cfrollout.Work{},
+		cancels: map[*cfreward.Attempt]context.CancelFunc{},
+	}
+}
+
+// add takes a complete text.
+func (r *rewards) add(w *cfrollout.Work, now cf.Millis) {
+	r.works[w.Item.ID] = w
+	r.planner.Add(w.Batch, w.Item, now)
+}
+
+// end forgets a call that is over, stops what runs of it, and returns its text.
+func (r *rewards) end(call *cfreward.Call) *cfrollout.Work {
+	for _, a := range call.Attempts() {
+		r.cancels[a]()
+	}
+	w := r.works[call.Item.ID]
+	delete(r.works, call.Item.ID)
+	return w
+}
+
+// rewardSite shows the site to the reward planner. c.mu is held.
+type rewardSite struct {
+	c       *Coordinator
+	config  *cfsite.Config
+	missing map[cf.BatchID]map[cf.GroupID]int
+}
+
+// Route implements cfreward.Site. Whatever the route's kind, the call may be
+// repeated.
+func (s *rewardSite) Route(call *cf.RewardCall) (cfreward.Route, bool) {
+	route, ok := s.config.Match(call.Host, call.Path)
+	if !ok {
+		return cfreward.Route{}, false
+	}
+	service := route.Pick(drawOf(string(call.ID)))
+	return cfreward.Route{Service: service, Targets: s.c.Site.Usable(service), MaxAttempts: route.MaxAttempts}, true
+}
+
+// Missing implements cfreward.Site.
+func (s *rewardSite) Missing(b *cfbatch.Batch, g cf.GroupID) int {
+	missing, known := s.missing[b.Sub.ID]
+	if st := s.c.batches[b.Sub.ID]; !known && st != nil {
+		missing = st.pending.Missing(b)
+		s.missing[b.Sub.ID] = missing
+	}
+	if n, some := missing[g]; some {
+		return n
+	}
+	return b.GroupLeft(g)
+}
+
+// drawOf returns a number in [0, 1) that an id decides, so that a successor
+// decides the same.
+func drawOf(id string) float64 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // a hash takes everything
+	return float64(h.Sum32()) / (1 << 32)
+}
+
+// placeRewards sends the reward calls that are due. c.mu is held.
+func (c *Coordinator) placeRewards(config *cfsite.Config, now cf.Millis) {
+	for _, call := range c.rewards.planner.DropListed() {
+		c.rewards.end(call)
+	}
+	site := &rewardSite{c: c, config: config, missing: map[cf.BatchID]map[cf.GroupID]int{}}
+	for _, a := range c.rewards.planner.Place(site, now) {
+		c.startReward(a, config.Version)
+	}
+}
+
+// startReward sends a reward call to the target that the planner chose.
+func (c *Coordinator) startReward(a *cfreward.Attempt, version cfsite.ConfigVersion) {
+	stopped, cancel := context.WithCancel(c.ctx)
+	c.rewards.cancels[a] = cancel
+	reward := a.Call.Item.Reward
+	c.Log.Info("reward_sent", zap.String("request_id", string(reward.ID)), zap.String("item_id", string(a.Call.Item.ID)),
+		zap.String("batch_id", string(a.Call.Batch.Sub.ID)), zap.String("target", string(a.Target.ID)), zap.Int("sends", a.Call.Sends),
+		zap.Int("failures", a.Call.Failures), zap.Bool("hedge", a.Hedge), zap.Int64("config_version", int64(version)))
+	c.wg.Go(func() {
+		defer cancel()
+		ctx, expire := context.WithTimeout(stopped, rewardTimeout.Duration())
+		defer expire()
+		answer, err := c.Targets.Send(ctx, a.Target, cf.TargetCall{
+			ID: reward.ID, Method: http.MethodPost, Host: reward.Host, Path: reward.Path, Header: http.Header{}, Body: reward.Body,
+			Urgency: itemUrgency, Ranked: true, Timeout: rewardTimeout,
+		})
+		c.rewarded(a, answer, err, stopped.Err() != nil)
+	})
+}
+
+var rewardOutcomes = map[cfreward.Outcome]string{
+	cfreward.Scored: "scored", cfreward.Failed: "failed", cfreward.Full: "not_run", cfreward.Lost: "lost", cfreward.Stopped: "stopped",
+}
+
+// rewarded takes the end of an attempt at a reward call.
+func (c *Coordinator) rewarded(a *cfreward.Attempt, answer cf.TargetAnswer, err error, stopped bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.rewards.cancels, a)
+	if c.ctx.Err() != nil {
+		return // the duty is over; a successor asks again
+	}
+	now := cf.Uptime()
+	outcome := classifyReward(answer, err, stopped)
+	call := a.Call
+	verdict := c.rewards.planner.Done(a, outcome, answer.Load, now)
+	c.Metrics.Rewards.WithLabelValues(rewardOutcomes[outcome]).Inc()
+	c.Metrics.RewardTook.Observe(float64(now-a.Began) / 1000)
+	c.Log.Info("reward_ended", zap.String("request_id", string(call.Item.Reward.ID)), zap.String("item_id", string(call.Item.ID)),
+		zap.String("batch_id", string(call.Batch.Sub.ID)), zap.String("target", string(a.Target.ID)),
+		zap.String("outcome", rewardOutcomes[outcome]), zap.Int("status", answer.Status), zap.Int("failures", call.Failures),
+		zap.Int64("took_ms", int64(now-a.Began)), cflog.Error(err))
+	switch verdict {
+	case cfreward.Take:
+		c.list(c.rewards.end(call), answer.Signature, now)
+	case cfreward.GiveUp:
+		c.giveUp(c.rewards.end(call), "reward call failed", now)
+	case cfreward.Again:
+	}
+	c.Kick()
+}
+
+// classifyReward maps what came of a reward call to what the planner knows.
+func classifyReward(answer cf.TargetAnswer, err error, stopped bool) cfreward.Outcome {
+	switch {
+	case err == nil && answer.Status/100 == 2 && answer.Signature != "":
+		return cfreward.Scored
+	case stopped:
+		return cfreward.Stopped
+	case err == nil && answer.NotRun:
+		return cfreward.Full
+	case err == nil && answer.Status == http.StatusInternalServerError:
+		return cfreward.Failed
+	default:
+		return cfreward.Lost
+	}
+}
+
+// dropRewards ends the reward calls of a batch that was ended; their texts may
+// be of use to a later batch. c.mu is held.
+func (c *Coordinator) dropRewards(id cf.BatchID) {
+	for _, call := range c.rewards.planner.DropBatch(id) {
+		w := c.rewards.end(call)
+		delete(c.finished, w.Item.ID)
+		c.planner.Keep(w)
+	}
+}
+
+// expireRewards gives up the texts whose rewards have taken too long.
+func (c *Coordinator) expireRewards(now, wall cf.Millis) {
+	late := c.rewards.planner.Expire(func(b *cfbatch.Batch) cf.Millis { return c.planner.GiveUpAfter(b.Sub.ID) }, wall)
+	for _, call := range late {
+		c.giveUp(c.rewards.end(call), "waited too long for its reward", now)
+	}
+}
--- a/cfcoord/runs.go
+++ b/cfcoord/runs.go
@@ -80,12 +80,11 @@
 	if outcome == cfrollout.OutcomeNotRun && !c.planner.Loading(t.ID) {
 		c.checkVersions(t)
 	}
-	if c.planner.Finished(w, outcome, now) {
-		state := cf.ItemFailed
-		if outcome == cfrollout.OutcomeDone {
-			state = cf.ItemDone
-		}
-		c.finish(w, state, reason, now)
+	switch ended := c.planner.Finished(w, outcome, now); {
+	case ended && outcome == cfrollout.OutcomeDone:
+		c.complete(w, now)
+	case ended:
+		c.giveUp(w, reason, now)
 	}
 	c.Kick()
 }
--- /dev/null
+++ b/cfreward/reward.go
@@ -0,0 +1,426 @@
+// Package cfreward decides when the reward calls of finished texts go out, to
+// which target, and what a failed one allows. It makes no calls and has no clock
+// of its own.
+//
+// The load it answers: a step's texts end in bursts, so that two hundred calls
+// of 200 ms each are due within a second at a service whose targets have six
+// slots, turn away what does not fit, and answer callers' lookups of 25 ms at
+// the same time. Each target therefore gets as many reward calls as it has shown
+// to take, and never its last slots; what does not fit waits here, where it costs
+// nobody a refused try. The calls that make a group whole go first. A target that
+// loses or holds an answer up costs a call the usual time of an answer, after
+// which a second target is asked.
+//
+// Usage:
+//
+//	p := cfreward.New(cfreward.DefaultLimits)
+//	p.Add(batch, item, now)
+//	for _, a := range p.Place(site, now) { ... verdict := p.Done(a, outcome, load, now) }
+package cfreward
+
+import (
+	"cmp"
+	"slices"
+
+	cf "currantford"
+	"currantford/cfbalance"
+	"currantford/cfbatch"
+)
+
+type (
+	// Limits bound what the planner starts.
+	Limits struct {
+		// CallerPart is the part of a target's slots that reward calls leave
+		// free: someone waits for each caller's request, and for a reward
+		// only with its whole step.
+		CallerPart float64
+		// HedgeFactor is how many times the usual time of an answer a call
+		// waits before a second target is asked, HedgeLeast the least of it.
+		HedgeFactor float64
+		HedgeLeast  cf.Millis
+		// RestFirst is the pause of a target that turned a call away, and of
+		// a call that was lost; it doubles with each in a row up to RestMost.
+		RestFirst cf.Millis
+		RestMost  cf.Millis
+		// ErrorsMost is how many failures in a row make a target suspect. A
+		// single one is its request's own.
+		ErrorsMost int
+	}
+
+	// Route is where a reward call goes now.
+	Route struct {
+		Service     cf.ServiceName
+		Targets     []cf.Target
+		MaxAttempts int
+	}
+
+	// Site is what the planner must see of the site.
+	Site interface {
+		// Route returns false when no route leads to host and path.
+		Route(call *cf.RewardCall) (Route, bool)
+		// Missing counts the items of a group that have no result yet, listed
+		// or about to be.
+		Missing(b *cfbatch.Batch, g cf.GroupID) int
+	}
+
+	// Call is the reward call of one text.
+	Call struct {
+		Batch    *cfbatch.Batch
+		Item     cf.Item
+		Failures int // answers that count as failed attempts
+		Sends    int
+		since    cf.Millis
+		rest     cf.Millis
+		lost     int // attempts in a row that came to nothing
+		most     int // failed attempts that its route allows
+		under    []*Attempt
+		failedAt map[cf.InstanceID]bool
+		over     bool
+	}
+
+	// Attempt is a call as it is sent to one target.
+	Attempt struct {
+		Call   *Call
+		Target cf.Target
+		Began  cf.Millis
+		Hedge  bool // beside an attempt that takes long
+	}
+
+	// Outcome is what an attempt came to.
+	Outcome int
+
+	// Verdict is what is to be done with a call.
+	Verdict int
+
+	// Planner holds the state. It is not safe for concurrent use.
+	Planner struct {
+		limits   Limits
+		balancer *cfbalance.Balancer
+		calls    map[cf.ItemID]*Call
+		targets  map[cf.InstanceID]*target
+		draws    uint32
+	}
+
+	// target is what is known of one target.
+	target struct {
+		underWay int
+		limit    float64 // calls that it has shown to take at once
+		rest     cf.Millis
+		misses   int // refusals and losses in a row
+		errors   int // failures in a row
+		// silent: an answer of it is overdue, so it may be gone.
+		silent bool
+		seen   cf.Millis
+	}
+)
+
+// Outcomes of an attempt.
+const (
+	// Scored: the answer is the reward.
+	Scored Outcome = iota
+	// Failed: the target ran the call and says that it failed.
+	Failed
+	// Full: the target did not run the call.
+	Full
+	// Lost: no answer, or none that counts.
+	Lost
+	// Stopped: the attempt was given up here.
+	Stopped
+)
+
+// Verdicts on a call.
+const (
+	// Again: the call goes on, or is over already.
+	Again Verdict = iota
+	// Take: this answer scores the text.
+	Take
+	// GiveUp: the attempts that its route allows have failed.
+	GiveUp
+)
+
+// DefaultLimits suit services whose answers take some hundred milliseconds. An
+// answer of three times the mean is one in fifty, so few are asked for twice.
+var DefaultLimits = Limits{
+	CallerPart: 1.0 / 3, HedgeFactor: 3, HedgeLeast: 400, RestFirst: 50, RestMost: 1600, ErrorsMost: 3,
+}
+
+// underWayMost is how many targets work on one call at once.
+const underWayMost = 2
+
+// forget drops what is known of targets that are not heard of any more.
+const forget cf.Millis = 60000
+
+// New returns a planner without calls.
+func New(limits Limits) *Planner {
+	return &Planner{
+		limits: limits, balancer: cfbalance.New(), calls: map[cf.ItemID]*Call{}, targets: map[cf.InstanceID]*target{},
+	}
+}
+
+// Add takes the reward call of an item whose text is complete.
+func (p *Planner) Add(b *cfbatch.Batch, item cf.Item, now cf.Millis) {
+	if old := p.calls[item.ID]; old != nil {
+		old.over = true // its batch was ended, and another asks for the item
+	}
+	p.calls[item.ID] = &Call{Batch: b, Item: item, since: now, failedAt: map[cf.InstanceID]bool{}}
+}
+
+// Len counts the calls that are not over.
+func (p *Planner) Len() int { return len(p.calls) }
+
+// DropBatch ends the calls of a batch and returns them.
+func (p *Planner) DropBatch(id cf.BatchID) []*Call {
+	return p.drop(func(c *Call) bool { return c.Batch.Sub.ID == id })
+}
+
+// DropListed ends the calls whose items are listed by now, by another
+// coordinator, and returns them.
+func (p *Planner) DropListed() []*Call {
+	return p.drop(func(c *Call) bool { return c.Batch.Listed(c.Item.ID) })
+}
+
+// Expire ends the calls of batches that have waited for longer than their route
+// allows, as of the wall clock, and returns them.
+func (p *Planner) Expire(maxWait func(*cfbatch.Batch) cf.Millis, wall cf.Millis) []*Call {
+	return p.drop(func(c *Call) bool {
+		most := maxWait(c.Batch)
+		return most > 0 && wall-c.Batch.Sub.Accepted >= most
+	})
+}
+
+func (p *Planner) drop(is func(*Call) bool) []*Call {
+	var out []*Call
+	for id, c := range p.calls {
+		if is(c) {
+			c.over = true
+			delete(p.calls, id)
+			out = append(out, c)
+		}
+	}
+	slices.SortFunc(out, func(a, b *Call) int { return cmp.Compare(a.Item.ID, b.Item.ID) })
+	return out
+}
+
+// Attempts returns the attempts of a call that are under way.
+func (c *Call) Attempts() []*Attempt { return c.under }
+
+// Place returns the attempts to start now.
+func (p *Planner) Place(site Site, now cf.Millis) []*Attempt {
+	if len(p.calls) == 0 {
+		return nil
+	}
+	p.findSilent(now)
+	var out []*Attempt
+	full := map[cf.ServiceName]bool{}
+	for _, c := range p.ranked(site) {
+		hedge := len(c.under) > 0
+		if hedge && !p.overdue(c, now) || now < c.rest {
+			continue
+		}
+		route, ok := site.Route(c.Item.Reward)
+		if !ok || full[route.Service] {
+			continue
+		}
+		c.most = route.MaxAttempts
+		t, ok := p.choose(c, route, now)
+		if !ok {
+			// Calls that were sent before may not go everywhere; of the
+			// others, if one finds no target, none does.
+			full[route.Service] = len(c.failedAt) == 0 && !hedge
+			continue
+		}
+		out = append(out, p.start(c, t, hedge, now))
+	}
+	p.prune(now)
+	return out
+}
+
+// ranked returns the calls in the order in which they are sent: those that wait
+// before second attempts, the batches accepted first before others, the groups
+// that lack least before others.
+func (p *Planner) ranked(site Site) []*Call {
+	type ranked struct {
+		call    *Call
+		missing int
+	}
+	calls := make([]ranked, 0, len(p.calls))
+	for _, c := range p.calls {
+		calls = append(calls, ranked{c, site.Missing(c.Batch, c.Item.Group)})
+	}
+	slices.SortFunc(calls, func(a, b ranked) int {
+		return cmp.Or(
+			cmp.Compare(len(a.call.under), len(b.call.under)),
+			cmp.Compare(a.call.Batch.Sub.Accepted, b.call.Batch.Sub.Accepted),
+			cmp.Compare(a.missing, b.missing),
+			cmp.Compare(a.call.since, b.call.since),
+			cmp.Compare(a.call.Item.ID, b.call.Item.ID),
+		)
+	})
+	out := make([]*Call, 0, len(calls))
+	for _, r := range calls {
+		out = append(out, r.call)
+	}
+	return out
+}
+
+// overdue says whether a call that is under way should be asked for elsewhere.
+func (p *Planner) overdue(c *Call, now cf.Millis) bool {
+	return len(c.under) < underWayMost && p.late(c.under[0], now)
+}
+
+// late says whether an attempt has taken much longer than usual.
+func (p *Planner) late(a *Attempt, now cf.Millis) bool {
+	usual := p.balancer.Throughput([]cf.Target{a.Target}, now).Work
+	return now-a.Began >= max(cf.Millis(usual*p.limits.HedgeFactor), p.limits.HedgeLeast)
+}
+
+// findSilent notes the targets that owe an answer: until it comes, or is given
+// up, they get nothing more. A target that takes calls and says nothing would
+// otherwise take all of its slots' worth of them.
+func (p *Planner) findSilent(now cf.Millis) {
+	for _, s := range p.targets {
+		s.silent = false
+	}
+	for _, c := range p.calls {
+		for _, a := range c.under {
+			if p.late(a, now) {
+				p.of(a.Target).silent = true
+			}
+		}
+	}
+}
+
+// choose returns the target that should answer a call soonest, of those that
+// have room for it.
+func (p *Planner) choose(c *Call, route Route, now cf.Millis) (cf.Target, bool) {
+	room := make([]cf.Target, 0, len(route.Targets))
+	for _, t := range route.Targets {
+		if p.hasRoom(t, now) && !c.at(t.ID) {
+			room = append(room, t)
+		}
+	}
+	p.draws++
+	if t, ok := p.balancer.Choose(room, c.failedAt, draw(p.draws), now); ok || len(c.failedAt) < len(route.Targets) {
+		return t, ok
+	}
+	return p.balancer.Choose(room, nil, draw(p.draws), now) // it failed everywhere
+}
+
+// draw spreads successive numbers evenly over [0, 1), by the golden ratio.
+func draw(n uint32) float64 { return float64(n*2654435769) / (1 << 32) }
+
+// at says whether a target works on the call.
+func (c *Call) at(id cf.InstanceID) bool {
+	return slices.ContainsFunc(c.under, func(a *Attempt) bool { return a.Target.ID == id })
+}
+
+func (p *Planner) hasRoom(t cf.Target, now cf.Millis) bool {
+	s := p.of(t)
+	s.seen = now
+	return !s.silent && now >= s.rest && s.underWay < min(int(s.limit), p.most(t))
+}
+
+// most is how many calls a target gets at once, at least one.
+func (p *Planner) most(t cf.Target) int {
+	return max(t.Slots-max(int(float64(t.Slots)*p.limits.CallerPart+0.5), 1), 1)
+}
+
+func (p *Planner) of(t cf.Target) *target {
+	s := p.targets[t.ID]
+	if s == nil {
+		s = &target{limit: float64(p.most(t))}
+		p.targets[t.ID] = s
+	}
+	return s
+}
+
+func (p *Planner) start(c *Call, t cf.Target, hedge bool, now cf.Millis) *Attempt {
+	a := &Attempt{Call: c, Target: t, Began: now, Hedge: hedge}
+	c.under = append(c.under, a)
+	c.Sends++
+	p.of(t).underWay++
+	p.balancer.Sent(t.ID)
+	return a
+}
+
+// Done takes the end of an attempt.
+func (p *Planner) Done(a *Attempt, o Outcome, load *cf.TargetLoad, now cf.Millis) Verdict {
+	p.judge(a, o, load, now)
+	c := a.Call
+	c.under = slices.DeleteFunc(c.under, func(x *Attempt) bool { return x == a })
+	if c.over {
+		return Again
+	}
+	switch o {
+	case Scored:
+		p.end(c)
+		return Take
+	case Failed:
+		c.Failures++
+		c.failedAt[a.Target.ID] = true
+		if c.Failures >= max(c.most, 1) {
+			p.end(c)
+			return GiveUp
+		}
+	case Lost:
+		c.rest = now + min(p.limits.RestFirst<<min(c.lost, restDoublings), p.limits.RestMost)
+		c.lost++
+	}
+	return Again
+}
+
+// restDoublings bounds the doublings of a pause, whatever its first value.
+const restDoublings = 10
+
+func (p *Planner) end(c *Call) {
+	c.over = true
+	delete(p.calls, c.Item.ID)
+}
+
+// judge learns from the end of an attempt what its target takes: a call more at
+// a time for each round of answers, half as many after a refusal, and one to
+// try with after a loss.
+func (p *Planner) judge(a *Attempt, o Outcome, load *cf.TargetLoad, now cf.Millis) {
+	s := p.of(a.Target)
+	s.underWay--
+	s.seen = now
+	outcome := cfbalance.Answered
+	switch o {
+	case Scored, Failed:
+		s.limit = min(s.limit+1/max(s.limit, 1), float64(p.most(a.Target)))
+		s.misses = 0
+		s.errors++
+		if o == Scored {
+			s.errors = 0
+		}
+		if s.errors >= p.limits.ErrorsMost {
+			s.limit = 1
+			p.pause(s, now)
+			outcome = cfbalance.Failed
+		}
+	case Full:
+		s.limit = max(s.limit/2, 1)
+		p.pause(s, now)
+		outcome = cfbalance.Full
+	case Lost:
+		s.limit = 1
+		p.pause(s, now)
+		outcome = cfbalance.Failed
+	case Stopped:
+		outcome = cfbalance.Abandoned
+	}
+	p.balancer.Done(a.Target.ID, outcome, load, now-a.Began, now)
+}
+
+func (p *Planner) pause(s *target, now cf.Millis) {
+	s.rest = now + min(p.limits.RestFirst<<min(s.misses, restDoublings), p.limits.RestMost)
+	s.misses++
+}
+
+func (p *Planner) prune(now cf.Millis) {
+	for id, s := range p.targets {
+		if s.underWay <= 0 && now-s.seen > forget {
+			delete(p.targets, id)
+		}
+	}
+}
--- /dev/null
+++ b/cfreward/reward_test.go
@@ -0,0 +1,334 @@
+package cfreward_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	cf "currantford"
+	"currantford/cfbatch"
+	"currantford/cfreward"
+)
+
+const (
+	service cf.ServiceName = "rewards"
+	// tick is how often the simulated coordinator looks.
+	tick cf.Millis = 5
+)
+
+// site shows a fixed set of targets.
+type site struct {
+	targets []cf.Target
+	most    int
+	gone    bool
+	missing map[cf.GroupID]int
+}
+
+func (s *site) Route(*cf.RewardCall) (cfreward.Route, bool) {
+	return cfreward.Route{Service: service, Targets: s.targets, MaxAttempts: s.most}, !s.gone
+}
+
+func (s *site) Missing(_ *cfbatch.Batch, g cf.GroupID) int { return s.missing[g] }
+
+func fleet(n, slots int) *site {
+	s := &site{most: 4, missing: map[cf.GroupID]int{}}
+	for i := range n {
+		s.targets = append(s.targets, cf.Target{ID: cf.InstanceID(fmt.Sprintf("t%02d", i)), Service: service, Slots: slots})
+	}
+	return s
+}
+
+// step returns a batch of groups of size items with reward calls.
+func step(id cf.BatchID, accepted cf.Millis, groups, size int) *cfbatch.Batch {
+	sub := cf.Submission{ID: id, TargetGroups: groups, Accepted: accepted}
+	for g := range groups {
+		for i := range size {
+			item := cf.ItemID(fmt.Sprintf("%s-%02d-%d", id, g, i))
+			sub.Items = append(sub.Items, cf.Item{
+				ID: item, Group: cf.GroupID(fmt.Sprintf("%s-%02d", id, g)), Reward: &cf.RewardCall{ID: cf.RequestID("r-" + item)},
+			})
+		}
+	}
+	return cfbatch.New(sub)
+}
+
+// service in simulated time: what each target works on, and until when.
+type fakeService struct {
+	*site
+	random *rand.Rand
+	works  map[cf.InstanceID][]cf.Millis // ends of the requests under way
+	// silent targets take calls and answer none; failing ones say that each
+	// call failed; shut ones turn all away.
+	silent, failing, shut map[cf.InstanceID]bool
+	ends                  map[*cfreward.Attempt]cf.Millis
+	outcomes              map[*cfreward.Attempt]cfreward.Outcome
+
+	refused, sends, mostAtOnce int
+	lookups, lookupsLost       int
+}
+
+func newService(s *site, seed uint64) *fakeService {
+	return &fakeService{
+		site: s, random: rand.New(rand.NewPCG(seed, 1)), works: map[cf.InstanceID][]cf.Millis{},
+		silent: map[cf.InstanceID]bool{}, failing: map[cf.InstanceID]bool{}, shut: map[cf.InstanceID]bool{},
+		ends: map[*cfreward.Attempt]cf.Millis{}, outcomes: map[*cfreward.Attempt]cfreward.Outcome{},
+	}
+}
+
+// workTime draws the time of an answer with mean 200 ms, as the service's users
+// see it: a logarithmic deviation of a half, one in a hundred five times as long.
+func (s *fakeService) workTime(mean float64) cf.Millis {
+	ms := mean * math.Exp(s.random.NormFloat64()*0.5-0.125)
+	if s.random.IntN(100) == 0 {
+		ms *= 5
+	}
+	return cf.Millis(min(ms, 7.5*mean))
+}
+
+func (s *fakeService) running(id cf.InstanceID, now cf.Millis) int {
+	n := 0
+	for _, end := range s.works[id] {
+		if end > now {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *fakeService) start(a *cfreward.Attempt, now cf.Millis) {
+	s.sends++
+	id := a.Target.ID
+	switch {
+	case s.shut[id] || s.running(id, now) >= a.Target.Slots:
+		s.refused++
+		s.ends[a], s.outcomes[a] = now+tick, cfreward.Full
+	case s.silent[id]:
+		s.ends[a], s.outcomes[a] = now+3000, cfreward.Lost
+	case s.failing[id]:
+		s.ends[a], s.outcomes[a] = now+s.workTime(200), cfreward.Failed
+	default:
+		s.ends[a], s.outcomes[a] = now+s.workTime(200), cfreward.Scored
+		s.works[id] = append(s.works[id], s.ends[a])
+		s.mostAtOnce = max(s.mostAtOnce, s.running(id, now))
+	}
+}
+
+// lookup is a caller's request of 25 ms; it fits nowhere if its target is full.
+func (s *fakeService) lookup(now cf.Millis) {
+	s.lookups++
+	t := s.targets[s.random.IntN(len(s.targets))]
+	if s.running(t.ID, now) >= t.Slots {
+		s.lookupsLost++
+		return
+	}
+	s.works[t.ID] = append(s.works[t.ID], now+s.workTime(25))
+}
+
+// play runs the planner until no call is left or the time is up; it returns when
+// the last call ended, and how many were given up.
+func (s *fakeService) play(p *cfreward.Planner, until cf.Millis) (took cf.Millis, givenUp int) {
+	for now := cf.Millis(0); now < until; now += tick {
+		for a, end := range s.ends {
+			if now < end {
+				continue
+			}
+			delete(s.ends, a)
+			load := &cf.TargetLoad{Running: s.running(a.Target.ID, now), Slots: a.Target.Slots}
+			switch p.Done(a, s.outcomes[a], load, now) {
+			case cfreward.GiveUp:
+				givenUp++
+				took = now
+			case cfreward.Take:
+				took = now
+				for _, other := range a.Call.Attempts() {
+					s.ends[other], s.outcomes[other] = now+1, cfreward.Stopped
+				}
+			case cfreward.Again:
+			}
+		}
+		for _, a := range p.Place(s, now) {
+			s.start(a, now)
+		}
+		if now%150 == 0 {
+			s.lookup(now)
+		}
+	}
+	return took, givenUp
+}
+
+func (s *fakeService) addAll(p *cfreward.Planner, b *cfbatch.Batch) {
+	for _, it := range b.Sub.Items {
+		p.Add(b, it, 0)
+	}
+}
+
+// The load pattern: 208 texts end at once before 14 targets of 6 slots. No call is
+// refused, callers find room at every moment, and the burst takes little longer
+// than its work divided by the slots that it may use (208 x 200 ms / 56 = 0.74 s).
+func TestBurstOfRewardsLeavesRoomForCallers(t *testing.T) {
+	for seed := range uint64(20) {
+		p, s := cfreward.New(cfreward.DefaultLimits), newService(fleet(14, 6), seed)
+		s.addAll(p, step("s", 0, 26, 8))
+		took, _ := s.play(p, 6000)
+		if p.Len() > 0 {
+			t.Fatalf("seed %d: %d calls unanswered", seed, p.Len())
+		}
+		if s.refused > 0 || s.lookupsLost > 0 || s.mostAtOnce > 5 {
+			t.Errorf("seed %d: %d refused tries, %d of %d lookups without a slot, %d at once", seed, s.refused, s.lookupsLost, s.lookups, s.mostAtOnce)
+		}
+		if took > 2500 {
+			t.Errorf("seed %d: the burst took %d ms", seed, took)
+		}
+	}
+}
+
+// Symptom: a service that turns everything away gets thousands of tries in a few
+// seconds, and the callers' own are among those that it turns away when it is back.
+// Sequence: all targets refuse for 4 s while 208 calls wait, then serve.
+// Cause guarded against: trying again at once wherever a call was refused.
+func TestServiceThatIsFullIsNotPressed(t *testing.T) {
+	p, s := cfreward.New(cfreward.DefaultLimits), newService(fleet(14, 6), 1)
+	for _, x := range s.targets {
+		s.shut[x.ID] = true
+	}
+	s.addAll(p, step("s", 0, 26, 8))
+	s.play(p, 4000)
+	if s.sends > 14*8 {
+		t.Errorf("%d tries in 4 s at 14 targets that turn all away", s.sends)
+	}
+	clear(s.shut)
+	if s.play(p, 8000); p.Len() > 0 {
+		t.Errorf("%d calls unanswered 8 s after the service came back", p.Len())
+	}
+}
+
+// Symptom: a step waits 3 s for rewards that lie at targets which took the calls
+// and died.
+// Sequence: 3 of 14 targets take calls and say nothing.
+// Cause guarded against: waiting for a try's whole deadline, and sending a silent
+// target more.
+func TestSilentTargetsAreAskedAround(t *testing.T) {
+	for seed := range uint64(10) {
+		p, s := cfreward.New(cfreward.DefaultLimits), newService(fleet(14, 6), seed)
+		for _, x := range s.targets[:3] {
+			s.silent[x.ID] = true
+		}
+		s.addAll(p, step("s", 0, 26, 8))
+		took, givenUp := s.play(p, 6000)
+		if p.Len() > 0 || givenUp > 0 || took > 2800 {
+			t.Errorf("seed %d: %d calls unanswered, %d given up, the last answer after %d ms", seed, p.Len(), givenUp, took)
+		}
+	}
+}
+
+// Symptom: samples are given up because one target fails all that it is asked.
+// Sequence: 2 of 14 targets answer each call as failed, and answer at once.
+// Cause guarded against: spending all attempts of a call at the target that
+// seems the least loaded.
+func TestFailingTargetCostsNoSample(t *testing.T) {
+	p, s := cfreward.New(cfreward.DefaultLimits), newService(fleet(14, 6), 3)
+	s.failing["t00"], s.failing["t07"] = true, true
+	s.addAll(p, step("s", 0, 26, 8))
+	if _, givenUp := s.play(p, 6000); givenUp > 0 || p.Len() > 0 {
+		t.Errorf("%d calls given up, %d unanswered", givenUp, p.Len())
+	}
+}
+
+// Symptom: a call that fails at every target is repeated for ever.
+func TestFailingCallIsGivenUpAfterItsRoutesAttempts(t *testing.T) {
+	p, s := cfreward.New(cfreward.DefaultLimits), newService(fleet(3, 6), 1)
+	for _, x := range s.targets {
+		s.failing[x.ID] = true
+	}
+	b := step("s", 0, 1, 1)
+	s.addAll(p, b)
+	if _, givenUp := s.play(p, 20000); givenUp != 1 || s.sends != 4 {
+		t.Errorf("%d given up after %d sends, want 1 after 4", givenUp, s.sends)
+	}
+}
+
+// The calls that make a group whole go before others, and those of an older batch
+// before those of a newer one.
+func TestNearlyWholeGroupsGoFirst(t *testing.T) {
+	p, s := cfreward.New(cfreward.DefaultLimits), fleet(1, 3) // two at once
+	newer, older := step("newer", 2000, 1, 2), step("older", 1000, 3, 1)
+	s.missing = map[cf.GroupID]int{"newer-00": 1, "older-00": 5, "older-01": 2, "older-02": 7}
+	for _, b := range []*cfbatch.Batch{newer, older} {
+		for _, it := range b.Sub.Items {
+			p.Add(b, it, 0)
+		}
+	}
+	var order []cf.ItemID
+	for now := cf.Millis(0); p.Len() > 0 && now < 1000; now += 10 {
+		for _, a := range p.Place(s, now) {
+			order = append(order, a.Call.Item.ID)
+			p.Done(a, cfreward.Scored, nil, now)
+		}
+	}
+	if got, want := fmt.Sprint(order), "[older-01-0 older-00-0 older-02-0 newer-00-0 newer-00-1]"; got != want {
+		t.Errorf("order %s, want %s", got, want)
+	}
+}
+
+// Symptom: a reward call of an ended batch goes out, or its late answer scores an
+// item of another batch.
+// Sequence: a call is under way when its batch is ended; a later batch asks for
+// the same item; the answer to the first call comes.
+func TestLateAnswerOfAnEndedBatchScoresNothing(t *testing.T) {
+	p, s := cfreward.New(cfreward.DefaultLimits), fleet(2, 3)
+	first := step("s", 0, 1, 1)
+	p.Add(first, first.Sub.Items[0], 0)
+	a := p.Place(s, 0)[0]
+	if dropped := p.DropBatch("s"); len(dropped) != 1 {
+		t.Fatalf("%d calls dropped", len(dropped))
+	}
+	if more := p.Place(s, 100); len(more) > 0 {
+		t.Error("a dropped call is sent")
+	}
+	second := cfbatch.New(cf.Submission{ID: "next", Items: first.Sub.Items})
+	p.Add(second, second.Sub.Items[0], 200)
+	if v := p.Done(a, cfreward.Scored, nil, 210); v != cfreward.Again || p.Len() != 1 {
+		t.Errorf("verdict %d on a late answer, %d calls left", v, p.Len())
+	}
+}
+
+// Symptom: a call without a route, or of a batch whose time is over, stays for
+// ever.
+func TestCallsExpire(t *testing.T) {
+	p, s := cfreward.New(cfreward.DefaultLimits), fleet(2, 3)
+	s.gone = true
+	b := step("s", 1000, 1, 2)
+	for _, it := range b.Sub.Items {
+		p.Add(b, it, 0)
+	}
+	if n := len(p.Place(s, 0)); n > 0 {
+		t.Errorf("%d calls sent without a route", n)
+	}
+	limit := func(*cfbatch.Batch) cf.Millis { return 500 }
+	if n := len(p.Expire(limit, 1499)); n > 0 {
+		t.Errorf("%d calls given up too early", n)
+	}
+	if n := len(p.Expire(limit, 1500)); n != 2 || p.Len() != 0 {
+		t.Errorf("%d calls given up, %d left", n, p.Len())
+	}
+	b.Apply("000000", []cf.Result{{ID: b.Sub.Items[0].ID}})
+	for _, it := range b.Sub.Items {
+		p.Add(b, it, 0)
+	}
+	if n := len(p.DropListed()); n != 1 || p.Len() != 1 {
+		t.Errorf("%d listed calls dropped, %d left", n, p.Len())
+	}
+}
+
+func BenchmarkPlaceBurst(b *testing.B) {
+	s := fleet(14, 6)
+	for b.Loop() {
+		p := cfreward.New(cfreward.DefaultLimits)
+		batch := step("s", 0, 26, 8)
+		for _, it := range batch.Sub.Items {
+			p.Add(batch, it, 0)
+		}
+		p.Place(s, 0)
+	}
+}
--- a/cfrollout/place.go
+++ b/cfrollout/place.go
@@ -163,7 +163,7 @@
 	}
 	if o == nil {
 		delete(p.orphans, w.Item.ID)
-		p.keep(w)
+		p.Keep(w)
 		return false
 	}
 	switch {
@@ -193,8 +193,8 @@
 // failed.
 func (p *Planner) Expire(wall cf.Millis) []*Work {
 	var out []*Work
-	for _, o := range p.batches {
-		if o.terms.MaxWait <= 0 || wall-o.batch.Sub.Accepted < o.terms.MaxWait+expireSlack {
+	for id, o := range p.batches {
+		if most := p.GiveUpAfter(id); most <= 0 || wall-o.batch.Sub.Accepted < most {
 			continue
 		}
 		out = append(out, o.waiting...)
@@ -203,6 +203,16 @@
 	return out
 }
 
+// GiveUpAfter returns how long after its acceptance a batch's items are given up,
+// zero if they never are.
+func (p *Planner) GiveUpAfter(id cf.BatchID) cf.Millis {
+	o := p.batches[id]
+	if o == nil || o.terms.MaxWait <= 0 {
+		return 0
+	}
+	return o.terms.MaxWait + expireSlack
+}
+
 // expireSlack covers the difference between the wall clocks of the instance
 // that accepted a batch and of the one that gives its items up: an item given
 // up too early breaks a promise, one given up late costs nothing.
--- a/cfrollout/planner.go
+++ b/cfrollout/planner.go
@@ -272,7 +272,7 @@
 	}
 	delete(p.batches, id)
 	for _, w := range o.waiting {
-		p.keep(w)
+		p.Keep(w)
 	}
 	var stop []*Work
 	for _, w := range o.running {
@@ -289,8 +289,9 @@
 // carryMost bounds the texts kept for a later step.
 const carryMost = 2000
 
-// keep stores an unfinished item's text for a later batch with the item.
-func (p *Planner) keep(w *Work) {
+// Keep stores the text of an item that is not listed for a later batch with the
+// item.
+func (p *Planner) Keep(w *Work) {
 	if w.Text.Last == 0 {
 		return
 	}
--- a/systemtest/checks_test.go
+++ b/systemtest/checks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"time"
 
@@ -59,6 +60,7 @@
 		if want := wholeText(items[r.ID]); r.Output != want {
 			s.t.Errorf("item %s: text %.80q, want %.80q", r.ID, r.Output, want)
 		}
+		s.checkScore(items[r.ID], r)
 		for _, v := range r.Versions {
 			if v < b.MinVersion {
 				s.t.Errorf("item %s made by version %d, under %d", r.ID, v, b.MinVersion)
@@ -67,6 +69,52 @@
 	}
 }
 
+// checkScore checks that a result's score marks a good answer to the item's reward
+// call, which went out when the text was complete.
+func (s *site) checkScore(it item, r result) {
+	s.t.Helper()
+	if it.Reward == nil {
+		if r.Score != "" {
+			s.t.Errorf("item %s has a score and asked for none", r.ID)
+		}
+		return
+	}
+	for _, call := range s.rewards()[it.Reward.ID] {
+		if call.Stamp != r.Score || call.Status != http.StatusOK {
+			continue
+		}
+		for _, run := range s.runs()[it.ID] {
+			if run.Made == standin.Events(it.Headers["Currantford-Tokens-Used"]) && !run.MadeAt.After(call.At) {
+				return
+			}
+		}
+		s.t.Errorf("item %s: its reward call ran before its text was complete", r.ID)
+		return
+	}
+	s.t.Errorf("item %s: score %q is of no good answer to its reward call", r.ID, r.Score)
+}
+
+// rewards returns the runs at the plain targets by reward call.
+func (s *site) rewards() map[string][]standin.Run {
+	out := map[string][]standin.Run{}
+	for _, e := range s.plains {
+		for _, r := range e.Runs() {
+			if strings.HasPrefix(r.ID, "reward-") {
+				out[r.ID] = append(out[r.ID], r)
+			}
+		}
+	}
+	return out
+}
+
+// scored gives each item of a batch a reward call.
+func scored(b batch) batch {
+	for i := range b.Items {
+		b.Items[i].Reward = standin.RewardOf(b.Items[i].ID)
+	}
+	return b
+}
+
 func wholeText(it item) string {
 	var lines []string
 	for n := 1; n <= standin.Events(it.Headers["Currantford-Tokens-Used"]); n++ {
--- a/systemtest/request_test.go
+++ b/systemtest/request_test.go
@@ -40,11 +40,23 @@
 	return n
 }
 
+// stampOf returns the mark of a target's answer to a request that ran once.
+func stampOf(es []*standin.Engine, id string) string {
+	for _, e := range es {
+		for _, r := range e.Runs() {
+			if r.ID == id {
+				return r.Stamp
+			}
+		}
+	}
+	return ""
+}
+
 func TestRequestIsForwardedAsItIs(t *testing.T) {
 	t.Parallel()
 	s := requestSite(t, 2)
 	r := s.entries[0].post(plainPrefix+"a%2Fb?x=1%20", "r1", "reading")
-	if r.status != http.StatusOK || string(r.body) != "echo reading" || r.header.Get("Currantford-Response-Stamp") != "stamp-r1" {
+	if r.status != http.StatusOK || string(r.body) != "echo reading" || r.header.Get("Currantford-Response-Stamp") != stampOf(s.plains, "r1") {
 		t.Errorf("answer %d %q, stamp %q", r.status, r.body, r.header.Get("Currantford-Response-Stamp"))
 	}
 	if r := s.entries[0].post("/nowhere/", "r2", "x"); r.status != http.StatusNotFound {
--- /dev/null
+++ b/systemtest/reward_test.go
@@ -0,0 +1,203 @@
+package systemtest
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"currantford/platform/standin"
+)
+
+// A calm step with rewards: every result has the score of its own text.
+func TestScoredStepIsServedWhole(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 3, engines: 3, plains: 3})
+	b := scored(step("b1", "m0", 6, 4, 10))
+	s.accept(b)
+	s.readAll(b)
+	for id, calls := range s.rewards() {
+		if len(calls) != 1 {
+			t.Errorf("reward call %s ran %d times on a calm step", id, len(calls))
+		}
+	}
+}
+
+// Symptom: after the loss of a coordinator texts that were complete are generated
+// again.
+// Sequence: the service for rewards turns everything away, so complete texts wait
+// for their scores; the coordinator is killed; the service comes back.
+// Cause guarded against: a text that is kept as complete only once it is listed.
+func TestCompleteTextsSurviveTheCoordinator(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 3, engines: 3, plains: 2})
+	s.plainFaults(standin.EngineFaults{Full: true})
+	b := scored(step("b1", "m0", 3, 4, 10))
+	s.accept(b)
+	eventually(t, "complete texts", func() bool {
+		made := 0
+		for _, runs := range s.runs() {
+			if runs[len(runs)-1].Made == 10 {
+				made++
+			}
+		}
+		return made == len(b.Items)
+	})
+	time.Sleep(time.Second) // a neighbour is told within it
+	old := s.coordinator()
+	old.kill()
+	s.waitCoordinator(old.id)
+	s.plainFaults(standin.EngineFaults{})
+	s.readAll(b)
+	for id, runs := range s.runs() {
+		if len(runs) != 1 {
+			t.Errorf("item %s reached engines %d times, want once", id, len(runs))
+		}
+	}
+}
+
+// Symptom: a step stands still because one of its reward calls always fails, or
+// an item is given up after a single failure.
+// Sequence: the reward call of one item fails at every target; those of the others
+// are answered.
+func TestFailingRewardIsGivenUp(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 2, engines: 2, plains: 3})
+	b := scored(step("b1", "m0", 2, 4, 5))
+	bad := b.Items[3]
+	bad.Reward.Body = []byte(standin.FailingBody)
+	s.accept(b)
+	for _, r := range s.readAll(b) {
+		if want := map[bool]string{true: "down", false: "done"}[r.ID == bad.ID]; r.State != want {
+			t.Errorf("item %s is %s, want %s", r.ID, r.State, want)
+		}
+	}
+	if n := len(s.rewards()[bad.Reward.ID]); n != 4 {
+		t.Errorf("the failing reward call ran %d times, its route allows 4", n)
+	}
+}
+
+// Symptom: a sample bears the score of another sample, or of no answer at all.
+// Sequence: the targets answer as if to another request, say nothing, break, or
+// turn away, one kind of trouble after the other; the batch's rewards are asked
+// for all the while.
+// Cause guarded against: taking an answer by its connection alone.
+func TestScoreIsOfItsOwnCall(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 2, engines: 3, plains: 3})
+	troubles := []standin.EngineFaults{{WrongID: true}, {Silent: true}, {Status: http.StatusBadGateway}, {Full: true}}
+	for i, f := range troubles {
+		s.plainFaults(f)
+		b := scored(step(fmt.Sprint("b", i), "m0", 3, 4, 5))
+		s.accept(b)
+		time.Sleep(700 * time.Millisecond)
+		if p, _, err := s.other().read(b.id, 0, 0); err == nil && len(p.Results) > 0 {
+			t.Errorf("%d results without a good answer to their reward calls", len(p.Results))
+		}
+		s.plainFaults(standin.EngineFaults{})
+		s.readAll(b)
+	}
+}
+
+// Symptom: reward calls of a batch run after its end was acknowledged.
+// Sequence: complete texts wait for a service that turns everything away; the
+// trainer ends the batch; the service comes back, and the coordinator is killed.
+func TestEndedBatchAsksForNoRewards(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 3, engines: 3, plains: 2})
+	s.plainFaults(standin.EngineFaults{Full: true})
+	b := scored(step("b1", "m0", 3, 4, 5))
+	s.accept(b)
+	eventually(t, "runs", func() bool { return len(s.runs()) == len(b.Items) })
+	eventually(t, "the end's answer", func() bool {
+		r, err := s.other().do(http.MethodDelete, "/currantford/lots/b1", "", nil)
+		return err == nil && r.status == http.StatusOK
+	})
+	time.Sleep(500 * time.Millisecond)
+	s.plainFaults(standin.EngineFaults{})
+	old := s.coordinator()
+	old.kill()
+	s.waitCoordinator(old.id)
+	next := scored(step("b2", "m0", 1, 2, 3))
+	s.accept(next)
+	s.readAll(next)
+	if n := len(s.rewards()); n != 2 {
+		t.Errorf("%d reward calls ran, want the 2 of the second batch", n)
+	}
+}
+
+// Symptom: a group that comes back in a later step is generated and scored anew.
+// Sequence: a batch is ended while complete texts wait for their rewards; its
+// items are asked for again by the next batch.
+func TestCompleteTextsAreCarriedToTheNextStep(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 2, engines: 3, plains: 2})
+	s.plainFaults(standin.EngineFaults{Full: true})
+	b := scored(step("b1", "m0", 2, 4, 5))
+	s.accept(b)
+	eventually(t, "runs", func() bool { return len(s.runs()) == len(b.Items) })
+	time.Sleep(300 * time.Millisecond)
+	if r, err := s.coordinator().do(http.MethodDelete, "/currantford/lots/b1", "", nil); err != nil || r.status != http.StatusOK {
+		t.Fatalf("end: %v %v", r.status, err)
+	}
+	s.plainFaults(standin.EngineFaults{})
+	b.id = "b2"
+	s.accept(b)
+	s.readAll(b)
+	for id, runs := range s.runs() {
+		if len(runs) != 1 {
+			t.Errorf("item %s reached engines %d times, want once", id, len(runs))
+		}
+	}
+}
+
+// Symptom: reward calls go to a service that the route has left, or stop.
+// Sequence: the route of reward calls is removed while texts wait for their
+// rewards, and comes back to another service.
+func TestRewardsFollowTheirRoute(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 2, engines: 3, plains: 2})
+	routes := s.config["routes"].([]map[string]any)
+	var others []map[string]any
+	var rewards map[string]any
+	for _, r := range routes {
+		if r["name"] == "r-rewards" {
+			rewards = r
+			continue
+		}
+		others = append(others, r)
+	}
+	s.config["routes"], s.config["version"] = others, 2
+	s.store.Put("config", "main", s.config)
+	time.Sleep(2 * time.Second)
+	b := scored(step("b1", "m0", 2, 4, 5))
+	s.accept(b)
+	eventually(t, "runs", func() bool { return len(s.runs()) == len(b.Items) })
+	time.Sleep(500 * time.Millisecond)
+	if n := len(s.rewards()); n != 0 {
+		t.Errorf("%d reward calls ran without a route", n)
+	}
+	rewards["path-prefix"] = "/"
+	s.config["routes"], s.config["version"] = append(others, rewards), 3
+	s.store.Put("config", "main", s.config)
+	s.readAll(b)
+}
+
+// A reward call that nobody could send is no part of a batch.
+func TestMalformedRewardIsNotAccepted(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 1, engines: 1, plains: 1})
+	for _, bad := range []standin.Reward{{}, {ID: "r", Host: host}, {ID: "r", Path: "/rewards/x"}, {ID: "r", Host: host, Path: "x"}} {
+		b := step("b1", "m0", 1, 2, 3)
+		b.Items[1].Reward = &bad
+		if r := s.entries[0].submit(b); r.status != http.StatusBadRequest {
+			t.Errorf("%+v: status %d, want 400", bad, r.status)
+		}
+	}
+}
+
+func (s *site) plainFaults(f standin.EngineFaults) {
+	for _, e := range s.plains {
+		e.SetFaults(f)
+	}
+}
--- a/systemtest/soak_test.go
+++ b/systemtest/soak_test.go
@@ -18,7 +18,7 @@
 )
 
 var (
-	soakSeeds   = flag.String("soak.seeds", "1,3,36,1001", "seeds of the fault soak, such as 1,2,10-20")
+	soakSeeds   = flag.String("soak.seeds", "1,3,36,1001,2001", "seeds of the fault soak, such as 1,2,10-20")
 	soakSeconds = flag.Int("soak.seconds", 10, "length of each seed")
 )
 
@@ -26,6 +26,9 @@
 // before play what they always did.
 const linkSeeds = 1000
 
+// rewardSeeds is the first seed in which samples are scored.
+const rewardSeeds = 2000
+
 // soak plays random faults on a small site while trainers and callers use it.
 type soak struct {
 	*site
@@ -37,7 +40,8 @@
 
 // TestSoak runs the programs through random faults, injected from outside, and
 // checks while and after it runs: every sample whole and of allowed weights, no
-// position changed, bids at most once and never after a refusal, orders of two
+// position changed, bids at most once and never after a refusal, scores of good
+// answers to calls made when the text was complete, orders of two
 // holders 3 s apart with rising numbers. Seeds that ever failed:
 //
 //	3, 36: an engine carried an order out 0.7 s late; the check took that time
@@ -88,6 +92,9 @@
 	shape := standin.StepShape{
 		Groups: 6, Size: 4, Want: 0.9, Events: 15, Spread: 0.8, Most: 80, Every: 1500, Train: 200, Patience: 12000,
 	}
+	if seed >= rewardSeeds {
+		shape.Rewards = 0.8
+	}
 	for i, m := range models {
 		tr := standin.NewTrainer(standin.TrainerSettings{
 			Model: m, Host: host, Prefix: batchPrefix, Seed: seed*10 + uint64(i), Shape: shape,
@@ -307,12 +314,21 @@
 	for _, id := range s.store.Names("currantford-batches") {
 		var sub struct {
 			Items []struct {
-				ID string `json:"id"`
+				ID      string            `json:"id"`
+				Headers map[string]string `json:"headers"`
+				Reward  *struct{}         `json:"reward"`
 			} `json:"items"`
 		}
 		if err := json.Unmarshal(s.store.Spec("currantford-batches", id), &sub); err != nil {
 			t.Fatal(err)
 		}
+		items := map[string]item{}
+		for _, it := range sub.Items {
+			items[it.ID] = item{ID: it.ID, Headers: it.Headers}
+			if it.Reward != nil {
+				items[it.ID] = item{ID: it.ID, Headers: it.Headers, Reward: standin.RewardOf(it.ID)}
+			}
+		}
 		eventually(t, "a read of "+id, func() bool {
 			for _, e := range s.entries {
 				p, r, err := e.read(id, 0, 0)
@@ -325,6 +341,9 @@
 						t.Errorf("%s: item %s stands twice", id, res.ID)
 					}
 					seen[res.ID] = true
+					if res.State == "done" {
+						s.checkScore(items[res.ID], res)
+					}
 				}
 				return p.Total == len(sub.Items)
 			}
--- a/target.go
+++ b/target.go
@@ -29,6 +29,10 @@
 		Slots    int           `cbor:"slots"`
 		Draining bool          `cbor:"draining"`
 		Models   []ModelState  `cbor:"models,omitempty"`
+		// Born is the wall clock's time of the target's start; zero when it
+		// does not say. A target may start again under its id: it then holds
+		// nothing of before, and counts anew.
+		Born Millis `cbor:"born,omitempty"`
 	}
 
 	// TargetLoad is what a target says of itself in an answer.
@@ -68,6 +72,9 @@
 		// NotRun is the target's word that it did not run the request.
 		NotRun bool
 		Load   *TargetLoad
+		// Signature is the target's mark on the answer, which proves that
+		// the target made it for this request.
+		Signature string
 	}
 
 	// EventID numbers the events of a stream, from 1.
@@ -109,6 +116,8 @@
 		Models []ModelState
 		Busy   bool
 		Seq    int64
+		// Born is the start of the target that reports, as in Target.
+		Born Millis
 	}
 
 	// Targets sends work and orders to targets. Errors: ErrNotRun (the
