A step is whole with the groups it carried over; blocked steps load; a run moves once

A step that needs a newer version stood still for 2.6 s while engines were kept for another's queue. The same run was moved up to six times while it was being stopped.

Change: a batch knows its carried groups and is flushed when they and enough others are whole; an engine also loads when something waits that it may not run; a run that is being moved is left alone. Tests of the first two failed before.

--- a/cfbatch/batch.go
+++ b/cfbatch/batch.go
@@ -40,6 +40,8 @@
 		size    int
 		groups  map[cf.GroupID]int // items not yet listed
 		whole   int                // groups with all items listed
+		// carried are the groups that an earlier batch left unfinished.
+		carried map[cf.GroupID]bool
 	}
 
 	// Chunk is the spec of a chunk's object.
@@ -126,6 +128,48 @@
 // Complete says whether every item is listed.
 func (b *Batch) Complete() bool { return len(b.listed) == len(b.Sub.Items) }
 
+// Groups returns the groups of which an item is not listed.
+func (b *Batch) Groups() []cf.GroupID {
+	var out []cf.GroupID
+	for g, left := range b.groups {
+		if left > 0 {
+			out = append(out, g)
+		}
+	}
+	return out
+}
+
+// Carry notes a group that an earlier batch left unfinished: the submitter waits
+// for it, however many others are whole.
+func (b *Batch) Carry(g cf.GroupID) {
+	if b.carried == nil {
+		b.carried = map[cf.GroupID]bool{}
+	}
+	b.carried[g] = true
+}
+
+// Enough says whether what is listed is all that the submitter waits for. left
+// are the groups with results that are about to be listed, and how many of their
+// items will be missing then.
+func (b *Batch) Enough(left map[cf.GroupID]int) bool {
+	whole := b.whole
+	for _, n := range left {
+		if n == 0 {
+			whole++
+		}
+	}
+	for g := range b.carried {
+		n, known := left[g]
+		if !known {
+			n = b.groups[g]
+		}
+		if n > 0 {
+			return false
+		}
+	}
+	return whole >= b.Sub.TargetGroups
+}
+
 // WholeGroups counts the groups of which every item is listed.
 func (b *Batch) WholeGroups() int { return b.whole }
 
--- a/cfbatch/batch_test.go
+++ b/cfbatch/batch_test.go
@@ -177,3 +177,26 @@
 		t.Errorf("%d left, due early %v, due late %v", p.Len(), p.Due(b, 100), p.Due(b, 5000))
 	}
 }
+
+// Symptom: a trainer learns half a second late that its step is whole.
+// Sequence: as many groups are whole as it asked for, but not the one that its
+// last step left, which it waits for too; each further group is listed by itself,
+// and the trainer, which has just read one, is not looking when the last comes.
+// Cause: taking any groups for those that the trainer waits for.
+func TestStepIsListedAtOnceWhenTheCarriedGroupIsWhole(t *testing.T) {
+	sub := submission(5, 1)
+	sub.TargetGroups = 3
+	b := cfbatch.New(sub)
+	b.Carry("4")
+	var p cfbatch.Pending
+	for i := range 3 {
+		p.Add(done(sub.Items[i].ID), cf.Millis(i))
+	}
+	if p.Due(b, 10) || b.Enough(p.Missing(b)) {
+		t.Error("listed without the group that was carried over")
+	}
+	p.Add(done(sub.Items[4].ID), 20)
+	if !p.Due(b, 20) {
+		t.Error("not listed once all groups are whole that the trainer waits for")
+	}
+}
--- a/cfbatch/pending.go
+++ b/cfbatch/pending.go
@@ -36,7 +36,9 @@
 func (p *Pending) Len() int { return len(p.results) }
 
 // Due says whether to write a chunk now: the groups that the submitter waits
-// for are whole, everything is finished, or the oldest has waited enough.
+// for are whole, or the oldest result has waited enough. A submitter that has
+// just read something looks again half a second later, so a chunk with the one
+// group of several that it waits for would hold the others up.
 func (p *Pending) Due(b *Batch, now cf.Millis) bool {
 	if p.writing || len(p.results) == 0 {
 		return false
@@ -48,13 +50,13 @@
 }
 
 func (p *Pending) completes(b *Batch) bool {
-	whole := b.WholeGroups()
-	for _, left := range p.Missing(b) {
+	missing := p.Missing(b)
+	for _, left := range missing {
 		if left == 0 {
-			whole++
+			return b.Enough(missing)
 		}
 	}
-	return whole > b.WholeGroups() && whole >= b.Sub.TargetGroups
+	return false
 }
 
 // Missing counts, for each group with items that wait here, those of its items
--- a/cfcoord/batches.go
+++ b/cfcoord/batches.go
@@ -199,9 +199,28 @@
 		zap.Int("groups_whole", st.batch.WholeGroups()), zap.Bool("complete", st.batch.Complete()),
 		zap.Int64("took_ms", int64(cf.Now()-st.batch.Sub.Accepted)))
 	c.endedOrder = append(c.endedOrder, st.batch.Sub.ID)
+	c.noteUnfinished(st.batch)
 	c.trim()
 }
 
+// unfinishedFor is for how many ends of batches a group that one of them left is
+// remembered: a trainer asks for it again in its next step or not at all, and a
+// site has tens of trainers.
+const unfinishedFor = 200
+
+// noteUnfinished remembers the groups that an ended batch left. c.mu is held.
+func (c *Coordinator) noteUnfinished(b *cfbatch.Batch) {
+	c.ends++
+	for _, g := range b.Groups() {
+		c.unfinished[g] = c.ends
+	}
+	for g, end := range c.unfinished {
+		if end <= c.ends-unfinishedFor {
+			delete(c.unfinished, g)
+		}
+	}
+}
+
 // trim drops the oldest ended batches beyond what is kept in memory, and those
 // of which a chunk of the coordinator before may still arrive in the store: it
 // would be seen by a read of the store and be missing here.
--- a/cfcoord/coordinator.go
+++ b/cfcoord/coordinator.go
@@ -113,6 +113,10 @@
 		configSeen cfsite.ConfigVersion
 		// endedOrder lists the ended batches in memory, oldest first.
 		endedOrder []cf.BatchID
+		// unfinished are the groups that ended batches left, with the number
+		// of the batch; the oldest are forgotten.
+		unfinished map[cf.GroupID]int
+		ends       int
 	}
 
 	// reading is a batch that is being read from the store, with what has
@@ -150,7 +154,7 @@
 		runs:     map[*cfrollout.Work]context.CancelFunc{},
 		finished: map[cf.ItemID]cfrollout.Text{},
 		rewards:  newRewards(),
-		seqs:     map[cf.InstanceID]int64{}, named: named{},
+		seqs:     map[cf.InstanceID]int64{}, named: named{}, unfinished: map[cf.GroupID]int{},
 	}
 }
 
@@ -319,6 +323,11 @@
 		return // its route is not there, now or yet
 	}
 	st.added = true
+	for _, it := range sub.Items {
+		if _, left := c.unfinished[it.Group]; left {
+			st.batch.Carry(it.Group)
+		}
+	}
 	ready := c.planner.AddBatch(st.batch, terms)
 	c.Log.Info("batch_opened", zap.String("batch_id", string(sub.ID)), zap.String("model", string(sub.Model)),
 		zap.Int64("step", sub.Step), zap.Int64("min_version", int64(sub.MinVersion)), zap.Int("items", len(sub.Items)),
--- a/cfcoord/served.go
+++ b/cfcoord/served.go
@@ -59,7 +59,7 @@
 		}
 		c.Metrics.StaleSeconds.WithLabelValues(string(sub.Model)).Observe(float64(age) / 1000)
 	}
-	enough := st.batch.Complete() || sub.TargetGroups > 0 && st.batch.WholeGroups() >= sub.TargetGroups
+	enough := st.batch.Complete() || sub.TargetGroups > 0 && st.batch.Enough(nil)
 	if st.served || !enough {
 		return
 	}
--- a/cfrollout/pace.go
+++ b/cfrollout/pace.go
@@ -145,7 +145,7 @@
 		for _, w := range o.running {
 			if e := p.better(room, w, now); e != nil {
 				room.take(e)
-				w.Avoid, w.avoidUntil = w.Engine, now+moveRest
+				w.moving, w.Avoid, w.avoidUntil = true, w.Engine, now+moveRest
 				out = append(out, w)
 			}
 		}
@@ -189,7 +189,7 @@
 // better returns an engine that a run should move to.
 func (p *Planner) better(room *fastest, w *Work, now cf.Millis) *Engine {
 	from := p.engines[w.Engine]
-	if from == nil || now-w.Started < moveRest {
+	if from == nil || w.moving || now-w.Started < moveRest {
 		return nil
 	}
 	pace, ok := w.Progress.pace(now)
--- a/cfrollout/place.go
+++ b/cfrollout/place.go
@@ -78,6 +78,7 @@
 func (p *Planner) start(o *open, w *Work, e *Engine, now cf.Millis) {
 	w.Engine, w.Version, w.Started = e.ID, e.versions[w.Batch.Sub.Model], now
 	w.Oldest = w.Version
+	w.moving = false
 	w.Progress.reset()
 	for _, v := range w.Text.Versions {
 		w.Oldest = min(w.Oldest, v)
--- a/cfrollout/planner.go
+++ b/cfrollout/planner.go
@@ -104,6 +104,8 @@
 		Started cf.Millis
 		// Progress is that of the run under way.
 		Progress Progress
+		// moving: the run is being stopped, to go on at another engine.
+		moving bool
 		// Avoid is an engine that the run was moved away from.
 		Avoid      cf.InstanceID
 		avoidUntil cf.Millis
--- a/cfrollout/planner_test.go
+++ b/cfrollout/planner_test.go
@@ -398,3 +398,29 @@
 		}
 	}
 }
+
+// Symptom: a step stands still for seconds beside another that runs.
+// Sequence: a coordinator was lost, so no engine could follow the versions named
+// meanwhile; two steps are open, and the engines may run the older one alone,
+// which has more items than they have slots.
+// Cause: an engine loaded only when nothing waited that it could run.
+func TestBlockedStepNeedNotWaitForAnothersQueue(t *testing.T) {
+	p := cfrollout.New(cfrollout.DefaultLimits)
+	p.SetEngines(fleet(4, cf.ModelState{Name: "a", Version: 5}), models("a"))
+	p.SetVersion("a", 7)
+	p.AddBatch(step("older", "a", 5, 10, 4), terms)
+	p.AddBatch(step("newer", "a", 6, 10, 4), terms)
+	if n := len(p.Place(0)); n != 16 {
+		t.Fatalf("%d items of the older step started, want all slots taken", n)
+	}
+	swaps := p.Swaps(0)
+	if len(swaps) == 0 || len(swaps) == 4 {
+		t.Fatalf("%d of 4 engines load, want some and not all", len(swaps))
+	}
+	for _, s := range swaps {
+		if !s.KeepRuns {
+			t.Error("the runs of an engine that loads are not kept")
+		}
+		p.SwapDone(s.Target.ID, s.Model, s.Version)
+	}
+}
--- a/cfrollout/swap.go
+++ b/cfrollout/swap.go
@@ -75,9 +75,9 @@
 }
 
 // Swaps returns the weight orders to give now and marks their engines as
-// loading. An engine loads when nothing waits that it could run: before, the
-// load would hold up work; much later, the next step would find it without
-// the version it needs.
+// loading. An engine loads when nothing waits that it could run, or something
+// that it may not: before, the load would hold up work; much later, the next step
+// would find it without the version it needs.
 func (p *Planner) Swaps(now cf.Millis) []Swap {
 	loading := p.loading()
 	urgent := max(p.loads.limit, p.limits.UrgentLoads)
@@ -164,7 +164,10 @@
 	if e.Draining || e.Share == "" || e.loading > 0 || now < e.rest || e.versions[e.Share] >= p.Named(e.Share) {
 		return false
 	}
-	return !d.served(e.versions[e.Share])
+	v := e.versions[e.Share]
+	// A step that no engine may run is not made to wait for another's queue:
+	// engines that load keep their runs, and serve both afterwards.
+	return !d.served(v) || d.blocked(v)
 }
 
 // spared says whether another engine of the share goes on serving while e
