--- a/cfbatch/batch.go
+++ b/cfbatch/batch.go
@@ -97,14 +97,17 @@
 	return true
 }
 
+// list gives a result the next position. One of no item, or of an item that has
+// its position, gets none: whoever reads the chunk decides the same.
 func (b *Batch) list(r cf.Result) {
-	b.results = append(b.results, r)
-	b.size += len(r.Output)
-	if b.listed[r.ID] {
+	i, known := b.index[r.ID]
+	if !known || b.listed[r.ID] {
 		return
 	}
+	b.results = append(b.results, r)
+	b.size += len(r.Output)
 	b.listed[r.ID] = true
-	g := b.Sub.Items[b.index[r.ID]].Group
+	g := b.Sub.Items[i].Group
 	if b.groups[g]--; b.groups[g] == 0 {
 		b.whole++
 	}
--- a/cfbatch/parts.go
+++ b/cfbatch/parts.go
@@ -77,6 +77,9 @@
 	if err := json.Unmarshal(object.Spec, &sub); err != nil {
 		return sub, eris.Wrapf(cf.ErrInvalid, "batch %s: %v", object.Name, err)
 	}
+	if sub.ID == "" || string(sub.ID) != object.Name {
+		return sub, eris.Wrapf(cf.ErrInvalid, "batch %q in the object %q", sub.ID, object.Name)
+	}
 	return sub, nil
 }
 
--- a/cfcoord/coordinator.go
+++ b/cfcoord/coordinator.go
@@ -107,7 +107,7 @@
 		// finished are the texts that are complete and not listed yet, scored
 		// or not.
 		finished map[cf.ItemID]cfrollout.Text
-		seqs     map[cf.InstanceID]int64
+		counts   map[cf.InstanceID]orderCount
 		named    named
 		// seen is the count of the site's changes that the planner knows.
 		seen       int64
@@ -124,6 +124,13 @@
 		ends       int
 	}
 
+	// orderCount is an engine's count of the orders that it has taken since its
+	// start.
+	orderCount struct {
+		born cf.Millis
+		seq  int64
+	}
+
 	// reading is a batch that is being read from the store, with what has
 	// become of it meanwhile.
 	reading struct {
@@ -159,7 +166,7 @@
 		runs:     map[*cfrollout.Work]context.CancelFunc{},
 		finished: map[cf.ItemID]cfrollout.Text{},
 		rewards:  newRewards(),
-		seqs:     map[cf.InstanceID]int64{}, named: named{}, unfinished: map[cf.GroupID]int{}, over: map[cf.BatchID]bool{}, prepared: newPrepared(),
+		counts:   map[cf.InstanceID]orderCount{}, named: named{}, unfinished: map[cf.GroupID]int{}, over: map[cf.BatchID]bool{}, prepared: newPrepared(),
 	}
 }
 
--- a/cfcoord/weights.go
+++ b/cfcoord/weights.go
@@ -86,7 +86,7 @@
 		if err != nil {
 			return err
 		}
-		c.noteSeq(s.Target.ID, r.Seq)
+		c.report(s.Target.ID, r)
 		if holds(r, s) && !r.Busy {
 			return nil
 		}
@@ -111,7 +111,8 @@
 // only one of them through.
 func (c *Coordinator) unanswered(s cfrollout.Swap, seq int64) error {
 	r, err := c.Targets.Report(c.ctx, s.Target)
-	if err == nil && !r.Busy && r.Seq == seq && !holds(r, s) {
+	if err == nil && (!r.Busy && r.Seq == seq && !holds(r, s) || startedAgain(r, s.Target)) {
+		c.report(s.Target.ID, r)
 		return errNotTaken
 	}
 	return c.await(s)
@@ -120,16 +121,16 @@
 // countOrders reads an engine's order counter before the first order to it.
 func (c *Coordinator) countOrders(t cf.Target) (int64, error) {
 	c.mu.Lock()
-	seq, known := c.seqs[t.ID]
+	count, known := c.counts[t.ID]
 	c.mu.Unlock()
-	if known {
-		return seq, nil
+	if known && count.born >= t.Born {
+		return count.seq, nil
 	}
 	r, err := c.Targets.Report(c.ctx, t)
 	if err != nil {
 		return 0, err
 	}
-	c.noteSeq(t.ID, r.Seq)
+	c.report(t.ID, r)
 	return r.Seq, nil
 }
 
@@ -142,10 +143,13 @@
 	for {
 		r, err := c.Targets.Report(c.ctx, s.Target)
 		if err == nil {
-			c.noteSeq(s.Target.ID, r.Seq)
+			c.report(s.Target.ID, r)
 			if holds(r, s) && !r.Busy {
 				return nil
 			}
+			if startedAgain(r, s.Target) {
+				return errNotTaken // it has started again, without the order
+			}
 		}
 		if _, up := c.Site.Target(s.Target.ID); !up {
 			return cf.ErrNotFound
@@ -162,6 +166,10 @@
 	}
 }
 
+// startedAgain says whether a report is of a later start than an order was meant
+// for.
+func startedAgain(r cf.TargetReport, t cf.Target) bool { return t.Born > 0 && r.Born > t.Born }
+
 func holds(r cf.TargetReport, s cfrollout.Swap) bool {
 	for _, m := range r.Models {
 		if m.Name == s.Model {
@@ -171,10 +179,15 @@
 	return false
 }
 
-func (c *Coordinator) noteSeq(id cf.InstanceID, seq int64) {
+// report takes an engine's account of itself.
+func (c *Coordinator) report(id cf.InstanceID, r cf.TargetReport) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.seqs[id] = seq
+	if r.Born < c.counts[id].born {
+		return // of the start before
+	}
+	c.counts[id] = orderCount{r.Born, r.Seq}
+	c.planner.Reported(id, r)
 }
 
 func (c *Coordinator) pause(d time.Duration) bool { return cf.Sleep(c.ctx, d) }
@@ -187,11 +200,6 @@
 		if err != nil {
 			return // the next refusal asks again
 		}
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.seqs[t.ID] = r.Seq
-		for _, m := range r.Models {
-			c.planner.SwapDone(t.ID, m.Name, m.Version)
-		}
+		c.report(t.ID, r)
 	})
 }
--- a/cfrollout/engines.go
+++ b/cfrollout/engines.go
@@ -22,9 +22,14 @@
 			e = &Engine{versions: map[cf.ModelName]cf.WeightVersion{}, groups: map[cf.GroupID]int{}}
 			p.engines[t.ID] = e
 		}
+		born := max(e.Born, t.Born)
+		e.starts(t.Born)
 		e.Target = t
-		for _, m := range t.Models {
-			e.hold(m.Name, m.Version)
+		e.Born = born
+		if t.Born == born || t.Born == 0 { // else the list may still show the start before
+			for _, m := range t.Models {
+				e.hold(m.Name, m.Version)
+			}
 		}
 	}
 	for id := range p.engines {
@@ -35,6 +40,22 @@
 	p.divide()
 }
 
+// starts records a start of an engine under the id that it had: it holds nothing
+// of before, and what was learned of it may hold no more. Its runs end by
+// themselves.
+func (e *Engine) starts(born cf.Millis) {
+	if born <= e.Born {
+		return
+	}
+	first := e.Born == 0
+	e.Born = born
+	if first {
+		return // when it started was not known
+	}
+	e.versions = map[cf.ModelName]cf.WeightVersion{}
+	e.loading, e.loadBegan, e.pace, e.avoid, e.rest = 0, 0, 0, 0, 0
+}
+
 // hold records that an engine has a version. Versions of one start of an
 // engine only rise; the instance list shows them late.
 func (e *Engine) hold(m cf.ModelName, v cf.WeightVersion) {
--- a/cfrollout/planner_test.go
+++ b/cfrollout/planner_test.go
@@ -424,3 +424,31 @@
 		p.SwapDone(s.Target.ID, s.Model, s.Version)
 	}
 }
+
+// Symptom: an engine refuses every item that it gets, for ever.
+// Sequence: it starts again under its id, with older weights; the list shows that
+// first, or still the start before, when a report has shown the new one.
+// Cause: versions of one start only rise, and were kept over the next.
+func TestEngineThatStartsAgainHoldsNothingOfBefore(t *testing.T) {
+	p := cfrollout.New(cfrollout.DefaultLimits)
+	targets := fleet(2, cf.ModelState{Name: "a", Version: 4})
+	targets[0].Born, targets[1].Born = 100, 100
+	p.SetEngines(targets, models("a"))
+	p.SetVersion("a", 4)
+	p.Reported("e00", cf.TargetReport{Born: 200, Models: []cf.ModelState{{Name: "a", Version: 2}}})
+	p.SetEngines(targets, models("a")) // late
+	again := fleet(2, cf.ModelState{Name: "a", Version: 3})
+	again[0].Born, again[1].Born = 200, 300
+	p.SetEngines(again, models("a"))
+	p.AddBatch(step("s", "a", 4, 1, 4), terms)
+	if n := len(p.Place(0)); n != 0 {
+		t.Errorf("%d items at engines that hold older weights", n)
+	}
+	if n := len(p.Swaps(0)); n == 0 {
+		t.Error("no engine loads")
+	}
+	p.Reported("e00", cf.TargetReport{Born: 150, Models: []cf.ModelState{{Name: "a", Version: 9}}})
+	if n := len(p.Place(0)); n != 0 {
+		t.Errorf("%d items by a report of a start before", n)
+	}
+}
--- a/cfrollout/swap.go
+++ b/cfrollout/swap.go
@@ -198,6 +198,18 @@
 	}
 }
 
+// Reported takes an engine's own account of its start and weights.
+func (p *Planner) Reported(id cf.InstanceID, r cf.TargetReport) {
+	e := p.engines[id]
+	if e == nil || r.Born < e.Born {
+		return
+	}
+	e.starts(r.Born)
+	for _, m := range r.Models {
+		e.hold(m.Name, m.Version)
+	}
+}
+
 // SwapFailed records that an order was not taken; it is given again later.
 func (p *Planner) SwapFailed(id cf.InstanceID, now cf.Millis) {
 	if e := p.engines[id]; e != nil {
--- a/cfsite/site.go
+++ b/cfsite/site.go
@@ -196,7 +196,14 @@
 	}
 	t, err := s.codec.Target(r)
 	if err != nil {
-		return cf.Target{}, false, err
+		// What can't be read names no target, whatever stood there before.
+		s.at = max(s.at, r.Rev)
+		if known {
+			s.remove(id)
+			s.notify()
+			s.relay.notify()
+		}
+		return old.target, known, err
 	}
 	if r.Rev < s.at && !known {
 		// Gone since: a later list did not hold it.
--- a/systemtest/batch_test.go
+++ b/systemtest/batch_test.go
@@ -416,3 +416,71 @@
 		return st.State == "done"
 	})
 }
+
+// Symptom: an engine that was restarted gets no work and no weights any more.
+// Sequence: engines start again under the ids that they had, with older weights
+// and order counts from zero, one of them while it loads; steps go on.
+// Cause: versions and counts of a start were taken for those of the next.
+func TestEnginesThatStartAgainUnderTheirIDs(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 2, engines: 2, load: 300 * time.Millisecond})
+	for v := 2; v <= 3; v++ {
+		s.name("m0", v)
+		eventually(t, "version", func() bool { return s.engines[0].Version("m0") == int64(v) && s.engines[1].Version("m0") == int64(v) })
+	}
+	s.engines[0].Restart(1)
+	s.engines[1].Restart(2)
+	b := step("b1", "m0", 3, 4, 5)
+	b.MinVersion = 3
+	s.accept(b)
+	s.readAll(b)
+	s.name("m0", 4)
+	eventually(t, "an order", func() bool {
+		o := s.engines[0].Orders()
+		return o[len(o)-1].Version == 4
+	})
+	s.engines[0].Restart(3)
+	eventually(t, "version 4 at all engines", func() bool { return s.engines[0].Version("m0") == 4 && s.engines[1].Version("m0") == 4 })
+	next := step("b2", "m0", 3, 4, 5)
+	next.MinVersion = 4
+	s.accept(next)
+	s.readAll(next)
+}
+
+// Symptom: calls go to an address that no target has, or a whole service is lost.
+// Sequence: another writer puts entries into the instance list that lack fields,
+// have them of another type, name what is not known, or replace a target's own.
+func TestEntriesOfOtherWritersNameNoTarget(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 2, engines: 2, plains: 2})
+	for name, spec := range map[string]any{
+		"x-text":    "not an entry",
+		"x-null":    nil,
+		"x-list":    []int{1, 2},
+		"x-missing": map[string]any{"service": service},
+		"x-types":   map[string]any{"service": 7, "addr": true, "slots": "many", "state": "ready", "models": "none"},
+		"x-state":   map[string]any{"service": service, "addr": "127.0.0.1:9", "zone": "domain-a", "slots": 4, "state": "resting", "models": []any{}},
+		"x-addr":    map[string]any{"service": service, "addr": "nowhere", "zone": "domain-a", "slots": 4, "state": "ready"},
+		"x-service": map[string]any{"service": "unknown", "addr": "127.0.0.1:9", "zone": "domain-a", "slots": 4, "state": "ready"},
+		"x-born":    map[string]any{"service": plain, "addr": "127.0.0.1:9", "zone": "domain-a", "slots": 4, "state": "ready", "born": "today"},
+		"i-plain-1": map[string]any{"service": plain, "state": "ready"},
+	} {
+		s.store.Put("servers", name, spec)
+	}
+	time.Sleep(500 * time.Millisecond)
+	for i := range 12 {
+		id := fmt.Sprint("r", i)
+		if r := s.entries[i%2].post(plainPrefix+"a", id, "x"); r.status != http.StatusOK {
+			t.Errorf("%s: status %d", id, r.status)
+		}
+	}
+	b := step("b1", "m0", 3, 4, 5)
+	s.accept(b)
+	old := s.coordinator()
+	old.kill()
+	s.waitCoordinator(old.id) // it reads the whole list
+	s.readAll(b)
+	if n := len(s.plains[1].Runs()); n != 0 {
+		t.Errorf("%d requests went to a target whose entry can't be read", n)
+	}
+}
