Long texts are kept in the store while they are generated

Change: once a second the coordinator writes what is new of texts of 30 events or more, an object a batch; a coordinator that takes over and finds no texts at any instance reads them. Off with policy.no_text_store. Ruled out: files at the instances with disks (more machines in the path, bytes between domains; what must be kept goes to the platform's store), all texts (short ones are generated again in the time that the long ones take).

--- a/cfcoord/batches.go
+++ b/cfcoord/batches.go
@@ -125,6 +125,13 @@
 			return
 		}
 	}
+	if c.textsLost {
+		c.textsLost = false
+		if open := c.openInherited(); len(open) > 0 {
+			c.wg.Go(func() { c.adoptStored(open) })
+			return
+		}
+	}
 	c.loaded = true
 }
 
--- /dev/null
+++ b/cfcoord/checkpoint.go
@@ -0,0 +1,164 @@
+package cfcoord
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"sort"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cflog"
+	"currantford/cfrollout"
+)
+
+const (
+	// checkpointEvery is how often long texts are copied to the store. A text
+	// may take as long as its step has, so one that begins anew when all
+	// instances are lost is late for good; one write a second and batch costs
+	// less than the reads of one trainer.
+	checkpointEvery = time.Second
+	// checkpointLeast is the least number of events that is worth it: a shorter
+	// text is generated again while the longer ones go on.
+	checkpointLeast = 30
+	// checkpointBytes keeps a part well under the store's value limit.
+	checkpointBytes = 600 << 10
+	// textsListed bounds the read of one batch's texts at a takeover, which
+	// holds the takeover up.
+	textsListed = 1500 * time.Millisecond
+)
+
+// checkpoint is an object with what is new of a batch's long texts.
+type checkpoint struct {
+	Texts map[cf.ItemID]cfrollout.Text `json:"texts"`
+}
+
+// keepTexts copies what is new of the long texts to the store. It is a cache as
+// the neighbour's copies are, for the loss of all instances at once.
+func (c *Coordinator) keepTexts() {
+	ticker := time.NewTicker(checkpointEvery)
+	defer ticker.Stop()
+	copied := newCopies(checkpointLeast)
+	for n := 0; ; n++ {
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !c.Duty.Valid() {
+			continue // another may hold the duty; it has its own copies
+		}
+		term, _ := c.Duty.MayOrder()
+		for id, part := range c.longTexts(copied) {
+			// The names of a later holder's parts come after those of this one.
+			name := fmt.Sprintf("%016d-%06d", term, n)
+			if _, err := c.Store.Create(c.ctx, cf.KindTexts(id), name, part); err != nil {
+				c.Log.Warn("texts_not_kept", zap.String("batch_id", string(id)), zap.Int("items", len(part.Texts)), cflog.Error(err))
+				copied.reset() // what follows a part that is missing is of no use
+			}
+		}
+	}
+}
+
+// longTexts returns what is new of the long texts of open batches.
+func (c *Coordinator) longTexts(copied *copies) map[cf.BatchID]checkpoint {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := map[cf.BatchID]checkpoint{}
+	held := map[cf.ItemID]bool{}
+	size := map[cf.BatchID]int{}
+	c.eachText(func(batch cf.BatchID, id cf.ItemID, t *cfrollout.Text) {
+		held[id] = true
+		if st := c.batches[batch]; st == nil || st.batch.Ended || size[batch] > checkpointBytes {
+			return // the rest comes with the next part
+		}
+		next, news := copied.next(id, t)
+		if !news {
+			return
+		}
+		if _, known := out[batch]; !known {
+			out[batch] = checkpoint{Texts: map[cf.ItemID]cfrollout.Text{}}
+		}
+		out[batch].Texts[id] = next
+		for _, d := range next.Data {
+			size[batch] += len(d)
+		}
+	})
+	copied.forget(held)
+	return out
+}
+
+// openInherited returns the open batches from before this duty. c.mu is held.
+func (c *Coordinator) openInherited() []cf.BatchID {
+	var out []cf.BatchID
+	for id, st := range c.batches {
+		if st.inherited && !st.batch.Ended {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// adoptStored takes the texts of batches that lie in the store, and then lets the
+// duty begin.
+func (c *Coordinator) adoptStored(batches []cf.BatchID) {
+	started := cf.Uptime()
+	texts := c.readStored(batches)
+	c.Log.Info("stored_texts_read", zap.Int("batches", len(batches)), zap.Int("items", len(texts)), zap.Int64("took_ms", int64(cf.Uptime()-started)))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.planner.Adopt(texts)
+	c.checkLoaded()
+}
+
+// readStored reads the texts of batches, as many as come in time.
+func (c *Coordinator) readStored(batches []cf.BatchID) map[cf.ItemID]cfrollout.Text {
+	ctx, cancel := context.WithTimeout(c.ctx, textsListed)
+	defer cancel()
+	texts := map[cf.ItemID]cfrollout.Text{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, id := range batches {
+		wg.Go(func() {
+			found := c.storedTexts(ctx, id)
+			mu.Lock()
+			defer mu.Unlock()
+			maps.Copy(texts, found)
+		})
+	}
+	wg.Wait()
+	return texts
+}
+
+// storedTexts reads the long texts of a batch from the store.
+func (c *Coordinator) storedTexts(ctx context.Context, id cf.BatchID) map[cf.ItemID]cfrollout.Text {
+	parts, err := c.Store.List(ctx, cf.KindTexts(id))
+	if err != nil {
+		c.Log.Warn("stored_texts_not_read", zap.String("batch_id", string(id)), cflog.Error(err))
+		return nil // a cache that is not reached is a cache miss
+	}
+	texts, err := joinCheckpoints(parts.Items)
+	if err != nil {
+		c.Log.Error("stored_texts_not_read", zap.String("batch_id", string(id)), cflog.Error(err))
+	}
+	return texts
+}
+
+// joinCheckpoints joins the parts of a batch's texts. A text of which a part is
+// missing is left out, unless it begins anew later.
+func joinCheckpoints(parts []cf.Record) (map[cf.ItemID]cfrollout.Text, error) {
+	sort.Slice(parts, func(i, j int) bool { return parts[i].Name < parts[j].Name })
+	var m Mirror
+	for _, r := range parts {
+		var part checkpoint
+		if err := json.Unmarshal(r.Spec, &part); err != nil {
+			return m.Texts, fmt.Errorf("%w: texts %s: %w", cf.ErrInvalid, r.Name, err)
+		}
+		m.Take(Mirror{Texts: part.Texts}, false)
+	}
+	return m.Texts, nil
+}
--- a/cfcoord/coordinator.go
+++ b/cfcoord/coordinator.go
@@ -20,7 +20,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"time"
 
@@ -76,9 +75,11 @@
 		Neighbour Neighbour
 		Metrics   *Metrics
 		Log       *zap.Logger
-		// KeepSlowRuns and NoTextCopies turn moves and copies off.
+		// KeepSlowRuns, NoTextCopies and NoTextStore turn moves, copies at a
+		// neighbour and copies in the store off.
 		KeepSlowRuns bool
 		NoTextCopies bool
+		NoTextStore  bool
 	}
 
 	// Coordinator runs batches while its instance has the duty. It is safe
@@ -97,6 +98,8 @@
 		// what has changed since, too; gathered: the texts from before have
 		// been taken; loaded: all batches have been read as well.
 		known, current, gathered, loaded bool
+		// textsLost: nobody had texts; those in the store are read, once.
+		textsLost bool
 
 		planner *cfrollout.Planner
 		batches map[cf.BatchID]*state
@@ -106,7 +109,7 @@
 		rewards  rewards
 		// finished are the texts that are complete and not listed yet, scored
 		// or not.
-		finished map[cf.ItemID]cfrollout.Text
+		finished map[cf.ItemID]finishedText
 		counts   map[cf.InstanceID]orderCount
 		named    named
 		// seen is the count of the site's changes that the planner knows.
@@ -124,6 +127,12 @@
 		ends       int
 	}
 
+	// finishedText is a complete text of a batch.
+	finishedText struct {
+		batch cf.BatchID
+		text  cfrollout.Text
+	}
+
 	// orderCount is an engine's count of the orders that it has taken since its
 	// start.
 	orderCount struct {
@@ -164,7 +173,7 @@
 		planner: cfrollout.New(cfrollout.DefaultLimits),
 		batches: map[cf.BatchID]*state{}, readings: map[cf.BatchID]*reading{}, readSlots: make(chan struct{}, readsAtOnce),
 		runs:     map[*cfrollout.Work]context.CancelFunc{},
-		finished: map[cf.ItemID]cfrollout.Text{},
+		finished: map[cf.ItemID]finishedText{},
 		rewards:  newRewards(),
 		counts:   map[cf.InstanceID]orderCount{}, named: named{}, unfinished: map[cf.GroupID]int{}, over: map[cf.BatchID]bool{}, prepared: newPrepared(),
 	}
@@ -179,6 +188,9 @@
 	if !c.NoTextCopies {
 		c.wg.Go(c.mirror)
 	}
+	if !c.NoTextStore {
+		c.wg.Go(c.keepTexts)
+	}
 	c.wg.Go(c.sweep)
 	c.wg.Go(func() { c.batchWatcher().Run(c.ctx) })
 	c.wg.Go(func() { c.versionWatcher().Run(c.ctx) })
@@ -198,7 +210,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := c.planner.Texts()
-	maps.Copy(out, c.finished)
+	for id, t := range c.finished {
+		out[id] = t.text
+	}
 	return out
 }
 
@@ -208,6 +222,8 @@
 	defer c.mu.Unlock()
 	c.planner.Adopt(texts)
 	c.gathered = true
+	// Without any the instances that held them are lost as well.
+	c.textsLost = len(texts) == 0
 	c.checkLoaded()
 }
 
@@ -365,7 +381,7 @@
 	if st == nil {
 		return
 	}
-	c.finished[w.Item.ID] = w.Text
+	c.finished[w.Item.ID] = finishedText{w.Batch.Sub.ID, w.Text}
 	if w.Item.Reward == nil {
 		c.list(w, "", now)
 		return
--- a/cfcoord/expire.go
+++ b/cfcoord/expire.go
@@ -67,7 +67,7 @@
 
 // remove deletes a batch: its own object last, by which the others are found.
 func (c *Coordinator) remove(ctx context.Context, id cf.BatchID) error {
-	for _, kind := range []string{cf.KindResults(id), cf.KindParts(id)} {
+	for _, kind := range []string{cf.KindResults(id), cf.KindTexts(id), cf.KindParts(id)} {
 		list, err := c.Store.List(ctx, kind)
 		if err != nil {
 			return err
--- a/cfcoord/mirror.go
+++ b/cfcoord/mirror.go
@@ -26,7 +26,14 @@
 		Ended []cf.ItemID `cbor:"ended,omitempty"`
 	}
 
-	// copiedText is how much of which text was copied.
+	// copies is how much of which text was copied to one place, where texts
+	// of fewer than least events are not worth it.
+	copies struct {
+		least cf.EventID
+		texts map[cf.ItemID]copiedText
+	}
+
+	// copiedText is how much of one text was copied.
 	copiedText struct {
 		origin   uint64
 		last     cf.EventID
@@ -44,7 +51,7 @@
 func (c *Coordinator) mirror() {
 	ticker := time.NewTicker(mirrorEvery)
 	defer ticker.Stop()
-	copied := map[cf.ItemID]copiedText{}
+	copied := newCopies(mirrorLeast)
 	whole := true
 	for {
 		select {
@@ -59,7 +66,7 @@
 		// After a failed copy the neighbour, or another one, has gaps.
 		whole = !c.Neighbour.Copy(part, whole)
 		if whole {
-			clear(copied)
+			copied.reset()
 		}
 	}
 }
@@ -67,44 +74,70 @@
 // changedTexts returns the texts under way that grew since the last copy, and
 // notes them as copied. Each is sent from its beginning only once: later parts
 // hold what is new.
-func (c *Coordinator) changedTexts(copied map[cf.ItemID]copiedText) Mirror {
+func (c *Coordinator) changedTexts(copied *copies) Mirror {
 	term, _ := c.Duty.MayOrder()
 	part := Mirror{Term: term, Texts: map[cf.ItemID]cfrollout.Text{}}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	held := map[cf.ItemID]bool{}
-	add := func(id cf.ItemID, t *cfrollout.Text) {
+	c.eachText(func(_ cf.BatchID, id cf.ItemID, t *cfrollout.Text) {
 		held[id] = true
-		from := copied[id]
-		if from.origin != t.Origin {
-			from = copiedText{} // the item has begun anew
-		}
-		// That a text is complete is news too: a successor that does not know
-		// would ask an engine for what follows its last event, and only then
-		// for its reward.
-		grown := t.Last > from.last && t.Last >= mirrorLeast
-		if grown || t.Complete && !from.complete {
-			part.Texts[id] = t.After(from.last)
-			copied[id] = copiedText{t.Origin, t.Last, t.Complete}
+		if next, news := copied.next(id, t); news {
+			part.Texts[id] = next
 		}
-	}
+	})
+	part.Ended = copied.forget(held)
+	return part
+}
+
+// eachText calls f for the texts of all items that run, or are complete and not
+// listed. c.mu is held.
+func (c *Coordinator) eachText(f func(cf.BatchID, cf.ItemID, *cfrollout.Text)) {
 	for w := range c.runs {
 		w.Mu.Lock()
-		add(w.Item.ID, &w.Text)
+		f(w.Batch.Sub.ID, w.Item.ID, &w.Text)
 		w.Mu.Unlock()
 	}
 	for id, t := range c.finished {
-		add(id, &t)
+		f(t.batch, id, &t.text)
 	}
-	for id := range copied {
+}
+
+func newCopies(least cf.EventID) *copies {
+	return &copies{least: least, texts: map[cf.ItemID]copiedText{}}
+}
+
+// next returns what is to be copied of a text, false if there is no news of it.
+func (k *copies) next(id cf.ItemID, t *cfrollout.Text) (part cfrollout.Text, news bool) {
+	from := k.texts[id]
+	if from.origin != t.Origin {
+		from = copiedText{} // the item has begun anew
+	}
+	// That a text is complete is news too: a successor that does not know would
+	// ask an engine for what follows its last event, and only then for its
+	// reward.
+	if t.Last < k.least || t.Last == from.last && t.Complete == from.complete {
+		return cfrollout.Text{}, false
+	}
+	k.texts[id] = copiedText{t.Origin, t.Last, t.Complete}
+	return t.After(from.last), true
+}
+
+// forget drops the texts that are not held any more, and returns them.
+func (k *copies) forget(held map[cf.ItemID]bool) []cf.ItemID {
+	var ended []cf.ItemID
+	for id := range k.texts {
 		if !held[id] {
-			delete(copied, id)
-			part.Ended = append(part.Ended, id)
+			delete(k.texts, id)
+			ended = append(ended, id)
 		}
 	}
-	return part
+	return ended
 }
 
+// reset makes all texts be copied from their beginnings again.
+func (k *copies) reset() { clear(k.texts) }
+
 // Snapshot returns the texts as they are now. They share no memory with the
 // mirror: parts that arrive later would otherwise be written over the events
 // that whoever took the texts has appended.
--- a/cfcoord/mirror_test.go
+++ b/cfcoord/mirror_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	cf "currantford"
+	"currantford/cfbatch"
 	"currantford/cfrollout"
 )
 
@@ -61,7 +62,7 @@
 		t.Errorf("a text of two runs is kept: %d events", got.Last)
 	}
 	c := New(Options{Duty: held{}})
-	w := &cfrollout.Work{Item: cf.Item{ID: "a"}}
+	w := &cfrollout.Work{Batch: cfbatch.New(cf.Submission{ID: "b"}), Item: cf.Item{ID: "a"}}
 	c.runs[w] = func() {}
 	write := func(n int) {
 		for range n {
@@ -70,7 +71,7 @@
 			}
 		}
 	}
-	copied := map[cf.ItemID]copiedText{}
+	copied := newCopies(mirrorLeast)
 	write(40)
 	c.changedTexts(copied)
 	w.Text = cfrollout.Text{}
@@ -118,14 +119,14 @@
 // Cause: no event was new, so the copy never learned that the text is complete.
 func TestMirrorLearnsThatATextIsComplete(t *testing.T) {
 	c := New(Options{Duty: held{}})
-	w := &cfrollout.Work{Item: cf.Item{ID: "a"}, Text: text(0, 10)}
+	w := &cfrollout.Work{Batch: cfbatch.New(cf.Submission{ID: "b"}), Item: cf.Item{ID: "a"}, Text: text(0, 10)}
 	c.runs[w] = func() {}
-	copied := map[cf.ItemID]copiedText{}
+	copied := newCopies(mirrorLeast)
 	var m Mirror
 	m.Take(c.changedTexts(copied), true)
 	delete(c.runs, w)
 	w.Text.Complete = true
-	c.finished["a"] = w.Text
+	c.finished["a"] = finishedText{"b", w.Text}
 	m.Take(c.changedTexts(copied), false)
 	if got := m.Texts["a"]; !got.Complete || got.Last != 10 || !got.FromStart() {
 		t.Errorf("the copy of a complete text: complete %v, %d events up to %d", got.Complete, len(got.Data), got.Last)
@@ -134,3 +135,14 @@
 		t.Error("a complete text is copied over and over")
 	}
 }
+
+// testBatch gives a coordinator an open batch of n items.
+func (c *Coordinator) testBatch(id cf.BatchID, n int) *state {
+	sub := cf.Submission{ID: id}
+	for i := range n {
+		sub.Items = append(sub.Items, cf.Item{ID: cf.ItemID(string(rune('a' + i)))})
+	}
+	st := &state{batch: cfbatch.New(sub), changed: make(chan struct{})}
+	c.batches[id] = st
+	return st
+}
--- a/cfnode/node.go
+++ b/cfnode/node.go
@@ -258,6 +258,7 @@
 		Self: n.settings.Entry, Store: n.adapter.Store, Targets: n.adapter.Targets, Site: n.site, Codec: n.adapter.Codec,
 		Duty: n.candidate, KeepResults: cf.Millis(n.settings.Bounds.KeepResultsS * 1000), Neighbour: neighbour{n}, Metrics: n.metrics, Log: n.log,
 		KeepSlowRuns: n.settings.Policy.KeepSlowRuns, NoTextCopies: n.settings.Policy.NoTextCopies,
+		NoTextStore: n.settings.Policy.NoTextStore,
 	})
 	n.coord.Store(c)
 	c.Start(func(ctx context.Context) map[cf.ItemID]cfrollout.Text { return n.gatherTexts(ctx, before, members) })
--- a/cfnode/settings.go
+++ b/cfnode/settings.go
@@ -31,6 +31,8 @@
 		KeepSlowRuns bool `json:"keep_slow_runs"`
 		// NoTextCopies keeps no copies of texts at a neighbour.
 		NoTextCopies bool `json:"no_text_copies"`
+		// NoTextStore keeps no copies of long texts in the store.
+		NoTextStore bool `json:"no_text_store"`
 		// NoStoreRelay makes no call to the store through another instance.
 		NoStoreRelay bool `json:"no_store_relay"`
 	}
--- a/cfrollout/planner.go
+++ b/cfrollout/planner.go
@@ -81,11 +81,11 @@
 	Text struct {
 		// Origin names the run that made the first event; the texts of two
 		// runs that both began anew must not be joined.
-		Origin   uint64             `cbor:"origin"`
-		Last     cf.EventID         `cbor:"last"`
-		Data     []string           `cbor:"data"`
-		Versions []cf.WeightVersion `cbor:"versions"`
-		Complete bool               `cbor:"complete"`
+		Origin   uint64             `json:"origin" cbor:"origin"`
+		Last     cf.EventID         `json:"last" cbor:"last"`
+		Data     []string           `json:"data" cbor:"data"`
+		Versions []cf.WeightVersion `json:"versions" cbor:"versions"`
+		Complete bool               `json:"complete,omitempty" cbor:"complete"`
 	}
 
 	// Work is an item that waits or runs. While it runs, its run alone
@@ -324,10 +324,11 @@
 	return out
 }
 
-// Adopt takes the texts of a planner before, for batches added from now on.
+// Adopt takes the texts of a planner before, for batches added from now on; of
+// each the longer one is kept.
 func (p *Planner) Adopt(texts map[cf.ItemID]Text) {
 	for id, t := range texts {
-		if !t.FromStart() {
+		if old := p.carry[id]; !t.FromStart() || old != nil && old.Text.Last >= t.Last {
 			continue
 		}
 		p.carry[id] = &Work{Item: cf.Item{ID: id}, Text: t.Clone()}
--- a/store.go
+++ b/store.go
@@ -57,6 +57,8 @@
 	kindParts = "currantford-parts-"
 	// kindResults is the head of the kind that holds one batch's results.
 	kindResults = "currantford-results-"
+	// kindTexts is the head of the kind that holds one batch's texts under way.
+	kindTexts = "currantford-texts-"
 )
 
 var (
@@ -70,6 +72,10 @@
 // KindParts is the kind under which the items of a large batch are kept.
 func KindParts(id BatchID) string { return kindParts + string(id) }
 
+// KindTexts is the kind under which long texts of a batch are kept while they are
+// generated.
+func KindTexts(id BatchID) string { return kindTexts + string(id) }
+
 // KindResults is the kind under which the results of a batch are kept, one
 // object per chunk. A kind of its own lets one list call read a batch.
 func KindResults(id BatchID) string { return kindResults + string(id) }
--- a/systemtest/batch_test.go
+++ b/systemtest/batch_test.go
@@ -484,3 +484,30 @@
 		t.Errorf("%d requests went to a target whose entry can't be read", n)
 	}
 }
+
+// Symptom: after the loss of all instances at once a step is late by all the time
+// that its long texts had taken.
+// Sequence: items of many events run; every process is killed in mid-text, the
+// neighbour's copies with them; they start again.
+func TestLongTextsSurviveTheLossOfAll(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 3, engines: 2, plains: 2, event: 20 * time.Millisecond})
+	b := scored(step("b1", "m0", 1, 2, 200))
+	s.accept(b)
+	eventually(t, "copies in the store", func() bool { return len(s.store.Names("currantford-texts-b1")) >= 2 })
+	for _, e := range s.entries {
+		e.kill()
+	}
+	for _, e := range s.entries {
+		e.start()
+	}
+	for _, e := range s.entries {
+		e.waitReady()
+	}
+	s.readAll(b)
+	for id, runs := range s.runs() {
+		if last := runs[len(runs)-1]; last.From < 30 {
+			t.Errorf("item %s began again after event %d", id, last.From)
+		}
+	}
+}
