Long texts keep off slow engines; the cost of a slot is learned

Cause, from logs: texts of seven seconds began at engines that the step before had shown to be four times slower, and left them only when nothing waited any more (1.9 s later); and runs moved three to seven times between even engines, since each further run was taken to cost 3% where it costs 0.3%.

--- a/cfrollout/engines.go
+++ b/cfrollout/engines.go
@@ -53,7 +53,7 @@
 		return // when it started was not known
 	}
 	e.versions = map[cf.ModelName]cf.WeightVersion{}
-	e.loading, e.loadBegan, e.pace, e.avoid, e.rest = 0, 0, 0, 0, 0
+	e.loading, e.loadBegan, e.pace, e.usual, e.avoid, e.rest = 0, 0, 0, 0, 0, 0
 }
 
 // hold records that an engine has a version. Versions of one start of an
--- a/cfrollout/pace.go
+++ b/cfrollout/pace.go
@@ -1,16 +1,13 @@
 package cfrollout
 
 import (
+	"slices"
 	"sync/atomic"
 
 	cf "currantford"
 )
 
 const (
-	// slotCost is how much slower each further running item makes the
-	// others on its engine: 1.5 and 4% were measured on two kinds of
-	// engines.
-	slotCost = 0.03
 	// paceWeight is the weight of the newest observation of an engine's
 	// pace.
 	paceWeight = 0.3
@@ -18,10 +15,23 @@
 	// pace counts: the first events of a run come in bursts.
 	paceEvents           = 4
 	paceSpan   cf.Millis = 200
+	// gapWeight is the weight of the newest gap between events in a run's
+	// pace: an engine that turns slow shows within some five events, where the
+	// mean over the whole run would take seconds.
+	gapWeight = 0.2
+	// slowPace is how many times slower than its share an engine is that gets
+	// only what it ends before another would.
+	slowPace = 1.8
+	// lengthWeight is the weight of the newest text in what is known of the
+	// lengths of texts, about those of two steps.
+	lengthWeight = 0.005
 	// moveGain is the least that a move must be expected to save: a moved
 	// run reads its text again, loses the event under way, and costs a
 	// connection.
 	moveGain = 250
+	// moveFactor is how many times faster the other engine must be: what is
+	// known of paces is within some 10% of what a run then shows.
+	moveFactor = 1.25
 	// residual is what a run is expected to have left, as a part of what it
 	// has made: lengths are spread widely, so one that has made more has
 	// more to come.
@@ -37,11 +47,18 @@
 	first  atomic.Int64 // Uptime of the first event
 	last   atomic.Int64
 	events atomic.Int64
+	gap    atomic.Int64 // smoothed time between events, in microseconds
 }
 
-// Note records an event at now.
+// Note records an event at now. One goroutine at a time calls it.
 func (p *Progress) Note(now cf.Millis) {
-	p.first.CompareAndSwap(0, int64(now))
+	if !p.first.CompareAndSwap(0, int64(now)) {
+		gap := float64(int64(now)-p.last.Load()) * 1000
+		if old := float64(p.gap.Load()); p.events.Load() > 1 {
+			gap = old + gapWeight*(gap-old)
+		}
+		p.gap.Store(int64(gap))
+	}
 	p.last.Store(int64(now))
 	p.events.Add(1)
 }
@@ -51,6 +68,7 @@
 	p.first.Store(0)
 	p.last.Store(0)
 	p.events.Store(0)
+	p.gap.Store(0)
 }
 
 // pace returns the milliseconds that an event takes, as seen at now: a run
@@ -60,10 +78,9 @@
 	if events < paceEvents || now-first < paceSpan {
 		return 0, false
 	}
-	span := cf.Millis(p.last.Load()) - first
-	pace := float64(span) / float64(events-1)
+	pace := float64(p.gap.Load()) / 1000
 	if silent := float64(now - cf.Millis(p.last.Load())); silent > 3*pace {
-		pace = (float64(span) + silent) / float64(events)
+		pace += gapWeight * (silent - pace) // as if the next event came now
 	}
 	return pace, true
 }
@@ -82,7 +99,9 @@
 		if e == nil {
 			continue
 		}
-		alone := sum[id] / n / (1 + slotCost*float64(e.Running))
+		pace := sum[id] / n
+		p.slots.note(e, pace, now)
+		alone := pace / p.slots.factor(e.Running)
 		if e.pace == 0 {
 			e.pace = alone
 		}
@@ -102,31 +121,34 @@
 }
 
 // expected is what an event would take on an engine with one more run.
-func (e *Engine) expected(typical float64) float64 {
+func (p *Planner) expected(e *Engine, typical float64) float64 {
 	pace := e.pace
 	if pace == 0 {
 		pace = typical
 	}
-	return pace * (1 + slotCost*float64(e.Running+1))
+	return pace * p.slots.factor(e.Running+1)
 }
 
+// full is what an event would take on an engine whose slots are all taken.
+func (p *Planner) full(e *Engine) float64 { return e.pace * p.slots.factor(e.Slots) }
+
 // Pace returns the milliseconds that an event takes with one run, zero where
 // it has not shown yet.
 func (e *Engine) Pace() float64 { return e.pace }
 
 // typical is the pace assumed of an engine that has not shown its own.
 func (p *Planner) typical() float64 {
-	sum, n := 0.0, 0
+	var paces []float64
 	for _, e := range p.engines {
 		if e.pace > 0 {
-			sum += e.pace
-			n++
+			paces = append(paces, e.pace)
 		}
 	}
-	if n == 0 {
+	if len(paces) == 0 {
 		return 1
 	}
-	return sum / float64(n)
+	slices.Sort(paces)
+	return paces[(len(paces)-1)/2]
 }
 
 // Moves returns the runs to stop because another engine would finish them
@@ -138,24 +160,152 @@
 	typical := p.typical()
 	var out []*Work
 	for _, o := range p.sorted() {
+		var moves []*Work
 		if len(o.waiting) > 0 {
-			continue // free slots are for those that have not begun
+			moves = p.urgentMoves(o, now)
+		} else {
+			moves = p.movesToRoom(o, typical, now)
 		}
-		room := &fastest{engines: p.share(o), typical: typical, taken: map[cf.InstanceID]int{}}
-		for _, w := range o.running {
-			if e := p.better(room, w, now); e != nil {
-				room.take(e)
-				w.moving, w.Avoid, w.avoidUntil = true, w.Engine, now+moveRest
-				out = append(out, w)
-			}
+		for _, w := range moves {
+			w.moving, w.Avoid, w.avoidUntil = true, w.Engine, now+moveRest
+		}
+		out = append(out, moves...)
+	}
+	return out
+}
+
+// movesToRoom returns the runs that would end sooner at an engine with room.
+func (p *Planner) movesToRoom(o *open, typical float64, now cf.Millis) []*Work {
+	room := &fastest{planner: p, engines: p.share(o), typical: typical, taken: map[cf.InstanceID]int{}}
+	var out []*Work
+	for _, w := range o.running {
+		if e := p.better(room, w, now); e != nil {
+			room.take(e)
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// urgentMoves returns the runs at slow engines that are worth more than the items
+// that wait: each stands first in line for the next slot that frees. The load it
+// answers: a step several times the slots, whose long texts began at an engine
+// that then turned slow; by the time that nothing waits they are late for good.
+// A few at a time, since a slot frees every few milliseconds.
+func (p *Planner) urgentMoves(o *open, now cf.Millis) []*Work {
+	q := p.queueOf(o)
+	if q.pace == 0 {
+		return nil
+	}
+	most := max(q.slots/slotsPerMove, 1)
+	var out []*Work
+	for _, w := range o.running {
+		e := p.engines[w.Engine]
+		if e == nil || w.moving || now-w.Started < moveRest || !p.slow(q, e) {
+			continue
+		}
+		pace, shown := w.Progress.pace(now)
+		if shown && p.left(w)*(pace-q.pace)-q.wait(1) >= moveGain && len(out) < most {
+			out = append(out, w)
 		}
 	}
 	return out
 }
 
+// slotsPerMove is for how many slots of a share one run may be moved at a look.
+const slotsPerMove = 32
+
+// queue is how the waiting items of a batch are served.
+type queue struct {
+	// pace is what an event takes at a usual engine of the share that is full,
+	// zero while it is not known.
+	pace float64
+	// slots are those of the engines that are not slow.
+	slots int
+	// run is what an item takes on average, in ms.
+	run float64
+}
+
+// queueOf returns how a batch's items are served.
+func (p *Planner) queueOf(o *open) queue {
+	var paces []float64
+	engines := p.share(o)
+	serving := func(e *Engine) bool {
+		return !e.Draining && e.versions[e.Share] >= o.batch.Sub.MinVersion
+	}
+	for _, e := range engines {
+		if e.pace > 0 && serving(e) {
+			paces = append(paces, p.full(e))
+		}
+	}
+	if len(paces) == 0 {
+		return queue{}
+	}
+	slices.Sort(paces)
+	q := queue{pace: paces[len(paces)/2]}
+	for _, e := range engines {
+		if serving(e) && !p.slow(q, e) {
+			q.slots += e.Slots
+		}
+	}
+	q.run = p.lengths.events * q.pace
+	return q
+}
+
+// slow says whether an engine is much slower than its share.
+func (p *Planner) slow(q queue, e *Engine) bool { return q.pace > 0 && p.full(e) > slowPace*q.pace }
+
+// wait is how long the nth in line waits for a slot at a usual engine, in ms.
+func (q queue) wait(n int) float64 {
+	if q.slots == 0 {
+		return 0
+	}
+	return float64(n) * q.run / float64(q.slots)
+}
+
+// lengths is what is known of how long texts are.
+type lengths struct {
+	events  float64 // of a text, on average
+	hint    float64 // the guess of its submitter, on average, of those with one
+	hinted  float64 // events of those
+	started bool
+}
+
+// note takes a text that is complete.
+func (l *lengths) note(w *Work) {
+	n, hint := float64(w.Text.Last), float64(w.Item.LengthHint)
+	if !l.started {
+		l.events, l.started = n, true
+	}
+	l.events += lengthWeight * (n - l.events)
+	if hint > 0 {
+		l.hint += lengthWeight * (hint - l.hint)
+		l.hinted += lengthWeight * (n - l.hinted)
+	}
+}
+
+// of returns the events that an item is expected to have, zero if nothing is
+// known.
+func (l *lengths) of(it cf.Item) float64 {
+	if it.LengthHint > 0 && l.hint > 0 {
+		return float64(it.LengthHint) * l.hinted / l.hint
+	}
+	return l.events
+}
+
+// left returns the events that an item is expected to have left.
+func (p *Planner) left(w *Work) float64 {
+	made := float64(w.from)
+	if w.Engine != "" {
+		made += float64(w.Progress.events.Load())
+	}
+	return max(p.lengths.of(w.Item)-made, residual*made)
+}
+
 // fastest finds the engine of a share on which one more run would be fastest,
 // and keeps it until a run has taken its slot.
 type fastest struct {
+	planner *Planner
 	engines []*Engine
 	typical float64
 	taken   map[cf.InstanceID]int
@@ -176,10 +326,10 @@
 	}
 	f.best, f.found = nil, true
 	for _, e := range f.engines {
-		if e.Running+f.taken[e.ID] >= e.Slots || now < e.avoid || e.loading > 0 || e.Draining || e.pace == 0 {
+		if e.Running+f.taken[e.ID] >= e.Slots || now < e.avoid || e.loading > 0 || e.Draining {
 			continue
 		}
-		if x := e.expected(f.typical); f.best == nil || x < f.pace {
+		if x := f.planner.expected(e, f.typical); f.best == nil || x < f.pace {
 			f.best, f.pace = e, x
 		}
 	}
@@ -200,8 +350,7 @@
 	if best == nil || best == from || !best.takes(w, now) {
 		return nil
 	}
-	left := residual * float64(w.Progress.events.Load())
-	if left*(pace-bestPace) < moveGain {
+	if pace < moveFactor*bestPace || p.left(w)*(pace-bestPace) < moveGain {
 		return nil
 	}
 	return best
--- a/cfrollout/place.go
+++ b/cfrollout/place.go
@@ -39,6 +39,7 @@
 		// Items that have not begun differ in nothing that matters here: if
 		// one finds no engine, the others find none.
 		full := false
+		q := p.queueOf(o)
 		rest := o.waiting[:0]
 		for _, w := range o.waiting {
 			w.restart(engines)
@@ -47,6 +48,9 @@
 				e = p.choose(engines, w, typical, now)
 				full = full || fresh && e == nil
 			}
+			if e != nil && p.slow(q, e) && p.betterWait(q, w, e, len(rest)+1) {
+				e = nil
+			}
 			if e == nil {
 				rest = append(rest, w)
 				continue
@@ -78,7 +82,7 @@
 func (p *Planner) start(o *open, w *Work, e *Engine, now cf.Millis) {
 	w.Engine, w.Version, w.Started = e.ID, e.versions[w.Batch.Sub.Model], now
 	w.Oldest = w.Version
-	w.moving = false
+	w.moving, w.from = false, w.Text.Last
 	w.Progress.reset()
 	for _, v := range w.Text.Versions {
 		w.Oldest = min(w.Oldest, v)
@@ -99,7 +103,7 @@
 		if !e.takes(w, now) {
 			continue
 		}
-		pace := e.expected(typical)
+		pace := p.expected(e, typical)
 		if e.groups[w.Item.Group] > 0 {
 			pace *= p.limits.Affinity
 		}
@@ -110,6 +114,13 @@
 	return best
 }
 
+// betterWait says whether an item that is nth in line ends sooner if it waits for
+// a usual engine than if it starts at a slow one. Long texts do, and a step is
+// worth nothing before its last.
+func (p *Planner) betterWait(q queue, w *Work, slow *Engine, nth int) bool {
+	return p.left(w)*(p.full(slow)-q.pace) > q.wait(nth)
+}
+
 // takes says whether an engine can start an item now.
 func (e *Engine) takes(w *Work, now cf.Millis) bool {
 	if e.ID == w.Avoid && now < w.avoidUntil {
@@ -143,7 +154,7 @@
 		}
 		p.judge(e, outcome, now)
 	}
-	w.Engine = ""
+	w.Engine, w.from = "", w.Text.Last
 	o := p.batches[w.Batch.Sub.ID]
 	if o != nil {
 		delete(o.running, w.Item.ID)
@@ -159,6 +170,7 @@
 	switch outcome {
 	case OutcomeDone:
 		w.Text.Complete = true
+		p.lengths.note(w)
 	case OutcomeFailed:
 		w.Failures++
 	}
--- a/cfrollout/planner.go
+++ b/cfrollout/planner.go
@@ -75,6 +75,9 @@
 		// pace is the milliseconds that an event takes with one run, as far
 		// as shown.
 		pace float64
+		// usual is its mean pace as of usualAt, usualRuns the mean of its runs.
+		usual, usualRuns float64
+		usualAt          cf.Millis
 	}
 
 	// Text is what has been generated of an item.
@@ -104,6 +107,9 @@
 		Started cf.Millis
 		// Progress is that of the run under way.
 		Progress Progress
+		// from is the event after which the run under way, or the next,
+		// begins.
+		from cf.EventID
 		// moving: the run is being stopped, to go on at another engine.
 		moving bool
 		// Avoid is an engine that the run was moved away from.
@@ -137,8 +143,10 @@
 		// version each; its runs may go on when it has ended.
 		single map[cf.ModelName]bool
 		// scarce: a service has fewer engines than models.
-		scarce bool
-		loads  loadPace
+		scarce  bool
+		loads   loadPace
+		lengths lengths
+		slots   slotCost
 	}
 
 	shareKey struct {
@@ -163,7 +171,7 @@
 	return &Planner{
 		limits: limits, engines: map[cf.InstanceID]*Engine{}, named: map[cf.ModelName]cf.WeightVersion{},
 		models: map[cf.ServiceName][]cf.ModelName{}, need: Need{}, batches: map[cf.BatchID]*open{},
-		carry: map[cf.ItemID]*Work{}, orphans: map[cf.ItemID]*Work{}, single: map[cf.ModelName]bool{}, loads: newLoadPace(limits.Loads),
+		carry: map[cf.ItemID]*Work{}, orphans: map[cf.ItemID]*Work{}, single: map[cf.ModelName]bool{}, loads: newLoadPace(limits.Loads), slots: slotCost{cost: slotPrior},
 	}
 }
 
@@ -197,7 +205,7 @@
 		if old := p.carry[it.ID]; old != nil {
 			delete(p.carry, it.ID)
 			if fits(old.Text, b.Sub.MinVersion, terms.SingleVersion) {
-				w.Text = old.Text
+				w.Text, w.from = old.Text, old.Text.Last
 			}
 		}
 		if w.Text.Complete {
--- /dev/null
+++ b/cfrollout/slow_test.go
@@ -0,0 +1,134 @@
+package cfrollout_test
+
+import (
+	"fmt"
+	"testing"
+
+	cf "currantford"
+	"currantford/cfbatch"
+	"currantford/cfrollout"
+)
+
+// hinted returns a batch of single items with the lengths that their submitter
+// expects, in tokens of which ten make an event.
+func hinted(id cf.BatchID, events ...int) *cfbatch.Batch {
+	sub := cf.Submission{ID: id, Model: "a", MinVersion: 1, TargetGroups: len(events)}
+	for i, n := range events {
+		name := fmt.Sprintf("%s-%02d", id, i)
+		sub.Items = append(sub.Items, cf.Item{ID: cf.ItemID(name), Group: cf.GroupID(name), LengthHint: cf.Tokens(10 * n)})
+	}
+	return cfbatch.New(sub)
+}
+
+// slowSite returns a planner with four engines of four slots, of which e03 is four
+// times slower than the others, as a step before has shown.
+func slowSite(t *testing.T) *cfrollout.Planner {
+	t.Helper()
+	p := cfrollout.New(cfrollout.DefaultLimits)
+	p.SetEngines(fleet(4, cf.ModelState{Name: "a", Version: 1}), models("a"))
+	lengths := make([]int, 16)
+	for i := range lengths {
+		lengths[i] = 20
+	}
+	p.AddBatch(hinted("before", lengths...), terms)
+	works := p.Place(0)
+	for _, w := range works {
+		pace := cf.Millis(40)
+		if w.Engine == "e03" {
+			pace = 160
+		}
+		generate(t, w, 10, 10+19*pace, pace)
+	}
+	for range 20 {
+		p.Moves(800) // the paces are smoothed
+	}
+	for _, w := range works {
+		p.Finished(w, cfrollout.OutcomeDone, 3200)
+	}
+	return p
+}
+
+// Symptom: a step waits for a long text that was placed at a slow engine, though
+// other engines were free of it a moment later.
+// Load: a step of twice the slots, long texts first; one engine of four is four
+// times slower. It gets short texts alone, which end there before they would have
+// had their turn elsewhere.
+func TestLongTextsDoNotStartAtASlowEngine(t *testing.T) {
+	p := slowSite(t)
+	lengths := make([]int, 32)
+	for i := range lengths {
+		lengths[i] = 2
+		if i < 14 {
+			lengths[i] = 100
+		}
+	}
+	p.AddBatch(hinted("s", lengths...), terms)
+	atSlow := 0
+	for _, w := range p.Place(5000) {
+		if w.Engine != "e03" {
+			continue
+		}
+		atSlow++
+		if w.Item.LengthHint > 20 {
+			t.Errorf("a text of %d tokens starts at the slow engine", w.Item.LengthHint)
+		}
+	}
+	if atSlow == 0 {
+		t.Error("the slow engine gets nothing")
+	}
+}
+
+// Symptom: the longest text of a step runs four times slower than others for
+// seconds, until nothing waits any more.
+// Load: an engine turns slow while its runs are long and half of the step waits.
+// The long run stands first in line for the next slot; short ones stay.
+func TestLongRunLeavesASlowEngineBeforeOthersStart(t *testing.T) {
+	p := slowSite(t)
+	lengths := make([]int, 40)
+	for i := range lengths {
+		lengths[i] = 8
+	}
+	lengths[0] = 150
+	p.AddBatch(hinted("s", lengths...), terms)
+	works := p.Place(5000)
+	var long *cfrollout.Work
+	for _, w := range works {
+		if w.Item.LengthHint == 1500 {
+			long = w
+		}
+	}
+	slow := long.Engine
+	for _, w := range works {
+		pace := cf.Millis(40)
+		if w.Engine == slow {
+			pace = 160
+		}
+		generate(t, w, 5010, 6200, pace)
+	}
+	var moves []*cfrollout.Work
+	for range 20 {
+		moves = append(moves, p.Moves(6200)...)
+	}
+	found := false
+	for _, w := range moves {
+		found = found || w == long
+		if w.Engine != slow {
+			t.Errorf("a run leaves the usual engine %s", w.Engine)
+		}
+	}
+	if !found || len(moves) > 4 {
+		t.Fatalf("%d runs leave the slow engine, the long one among them: %v", len(moves), found)
+	}
+	last := long.Text.Last
+	p.Finished(long, cfrollout.OutcomeStopped, 6210)
+	for _, w := range works {
+		if w.Engine != slow && w.Engine != "" {
+			p.Finished(w, cfrollout.OutcomeDone, 6220)
+			break
+		}
+	}
+	again := p.Place(6230)
+	if len(again) == 0 || again[0] != long || again[0].Text.Last != last {
+		t.Errorf("the long run is not first in line: %d start", len(again))
+	}
+}
