A duty that was given away is left; the dead stay forgotten when it returns

Change: a released lease is not taken back before its successor has had its time; a duty that ends leaves its own list of instances for the next; a better holder must have been heard directly.

--- a/cfnode/candidate.go
+++ b/cfnode/candidate.go
@@ -256,8 +256,9 @@
 		c.mu.Unlock()
 		return
 	}
-	// The instance that held the lease before its restart goes on at once.
-	if h, _ := c.holder(); h.Entry == c.self {
+	// The instance that held the lease before its restart goes on at once; one
+	// that has given it up does not.
+	if h, _ := c.holder(); h.Entry == c.self && !h.Released {
 		c.write(ctx)
 	}
 }
--- a/cfnode/node.go
+++ b/cfnode/node.go
@@ -201,7 +201,9 @@
 	// keepIdle and keepBusy are how long a holder keeps a duty for which
 	// another has more capacity: with nothing open a change costs nothing,
 	// else some tenths of a second of each step, and the weights wait 3 s.
-	keepIdle cf.Millis = 1000
+	// Before the first of them has passed, instances count as alive by the
+	// word of the holder before alone.
+	keepIdle           = cfmember.Silence + 500
 	keepBusy cf.Millis = 10000
 	// handoverTimeout bounds the release to a better holder.
 	handoverTimeout = 2 * time.Second
@@ -308,6 +310,11 @@
 
 func (n *Node) endDuty() {
 	if c := n.coord.Swap(nil); c != nil {
+		// What the coordinator before told is as old as this duty.
+		members, _ := n.memberList()
+		n.feed.mu.Lock()
+		n.feed.members, n.feed.term = members, 0
+		n.feed.mu.Unlock()
 		_ = c.Close()
 		texts := c.Texts()
 		n.texts.Store(&texts)
--- a/systemtest/batch_test.go
+++ b/systemtest/batch_test.go
@@ -3,7 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -533,4 +536,63 @@
 	s.accept(next)
 	s.readAll(next)
 	checkOrders(t, s)
+	handed := 0
+	for _, e := range s.entries {
+		raw, err := os.ReadFile(e.logPath)
+		if err != nil {
+			t.Fatal(err)
+		}
+		handed += strings.Count(string(raw), `"duty_handed_over"`)
+	}
+	if handed > 2 {
+		t.Errorf("the duty was handed over %d times: once at the start and once after the kill are enough", handed)
+	}
+}
+
+// Symptom: callers are sent to a machine that has been off for seconds.
+// Sequence: an instance is lost; the coordinator's duty moves to another one and
+// back.
+// Cause: an instance that took the duty again began with the list that the first
+// coordinator had told it, and counted everyone in it as just heard of.
+func TestDirectoryForgetsTheDeadWhenTheDutyReturns(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 3, engines: 1})
+	named := func(e *entry) string {
+		resp, err := http.Get("http://" + e.names + "/currantford/resolve?zone=domain-a")
+		if err != nil {
+			return ""
+		}
+		defer resp.Body.Close()
+		raw, _ := io.ReadAll(resp.Body)
+		return string(raw)
+	}
+	var others []*entry
+	first := s.coordinator()
+	for _, e := range s.entries {
+		if e != first {
+			others = append(others, e)
+		}
+	}
+	next, dead := others[0], others[1]
+	eventually(t, "all named", func() bool { return strings.Contains(named(next), dead.callers) })
+	first.signal(syscall.SIGSTOP)
+	holder := s.waitCoordinator(first.id)
+	first.signal(syscall.SIGCONT)
+	if holder == dead {
+		next, dead = dead, next
+	}
+	dead.kill()
+	eventually(t, "the dead dropped", func() bool { return !strings.Contains(named(next), dead.callers) })
+	next.signal(syscall.SIGSTOP)
+	s.waitCoordinator(next.id)
+	next.signal(syscall.SIGCONT)
+	first.signal(syscall.SIGSTOP)
+	s.waitCoordinator(first.id)
+	for range 20 {
+		if strings.Contains(named(next), dead.callers) {
+			t.Fatal("the dead instance is named again")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	first.signal(syscall.SIGCONT)
 }
--- a/systemtest/site_test.go
+++ b/systemtest/site_test.go
@@ -102,6 +102,7 @@
 		id       string
 		callers  string
 		ready    string
+		names    string // the directory's address
 		settings string
 		logPath  string
 		// storeLink leads to the store, where asked for.
@@ -224,7 +225,7 @@
 }
 
 func (s *site) newEntry(i int) *entry {
-	e := &entry{t: s.t, id: fmt.Sprintf("entry-%d", i), callers: freeAddr(s.t), ready: freeAddr(s.t)}
+	e := &entry{t: s.t, id: fmt.Sprintf("entry-%d", i), callers: freeAddr(s.t), ready: freeAddr(s.t), names: freeAddr(s.t)}
 	store := s.addr
 	if s.links {
 		e.storeLink = newProxy(s.t, s.addr)
@@ -238,7 +239,7 @@
 	}
 	raw, err := json.Marshal(map[string]any{
 		"machine": machine, "entry": e.id, "failure_domain": fmt.Sprintf("domain-%c", 'a'+i%2),
-		"listen": map[string]any{"callers": e.callers, "ready": e.ready, "directory": freeAddr(s.t), "peers": freeAddr(s.t)},
+		"listen": map[string]any{"callers": e.callers, "ready": e.ready, "directory": e.names, "peers": freeAddr(s.t)},
 		"store":  map[string]any{"addr": store, "value_bytes": s.valueBytes},
 		"bounds": map[string]any{"grace_s": 8, "keep_results_s": 120, "lease_ms": 3000},
 		"memory": map[string]any{"limit_mb": 200},
