--- a/cfbatch/batch_test.go
+++ b/cfbatch/batch_test.go
@@ -222,8 +222,8 @@
 	b.Apply(b.NextChunk(), p.Take(6850))
 	p.Wrote(b, 6860)
 	p.Add(done(sub.Items[1].ID), 7600)
-	if p.Due(b, 8000) || !p.Due(b, 8100) {
-		t.Error("after the deadline what is finished is listed half a second later")
+	if p.Due(b, 7700) || !p.Due(b, 7850) {
+		t.Error("after the deadline what is finished is listed a quarter of a second later")
 	}
 	early := cfbatch.Pending{Deadline: 60000}
 	early.Add(done(sub.Items[2].ID), 0)
@@ -232,32 +232,6 @@
 	}
 }
 
-// Symptom and load as before: steps of this model end 7.6 s after they were handed
-// in, with several groups in the last half second.
-func TestNothingIsListedJustBeforeTheStepsEnd(t *testing.T) {
-	sub := submission(6, 1)
-	b := cfbatch.New(sub)
-	p := cfbatch.Pending{Deadline: 7500, Expected: 7600}
-	p.Add(done(sub.Items[0].ID), 6700)
-	if !p.Due(b, 6800) {
-		t.Error("what is finished by then is not listed before the deadline")
-	}
-	b.Apply(b.NextChunk(), p.Take(6800))
-	p.Wrote(b, 6810)
-	p.Add(done(sub.Items[1].ID), 7000)
-	if p.Due(b, 7840) {
-		t.Error("listed just before the expected end")
-	}
-	if !p.Due(b, 7850) {
-		t.Error("not listed although the end has not come")
-	}
-	late := cfbatch.Pending{Deadline: 7500, Expected: 12000}
-	late.Add(done(sub.Items[2].ID), 7000)
-	if !late.Due(b, 7500) {
-		t.Error("a step that will be late holds back what is in time")
-	}
-}
-
 // A chunk stays under the store's limit whatever its texts are made of.
 func TestChunksAreMeasuredAsTheyAreEncoded(t *testing.T) {
 	var p cfbatch.Pending
--- a/cfbatch/pending.go
+++ b/cfbatch/pending.go
@@ -14,19 +14,12 @@
 	// results. One that has read something looks again half a second after it
 	// began to, so a chunk just before the last one costs the whole step that.
 	patientAge cf.Millis = 2500
-	// lookEvery is how often a submitter looks. What is finished shortly before
-	// the deadline, or after it, is listed as often: by then it counts for more
-	// than the step's end.
-	lookEvery cf.Millis = 500
+	// lastAge is the same shortly before and after that time: by then what is
+	// whole earns more than the step's end.
+	lastAge cf.Millis = 250
 	// lastSpan is how long before the deadline that begins: a read under way
 	// ends, and another is made.
 	lastSpan cf.Millis = 700
-	// quietBefore and quietAfter are the span around the expected end of a step
-	// in which nothing is listed but all that it still lacks: steps of a model
-	// end within some 0.2 s of each other, and a submitter that had just read
-	// something learned of the end 0.3 to 0.5 s late.
-	quietBefore           = lookEvery + 50
-	quietAfter  cf.Millis = 250
 	// flushBytes keeps a chunk under the store's value limit of 1 MB, and has
 	// room for the long texts of a step's last groups.
 	flushBytes = 640 << 10
@@ -37,9 +30,6 @@
 	// Deadline is the Uptime at which the submitter needs the results, zero
 	// if that is not known.
 	Deadline cf.Millis
-	// Expected is the Uptime at which the submitter will probably have all
-	// that it waits for, zero if there is nothing to tell by.
-	Expected cf.Millis
 	results  []cf.Result
 	since    cf.Millis
 	bytes    int
@@ -85,33 +75,21 @@
 	if p.writing || len(p.results) == 0 {
 		return false
 	}
-	if now >= p.dueBy() || p.bytes >= flushBytes {
+	if now-p.since >= p.patience(now) || p.bytes >= flushBytes {
 		return true
 	}
 	return p.completes(b)
 }
 
-// dueBy is when the results that wait are listed, whatever is still to come.
-func (p *Pending) dueBy() cf.Millis {
-	if p.Deadline == 0 {
-		return p.since + flushAge
-	}
-	last := p.Deadline - lastSpan
-	due := p.since + lookEvery
-	if p.since < last {
-		due = min(p.since+patientAge, last)
-	}
-	from, to := p.Expected-quietBefore, p.Expected+quietAfter
-	if last > from-lookEvery && last < to {
-		from = min(from, last) // one listing before the end, not two
-	}
+// patience is how long a result may wait for others now.
+func (p *Pending) patience(now cf.Millis) cf.Millis {
 	switch {
-	case p.Expected == 0 || due < from || due >= to:
-		return due
-	case p.since < from:
-		return from
+	case p.Deadline == 0:
+		return flushAge
+	case now < p.Deadline-lastSpan:
+		return min(patientAge, p.Deadline-lastSpan-p.since)
 	default:
-		return to
+		return lastAge
 	}
 }
 
--- a/cfcoord/coordinator.go
+++ b/cfcoord/coordinator.go
@@ -140,8 +140,6 @@
 		over map[cf.BatchID]bool
 		// endedOrder lists the ended batches in memory, oldest first.
 		endedOrder []cf.BatchID
-		// stepTimes are how long the steps of each model take, in ms.
-		stepTimes map[cf.ModelName]float64
 		// groups are those of ended batches, with the number of the end; the
 		// oldest are forgotten.
 		groups map[cf.GroupID]int
@@ -198,7 +196,7 @@
 		runs:     map[*cfrollout.Work]context.CancelFunc{},
 		finished: map[cf.ItemID]finishedText{},
 		rewards:  newRewards(o.Policy),
-		counts:   map[cf.InstanceID]orderCount{}, named: named{}, groups: map[cf.GroupID]int{}, stepTimes: map[cf.ModelName]float64{}, over: map[cf.BatchID]bool{}, prepared: newPrepared(),
+		counts:   map[cf.InstanceID]orderCount{}, named: named{}, groups: map[cf.GroupID]int{}, over: map[cf.BatchID]bool{}, prepared: newPrepared(),
 	}
 }
 
@@ -362,11 +360,7 @@
 		return
 	}
 	if route, ok := config.Match(sub.Host, sub.Path); ok && route.ResultsSLO > 0 {
-		accepted := cf.Uptime() + sub.Accepted - cf.Now()
-		st.pending.Deadline = accepted + route.ResultsSLO
-		if usual := c.stepTimes[sub.Model]; usual > 0 {
-			st.pending.Expected = accepted + cf.Millis(usual)
-		}
+		st.pending.Deadline = cf.Uptime() + sub.Accepted + route.ResultsSLO - cf.Now()
 	}
 }
 
--- a/cfcoord/served.go
+++ b/cfcoord/served.go
@@ -65,22 +65,8 @@
 	}
 	st.served = true
 	waited := cf.Now() - sub.Accepted
-	c.noteStepTime(sub.Model, waited)
 	c.Metrics.StepWait.WithLabelValues(string(sub.Model)).Observe(float64(waited) / 1000)
 	c.Log.Info("step_served", zap.String("batch_id", string(sub.ID)), zap.String("model", string(sub.Model)),
 		zap.Int64("step", sub.Step), zap.Int64("waited_ms", int64(waited)), zap.Int("groups_whole", st.batch.WholeGroups()),
 		zap.Int64("stalest_versions", int64(st.stalest)))
 }
-
-// stepTimeWeight is the weight of the newest step in the time that a model's steps
-// take: about the last three count.
-const stepTimeWeight = 0.4
-
-// noteStepTime learns from a step that is whole. c.mu is held.
-func (c *Coordinator) noteStepTime(m cf.ModelName, waited cf.Millis) {
-	usual, known := c.stepTimes[m]
-	if !known {
-		usual = float64(waited)
-	}
-	c.stepTimes[m] = usual + stepTimeWeight*(float64(waited)-usual)
-}
