A peer that does not answer holds nobody up for longer than its own time

Ruled out: a queue of tries one after the other (each ends with its own time), the library's close (the gaps end 5.85 s after their beginning, the retirement watch's time), an old answer of the store (the watch had not returned).

Change: a call waits for another's try to connect as long as its own time lasts; a try takes 1.2 s at most, and who waited for one that failed has its answer; a relayed call takes no longer over all instances than over one; one that was silent is left out for 2 s; watches are passed on for the coordinator alone.

--- a/cfnode/node.go
+++ b/cfnode/node.go
@@ -45,8 +45,9 @@
 	// knows their form.
 	Relay interface {
 		// SetRelay sets how a call reaches another instance, there to be
-		// answered by the store within timeout.
-		SetRelay(call func(ctx context.Context, timeout cf.Millis, body, answer any) error)
+		// answered by the store within timeout; watch tells that the call waits
+		// for changes.
+		SetRelay(call func(ctx context.Context, timeout cf.Millis, watch bool, body, answer any) error)
 		// Relayed carries out a call that another instance passed on.
 		Relayed(ctx context.Context, body []byte) (any, error)
 	}
--- a/cfnode/relay.go
+++ b/cfnode/relay.go
@@ -20,6 +20,9 @@
 	// relayRest is the pause after a call that nobody could relay: in an
 	// outage of the store each try costs two more, and finds out nothing.
 	relayRest cf.Millis = 250
+	// relayAvoid keeps calls off an instance that did not answer one: each try
+	// would wait for it again.
+	relayAvoid cf.Millis = 2000
 	// relayQuiet is the span without relayed calls after which the next one
 	// is worth a log line.
 	relayQuiet cf.Millis = 2000
@@ -32,23 +35,36 @@
 	via    string
 	lastAt cf.Millis
 	rest   cf.Millis
+	// avoid are instances that did not answer, with until when.
+	avoid map[string]cf.Millis
 }
 
 // relay passes a call to the store through another instance. The store may turn
 // single instances away, or a link to it may be cut, for seconds; an instance
 // with the coordinator's duty that could not go on through others would lose its
 // lease, and each step under way the moments until a successor has its texts.
-func (n *Node) relay(ctx context.Context, timeout cf.Millis, body, answer any) error {
+//
+// Watches are passed on for that instance alone. The others have its feed; one
+// whose watch hung at another instance in trouble would not look by itself when
+// the store is back, and serve an old configuration meanwhile.
+func (n *Node) relay(ctx context.Context, timeout cf.Millis, watch bool, body, answer any) error {
 	now := cf.Uptime()
+	if watch && n.coord.Load() == nil {
+		return cf.ErrRefused
+	}
 	if n.settings.Policy.NoStoreRelay || n.relays.resting(now) {
 		return cf.ErrRefused
 	}
+	// All tries together take no longer than one: renewals and watches wait
+	// for them.
+	ctx, cancel := context.WithTimeout(ctx, (timeout + relayGrace).Duration())
+	defer cancel()
 	failure := cf.ErrRefused
-	for _, addr := range n.relayPaths() {
+	for _, addr := range n.relayPaths(now) {
 		if ctx.Err() != nil {
 			break
 		}
-		err := n.relayVia(ctx, addr, timeout+relayGrace, body, answer)
+		err := n.peers.Call(ctx, addr, opStore, body, answer)
 		if err == nil {
 			if n.relays.worked(addr, cf.Uptime()) {
 				n.log.Warn("store_relayed", zap.String("via", addr))
@@ -57,22 +73,17 @@
 		}
 		if !errors.Is(err, cf.ErrRefused) && !errors.Is(err, cf.ErrNotRun) {
 			failure = err // it may have been carried out there
+			n.relays.silent(addr, cf.Uptime())
 		}
 	}
 	n.relays.failed(now)
 	return failure
 }
 
-func (n *Node) relayVia(ctx context.Context, addr string, timeout cf.Millis, body, answer any) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
-	defer cancel()
-	return n.peers.Call(ctx, addr, opStore, body, answer)
-}
-
 // relayPaths returns the instances to ask, best first: the one that relayed the
 // last call, the coordinator, which reaches the store as long as it has its
 // lease, then those of the same failure domain.
-func (n *Node) relayPaths() []string {
+func (n *Node) relayPaths(now cf.Millis) []string {
 	var near, far []string
 	live := n.Live()
 	for _, e := range live {
@@ -88,7 +99,7 @@
 	}
 	var paths []string
 	add := func(addr string) {
-		if addr != "" && !slices.Contains(paths, addr) {
+		if addr != "" && !slices.Contains(paths, addr) && !n.relays.avoided(addr, now) {
 			paths = append(paths, addr)
 		}
 	}
@@ -123,6 +134,27 @@
 	return first
 }
 
+// silent notes that an instance did not answer.
+func (r *relays) silent(addr string, now cf.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.avoid == nil {
+		r.avoid = map[string]cf.Millis{}
+	}
+	for a, until := range r.avoid {
+		if now >= until {
+			delete(r.avoid, a)
+		}
+	}
+	r.avoid[addr] = now + relayAvoid
+}
+
+func (r *relays) avoided(addr string, now cf.Millis) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now < r.avoid[addr]
+}
+
 func (r *relays) failed(now cf.Millis) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/cfpeer/peer.go
+++ b/cfpeer/peer.go
@@ -22,6 +22,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,6 +38,9 @@
 	// writeTimeout bounds a write to a peer that does not read; a sound one
 	// takes a message within milliseconds.
 	writeTimeout = time.Second
+	// dialTimeout bounds the try to connect: a few round trips between failure
+	// domains, of 16 ms at most, and one packet that is sent again.
+	dialTimeout = 1200 * time.Millisecond
 )
 
 type (
@@ -68,11 +72,15 @@
 		wg    sync.WaitGroup
 	}
 
-	// slot is the connection to one peer. Its lock is held while dialling:
-	// a peer that does not answer holds up calls to itself only.
+	// slot is the connection to one peer. It is taken while dialling: a peer that
+	// does not answer holds up calls to itself only, and each for its own time
+	// at most.
 	slot struct {
-		mu   sync.Mutex
-		conn *conn
+		taken chan struct{}
+		conn  *conn
+		// failed is the error of the last try to connect, tries counts them.
+		failed error
+		tries  atomic.Int64
 	}
 
 	conn struct {
@@ -188,11 +196,11 @@
 func (c *Client) Close() error {
 	c.mu.Lock()
 	for _, s := range c.slots {
-		s.mu.Lock()
+		s.taken <- struct{}{}
 		if s.conn != nil {
 			_ = s.conn.ws.CloseNow() // the reader ends with its error
 		}
-		s.mu.Unlock()
+		s.release()
 	}
 	c.mu.Unlock()
 	c.wg.Wait()
@@ -250,8 +258,10 @@
 	case <-ctx.Done():
 		// A connection can go silent without a reset. One on which an answer
 		// is overdue is given up, so that the next call dials again.
+		// Closing waits for the library's own goroutines, up to seconds where
+		// one of them is writing; the caller has no time left.
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			_ = cn.ws.CloseNow()
+			c.wg.Go(func() { _ = cn.ws.CloseNow() })
 		}
 		return eris.Wrapf(cf.ErrUnavailable, "peer %s: %v", addr, ctx.Err())
 	}
@@ -259,17 +269,21 @@
 
 func (c *Client) conn(ctx context.Context, addr string) (*conn, error) {
 	s := c.slot(addr)
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	before := s.tries.Load()
+	if !s.take(ctx) {
+		return nil, eris.Wrapf(cf.ErrUnavailable, "peer %s: %v", addr, ctx.Err())
+	}
+	defer s.release()
 	if s.conn != nil && !s.conn.isBroken() {
 		return s.conn, nil
 	}
-	ws, _, err := websocket.Dial(ctx, "ws://"+addr+"/v1/peer", nil) //nolint:bodyclose // the library closes the handshake body itself
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return nil, eris.Wrapf(ErrNoProcess, "dial peer %s", addr)
+	// Whoever waited while another call tried in vain has its answer.
+	if s.failed != nil && s.tries.Load() > before {
+		return nil, s.failed
 	}
+	ws, err := s.dial(ctx, addr)
 	if err != nil {
-		return nil, eris.Wrapf(cf.ErrUnavailable, "dial peer %s: %v", addr, err)
+		return nil, err
 	}
 	ws.SetReadLimit(readLimit)
 	cn := &conn{ws: ws, pending: map[uint64]chan Message{}}
@@ -279,12 +293,43 @@
 	return cn, nil
 }
 
+// take waits for the slot; false if ctx ended before.
+func (s *slot) take(ctx context.Context) bool {
+	select {
+	case s.taken <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *slot) release() { <-s.taken }
+
+// dial connects to a peer. The slot is taken, by a call that may have seconds: with
+// all of them for its try, one call of 5.9 s held a coordinator's renewals and
+// watches up for as long.
+func (s *slot) dial(ctx context.Context, addr string) (*websocket.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	ws, _, err := websocket.Dial(ctx, "ws://"+addr+"/v1/peer", nil) //nolint:bodyclose // the library closes the handshake body itself
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		s.failed = eris.Wrapf(ErrNoProcess, "dial peer %s", addr)
+	case err != nil:
+		s.failed = eris.Wrapf(cf.ErrUnavailable, "dial peer %s: %v", addr, err)
+	default:
+		s.failed = nil
+	}
+	s.tries.Add(1)
+	return ws, s.failed
+}
+
 func (c *Client) slot(addr string) *slot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.slots[addr]
 	if s == nil {
-		s = &slot{}
+		s = &slot{taken: make(chan struct{}, 1)}
 		c.slots[addr] = s
 	}
 	return s
