--- /dev/null
+++ b/cfcoord/finish.go
@@ -0,0 +1,54 @@
+package cfcoord
+
+import (
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cfrollout"
+)
+
+// complete takes a complete text: its reward is asked for, or it is listed. Until
+// then its copies let a successor go on from here.
+func (c *Coordinator) complete(w *cfrollout.Work, now cf.Millis) {
+	st := c.unlisted(w)
+	if st == nil {
+		return
+	}
+	c.finished[w.Item.ID] = finishedText{w.Batch.Sub.ID, w.Text}
+	if w.Item.Reward == nil {
+		c.list(w, "", now)
+		return
+	}
+	c.rewards.add(w, now)
+	c.Kick()
+}
+
+// list puts a text among those to be listed.
+func (c *Coordinator) list(w *cfrollout.Work, score string, now cf.Millis) {
+	if st := c.unlisted(w); st != nil {
+		st.pending.Add(cf.Result{
+			ID: w.Item.ID, State: cf.ItemDone, Output: join(w.Text.Data), Versions: w.Text.Versions, Score: score,
+		}, now)
+		c.Kick()
+	}
+}
+
+// giveUp puts an item that is not done among those to be listed.
+func (c *Coordinator) giveUp(w *cfrollout.Work, reason string, now cf.Millis) {
+	delete(c.finished, w.Item.ID)
+	if st := c.unlisted(w); st != nil {
+		c.Log.Info("item_given_up", zap.String("batch_id", string(w.Batch.Sub.ID)), zap.String("request_id", string(w.Item.ID)),
+			zap.String("reason", reason), zap.Int("failures", w.Failures))
+		st.pending.Add(cf.Result{ID: w.Item.ID, State: cf.ItemFailed}, now)
+		c.Kick()
+	}
+}
+
+// unlisted returns the batch of an item that has no position yet, else nil.
+func (c *Coordinator) unlisted(w *cfrollout.Work) *state {
+	st := c.batches[w.Batch.Sub.ID]
+	if st == nil || st.batch.Listed(w.Item.ID) {
+		return nil
+	}
+	return st
+}
--- a/cfingress/ingress.go
+++ b/cfingress/ingress.go
@@ -106,8 +106,7 @@
 func (in *Ingress) Stop() { in.stopping.Store(true) }
 
 // Ready says whether callers may be sent to this instance. One that knows its
-// routes and no targets yet would refuse them all: a test's only request was lost
-// so on a busy machine, once in some hundred starts.
+// routes and no targets yet would refuse them all.
 func (in *Ingress) Ready() bool {
 	return !in.stopping.Load() && in.Site.Config() != nil && in.Site.TargetsAt() > 0
 }
