--- a/cfpeer/dial_test.go
+++ b/cfpeer/dial_test.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	connected := make(chan struct{}, 100)
 	go func() {
 		for {
@@ -31,7 +31,7 @@
 				return
 			}
 			connected <- struct{}{}
-			defer c.Close()
+			defer func() { _ = c.Close() }()
 		}
 	}()
 	client := cfpeer.NewClient()
