One doubling of pauses, one choice of a successor, one check per claim of the system tests

Cause: read as a newcomer, the change wrote four things again. The successor was found by two loops and an index; it is now two filters and a minimum. The planner took the pace of the queue of batches with nothing waiting, a sort of the share's paces at each look, for nothing. The system tests repeated "each item ran once" four times, "went on after n events" twice and "all items have begun" three times; each is one check now, with the same assertion.

Ruled out: one function for the two choices of a neighbour for copies, and one for the two reads of chunks again. The first differ in which of equal instances they take, the second in what they do beside a write under way, so either would change behaviour.

Before and after: the same values, as the bounds of the shifts lay beyond the most of each pause (300<<4 over 2,400 ms, 250<<8 over 2,000 ms, 50<<10 over 1,600 ms).

--- a/cfbalance/balance.go
+++ b/cfbalance/balance.go
@@ -160,7 +160,7 @@
 	case Full:
 		s.avoid = now + avoidFull
 	case Failed, Unreached:
-		s.avoid = now + min(avoidFailed<<min(s.failures, 4), avoidMost)
+		s.avoid = now + avoidFailed.Doubled(s.failures, avoidMost)
 		s.failures++
 	case Abandoned:
 		// Slower than what we waited for, at least.
--- a/cfmember/table.go
+++ b/cfmember/table.go
@@ -10,6 +10,7 @@
 package cfmember
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 
@@ -150,26 +151,13 @@
 // fifth of a core and 60 Mbit/s the coordinator of three trainers lost its steps:
 // 0.09 of them were served.
 func Successor(entries []Entry, self cf.EntryID) (Entry, bool) {
-	var settledOnes []Entry
-	for _, e := range entries {
-		if e.ID != self && e.Age >= settled {
-			settledOnes = append(settledOnes, e)
-		}
-	}
-	entries = settledOnes
-	best := -1
-	for i, e := range entries {
-		if !Strong(e.Capacity, entries) {
-			continue
-		}
-		if best < 0 || e.Age < entries[best].Age {
-			best = i
-		}
-	}
-	if best < 0 {
+	able := slices.DeleteFunc(slices.Clone(entries), func(e Entry) bool { return e.ID == self || e.Age < settled })
+	if len(able) == 0 {
 		return Entry{}, false
 	}
-	return entries[best], true
+	least := strongPart * Strongest(able)
+	strong := slices.DeleteFunc(able, func(e Entry) bool { return e.Capacity < least })
+	return slices.MinFunc(strong, func(a, b Entry) int { return cmp.Compare(a.Age, b.Age) }), true
 }
 
 // Nearest returns the addresses of entries, those of domain first.
--- a/cfnode/relay.go
+++ b/cfnode/relay.go
@@ -119,9 +119,6 @@
 	return paths[:min(len(paths), relayMost)]
 }
 
-// restDoublings bounds the doublings of the pause.
-const restDoublings = 8
-
 func (r *relays) resting(now cf.Millis) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -167,6 +164,6 @@
 func (r *relays) failed(now cf.Millis) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.via, r.rest = "", now+min(relayRest<<min(r.failures, restDoublings), relayRestMost)
+	r.via, r.rest = "", now+relayRest.Doubled(r.failures, relayRestMost)
 	r.failures++
 }
--- a/cfreward/reward.go
+++ b/cfreward/reward.go
@@ -368,15 +368,12 @@
 			return GiveUp
 		}
 	case Lost:
-		c.rest = now + min(p.limits.RestFirst<<min(c.lost, restDoublings), p.limits.RestMost)
+		c.rest = now + p.limits.RestFirst.Doubled(c.lost, p.limits.RestMost)
 		c.lost++
 	}
 	return Again
 }
 
-// restDoublings bounds the doublings of a pause, whatever its first value.
-const restDoublings = 10
-
 func (p *Planner) end(c *Call) {
 	c.over = true
 	delete(p.calls, c.Item.ID)
@@ -418,7 +415,7 @@
 }
 
 func (p *Planner) pause(s *target, now cf.Millis) {
-	s.rest = now + min(p.limits.RestFirst<<min(s.misses, restDoublings), p.limits.RestMost)
+	s.rest = now + p.limits.RestFirst.Doubled(s.misses, p.limits.RestMost)
 	s.misses++
 }
 
--- a/cfrollout/place.go
+++ b/cfrollout/place.go
@@ -32,7 +32,7 @@
 	var out []*Work
 	typical := p.typical()
 	for _, o := range p.sorted() {
-		if o.paused {
+		if o.paused || len(o.waiting) == 0 {
 			continue
 		}
 		engines := p.share(o)
--- a/clock.go
+++ b/clock.go
@@ -25,6 +25,15 @@
 	}
 }
 
+// Doubled returns m doubled for each of times, up to most: the pause after so many
+// failures in a row.
+func (m Millis) Doubled(times int, most Millis) Millis {
+	for ; times > 0 && 0 < m && m < most; times-- {
+		m *= 2
+	}
+	return min(m, most)
+}
+
 // Uptime returns the span since the machine started. Unlike Go's monotonic
 // clock it goes on while the machine is suspended: a lease holder that slept
 // through its lease would otherwise believe itself still valid and act beside
--- a/systemtest/checks_test.go
+++ b/systemtest/checks_test.go
@@ -138,3 +138,30 @@
 	}
 	return out
 }
+
+// awaitRuns waits until all items of a batch have reached engines.
+func (s *site) awaitRuns(b batch) {
+	s.t.Helper()
+	eventually(s.t, "runs", func() bool { return len(s.runs()) == len(b.Items) })
+}
+
+// checkRunOnce checks that no item was generated twice.
+func (s *site) checkRunOnce() {
+	s.t.Helper()
+	for id, runs := range s.runs() {
+		if len(runs) != 1 {
+			s.t.Errorf("item %s reached engines %d times, want once", id, len(runs))
+		}
+	}
+}
+
+// checkResumed checks that each item's last run went on after at least so many
+// events.
+func (s *site) checkResumed(least int) {
+	s.t.Helper()
+	for id, runs := range s.runs() {
+		if last := runs[len(runs)-1]; last.From < least {
+			s.t.Errorf("item %s began again after event %d", id, last.From)
+		}
+	}
+}
--- a/systemtest/link_test.go
+++ b/systemtest/link_test.go
@@ -156,10 +156,6 @@
 	if s.coordinator() != c {
 		t.Error("the duty moved")
 	}
-	for id, runs := range s.runs() {
-		if len(runs) != 1 {
-			t.Errorf("item %s ran %d times", id, len(runs))
-		}
-	}
+	s.checkRunOnce()
 	c.storeLink.set(linkFaults{})
 }
--- a/systemtest/recovery_test.go
+++ b/systemtest/recovery_test.go
@@ -64,11 +64,7 @@
 	time.Sleep(1500 * time.Millisecond)
 	s.coordinator().kill()
 	s.readAll(b)
-	for id, runs := range s.runs() {
-		if last := runs[len(runs)-1]; last.From < 20 {
-			t.Errorf("item %s began again after event %d", id, last.From)
-		}
-	}
+	s.checkResumed(20)
 }
 
 // Symptom: two holders' orders reach one engine within the time that must lie
@@ -122,11 +118,7 @@
 	}
 	s.store.SetFaults(standin.StoreFaults{})
 	s.readAll(b)
-	for id, runs := range s.runs() {
-		if len(runs) != 1 {
-			t.Errorf("item %s ran %d times", id, len(runs))
-		}
-	}
+	s.checkRunOnce()
 }
 
 // Symptom: after the loss of all instances at once a step is late by all the time
@@ -141,11 +133,7 @@
 	eventually(t, "copies in the store", func() bool { return len(s.store.Names("currantford-texts-b1")) >= 2 })
 	s.restartAll()
 	s.readAll(b)
-	for id, runs := range s.runs() {
-		if last := runs[len(runs)-1]; last.From < 30 {
-			t.Errorf("item %s began again after event %d", id, last.From)
-		}
-	}
+	s.checkResumed(30)
 }
 
 // Symptom: on a site of unlike machines nine steps of ten are lost, though none of
--- a/systemtest/reward_test.go
+++ b/systemtest/reward_test.go
@@ -49,11 +49,7 @@
 	s.waitCoordinator(old.id)
 	s.plainFaults(standin.EngineFaults{})
 	s.readAll(b)
-	for id, runs := range s.runs() {
-		if len(runs) != 1 {
-			t.Errorf("item %s reached engines %d times, want once", id, len(runs))
-		}
-	}
+	s.checkRunOnce()
 }
 
 // Symptom: a step stands still because one of its reward calls always fails, or
@@ -108,7 +104,7 @@
 	s.plainFaults(standin.EngineFaults{Full: true})
 	b := scored(step("b1", "m0", 3, 4, 5))
 	s.accept(b)
-	eventually(t, "runs", func() bool { return len(s.runs()) == len(b.Items) })
+	s.awaitRuns(b)
 	eventually(t, "the end's answer", func() bool {
 		r, err := s.other().do(http.MethodDelete, "/currantford/lots/b1", "", nil)
 		return err == nil && r.status == http.StatusOK
@@ -135,7 +131,7 @@
 	s.plainFaults(standin.EngineFaults{Full: true})
 	b := scored(step("b1", "m0", 2, 4, 5))
 	s.accept(b)
-	eventually(t, "runs", func() bool { return len(s.runs()) == len(b.Items) })
+	s.awaitRuns(b)
 	time.Sleep(300 * time.Millisecond)
 	if r, err := s.coordinator().do(http.MethodDelete, "/currantford/lots/b1", "", nil); err != nil || r.status != http.StatusOK {
 		t.Fatalf("end: %v %v", r.status, err)
@@ -144,11 +140,7 @@
 	b.id = "b2"
 	s.accept(b)
 	s.readAll(b)
-	for id, runs := range s.runs() {
-		if len(runs) != 1 {
-			t.Errorf("item %s reached engines %d times, want once", id, len(runs))
-		}
-	}
+	s.checkRunOnce()
 }
 
 // Symptom: reward calls go to a service that the route has left, or stop.
@@ -172,7 +164,7 @@
 	time.Sleep(2 * time.Second)
 	b := scored(step("b1", "m0", 2, 4, 5))
 	s.accept(b)
-	eventually(t, "runs", func() bool { return len(s.runs()) == len(b.Items) })
+	s.awaitRuns(b)
 	time.Sleep(500 * time.Millisecond)
 	if n := len(s.rewards()); n != 0 {
 		t.Errorf("%d reward calls ran without a route", n)
