Large writes to the store do not wait for the object that comes back

Cause: the store answers a write with the object. Ruled out: the store's own time (4 ms), processor time (--no-cpu).

--- a/store.go
+++ b/store.go
@@ -38,6 +38,8 @@
 		// Watch returns the changes of kind after revision since, or none
 		// when wait has passed.
 		Watch(ctx context.Context, kind string, since Revision, wait Millis) (Records, error)
+		// Create writes a new object. Of a large one the record that it returns is
+		// empty.
 		Create(ctx context.Context, kind, name string, spec any) (Record, error)
 		// Replace writes spec if the object is still at rev.
 		Replace(ctx context.Context, kind, name string, rev Revision, spec any) (Record, error)
