Copies of texts go on from what arrived, in parts of half a megabyte

Cause: after each copy without an answer in 300 ms all texts under way were copied from their beginnings: counted on a coordinator with a link of 7.5 MB/s, 2 to 8 MB a second (3 of 4 s of a step), which keeps the link full and the next copy late. Texts in the store did the same after a failed write. Now a part that was not acknowledged goes again with what is new; the neighbour says which beginnings it lacks; a part is bounded, longest texts first. Tests: the two that call changedTexts and longTexts in a row now say that the part has arrived (it used to be assumed); their assertions are unchanged. TestCopiesWithoutAnAnswerAreNotBegunAnew: the old code sends 4.8 MB for each of five copies, the bound is 0.5 MB.

--- a/cfcoord/checkpoint.go
+++ b/cfcoord/checkpoint.go
@@ -25,8 +25,10 @@
 	// checkpointLeast is the least number of events that is worth it: a shorter
 	// text is generated again while the longer ones go on.
 	checkpointLeast = 30
-	// checkpointBytes keeps a part well under the store's value limit.
-	checkpointBytes = 600 << 10
+	// checkpointBytes bounds what is written at a time, and keeps each part well
+	// under the store's value limit. The store sends back what it is sent, so this
+	// is a seventh of a link of 60 Mbit/s each way.
+	checkpointBytes = 512 << 10
 	// textsListed bounds the read of one batch's texts at a takeover, which
 	// holds the takeover up.
 	textsListed = 1500 * time.Millisecond
@@ -58,8 +60,9 @@
 			name := fmt.Sprintf("%016d-%06d", term, n)
 			if _, err := c.Store.Create(c.ctx, cf.KindTexts(id), name, part); err != nil {
 				c.Log.Warn("texts_not_kept", zap.String("batch_id", string(id)), zap.Int("items", len(part.Texts)), cflog.Error(err))
-				copied.reset() // what follows a part that is missing is of no use
+				continue // it goes with the next part
 			}
+			copied.arrived(part.Texts, nil)
 		}
 	}
 }
@@ -69,26 +72,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := map[cf.BatchID]checkpoint{}
-	held := map[cf.ItemID]bool{}
-	size := map[cf.BatchID]int{}
-	c.eachText(func(batch cf.BatchID, id cf.ItemID, t *cfrollout.Text) {
-		held[id] = true
-		if st := c.batches[batch]; st == nil || st.batch.Ended || size[batch] > checkpointBytes {
-			return // the rest comes with the next part
-		}
-		next, news := copied.next(id, t)
-		if !news {
-			return
-		}
-		if _, known := out[batch]; !known {
-			out[batch] = checkpoint{Texts: map[cf.ItemID]cfrollout.Text{}}
-		}
-		out[batch].Texts[id] = next
-		for _, d := range next.Data {
-			size[batch] += len(d)
+	open := func(id cf.BatchID) bool {
+		st := c.batches[id]
+		return st != nil && !st.batch.Ended
+	}
+	parts, over := c.newTexts(copied, checkpointBytes, open)
+	copied.drop(over)
+	for _, p := range parts {
+		if _, known := out[p.batch]; !known {
+			out[p.batch] = checkpoint{Texts: map[cf.ItemID]cfrollout.Text{}}
 		}
-	})
-	copied.forget(held)
+		out[p.batch].Texts[p.id] = p.text
+	}
 	return out
 }
 
@@ -158,7 +153,7 @@
 		if err := json.Unmarshal(r.Spec, &part); err != nil {
 			return m.Texts, fmt.Errorf("%w: texts %s: %w", cf.ErrInvalid, r.Name, err)
 		}
-		m.Take(Mirror{Texts: part.Texts}, false)
+		m.Take(Mirror{Texts: part.Texts})
 	}
 	return m.Texts, nil
 }
--- a/cfcoord/checkpoint_test.go
+++ b/cfcoord/checkpoint_test.go
@@ -53,9 +53,11 @@
 		t.Error("a short text is stored")
 	}
 	w.Text = textOf(1, 0, 40)
-	if part := c.longTexts(copied)["b"].Texts["a"]; part.Last != 40 || !part.FromStart() {
+	first := c.longTexts(copied)["b"].Texts
+	if part := first["a"]; part.Last != 40 || !part.FromStart() {
 		t.Errorf("first part: %d events up to %d", len(part.Data), part.Last)
 	}
+	copied.arrived(first, nil)
 	w.Text = textOf(1, 0, 66)
 	if part := c.longTexts(copied)["b"].Texts["a"]; part.Last != 66 || len(part.Data) != 26 {
 		t.Errorf("second part: %d events up to %d", len(part.Data), part.Last)
--- a/cfcoord/mirror.go
+++ b/cfcoord/mirror.go
@@ -1,6 +1,8 @@
 package cfcoord
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	cf "currantford"
@@ -14,6 +16,13 @@
 	mirrorEvery = 400 * time.Millisecond
 	// mirrorLeast is the least number of events that is worth a copy.
 	mirrorLeast = 8
+	// mirrorBytes bounds one copy. A link of 60 Mbit/s carries it in 70 ms, so
+	// that copies take at most a sixth of it however much has been generated; the
+	// longest texts go first, as they cost most to generate again.
+	mirrorBytes = 512 << 10
+	// mirrorTries is how many copies in a row fail before they go elsewhere, where
+	// all texts are copied anew: one alone may have met a full link.
+	mirrorTries = 2
 )
 
 type (
@@ -26,8 +35,11 @@
 		Ended []cf.ItemID `cbor:"ended,omitempty"`
 	}
 
-	// copies is how much of which text was copied to one place, where texts
-	// of fewer than least events are not worth it.
+	// copies is how much of which text is known to lie at one place, where texts
+	// of fewer than least events are not worth it. What is sent and not
+	// acknowledged is sent again with the next part: to begin all texts anew after
+	// each part without an answer would send ten times as much over a link that
+	// is full already, and so keep it full.
 	copies struct {
 		least cf.EventID
 		texts map[cf.ItemID]copiedText
@@ -40,10 +52,21 @@
 		complete bool
 	}
 
-	// Neighbour takes copies of texts; it returns false when none was
-	// reached.
+	// textPart is what is to be copied of a text of a batch.
+	textPart struct {
+		batch cf.BatchID
+		id    cf.ItemID
+		text  cfrollout.Text
+	}
+
+	// Neighbour takes copies of texts.
 	Neighbour interface {
-		Copy(part Mirror, whole bool) bool
+		// Choose returns where copies go next, empty if there is nobody, and avoid
+		// only if there is nobody else.
+		Choose(avoid string) string
+		// Copy sends a part there. It returns the texts that the neighbour lacks
+		// the beginning of.
+		Copy(addr string, part Mirror) (missing []cf.ItemID, err error)
 	}
 )
 
@@ -52,42 +75,75 @@
 	ticker := time.NewTicker(mirrorEvery)
 	defer ticker.Stop()
 	copied := newCopies(mirrorLeast)
-	whole := true
+	at, failures := "", 0
 	for {
 		select {
 		case <-c.ctx.Done():
 			return
 		case <-ticker.C:
 		}
+		if at == "" || failures == mirrorTries {
+			before := at
+			if at, failures = c.Neighbour.Choose(before), 0; at != before {
+				copied.reset() // the new one holds nothing
+			}
+		}
+		if at == "" {
+			continue
+		}
 		part := c.changedTexts(copied)
 		if len(part.Texts)+len(part.Ended) == 0 {
 			continue
 		}
-		// After a failed copy the neighbour, or another one, has gaps.
-		whole = !c.Neighbour.Copy(part, whole)
-		if whole {
-			copied.reset()
+		missing, err := c.Neighbour.Copy(at, part)
+		if err != nil {
+			failures++
+			continue
 		}
+		failures = 0
+		copied.arrived(part.Texts, part.Ended)
+		copied.drop(missing)
 	}
 }
 
-// changedTexts returns the texts under way that grew since the last copy, and
-// notes them as copied. Each is sent from its beginning only once: later parts
-// hold what is new.
+// changedTexts returns the texts under way that grew since the last copy that
+// arrived, as far as they fit into one part.
 func (c *Coordinator) changedTexts(copied *copies) Mirror {
 	term, _ := c.Duty.MayOrder()
 	part := Mirror{Term: term, Texts: map[cf.ItemID]cfrollout.Text{}}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	parts, ended := c.newTexts(copied, mirrorBytes, func(cf.BatchID) bool { return true })
+	for _, p := range parts {
+		part.Texts[p.id] = p.text
+	}
+	part.Ended = ended
+	return part
+}
+
+// newTexts returns what is to be copied of the texts that have grown in the batches
+// wanted, the longest first, most bytes in all, and the copied texts that are over.
+// c.mu is held.
+func (c *Coordinator) newTexts(copied *copies, most int, wanted func(cf.BatchID) bool) (parts []textPart, ended []cf.ItemID) {
 	held := map[cf.ItemID]bool{}
-	c.eachText(func(_ cf.BatchID, id cf.ItemID, t *cfrollout.Text) {
+	c.eachText(func(batch cf.BatchID, id cf.ItemID, t *cfrollout.Text) {
 		held[id] = true
+		if !wanted(batch) {
+			return
+		}
 		if next, news := copied.next(id, t); news {
-			part.Texts[id] = next
+			parts = append(parts, textPart{batch, id, next})
 		}
 	})
-	part.Ended = copied.forget(held)
-	return part
+	slices.SortFunc(parts, func(a, b textPart) int { return cmp.Compare(b.text.Last, a.text.Last) })
+	size := 0
+	for i, p := range parts {
+		if size += p.text.Size(); i > 0 && size > most {
+			parts = parts[:i]
+			break
+		}
+	}
+	return parts, copied.over(held)
 }
 
 // eachText calls f for the texts of all items that run, or are complete and not
@@ -119,16 +175,30 @@
 	if t.Last < k.least || t.Last == from.last && t.Complete == from.complete {
 		return cfrollout.Text{}, false
 	}
-	k.texts[id] = copiedText{t.Origin, t.Last, t.Complete}
 	return t.After(from.last), true
 }
 
-// forget drops the texts that are not held any more, and returns them.
-func (k *copies) forget(held map[cf.ItemID]bool) []cf.ItemID {
+// arrived notes that the parts of texts have arrived, and word of those that are
+// over.
+func (k *copies) arrived(parts map[cf.ItemID]cfrollout.Text, over []cf.ItemID) {
+	for id, t := range parts {
+		k.texts[id] = copiedText{t.Origin, t.Last, t.Complete}
+	}
+	k.drop(over)
+}
+
+// drop makes texts be copied from their beginnings again.
+func (k *copies) drop(ids []cf.ItemID) {
+	for _, id := range ids {
+		delete(k.texts, id)
+	}
+}
+
+// over returns the copied texts that are not held any more.
+func (k *copies) over(held map[cf.ItemID]bool) []cf.ItemID {
 	var ended []cf.ItemID
 	for id := range k.texts {
 		if !held[id] {
-			delete(k.texts, id)
 			ended = append(ended, id)
 		}
 	}
@@ -149,24 +219,32 @@
 	return out
 }
 
-// Take adds a part to a mirror. A part that does not follow what is held, or
-// belongs to another term, replaces it.
-func (m *Mirror) Take(part Mirror, whole bool) {
-	if whole || m.Texts == nil || part.Term != m.Term {
+// Take adds a part to a mirror. A part of another term replaces what is held, and
+// so does a text from its beginning: a later holder of the duty may have resumed
+// it before the last event that is held. It returns the texts that the mirror
+// lacks the beginning of.
+func (m *Mirror) Take(part Mirror) (missing []cf.ItemID) {
+	if part.Term < m.Term {
+		return nil // of a holder before, held up on its way
+	}
+	if m.Texts == nil || part.Term != m.Term {
 		*m = Mirror{Term: part.Term, Texts: map[cf.ItemID]cfrollout.Text{}}
 	}
 	for _, id := range part.Ended {
 		delete(m.Texts, id)
 	}
 	for id, t := range part.Texts {
-		joined, ok := m.Texts[id].Join(t)
-		switch {
-		case ok:
-			m.Texts[id] = joined
-		case t.FromStart():
+		if t.FromStart() {
 			m.Texts[id] = t
-		default:
+			continue
+		}
+		joined, ok := m.Texts[id].Join(t)
+		if !ok {
 			delete(m.Texts, id)
+			missing = append(missing, id)
+			continue
 		}
+		m.Texts[id] = joined
 	}
+	return missing
 }
--- a/cfcoord/mirror_test.go
+++ b/cfcoord/mirror_test.go
@@ -1,6 +1,9 @@
 package cfcoord
 
 import (
+	"fmt"
+	"strings"
+	"sync"
 	"testing"
 
 	cf "currantford"
@@ -28,20 +31,20 @@
 // Cause guarded against: joining parts that do not follow each other.
 func TestMirrorKeepsNoTextWithAGap(t *testing.T) {
 	var m Mirror
-	m.Take(part(1, "a", text(0, 10)), true)
-	m.Take(part(1, "a", text(10, 15)), false)
+	m.Take(part(1, "a", text(0, 10)))
+	m.Take(part(1, "a", text(10, 15)))
 	if got := m.Texts["a"]; got.Last != 15 || !got.FromStart() {
 		t.Errorf("joined text ends at %d with %d events", got.Last, len(got.Data))
 	}
-	m.Take(part(1, "a", text(18, 20)), false)
+	m.Take(part(1, "a", text(18, 20)))
 	if _, ok := m.Texts["a"]; ok {
 		t.Error("a text with a gap is kept")
 	}
-	m.Take(part(1, "a", text(0, 22)), false)
+	m.Take(part(1, "a", text(0, 22)))
 	if got := m.Texts["a"]; got.Last != 22 {
 		t.Errorf("a whole text after the gap ends at %d, want 22", got.Last)
 	}
-	m.Take(part(2, "b", text(0, 9)), false)
+	m.Take(part(2, "b", text(0, 9)))
 	if _, ok := m.Texts["a"]; ok {
 		t.Error("a text of an earlier term is kept")
 	}
@@ -56,8 +59,8 @@
 // the earlier run's.
 func TestMirrorDoesNotJoinTwoRuns(t *testing.T) {
 	var m Mirror
-	m.Take(part(1, "a", textOf(1, 0, 40)), true)
-	m.Take(part(1, "a", textOf(2, 40, 45)), false)
+	m.Take(part(1, "a", textOf(1, 0, 40)))
+	m.Take(part(1, "a", textOf(2, 40, 45)))
 	if got, ok := m.Texts["a"]; ok {
 		t.Errorf("a text of two runs is kept: %d events", got.Last)
 	}
@@ -73,7 +76,7 @@
 	}
 	copied := newCopies(mirrorLeast)
 	write(40)
-	c.changedTexts(copied)
+	copied.arrived(c.changedTexts(copied).Texts, nil)
 	w.Text = cfrollout.Text{}
 	write(45)
 	if got := c.changedTexts(copied).Texts["a"]; !got.FromStart() {
@@ -98,15 +101,15 @@
 // written over the events of the new run.
 func TestLatePartDoesNotReachTheResumedText(t *testing.T) {
 	var m Mirror
-	m.Take(part(1, "a", text(0, 10)), true)
-	m.Take(part(1, "a", text(10, 14)), false)
+	m.Take(part(1, "a", text(0, 10)))
+	m.Take(part(1, "a", text(10, 14)))
 	p := cfrollout.New(cfrollout.DefaultLimits)
 	resumed := m.Snapshot()["a"]
 	p.Adopt(map[cf.ItemID]cfrollout.Text{"a": resumed})
 	if err := resumed.Append(cf.StreamEvent{ID: 15, Data: "new run", Version: 1}); err != nil {
 		t.Fatal(err)
 	}
-	m.Take(part(1, "a", text(14, 15)), false)
+	m.Take(part(1, "a", text(14, 15)))
 	if got := resumed.Data[14]; got != "new run" {
 		t.Errorf("event 15 of the resumed text is %q", got)
 	}
@@ -123,11 +126,15 @@
 	c.runs[w] = func() {}
 	copied := newCopies(mirrorLeast)
 	var m Mirror
-	m.Take(c.changedTexts(copied), true)
+	first := c.changedTexts(copied)
+	m.Take(first)
+	copied.arrived(first.Texts, nil)
 	delete(c.runs, w)
 	w.Text.Complete = true
 	c.finished["a"] = finishedText{"b", w.Text}
-	m.Take(c.changedTexts(copied), false)
+	second := c.changedTexts(copied)
+	m.Take(second)
+	copied.arrived(second.Texts, nil)
 	if got := m.Texts["a"]; !got.Complete || got.Last != 10 || !got.FromStart() {
 		t.Errorf("the copy of a complete text: complete %v, %d events up to %d", got.Complete, len(got.Data), got.Last)
 	}
@@ -146,3 +153,98 @@
 	c.batches[id] = st
 	return st
 }
+
+// slowNeighbour takes copies whose acknowledgements are lost while lost is set.
+type slowNeighbour struct {
+	mu     sync.Mutex
+	held   Mirror
+	lost   bool
+	copies int
+	bytes  int
+}
+
+func (n *slowNeighbour) Choose(string) string { return "neighbour" }
+
+func (n *slowNeighbour) Copy(_ string, part Mirror) ([]cf.ItemID, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.copies++
+	for _, t := range part.Texts {
+		n.bytes += t.Size()
+	}
+	missing := n.held.Take(part)
+	if n.lost {
+		return nil, cf.ErrUnavailable
+	}
+	return missing, nil
+}
+
+// Symptom: on instances with a link of 60 Mbit/s, steps take 10 s and more, and
+// renewals of the lease and chunks of results have no answer in time.
+// Sequence: a burst of texts makes one copy to the neighbour late; the link is busy
+// with it, so the next one is late as well, and so on for the rest of the step.
+// Cause: after each copy without an answer all texts were copied from their
+// beginnings, 2 to 8 MB a second over a link of 7.5.
+func TestCopiesWithoutAnAnswerAreNotBegunAnew(t *testing.T) {
+	n := &slowNeighbour{lost: true}
+	c := New(Options{Duty: held{}, Neighbour: n})
+	const texts, events, size = 200, 100, 240 // a step of four MB
+	for i := range texts {
+		w := &cfrollout.Work{Batch: cfbatch.New(cf.Submission{ID: "b"}), Item: cf.Item{ID: cf.ItemID(fmt.Sprint(i))}}
+		for e := range events {
+			if err := w.Text.Append(cf.StreamEvent{ID: cf.EventID(e + 1), Data: strings.Repeat("x", size), Version: 1}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		c.runs[w] = func() {}
+	}
+	copied := newCopies(mirrorLeast)
+	for range 5 {
+		part := c.changedTexts(copied)
+		if _, err := n.Copy("neighbour", part); err == nil {
+			copied.arrived(part.Texts, part.Ended)
+		}
+	}
+	if n.bytes > 5*mirrorBytes {
+		t.Errorf("5 copies without an answer sent %d bytes, want %d at most", n.bytes, 5*mirrorBytes)
+	}
+	n.lost = false
+	before := n.bytes
+	for range texts * events * size / (mirrorBytes / 2) {
+		part := c.changedTexts(copied)
+		missing, err := n.Copy("neighbour", part)
+		if err != nil {
+			t.Fatal(err)
+		}
+		copied.arrived(part.Texts, part.Ended)
+		copied.drop(missing)
+	}
+	if sent := n.bytes - before; sent > texts*events*size {
+		t.Errorf("%d bytes were sent of %d", sent, texts*events*size)
+	}
+	if len(n.held.Texts) != texts {
+		t.Errorf("the neighbour holds %d of %d texts", len(n.held.Texts), texts)
+	}
+}
+
+// Symptom: after the loss of a coordinator long texts begin anew though they were
+// copied.
+// Sequence: an acknowledgement is lost and the part is sent again with what is new;
+// or the neighbour has started again and holds nothing.
+// Cause guarded against: a part that overlaps what is held is dropped as one with a
+// gap; a neighbour that lacks a beginning does not say so.
+func TestMirrorTakesPartsAgainAndTellsWhatItLacks(t *testing.T) {
+	var m Mirror
+	m.Take(part(1, "a", text(0, 10)))
+	m.Take(part(1, "a", text(10, 15)))
+	if missing := m.Take(part(1, "a", text(10, 20))); len(missing) > 0 {
+		t.Errorf("a part that was sent again is said to be missing: %v", missing)
+	}
+	if got := m.Texts["a"]; got.Last != 20 || !got.FromStart() {
+		t.Errorf("joined text ends at %d with %d events", got.Last, len(got.Data))
+	}
+	var again Mirror // after a start
+	if missing := again.Take(part(1, "a", text(20, 25))); len(missing) != 1 || missing[0] != "a" {
+		t.Errorf("missing %v, want a", missing)
+	}
+}
--- a/cfnode/texts.go
+++ b/cfnode/texts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,46 +37,38 @@
 		Term cf.Revision `cbor:"term"`
 	}
 
-	// mirrorCall copies a part of the texts under way.
-	mirrorCall struct {
-		Part  cfcoord.Mirror `cbor:"part"`
-		Whole bool           `cbor:"whole"`
-	}
-
-	// mirrors is what this instance holds for others, and where its own
-	// copies go.
+	// mirrors is what this instance holds for others.
 	mirrors struct {
-		mu        sync.Mutex
-		held      cfcoord.Mirror
-		neighbour string
+		mu   sync.Mutex
+		held cfcoord.Mirror
 	}
 
 	// neighbour implements cfcoord.Neighbour.
 	neighbour struct{ n *Node }
 )
 
-// Copy sends a part to a neighbour, in the same failure domain where there is one
-// that can carry it: traffic within it costs nothing.
-func (b neighbour) Copy(part cfcoord.Mirror, whole bool) bool {
-	n := b.n
-	n.mirrors.mu.Lock()
-	if whole || n.mirrors.neighbour == "" {
-		n.mirrors.neighbour = n.chooseNeighbour()
+// Choose implements cfcoord.Neighbour: an instance of the same failure domain where
+// there is one that can carry it, since traffic within it costs nothing.
+func (b neighbour) Choose(avoid string) string {
+	if addr := b.n.chooseNeighbour(avoid); addr != "" {
+		return addr
 	}
-	addr := n.mirrors.neighbour
-	n.mirrors.mu.Unlock()
-	if addr == "" {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(n.ctx, textsTimeout.Duration())
+	return avoid
+}
+
+// Copy implements cfcoord.Neighbour.
+func (b neighbour) Copy(addr string, part cfcoord.Mirror) ([]cf.ItemID, error) {
+	ctx, cancel := context.WithTimeout(b.n.ctx, textsTimeout.Duration())
 	defer cancel()
-	var ok bool
-	return n.peers.Call(ctx, addr, opMirror, mirrorCall{part, whole}, &ok) == nil
+	var missing []cf.ItemID
+	err := b.n.peers.Call(ctx, addr, opMirror, part, &missing)
+	return missing, err
 }
 
-func (n *Node) chooseNeighbour() string {
+// chooseNeighbour returns the address of the instance for copies, other than avoid.
+func (n *Node) chooseNeighbour(avoid string) string {
 	best := ""
-	live := n.Live()
+	live := slices.DeleteFunc(n.Live(), func(e cfmember.Entry) bool { return e.Peers == avoid })
 	for _, e := range live {
 		if e.ID == n.settings.Entry || !cfmember.Strong(e.Capacity, live) {
 			continue
@@ -96,11 +89,10 @@
 	return best
 }
 
-func (n *Node) serveMirror(_ context.Context, call mirrorCall) (any, error) {
+func (n *Node) serveMirror(_ context.Context, part cfcoord.Mirror) (any, error) {
 	n.mirrors.mu.Lock()
 	defer n.mirrors.mu.Unlock()
-	n.mirrors.held.Take(call.Part, call.Whole)
-	return true, nil
+	return n.mirrors.held.Take(part), nil
 }
 
 // serveTexts answers a coordinator that takes over with what this instance
--- a/cfrollout/text.go
+++ b/cfrollout/text.go
@@ -34,17 +34,27 @@
 	}
 }
 
+// Size is the bytes of the events that t holds.
+func (t Text) Size() int {
+	size := 0
+	for _, d := range t.Data {
+		size += len(d)
+	}
+	return size
+}
+
 // FromStart says whether t holds every event up to its last.
 func (t Text) FromStart() bool { return len(t.Data) == int(t.Last) }
 
-// Join returns t with next after it, false when an event lies between them or
-// they belong to different runs.
+// Join returns t, which begins with its first event, with next after it; false
+// when an event lies between them or they belong to different runs. They may
+// overlap: a part whose acknowledgement was lost is sent again with what is new.
 func (t Text) Join(next Text) (Text, bool) {
 	first := next.Last - cf.EventID(len(next.Data))
-	if first != t.Last || next.Origin != t.Origin {
+	if first > t.Last || next.Last < t.Last || next.Origin != t.Origin {
 		return Text{}, false
 	}
-	next.Data = slices.Concat(t.Data, next.Data)
+	next.Data = slices.Concat(t.Data[:first], next.Data)
 	return next, true
 }
 
