Pages of results take a part of the coordinator's link; the rest is read from the store

Beyond 15% of the link the coordinator says where the results lie, and whoever was asked reads the chunks over its own link; while the store is away it gives them itself. Nothing changes where links have room (1,000 Mbit/s: 19 MB/s of pages).

--- a/cfbatch/batch.go
+++ b/cfbatch/batch.go
@@ -18,6 +18,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sort"
 
 	"github.com/rotisserie/eris"
@@ -36,6 +37,8 @@
 		index   map[cf.ItemID]int
 		listed  map[cf.ItemID]bool
 		results []cf.Result
+		// chunkOf is the number of the chunk that holds each result.
+		chunkOf []int
 		chunks  int
 		size    int
 		groups  map[cf.GroupID]int // items not yet listed
@@ -48,6 +51,15 @@
 	Chunk struct {
 		Results []cf.Result `json:"results"`
 	}
+
+	// Places is a page of results without the results: the items at its positions,
+	// and the chunks of the store that hold them.
+	Places struct {
+		Total  int         `cbor:"total"`
+		Next   int         `cbor:"next"`
+		Items  []cf.ItemID `cbor:"items"`
+		Chunks []string    `cbor:"chunks"`
+	}
 )
 
 // New returns a batch without results.
@@ -105,6 +117,7 @@
 		return
 	}
 	b.results = append(b.results, r)
+	b.chunkOf = append(b.chunkOf, b.chunks-1)
 	b.size += len(r.Output)
 	b.listed[r.ID] = true
 	g := b.Sub.Items[i].Group
@@ -114,7 +127,9 @@
 }
 
 // NextChunk is the name of the chunk to create next.
-func (b *Batch) NextChunk() string { return fmt.Sprintf("%06d", b.chunks) }
+func (b *Batch) NextChunk() string { return chunkName(b.chunks) }
+
+func chunkName(n int) string { return fmt.Sprintf("%06d", n) }
 
 // Listed says whether an item has its position.
 func (b *Batch) Listed(id cf.ItemID) bool { return b.listed[id] }
@@ -192,3 +207,39 @@
 	p.Next += len(p.Results)
 	return p
 }
+
+// Places says where the results of a page that Page returned for the same position
+// lie in the store.
+func (b *Batch) Places(after int, p cf.ResultPage) Places {
+	out := Places{Total: p.Total, Next: p.Next}
+	first := max(after, 0)
+	for i, r := range p.Results {
+		out.Items = append(out.Items, r.ID)
+		if name := chunkName(b.chunkOf[first+i]); !slices.Contains(out.Chunks, name) {
+			out.Chunks = append(out.Chunks, name)
+		}
+	}
+	return out
+}
+
+// Page puts a page together from the chunks that Places names; false if a result is
+// not in them.
+func (p Places) Page(chunks []Chunk) (cf.ResultPage, bool) {
+	found := map[cf.ItemID]cf.Result{}
+	for _, c := range chunks {
+		for _, r := range c.Results {
+			if _, known := found[r.ID]; !known { // the first one has the position
+				found[r.ID] = r
+			}
+		}
+	}
+	page := cf.ResultPage{Total: p.Total, Next: p.Next}
+	for _, id := range p.Items {
+		r, known := found[id]
+		if !known {
+			return cf.ResultPage{}, false
+		}
+		page.Results = append(page.Results, r)
+	}
+	return page, true
+}
--- a/cfbatch/batch_test.go
+++ b/cfbatch/batch_test.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"reflect"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -243,3 +245,41 @@
 		t.Errorf("a chunk of %d bytes, %v", len(raw), err)
 	}
 }
+
+// Symptom: a page that was read from the chunks differs from one that the
+// coordinator gave.
+// Sequence: two executors list the same item; the second position counts for
+// nothing; a page begins in the middle of a chunk.
+func TestPagesFromChunksAreThoseOfTheBatch(t *testing.T) {
+	sub := submission(6, 1)
+	b := cfbatch.New(sub)
+	var chunks []cfbatch.Chunk
+	for _, items := range [][]int{{0, 1}, {1, 2}, {3, 4, 5}} {
+		var c cfbatch.Chunk
+		for n, i := range items {
+			r := done(sub.Items[i].ID)
+			r.Output = fmt.Sprintf("%d listed as number %d of its chunk", i, n)
+			c.Results = append(c.Results, r)
+		}
+		b.Apply(b.NextChunk(), c.Results)
+		chunks = append(chunks, c)
+	}
+	for after := range 7 {
+		want := b.Page(after)
+		places := b.Places(after, want)
+		var read []cfbatch.Chunk
+		for _, name := range places.Chunks {
+			n, err := strconv.Atoi(name)
+			if err != nil {
+				t.Fatal(err)
+			}
+			read = append(read, chunks[n])
+		}
+		if got, ok := places.Page(read); !ok || !reflect.DeepEqual(got, want) {
+			t.Errorf("after %d: %+v, want %+v", after, got, want)
+		}
+		if _, ok := places.Page(nil); ok != (len(want.Results) == 0) {
+			t.Errorf("after %d: a page without its chunks is taken as whole", after)
+		}
+	}
+}
--- /dev/null
+++ b/cfcoord/budget.go
@@ -0,0 +1,58 @@
+package cfcoord
+
+import (
+	"sync"
+
+	cf "currantford"
+)
+
+const (
+	// pagesPart is the part of its machine's link that a coordinator spends on
+	// pages of results for other instances. The load it answers: a step of 1.2 MB
+	// is read by its trainer and by others, from any position and some twice, just
+	// when the next step is under way; on a link of 60 Mbit/s pages took 2.9 of
+	// 7.5 MB a second, and renewals and chunks waited behind them.
+	pagesPart = 0.15
+	// pagesSpan is how long the link's part may be saved up, so that a lone reader
+	// gets its page at once.
+	pagesSpan cf.Millis = 1000
+	// pagesLeast is the size from which on a page is worth reading elsewhere: a
+	// smaller one takes the link for less time than a call to the store.
+	pagesLeast = 32 << 10
+	// bytesPerMbit is how many bytes a link of one Mbit/s carries in a millisecond.
+	bytesPerMbit = 125
+)
+
+// LinkBudget says which pages of results may pass a coordinator's link. What does
+// not fit is read from the store by whoever asked, over its own link. It is safe for
+// concurrent use; one without a rate lets everything pass.
+type LinkBudget struct {
+	mu    sync.Mutex
+	rate  float64 // bytes a millisecond, zero if there is no bound
+	saved float64
+	at    cf.Millis
+}
+
+// NewLinkBudget returns the budget of a machine with a link of mbps Mbit/s, zero if
+// that is not known.
+func NewLinkBudget(mbps float64) *LinkBudget {
+	rate := mbps * bytesPerMbit * pagesPart
+	return &LinkBudget{rate: rate, saved: rate * float64(pagesSpan)}
+}
+
+// Spend says whether a page may pass now, and counts it if so.
+func (b *LinkBudget) Spend(bytes int, now cf.Millis) bool {
+	if b.rate == 0 || bytes < pagesLeast {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	most := b.rate * float64(pagesSpan)
+	b.saved = min(most, b.saved+b.rate*float64(now-b.at))
+	b.at = now
+	if b.saved <= 0 {
+		return false
+	}
+	b.saved -= float64(bytes) // a page larger than what is saved is made up for by later ones
+	return true
+}
--- /dev/null
+++ b/cfcoord/budget_test.go
@@ -0,0 +1,38 @@
+package cfcoord
+
+import (
+	"testing"
+
+	cf "currantford"
+)
+
+// Symptom: a coordinator on a link of 60 Mbit/s loses its lease's renewals while
+// steps are read.
+// Sequence: two steps of 1.2 MB are listed within a second; each is read by its
+// trainer and by two others, in pages of 700 KB.
+// Cause guarded against: all pages pass the coordinator's link, 5 MB in a second.
+func TestPagesTakeAPartOfTheLinkOnly(t *testing.T) {
+	const page, mbps = 700 << 10, 60
+	b := NewLinkBudget(mbps)
+	passed := 0
+	for now := cf.Millis(0); now < 10000; now += 125 { // eight reads a second
+		if b.Spend(page, now) {
+			passed += page
+		}
+	}
+	if most := 11*mbps*bytesPerMbit*1000*pagesPart + page; float64(passed) > most {
+		t.Errorf("%d bytes of pages passed in 10 s, want %.0f at most", passed, most)
+	}
+	if passed < 8*page {
+		t.Errorf("%d bytes of pages passed in 10 s: less than the link has room for", passed)
+	}
+	if !b.Spend(pagesLeast-1, 10000) {
+		t.Error("a small page is turned away")
+	}
+	if lone := NewLinkBudget(mbps); !lone.Spend(page, 0) {
+		t.Error("a lone reader's page is turned away")
+	}
+	if free := NewLinkBudget(0); !free.Spend(100*page, 0) || !free.Spend(100*page, 0) {
+		t.Error("a link without a bound turns a page away")
+	}
+}
--- a/cfcoord/coordinator.go
+++ b/cfcoord/coordinator.go
@@ -73,9 +73,11 @@
 		KeepResults cf.Millis
 		// Neighbour takes copies of the texts under way.
 		Neighbour Neighbour
-		Metrics   *Metrics
-		Log       *zap.Logger
-		Policy    Policy
+		// Pages is what the link may carry of pages of results; nil is no bound.
+		Pages   *LinkBudget
+		Metrics *Metrics
+		Log     *zap.Logger
+		Policy  Policy
 	}
 
 	// Coordinator runs batches while its instance has the duty. It is safe
--- a/cfcoord/reads.go
+++ b/cfcoord/reads.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
+	"currantford/cfbatch"
 )
 
 const (
@@ -91,6 +92,31 @@
 	}
 }
 
+// ReadFor reads a batch for another instance: the page, or where its results lie
+// in the store if this instance's link has no room for them. whole asks for the page
+// in any case.
+func (c *Coordinator) ReadFor(ctx context.Context, id cf.BatchID, after int, wait cf.Millis, whole bool) (cf.ResultPage, *cfbatch.Places, error) {
+	page, err := c.Results(ctx, id, after, wait)
+	if err != nil {
+		return page, nil, err
+	}
+	size := 0
+	for _, r := range page.Results {
+		size += len(r.Output)
+	}
+	if c.Pages == nil || c.Pages.Spend(size, cf.Uptime()) || whole {
+		return page, nil, nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	st := c.batches[id]
+	if st == nil {
+		return page, nil, nil // dropped from memory meanwhile
+	}
+	places := st.batch.Places(after, page)
+	return cf.ResultPage{}, &places, nil
+}
+
 // ItemBody returns the body of an item of an open batch.
 func (c *Coordinator) ItemBody(id cf.BatchID, item cf.ItemID) ([]byte, error) {
 	c.mu.Lock()
--- a/cfnode/node.go
+++ b/cfnode/node.go
@@ -81,6 +81,7 @@
 		texts   atomic.Pointer[map[cf.ItemID]cfrollout.Text]
 		mirrors mirrors
 		relays  relays
+		pages   *cfcoord.LinkBudget
 
 		memberMu sync.Mutex
 		members  cfmember.Table
@@ -108,7 +109,7 @@
 	n := &Node{
 		settings: s, adapter: a, log: log, site: cfsite.New(a.Codec), metrics: cfcoord.NewMetrics(reg),
 		peers: cfpeer.NewClient(), peerSrv: cfpeer.NewServer(), ctx: ctx, cancel: cancel,
-		started: cf.Uptime(), candidateDone: make(chan struct{}),
+		started: cf.Uptime(), candidateDone: make(chan struct{}), pages: cfcoord.NewLinkBudget(s.Machine.LinkMbps),
 	}
 	n.candidacy, n.endCandidacy = context.WithCancel(ctx)
 	bounds := cflease.DefaultBounds
@@ -303,7 +304,7 @@
 	c := cfcoord.New(cfcoord.Options{
 		Self: n.settings.Entry, Store: n.adapter.Store, Targets: n.adapter.Targets, Site: n.site, Codec: n.adapter.Codec,
 		Duty: n.candidate, KeepResults: cf.Millis(n.settings.Bounds.KeepResultsS * 1000), Neighbour: neighbour{n}, Metrics: n.metrics, Log: n.log,
-		Policy: n.settings.Policy.Policy,
+		Pages: n.pages, Policy: n.settings.Policy.Policy,
 	})
 	n.coord.Store(c)
 	c.Start(func(ctx context.Context) map[cf.ItemID]cfrollout.Text { return n.gatherTexts(ctx, before, members) })
--- a/cfnode/reads.go
+++ b/cfnode/reads.go
@@ -2,9 +2,17 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	cf "currantford"
+	"currantford/cfbatch"
 	"currantford/cfcoord"
+	"currantford/cflog"
 )
 
 // readGrace is what a read at the coordinator may take beyond its wait before
@@ -16,6 +24,14 @@
 		Batch cf.BatchID `cbor:"batch"`
 		After int        `cbor:"after"`
 		Wait  cf.Millis  `cbor:"wait"`
+		// Whole asks for the results themselves in any case.
+		Whole bool `cbor:"whole,omitempty"`
+	}
+
+	// resultsAnswer is a page, or where its results lie in the store.
+	resultsAnswer struct {
+		Page   cf.ResultPage   `cbor:"page"`
+		Places *cfbatch.Places `cbor:"places,omitempty"`
 	}
 
 	itemCall struct {
@@ -46,9 +62,47 @@
 	if c := r.n.coord.Load(); c != nil {
 		return c.Results(ctx, id, after, wait)
 	}
-	var page cf.ResultPage
-	err := r.n.ask(ctx, opResults, wait+readGrace, resultsCall{id, after, wait}, &page)
-	return page, err
+	var a resultsAnswer
+	call := resultsCall{Batch: id, After: after, Wait: wait}
+	if err := r.n.ask(ctx, opResults, wait+readGrace, call, &a); err != nil || a.Places == nil {
+		return a.Page, err
+	}
+	page, err := r.n.readPlaces(ctx, id, *a.Places)
+	r.n.log.Info("results_read_apart", zap.String("batch_id", string(id)), zap.Int("after", after), zap.Int("next", a.Places.Next),
+		zap.Strings("chunks", a.Places.Chunks), cflog.Error(err))
+	if err == nil {
+		return page, nil
+	}
+	// What is listed is given also while the store is away.
+	call.Wait, call.Whole = 0, true
+	a = resultsAnswer{}
+	err = r.n.ask(ctx, opResults, readGrace, call, &a)
+	return a.Page, err
+}
+
+// readPlaces reads a page of results from the store.
+func (n *Node) readPlaces(ctx context.Context, id cf.BatchID, places cfbatch.Places) (cf.ResultPage, error) {
+	chunks := make([]cfbatch.Chunk, len(places.Chunks))
+	errs := make([]error, len(places.Chunks))
+	var wg sync.WaitGroup
+	for i, name := range places.Chunks {
+		wg.Go(func() {
+			r, err := n.adapter.Store.Get(ctx, cf.KindResults(id), name)
+			if err == nil {
+				err = json.Unmarshal(r.Spec, &chunks[i])
+			}
+			errs[i] = err
+		})
+	}
+	wg.Wait()
+	if err := errors.Join(errs...); err != nil {
+		return cf.ResultPage{}, err
+	}
+	page, ok := places.Page(chunks)
+	if !ok {
+		return page, eris.Wrapf(cf.ErrInvalid, "chunks %v of batch %s lack a listed item", places.Chunks, id)
+	}
+	return page, nil
 }
 
 // ItemBody implements cfingress.Coordinator.
@@ -119,7 +173,8 @@
 }
 
 func (n *Node) serveResults(ctx context.Context, c *cfcoord.Coordinator, call resultsCall) (any, error) {
-	return c.Results(ctx, call.Batch, call.After, call.Wait)
+	page, places, err := c.ReadFor(ctx, call.Batch, call.After, call.Wait, call.Whole)
+	return resultsAnswer{page, places}, err
 }
 
 func (n *Node) serveItem(_ context.Context, c *cfcoord.Coordinator, call itemCall) (any, error) {
--- a/systemtest/site_test.go
+++ b/systemtest/site_test.go
@@ -72,6 +72,8 @@
 		links bool
 		// cores are the entries' shares of a core, as many as differ from 1.
 		cores []float64
+		// linkMbps is the rate that the entries are told of their links.
+		linkMbps float64
 		// policy turns decisions of the entries off.
 		policy map[string]any
 		load   time.Duration
@@ -94,6 +96,7 @@
 		links      bool
 		policy     map[string]any
 		cores      []float64
+		linkMbps   float64
 	}
 
 	// entry is one process.
@@ -180,7 +183,7 @@
 	if o.valueBytes == 0 {
 		o.valueBytes = 1 << 20
 	}
-	s := &site{t: t, store: standin.NewStore(), valueBytes: o.valueBytes, links: o.links, policy: o.policy, cores: o.cores}
+	s := &site{t: t, store: standin.NewStore(), valueBytes: o.valueBytes, links: o.links, policy: o.policy, cores: o.cores, linkMbps: o.linkMbps}
 	s.addr = listen(t, s.store)
 	for i := range o.engines {
 		s.engines = append(s.engines, s.target(fmt.Sprintf("i-engine-%d", i), service, o.models, o))
@@ -237,6 +240,9 @@
 	if i < len(s.cores) {
 		machine["cpu_share"] = s.cores[i]
 	}
+	if s.linkMbps > 0 {
+		machine["link_mbps"] = s.linkMbps
+	}
 	raw, err := json.Marshal(map[string]any{
 		"machine": machine, "entry": e.id, "failure_domain": fmt.Sprintf("domain-%c", 'a'+i%2),
 		"listen": map[string]any{"callers": e.callers, "ready": e.ready, "directory": e.names, "peers": freeAddr(s.t)},
