Weak instances divide the streams of a coordinator's runs

Others hold the streams now, near their engines, and report three to seven times a second; the coordinator decides as before (cfrunner). Where one instance can carry all runs, 500 a core, nothing changes. Weighed on paper: one duty a model (does not help two models on weak instances, and needs handovers of engines between holders); the mirror as the place of texts (kept: the neighbour's copies are what a successor finds).

--- a/cfcoord/coordinator.go
+++ b/cfcoord/coordinator.go
@@ -60,11 +60,26 @@
 		Ordered()
 	}
 
+	// Streams runs items at targets, here or at other instances.
+	Streams interface {
+		Stream(ctx context.Context, t cf.Target, call cf.TargetCall, sink cf.StreamSink) (cf.TargetAnswer, error)
+		// Via names the instance that holds a target's streams.
+		Via(t cf.InstanceID) cf.EntryID
+	}
+
+	// ownStreams are streams that this instance holds itself.
+	ownStreams struct {
+		cf.Targets
+		self cf.EntryID
+	}
+
 	// Options are what a coordinator works with.
 	Options struct {
 		Self    cf.EntryID
 		Store   cf.Store
 		Targets cf.Targets
+		// Streams holds the streams of runs; those of Targets if it is nil.
+		Streams Streams
 		Site    *cfsite.Site
 		Codec   cfsite.Codec
 		Duty    Duty
@@ -167,6 +182,9 @@
 func New(o Options) *Coordinator {
 	ctx, cancel := context.WithCancel(context.Background())
 	limits := cfrollout.DefaultLimits
+	if o.Streams == nil {
+		o.Streams = ownStreams{o.Targets, o.Self}
+	}
 	limits.LongOnSlow, limits.SwapWhenIdle = o.Policy.LongOnSlow, o.Policy.SwapWhenIdle
 	return &Coordinator{
 		Options: o, ctx: ctx, cancel: cancel, kick: make(chan struct{}, 1),
@@ -179,6 +197,9 @@
 	}
 }
 
+// Via implements Streams.
+func (s ownStreams) Via(cf.InstanceID) cf.EntryID { return s.self }
+
 // Start begins the duty: it loads the batches and runs what is open. gather
 // returns the texts of the coordinator before; it runs beside the reading of the
 // batches, and nothing is run before both are done.
--- a/cfcoord/runs.go
+++ b/cfcoord/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -42,7 +43,7 @@
 	c.runs[w] = cancel
 	item, host, version := w.Item, w.Batch.Sub.Host, w.Version
 	c.Log.Info("item_placed", zap.String("request_id", string(item.ID)), zap.String("batch_id", string(w.Batch.Sub.ID)),
-		zap.String("target", string(e.ID)), zap.Int64("version", int64(version)), zap.Int64("resume_after", int64(w.Text.Last)),
+		zap.String("target", string(e.ID)), zap.String("via", string(c.Streams.Via(e.ID))), zap.Int64("version", int64(version)), zap.Int64("resume_after", int64(w.Text.Last)),
 		zap.Int("failures", w.Failures), zap.Int("running_there", e.Running), zap.Float64("event_ms_there", e.Pace()))
 	c.wg.Go(func() {
 		defer cancel()
@@ -97,9 +98,16 @@
 
 func (k collector) Start(cf.TargetAnswer) error { return nil }
 
+// Seen implements cf.SeenSink.
+func (k collector) Seen(at cf.Millis) { k.work.Progress.Seen(at) }
+
 func (k collector) Event(ev cf.StreamEvent) error {
 	k.watchdog.Reset(stall)
-	k.work.Progress.Note(cf.Uptime())
+	at := ev.At
+	if at == 0 {
+		at = cf.Uptime()
+	}
+	k.work.Progress.Note(at)
 	k.work.Mu.Lock()
 	defer k.work.Mu.Unlock()
 	return k.work.Text.Append(ev)
@@ -116,7 +124,7 @@
 	for k, v := range item.Headers {
 		header.Set(k, v)
 	}
-	answer, err := c.Targets.Stream(ctx, t, cf.TargetCall{
+	answer, err := c.Streams.Stream(ctx, t, cf.TargetCall{
 		ID: cf.RequestID(item.ID), Method: http.MethodPost, Host: host, Path: item.Path, Header: header, Body: item.Body,
 		Urgency: itemUrgency, Ranked: true, Timeout: runTimeout, ResumeAfter: w.Text.Last, ExpectVersion: version,
 	}, collector{w, watchdog})
@@ -129,6 +137,9 @@
 // classify maps what came of a run to what the planner knows.
 func classify(answer cf.TargetAnswer, err error) (cfrollout.Outcome, string) {
 	switch {
+	case errors.Is(err, cf.ErrUnavailable):
+		// The instance that held the stream is lost, not the target.
+		return cfrollout.OutcomeStopped, err.Error()
 	case err != nil:
 		return cfrollout.OutcomeBroken, err.Error()
 	case answer.NotRun:
--- a/cfnode/node.go
+++ b/cfnode/node.go
@@ -16,6 +16,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,7 @@
 	"currantford/cfmember"
 	"currantford/cfpeer"
 	"currantford/cfrollout"
+	"currantford/cfrunner"
 	"currantford/cfsite"
 	"currantford/cfwatch"
 )
@@ -82,6 +84,10 @@
 		mirrors mirrors
 		relays  relays
 		pages   *cfcoord.LinkBudget
+		// host holds streams for the coordinator, pool this instance's own runs
+		// while it is the coordinator.
+		host *cfrunner.Host
+		pool atomic.Pointer[cfrunner.Pool]
 
 		memberMu sync.Mutex
 		members  cfmember.Table
@@ -110,6 +116,7 @@
 		settings: s, adapter: a, log: log, site: cfsite.New(a.Codec), metrics: cfcoord.NewMetrics(reg),
 		peers: cfpeer.NewClient(), peerSrv: cfpeer.NewServer(), ctx: ctx, cancel: cancel,
 		started: cf.Uptime(), candidateDone: make(chan struct{}), pages: cfcoord.NewLinkBudget(s.Machine.LinkMbps),
+		host: cfrunner.NewHost(a.Targets, log),
 	}
 	n.candidacy, n.endCandidacy = context.WithCancel(ctx)
 	bounds := cflease.DefaultBounds
@@ -136,6 +143,8 @@
 		return true, nil
 	})
 	n.peerSrv.Handle(opMirror, decoded(n.serveMirror))
+	n.peerSrv.Handle(cfrunner.OpOrders, decoded(func(ctx context.Context, o cfrunner.Orders) (any, error) { return n.host.Orders(ctx, o) }))
+	n.peerSrv.Handle(cfrunner.OpCollect, decoded(func(ctx context.Context, c cfrunner.Collect) (any, error) { return n.host.Collect(ctx, c) }))
 	n.peerSrv.Handle(opStore, func(ctx context.Context, body cbor.RawMessage) (any, error) { return a.Relay.Relayed(ctx, body) })
 	a.Relay.SetRelay(n.relay)
 	return n
@@ -237,6 +246,7 @@
 	if w := n.watching.Load(); w != nil {
 		w.close()
 	}
+	_ = n.host.Close()
 	_ = n.peers.Close()
 	return n.peerSrv.Close()
 }
@@ -301,8 +311,10 @@
 	n.feed.mu.Unlock()
 	n.members.Adopt(members, cf.Uptime())
 	n.memberMu.Unlock()
+	pool := n.newPool()
+	n.pool.Store(pool)
 	c := cfcoord.New(cfcoord.Options{
-		Self: n.settings.Entry, Store: n.adapter.Store, Targets: n.adapter.Targets, Site: n.site, Codec: n.adapter.Codec,
+		Self: n.settings.Entry, Store: n.adapter.Store, Targets: n.adapter.Targets, Streams: pool, Site: n.site, Codec: n.adapter.Codec,
 		Duty: n.candidate, KeepResults: cf.Millis(n.settings.Bounds.KeepResultsS * 1000), Neighbour: neighbour{n}, Metrics: n.metrics, Log: n.log,
 		Pages: n.pages, Policy: n.settings.Policy.Policy,
 	})
@@ -310,8 +322,26 @@
 	c.Start(func(ctx context.Context) map[cf.ItemID]cfrollout.Text { return n.gatherTexts(ctx, before, members) })
 }
 
+// newPool returns the pool for a duty that begins.
+func (n *Node) newPool() *cfrunner.Pool {
+	term, _ := n.candidate.MayOrder()
+	o := cfrunner.Options{
+		Self: n.self(), Term: term, Local: n.adapter.Targets, Peers: n.peers, Members: n.Live, Log: n.log,
+		Engines: func() []cf.Target {
+			return slices.DeleteFunc(slices.Clone(n.site.Targets()), func(t cf.Target) bool { return len(t.Models) == 0 })
+		},
+	}
+	if n.settings.Policy.NoRunners {
+		o.Members = func() []cfmember.Entry { return nil }
+	}
+	return cfrunner.NewPool(o)
+}
+
 func (n *Node) endDuty() {
 	if c := n.coord.Swap(nil); c != nil {
+		pool := n.pool.Swap(nil)
+		pool.Hurry()
+		defer pool.Close()
 		// What the coordinator before told is as old as this duty.
 		members, _ := n.memberList()
 		n.feed.mu.Lock()
--- a/cfnode/settings.go
+++ b/cfnode/settings.go
@@ -38,6 +38,8 @@
 		NoPreparing bool `json:"no_preparing"`
 		// DutyAnywhere leaves the coordinator's duty to whoever takes it.
 		DutyAnywhere bool `json:"duty_anywhere"`
+		// NoRunners leaves all streams of runs to the coordinator.
+		NoRunners bool `json:"no_runners"`
 	}
 
 	// Listen holds the addresses to serve at, IP:PORT each. An empty one is
--- a/cfnode/texts.go
+++ b/cfnode/texts.go
@@ -100,6 +100,7 @@
 // that did not know of its successor yet stops its runs first.
 func (n *Node) serveTexts(_ context.Context, call textsCall) (any, error) {
 	n.candidate.depose(call.Term)
+	n.host.Fence(call.Term)
 	for waited := time.Duration(0); n.coord.Load() != nil; waited += watchTick / 4 {
 		if waited >= deposeWait {
 			return nil, cf.ErrConflict
--- a/cfrollout/pace.go
+++ b/cfrollout/pace.go
@@ -48,6 +48,9 @@
 	last   atomic.Int64
 	events atomic.Int64
 	gap    atomic.Int64 // smoothed time between events, in microseconds
+	// seen is the time until which all events are known, zero where each is
+	// noted as it comes.
+	seen atomic.Int64
 }
 
 // Note records an event at now. One goroutine at a time calls it.
@@ -63,8 +66,13 @@
 	p.events.Add(1)
 }
 
+// Seen records that all events until at are known. An engine that merely has not
+// been heard of for a while is not taken for one that has stopped sending.
+func (p *Progress) Seen(at cf.Millis) { p.seen.Store(int64(at)) }
+
 // reset forgets the run before.
 func (p *Progress) reset() {
+	p.seen.Store(0)
 	p.first.Store(0)
 	p.last.Store(0)
 	p.events.Store(0)
@@ -79,6 +87,9 @@
 		return 0, false
 	}
 	pace := float64(p.gap.Load()) / 1000
+	if seen := cf.Millis(p.seen.Load()); seen > 0 {
+		now = min(now, seen)
+	}
 	if silent := float64(now - cf.Millis(p.last.Load())); silent > 3*pace {
 		pace += gapWeight * (silent - pace) // as if the next event came now
 	}
--- /dev/null
+++ b/cfrunner/assign.go
@@ -0,0 +1,106 @@
+package cfrunner
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+
+	cf "currantford"
+	"currantford/cfmember"
+)
+
+const (
+	// ownPerCore is how many runs a coordinator of one core holds itself. A run
+	// brings some 25 events a second of 25 us each, so these take a third of the
+	// core. The load it answers: 198 runs of two steps at a coordinator of a fifth
+	// of a core, which then handles events, renewals and acceptances seconds late.
+	ownPerCore = 500
+	// heldPerCore is the same of another instance, which serves callers and may be
+	// the next coordinator: an eighth of its core.
+	heldPerCore = 200
+)
+
+// Plan says which instance holds the streams of which engine; those of an engine
+// that is not in it stay with the coordinator.
+type Plan map[cf.InstanceID]cfmember.Entry
+
+// Assign divides the engines among the instances, if they may run more at once than
+// the coordinator, self, can hold. As few instances as can carry it are taken, each
+// near its engines, the strong ones first; which ones changes little as instances
+// come and go.
+func Assign(engines []cf.Target, members []cfmember.Entry, self cfmember.Entry) Plan {
+	members = slices.DeleteFunc(slices.Clone(members), func(e cfmember.Entry) bool { return e.ID == self.ID })
+	if len(members) == 0 || float64(slots(engines)) <= ownPerCore*self.Capacity {
+		return nil
+	}
+	near := map[cf.FailureDomain][]cfmember.Entry{}
+	for _, e := range members {
+		near[e.Domain] = append(near[e.Domain], e)
+	}
+	// Engines of a failure domain without instances go to those of any.
+	at := map[cf.FailureDomain][]cf.Target{}
+	for _, t := range engines {
+		d := t.Domain
+		if len(near[d]) == 0 {
+			d = ""
+		}
+		at[d] = append(at[d], t)
+	}
+	near[""] = members
+	plan := Plan{}
+	for d, ts := range at {
+		plan.divide(ts, near[d])
+	}
+	return plan
+}
+
+// divide gives engines to the first instances, in the order of their weight, that
+// can carry them together.
+func (p Plan) divide(engines []cf.Target, members []cfmember.Entry) {
+	order := slices.Clone(members)
+	slices.SortFunc(order, func(a, b cfmember.Entry) int {
+		strongA, strongB := cfmember.Strong(a.Capacity, members), cfmember.Strong(b.Capacity, members)
+		if strongA != strongB {
+			if strongA {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(weight("", a.ID), weight("", b.ID))
+	})
+	need, taken := float64(slots(engines)), 0
+	for need > 0 && taken < len(order) {
+		need -= heldPerCore * order[taken].Capacity
+		taken++
+	}
+	order = order[:taken]
+	room := map[cf.EntryID]float64{}
+	for _, e := range order {
+		room[e.ID] = heldPerCore * e.Capacity
+	}
+	for _, t := range engines {
+		e := slices.MaxFunc(order, func(a, b cfmember.Entry) int {
+			if fitsA, fitsB := room[a.ID] >= float64(t.Slots), room[b.ID] >= float64(t.Slots); !fitsA || !fitsB {
+				return cmp.Compare(room[a.ID], room[b.ID])
+			}
+			return cmp.Compare(weight(t.ID, a.ID), weight(t.ID, b.ID))
+		})
+		room[e.ID] -= float64(t.Slots)
+		p[t.ID] = e
+	}
+}
+
+// weight orders instances at random, and the same way each time.
+func weight(t cf.InstanceID, e cf.EntryID) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(string(t) + "/" + string(e))) // a hash takes everything
+	return h.Sum64()
+}
+
+func slots(engines []cf.Target) int {
+	n := 0
+	for _, t := range engines {
+		n += t.Slots
+	}
+	return n
+}
--- /dev/null
+++ b/cfrunner/assign_test.go
@@ -0,0 +1,91 @@
+package cfrunner
+
+import (
+	"fmt"
+	"testing"
+
+	cf "currantford"
+	"currantford/cfmember"
+)
+
+func site(domains, instances, engines, slots int, capacity float64) (members []cfmember.Entry, targets []cf.Target) {
+	for d := range domains {
+		domain := cf.FailureDomain(fmt.Sprint("d", d))
+		for i := range instances {
+			members = append(members, cfmember.Entry{ID: cf.EntryID(fmt.Sprintf("%s-%d", domain, i)), Domain: domain, Capacity: capacity})
+		}
+		for i := range engines {
+			targets = append(targets, cf.Target{ID: cf.InstanceID(fmt.Sprintf("e-%s-%d", domain, i)), Domain: domain, Slots: slots})
+		}
+	}
+	return members, targets
+}
+
+// Load: two steps of 160 items at 33 engines of six slots, before 80 instances of a
+// fifth of a core; the coordinator alone was a second behind its streams' events.
+func TestWeakCoordinatorsDivideTheirStreams(t *testing.T) {
+	members, engines := site(6, 13, 6, 6, 0.192)
+	plan := Assign(engines, members, members[0])
+	held := map[cf.EntryID]int{}
+	for _, e := range engines {
+		m, ok := plan[e.ID]
+		if !ok || m.ID == members[0].ID {
+			t.Fatalf("%s is held by %q", e.ID, m.ID)
+		}
+		if m.Domain != e.Domain {
+			t.Errorf("%s of %s is held in %s", e.ID, e.Domain, m.Domain)
+		}
+		held[m.ID] += e.Slots
+	}
+	for id, n := range held {
+		if float64(n) > 0.192*heldPerCore {
+			t.Errorf("%s holds %d runs", id, n)
+		}
+	}
+	if len(held) > 6 {
+		t.Errorf("%d instances hold streams: each is asked for news several times a second", len(held))
+	}
+}
+
+// What one instance can carry stays with the coordinator: nothing is paid for a
+// division that nobody needs.
+func TestStrongCoordinatorsHoldTheirStreamsThemselves(t *testing.T) {
+	members, engines := site(4, 2, 3, 12, 0.4)
+	if plan := Assign(engines, members, members[0]); len(plan) > 0 {
+		t.Errorf("%d engines are divided", len(plan))
+	}
+	if plan := Assign(engines, members[:1], cfmember.Entry{ID: members[0].ID}); len(plan) > 0 {
+		t.Error("an instance without others divides its streams")
+	}
+}
+
+// An instance that goes, or is not reached, changes little but its own part; strong
+// instances go first, and engines without an instance near them have one all the same.
+func TestDivisionChangesLittle(t *testing.T) {
+	members, engines := site(6, 13, 6, 6, 0.192)
+	self := members[0]
+	before := Assign(engines, members, self)
+	gone := before[engines[0].ID]
+	var rest []cfmember.Entry
+	for _, m := range members {
+		if m.ID != gone.ID {
+			rest = append(rest, m)
+		}
+	}
+	after := Assign(engines, rest, self)
+	for _, e := range engines {
+		if before[e.ID].ID != gone.ID && after[e.ID].ID != before[e.ID].ID {
+			t.Errorf("%s moved from %s to %s", e.ID, before[e.ID].ID, after[e.ID].ID)
+		}
+	}
+	members[5].Capacity = 0.8
+	for _, e := range engines[:6] {
+		if m := Assign(engines, members, self)[e.ID]; m.ID != members[5].ID {
+			t.Errorf("%s is held by %s, a weak one", e.ID, m.ID)
+		}
+	}
+	far := []cf.Target{{ID: "far", Domain: "elsewhere", Slots: 200}}
+	if _, ok := Assign(far, members, self)["far"]; !ok {
+		t.Error("an engine without an instance near it is held by nobody")
+	}
+}
--- /dev/null
+++ b/cfrunner/cfrunner.go
@@ -0,0 +1,125 @@
+// Package cfrunner divides the streams of a coordinator's runs among the other
+// instances. A host holds the streams of some engines, near them, and sends the
+// coordinator what they brought a few times a second: one message for all events of
+// that time, where each event of each stream woke the coordinator up before. The
+// coordinator still decides everything; its pool looks to it like the targets
+// themselves.
+//
+// What can go wrong, and why it does no harm:
+//
+//   - An order that was held up on its way must start nothing late. Each names the
+//     host's own clock as the coordinator last heard it; a host starts nothing by one
+//     that is old.
+//   - A coordinator that is gone must not keep engines busy. A host that is not asked
+//     for news for Patience stops its runs; so does one that hears of a later term.
+//   - A run must not go on elsewhere while its host still holds it. A pool waits for
+//     the host's word that it has ended, or until the host must have given it up.
+//   - An answer that is lost must not lose events. Reports are numbered, and given
+//     again until they are acknowledged.
+//
+// Usage:
+//
+//	host := cfrunner.NewHost(targets, log) // on every instance
+//	report, err := host.Collect(ctx, call)
+//
+//	pool := cfrunner.NewPool(options) // at the coordinator
+//	defer pool.Close()
+//	answer, err := pool.Stream(ctx, target, call, sink)
+package cfrunner
+
+import (
+	cf "currantford"
+)
+
+// Operations of the peer link.
+const (
+	OpOrders  = "run_orders"
+	OpCollect = "run_collect"
+)
+
+const (
+	// Patience is how long a host keeps its runs without a question for news:
+	// several questions, and less than a successor of a silent coordinator waits
+	// before it takes over.
+	Patience cf.Millis = 1200
+	// startFresh is how old the host's clock in an order may be. A question for
+	// news tells it several times a second; a batch's end must hold within 3 s.
+	startFresh cf.Millis = 1000
+	// reportEvery is how long a host gathers what its streams bring. A step's end
+	// does not wait for it: the end of a run is reported at once.
+	reportEvery cf.Millis = 150
+)
+
+type (
+	// RunID numbers the runs of a coordinator, rising.
+	RunID uint64
+
+	// SessionID names what a host holds for one coordinator. A host that has
+	// started again, or has stopped its runs, begins another one.
+	SessionID uint64
+
+	// Start asks a host to hold the stream of a run.
+	Start struct {
+		Run    RunID         `cbor:"run"`
+		Target cf.Target     `cbor:"target"`
+		Call   cf.TargetCall `cbor:"call"`
+	}
+
+	// Duty names a coordinator's time: its term, and a number of its own, since an
+	// instance that starts again may go on with its term.
+	Duty struct {
+		Term   cf.Revision `cbor:"term"`
+		Number uint64      `cbor:"number"`
+	}
+
+	// Orders start and stop runs of a session.
+	Orders struct {
+		Duty    Duty      `cbor:"duty"`
+		Session SessionID `cbor:"session"`
+		// Clock is the host's clock as of the latest report.
+		Clock  cf.Millis `cbor:"clock"`
+		Starts []Start   `cbor:"starts,omitempty"`
+		Stops  []RunID   `cbor:"stops,omitempty"`
+	}
+
+	// Collect asks a host for news.
+	Collect struct {
+		Duty    Duty      `cbor:"duty"`
+		Session SessionID `cbor:"session"`
+		// Got is the number of the last report that arrived.
+		Got int64 `cbor:"got"`
+	}
+
+	// Report is what the streams of a session brought since the report before.
+	Report struct {
+		Session SessionID `cbor:"session"`
+		Number  int64     `cbor:"number"`
+		// Clock is the host's clock now; the events' times are by it.
+		Clock cf.Millis `cbor:"clock"`
+		Runs  []News    `cbor:"runs,omitempty"`
+	}
+
+	// News is what one run brought.
+	News struct {
+		Run    RunID   `cbor:"run"`
+		Events []Event `cbor:"events,omitempty"`
+		End    *End    `cbor:"end,omitempty"`
+	}
+
+	// Event is one event of a stream.
+	Event struct {
+		ID      cf.EventID       `cbor:"id"`
+		Data    string           `cbor:"data"`
+		Version cf.WeightVersion `cbor:"version"`
+		At      cf.Millis        `cbor:"at"`
+	}
+
+	// End is how a run ended.
+	End struct {
+		Status int    `cbor:"status,omitempty"`
+		NotRun bool   `cbor:"not_run,omitempty"`
+		Error  string `cbor:"error,omitempty"`
+		// NotHeld: the host has no such run.
+		NotHeld bool `cbor:"not_held,omitempty"`
+	}
+)
--- /dev/null
+++ b/cfrunner/pool.go
@@ -0,0 +1,158 @@
+package cfrunner
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cfmember"
+)
+
+const (
+	// planEvery is how often the division is looked at again: engines and
+	// instances come and go, and a run that begins goes by the division of then.
+	planEvery cf.Millis = 250
+	// avoidFor is how long an instance that was lost gets no runs.
+	avoidFor cf.Millis = 8000
+)
+
+type (
+	// Caller reaches other instances.
+	Caller interface {
+		Call(ctx context.Context, addr, op string, body, out any) error
+	}
+
+	// Options are what a pool works with.
+	Options struct {
+		Self  cfmember.Entry
+		Term  cf.Revision
+		Local cf.Targets
+		Peers Caller
+		// Members returns the instances that are alive, Engines the engines.
+		Members func() []cfmember.Entry
+		Engines func() []cf.Target
+		Log     *zap.Logger
+	}
+
+	// Pool runs streams at other instances, as a coordinator's division says, or
+	// here. It is safe for concurrent use. Close stops what it started and waits.
+	Pool struct {
+		Options
+		duty   Duty
+		ctx    context.Context
+		cancel context.CancelFunc
+		wg     sync.WaitGroup
+		// hurried is closed when the coordinator's time is over.
+		hurried chan struct{}
+		hurry   sync.Once
+
+		mu      sync.Mutex
+		plan    Plan
+		planned cf.Millis // when, zero if never
+		links   map[cf.EntryID]*link
+		avoid   map[cf.EntryID]cf.Millis
+		// runs counts the runs.
+		runs atomic.Uint64
+	}
+)
+
+// NewPool returns a pool without runs.
+func NewPool(o Options) *Pool {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Pool{
+		Options: o, duty: Duty{Term: o.Term, Number: rand.Uint64()}, ctx: ctx, cancel: cancel, hurried: make(chan struct{}),
+		links: map[cf.EntryID]*link{}, avoid: map[cf.EntryID]cf.Millis{},
+	}
+}
+
+// Close ends all streams and waits.
+func (p *Pool) Close() error {
+	p.Hurry()
+	p.cancel()
+	p.wg.Wait()
+	return nil
+}
+
+// Hurry makes streams that are stopped from now on wait only briefly for their
+// hosts: a successor waits for what this instance has.
+func (p *Pool) Hurry() { p.hurry.Do(func() { close(p.hurried) }) }
+
+// Via names the instance that would hold a stream to a target now.
+func (p *Pool) Via(t cf.InstanceID) cf.EntryID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.replan(cf.Uptime())
+	if e, ok := p.plan[t]; ok {
+		return e.ID
+	}
+	return p.Self.ID
+}
+
+// Stream sends a request and hands on its events, as cf.Targets does; a sink that
+// is a cf.SeenSink also learns until when none were missing.
+func (p *Pool) Stream(ctx context.Context, t cf.Target, call cf.TargetCall, sink cf.StreamSink) (cf.TargetAnswer, error) {
+	for {
+		l := p.linkFor(t.ID)
+		if l == nil {
+			return p.Local.Stream(ctx, t, call, sink)
+		}
+		if r := l.start(t, call); r != nil {
+			return r.follow(ctx, sink)
+		}
+	}
+}
+
+// linkFor returns the link to the instance that holds a target's streams, nil if
+// this one does.
+func (p *Pool) linkFor(t cf.InstanceID) *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.replan(cf.Uptime())
+	e, ok := p.plan[t]
+	if !ok || p.ctx.Err() != nil {
+		return nil
+	}
+	l := p.links[e.ID]
+	if l == nil || l.isOver() {
+		l = newLink(p, e)
+		p.links[e.ID] = l
+		p.wg.Go(l.collect)
+		p.wg.Go(l.order)
+	}
+	return l
+}
+
+// replan divides the engines among the instances. p.mu is held.
+func (p *Pool) replan(now cf.Millis) {
+	if p.planned > 0 && now-p.planned < planEvery {
+		return
+	}
+	p.planned = now
+	var members []cfmember.Entry
+	for _, e := range p.Members() {
+		if now >= p.avoid[e.ID] {
+			members = append(members, e)
+		}
+	}
+	before := len(p.plan)
+	p.plan = Assign(p.Engines(), members, p.Self)
+	if (before == 0) != (len(p.plan) == 0) {
+		hosts := map[cf.EntryID]bool{}
+		for _, e := range p.plan {
+			hosts[e.ID] = true
+		}
+		p.Log.Info("runs_divided", zap.Int("engines", len(p.plan)), zap.Int("instances", len(hosts)), zap.Int("members", len(members)))
+	}
+}
+
+// lost notes that an instance is not reached.
+func (p *Pool) lost(e cf.EntryID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.avoid[e] = cf.Uptime() + avoidFor
+	p.planned = 0
+}
--- a/target.go
+++ b/target.go
@@ -85,6 +85,8 @@
 		ID      EventID
 		Data    string
 		Version WeightVersion
+		// At is the Uptime at which it arrived, zero where it arrives now.
+		At Millis
 		// Raw is the event as the target sent it, blank line included.
 		Raw []byte
 	}
@@ -97,6 +99,12 @@
 		Event(StreamEvent) error
 	}
 
+	// SeenSink is a StreamSink that learns until when no event was missing, where
+	// events are handed on some time after they arrived.
+	SeenSink interface {
+		Seen(at Millis)
+	}
+
 	// WeightOrder tells a target to load a version of a model.
 	WeightOrder struct {
 		Model   ModelName
