Connections are kept for as long as targets say, and used again; division by the runs under way

Cause 2: the division of streams went by the slots of all engines. 300 engines before 30 instances have 1,500 slots and 320 runs, which a strong coordinator holds by itself. Ruled out as a cause of the connections: runs that move (500 of 2,226 runs opened one).

--- a/cfbalance/balance.go
+++ b/cfbalance/balance.go
@@ -41,6 +41,8 @@
 		took     float64 // smoothed time of an answer, ms
 		work     float64 // the same of answers that had not to queue
 		seen     cf.Millis
+		// warm is until when a connection is kept.
+		warm cf.Millis
 	}
 )
 
@@ -68,6 +70,11 @@
 	avoidMost   cf.Millis = 2400
 	// smooth is the weight of the newest time in the smoothed one.
 	smooth = 0.2
+	// coldCost is what a new connection adds to a request's time, in ms: two round
+	// trips, and its handshake at the target. Small beside what targets differ by, it
+	// lets an instance stay with some of those that are alike, and so spares them
+	// the handshakes of all the others.
+	coldCost = 4
 	// forget drops what is known of targets that are not heard of any more.
 	forget cf.Millis = 60000
 )
@@ -124,6 +131,9 @@
 	}
 	slots := float64(max(t.Slots, 1))
 	score := (1 + queue/slots) * max(s.took, 1)
+	if now >= s.warm {
+		score += coldCost
+	}
 	if now < s.avoid {
 		score += avoidScore
 	}
@@ -169,6 +179,13 @@
 	b.prune(now)
 }
 
+// Kept records that a connection to a target is kept until then.
+func (b *Balancer) Kept(id cf.InstanceID, until cf.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.of(id).warm = until
+}
+
 func (b *Balancer) prune(now cf.Millis) {
 	for id, s := range b.state {
 		if s.sent <= 0 && now-s.seen > forget {
--- a/cfingress/forward.go
+++ b/cfingress/forward.go
@@ -138,7 +138,9 @@
 	if outcome == cfbalance.Failed && a.err == nil {
 		f.last = &a
 	}
-	f.in.balancer.Done(a.target.ID, outcome, a.answer.Load, a.took, cf.Uptime())
+	now := cf.Uptime()
+	f.in.balancer.Done(a.target.ID, outcome, a.answer.Load, a.took, now)
+	f.in.balancer.Kept(a.target.ID, now+a.answer.Kept)
 	if !good {
 		f.in.Log.Warn("attempt_failed", zap.String("request_id", string(f.req.ID)), zap.String("target", string(a.target.ID)),
 			zap.Int("status", a.answer.Status), zap.Bool("not_run", outcome == cfbalance.Full || outcome == cfbalance.Unreached),
--- a/cfrunner/assign.go
+++ b/cfrunner/assign.go
@@ -24,15 +24,17 @@
 // that is not in it stay with the coordinator.
 type Plan map[cf.InstanceID]cfmember.Entry
 
-// Assign divides the engines among the instances, if they may run more at once than
-// the coordinator, self, can hold. As few instances as can carry it are taken, each
+// Assign divides the engines among the instances, if more runs are under way at once
+// than the coordinator, self, can hold. As few instances as can carry it are taken, each
 // near its engines, the strong ones first; which ones changes little as instances
 // come and go.
-func Assign(engines []cf.Target, members []cfmember.Entry, self cfmember.Entry) Plan {
+func Assign(engines []cf.Target, runs int, members []cfmember.Entry, self cfmember.Entry) Plan {
 	members = slices.DeleteFunc(slices.Clone(members), func(e cfmember.Entry) bool { return e.ID == self.ID })
-	if len(members) == 0 || float64(slots(engines)) <= ownPerCore*self.Capacity {
+	if len(members) == 0 || len(engines) == 0 || holdsAll(runs, self) {
 		return nil
 	}
+	// Each engine is expected to have its part of the runs.
+	perSlot := min(float64(runs)/float64(max(slots(engines), 1)), 1)
 	near := map[cf.FailureDomain][]cfmember.Entry{}
 	for _, e := range members {
 		near[e.Domain] = append(near[e.Domain], e)
@@ -49,14 +51,17 @@
 	near[""] = members
 	plan := Plan{}
 	for d, ts := range at {
-		plan.divide(ts, near[d])
+		plan.divide(ts, perSlot, near[d])
 	}
 	return plan
 }
 
+// holdsAll says whether an instance can hold so many runs by itself.
+func holdsAll(runs int, self cfmember.Entry) bool { return float64(runs) <= ownPerCore*self.Capacity }
+
 // divide gives engines to the first instances, in the order of their weight, that
 // can carry them together.
-func (p Plan) divide(engines []cf.Target, members []cfmember.Entry) {
+func (p Plan) divide(engines []cf.Target, perSlot float64, members []cfmember.Entry) {
 	order := slices.Clone(members)
 	slices.SortFunc(order, func(a, b cfmember.Entry) int {
 		strongA, strongB := cfmember.Strong(a.Capacity, members), cfmember.Strong(b.Capacity, members)
@@ -68,7 +73,7 @@
 		}
 		return cmp.Compare(weight("", a.ID), weight("", b.ID))
 	})
-	need, taken := float64(slots(engines)), 0
+	need, taken := perSlot*float64(slots(engines)), 0
 	for need > 0 && taken < len(order) {
 		need -= heldPerCore * order[taken].Capacity
 		taken++
@@ -79,13 +84,14 @@
 		room[e.ID] = heldPerCore * e.Capacity
 	}
 	for _, t := range engines {
+		runs := perSlot * float64(t.Slots)
 		e := slices.MaxFunc(order, func(a, b cfmember.Entry) int {
-			if fitsA, fitsB := room[a.ID] >= float64(t.Slots), room[b.ID] >= float64(t.Slots); !fitsA || !fitsB {
+			if fitsA, fitsB := room[a.ID] >= runs, room[b.ID] >= runs; !fitsA || !fitsB {
 				return cmp.Compare(room[a.ID], room[b.ID])
 			}
 			return cmp.Compare(weight(t.ID, a.ID), weight(t.ID, b.ID))
 		})
-		room[e.ID] -= float64(t.Slots)
+		room[e.ID] -= runs
 		p[t.ID] = e
 	}
 }
--- a/cfrunner/pool.go
+++ b/cfrunner/pool.go
@@ -55,6 +55,8 @@
 		planned cf.Millis // when, zero if never
 		links   map[cf.EntryID]*link
 		avoid   map[cf.EntryID]cf.Millis
+		running int
+		peak    peak
 		// runs counts the runs.
 		runs atomic.Uint64
 	}
@@ -95,6 +97,8 @@
 // Stream sends a request and hands on its events, as cf.Targets does; a sink that
 // is a cf.SeenSink also learns until when none were missing.
 func (p *Pool) Stream(ctx context.Context, t cf.Target, call cf.TargetCall, sink cf.StreamSink) (cf.TargetAnswer, error) {
+	p.count(1)
+	defer p.count(-1)
 	for {
 		l := p.linkFor(t.ID)
 		if l == nil {
@@ -106,6 +110,17 @@
 	}
 }
 
+// count notes the begin or the end of a run.
+func (p *Pool) count(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running += n
+	p.peak.note(p.running, cf.Uptime())
+	if len(p.plan) == 0 && !holdsAll(p.running, p.Self) {
+		p.planned = 0 // a step begins all its runs within a moment
+	}
+}
+
 // linkFor returns the link to the instance that holds a target's streams, nil if
 // this one does.
 func (p *Pool) linkFor(t cf.InstanceID) *link {
@@ -139,7 +154,7 @@
 		}
 	}
 	before := len(p.plan)
-	p.plan = Assign(p.Engines(), members, p.Self)
+	p.plan = Assign(p.Engines(), p.peak.of(now), members, p.Self)
 	if (before == 0) != (len(p.plan) == 0) {
 		hosts := map[cf.EntryID]bool{}
 		for _, e := range p.plan {
@@ -156,3 +171,25 @@
 	p.avoid[e] = cf.Uptime() + avoidFor
 	p.planned = 0
 }
+
+// peakSpan is for how long the most runs at once are remembered, at least: the steps of a
+// trainer are seconds apart, and the division should not change between them.
+const peakSpan cf.Millis = 30000
+
+// peak is the most of a number in the last one or two spans.
+type peak struct {
+	now, before int
+	since       cf.Millis
+}
+
+func (p *peak) note(n int, at cf.Millis) {
+	p.of(at)
+	p.now = max(p.now, n)
+}
+
+func (p *peak) of(at cf.Millis) int {
+	if at-p.since > peakSpan {
+		p.before, p.now, p.since = p.now, 0, at
+	}
+	return max(p.before, p.now)
+}
--- a/target.go
+++ b/target.go
@@ -72,6 +72,9 @@
 		// NotRun is the target's word that it did not run the request.
 		NotRun bool
 		Load   *TargetLoad
+		// Kept is how long the connection is kept for another call, zero if it
+		// is not.
+		Kept Millis
 		// Signature is the target's mark on the answer, which proves that
 		// the target made it for this request.
 		Signature string
