A stream's way is chosen as its item is placed, and logged

Cause: the first runs of a burst were logged as held by the coordinator, which then divided them; the test of the divided streams waited for log lines that never came (failed once, traced, mended here).

--- a/cfcoord/coordinator.go
+++ b/cfcoord/coordinator.go
@@ -62,9 +62,8 @@
 
 	// Streams runs items at targets, here or at other instances.
 	Streams interface {
-		Stream(ctx context.Context, t cf.Target, call cf.TargetCall, sink cf.StreamSink) (cf.TargetAnswer, error)
-		// Via names the instance that holds a target's streams.
-		Via(t cf.InstanceID) cf.EntryID
+		// Route returns the way of a stream that is about to begin.
+		Route(t cf.InstanceID) cf.StreamRoute
 	}
 
 	// ownStreams are streams that this instance holds itself.
@@ -201,8 +200,10 @@
 	}
 }
 
-// Via implements Streams.
-func (s ownStreams) Via(cf.InstanceID) cf.EntryID { return s.self }
+// Route implements Streams.
+func (s ownStreams) Route(cf.InstanceID) cf.StreamRoute {
+	return cf.StreamRoute{Via: s.self, Stream: s.Stream}
+}
 
 // Start begins the duty: it loads the batches and runs what is open. gather
 // returns the texts of the coordinator before; it runs beside the reading of the
--- a/cfcoord/runs.go
+++ b/cfcoord/runs.go
@@ -49,13 +49,14 @@
 	if c.planner.Long(w) {
 		urgency = itemUrgency
 	}
+	route := c.Streams.Route(e.ID)
 	c.Log.Info("item_placed", zap.String("request_id", string(item.ID)), zap.String("batch_id", string(w.Batch.Sub.ID)),
-		zap.String("target", string(e.ID)), zap.String("via", string(c.Streams.Via(e.ID))), zap.Int64("version", int64(version)), zap.Int64("resume_after", int64(w.Text.Last)),
+		zap.String("target", string(e.ID)), zap.String("via", string(route.Via)), zap.Int64("version", int64(version)), zap.Int64("resume_after", int64(w.Text.Last)),
 		zap.Int("failures", w.Failures), zap.Int("running_there", e.Running), zap.Float64("event_ms_there", e.Pace()))
 	c.wg.Go(func() {
 		defer cancel()
 		started := time.Now()
-		outcome, reason := c.run(ctx, e.Target, cf.TargetCall{
+		outcome, reason := c.run(ctx, route, e.Target, cf.TargetCall{
 			ID: cf.RequestID(item.ID), Method: http.MethodPost, Host: host, Path: item.Path, Header: itemHeader(item), Body: item.Body,
 			Urgency: urgency, Ranked: true, Timeout: runTimeout, ResumeAfter: w.Text.Last, ExpectVersion: version,
 		}, w)
@@ -125,12 +126,12 @@
 
 // run sends one item to one engine and collects its text after what w holds
 // already.
-func (c *Coordinator) run(outer context.Context, t cf.Target, call cf.TargetCall, w *cfrollout.Work) (cfrollout.Outcome, string) {
+func (c *Coordinator) run(outer context.Context, route cf.StreamRoute, t cf.Target, call cf.TargetCall, w *cfrollout.Work) (cfrollout.Outcome, string) {
 	ctx, cancel := context.WithCancel(outer)
 	defer cancel()
 	watchdog := time.AfterFunc(stall, cancel)
 	defer watchdog.Stop()
-	answer, err := c.Streams.Stream(ctx, t, call, collector{w, watchdog})
+	answer, err := route.Stream(ctx, t, call, collector{w, watchdog})
 	if err != nil && outer.Err() != nil {
 		return cfrollout.OutcomeStopped, "ended or moved"
 	}
--- a/cfrunner/cfrunner.go
+++ b/cfrunner/cfrunner.go
@@ -24,7 +24,7 @@
 //
 //	pool := cfrunner.NewPool(options) // at the coordinator
 //	defer pool.Close()
-//	answer, err := pool.Stream(ctx, target, call, sink)
+//	answer, err := pool.Route(target.ID).Stream(ctx, target, call, sink)
 package cfrunner
 
 import (
--- a/cfrunner/cfrunner_test.go
+++ b/cfrunner/cfrunner_test.go
@@ -162,7 +162,7 @@
 func begin(ctx context.Context, p *Pool, id cf.RequestID, s cf.StreamSink) chan ended {
 	done := make(chan ended, 1)
 	go func() {
-		a, err := p.Stream(ctx, cf.Target{ID: "e"}, cf.TargetCall{ID: id}, s)
+		a, err := p.Route("e").Stream(ctx, cf.Target{ID: "e"}, cf.TargetCall{ID: id}, s)
 		done <- ended{a, err}
 	}()
 	return done
--- a/cfrunner/pool.go
+++ b/cfrunner/pool.go
@@ -83,31 +83,24 @@
 // hosts: a successor waits for what this instance has.
 func (p *Pool) Hurry() { p.hurry.Do(func() { close(p.hurried) }) }
 
-// Via names the instance that would hold a stream to a target now.
-func (p *Pool) Via(t cf.InstanceID) cf.EntryID {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.replan(cf.Uptime())
-	if e, ok := p.plan[t]; ok {
-		return e.ID
-	}
-	return p.Self.ID
-}
-
-// Stream sends a request and hands on its events, as cf.Targets does; a sink that
-// is a cf.SeenSink also learns until when none were missing.
-func (p *Pool) Stream(ctx context.Context, t cf.Target, call cf.TargetCall, sink cf.StreamSink) (cf.TargetAnswer, error) {
+// Route returns the way of a stream that is about to begin. A sink that is a
+// cf.SeenSink also learns until when no events were missing.
+func (p *Pool) Route(t cf.InstanceID) cf.StreamRoute {
 	p.count(1)
-	defer p.count(-1)
-	for {
-		l := p.linkFor(t.ID)
-		if l == nil {
-			return p.Local.Stream(ctx, t, call, sink)
-		}
-		if r := l.start(t, call); r != nil {
-			return r.follow(ctx, sink)
-		}
+	l := p.linkFor(t)
+	via := p.Self.ID
+	if l != nil {
+		via = l.id
 	}
+	return cf.StreamRoute{Via: via, Stream: func(ctx context.Context, t cf.Target, call cf.TargetCall, sink cf.StreamSink) (cf.TargetAnswer, error) {
+		defer p.count(-1)
+		for ; l != nil; l = p.linkFor(t.ID) { // it may have ended meanwhile
+			if r := l.start(t, call); r != nil {
+				return r.follow(ctx, sink)
+			}
+		}
+		return p.Local.Stream(ctx, t, call, sink)
+	}}
 }
 
 // count notes the begin or the end of a run.
--- a/target.go
+++ b/target.go
@@ -102,6 +102,13 @@
 		Event(StreamEvent) error
 	}
 
+	// StreamRoute is how one stream reaches its target: Via names the instance that
+	// holds it, and Stream, to be called once, is Targets.Stream by that way.
+	StreamRoute struct {
+		Via    EntryID
+		Stream func(ctx context.Context, t Target, call TargetCall, sink StreamSink) (TargetAnswer, error)
+	}
+
 	// SeenSink is a StreamSink that learns until when no event was missing, where
 	// events are handed on some time after they arrived.
 	SeenSink interface {
