--- a/cflease/lease.go
+++ b/cflease/lease.go
@@ -59,6 +59,9 @@
 		// Loads is how many engines may load weights at once, as the holder has
 		// learned. It takes a successor some 20 loads to learn it again.
 		Loads int `json:"loads,omitempty"`
+		// Copies is the address of the instance that has copies of the holder's
+		// texts. A successor that was cut off until now knows no other.
+		Copies string `json:"copies,omitempty"`
 	}
 
 	// Lease is one candidate's view of a lease. It is not safe for
--- a/cfnode/candidate.go
+++ b/cfnode/candidate.go
@@ -54,8 +54,9 @@
 	// a duty that was held for a time to one of them.
 	outranked func() bool
 	better    func(held cf.Millis)
-	// loads returns what the holder has learned of loads of weights.
-	loads func() int
+	// state returns what a successor should know of the duty here: the loads of
+	// weights that may run at once, and where copies of texts are.
+	state func() (loads int, copies string)
 	// acquired and lost start and end the duty.
 	acquired func(before cflease.Holder)
 	lost     func()
@@ -290,7 +291,7 @@
 	next, rev := c.lease.Next(c.addr, sent), c.lease.Rev()
 	c.mu.Unlock()
 	if c.held {
-		next.Loads = c.loads()
+		next.Loads, next.Copies = c.state()
 	}
 	var r cf.Record
 	var err error
--- a/cfnode/feed.go
+++ b/cfnode/feed.go
@@ -29,6 +29,7 @@
 	opTexts    = "texts"
 	opMirror   = "mirror"
 	opOffered  = "offered"
+	opAlive    = "alive"
 
 	// feedWait is how long the coordinator holds a feed call without news;
 	// each call is also the caller's report that it is alive.
--- a/cfnode/node.go
+++ b/cfnode/node.go
@@ -124,7 +124,7 @@
 	n.candidate = &candidate{
 		self: s.Entry, addr: s.Listen.Peers, store: a.Store, log: log, lease: cflease.New(s.Entry, bounds),
 		word: func() cf.Millis { return cf.Millis(n.feed.heard.Load()) }, acquired: n.beginDuty, lost: n.endDuty,
-		outranked: n.outranked, better: n.betterHolder, loads: n.learnedLoads,
+		outranked: n.outranked, better: n.betterHolder, state: n.dutyState,
 	}
 	n.ingress = cfingress.New(cfingress.Options{
 		Store: a.Store, Targets: a.Targets, Site: n.site, Coordinator: reader{n}, Members: n,
@@ -142,6 +142,7 @@
 		n.candidate.offered.Store(true)
 		return true, nil
 	})
+	n.peerSrv.Handle(opAlive, func(context.Context, cbor.RawMessage) (any, error) { return true, nil })
 	n.peerSrv.Handle(opMirror, decoded(n.serveMirror))
 	n.peerSrv.Handle(cfrunner.OpOrders, decoded(func(ctx context.Context, o cfrunner.Orders) (any, error) { return n.host.Orders(ctx, o) }))
 	n.peerSrv.Handle(cfrunner.OpCollect, decoded(func(ctx context.Context, c cfrunner.Collect) (any, error) { return n.host.Collect(ctx, c) }))
@@ -184,7 +185,37 @@
 func (n *Node) HandOver(ctx context.Context) {
 	n.endCandidacy()
 	<-n.candidateDone // its calls to the store end with their context
-	n.handTo(ctx, n.successor())
+	n.handTo(ctx, n.reachedSuccessor(ctx))
+}
+
+const (
+	// successorTries is how many instances are asked whether they are there.
+	successorTries = 3
+	// successorTime bounds each question; the longest round trip takes 16 ms.
+	successorTime = 120 * time.Millisecond
+)
+
+// reachedSuccessor returns the instance that should take the duty over, of those that
+// answer: one that was cut off in the last 1.5 s still counts as alive, and the duty,
+// named for it, was nobody's for a second while the texts here were lost.
+func (n *Node) reachedSuccessor(ctx context.Context) cfmember.Entry {
+	var silent []cf.EntryID
+	for range successorTries {
+		e := n.successor(silent...)
+		if e.ID == "" {
+			break
+		}
+		var ok bool
+		call, cancel := context.WithTimeout(ctx, successorTime)
+		err := n.peers.Call(call, e.Peers, opAlive, struct{}{}, &ok)
+		cancel()
+		if err == nil {
+			return e
+		}
+		n.log.Info("successor_silent", zap.String("entry", string(e.ID)), cflog.Error(err))
+		silent = append(silent, e.ID)
+	}
+	return cfmember.Entry{}
 }
 
 // handTo releases the coordinator's duty to another instance and tells it.
@@ -296,11 +327,13 @@
 	return live, n.members.Changes()
 }
 
-// successor returns the instance that should take the duty over.
-func (n *Node) successor() cfmember.Entry {
+// successor returns the instance that should take the duty over, other than those
+// left out.
+func (n *Node) successor(without ...cf.EntryID) cfmember.Entry {
 	n.memberMu.Lock()
 	defer n.memberMu.Unlock()
-	e, _ := cfmember.Successor(n.members.Fresh(cf.Uptime()), n.settings.Entry)
+	fresh := slices.DeleteFunc(n.members.Fresh(cf.Uptime()), func(e cfmember.Entry) bool { return slices.Contains(without, e.ID) })
+	e, _ := cfmember.Successor(fresh, n.settings.Entry)
 	return e
 }
 
@@ -322,13 +355,15 @@
 	c.Start(func(ctx context.Context) map[cf.ItemID]cfrollout.Text { return n.gatherTexts(ctx, before, members) })
 }
 
-// learnedLoads returns how many engines may load weights at once, as the coordinator
-// here has learned.
-func (n *Node) learnedLoads() int {
+// dutyState returns how many engines may load weights at once, as the coordinator here
+// has learned, and the address of the instance that has copies of its texts.
+func (n *Node) dutyState() (loads int, copies string) {
 	if c := n.coord.Load(); c != nil {
-		return c.ProvedLoads()
+		loads = c.ProvedLoads()
 	}
-	return 0
+	n.mirrors.mu.Lock()
+	defer n.mirrors.mu.Unlock()
+	return loads, n.mirrors.at
 }
 
 // newPool returns the pool for a duty that begins.
--- a/cfnode/texts.go
+++ b/cfnode/texts.go
@@ -70,10 +70,12 @@
 		texts map[cf.ItemID]cfrollout.Text
 	}
 
-	// mirrors is what this instance holds for others.
+	// mirrors is what this instance holds for others, and where its own copies
+	// go.
 	mirrors struct {
 		mu   sync.Mutex
 		held cfcoord.Mirror
+		at   string
 	}
 
 	// neighbour implements cfcoord.Neighbour.
@@ -83,7 +85,11 @@
 // Choose implements cfcoord.Neighbour: an instance of the same failure domain where
 // there is one that can carry it, since traffic within it costs nothing.
 func (b neighbour) Choose(avoid string) string {
-	return cfmember.Neighbour(b.n.Live(), b.n.self(), avoid).Peers
+	addr := cfmember.Neighbour(b.n.Live(), b.n.self(), avoid).Peers
+	b.n.mirrors.mu.Lock()
+	defer b.n.mirrors.mu.Unlock()
+	b.n.mirrors.at = addr
+	return addr
 }
 
 // Copy implements cfcoord.Neighbour.
@@ -154,6 +160,9 @@
 	if before.Entry != "" && before.Entry != n.settings.Entry {
 		addrs[before.Addr] = true
 	}
+	if before.Copies != "" && before.Copies != n.settings.Listen.Peers {
+		addrs[before.Copies] = true
+	}
 	for _, e := range members {
 		if e.ID != n.settings.Entry {
 			addrs[e.Peers] = true
--- a/cfnode/texts_test.go
+++ b/cfnode/texts_test.go
@@ -67,6 +67,41 @@
 	if len(got) != texts {
 		t.Errorf("%d of %d texts were gathered", len(got), texts)
 	}
+	// One that was cut off until now knows nobody but what the lease says.
+	got = successor.gatherTexts(context.Background(), cflease.Holder{Entry: "gone", Addr: "127.0.0.1:1", Copies: ln.Addr().String()}, nil)
+	if len(got) != texts {
+		t.Errorf("%d of %d texts were gathered by the lease alone", len(got), texts)
+	}
+}
+
+// Symptom: after a planned stop the duty is nobody's for a second, and all texts begin
+// anew.
+// Sequence: the youngest strong instance has just been cut off; the coordinator that
+// stops names it as its successor.
+func TestDutyGoesToASuccessorThatAnswers(t *testing.T) {
+	n := newTestNode(t, cfstandin.NewMemStore())
+	there := newTestNode(t, cfstandin.NewMemStore())
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := &http.Server{Handler: there.PeerHandler(), ReadHeaderTimeout: time.Second}
+	go func() { _ = srv.Serve(ln) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // takes connections and says nothing
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = silent.Close() })
+	now := cf.Uptime()
+	n.members.Heard(cfmember.Entry{ID: "cut", Peers: silent.Addr().String(), Ready: true, Age: 1000}, now)
+	n.members.Heard(cfmember.Entry{ID: "old", Peers: ln.Addr().String(), Ready: true, Age: 60000}, now)
+	if e := n.successor(); e.ID != "cut" {
+		t.Fatalf("the youngest is %q", e.ID)
+	}
+	if e := n.reachedSuccessor(context.Background()); e.ID != "old" {
+		t.Errorf("the duty goes to %q", e.ID)
+	}
 }
 
 // Symptom: for ten seconds after each change of the coordinator engines are behind the
@@ -79,16 +114,16 @@
 	store := cfstandin.NewMemStore()
 	n := newTestNode(t, store)
 	n.candidate.write(ctx)
-	n.candidate.loads = func() int { return 9 }
+	n.candidate.state = func() (int, string) { return 9, "10.0.0.7:1" }
 	n.candidate.write(ctx) // a renewal
 	successor := newTestNode(t, store)
 	successor.candidate.probe(ctx)
 	before, _ := successor.candidate.holder()
-	if before.Loads != 9 {
-		t.Fatalf("the lease says %d loads", before.Loads)
+	if before.Loads != 9 || before.Copies != "10.0.0.7:1" {
+		t.Fatalf("the lease says %d loads, copies at %q", before.Loads, before.Copies)
 	}
 	successor.beginDuty(before)
-	if loads := successor.learnedLoads(); loads != 9 {
+	if loads, _ := successor.dutyState(); loads != 9 {
 		t.Errorf("the successor begins with %d loads", loads)
 	}
 	successor.endDuty()
