--- a/systemtest/soak_test.go
+++ b/systemtest/soak_test.go
@@ -29,6 +29,10 @@
 // rewardSeeds is the first seed in which samples are scored.
 const rewardSeeds = 2000
 
+// weakSeeds is the first seed on weak instances, which divide the streams of runs and
+// read pages of results apart.
+const weakSeeds = 3000
+
 // soak plays random faults on a small site while trainers and callers use it.
 type soak struct {
 	*site
@@ -77,8 +81,12 @@
 
 func runSoak(t *testing.T, seed uint64) {
 	models := []string{"m0", "m1"}
+	o := options{entries: 4, engines: 5, plains: 3, models: models, load: 150 * time.Millisecond, event: 8 * time.Millisecond, links: true}
+	if seed >= weakSeeds {
+		o.cores, o.linkMbps = weak, 1
+	}
 	s := &soak{
-		site:   startSite(t, options{entries: 4, engines: 5, plains: 3, models: models, load: 150 * time.Millisecond, event: 8 * time.Millisecond, links: true}),
+		site:   startSite(t, o),
 		random: rand.New(rand.NewPCG(seed, 9)), bids: map[string][]int{}, down: map[*entry]bool{},
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(*soakSeconds)*time.Second)
