--- a/cfnode/node.go
+++ b/cfnode/node.go
@@ -385,7 +385,7 @@
 	if c := n.coord.Swap(nil); c != nil {
 		pool := n.pool.Swap(nil)
 		pool.Hurry()
-		defer pool.Close()
+		defer func() { _ = pool.Close() }()
 		// What the coordinator before told is as old as this duty.
 		members, _ := n.memberList()
 		n.feed.mu.Lock()
