--- /dev/null
+++ b/scripts/weak-site.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Makes of a deployment's site file one whose callers' instances are all of the weakest
+# kind that it has: what a deployment stands on shows where its strong instances are
+# gone.
+#
+#   bash scripts/weak-site.sh SITE.toml OUT.toml
+set -euo pipefail
+site=$1 out=$2
+weakest=$(grep -E '^  \{ class = "front"' "$site" |
+  grep -oE 'cpu_share = [0-9.]+, cores = [0-9.]+, memory_mb = [0-9]+, fds = [0-9]+, link_mbps = [0-9.]+' |
+  sort -t= -k2 -g | head -n 1)
+sed -E "/^  \{ class = \"front\"/s/cpu_share = [0-9.]+, cores = [0-9.]+, memory_mb = [0-9]+, fds = [0-9]+, link_mbps = [0-9.]+/$weakest/" \
+  "$site" >"$out"
