--- a/cfbalance/balance.go
+++ b/cfbalance/balance.go
@@ -13,6 +13,7 @@
 //	b.Sent(t.ID)
 //	outcome, good := attempts.Judge(answer, err)
 //	b.Done(t.ID, outcome, answer.Load, took, now)
+//	b.Kept(t.ID, now+answer.Kept)
 package cfbalance
 
 import (
--- a/cfcoord/mirror.go
+++ b/cfcoord/mirror.go
@@ -187,7 +187,8 @@
 	k.drop(over)
 }
 
-// drop makes texts be copied from their beginnings again.
+// drop forgets what is known of texts: those that are over, and those of which the
+// place lacks the beginning, which are copied from there again.
 func (k *copies) drop(ids []cf.ItemID) {
 	for _, id := range ids {
 		delete(k.texts, id)
--- a/cfcoord/reads.go
+++ b/cfcoord/reads.go
@@ -94,7 +94,7 @@
 
 // ReadFor reads a batch for another instance: the page, or where its results lie
 // in the store if this instance's link has no room for them. whole asks for the page
-// in any case.
+// in any case, and counts like any other.
 func (c *Coordinator) ReadFor(ctx context.Context, id cf.BatchID, after int, wait cf.Millis, whole bool) (cf.ResultPage, *cfbatch.Places, error) {
 	page, err := c.Results(ctx, id, after, wait)
 	if err != nil {
