The test of doubtful writes waits until the batches from before are listed

The test made its batch right after the start of the duty; where the coordinator's first list of batches came later than that, the batch stood in it and counted as one of a coordinator before, whose chunks are read again on purpose.

--- a/cfcoord/chunks_test.go
+++ b/cfcoord/chunks_test.go
@@ -54,6 +54,12 @@
 	return cf.TargetAnswer{Status: 200}, nil
 }
 
+func (c *Coordinator) hasListed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.known
+}
+
 // Symptom: a step that is complete is listed two seconds late while the coordinator
 // reaches the store through another instance.
 // Sequence: a write of a chunk has no answer, and has not taken effect; the next one has
@@ -64,6 +70,13 @@
 	ctx := context.Background()
 	store := &doubtfulStore{MemStore: cfstandin.NewMemStore()}
 	c := startDuty(t, store, &promptTargets{})
+	// A batch that stands in the first list is another coordinator's before, whose
+	// chunks are read again for a reason of their own.
+	for deadline := time.Now().Add(20 * time.Second); !c.hasListed(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the batches from before are not listed")
+		}
+	}
 	sub := cf.Submission{ID: "b", Host: "h", Path: "/", Model: "m", MinVersion: 1, TargetGroups: 1, Items: []cf.Item{{ID: "1"}, {ID: "2"}}}
 	if err := cfbatch.Create(ctx, store, sub, 1<<20); err != nil {
 		t.Fatal(err)
