Sight: which requests are the same, and what became of a target that gave no answer

Cause for it: the logs of the incident could not tell a request that ends its targets from targets that end by themselves. Sends now bear a digest of the request (method, host, path, body) and one of its caller; a target that loses a request without an answer is checked by one new connection, and the outcome is logged (target_checked). Bodies and callers are not logged. No decision changes.

--- a/cfcoord/coordinator.go
+++ b/cfcoord/coordinator.go
@@ -27,6 +27,7 @@
 
 	cf "currantford"
 	"currantford/cfbatch"
+	"currantford/cfguard"
 	"currantford/cfrollout"
 	"currantford/cfsite"
 )
@@ -85,6 +86,8 @@
 		// KeepResults is how long after its acceptance an ended batch can
 		// still be read.
 		KeepResults cf.Millis
+		// Guard learns what became of targets that gave no answer.
+		Guard *cfguard.Guard
 		// Neighbour takes copies of the texts under way.
 		Neighbour Neighbour
 		// Loads is how many engines may load weights at once, as the coordinator
--- a/cfcoord/rewards.go
+++ b/cfcoord/rewards.go
@@ -10,6 +10,7 @@
 	cf "currantford"
 	"currantford/cfbatch"
 	"currantford/cflog"
+	"currantford/cfquarantine"
 	"currantford/cfreward"
 	"currantford/cfrollout"
 	"currantford/cfsite"
@@ -140,6 +141,9 @@
 	now := cf.Uptime()
 	outcome := classifyReward(answer, err, stopped)
 	call := a.Call
+	if outcome == cfreward.Lost && err != nil {
+		c.Guard.Lost(call.Item.Reward.ID, cfquarantine.KeyOfReward(call.Item.Reward), a.Target)
+	}
 	verdict := c.rewards.planner.Done(a, outcome, answer.Load, now)
 	c.Metrics.Rewards.WithLabelValues(rewardOutcomes[outcome]).Inc()
 	c.Metrics.RewardTook.Observe(float64(now-a.Began) / 1000)
--- a/cfcoord/runs.go
+++ b/cfcoord/runs.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
+	"currantford/cfquarantine"
 	"currantford/cfrollout"
 )
 
@@ -89,6 +90,9 @@
 		zap.String("target", string(t.ID)), zap.String("outcome", outcomeNames[outcome]), zap.String("reason", reason),
 		zap.Int64("version", int64(w.Version)), zap.Int64("events", int64(w.Text.Last)),
 		zap.Int64("took_ms", int64(now-w.Started)))
+	if outcome == cfrollout.OutcomeBroken {
+		c.Guard.Lost(cf.RequestID(w.Item.ID), cfquarantine.KeyOfItem(w.Batch.Sub.Host, w.Item), t)
+	}
 	if outcome == cfrollout.OutcomeNotRun && !c.planner.Loading(t.ID) {
 		c.checkReport(t)
 	}
--- a/cfingress/forward.go
+++ b/cfingress/forward.go
@@ -13,6 +13,7 @@
 	cf "currantford"
 	"currantford/cfbalance"
 	"currantford/cflog"
+	"currantford/cfquarantine"
 	"currantford/cfsite"
 )
 
@@ -34,6 +35,7 @@
 type forwarding struct {
 	in       *Ingress
 	req      *cf.Request
+	key      cfquarantine.Key
 	route    cfsite.Route
 	service  cf.ServiceName
 	version  cfsite.ConfigVersion
@@ -60,7 +62,7 @@
 		deadline = req.Received + req.Deadline
 	}
 	f := &forwarding{
-		in: in, req: req, route: route, service: route.Pick(rand.Float64()), version: config.Version,
+		in: in, req: req, key: cfquarantine.KeyOf(req.Method, req.Host, req.Path, req.Caller, req.Body), route: route, service: route.Pick(rand.Float64()), version: config.Version,
 		attempts: cfbalance.NewAttempts(route, deadline), tried: map[cf.InstanceID]bool{}, results: make(chan attempt, 8),
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.attempts.Left(cf.Uptime()).Duration())
@@ -114,7 +116,8 @@
 	f.attempts.Sent()
 	f.pending++
 	f.in.balancer.Sent(target.ID)
-	f.in.Log.Info("request_sent", zap.String("request_id", string(f.req.ID)), zap.String("route", f.route.Name),
+	f.in.Log.Info("request_sent", zap.String("request_id", string(f.req.ID)), zap.Stringer("request_digest", f.key.Content),
+		zap.Stringer("caller_digest", f.key.Caller), zap.String("route", f.route.Name),
 		zap.String("target", string(target.ID)), zap.Int("tried", len(f.tried)), zap.Int64("left_ms", int64(f.attempts.Left(now))),
 		zap.Int64("config_version", int64(f.version)), zap.Int64("targets_revision", int64(f.in.Site.TargetsAt())))
 	call := f.call(now)
@@ -141,6 +144,9 @@
 	now := cf.Uptime()
 	f.in.balancer.Done(a.target.ID, outcome, a.answer.Load, a.took, now)
 	f.in.balancer.Kept(a.target.ID, now+a.answer.Kept)
+	if a.err != nil && outcome == cfbalance.Failed {
+		f.in.Guard.Lost(f.req.ID, f.key, a.target)
+	}
 	if !good {
 		f.in.Log.Warn("attempt_failed", zap.String("request_id", string(f.req.ID)), zap.String("target", string(a.target.ID)),
 			zap.Int("status", a.answer.Status), zap.Bool("not_run", outcome == cfbalance.Full || outcome == cfbalance.Unreached),
--- a/cfingress/ingress.go
+++ b/cfingress/ingress.go
@@ -18,6 +18,7 @@
 
 	cf "currantford"
 	"currantford/cfbalance"
+	"currantford/cfguard"
 	"currantford/cfmember"
 	"currantford/cfsite"
 )
@@ -57,6 +58,8 @@
 		Site        *cfsite.Site
 		Coordinator Coordinator
 		Members     Members
+		// Guard learns what became of targets that gave no answer.
+		Guard *cfguard.Guard
 		// ValueBytes is the store's limit for one object.
 		ValueBytes int64
 		// MemoryBytes is the process's memory limit, zero if there is none.
--- a/cfnode/node.go
+++ b/cfnode/node.go
@@ -27,6 +27,7 @@
 
 	cf "currantford"
 	"currantford/cfcoord"
+	"currantford/cfguard"
 	"currantford/cfingress"
 	"currantford/cflease"
 	"currantford/cflog"
@@ -87,7 +88,9 @@
 		// host holds streams for the coordinator, pool this instance's own runs
 		// while it is the coordinator.
 		host *cfrunner.Host
-		pool atomic.Pointer[cfrunner.Pool]
+		// guard follows the requests that targets lost.
+		guard *cfguard.Guard
+		pool  atomic.Pointer[cfrunner.Pool]
 
 		memberMu sync.Mutex
 		members  cfmember.Table
@@ -116,7 +119,8 @@
 		settings: s, adapter: a, log: log, site: cfsite.New(a.Codec), metrics: cfcoord.NewMetrics(reg),
 		peers: cfpeer.NewClient(), peerSrv: cfpeer.NewServer(), ctx: ctx, cancel: cancel,
 		started: cf.Uptime(), candidateDone: make(chan struct{}), pages: cfcoord.NewLinkBudget(s.Machine.LinkMbps),
-		host: cfrunner.NewHost(a.Targets, log),
+		host:  cfrunner.NewHost(a.Targets, log),
+		guard: cfguard.New(cfguard.Options{Targets: a.Targets, Log: log}),
 	}
 	n.candidacy, n.endCandidacy = context.WithCancel(ctx)
 	bounds := cflease.DefaultBounds
@@ -127,7 +131,7 @@
 		outranked: n.outranked, better: n.betterHolder, state: n.dutyState,
 	}
 	n.ingress = cfingress.New(cfingress.Options{
-		Store: a.Store, Targets: a.Targets, Site: n.site, Coordinator: reader{n}, Members: n,
+		Store: a.Store, Targets: a.Targets, Site: n.site, Coordinator: reader{n}, Members: n, Guard: n.guard,
 		ValueBytes: s.Store.ValueBytes, MemoryBytes: s.Memory.LimitMB << 20,
 		Metrics: cfingress.NewMetrics(reg), Log: log,
 	})
@@ -278,6 +282,7 @@
 		w.close()
 	}
 	_ = n.host.Close()
+	_ = n.guard.Close()
 	_ = n.peers.Close()
 	return n.peerSrv.Close()
 }
@@ -347,7 +352,7 @@
 	pool := n.newPool()
 	n.pool.Store(pool)
 	c := cfcoord.New(cfcoord.Options{
-		Self: n.settings.Entry, Store: n.adapter.Store, Targets: n.adapter.Targets, Streams: pool, Site: n.site, Codec: n.adapter.Codec,
+		Self: n.settings.Entry, Store: n.adapter.Store, Targets: n.adapter.Targets, Streams: pool, Site: n.site, Codec: n.adapter.Codec, Guard: n.guard,
 		Duty: n.candidate, KeepResults: cf.Millis(n.settings.Bounds.KeepResultsS * 1000), Neighbour: neighbour{n}, Metrics: n.metrics, Log: n.log,
 		Pages: n.pages, Loads: before.Loads, Policy: n.settings.Policy.Policy,
 	})
