--- a/cfquarantine/key.go
+++ b/cfquarantine/key.go
@@ -1,3 +1,10 @@
+// Package cfquarantine decides which requests may still be sent to targets: one under
+// which targets have crashed again and again is held. It makes no calls and has no clock
+// of its own.
+//
+// Usage:
+//
+//	key := cfquarantine.KeyOf(method, host, path, caller, body)
 package cfquarantine
 
 import (
