--- a/cfcoord/coordinator.go
+++ b/cfcoord/coordinator.go
@@ -86,7 +86,7 @@
 		// KeepResults is how long after its acceptance an ended batch can
 		// still be read.
 		KeepResults cf.Millis
-		// Guard learns what became of targets that gave no answer.
+		// Guard decides which requests may be sent, and learns how they ended.
 		Guard *cfguard.Guard
 		// Neighbour takes copies of the texts under way.
 		Neighbour Neighbour
@@ -144,6 +144,8 @@
 		// oldest are forgotten.
 		groups map[cf.GroupID]int
 		ends   int
+		// refused are held requests whose refusal was logged; the map is bounded.
+		refused map[cf.RequestID]bool
 	}
 
 	// finishedText is a complete text of a batch.
@@ -193,15 +195,18 @@
 	}
 	limits.Learned = o.Loads
 	limits.LongOnSlow, limits.SwapWhenIdle = o.Policy.LongOnSlow, o.Policy.SwapWhenIdle
-	return &Coordinator{
+	c := &Coordinator{
 		Options: o, ctx: ctx, cancel: cancel, kick: make(chan struct{}, 1),
-		planner: cfrollout.New(limits),
 		batches: map[cf.BatchID]*state{}, readings: map[cf.BatchID]*reading{}, readSlots: make(chan struct{}, readsAtOnce),
 		runs:     map[*cfrollout.Work]context.CancelFunc{},
 		finished: map[cf.ItemID]finishedText{},
 		rewards:  newRewards(o.Policy),
 		counts:   map[cf.InstanceID]orderCount{}, named: named{}, groups: map[cf.GroupID]int{}, over: map[cf.BatchID]bool{}, prepared: newPrepared(),
+		refused: map[cf.RequestID]bool{},
 	}
+	limits.Admit = c.admit
+	c.planner = cfrollout.New(limits)
+	return c
 }
 
 // Route implements Streams.
--- a/cfcoord/rewards.go
+++ b/cfcoord/rewards.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"hash/fnv"
 	"net/http"
 
@@ -74,6 +75,11 @@
 	return cfreward.Route{Service: service, Targets: s.c.Site.Usable(service), MaxAttempts: route.MaxAttempts}, true
 }
 
+// Admit implements cfreward.Site.
+func (s *rewardSite) Admit(call *cf.RewardCall, target cf.Target) bool {
+	return s.c.passes(call.ID, cfquarantine.KeyOfReward(call), target).Pass
+}
+
 // Missing implements cfreward.Site.
 func (s *rewardSite) Missing(b *cfbatch.Batch, g cf.GroupID) int {
 	missing, known := s.missing[b.Sub.ID]
@@ -126,6 +132,20 @@
 	})
 }
 
+// followReward tells the guard how an attempt at a reward call ended.
+func (c *Coordinator) followReward(a *cfreward.Attempt, outcome cfreward.Outcome, err error) {
+	reward := a.Call.Item.Reward
+	key := cfquarantine.KeyOfReward(reward)
+	switch {
+	case outcome == cfreward.Scored || outcome == cfreward.Failed:
+		c.Guard.Answered(key, a.Target, a.Began)
+	case outcome == cfreward.Lost && err != nil && !errors.Is(err, cf.ErrNotRun):
+		c.Guard.Lost(reward.ID, key, a.Target)
+	default:
+		c.Guard.Dropped(key, a.Target)
+	}
+}
+
 var rewardOutcomes = map[cfreward.Outcome]string{
 	cfreward.Scored: "scored", cfreward.Failed: "failed", cfreward.Full: "not_run", cfreward.Lost: "lost", cfreward.Stopped: "stopped",
 }
@@ -136,14 +156,13 @@
 	defer c.mu.Unlock()
 	delete(c.rewards.cancels, a)
 	if c.ctx.Err() != nil {
+		c.followReward(a, cfreward.Stopped, nil)
 		return // the duty is over; a successor asks again
 	}
 	now := cf.Uptime()
 	outcome := classifyReward(answer, err, stopped)
 	call := a.Call
-	if outcome == cfreward.Lost && err != nil {
-		c.Guard.Lost(call.Item.Reward.ID, cfquarantine.KeyOfReward(call.Item.Reward), a.Target)
-	}
+	c.followReward(a, outcome, err)
 	verdict := c.rewards.planner.Done(a, outcome, answer.Load, now)
 	c.Metrics.Rewards.WithLabelValues(rewardOutcomes[outcome]).Inc()
 	c.Metrics.RewardTook.Observe(float64(now-a.Began) / 1000)
--- a/cfcoord/runs.go
+++ b/cfcoord/runs.go
@@ -30,6 +30,8 @@
 	// runTimeout is the deadline of one run at an engine; the longest items
 	// take about 7 s on an engine at normal speed.
 	runTimeout cf.Millis = 30000
+	// refusedMost bounds the ids whose refusal is known to have been logged.
+	refusedMost = 1000
 )
 
 var outcomeNames = map[cfrollout.Outcome]string{
@@ -42,6 +44,7 @@
 	e, ok := c.planner.Engine(w.Engine)
 	if !ok {
 		c.planner.Finished(w, cfrollout.OutcomeNotRun, cf.Uptime())
+		c.follow(w, cf.Target{}, cfrollout.OutcomeNotRun)
 		return
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
@@ -84,15 +87,14 @@
 	delete(c.runs, w)
 	now := cf.Uptime()
 	if c.ctx.Err() != nil {
+		c.follow(w, t, cfrollout.OutcomeStopped)
 		return // the duty is over; a successor runs the item again
 	}
+	c.follow(w, t, outcome)
 	c.Log.Info("item_run", zap.String("request_id", string(w.Item.ID)), zap.String("batch_id", string(w.Batch.Sub.ID)),
 		zap.String("target", string(t.ID)), zap.String("outcome", outcomeNames[outcome]), zap.String("reason", reason),
 		zap.Int64("version", int64(w.Version)), zap.Int64("events", int64(w.Text.Last)),
 		zap.Int64("took_ms", int64(now-w.Started)))
-	if outcome == cfrollout.OutcomeBroken {
-		c.Guard.Lost(cf.RequestID(w.Item.ID), cfquarantine.KeyOfItem(w.Batch.Sub.Host, w.Item), t)
-	}
 	if outcome == cfrollout.OutcomeNotRun && !c.planner.Loading(t.ID) {
 		c.checkReport(t)
 	}
@@ -105,6 +107,40 @@
 	c.Kick()
 }
 
+// admit asks the guard whether an item may be sent to an engine; its end is then due to
+// the guard.
+func (c *Coordinator) admit(w *cfrollout.Work, engine cf.Target) (ok, elsewhere bool) {
+	v := c.passes(cf.RequestID(w.Item.ID), cfquarantine.KeyOfItem(w.Batch.Sub.Host, w.Item), engine)
+	return v.Pass, v.Elsewhere
+}
+
+// passes asks the guard whether a request may be sent. The planners ask again at each
+// look while it may not; only the first refusal is logged. c.mu is held.
+func (c *Coordinator) passes(id cf.RequestID, key cfquarantine.Key, target cf.Target) cfquarantine.Verdict {
+	v := c.Guard.Admit(key, target)
+	if v.Until > 0 && !c.refused[id] {
+		if len(c.refused) >= refusedMost {
+			clear(c.refused)
+		}
+		c.refused[id] = true
+		c.Guard.Refused(id, key, v)
+	}
+	return v
+}
+
+// follow tells the guard how a run ended.
+func (c *Coordinator) follow(w *cfrollout.Work, t cf.Target, outcome cfrollout.Outcome) {
+	key := cfquarantine.KeyOfItem(w.Batch.Sub.Host, w.Item)
+	switch outcome {
+	case cfrollout.OutcomeDone, cfrollout.OutcomeFailed, cfrollout.OutcomeNever:
+		c.Guard.Answered(key, t, w.Started)
+	case cfrollout.OutcomeBroken:
+		c.Guard.Lost(cf.RequestID(w.Item.ID), key, t)
+	default:
+		c.Guard.Dropped(key, t)
+	}
+}
+
 // collector gathers an item's text and keeps its watchdog from firing.
 type collector struct {
 	work     *cfrollout.Work
--- a/cfguard/guard.go
+++ b/cfguard/guard.go
@@ -1,19 +1,26 @@
-// Package cfguard finds out what became of targets that lost a request. A request
-// whose answer does not come may have met a connection that its target closed, a link
-// that was cut, or a target that has ended; only a new connection tells them apart.
+// Package cfguard follows the requests that go to targets, for cfquarantine, which
+// decides which of them may. Every path that can reach a target asks it: callers'
+// requests with their retries and hedges, streams, items of batches, reward calls.
+//
+// It checks targets that gave no answer by a new connection, hands what it learns to the
+// other instances, and takes what they have learned.
 //
 // Usage:
 //
-//	g := cfguard.New(cfguard.Options{Targets: targets, Log: log})
+//	g := cfguard.New(options)
 //	defer g.Close()
-//	g.Lost(id, key, target)
+//	v := g.Judge(ctx, id, key)
+//	v = g.Admit(key, target)
+//	if v.Pass { ... send; then g.Answered, g.Lost or g.Dropped }
 package cfguard
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	cf "currantford"
@@ -21,31 +28,76 @@
 	"currantford/cfquarantine"
 )
 
-// checkTimeout bounds the new connection by which a target is checked; the longest
-// round trip between failure domains takes 16 ms.
-const checkTimeout = 300 * time.Millisecond
+const (
+	// checkTimeout bounds the new connection by which a target is checked; the
+	// longest round trip between failure domains takes 16 ms.
+	checkTimeout = 300 * time.Millisecond
+	// sweepEvery is how often Sweep looks through what is known.
+	sweepEvery cf.Millis = 500
+)
 
 type (
+	// Site shows the targets as they are listed.
+	Site interface {
+		Target(id cf.InstanceID) (cf.Target, bool)
+	}
+
 	// Options are what a guard works with.
 	Options struct {
+		Self    cf.EntryID
 		Targets cf.Targets
+		Site    Site
+		// Share hands strikes to the other instances. It does not wait.
+		Share func([]cfquarantine.Strike)
+		// Off lets every request pass.
+		Off     bool
+		Metrics *Metrics
 		Log     *zap.Logger
 	}
 
-	// Guard follows requests that targets lost. It is safe for concurrent use; a nil
-	// one does nothing. Close waits for the checks under way.
+	// Guard is safe for concurrent use; a nil one lets every request pass. Close
+	// waits for the checks under way.
 	Guard struct {
 		Options
+		// Table holds the evidence.
+		Table  *cfquarantine.Table
 		ctx    context.Context
 		cancel context.CancelFunc
 		wg     sync.WaitGroup
+
+		mu       sync.Mutex
+		checking map[cfquarantine.Incarnation]bool
+		swept    cf.Millis
+	}
+
+	// Metrics are the guard's counters.
+	Metrics struct {
+		Strikes *prometheus.CounterVec
+		Refused prometheus.Counter
+		Held    prometheus.Gauge
 	}
 )
 
-// New returns a guard.
+// NewMetrics registers the guard's metrics.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		Strikes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "currantford_request_strikes_total", Help: "Targets that ended under requests sent here, by how they were found gone."}, []string{"loss"}),
+		Refused: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "currantford_held_sends_total", Help: "Sends that did not happen because their request is held."}),
+		Held: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "currantford_requests_held", Help: "Requests that are held because targets crashed under them."}),
+	}
+	reg.MustRegister(m.Strikes, m.Refused, m.Held)
+	return m
+}
+
+// New returns a guard without evidence.
 func New(o Options) *Guard {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Guard{Options: o, ctx: ctx, cancel: cancel}
+	return &Guard{
+		Options: o, Table: cfquarantine.New(o.Self), ctx: ctx, cancel: cancel, checking: map[cfquarantine.Incarnation]bool{},
+	}
 }
 
 // Close ends the checks under way.
@@ -55,17 +107,195 @@
 	return nil
 }
 
-// Lost notes that a target was sent a request and gave no answer.
+// Judge says whether a request may be sent to some target. Where others of the same
+// content are under way whose ends decide, it waits for them.
+func (g *Guard) Judge(ctx context.Context, id cf.RequestID, key cfquarantine.Key) cfquarantine.Verdict {
+	if g == nil || g.Off {
+		return cfquarantine.Verdict{Pass: true}
+	}
+	for waited := false; ; waited = true {
+		changed := g.Table.Changed()
+		v := g.Table.Judge(key, cf.Uptime())
+		if !v.Wait {
+			return v
+		}
+		if !waited {
+			g.Log.Info("request_waits", zap.String("request_id", string(id)), digest(key), caller(key))
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return v
+		}
+	}
+}
+
+// Admit judges a request that is about to be sent to a target. One that passes counts as
+// under way there until Answered, Lost or Dropped.
+func (g *Guard) Admit(key cfquarantine.Key, target cf.Target) cfquarantine.Verdict {
+	if g == nil || g.Off {
+		return cfquarantine.Verdict{Pass: true}
+	}
+	return g.Table.Admit(key, cfquarantine.IncarnationOf(target), cf.Uptime())
+}
+
+// Refused logs that a request is held, and on which evidence.
+func (g *Guard) Refused(id cf.RequestID, key cfquarantine.Key, v cfquarantine.Verdict) {
+	g.Metrics.Refused.Inc()
+	g.Log.Warn("request_held", zap.String("request_id", string(id)), digest(key), caller(key),
+		zap.Int64("held_ms", int64(v.Until-cf.Uptime())), zap.Any("strikes", v.Strikes))
+}
+
+func digest(k cfquarantine.Key) zap.Field { return zap.Stringer("request_digest", k.Content) }
+
+func caller(k cfquarantine.Key) zap.Field { return zap.Stringer("caller_digest", k.Caller) }
+
+// Answered takes the end of a send that a target answered.
+func (g *Guard) Answered(key cfquarantine.Key, target cf.Target, sent cf.Millis) {
+	if g == nil || g.Off {
+		return
+	}
+	news := g.Table.Answered(key, cfquarantine.IncarnationOf(target), sent, cf.Uptime())
+	if len(news) > 0 {
+		g.Log.Info("strikes_void", zap.String("reason", "the request was run to its end"), digest(key), zap.Int("strikes", len(news)))
+		g.share(news)
+	}
+}
+
+// Dropped takes the end of a send that tells nothing: it was not run, or given up here.
+func (g *Guard) Dropped(key cfquarantine.Key, target cf.Target) {
+	if g == nil || g.Off {
+		return
+	}
+	g.Table.Dropped(key, cfquarantine.IncarnationOf(target))
+}
+
+// Lost takes the end of a send to which a target gave no answer.
 func (g *Guard) Lost(id cf.RequestID, key cfquarantine.Key, target cf.Target) {
-	if g == nil {
+	if g == nil || g.Off {
 		return
 	}
-	g.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(g.ctx, checkTimeout)
-		defer cancel()
-		err := g.Targets.Reach(ctx, target)
-		g.Log.Info("target_checked", zap.String("request_id", string(id)), zap.Stringer("request_digest", key.Content),
-			zap.Stringer("caller_digest", key.Caller), zap.String("target", string(target.ID)), zap.Int64("born_ms", int64(target.Born)),
-			zap.Bool("reached", err == nil), cflog.Error(err))
-	})
+	if t, listed := g.Site.Target(target.ID); listed && t.Draining {
+		g.Dropped(key, target) // it ends as planned
+		return
+	}
+	inc := cfquarantine.IncarnationOf(target)
+	g.Table.Lost(key, inc, cf.Uptime())
+	g.Log.Info("request_lost", zap.String("request_id", string(id)), digest(key), caller(key), zap.String("target", string(target.ID)),
+		zap.Int64("born_ms", int64(target.Born)))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.checking[inc] || g.ctx.Err() != nil {
+		return // the check under way looks again
+	}
+	g.checking[inc] = true
+	g.wg.Go(func() { g.check(target, inc) })
+}
+
+// check asks a target for a connection until no loss there is unchecked.
+func (g *Guard) check(target cf.Target, inc cfquarantine.Incarnation) {
+	for g.ctx.Err() == nil {
+		asked := cf.Uptime()
+		loss, err := g.lossOf(target)
+		if g.ctx.Err() != nil {
+			return
+		}
+		news := g.Table.Checked(inc, asked, loss, cf.Uptime())
+		g.Log.Info("target_checked", zap.String("target", string(target.ID)), zap.Int64("born_ms", int64(target.Born)),
+			zap.String("loss", string(loss)), zap.Int("strikes", len(news)), cflog.Error(err))
+		g.struck(news)
+		g.mu.Lock()
+		if !g.Table.Unchecked(inc) {
+			delete(g.checking, inc)
+			g.mu.Unlock()
+			return
+		}
+		g.mu.Unlock()
+	}
+}
+
+// lossOf says how a target is gone, empty if it is not.
+func (g *Guard) lossOf(target cf.Target) (cfquarantine.Loss, error) {
+	ctx, cancel := context.WithTimeout(g.ctx, checkTimeout)
+	defer cancel()
+	err := g.Targets.Reach(ctx, target)
+	switch {
+	case errors.Is(err, cf.ErrNoProcess):
+		return cfquarantine.LossRefused, err
+	case err != nil:
+		return cfquarantine.LossSilent, err
+	case g.replaced(cfquarantine.IncarnationOf(target)):
+		return cfquarantine.LossReplaced, nil
+	default:
+		return "", nil
+	}
+}
+
+// replaced says whether a start of a target is not listed any more.
+func (g *Guard) replaced(inc cfquarantine.Incarnation) bool {
+	t, listed := g.Site.Target(inc.ID)
+	return !listed || t.Born != inc.Born
+}
+
+// struck counts strikes that were found here, and shares them.
+func (g *Guard) struck(news []cfquarantine.Strike) {
+	for i := range news {
+		if news[i].Standing < cfquarantine.Void && news[i].SeenBy == g.Self {
+			g.Metrics.Strikes.WithLabelValues(string(news[i].Loss)).Inc()
+		}
+	}
+	g.share(news)
+}
+
+func (g *Guard) share(news []cfquarantine.Strike) {
+	if len(news) > 0 {
+		g.Share(news)
+	}
+}
+
+// Learn takes strikes that another instance shares, and passes on what is news.
+func (g *Guard) Learn(from cf.EntryID, in []cfquarantine.Strike) {
+	news := g.Table.Merge(in, cf.Uptime())
+	if len(news) == 0 {
+		return
+	}
+	_, held := g.Table.Held(0, cf.Uptime())
+	g.Log.Info("strikes_learned", zap.String("from", string(from)), zap.Int("strikes", len(news)), zap.Int("held", held),
+		zap.Stringer("request_digest", news[0].Content))
+	g.share(news)
+}
+
+// Free lets a held request pass again, by hand.
+func (g *Guard) Free(d cfquarantine.Digest) int {
+	news := g.Table.Free(d, cf.Uptime())
+	g.Log.Info("request_freed", zap.Stringer("request_digest", d), zap.Int("strikes", len(news)))
+	g.share(news)
+	return len(news)
+}
+
+// Sweep forgets what is over, and looks which struck targets the instance list shows as
+// gone or alive. current says that the list is current.
+func (g *Guard) Sweep(current bool, now cf.Millis) {
+	g.mu.Lock()
+	due := now-g.swept >= sweepEvery
+	if due {
+		g.swept = now
+	}
+	g.mu.Unlock()
+	if !due || g.Table.Empty() {
+		return
+	}
+	if current {
+		for _, inc := range g.Table.Struck() {
+			if g.replaced(inc) {
+				g.struck(g.Table.Replaced(inc, now))
+			}
+		}
+	}
+	if void := g.Table.Sweep(current, now); len(void) > 0 {
+		g.Log.Info("strikes_void", zap.String("reason", "their targets live"), zap.Int("strikes", len(void)))
+		g.share(void)
+	}
+	_, held := g.Table.Held(0, now)
+	g.Metrics.Held.Set(float64(held))
 }
--- a/cfingress/forward.go
+++ b/cfingress/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -28,7 +29,10 @@
 	target cf.Target
 	answer cf.TargetAnswer
 	err    error
+	sent   cf.Millis
 	took   cf.Millis
+	// left: the caller has gone, which ended the attempt.
+	left bool
 }
 
 // forwarding is one request on its way through the targets.
@@ -44,6 +48,8 @@
 	results  chan attempt
 	pending  int
 	last     *attempt // a failure that a target answered, to be passed on
+	// held is until when the request is held, zero if it is not.
+	held cf.Millis
 }
 
 // Forward answers a request by sending it to a target of its route.
@@ -78,7 +84,7 @@
 // that an answer cut short can be asked for again at another target.
 func (f *forwarding) whole(ctx context.Context, w http.ResponseWriter) {
 	for {
-		if f.pending == 0 && !f.send(ctx) {
+		if f.pending == 0 && !f.send(ctx, true) {
 			f.settle(w)
 			return
 		}
@@ -94,7 +100,7 @@
 				return
 			}
 		case <-hedge:
-			f.send(ctx)
+			f.send(ctx, false)
 		case <-ctx.Done():
 			f.expire(ctx, w)
 			return
@@ -102,20 +108,15 @@
 	}
 }
 
-// send starts one attempt; false when there is no target or no attempt left.
-func (f *forwarding) send(ctx context.Context) bool {
-	now := cf.Uptime()
-	if ctx.Err() != nil || !f.attempts.MaySend(now) {
-		return false
-	}
-	target, ok := f.in.balancer.Choose(f.in.Site.Usable(f.service), f.tried, rand.Float64(), now)
+// send starts one attempt; false when there is no target or no attempt left. Where wait is
+// set it may wait for others of the same content.
+func (f *forwarding) send(ctx context.Context, wait bool) bool {
+	target, ok := f.choose(ctx, wait)
 	if !ok {
 		return false
 	}
-	f.tried[target.ID] = true
-	f.attempts.Sent()
 	f.pending++
-	f.in.balancer.Sent(target.ID)
+	now := cf.Uptime()
 	f.in.Log.Info("request_sent", zap.String("request_id", string(f.req.ID)), zap.Stringer("request_digest", f.key.Content),
 		zap.Stringer("caller_digest", f.key.Caller), zap.String("route", f.route.Name),
 		zap.String("target", string(target.ID)), zap.Int("tried", len(f.tried)), zap.Int64("left_ms", int64(f.attempts.Left(now))),
@@ -123,11 +124,43 @@
 	call := f.call(now)
 	go func() {
 		answer, err := f.in.Targets.Send(ctx, target, call)
-		f.results <- attempt{target, answer, err, cf.Uptime() - now}
+		f.results <- attempt{target: target, answer: answer, err: err, sent: now, took: cf.Uptime() - now}
 	}()
 	return true
 }
 
+// choose returns the target of the next attempt, which then counts as sent: its end is
+// due to the guard. It returns false when there is none, or no attempt left, or the
+// request is held.
+func (f *forwarding) choose(ctx context.Context, wait bool) (cf.Target, bool) {
+	if ctx.Err() != nil || !f.attempts.MaySend(cf.Uptime()) {
+		return cf.Target{}, false
+	}
+	v := cfquarantine.Verdict{Pass: true}
+	if wait {
+		v = f.in.Guard.Judge(ctx, f.req.ID, f.key)
+	}
+	avoid := maps.Clone(f.tried)
+	for v.Pass || v.Elsewhere {
+		now := cf.Uptime() // it may have waited
+		target, ok := f.in.balancer.Choose(f.in.Site.Usable(f.service), avoid, rand.Float64(), now)
+		if !ok || ctx.Err() != nil || !f.attempts.MaySend(now) {
+			return cf.Target{}, false
+		}
+		if v = f.in.Guard.Admit(f.key, target); v.Pass {
+			f.tried[target.ID] = true
+			f.attempts.Sent()
+			f.in.balancer.Sent(target.ID)
+			return target, true
+		}
+		avoid[target.ID] = true
+	}
+	if f.held = v.Until; f.held > 0 {
+		f.in.Guard.Refused(f.req.ID, f.key, v)
+	}
+	return cf.Target{}, false
+}
+
 func (f *forwarding) call(now cf.Millis) cf.TargetCall {
 	return cf.TargetCall{
 		ID: f.req.ID, Method: f.req.Method, Host: f.req.Host, Path: f.req.Path, Header: f.req.Header, Body: f.req.Body,
@@ -144,9 +177,7 @@
 	now := cf.Uptime()
 	f.in.balancer.Done(a.target.ID, outcome, a.answer.Load, a.took, now)
 	f.in.balancer.Kept(a.target.ID, now+a.answer.Kept)
-	if a.err != nil && outcome == cfbalance.Failed {
-		f.in.Guard.Lost(f.req.ID, f.key, a.target)
-	}
+	f.follow(a)
 	if !good {
 		f.in.Log.Warn("attempt_failed", zap.String("request_id", string(f.req.ID)), zap.String("target", string(a.target.ID)),
 			zap.Int("status", a.answer.Status), zap.Bool("not_run", outcome == cfbalance.Full || outcome == cfbalance.Unreached),
@@ -155,23 +186,41 @@
 	return good
 }
 
-// abandon gives up what is still under way; its end is noted later.
-func (f *forwarding) abandon() {
+// follow tells the guard how an attempt ended.
+func (f *forwarding) follow(a attempt) {
+	switch {
+	case a.err == nil && !a.answer.NotRun:
+		f.in.Guard.Answered(f.key, a.target, a.sent)
+	case a.err != nil && !a.left && !errors.Is(a.err, cf.ErrNotRun):
+		f.in.Guard.Lost(f.req.ID, f.key, a.target)
+	default:
+		f.in.Guard.Dropped(f.key, a.target)
+	}
+}
+
+// abandon gives up what is still under way; its end is noted later. overdue says that it
+// should have been answered by now: its target may be gone.
+func (f *forwarding) abandon(overdue bool) {
 	if f.pending == 0 {
 		return
 	}
-	n, results, balancer := f.pending, f.results, f.in.balancer
+	n := f.pending
 	go func() {
 		for range n {
-			a := <-results
-			balancer.Done(a.target.ID, cfbalance.Abandoned, a.answer.Load, a.took, cf.Uptime())
+			a := <-f.results
+			f.in.balancer.Done(a.target.ID, cfbalance.Abandoned, a.answer.Load, a.took, cf.Uptime())
+			if a.err == nil || overdue {
+				f.follow(a)
+			} else {
+				f.in.Guard.Dropped(f.key, a.target)
+			}
 		}
 	}()
 }
 
 // pass hands a target's answer to the caller.
 func (f *forwarding) pass(w http.ResponseWriter, a attempt) {
-	f.abandon()
+	f.abandon(false)
 	h := w.Header()
 	for k, v := range a.answer.Header {
 		h[k] = v
@@ -188,20 +237,21 @@
 
 // settle ends a request for which no attempt is under way or left.
 func (f *forwarding) settle(w http.ResponseWriter) {
-	if !f.attempts.MayHaveRun() {
-		f.refuse(w, f.comeBack())
-		return
-	}
-	if f.last != nil {
+	switch {
+	case f.held > 0 && !f.attempts.MayHaveRun():
+		f.refuse(w, f.held-cf.Uptime(), "the request is held: targets crashed under it")
+	case !f.attempts.MayHaveRun():
+		f.refuse(w, f.comeBack(), "no target has room")
+	case f.last != nil:
 		f.pass(w, *f.last)
-		return
+	default:
+		f.fail(w, http.StatusBadGateway, "no target answered")
 	}
-	f.fail(w, http.StatusBadGateway, "no target answered")
 }
 
 // expire ends a request whose time is up or whose caller has gone.
 func (f *forwarding) expire(ctx context.Context, w http.ResponseWriter) {
-	f.abandon()
+	f.abandon(!errors.Is(ctx.Err(), context.Canceled))
 	if errors.Is(ctx.Err(), context.Canceled) {
 		f.in.Log.Info("caller_gone", zap.String("request_id", string(f.req.ID)), zap.Int64("after_ms", int64(cf.Uptime()-f.req.Received)))
 		f.in.count("forward", "caller_gone", f.req)
@@ -222,12 +272,12 @@
 }
 
 // refuse turns away a request that surely has not run.
-func (f *forwarding) refuse(w http.ResponseWriter, after cf.Millis) {
+func (f *forwarding) refuse(w http.ResponseWriter, after cf.Millis, reason string) {
 	f.in.Log.Warn("request_refused", zap.String("request_id", string(f.req.ID)), zap.String("service", string(f.service)),
-		zap.Int("tried", len(f.tried)), zap.Int64("retry_after_ms", int64(after)),
+		zap.String("reason", reason), zap.Int("tried", len(f.tried)), zap.Int64("retry_after_ms", int64(after)),
 		zap.Int64("config_version", int64(f.version)), zap.Int64("targets_revision", int64(f.in.Site.TargetsAt())))
 	w.Header().Set("Retry-After", strconv.FormatFloat(float64(after)/1000, 'f', 3, 64))
-	http.Error(w, "no target has room", http.StatusServiceUnavailable)
+	http.Error(w, reason, http.StatusServiceUnavailable)
 	f.in.count("forward", "refused", f.req)
 }
 
--- a/cfingress/ingress.go
+++ b/cfingress/ingress.go
@@ -58,8 +58,11 @@
 		Site        *cfsite.Site
 		Coordinator Coordinator
 		Members     Members
-		// Guard learns what became of targets that gave no answer.
+		// Guard decides which requests may be sent, and learns how they ended.
 		Guard *cfguard.Guard
+		// Informed says whether this instance has heard what the others hold back;
+		// nil: it need not.
+		Informed func() bool
 		// ValueBytes is the store's limit for one object.
 		ValueBytes int64
 		// MemoryBytes is the process's memory limit, zero if there is none.
@@ -111,7 +114,8 @@
 // Ready says whether callers may be sent to this instance. One that knows its
 // routes and no targets yet would refuse them all.
 func (in *Ingress) Ready() bool {
-	return !in.stopping.Load() && in.Site.Config() != nil && in.Site.TargetsAt() > 0
+	informed := in.Informed == nil || in.Informed()
+	return !in.stopping.Load() && informed && in.Site.Config() != nil && in.Site.TargetsAt() > 0
 }
 
 // Resolve returns the addresses for a caller in domain.
--- a/cfingress/stream.go
+++ b/cfingress/stream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -58,18 +57,16 @@
 func (f *forwarding) stream(ctx context.Context, w http.ResponseWriter) {
 	sink := &streamSink{w: w, flush: http.NewResponseController(w), last: f.req.ResumeAfter}
 	for {
-		now := cf.Uptime()
-		target, ok := f.in.balancer.Choose(f.in.Site.Usable(f.service), f.tried, rand.Float64(), now)
-		if !ok || ctx.Err() != nil || !f.attempts.MaySend(now) {
+		target, ok := f.choose(ctx, true)
+		if !ok {
 			f.endStream(ctx, w, sink)
 			return
 		}
-		f.tried[target.ID] = true
-		f.attempts.Sent()
-		f.in.balancer.Sent(target.ID)
+		now := cf.Uptime()
 		a := f.streamOnce(ctx, target, sink, now)
 		if a.err == nil && a.answer.Status/100 == 2 {
 			f.in.balancer.Done(target.ID, cfbalance.Answered, a.answer.Load, a.took, cf.Uptime())
+			f.follow(a)
 			f.in.Log.Info("stream_answered", zap.String("request_id", string(f.req.ID)), zap.String("target", string(target.ID)),
 				zap.Int64("events", int64(sink.last)), zap.Int("tried", len(f.tried)))
 			f.in.count("stream", "answered", f.req)
@@ -88,7 +85,8 @@
 }
 
 func (f *forwarding) streamOnce(ctx context.Context, target cf.Target, sink *streamSink, now cf.Millis) attempt {
-	ctx, cancel := context.WithCancel(ctx)
+	outer := ctx
+	ctx, cancel := context.WithCancel(outer)
 	defer cancel()
 	if f.route.Resumable {
 		sink.watchdog = time.AfterFunc(streamStall, cancel)
@@ -101,7 +99,9 @@
 		zap.Int64("resume_after", int64(sink.last)), zap.Int64("left_ms", int64(f.attempts.Left(now))),
 		zap.Int64("config_version", int64(f.version)))
 	answer, err := f.in.Targets.Stream(ctx, target, call, sink)
-	return attempt{target, answer, err, cf.Uptime() - now}
+	return attempt{
+		target: target, answer: answer, err: err, sent: now, took: cf.Uptime() - now, left: errors.Is(outer.Err(), context.Canceled),
+	}
 }
 
 // endStream ends a stream that no target completes. One that has begun is
--- a/cfnode/feed.go
+++ b/cfnode/feed.go
@@ -13,7 +13,7 @@
 	"currantford/cflease"
 	"currantford/cflog"
 	"currantford/cfmember"
-	"currantford/cfpeer"
+	"currantford/cfquarantine"
 	"currantford/cfsite"
 	"currantford/cfwatch"
 )
@@ -70,6 +70,10 @@
 		// where it has changed.
 		MembersAt int64            `cbor:"members_at"`
 		Members   []cfmember.Entry `cbor:"members,omitempty"`
+		// Quarantine identifies what the coordinator knows of requests that crash
+		// targets, where Informed says that it knows all.
+		Quarantine cfquarantine.Sums `cbor:"quarantine"`
+		Informed   bool              `cbor:"informed,omitempty"`
 	}
 
 	// feed is what an instance has from the coordinator.
@@ -127,7 +131,7 @@
 // answerFeed tells an instance what it does not know.
 func (n *Node) answerFeed(call feedCall) feedAnswer {
 	holder, rev := n.candidate.holder()
-	a := feedAnswer{Holder: holder, Rev: rev, Fresh: n.viewFresh(cf.Uptime())}
+	a := feedAnswer{Holder: holder, Rev: rev, Fresh: n.viewFresh(cf.Uptime()), Quarantine: n.guard.Table.Sums(), Informed: n.quarantine.known.Load()}
 	same := call.Term == holder.Term
 	a.Members, a.MembersAt = n.memberList()
 	if same && call.Members == a.MembersAt {
@@ -184,7 +188,7 @@
 			connected = holder.Addr
 		case err != nil:
 			switch {
-			case errors.Is(err, cfpeer.ErrNoProcess):
+			case errors.Is(err, cf.ErrNoProcess):
 				n.candidate.holderDead(holder)
 			case errors.Is(err, cf.ErrNotLeader):
 				n.candidate.doubt()
@@ -213,6 +217,9 @@
 		return err
 	}
 	n.takeFeed(a, asked)
+	if a.Informed {
+		n.quarantine.compare(addr, a.Quarantine)
+	}
 	return nil
 }
 
--- a/cfnode/node.go
+++ b/cfnode/node.go
@@ -88,9 +88,11 @@
 		// host holds streams for the coordinator, pool this instance's own runs
 		// while it is the coordinator.
 		host *cfrunner.Host
-		// guard follows the requests that targets lost.
-		guard *cfguard.Guard
-		pool  atomic.Pointer[cfrunner.Pool]
+		// guard decides which requests may go to targets; quarantine shares what it
+		// learns.
+		guard      *cfguard.Guard
+		quarantine *quarantine
+		pool       atomic.Pointer[cfrunner.Pool]
 
 		memberMu sync.Mutex
 		members  cfmember.Table
@@ -119,9 +121,14 @@
 		settings: s, adapter: a, log: log, site: cfsite.New(a.Codec), metrics: cfcoord.NewMetrics(reg),
 		peers: cfpeer.NewClient(), peerSrv: cfpeer.NewServer(), ctx: ctx, cancel: cancel,
 		started: cf.Uptime(), candidateDone: make(chan struct{}), pages: cfcoord.NewLinkBudget(s.Machine.LinkMbps),
-		host:  cfrunner.NewHost(a.Targets, log),
-		guard: cfguard.New(cfguard.Options{Targets: a.Targets, Log: log}),
+		host: cfrunner.NewHost(a.Targets, log),
 	}
+	n.quarantine = newQuarantine(n)
+	n.guard = cfguard.New(cfguard.Options{
+		Self: s.Entry, Targets: a.Targets, Site: n.site, Share: n.quarantine.share, Off: s.Policy.NoQuarantine,
+		Metrics: cfguard.NewMetrics(reg), Log: log,
+	})
+	n.quarantine.guard = n.guard
 	n.candidacy, n.endCandidacy = context.WithCancel(ctx)
 	bounds := cflease.DefaultBounds
 	bounds.Handover = s.Bounds.LeaseMs + handoverSlack
@@ -131,7 +138,7 @@
 		outranked: n.outranked, better: n.betterHolder, state: n.dutyState,
 	}
 	n.ingress = cfingress.New(cfingress.Options{
-		Store: a.Store, Targets: a.Targets, Site: n.site, Coordinator: reader{n}, Members: n, Guard: n.guard,
+		Store: a.Store, Targets: a.Targets, Site: n.site, Coordinator: reader{n}, Members: n, Guard: n.guard, Informed: func() bool { return n.quarantine.ready(cf.Uptime()) },
 		ValueBytes: s.Store.ValueBytes, MemoryBytes: s.Memory.LimitMB << 20,
 		Metrics: cfingress.NewMetrics(reg), Log: log,
 	})
@@ -151,6 +158,8 @@
 	n.peerSrv.Handle(cfrunner.OpOrders, decoded(func(ctx context.Context, o cfrunner.Orders) (any, error) { return n.host.Orders(ctx, o) }))
 	n.peerSrv.Handle(cfrunner.OpCollect, decoded(func(ctx context.Context, c cfrunner.Collect) (any, error) { return n.host.Collect(ctx, c) }))
 	n.peerSrv.Handle(opStore, func(ctx context.Context, body cbor.RawMessage) (any, error) { return a.Relay.Relayed(ctx, body) })
+	n.peerSrv.Handle(opStrikes, decoded(n.quarantine.serve))
+	n.peerSrv.Handle(opFree, decoded(n.quarantine.serveFree))
 	a.Relay.SetRelay(n.relay)
 	return n
 }
@@ -173,6 +182,7 @@
 	})
 	n.wg.Go(func() { n.runFeed(n.ctx) })
 	n.wg.Go(n.runWatch)
+	n.wg.Go(func() { n.quarantine.run(n.ctx) })
 }
 
 // Leave takes the instance out of the callers' address lists, and out of those
@@ -418,6 +428,7 @@
 			n.watching.Store(nil)
 			w.close()
 		}
+		n.quarantine.tick(now)
 		for _, t := range n.site.Sweep(now) {
 			n.log.Info("target_changed", zap.String("target", string(t.ID)), zap.Bool("gone", true), zap.String("reason", "lapsed"))
 		}
--- /dev/null
+++ b/cfnode/quarantine.go
@@ -0,0 +1,388 @@
+package cfnode
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cfguard"
+	"currantford/cflog"
+	"currantford/cfmember"
+	"currantford/cfpeer"
+	"currantford/cfquarantine"
+)
+
+const (
+	opStrikes = "strikes"
+	opFree    = "free"
+
+	// heldName is the object that holds what is held.
+	heldName = "held"
+	// heldStored bounds the requests in it, 1,000 bytes each at the most, and
+	// asked those of one exchange, of 120 bytes for each of their crashes.
+	heldStored = 256
+	asked      = 16
+	// strikesRate and strikesBurst bound the strikes that an instance hands on, in
+	// strikes a second: of 120 bytes each to three neighbours, 2 KB/s. A crash of a
+	// whole failure domain brings a few hundred at once.
+	strikesRate  = 6
+	strikesBurst = 400
+	// strikesCall bounds one message.
+	strikesCall = 64
+	// strikesTimeout bounds a call to another instance.
+	strikesTimeout = 400 * time.Millisecond
+	// freeTimeout bounds the command that frees a request.
+	freeTimeout = 5 * time.Second
+	// exchangeEvery spaces the exchanges of an instance that holds other requests,
+	// exchangeRest those of one that has heard of other crashes: 1 KB/s at the most
+	// while a caller crashes targets by ever other requests.
+	exchangeEvery cf.Millis = 1000
+	exchangeRest  cf.Millis = 2000
+	// heldRetry spaces the tries to read or write what is held.
+	heldRetry cf.Millis = 500
+	// heldKnownWithin is how long a starting instance is kept from callers until it
+	// has heard what is held.
+	heldKnownWithin cf.Millis = 3000
+)
+
+type (
+	// strikesMessage hands strikes to another instance, and may ask for its own.
+	strikesMessage struct {
+		From    cf.EntryID            `cbor:"from"`
+		Strikes []cfquarantine.Strike `cbor:"strikes,omitempty"`
+		Ask     bool                  `cbor:"ask,omitempty"`
+	}
+
+	// freeMessage asks an instance to free a request by hand.
+	freeMessage struct {
+		Digest cfquarantine.Digest `cbor:"digest"`
+	}
+
+	// heldObject is what is held as it is kept in the store.
+	heldObject struct {
+		SavedAt cf.Millis             `json:"saved_ms"` // wall clock, as of which the ages are
+		Strikes []cfquarantine.Strike `json:"strikes"`
+	}
+
+	// quarantine shares what the instances learn of requests that crash targets: news
+	// go from neighbour to neighbour at once, an instance that has missed some sees it
+	// by the sum in the feed, and what is held lies in the store for the loss of all.
+	quarantine struct {
+		node  *Node
+		guard *cfguard.Guard
+		news  chan []cfquarantine.Strike
+		// known: what others hold has been heard since the start.
+		known atomic.Bool
+
+		mu        sync.Mutex
+		tokens    float64
+		filled    cf.Millis
+		exchanged cf.Millis
+		stored    uint64 // the sum of what lies in the store
+		storedRev cf.Revision
+		storeAt   cf.Millis // the next try
+		busy      bool      // a read or write of the store is under way
+		term      cf.Revision
+	}
+)
+
+func newQuarantine(n *Node) *quarantine {
+	return &quarantine{node: n, news: make(chan []cfquarantine.Strike, 256), tokens: strikesBurst}
+}
+
+// share queues strikes for the neighbours. What does not fit is dropped: those of held
+// requests are exchanged later.
+func (q *quarantine) share(news []cfquarantine.Strike) {
+	select {
+	case q.news <- news:
+	default:
+		q.node.log.Warn("strikes_not_shared", zap.Int("strikes", len(news)))
+	}
+}
+
+// run hands strikes on until ctx ends.
+func (q *quarantine) run(ctx context.Context) {
+	for {
+		var news []cfquarantine.Strike
+		select {
+		case <-ctx.Done():
+			return
+		case news = <-q.news:
+		}
+		for len(q.news) > 0 && len(news) < strikesCall {
+			news = append(news, <-q.news...)
+		}
+		q.tell(ctx, q.within(news, cf.Uptime()))
+	}
+}
+
+// within returns the strikes that may be handed on now, those of held requests first.
+func (q *quarantine) within(news []cfquarantine.Strike, now cf.Millis) []cfquarantine.Strike {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.tokens = min(strikesBurst, q.tokens+float64(now-q.filled)/1000*strikesRate)
+	q.filled = now
+	n := min(len(news), int(q.tokens))
+	if n < len(news) {
+		q.node.log.Warn("strikes_not_shared", zap.Int("strikes", len(news)-n))
+		news = q.guard.Table.HeldFirst(news)
+	}
+	q.tokens -= float64(n)
+	return news[:n]
+}
+
+func (q *quarantine) tell(ctx context.Context, news []cfquarantine.Strike) {
+	if len(news) == 0 {
+		return
+	}
+	for _, addr := range q.neighbours() {
+		for part := range slices.Chunk(news, strikesCall) {
+			// A neighbour that does not answer must hold up nobody else's news.
+			q.node.wg.Go(func() {
+				if _, err := q.call(ctx, addr, strikesMessage{From: q.node.settings.Entry, Strikes: part}); err != nil {
+					q.node.log.Info("strikes_not_taken", zap.String("addr", addr), cflog.Error(err))
+				}
+			})
+		}
+	}
+}
+
+func (q *quarantine) call(ctx context.Context, addr string, m strikesMessage) ([]cfquarantine.Strike, error) {
+	ctx, cancel := context.WithTimeout(ctx, strikesTimeout)
+	defer cancel()
+	var answer []cfquarantine.Strike
+	err := q.node.peers.Call(ctx, addr, opStrikes, m, &answer)
+	return answer, err
+}
+
+// neighbours returns the addresses of the instances to which this one hands strikes: the
+// coordinator, with which all others compare, and those next to it.
+func (q *quarantine) neighbours() []string {
+	var out []string
+	if holder, _ := q.node.candidate.holder(); holder.Entry != "" && holder.Entry != q.node.settings.Entry {
+		out = append(out, holder.Addr)
+	}
+	for _, e := range cfmember.Ring(q.node.Live(), q.node.self()) {
+		if !slices.Contains(out, e.Peers) {
+			out = append(out, e.Peers)
+		}
+	}
+	return out
+}
+
+// serve takes another instance's strikes.
+func (q *quarantine) serve(_ context.Context, m strikesMessage) (any, error) {
+	q.guard.Learn(m.From, m.Strikes)
+	if !m.Ask {
+		return []cfquarantine.Strike{}, nil
+	}
+	return q.guard.Table.Answer(m.Strikes, asked, cf.Uptime()), nil
+}
+
+// serveFree frees a request by hand.
+func (q *quarantine) serveFree(_ context.Context, m freeMessage) (any, error) {
+	return q.guard.Free(m.Digest), nil
+}
+
+// compare takes what identifies another instance's table. Where it differs the two
+// exchange what they have.
+func (q *quarantine) compare(addr string, theirs cfquarantine.Sums) {
+	ours := q.guard.Table.Sums()
+	switch {
+	case ours == theirs:
+		q.known.Store(true)
+	case ours.Held == theirs.Held && q.known.Load():
+		q.exchange([]string{addr}, exchangeRest)
+	default:
+		q.exchange([]string{addr}, exchangeEvery)
+	}
+}
+
+// exchange asks the first of some instances that answers for what it has, unless one was
+// asked a moment ago.
+func (q *quarantine) exchange(addrs []string, spacing cf.Millis) {
+	now := cf.Uptime()
+	q.mu.Lock()
+	due := q.exchanged == 0 || now-q.exchanged >= spacing
+	if due {
+		q.exchanged = now
+	}
+	q.mu.Unlock()
+	if !due {
+		return
+	}
+	q.node.wg.Go(func() {
+		for _, addr := range addrs {
+			ours := q.guard.Table.Foremost(asked, cf.Uptime())
+			answer, err := q.call(q.node.ctx, addr, strikesMessage{From: q.node.settings.Entry, Strikes: ours, Ask: true})
+			if err == nil {
+				q.guard.Learn("", answer)
+				q.known.Store(true)
+				return
+			}
+			q.node.log.Info("strikes_not_taken", zap.String("addr", addr), cflog.Error(err))
+		}
+	})
+}
+
+// tick looks after what is due. It is called several times a second.
+func (q *quarantine) tick(now cf.Millis) {
+	n := q.node
+	fresh := n.feed.fresh(now)
+	q.guard.Sweep(n.coord.Load() != nil && n.viewFresh(now) || fresh, now)
+	switch {
+	case n.coord.Load() != nil:
+		q.keep(now)
+	case fresh:
+	default:
+		if !q.known.Load() {
+			q.read(now)
+		}
+		// No coordinator is there to compare with; any other instance will do.
+		others := q.neighbours()
+		rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+		q.exchange(others, exchangeEvery)
+	}
+}
+
+// keep writes what is held to the store whenever it has changed. It first reads what a
+// coordinator before has written.
+func (q *quarantine) keep(now cf.Millis) {
+	sum := q.guard.Table.Sums().Held
+	holder, _ := q.node.candidate.holder()
+	term := holder.Term
+	q.mu.Lock()
+	fresh := q.term != term
+	due := !q.busy && now >= q.storeAt && (fresh || sum != q.stored)
+	q.busy = q.busy || due
+	q.mu.Unlock()
+	if !due {
+		return
+	}
+	q.node.wg.Go(func() {
+		var err error
+		if fresh {
+			err = q.load()
+		} else {
+			err = q.save(sum)
+		}
+		q.done(err, term)
+	})
+}
+
+// read reads what is held from the store, for an instance that has heard of it from
+// nobody.
+func (q *quarantine) read(now cf.Millis) {
+	q.mu.Lock()
+	due := !q.busy && now >= q.storeAt
+	q.busy = q.busy || due
+	q.mu.Unlock()
+	if due {
+		q.node.wg.Go(func() { q.done(q.load(), 0) })
+	}
+}
+
+func (q *quarantine) done(err error, term cf.Revision) {
+	if err != nil {
+		q.node.log.Info("held_not_kept", cflog.Error(err))
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.busy = false
+	if err != nil {
+		q.storeAt = cf.Uptime() + heldRetry
+		return
+	}
+	q.term = max(q.term, term)
+}
+
+// load takes what lies in the store.
+func (q *quarantine) load() error {
+	r, err := q.node.adapter.Store.Get(q.node.ctx, cf.KindQuarantine, heldName)
+	if errors.Is(err, cf.ErrNotFound) {
+		q.known.Store(true)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return q.take(r)
+}
+
+// take takes the object with what is held.
+func (q *quarantine) take(r cf.Record) error {
+	var o heldObject
+	if err := json.Unmarshal(r.Spec, &o); err != nil {
+		return eris.Wrapf(cf.ErrInvalid, "%s: %v", heldName, err)
+	}
+	since := max(cf.Now()-o.SavedAt, 0)
+	for i := range o.Strikes {
+		o.Strikes[i].Age += since
+	}
+	q.mu.Lock()
+	q.storedRev = r.Rev
+	q.mu.Unlock()
+	q.guard.Learn("store", o.Strikes)
+	q.known.Store(true)
+	return nil
+}
+
+// save writes what is held, as of a sum.
+func (q *quarantine) save(sum uint64) error {
+	strikes, _ := q.guard.Table.Held(heldStored, cf.Uptime())
+	o := heldObject{SavedAt: cf.Now(), Strikes: strikes}
+	q.mu.Lock()
+	rev := q.storedRev
+	q.mu.Unlock()
+	store := q.node.adapter.Store
+	var r cf.Record
+	var err error
+	if rev == 0 {
+		r, err = store.Create(q.node.ctx, cf.KindQuarantine, heldName, o)
+	} else {
+		r, err = store.Replace(q.node.ctx, cf.KindQuarantine, heldName, rev, o)
+	}
+	if err != nil {
+		// Another has written, or this write took effect without its answer: what
+		// lies there is read, and written once more with it.
+		return errors.Join(err, q.load())
+	}
+	q.mu.Lock()
+	q.stored, q.storedRev = sum, r.Rev
+	q.mu.Unlock()
+	if r.Rev == 0 { // it was a large one
+		return q.load()
+	}
+	return nil
+}
+
+// ready says whether callers may be sent here, as far as it is for what is held.
+func (q *quarantine) ready(now cf.Millis) bool {
+	return q.known.Load() || now-q.node.started > heldKnownWithin
+}
+
+// FreeRequest frees a held request at the running instance of the settings, which tells
+// the others. It returns ErrNotFound where the instance knows nothing of it.
+func FreeRequest(s Settings, digest cfquarantine.Digest) error {
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	peers := cfpeer.NewClient()
+	defer func() { _ = peers.Close() }()
+	var freed int
+	if err := peers.Call(ctx, s.Listen.Peers, opFree, freeMessage{digest}, &freed); err != nil {
+		return err
+	}
+	if freed == 0 {
+		return eris.Wrapf(cf.ErrNotFound, "request %s", digest)
+	}
+	return nil
+}
--- a/cfnode/settings.go
+++ b/cfnode/settings.go
@@ -40,6 +40,8 @@
 		DutyAnywhere bool `json:"duty_anywhere"`
 		// NoRunners leaves all streams of runs to the coordinator.
 		NoRunners bool `json:"no_runners"`
+		// NoQuarantine sends requests on that have crashed targets.
+		NoQuarantine bool `json:"no_quarantine"`
 	}
 
 	// Listen holds the addresses to serve at, IP:PORT each. An empty one is
--- a/cfpeer/peer.go
+++ b/cfpeer/peer.go
@@ -92,11 +92,6 @@
 	}
 )
 
-// ErrNoProcess: the peer's machine is up and nothing listens at its address,
-// so its process has ended. A process that hangs, or a link that is cut, does
-// not look like this.
-var ErrNoProcess = errors.New("no process at the peer's address")
-
 // sentinels maps wire codes to the root package's errors.
 var sentinels = map[string]error{
 	"not_found":   cf.ErrNotFound,
@@ -117,7 +112,7 @@
 // Is makes it an ErrUnavailable and an ErrNotRun.
 func (e *notSent) Is(target error) bool { return target == cf.ErrUnavailable || target == cf.ErrNotRun }
 
-// Unwrap keeps the cause, such as ErrNoProcess.
+// Unwrap keeps the cause, such as cf.ErrNoProcess.
 func (e *notSent) Unwrap() error { return e.cause }
 
 // NewServer returns a server with no handlers.
@@ -314,7 +309,7 @@
 	ws, _, err := websocket.Dial(ctx, "ws://"+addr+"/v1/peer", nil) //nolint:bodyclose // the library closes the handshake body itself
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		s.failed = eris.Wrapf(ErrNoProcess, "dial peer %s", addr)
+		s.failed = eris.Wrapf(cf.ErrNoProcess, "dial peer %s", addr)
 	case err != nil:
 		s.failed = eris.Wrapf(cf.ErrUnavailable, "dial peer %s: %v", addr, err)
 	default:
--- /dev/null
+++ b/cfquarantine/evidence.go
@@ -0,0 +1,282 @@
+package cfquarantine
+
+import (
+	"slices"
+
+	cf "currantford"
+)
+
+// Answered takes the end of a send that a target answered. It returns what other
+// instances must hear of.
+func (t *Table) Answered(k Key, target Incarnation, sent, now cf.Millis) []Strike {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ended(k, target)
+	t.good.note(k, now)
+	var news []Strike
+	if s := t.suspects[k.Content]; s != nil {
+		news = t.raise(s, now, func(st *strike) Standing {
+			if st.Caller == k.Caller {
+				return Void
+			}
+			return CountsForCaller
+		})
+	}
+	t.alive(target, sent, now)
+	return news
+}
+
+// alive notes that a target was heard of: it has answered what it was sent after a loss. It
+// may still be another start under the same id, which the instance list will tell.
+func (t *Table) alive(target Incarnation, sent, now cf.Millis) {
+	if t.struck[target] == 0 {
+		return
+	}
+	for _, s := range t.suspects {
+		for i := range s.strikes {
+			if st := &s.strikes[i]; st.Target == target && st.at < sent && st.heard == 0 && !st.ended {
+				st.heard = now
+			}
+		}
+	}
+}
+
+// raise raises the standings of a suspect's strikes, and returns those that others must
+// hear of. t.mu is held.
+func (t *Table) raise(s *suspect, now cf.Millis, standing func(*strike) Standing) []Strike {
+	var news []Strike
+	changed := false
+	for i := range s.strikes {
+		st := &s.strikes[i]
+		to := standing(st)
+		if to <= st.Standing {
+			continue
+		}
+		if to == Void {
+			t.unstrike(st.Target)
+		}
+		st.Standing, changed = to, true
+		if st.shared() {
+			news = append(news, st.export(now))
+		}
+	}
+	if changed {
+		t.refresh(s)
+	}
+	return news
+}
+
+func (t *Table) unstrike(target Incarnation) {
+	if t.struck[target]--; t.struck[target] <= 0 {
+		delete(t.struck, target)
+	}
+}
+
+// refresh takes a changed suspect into the sums and wakes who waits. t.mu is held.
+func (t *Table) refresh(s *suspect) {
+	t.sums.toggle(s.part)
+	s.part = Sums{}
+	for i := range s.strikes {
+		if s.strikes[i].shared() {
+			s.part.All ^= s.strikes[i].sum()
+		}
+	}
+	if s.held() {
+		s.part.Held = s.part.All
+	}
+	t.sums.toggle(s.part)
+	t.notify()
+}
+
+func (s *Sums) toggle(part Sums) {
+	s.Held ^= part.Held
+	s.All ^= part.All
+}
+
+// held says whether the suspect has enough strikes that other instances know to be held
+// for some caller.
+func (s *suspect) held() bool {
+	n := 0
+	for i := range s.strikes {
+		if s.strikes[i].shared() && s.strikes[i].Standing < Void {
+			n++
+		}
+	}
+	return n >= crashesMost
+}
+
+// Lost takes the end of a send to which a target gave no answer. The target is to be
+// checked.
+func (t *Table) Lost(k Key, target Incarnation, now cf.Millis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.add(strike{Strike: Strike{Content: k.Content, Caller: k.Caller, Target: target, SeenBy: t.self}, at: now, doubt: unchecked})
+	t.ended(k, target)
+}
+
+// add takes a strike that the table does not have, if there is room for it. t.mu is held.
+func (t *Table) add(st strike) bool {
+	s := t.suspects[st.Content]
+	if s == nil {
+		if len(t.suspects) >= suspectsMost {
+			t.evict()
+		}
+		s = &suspect{}
+		t.suspects[st.Content] = s
+	}
+	if i := s.find(&st.Strike); i >= 0 {
+		return false
+	}
+	if len(s.strikes) >= strikesMost {
+		i := slices.IndexFunc(s.strikes, func(x strike) bool { return x.Standing == Void || x.doubt == reached })
+		if i < 0 {
+			return false // it is held for a day already
+		}
+		t.forget(s, i)
+	}
+	at, _ := slices.BinarySearchFunc(s.strikes, st.at, func(x strike, at cf.Millis) int {
+		if x.at <= at {
+			return -1
+		}
+		return 1
+	})
+	s.strikes = slices.Insert(s.strikes, at, st)
+	if st.Standing < Void {
+		t.struck[st.Target]++
+	}
+	t.refresh(s)
+	return true
+}
+
+func (s *suspect) find(st *Strike) int {
+	return slices.IndexFunc(s.strikes, func(x strike) bool { return x.is(st) })
+}
+
+// forget drops a strike. t.mu is held.
+func (t *Table) forget(s *suspect, i int) {
+	if s.strikes[i].Standing < Void {
+		t.unstrike(s.strikes[i].Target)
+	}
+	s.strikes = slices.Delete(s.strikes, i, i+1)
+}
+
+// Checked takes what a check of a target found: loss is how it is gone, empty if it took
+// a connection at checked or later. It returns what other instances must hear of.
+func (t *Table) Checked(target Incarnation, checked cf.Millis, loss Loss, now cf.Millis) []Strike {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.settle(target, now, func(st *strike) bool {
+		switch {
+		case st.doubt != unchecked:
+			return false
+		case loss != "":
+			st.doubt, st.Loss = proven, loss
+		case st.at <= checked:
+			st.doubt = reached
+		default:
+			return false // it may have gone since
+		}
+		return true
+	})
+}
+
+// Replaced takes the word of the instance list that a target is gone, or has started
+// again, though it was not draining.
+func (t *Table) Replaced(target Incarnation, now cf.Millis) []Strike {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.struck[target] == 0 {
+		return nil
+	}
+	return t.settle(target, now, func(st *strike) bool {
+		st.heard, st.ended = 0, true
+		if st.doubt == proven || now-st.at > replacedWithin {
+			return false
+		}
+		st.doubt, st.Loss = proven, LossReplaced
+		return true
+	})
+}
+
+// settle takes what has become known of the losses at a target. t.mu is held.
+func (t *Table) settle(target Incarnation, now cf.Millis, learn func(*strike) bool) []Strike {
+	var news []Strike
+	for _, s := range t.suspects {
+		changed := false
+		for i := range s.strikes {
+			st := &s.strikes[i]
+			if st.Target != target || st.Standing == Void || !learn(st) {
+				continue
+			}
+			changed = true
+			if st.shared() {
+				news = append(news, st.export(now))
+			}
+		}
+		if changed {
+			t.refresh(s)
+		}
+	}
+	return news
+}
+
+// Unchecked says whether strikes wait for a check of their target.
+func (t *Table) Unchecked(target Incarnation) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.struck[target] == 0 {
+		return false
+	}
+	for _, s := range t.suspects {
+		if slices.ContainsFunc(s.strikes, func(st strike) bool {
+			return st.Target == target && st.doubt == unchecked && st.Standing < Void
+		}) {
+			return true
+		}
+	}
+	return false
+}
+
+// explain voids the strikes that held suspects explain: whoever else ran at a target that
+// a held one has crashed was only there. It looks at crashes whose losses have all been
+// noted: of two that lost the same three targets neither explains the other. t.mu is held.
+func (t *Table) explain(now cf.Millis) []Strike {
+	explained := map[Incarnation]bool{}
+	for _, s := range t.suspects {
+		if !s.held() || now-s.lastAt() < explainAfter {
+			continue
+		}
+		for i := range s.strikes {
+			if s.strikes[i].shared() && s.strikes[i].Standing < Void {
+				explained[s.strikes[i].Target] = true
+			}
+		}
+	}
+	if len(explained) == 0 {
+		return nil
+	}
+	var news []Strike
+	for _, s := range t.suspects {
+		if s.held() {
+			continue
+		}
+		news = append(news, t.raise(s, now, func(st *strike) Standing {
+			if explained[st.Target] && st.doubt != unchecked {
+				return Void
+			}
+			return st.Standing
+		})...)
+	}
+	return news
+}
+
+// Free voids all strikes against a content, by hand.
+func (t *Table) Free(content Digest, now cf.Millis) []Strike {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.suspects[content]
+	if s == nil {
+		return nil
+	}
+	return t.raise(s, now, func(*strike) Standing { return Void })
+}
--- a/cfquarantine/key.go
+++ b/cfquarantine/key.go
@@ -1,10 +1,3 @@
-// Package cfquarantine decides which requests may still be sent to targets: one under
-// which targets have crashed again and again is held. It makes no calls and has no clock
-// of its own.
-//
-// Usage:
-//
-//	key := cfquarantine.KeyOf(method, host, path, caller, body)
 package cfquarantine
 
 import (
@@ -65,12 +58,31 @@
 // String returns the digest as logs write it.
 func (d CallerDigest) String() string { return hex.EncodeToString(d[:]) }
 
+// MarshalText writes a digest in JSON.
+func (d Digest) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// UnmarshalText reads a digest in JSON.
+func (d *Digest) UnmarshalText(text []byte) error { return decodeHex(d[:], text) }
+
+// MarshalText writes a digest in JSON.
+func (d CallerDigest) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// UnmarshalText reads a digest in JSON.
+func (d *CallerDigest) UnmarshalText(text []byte) error { return decodeHex(d[:], text) }
+
+func decodeHex(to, text []byte) error {
+	if len(text) != 2*len(to) {
+		return eris.Wrapf(cf.ErrInvalid, "%q is no digest of %d hexadecimal digits", text, 2*len(to))
+	}
+	if _, err := hex.Decode(to, text); err != nil {
+		return eris.Wrapf(cf.ErrInvalid, "%q: %v", text, err)
+	}
+	return nil
+}
+
 // ParseDigest reads what String wrote.
 func ParseDigest(s string) (Digest, error) {
 	var d Digest
-	raw, err := hex.DecodeString(s)
-	if err != nil || len(raw) != len(d) {
-		return d, eris.Wrapf(cf.ErrInvalid, "%q is no request digest of %d hexadecimal digits", s, 2*len(d))
-	}
-	return Digest(raw), nil
+	err := d.UnmarshalText([]byte(s))
+	return d, err
 }
--- a/cfreward/reward.go
+++ b/cfreward/reward.go
@@ -63,6 +63,8 @@
 		// Missing counts the items of a group that have no result yet, listed
 		// or about to be.
 		Missing(b *cfbatch.Batch, g cf.GroupID) int
+		// Admit says whether a call may be sent to a target now.
+		Admit(call *cf.RewardCall, target cf.Target) bool
 	}
 
 	// Call is the reward call of one text.
@@ -231,6 +233,9 @@
 			full[route.Service] = len(c.failedAt) == 0 && !hedge
 			continue
 		}
+		if !site.Admit(c.Item.Reward, t) {
+			continue
+		}
 		out = append(out, p.start(c, t, hedge, now))
 	}
 	p.prune(now)
--- a/cfreward/reward_test.go
+++ b/cfreward/reward_test.go
@@ -23,6 +23,7 @@
 	most    int
 	gone    bool
 	missing map[cf.GroupID]int
+	held    map[cf.RequestID]bool
 }
 
 func (s *site) Route(*cf.RewardCall) (cfreward.Route, bool) {
@@ -31,6 +32,8 @@
 
 func (s *site) Missing(_ *cfbatch.Batch, g cf.GroupID) int { return s.missing[g] }
 
+func (s *site) Admit(call *cf.RewardCall, _ cf.Target) bool { return !s.held[call.ID] }
+
 func fleet(n, slots int) *site {
 	s := &site{most: 4, missing: map[cf.GroupID]int{}}
 	for i := range n {
--- a/cfrollout/place.go
+++ b/cfrollout/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	cf "currantford"
 )
@@ -54,6 +55,9 @@
 			if e != nil && !p.limits.LongOnSlow && p.slow(q, e) && p.betterWait(q, w, e, len(rest)+1) {
 				e = nil
 			}
+			if e != nil {
+				e = p.admitted(engines, w, e, typical, now)
+			}
 			if e == nil {
 				rest = append(rest, w)
 				continue
@@ -67,6 +71,28 @@
 	return out
 }
 
+// admitted returns the engine to which an item may be sent: e, the one that was chosen,
+// or another where it may not meet what runs there; nil if it may be sent to none.
+func (p *Planner) admitted(engines []*Engine, w *Work, e *Engine, typical float64, now cf.Millis) *Engine {
+	if p.limits.Admit == nil {
+		return e
+	}
+	ok, elsewhere := p.limits.Admit(w, e.Target)
+	if ok {
+		return e
+	}
+	for rest := engines; elsewhere; {
+		rest = slices.DeleteFunc(slices.Clone(rest), func(o *Engine) bool { return o == e })
+		if e = p.choose(rest, w, typical, now); e == nil {
+			return nil
+		}
+		if ok, elsewhere = p.limits.Admit(w, e.Target); ok {
+			return e
+		}
+	}
+	return nil
+}
+
 // restart drops a text that no engine can go on with: on a route for samples of
 // one version, the engines have all loaded another since. It would wait for
 // ever.
--- a/cfrollout/planner.go
+++ b/cfrollout/planner.go
@@ -48,6 +48,9 @@
 		// Affinity makes an engine that has read a group's prompt count as
 		// so much faster for the group's other items.
 		Affinity float64
+		// Admit says whether an item may be sent to an engine now, and if not,
+		// whether it may to another; nil lets all.
+		Admit func(w *Work, engine cf.Target) (ok, elsewhere bool)
 		// LongOnSlow and SwapWhenIdle turn decisions off, to measure them.
 		LongOnSlow   bool
 		SwapWhenIdle bool
--- a/cfrunner/cfrunner_test.go
+++ b/cfrunner/cfrunner_test.go
@@ -12,7 +12,6 @@
 
 	cf "currantford"
 	"currantford/cfmember"
-	"currantford/cfpeer"
 )
 
 // gated is a target whose streams wait for their events.
@@ -79,7 +78,7 @@
 		return cf.ErrUnavailable
 	}
 	if host == nil {
-		return cfpeer.ErrNoProcess
+		return cf.ErrNoProcess
 	}
 	var err error
 	switch op {
--- a/cfrunner/link.go
+++ b/cfrunner/link.go
@@ -12,7 +12,6 @@
 	cf "currantford"
 	"currantford/cflog"
 	"currantford/cfmember"
-	"currantford/cfpeer"
 )
 
 const (
@@ -177,7 +176,7 @@
 			continue
 		}
 		failures++
-		ended := errors.Is(err, cfpeer.ErrNoProcess) || errors.Is(err, cf.ErrFenced)
+		ended := errors.Is(err, cf.ErrNoProcess) || errors.Is(err, cf.ErrFenced)
 		if !ended && failures < lostAfter {
 			cf.Sleep(l.pool.ctx, orderRetry)
 			continue
--- a/currantford.go
+++ b/currantford.go
@@ -77,6 +77,10 @@
 	// ErrMaybeRan: a non-idempotent request may have reached its service;
 	// it is never retried and never reported as "not run".
 	ErrMaybeRan = errors.New("request may have run")
+	// ErrNoProcess: the machine is up and nothing listens at the address, so the
+	// process there has ended. A process that hangs, or a link that is cut, does
+	// not look like this.
+	ErrNoProcess = errors.New("no process at the address")
 	// ErrInvalid: a settings or intent document failed validation.
 	ErrInvalid = errors.New("invalid document")
 )
--- a/nodecommands/commands.go
+++ b/nodecommands/commands.go
@@ -6,6 +6,7 @@
 //	currantford-node entry --settings /etc/currantford/local.json
 //	currantford-node standby --settings FILE
 //	currantford-node check --settings FILE
+//	currantford-node free --settings FILE --digest HEX
 package nodecommands
 
 import (
@@ -19,6 +20,7 @@
 
 	"currantford/cflog"
 	"currantford/cfnode"
+	"currantford/cfquarantine"
 	"currantford/platform"
 )
 
@@ -35,6 +37,10 @@
 	entryCommand   struct{ SettingsOption }
 	standbyCommand struct{ SettingsOption }
 	checkCommand   struct{ SettingsOption }
+	freeCommand    struct {
+		SettingsOption
+		Digest string `long:"digest" required:"true" description:"request_digest of the log lines" value-name:"HEX"`
+	}
 )
 
 // Execute parses args and runs the command they name. It returns the exit
@@ -49,6 +55,8 @@
 		"Hold an instance that has a disk. Everything that must last lies in the platform's store, so it keeps nothing.", &standbyCommand{}))
 	mustAdd(p.AddCommand("check", "Check a settings file",
 		"Check a settings file and print each fault with its JSON path. Exits 1 on any fault.", &checkCommand{}))
+	mustAdd(p.AddCommand("free", "Free a request that is held",
+		"Free a request that is held because targets crashed under it, at all instances, by its digest. Exits 1 where nothing is known of it.", &freeCommand{}))
 	if _, err := p.ParseArgs(args); err != nil {
 		var fe *flags.Error
 		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
@@ -74,6 +82,19 @@
 	return err
 }
 
+// Execute implements flags.Commander.
+func (c *freeCommand) Execute([]string) error {
+	s, err := cfnode.ReadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	digest, err := cfquarantine.ParseDigest(c.Digest)
+	if err != nil {
+		return err
+	}
+	return cfnode.FreeRequest(s, digest)
+}
+
 // Execute implements flags.Commander.
 func (c *entryCommand) Execute([]string) error {
 	s, err := cfnode.ReadSettings(c.Settings)
--- a/store.go
+++ b/store.go
@@ -54,6 +54,8 @@
 	KindLease = "currantford-leases"
 	// KindBatch holds accepted batches, one object each.
 	KindBatch = "currantford-batches"
+	// KindQuarantine holds what is known of requests that crash targets.
+	KindQuarantine = "currantford-quarantine"
 	// kindParts is the head of the kind that holds one batch's items, where
 	// they do not fit into its object.
 	kindParts = "currantford-parts-"
--- /dev/null
+++ b/systemtest/held_test.go
@@ -0,0 +1,243 @@
+package systemtest
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"currantford/platform/standin"
+)
+
+// crashSite starts a site whose targets crash.
+func crashSite(t *testing.T, entries, engines, plains int) *site {
+	t.Helper()
+	return startSite(t, options{entries: entries, engines: engines, plains: plains, crashes: crashDown})
+}
+
+// awaitMembers waits until each entry knows of all.
+func (s *site) awaitMembers() {
+	s.t.Helper()
+	eventually(s.t, "entries that know of each other", func() bool {
+		for _, e := range s.entries {
+			resp, err := http.Get("http://" + e.names + "/currantford/resolve?name=" + host + "&zone=domain-a")
+			if err != nil {
+				return false
+			}
+			var known struct {
+				Addrs []string `json:"addrs"`
+			}
+			err = json.NewDecoder(resp.Body).Decode(&known)
+			resp.Body.Close()
+			if err != nil || len(known.Addrs) < len(s.entries) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// hold sends a request until it has crashed three targets.
+func (s *site) hold(body string) {
+	s.t.Helper()
+	eventually(s.t, "three crashes", func() bool {
+		n := len(s.crashesOf(body))
+		if n < 3 {
+			s.entries[n%len(s.entries)].post(plainPrefix+"bids", fmt.Sprintf("hold-%s-%d", body, n), body)
+		}
+		return n >= 3
+	})
+	s.awaitTargets(s.plains)
+}
+
+// checkHeldAt checks that an instance refuses a request truthfully, at once and with the
+// time to come back, and sends it nowhere.
+func (s *site) checkHeldAt(e *entry, body string) {
+	s.t.Helper()
+	before := len(s.runsOf(body))
+	began := time.Now()
+	r := e.post(plainPrefix+"bids", "held-"+e.id+"-"+strconv.Itoa(int(began.UnixNano())), body)
+	if n := len(s.runsOf(body)); n != before {
+		s.t.Errorf("%s sent a held request on: %d runs more", e.id, n-before)
+	}
+	after, _ := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+	if r.status != http.StatusServiceUnavailable || after < 60 || !strings.Contains(string(r.body), "held") {
+		s.t.Errorf("%s answers a held request with %d, Retry-After %q: %s", e.id, r.status, r.header.Get("Retry-After"), r.body)
+	}
+}
+
+// Symptom: a request that is held crashes targets again.
+// Sequence: the instances that saw its crashes are stopped and started in turn, then all
+// are killed at once; it comes again at each that has just started.
+// Cause guarded against: what is held lived in the memory of those that learned it.
+func TestHeldRequestOutlivesTheInstances(t *testing.T) {
+	t.Parallel()
+	s := crashSite(t, 3, 1, 3)
+	const body = standin.CrashingBody + " outlives"
+	s.hold(body)
+	before := len(s.runsOf(body))
+	for _, e := range s.entries {
+		e.signal(syscall.SIGTERM)
+		<-e.done
+		e.start()
+		e.waitReady()
+		s.checkHeldAt(e, body)
+	}
+	s.waitCoordinator("")
+	eventually(t, "what is held in the store", func() bool { return s.store.Spec("currantford-quarantine", "held") != nil })
+	for _, e := range s.entries {
+		e.kill()
+	}
+	for _, e := range s.entries {
+		e.start()
+	}
+	for _, e := range s.entries {
+		e.waitReady()
+		s.checkHeldAt(e, body)
+	}
+	if n := len(s.runsOf(body)); n != before {
+		t.Errorf("%d runs, %d before the restarts", n, before)
+	}
+}
+
+// Symptom: as above.
+// Sequence: the store is away while the request crashes its targets; one instance is
+// frozen meanwhile, and then the coordinator is killed.
+// Cause guarded against: what one instance learns reaches the others by the store, or by
+// the coordinator alone.
+func TestHeldRequestWhileTheStoreIsAway(t *testing.T) {
+	t.Parallel()
+	s := crashSite(t, 4, 1, 6)
+	const body = standin.CrashingBody + " outage"
+	s.awaitMembers()
+	c := s.coordinator()
+	var frozen, first *entry
+	for _, e := range s.entries {
+		switch {
+		case e == c:
+		case frozen == nil:
+			frozen = e
+		default:
+			first = e
+		}
+	}
+	s.store.SetFaults(standin.StoreFaults{Down: true})
+	frozen.signal(syscall.SIGSTOP)
+	for n := 0; len(s.crashesOf(body)) < 3; n++ {
+		first.post(plainPrefix+"bids", fmt.Sprintf("outage-%d", n), body)
+	}
+	time.Sleep(contact)
+	for _, e := range s.entries {
+		if e != frozen {
+			s.checkHeldAt(e, body)
+		}
+	}
+	c.kill()
+	frozen.signal(syscall.SIGCONT)
+	time.Sleep(contact)
+	for _, e := range s.entries {
+		if e != c {
+			s.checkHeldAt(e, body)
+		}
+	}
+	s.store.SetFaults(standin.StoreFaults{})
+}
+
+// Symptom: a step loses its engines again and again, and is never whole.
+// Sequence: one of its items crashes each engine that runs it, and its reward call would
+// do the same to the service's targets.
+func TestCrashingItemsAreHeld(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 2, engines: 4, plains: 4, crashes: crashDown, config: func(c map[string]any) {
+		c["routes"].([]map[string]any)[0]["max-wait-s"] = 9.0
+	}})
+	b := scored(step("b-crash", "m0", 4, 3, 12))
+	item, call := standin.CrashingBody+" item", standin.CrashingBody+" reward"
+	b.Items[1].Body = []byte(item)
+	b.Items[7].Reward.Body = []byte(call)
+	s.accept(b)
+	results := s.readAll(b)
+	for _, r := range results {
+		bad := r.ID == b.Items[1].ID || r.ID == b.Items[7].ID
+		if done := r.State == "done"; done == bad {
+			t.Errorf("item %s is %s", r.ID, r.State)
+		}
+	}
+	for _, body := range []string{item, call} {
+		if n := len(s.crashesOf(body)); n != 3 {
+			t.Errorf("%d targets crashed under %q, want 3", n, body)
+		}
+		s.checkHeld(body)
+	}
+}
+
+// Symptom: callers of a popular request are refused.
+// Sequence: most targets are lost at once, each with many equal requests; three times.
+// Cause guarded against: their crashes taken for the request's doing.
+func TestEqualRequestsAreNotHeld(t *testing.T) {
+	t.Parallel()
+	s := crashSite(t, 3, 1, 6)
+	stop := make(chan struct{})
+	var mu sync.Mutex
+	statuses, held := map[int]int{}, 0
+	var wg sync.WaitGroup
+	for i := range 12 {
+		e := s.entries[i%len(s.entries)]
+		wg.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				r, err := e.do(http.MethodPost, plainPrefix+"popular", fmt.Sprintf("popular-%d-%d", i, n), []byte("the same"), "Currantford-Deadline-Ms", "1500")
+				mu.Lock()
+				if err == nil {
+					statuses[r.status]++
+				}
+				if strings.Contains(string(r.body), "held") {
+					held++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for range 3 {
+		time.Sleep(300 * time.Millisecond)
+		for _, p := range s.plains[:5] {
+			p.End()
+		}
+		s.awaitTargets(s.plains)
+	}
+	close(stop)
+	wg.Wait()
+	if held > 0 || statuses[http.StatusOK] == 0 {
+		t.Errorf("%d of the answers %v say that the request is held", held, statuses)
+	}
+}
+
+// An operator frees a request by its digest, at any instance.
+func TestFreeingARequestByHand(t *testing.T) {
+	t.Parallel()
+	s := crashSite(t, 2, 1, 3)
+	const body = standin.CrashingBody + " freed"
+	s.awaitMembers()
+	s.hold(body)
+	time.Sleep(contact)
+	digest := s.entries[0].logged("request_lost", "request_digest")
+	if digest == "" {
+		digest = s.entries[1].logged("request_lost", "request_digest")
+	}
+	s.entries[1].run("free", "--digest", digest)
+	time.Sleep(contact)
+	before := len(s.runsOf(body))
+	s.entries[0].post(plainPrefix+"bids", "freed", body)
+	if n := len(s.runsOf(body)); n == before {
+		t.Error("a request that was freed is not sent")
+	}
+}
--- a/systemtest/site_test.go
+++ b/systemtest/site_test.go
@@ -298,11 +298,36 @@
 			e.t.Errorf("race in %s:\n%s", e.id, raw[i:min(i+4000, len(raw))])
 		}
 		if e.t.Failed() {
-			e.t.Logf("log of %s:\n%s", e.id, tail(raw, 4000))
+			e.t.Logf("log of %s:\n%s", e.id, tail(raw, 400000))
 		}
 	})
 }
 
+// run runs another command on the entry's settings.
+func (e *entry) run(command string, args ...string) {
+	e.t.Helper()
+	cmd := exec.Command(binary, append([]string{command, "--settings", e.settings}, args...)...)
+	if out, err := cmd.CombinedOutput(); err != nil {
+		e.t.Errorf("%s: %v\n%s", command, err, out)
+	}
+}
+
+// logged returns a field of the entry's first log line with a message.
+func (e *entry) logged(msg, field string) string {
+	e.t.Helper()
+	raw, err := os.ReadFile(e.logPath)
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	for line := range bytes.Lines(raw) {
+		fields := map[string]any{}
+		if json.Unmarshal(line, &fields) == nil && fields["msg"] == msg {
+			return fmt.Sprint(fields[field])
+		}
+	}
+	return ""
+}
+
 func tail(b []byte, n int) []byte { return b[max(0, len(b)-n):] }
 
 func (e *entry) signal(sig syscall.Signal) {
--- a/target.go
+++ b/target.go
@@ -159,8 +159,8 @@
 		// answer's body is only set when the status is not a success.
 		Stream(ctx context.Context, t Target, call TargetCall, sink StreamSink) (TargetAnswer, error)
 		Report(ctx context.Context, t Target) (TargetReport, error)
-		// Reach says whether a new connection to the target can be had: nil, or
-		// ErrUnavailable.
+		// Reach says whether a new connection to the target can be had: nil,
+		// ErrNoProcess or ErrUnavailable.
 		Reach(ctx context.Context, t Target) error
 		// Order returns nil when the target accepted the order or the order
 		// already held, ErrConflict when the order's counter did not match.
