--- /dev/null
+++ b/cfcoord/guard_test.go
@@ -0,0 +1,79 @@
+package cfcoord
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/cfbatch"
+	"currantford/cfguard"
+	"currantford/cfquarantine"
+	"currantford/cfstandin"
+)
+
+// deadTargets refuse connections: before a request is sent, or after.
+type deadTargets struct {
+	countingTargets
+	sent bool
+	runs atomic.Int64
+}
+
+func (d *deadTargets) Stream(context.Context, cf.Target, cf.TargetCall, cf.StreamSink) (cf.TargetAnswer, error) {
+	d.runs.Add(1)
+	if d.sent {
+		return cf.TargetAnswer{}, fmt.Errorf("EOF: %w", cf.ErrMaybeRan)
+	}
+	return cf.TargetAnswer{}, fmt.Errorf("connection refused: %w", cf.ErrNotRun)
+}
+
+func (*deadTargets) Reach(context.Context, cf.Target) error { return cf.ErrNoProcess }
+
+// Symptom: items that no engine has run are held, and their step is never whole.
+// Sequence: a third of the engines are lost; their entries stand for three seconds more,
+// in which items are placed there again and again and refused the connection.
+// Cause: the end of such a try was taken for the loss of a run.
+func TestItemsThatReachedNoEngineAreNotHeld(t *testing.T) {
+	for _, sent := range []bool{false, true} {
+		t.Run(fmt.Sprint("sent ", sent), func(t *testing.T) {
+			store, targets, site := cfstandin.NewMemStore(), &deadTargets{sent: sent}, engineSite(t)
+			var engines []cf.Target
+			for n := range 8 {
+				engines = append(engines, cf.Target{
+					ID: cf.InstanceID(fmt.Sprint("e", n)), Service: "s", Slots: 4, Models: []cf.ModelState{{Name: "m", Version: 1}},
+				})
+			}
+			site.ReplaceTargets(engines, 2, 0)
+			guard := cfguard.New(cfguard.Options{
+				Self: "i", Targets: targets, Site: site, Share: func([]cfquarantine.Strike) {},
+				Metrics: cfguard.NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
+			})
+			t.Cleanup(func() { _ = guard.Close() })
+			c := New(Options{
+				Store: store, Targets: targets, Site: site, Codec: cfstandin.Codec{}, Duty: held{}, Policy: Policy{NoTextCopies: true},
+				Guard: guard, KeepResults: 120_000, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
+			})
+			c.Start(noTexts)
+			t.Cleanup(func() { _ = c.Close() })
+			sub := cf.Submission{ID: "b", Host: "h", Path: "/", Model: "m", MinVersion: 1, Items: []cf.Item{{ID: "1", Path: "/x", Body: []byte("p")}}}
+			if err := cfbatch.Create(context.Background(), store, sub, 1<<20); err != nil {
+				t.Fatal(err)
+			}
+			for deadline := time.Now().Add(20 * time.Second); targets.runs.Load() < 3; time.Sleep(5 * time.Millisecond) {
+				if time.Now().After(deadline) {
+					t.Fatalf("%d tries", targets.runs.Load())
+				}
+			}
+			time.Sleep(50 * time.Millisecond) // the last end is taken
+			v := guard.Table.Judge(cfquarantine.KeyOfItem("h", sub.Items[0]), cf.Uptime())
+			if held := v.Until > 0; held != sent {
+				t.Errorf("held %v after three targets were lost, want %v", held, sent)
+			}
+		})
+	}
+}
--- a/cfcoord/runs.go
+++ b/cfcoord/runs.go
@@ -44,7 +44,7 @@
 	e, ok := c.planner.Engine(w.Engine)
 	if !ok {
 		c.planner.Finished(w, cfrollout.OutcomeNotRun, cf.Uptime())
-		c.follow(w, cf.Target{}, cfrollout.OutcomeNotRun)
+		c.follow(w, cf.Target{}, cfrollout.OutcomeNotRun, false)
 		return
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
@@ -60,13 +60,13 @@
 	c.wg.Go(func() {
 		defer cancel()
 		started := time.Now()
-		outcome, reason := c.run(ctx, route, e.Target, cf.TargetCall{
+		outcome, reason, sent := c.run(ctx, route, e.Target, cf.TargetCall{
 			ID: cf.RequestID(item.ID), Method: http.MethodPost, Host: host, Path: item.Path, Header: itemHeader(item), Body: item.Body,
 			Urgency: urgency, Ranked: true, Timeout: runTimeout, ResumeAfter: w.Text.Last, ExpectVersion: version,
 		}, w)
 		c.Metrics.Runs.WithLabelValues(outcomeNames[outcome]).Inc()
 		c.Metrics.ItemRun.Observe(time.Since(started).Seconds())
-		c.ended(w, e.Target, outcome, reason)
+		c.ended(w, e.Target, outcome, reason, sent)
 	})
 }
 
@@ -80,17 +80,18 @@
 	}
 }
 
-// ended takes the end of a run back to the planner.
-func (c *Coordinator) ended(w *cfrollout.Work, t cf.Target, outcome cfrollout.Outcome, reason string) {
+// ended takes the end of a run back to the planner; sent says that it may have reached the
+// target.
+func (c *Coordinator) ended(w *cfrollout.Work, t cf.Target, outcome cfrollout.Outcome, reason string, sent bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.runs, w)
 	now := cf.Uptime()
 	if c.ctx.Err() != nil {
-		c.follow(w, t, cfrollout.OutcomeStopped)
+		c.follow(w, t, cfrollout.OutcomeStopped, sent)
 		return // the duty is over; a successor runs the item again
 	}
-	c.follow(w, t, outcome)
+	c.follow(w, t, outcome, sent)
 	c.Log.Info("item_run", zap.String("request_id", string(w.Item.ID)), zap.String("batch_id", string(w.Batch.Sub.ID)),
 		zap.String("target", string(t.ID)), zap.String("outcome", outcomeNames[outcome]), zap.String("reason", reason),
 		zap.Int64("version", int64(w.Version)), zap.Int64("events", int64(w.Text.Last)),
@@ -129,12 +130,12 @@
 }
 
 // follow tells the guard how a run ended.
-func (c *Coordinator) follow(w *cfrollout.Work, t cf.Target, outcome cfrollout.Outcome) {
+func (c *Coordinator) follow(w *cfrollout.Work, t cf.Target, outcome cfrollout.Outcome, sent bool) {
 	key := cfquarantine.KeyOfItem(w.Batch.Sub.Host, w.Item)
-	switch outcome {
-	case cfrollout.OutcomeDone, cfrollout.OutcomeFailed, cfrollout.OutcomeNever:
+	switch {
+	case outcome == cfrollout.OutcomeDone || outcome == cfrollout.OutcomeFailed || outcome == cfrollout.OutcomeNever:
 		c.Guard.Answered(key, t, w.Started)
-	case cfrollout.OutcomeBroken:
+	case outcome == cfrollout.OutcomeBroken && sent:
 		c.Guard.Lost(cf.RequestID(w.Item.ID), key, t)
 	default:
 		c.Guard.Dropped(key, t)
@@ -165,17 +166,20 @@
 }
 
 // run sends one item to one engine and collects its text after what w holds
-// already.
-func (c *Coordinator) run(outer context.Context, route cf.StreamRoute, t cf.Target, call cf.TargetCall, w *cfrollout.Work) (cfrollout.Outcome, string) {
+// already. sent says that it may have reached the engine.
+func (c *Coordinator) run(
+	outer context.Context, route cf.StreamRoute, t cf.Target, call cf.TargetCall, w *cfrollout.Work,
+) (outcome cfrollout.Outcome, reason string, sent bool) {
 	ctx, cancel := context.WithCancel(outer)
 	defer cancel()
 	watchdog := time.AfterFunc(stall, cancel)
 	defer watchdog.Stop()
 	answer, err := route.Stream(ctx, t, call, collector{w, watchdog})
 	if err != nil && outer.Err() != nil {
-		return cfrollout.OutcomeStopped, "ended or moved"
+		return cfrollout.OutcomeStopped, "ended or moved", true
 	}
-	return classify(answer, err)
+	outcome, reason = classify(answer, err)
+	return outcome, reason, !errors.Is(err, cf.ErrNotRun)
 }
 
 func itemHeader(item cf.Item) http.Header {
--- a/cfrunner/cfrunner.go
+++ b/cfrunner/cfrunner.go
@@ -119,6 +119,8 @@
 		Status int    `cbor:"status,omitempty"`
 		NotRun bool   `cbor:"not_run,omitempty"`
 		Error  string `cbor:"error,omitempty"`
+		// NotSent: the error is that the request did not reach the target.
+		NotSent bool `cbor:"not_sent,omitempty"`
 		// NotHeld: the host has no such run.
 		NotHeld bool `cbor:"not_held,omitempty"`
 	}
--- a/cfrunner/cfrunner_test.go
+++ b/cfrunner/cfrunner_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	cf "currantford"
@@ -305,3 +306,20 @@
 	_ = p.Close()
 	<-done
 }
+
+// refusing targets are gone: no connection to them can be had.
+type refusing struct{ cf.Targets }
+
+func (refusing) Stream(context.Context, cf.Target, cf.TargetCall, cf.StreamSink) (cf.TargetAnswer, error) {
+	return cf.TargetAnswer{}, eris.Wrap(cf.ErrNotRun, "connection refused")
+}
+
+// Symptom: a request that reached no target counts as one under which a target was lost.
+// Cause: a host's word on the end of a run left out that it was never sent.
+func TestHostTellsThatARunWasNotSent(t *testing.T) {
+	p, _ := pool(t, refusing{})
+	_, err := p.Route("e").Stream(context.Background(), cf.Target{ID: "e"}, cf.TargetCall{ID: "1"}, &sink{})
+	if !errors.Is(err, cf.ErrNotRun) {
+		t.Errorf("error %v, want one that says it was not run", err)
+	}
+}
--- a/cfrunner/host.go
+++ b/cfrunner/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -182,7 +183,7 @@
 		answer, err := h.targets.Stream(ctx, st.Target, st.Call, hostSink{s, r})
 		end := &End{Status: answer.Status, NotRun: answer.NotRun}
 		if err != nil {
-			end.Error = err.Error()
+			end.Error, end.NotSent = err.Error(), errors.Is(err, cf.ErrNotRun)
 		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/cfrunner/link.go
+++ b/cfrunner/link.go
@@ -339,6 +339,8 @@
 			return cf.TargetAnswer{}, failure
 		case end.NotHeld:
 			return cf.TargetAnswer{}, eris.Wrap(cf.ErrUnavailable, "not held")
+		case end.NotSent:
+			return cf.TargetAnswer{}, eris.Wrap(cf.ErrNotRun, end.Error)
 		case end.Error != "":
 			return cf.TargetAnswer{Status: end.Status}, eris.Wrap(cf.ErrMaybeRan, end.Error)
 		default:
