A target that another instance reaches was not lost: witnesses before a strike

Ruled out: counting losses of one moment as one for all (a request that crashes its targets at once would crash six).

--- a/cfguard/guard.go
+++ b/cfguard/guard.go
@@ -29,8 +29,9 @@
 )
 
 const (
-	// checkTimeout bounds the new connection by which a target is checked; the
-	// longest round trip between failure domains takes 16 ms.
+	// checkTimeout bounds the new connection by which a target is checked, here and
+	// then at another instance; the longest round trip between failure domains takes
+	// 16 ms.
 	checkTimeout = 300 * time.Millisecond
 	// sweepEvery is how often Sweep looks through what is known.
 	sweepEvery cf.Millis = 500
@@ -47,6 +48,10 @@
 		Self    cf.EntryID
 		Targets cf.Targets
 		Site    Site
+		// Witness asks another instance whether it reaches a target: a link that is
+		// cut here alone looks like a crash. False where nobody does, or none is
+		// there to ask.
+		Witness func(ctx context.Context, t cf.Target) bool
 		// Share hands strikes to the other instances. It does not wait.
 		Share func([]cfquarantine.Strike)
 		// Off lets every request pass.
@@ -216,21 +221,28 @@
 
 // lossOf says how a target is gone, empty if it is not.
 func (g *Guard) lossOf(target cf.Target) (cfquarantine.Loss, error) {
-	ctx, cancel := context.WithTimeout(g.ctx, checkTimeout)
-	defer cancel()
-	err := g.Targets.Reach(ctx, target)
+	err := g.Reached(g.ctx, target)
 	switch {
+	case g.replaced(cfquarantine.IncarnationOf(target)):
+		return cfquarantine.LossReplaced, err
+	case err == nil:
+		return "", nil
+	case g.Witness != nil && g.Witness(g.ctx, target):
+		return "", err
 	case errors.Is(err, cf.ErrNoProcess):
 		return cfquarantine.LossRefused, err
-	case err != nil:
-		return cfquarantine.LossSilent, err
-	case g.replaced(cfquarantine.IncarnationOf(target)):
-		return cfquarantine.LossReplaced, nil
 	default:
-		return "", nil
+		return cfquarantine.LossSilent, err
 	}
 }
 
+// Reached says whether a new connection to a target can be had from here.
+func (g *Guard) Reached(ctx context.Context, target cf.Target) error {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	return g.Targets.Reach(ctx, target)
+}
+
 // replaced says whether a start of a target is not listed any more.
 func (g *Guard) replaced(inc cfquarantine.Incarnation) bool {
 	t, listed := g.Site.Target(inc.ID)
--- a/cfnode/node.go
+++ b/cfnode/node.go
@@ -125,7 +125,7 @@
 	}
 	n.quarantine = newQuarantine(n)
 	n.guard = cfguard.New(cfguard.Options{
-		Self: s.Entry, Targets: a.Targets, Site: n.site, Share: n.quarantine.share, Off: s.Policy.NoQuarantine,
+		Self: s.Entry, Targets: a.Targets, Site: n.site, Share: n.quarantine.share, Witness: n.quarantine.witness, Off: s.Policy.NoQuarantine,
 		Metrics: cfguard.NewMetrics(reg), Log: log,
 	})
 	n.quarantine.guard = n.guard
@@ -159,6 +159,7 @@
 	n.peerSrv.Handle(cfrunner.OpCollect, decoded(func(ctx context.Context, c cfrunner.Collect) (any, error) { return n.host.Collect(ctx, c) }))
 	n.peerSrv.Handle(opStore, func(ctx context.Context, body cbor.RawMessage) (any, error) { return a.Relay.Relayed(ctx, body) })
 	n.peerSrv.Handle(opStrikes, decoded(n.quarantine.serve))
+	n.peerSrv.Handle(opReach, decoded(n.quarantine.serveReach))
 	n.peerSrv.Handle(opFree, decoded(n.quarantine.serveFree))
 	a.Relay.SetRelay(n.relay)
 	return n
--- a/cfnode/quarantine.go
+++ b/cfnode/quarantine.go
@@ -24,6 +24,7 @@
 const (
 	opStrikes = "strikes"
 	opFree    = "free"
+	opReach   = "reach"
 
 	// heldName is the object that holds what is held.
 	heldName = "held"
@@ -42,6 +43,10 @@
 	strikesTimeout = 400 * time.Millisecond
 	// freeTimeout bounds the command that frees a request.
 	freeTimeout = 5 * time.Second
+	// witnessTimeout bounds a question whether a target is reached, with the time of
+	// the try there; witnessMost is how many instances are asked.
+	witnessTimeout = 450 * time.Millisecond
+	witnessMost    = 2
 	// exchangeEvery spaces the exchanges of an instance that holds other requests,
 	// exchangeRest those of one that has heard of other crashes: 1 KB/s at the most
 	// while a caller crashes targets by ever other requests.
@@ -188,6 +193,45 @@
 	return q.guard.Table.Answer(m.Strikes, asked, cf.Uptime()), nil
 }
 
+// witness asks others, of other failure domains if it can, whether they reach a target.
+func (q *quarantine) witness(ctx context.Context, target cf.Target) bool {
+	near := func(e cfmember.Entry) bool { return e.Domain == q.node.settings.Domain }
+	others := slices.DeleteFunc(slices.Clone(q.node.Live()), func(e cfmember.Entry) bool { return e.ID == q.node.settings.Entry })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	slices.SortStableFunc(others, func(a, b cfmember.Entry) int {
+		switch {
+		case near(a) == near(b):
+			return 0
+		case near(b):
+			return -1
+		default:
+			return 1
+		}
+	})
+	others = others[:min(len(others), witnessMost)]
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
+	answers := make(chan bool, len(others))
+	for _, e := range others {
+		q.node.wg.Go(func() {
+			var reached bool
+			err := q.node.peers.Call(ctx, e.Peers, opReach, target, &reached)
+			answers <- err == nil && reached
+		})
+	}
+	for range others {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
+
+// serveReach says whether this instance reaches a target.
+func (q *quarantine) serveReach(ctx context.Context, target cf.Target) (any, error) {
+	return q.guard.Reached(ctx, target) == nil, nil
+}
+
 // serveFree frees a request by hand.
 func (q *quarantine) serveFree(_ context.Context, m freeMessage) (any, error) {
 	return q.guard.Free(m.Digest), nil
--- a/cfquarantine/strike.go
+++ b/cfquarantine/strike.go
@@ -76,8 +76,8 @@
 const (
 	// proven: the target was found gone.
 	proven doubt = iota
-	// unchecked: the target has not been asked. The strike counts meanwhile, here:
-	// the next send may be the one too many.
+	// unchecked: the target has not been asked. What follows waits for that, here,
+	// where the next send may be the one too many.
 	unchecked
 	// reached: the target took a connection. The strike does not count, unless the
 	// target is gone soon after: it may have been its successor that did.
--- a/cfquarantine/table.go
+++ b/cfquarantine/table.go
@@ -171,15 +171,18 @@
 		return Verdict{Pass: true}
 	}
 	served := t.good.knows(k, now)
-	crashes, last := s.crashes(k.Caller, served)
-	until := last + t.holdHere(k.Content, crashes)
+	proofs, last := s.crashes(k.Caller, served, true)
+	crashes, _ := s.crashes(k.Caller, served, false)
+	until := last + t.holdHere(k.Content, proofs)
 	under := 0
 	for _, n := range t.underWay[k.Content] {
 		under += n
 	}
 	switch {
-	case crashes >= crashesMost && now < until:
+	case proofs >= crashesMost && now < until:
 		return Verdict{Until: until, Strikes: s.against(k.Caller, now)}
+	case proofs < crashesMost && crashes >= crashesMost:
+		return Verdict{Wait: true} // for the checks of the targets
 	case crashes >= crashesMost: // its time is over: one tries
 		return Verdict{Pass: under == 0, Wait: under > 0}
 	case crashes == 0 || served || under < crashesMost-crashes:
@@ -228,14 +231,15 @@
 	return span + cf.Millis(float64(span)*trialSpread*draw)
 }
 
-// crashes counts the crashes under a caller's requests, and says when the last was. Those
-// of one moment count as one if the request was served before.
-func (s *suspect) crashes(c CallerDigest, served bool) (n int, last cf.Millis) {
+// crashes counts the crashes under a caller's requests, and says when the last was: those
+// that are proven, or those in doubt as well. Those of one moment count as one if the
+// request was served before.
+func (s *suspect) crashes(c CallerDigest, served, provenOnly bool) (n int, last cf.Millis) {
 	others := s.callers() > 1
 	began := cf.Millis(0)      // of the moment
 	for i := range s.strikes { // in the order of their times
 		st := &s.strikes[i]
-		if !st.counts(c) || st.Caller != c && !others {
+		if !st.counts(c) || st.Caller != c && !others || provenOnly && st.doubt != proven {
 			continue
 		}
 		if !served || n == 0 || st.at-began > moment {
