A silent target counts only if it was heard of after the send

A loss by silence is now a strike only where the target took a new connection for the request or had begun to answer it; the end of a process (a refused connection) counts as before. What this gives up: a request under which whole machines go dark, on kept connections.

--- a/cfcoord/rewards.go
+++ b/cfcoord/rewards.go
@@ -133,14 +133,14 @@
 }
 
 // followReward tells the guard how an attempt at a reward call ended.
-func (c *Coordinator) followReward(a *cfreward.Attempt, outcome cfreward.Outcome, err error) {
+func (c *Coordinator) followReward(a *cfreward.Attempt, outcome cfreward.Outcome, heard bool, err error) {
 	reward := a.Call.Item.Reward
 	key := cfquarantine.KeyOfReward(reward)
 	switch {
 	case outcome == cfreward.Scored || outcome == cfreward.Failed:
 		c.Guard.Answered(key, a.Target, a.Began)
 	case outcome == cfreward.Lost && err != nil && !errors.Is(err, cf.ErrNotRun):
-		c.Guard.Lost(reward.ID, key, a.Target)
+		c.Guard.Lost(reward.ID, key, a.Target, heard)
 	default:
 		c.Guard.Dropped(key, a.Target)
 	}
@@ -156,13 +156,13 @@
 	defer c.mu.Unlock()
 	delete(c.rewards.cancels, a)
 	if c.ctx.Err() != nil {
-		c.followReward(a, cfreward.Stopped, nil)
+		c.followReward(a, cfreward.Stopped, false, nil)
 		return // the duty is over; a successor asks again
 	}
 	now := cf.Uptime()
 	outcome := classifyReward(answer, err, stopped)
 	call := a.Call
-	c.followReward(a, outcome, err)
+	c.followReward(a, outcome, answer.Heard, err)
 	verdict := c.rewards.planner.Done(a, outcome, answer.Load, now)
 	c.Metrics.Rewards.WithLabelValues(rewardOutcomes[outcome]).Inc()
 	c.Metrics.RewardTook.Observe(float64(now-a.Began) / 1000)
--- a/cfcoord/runs.go
+++ b/cfcoord/runs.go
@@ -44,7 +44,7 @@
 	e, ok := c.planner.Engine(w.Engine)
 	if !ok {
 		c.planner.Finished(w, cfrollout.OutcomeNotRun, cf.Uptime())
-		c.follow(w, cf.Target{}, cfrollout.OutcomeNotRun, false)
+		c.follow(w, cf.Target{}, runEnd{outcome: cfrollout.OutcomeNotRun})
 		return
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
@@ -60,13 +60,13 @@
 	c.wg.Go(func() {
 		defer cancel()
 		started := time.Now()
-		outcome, reason, sent := c.run(ctx, route, e.Target, cf.TargetCall{
+		end := c.run(ctx, route, e.Target, cf.TargetCall{
 			ID: cf.RequestID(item.ID), Method: http.MethodPost, Host: host, Path: item.Path, Header: itemHeader(item), Body: item.Body,
 			Urgency: urgency, Ranked: true, Timeout: runTimeout, ResumeAfter: w.Text.Last, ExpectVersion: version,
 		}, w)
-		c.Metrics.Runs.WithLabelValues(outcomeNames[outcome]).Inc()
+		c.Metrics.Runs.WithLabelValues(outcomeNames[end.outcome]).Inc()
 		c.Metrics.ItemRun.Observe(time.Since(started).Seconds())
-		c.ended(w, e.Target, outcome, reason, sent)
+		c.ended(w, e.Target, end)
 	})
 }
 
@@ -80,20 +80,29 @@
 	}
 }
 
-// ended takes the end of a run back to the planner; sent says that it may have reached the
-// target.
-func (c *Coordinator) ended(w *cfrollout.Work, t cf.Target, outcome cfrollout.Outcome, reason string, sent bool) {
+// runEnd is how a run ended.
+type runEnd struct {
+	outcome cfrollout.Outcome
+	reason  string
+	// unsent: it did not reach the engine. heard: the engine was heard of after it was
+	// sent.
+	unsent, heard bool
+}
+
+// ended takes the end of a run back to the planner.
+func (c *Coordinator) ended(w *cfrollout.Work, t cf.Target, end runEnd) {
+	outcome := end.outcome
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.runs, w)
 	now := cf.Uptime()
 	if c.ctx.Err() != nil {
-		c.follow(w, t, cfrollout.OutcomeStopped, sent)
+		c.follow(w, t, runEnd{outcome: cfrollout.OutcomeStopped})
 		return // the duty is over; a successor runs the item again
 	}
-	c.follow(w, t, outcome, sent)
+	c.follow(w, t, end)
 	c.Log.Info("item_run", zap.String("request_id", string(w.Item.ID)), zap.String("batch_id", string(w.Batch.Sub.ID)),
-		zap.String("target", string(t.ID)), zap.String("outcome", outcomeNames[outcome]), zap.String("reason", reason),
+		zap.String("target", string(t.ID)), zap.String("outcome", outcomeNames[outcome]), zap.String("reason", end.reason),
 		zap.Int64("version", int64(w.Version)), zap.Int64("events", int64(w.Text.Last)),
 		zap.Int64("took_ms", int64(now-w.Started)))
 	if outcome == cfrollout.OutcomeNotRun && !c.planner.Loading(t.ID) {
@@ -103,7 +112,7 @@
 	case ended && outcome == cfrollout.OutcomeDone:
 		c.complete(w, now)
 	case ended:
-		c.giveUp(w, reason, now)
+		c.giveUp(w, end.reason, now)
 	}
 	c.Kick()
 }
@@ -130,13 +139,13 @@
 }
 
 // follow tells the guard how a run ended.
-func (c *Coordinator) follow(w *cfrollout.Work, t cf.Target, outcome cfrollout.Outcome, sent bool) {
+func (c *Coordinator) follow(w *cfrollout.Work, t cf.Target, end runEnd) {
 	key := cfquarantine.KeyOfItem(w.Batch.Sub.Host, w.Item)
 	switch {
-	case outcome == cfrollout.OutcomeDone || outcome == cfrollout.OutcomeFailed || outcome == cfrollout.OutcomeNever:
+	case end.outcome == cfrollout.OutcomeDone || end.outcome == cfrollout.OutcomeFailed || end.outcome == cfrollout.OutcomeNever:
 		c.Guard.Answered(key, t, w.Started)
-	case outcome == cfrollout.OutcomeBroken && sent:
-		c.Guard.Lost(cf.RequestID(w.Item.ID), key, t)
+	case end.outcome == cfrollout.OutcomeBroken && !end.unsent:
+		c.Guard.Lost(cf.RequestID(w.Item.ID), key, t, end.heard)
 	default:
 		c.Guard.Dropped(key, t)
 	}
@@ -166,20 +175,19 @@
 }
 
 // run sends one item to one engine and collects its text after what w holds
-// already. sent says that it may have reached the engine.
-func (c *Coordinator) run(
-	outer context.Context, route cf.StreamRoute, t cf.Target, call cf.TargetCall, w *cfrollout.Work,
-) (outcome cfrollout.Outcome, reason string, sent bool) {
+// already.
+func (c *Coordinator) run(outer context.Context, route cf.StreamRoute, t cf.Target, call cf.TargetCall, w *cfrollout.Work) runEnd {
 	ctx, cancel := context.WithCancel(outer)
 	defer cancel()
 	watchdog := time.AfterFunc(stall, cancel)
 	defer watchdog.Stop()
 	answer, err := route.Stream(ctx, t, call, collector{w, watchdog})
 	if err != nil && outer.Err() != nil {
-		return cfrollout.OutcomeStopped, "ended or moved", true
+		return runEnd{outcome: cfrollout.OutcomeStopped, reason: "ended or moved"}
 	}
-	outcome, reason = classify(answer, err)
-	return outcome, reason, !errors.Is(err, cf.ErrNotRun)
+	end := runEnd{unsent: errors.Is(err, cf.ErrNotRun), heard: answer.Heard}
+	end.outcome, end.reason = classify(answer, err)
+	return end
 }
 
 func itemHeader(item cf.Item) http.Header {
--- a/cfguard/guard.go
+++ b/cfguard/guard.go
@@ -175,8 +175,9 @@
 	g.Table.Dropped(key, cfquarantine.IncarnationOf(target))
 }
 
-// Lost takes the end of a send to which a target gave no answer.
-func (g *Guard) Lost(id cf.RequestID, key cfquarantine.Key, target cf.Target) {
+// Lost takes the end of a send to which a target gave no answer; alive says that it was
+// heard of after it was sent the request.
+func (g *Guard) Lost(id cf.RequestID, key cfquarantine.Key, target cf.Target, alive bool) {
 	if g == nil || g.Off {
 		return
 	}
@@ -185,9 +186,9 @@
 		return
 	}
 	inc := cfquarantine.IncarnationOf(target)
-	g.Table.Lost(key, inc, cf.Uptime())
+	g.Table.Lost(key, inc, alive, cf.Uptime())
 	g.Log.Info("request_lost", zap.String("request_id", string(id)), digest(key), caller(key), zap.String("target", string(target.ID)),
-		zap.Int64("born_ms", int64(target.Born)))
+		zap.Int64("born_ms", int64(target.Born)), zap.Bool("alive", alive))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.checking[inc] || g.ctx.Err() != nil {
--- a/cfingress/forward.go
+++ b/cfingress/forward.go
@@ -192,7 +192,7 @@
 	case a.err == nil && !a.answer.NotRun:
 		f.in.Guard.Answered(f.key, a.target, a.sent)
 	case a.err != nil && !a.left && !errors.Is(a.err, cf.ErrNotRun):
-		f.in.Guard.Lost(f.req.ID, f.key, a.target)
+		f.in.Guard.Lost(f.req.ID, f.key, a.target, a.answer.Heard)
 	default:
 		f.in.Guard.Dropped(f.key, a.target)
 	}
--- a/cfquarantine/evidence.go
+++ b/cfquarantine/evidence.go
@@ -105,12 +105,12 @@
 	return n >= crashesMost
 }
 
-// Lost takes the end of a send to which a target gave no answer. The target is to be
-// checked.
-func (t *Table) Lost(k Key, target Incarnation, now cf.Millis) {
+// Lost takes the end of a send to which a target gave no answer; alive says that it was
+// heard of after it was sent the request. The target is to be checked.
+func (t *Table) Lost(k Key, target Incarnation, alive bool, now cf.Millis) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.add(strike{Strike: Strike{Content: k.Content, Caller: k.Caller, Target: target, SeenBy: t.self}, at: now, doubt: unchecked})
+	t.add(strike{Strike: Strike{Content: k.Content, Caller: k.Caller, Target: target, SeenBy: t.self}, at: now, doubt: unchecked, alive: alive})
 	t.ended(k, target)
 }
 
@@ -128,7 +128,7 @@
 		return false
 	}
 	if len(s.strikes) >= strikesMost {
-		i := slices.IndexFunc(s.strikes, func(x strike) bool { return x.Standing == Void || x.doubt == reached })
+		i := slices.IndexFunc(s.strikes, func(x strike) bool { return x.Standing == Void || x.doubt >= reached })
 		if i < 0 {
 			return false // it is held for a day already
 		}
@@ -169,6 +169,10 @@
 		switch {
 		case st.doubt != unchecked:
 			return false
+		case loss == LossSilent && !st.alive:
+			// Its machine may have been lost before the request was sent, on a
+			// connection that was kept.
+			st.doubt = moot
 		case loss != "":
 			st.doubt, st.Loss = proven, loss
 		case st.at <= checked:
@@ -190,7 +194,7 @@
 	}
 	return t.settle(target, now, func(st *strike) bool {
 		st.heard, st.ended = 0, true
-		if st.doubt == proven || now-st.at > replacedWithin {
+		if st.doubt == proven || st.doubt == moot || now-st.at > replacedWithin {
 			return false
 		}
 		st.doubt, st.Loss = proven, LossReplaced
--- a/cfquarantine/strike.go
+++ b/cfquarantine/strike.go
@@ -43,6 +43,8 @@
 		// ended says that it was listed as gone or started again.
 		heard cf.Millis
 		ended bool
+		// alive: the target was heard of after it was sent the request.
+		alive bool
 	}
 
 	// doubt is what is not known yet of a loss. Strikes in doubt are not shared.
@@ -82,6 +84,8 @@
 	// reached: the target took a connection. The strike does not count, unless the
 	// target is gone soon after: it may have been its successor that did.
 	reached
+	// moot: it tells nothing, and is forgotten at the next look.
+	moot
 )
 
 // IncarnationOf returns the name of a target's present start.
@@ -95,7 +99,7 @@
 // counts says whether a strike speaks against requests of a caller, as far as it is for
 // itself to say.
 func (s *strike) counts(c CallerDigest) bool {
-	if s.Standing == Void || s.doubt == reached {
+	if s.Standing == Void || s.doubt >= reached {
 		return false
 	}
 	return s.Standing == CountsForAll || s.Caller == c
--- a/cfquarantine/sweep.go
+++ b/cfquarantine/sweep.go
@@ -32,7 +32,7 @@
 			})...)
 		}
 		for i := len(s.strikes) - 1; i >= 0; i-- {
-			if s.strikes[i].doubt == reached && now-s.strikes[i].at > replacedWithin {
+			if d := s.strikes[i].doubt; d == moot || d == reached && now-s.strikes[i].at > replacedWithin {
 				t.forget(s, i)
 			}
 		}
--- a/cfquarantine/table.go
+++ b/cfquarantine/table.go
@@ -256,7 +256,7 @@
 func (s *suspect) callers() int {
 	seen := map[CallerDigest]bool{}
 	for i := range s.strikes {
-		if st := &s.strikes[i]; st.Standing == CountsForAll && st.doubt != reached {
+		if st := &s.strikes[i]; st.Standing == CountsForAll && st.doubt < reached {
 			seen[st.Caller] = true
 		}
 	}
--- a/cfrunner/cfrunner.go
+++ b/cfrunner/cfrunner.go
@@ -121,6 +121,8 @@
 		Error  string `cbor:"error,omitempty"`
 		// NotSent: the error is that the request did not reach the target.
 		NotSent bool `cbor:"not_sent,omitempty"`
+		// Heard is that of the target's answer.
+		Heard bool `cbor:"heard,omitempty"`
 		// NotHeld: the host has no such run.
 		NotHeld bool `cbor:"not_held,omitempty"`
 	}
--- a/cfrunner/host.go
+++ b/cfrunner/host.go
@@ -181,7 +181,7 @@
 	h.wg.Go(func() {
 		defer cancel()
 		answer, err := h.targets.Stream(ctx, st.Target, st.Call, hostSink{s, r})
-		end := &End{Status: answer.Status, NotRun: answer.NotRun}
+		end := &End{Status: answer.Status, NotRun: answer.NotRun, Heard: answer.Heard}
 		if err != nil {
 			end.Error, end.NotSent = err.Error(), errors.Is(err, cf.ErrNotRun)
 		}
--- a/cfrunner/link.go
+++ b/cfrunner/link.go
@@ -342,7 +342,7 @@
 		case end.NotSent:
 			return cf.TargetAnswer{}, eris.Wrap(cf.ErrNotRun, end.Error)
 		case end.Error != "":
-			return cf.TargetAnswer{Status: end.Status}, eris.Wrap(cf.ErrMaybeRan, end.Error)
+			return cf.TargetAnswer{Status: end.Status, Heard: end.Heard}, eris.Wrap(cf.ErrMaybeRan, end.Error)
 		default:
 			return cf.TargetAnswer{Status: end.Status, NotRun: end.NotRun}, nil
 		}
--- a/target.go
+++ b/target.go
@@ -75,6 +75,10 @@
 		// Kept is how long the connection is kept for another call, zero if it
 		// is not.
 		Kept Millis
+		// Heard says that the target was alive after the call was sent: it took a
+		// new connection for it, or has begun to answer. It is set beside an error
+		// too.
+		Heard bool
 		// Signature is the target's mark on the answer, which proves that
 		// the target made it for this request.
 		Signature string
