--- a/cfmember/ring.go
+++ b/cfmember/ring.go
@@ -1,17 +1,17 @@
 package cfmember
 
 import (
-	"math"
+	"hash/fnv"
 	"slices"
 	"strings"
 
 	cf "currantford"
 )
 
-// Ring returns the instances to which one hands news: of all in the order of their ids
-// the next one, the one some way on and the one farther on. Each passes on what is new to
-// it, so that news reach all of 1,300 instances in about 30 hops, over three connections
-// each, and go round an instance that is gone.
+// Ring returns the instances to which one hands news: those before and after it in the
+// order of the ids, and one that is drawn by both ids. Each passes on what is new to it, so
+// that news reach 1,300 instances in some 15 hops over three connections each, also while a
+// failure domain, or every tenth instance, is gone.
 func Ring(entries []Entry, self Entry) []Entry {
 	all := slices.Clone(entries)
 	at, found := slices.BinarySearchFunc(all, self.ID, func(e Entry, id cf.EntryID) int { return strings.Compare(string(e.ID), string(id)) })
@@ -19,13 +19,34 @@
 		all = slices.Insert(all, at, self)
 	}
 	n := len(all)
-	step := max(int(math.Cbrt(float64(n))), 2)
 	var out []Entry
-	for _, offset := range []int{1, step, step * step} {
-		e := all[(at+offset)%n]
+	for _, i := range []int{(at + 1) % n, (at + n - 1) % n, drawn(all, self.ID)} {
+		e := all[i]
 		if e.ID != self.ID && !slices.ContainsFunc(out, func(o Entry) bool { return o.ID == e.ID }) {
 			out = append(out, e)
 		}
 	}
 	return out
 }
+
+// drawn returns the place of the instance whose id and self have the highest hash: it
+// changes only when that instance goes, or a higher one comes.
+func drawn(all []Entry, self cf.EntryID) int {
+	best, most := 0, uint64(0)
+	for i, e := range all {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(self + "\x00" + e.ID)) // a hash takes everything
+		if sum := mixed(h.Sum64()); e.ID != self && sum > most {
+			best, most = i, sum
+		}
+	}
+	return best
+}
+
+// mixed spreads a hash whose high bits hardly differ for ids that end alike.
+func mixed(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	return h
+}
--- a/systemtest/held_test.go
+++ b/systemtest/held_test.go
@@ -241,3 +241,37 @@
 		t.Error("a request that was freed is not sent")
 	}
 }
+
+// A stream that crashes each engine is held as other requests are; a sound one is whole.
+func TestCrashingStreamIsHeld(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 2, engines: 4, plains: 1, crashes: crashDown, config: func(c map[string]any) {
+		c["routes"] = append(c["routes"].([]map[string]any), map[string]any{
+			"name": "r-chat", "host": host, "path-prefix": "/chat/", "kind": "stream", "timeout-ms": 4000, "slo-ms": 400,
+			"priority": 2, "service": service, "max-attempts": 2, "can-resume": true, "sticky": true,
+		})
+	}})
+	s.awaitMembers()
+	n := 0
+	send := func(e *entry, body string) reply {
+		n++
+		r, err := e.do(http.MethodPost, "/chat/x", fmt.Sprintf("chat-%d", n), []byte(body),
+			"Currantford-Deadline-Ms", "3000", "Currantford-Model", "m0", "Currantford-Tokens-Used", "100,580")
+		if err != nil {
+			t.Logf("stream %d: %v", n, err)
+		}
+		return r
+	}
+	const body = standin.CrashingBody + " stream"
+	for began := time.Now(); time.Since(began) < 2*contact; {
+		s.awaitTargets(s.engines)
+		send(s.entries[n%2], body)
+	}
+	if n := len(s.crashesOf(body)); n != 3 {
+		t.Errorf("%d engines crashed under the stream, want 3", n)
+	}
+	s.awaitTargets(s.engines)
+	if r := send(s.entries[0], "sound"); r.status != http.StatusOK || strings.Count(string(r.body), "data: ") != 10 {
+		t.Errorf("a sound stream: %d, %d events", r.status, strings.Count(string(r.body), "data: "))
+	}
+}
--- /dev/null
+++ b/systemtest/soak_crash_test.go
@@ -0,0 +1,60 @@
+package systemtest
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"currantford/platform/standin"
+)
+
+// crashSeeds is the first seed in which targets end: by themselves, and under requests
+// that come again and again at any entry.
+const crashSeeds = 4000
+
+// crashingBodies are the requests that do so.
+var crashingBodies = []string{
+	standin.CrashingBody + " soak 1", standin.CrashingBody + " soak 2", standin.CrashingBody + " soak 3",
+}
+
+// sendCrashing sends requests that crash targets, each with its caller's retry.
+func (s *soak) sendCrashing(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		body := crashingBodies[s.draw(len(crashingBodies))]
+		for try := range 2 {
+			e := s.entries[s.draw(len(s.entries))]
+			status, _ := standin.Call(context.WithoutCancel(ctx), e.callers, http.MethodPost, host, plainPrefix+"x", fmt.Sprintf("crash-%d-%d", n, try), []byte(body))
+			if status/100 == 2 {
+				break
+			}
+		}
+		time.Sleep(s.span(100, 900))
+	}
+}
+
+// endTarget ends a target by itself, with all that it runs.
+func (s *soak) endTarget() {
+	targets := append(append([]*standin.Engine{}, s.engines...), s.plains...)
+	targets[s.draw(len(targets))].End()
+}
+
+// checkCrashes checks that no request was sent on and on, and that no bid, all of which
+// are equal, was held for the crashes of targets that had it.
+func (s *soak) checkCrashes(t *testing.T) {
+	t.Helper()
+	for _, body := range crashingBodies {
+		crashes := s.crashesOf(body)
+		if len(crashes) >= 3 {
+			s.checkHeld(body)
+		}
+		t.Logf("%d targets crashed under %q", len(crashes), body)
+	}
+	for id, answer := range s.heldBids {
+		t.Errorf("%s was held: %s", id, answer)
+	}
+}
+
+func saysHeld(body []byte) bool { return strings.Contains(string(body), "the request is held") }
--- a/systemtest/soak_test.go
+++ b/systemtest/soak_test.go
@@ -18,7 +18,7 @@
 )
 
 var (
-	soakSeeds   = flag.String("soak.seeds", "1,3,36,1001,2001,3001", "seeds of the fault soak, such as 1,2,10-20")
+	soakSeeds   = flag.String("soak.seeds", "1,3,36,1001,2001,3001,4001", "seeds of the fault soak, such as 1,2,10-20")
 	soakSeconds = flag.Int("soak.seconds", 10, "length of each seed")
 )
 
@@ -39,7 +39,9 @@
 	random *rand.Rand
 	mu     sync.Mutex
 	bids   map[string][]int // statuses of each bid's tries
-	down   map[*entry]bool  // killed, stopped or frozen by the soak
+	// heldBids are the answers that say that a bid is held.
+	heldBids map[string]string
+	down     map[*entry]bool // killed, stopped or frozen by the soak
 }
 
 // TestSoak runs the programs through random faults, injected from outside, and
@@ -85,9 +87,12 @@
 	if seed >= weakSeeds {
 		o.cores, o.linkMbps = weak, 1
 	}
+	if seed >= crashSeeds {
+		o.crashes = crashDown
+	}
 	s := &soak{
 		site:   startSite(t, o),
-		random: rand.New(rand.NewPCG(seed, 9)), bids: map[string][]int{}, down: map[*entry]bool{},
+		random: rand.New(rand.NewPCG(seed, 9)), bids: map[string][]int{}, heldBids: map[string]string{}, down: map[*entry]bool{},
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(*soakSeconds)*time.Second)
 	defer cancel()
@@ -111,6 +116,9 @@
 		wg.Go(func() { tr.Run(ctx, time.Now()) })
 	}
 	wg.Go(func() { s.bid(ctx, seed) })
+	if seed >= crashSeeds {
+		wg.Go(func() { s.sendCrashing(ctx) })
+	}
 	s.play(ctx, seed)
 	wg.Wait()
 	s.heal()
@@ -125,6 +133,9 @@
 	if seed >= linkSeeds {
 		faults = append(faults, s.targetLink, s.storeLink)
 	}
+	if seed >= crashSeeds {
+		faults = append(faults, s.endTarget)
+	}
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for ctx.Err() == nil {
@@ -277,9 +288,12 @@
 		e := s.entries[n%len(s.entries)]
 		id := fmt.Sprintf("bid-%d-%d", seed, n)
 		wg.Go(func() {
-			status, _ := standin.Call(context.WithoutCancel(ctx), e.callers, http.MethodPost, host, "/bids/x", id, []byte("100"))
+			status, answer := standin.Call(context.WithoutCancel(ctx), e.callers, http.MethodPost, host, "/bids/x", id, []byte("100"))
 			s.mu.Lock()
 			defer s.mu.Unlock()
+			if saysHeld(answer) {
+				s.heldBids[id] = string(answer)
+			}
 			s.bids[id] = append(s.bids[id], status)
 		})
 		time.Sleep(40 * time.Millisecond)
@@ -312,6 +326,7 @@
 		}
 	}
 	checkOrders(t, s.site)
+	s.checkCrashes(t)
 	s.checkAccepted(t)
 }
 
