--- a/cfrunner/cfrunner.go
+++ b/cfrunner/cfrunner.go
@@ -13,7 +13,8 @@
 //   - A coordinator that is gone must not keep engines busy. A host that is not asked
 //     for news for Patience stops its runs; so does one that hears of a later term.
 //   - A run must not go on elsewhere while its host still holds it. A pool waits for
-//     the host's word that it has ended, or until the host must have given it up.
+//     the host's word that it has ended, or until the host must have given it up:
+//     questions count as of when they were sent, by the host's own clock.
 //   - An answer that is lost must not lose events. Reports are numbered, and given
 //     again until they are acknowledged.
 //
@@ -38,10 +39,6 @@
 )
 
 const (
-	// Patience is how long a host keeps its runs without a question for news:
-	// several questions, and less than a successor of a silent coordinator waits
-	// before it takes over.
-	Patience cf.Millis = 1200
 	// startFresh is how old the host's clock in an order may be. A question for
 	// news tells it several times a second; a batch's end must hold within 3 s.
 	startFresh cf.Millis = 1000
@@ -88,6 +85,9 @@
 		Session SessionID `cbor:"session"`
 		// Got is the number of the last report that arrived.
 		Got int64 `cbor:"got"`
+		// Clock is the host's clock when the question was sent, or some time before:
+		// by its latest report and the time since that arrived.
+		Clock cf.Millis `cbor:"clock"`
 	}
 
 	// Report is what the streams of a session brought since the report before.
--- a/cfrunner/cfrunner_test.go
+++ b/cfrunner/cfrunner_test.go
@@ -68,12 +68,21 @@
 	host *Host
 	gone bool
 	lose func(op string) bool
+	// late, if set, is how long calls are on their way; their answers are lost.
+	late time.Duration
 }
 
 func (w *wire) Call(ctx context.Context, _, op string, body, out any) error {
 	w.mu.Lock()
-	host, gone, lose := w.host, w.gone, w.lose
+	host, gone, lose, late := w.host, w.gone, w.lose, w.late
 	w.mu.Unlock()
+	if late > 0 {
+		if c, ok := body.(Collect); ok {
+			time.AfterFunc(late, func() { _, _ = host.Collect(context.Background(), c) })
+		}
+		<-ctx.Done()
+		return cf.ErrUnavailable
+	}
 	if gone {
 		<-ctx.Done()
 		return cf.ErrUnavailable
@@ -239,6 +248,25 @@
 	}
 }
 
+// Symptom: an item runs at two engines at once for half a second and more.
+// Sequence: the link holds questions up for 0.9 s and loses the answers; the coordinator
+// takes the runs for lost by when it sent the last question, the host holds them by when
+// that arrived.
+// Cause: a question counted as of its arrival.
+func TestLateQuestionsDoNotHoldRuns(t *testing.T) {
+	g := newGated()
+	p, w := pool(t, g)
+	done := begin(context.Background(), p, "r", &sink{})
+	eventually(t, "the run", func() bool { return g.begun("r") == 1 })
+	w.set(func(w *wire) { w.late = 900 * time.Millisecond })
+	if e := <-done; !errors.Is(e.err, cf.ErrUnavailable) {
+		t.Errorf("a run whose host is lost ends with %v", e.err)
+	}
+	if g.ended() != 1 {
+		t.Error("the run counts as lost while its host holds it")
+	}
+}
+
 // Symptom: runs wait for ever.
 // Sequence: the host's process is killed and starts again at once.
 // Cause guarded against: taking the new process for the one that has the runs.
--- a/cfrunner/host.go
+++ b/cfrunner/host.go
@@ -124,9 +124,9 @@
 func (h *Host) watch(s *session) {
 	for cf.Sleep(s.ctx, watchEvery) {
 		s.mu.Lock()
-		silent := cf.Uptime() - s.asked
+		held := holds(s.asked, cf.Uptime())
 		s.mu.Unlock()
-		if silent <= Patience {
+		if held {
 			continue
 		}
 		h.mu.Lock()
@@ -249,8 +249,8 @@
 func (s *session) acknowledge(c Collect) (Report, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.asked = cf.Uptime()
 	if c.Session == s.id {
+		s.asked = max(s.asked, askedAt(c.Clock, cf.Uptime()))
 		s.acked = max(s.acked, c.Got)
 	}
 	return s.again()
--- a/cfrunner/link.go
+++ b/cfrunner/link.go
@@ -21,8 +21,6 @@
 	// lostAfter is how many questions in a row without an answer make a host count
 	// as lost.
 	lostAfter = 2
-	// lostSlack is added to the host's patience, for its look at the clock.
-	lostSlack cf.Millis = 150
 	// orderRetry is the pause before orders without an answer are given again.
 	orderRetry = 50 * time.Millisecond
 	// idleAfter is how long a link without runs is kept.
@@ -42,9 +40,11 @@
 
 		mu   sync.Mutex
 		over bool // the host is lost, or the link was idle
-		// session, clock and got are those of the latest report.
+		// session, clock and got are those of the latest report, which arrived at
+		// clockAt.
 		session SessionID
 		clock   cf.Millis
+		clockAt cf.Millis
 		got     int64
 		runs    map[RunID]*run
 		starts  []Start
@@ -162,10 +162,10 @@
 		if l.idle() {
 			return
 		}
+		asked := cf.Uptime()
 		l.mu.Lock()
-		call := Collect{Duty: l.pool.duty, Session: l.session, Got: l.got}
+		call := Collect{Duty: l.pool.duty, Session: l.session, Got: l.got, Clock: l.clock + asked - l.clockAt}
 		l.mu.Unlock()
-		asked := cf.Uptime()
 		ctx, cancel := context.WithTimeout(l.pool.ctx, (reportEvery + answerTime).Duration())
 		var rep Report
 		err := l.pool.Peers.Call(ctx, l.addr, OpCollect, call, &rep)
@@ -182,8 +182,7 @@
 			continue
 		}
 		if !ended {
-			// It may have heard the last question, and holds its runs for so long.
-			cf.Sleep(l.pool.ctx, (asked + Patience + lostSlack - cf.Uptime()).Duration())
+			cf.Sleep(l.pool.ctx, (givenUpBy(asked) - cf.Uptime()).Duration())
 		}
 		l.finish(err)
 		return
@@ -237,7 +236,7 @@
 		}
 		l.session, l.got = rep.Session, 0
 	}
-	l.clock = rep.Clock
+	l.clock, l.clockAt = rep.Clock, now
 	l.poke()
 	if rep.Number <= l.got {
 		return // it was given again, and had arrived
