--- a/cfcoord/runs.go
+++ b/cfcoord/runs.go
@@ -55,7 +55,7 @@
 	}
 	route := c.Streams.Route(e.ID)
 	c.Log.Info("item_placed", zap.String("request_id", string(item.ID)), zap.String("batch_id", string(w.Batch.Sub.ID)),
-		zap.String("target", string(e.ID)), zap.String("via", string(route.Via)), zap.Int64("version", int64(version)), zap.Int64("resume_after", int64(w.Text.Last)),
+		zap.String("group_id", string(item.Group)), zap.String("target", string(e.ID)), zap.String("via", string(route.Via)), zap.Int64("version", int64(version)), zap.Int64("resume_after", int64(w.Text.Last)),
 		zap.Int("failures", w.Failures), zap.Int("running_there", e.Running), zap.Float64("event_ms_there", e.Pace()))
 	c.wg.Go(func() {
 		defer cancel()
