A house that shows what it is: core, io, platform, older, testbed

Moves alone, but for: the stand-in of the older store apart from its client (cfobjects), the Relay interface in the root package, one status compared by a method.

--- a/cmd/currantford/main.go
+++ b/cmd/currantford/main.go
@@ -6,7 +6,7 @@
 import (
 	"os"
 
-	"currantford/commands"
+	"currantford/older/commands"
 )
 
 func main() {
--- a/cfbalance/attempts.go
+++ b/core/cfbalance/attempts.go
@@ -2,10 +2,9 @@
 
 import (
 	"errors"
-	"net/http"
 
 	cf "currantford"
-	"currantford/cfsite"
+	"currantford/core/cfsite"
 )
 
 type (
@@ -55,7 +54,7 @@
 		return Failed, false
 	case answer.NotRun:
 		return Full, false
-	case answer.Status >= http.StatusInternalServerError:
+	case answer.Failed():
 		a.ran = true
 		return Failed, false
 	default:
--- a/cfbalance/balance_test.go
+++ b/core/cfbalance/balance_test.go
@@ -5,8 +5,8 @@
 	"testing"
 
 	cf "currantford"
-	"currantford/cfbalance"
-	"currantford/cfsite"
+	"currantford/core/cfbalance"
+	"currantford/core/cfsite"
 )
 
 func targets(n int) []cf.Target {
--- a/cfbalance/explore_test.go
+++ b/core/cfbalance/explore_test.go
@@ -6,8 +6,8 @@
 	"testing"
 
 	cf "currantford"
-	"currantford/cfbalance"
-	"currantford/cfsite"
+	"currantford/core/cfbalance"
+	"currantford/core/cfsite"
 )
 
 type (
--- a/cfbalance/returns_test.go
+++ b/core/cfbalance/returns_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	cf "currantford"
-	"currantford/cfbalance"
+	"currantford/core/cfbalance"
 )
 
 // burst replays requests that arrive over a second, several times what two
--- a/cfbatch/batch_test.go
+++ b/core/cfbatch/batch_test.go
@@ -10,7 +10,7 @@
 	"testing"
 
 	cf "currantford"
-	"currantford/cfbatch"
+	"currantford/core/cfbatch"
 )
 
 func submission(groups, size int) cf.Submission {
--- a/cfbatch/fuzz_test.go
+++ b/core/cfbatch/fuzz_test.go
@@ -4,7 +4,7 @@
 	"testing"
 
 	cf "currantford"
-	"currantford/cfbatch"
+	"currantford/core/cfbatch"
 )
 
 // FuzzStoredBatch feeds the decoders of what the store holds of a batch. None may
--- a/cfbatch/history_test.go
+++ b/core/cfbatch/history_test.go
@@ -16,7 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	cf "currantford"
-	"currantford/cfbatch"
+	"currantford/core/cfbatch"
 	"currantford/platform"
 	"currantford/platform/standin"
 )
--- a/cfbatch/parts_test.go
+++ b/core/cfbatch/parts_test.go
@@ -7,8 +7,8 @@
 	"testing"
 
 	cf "currantford"
-	"currantford/cfbatch"
-	"currantford/cfstandin"
+	"currantford/core/cfbatch"
+	"currantford/testbed/cfstandin"
 )
 
 // Symptom: a batch that is larger than one object of the store is refused for
--- a/cflease/explore_test.go
+++ b/core/cflease/explore_test.go
@@ -4,7 +4,7 @@
 	"testing"
 
 	cf "currantford"
-	"currantford/cflease"
+	"currantford/core/cflease"
 )
 
 // world is a whole state of two candidates and the lease's object. All of it
--- a/cflease/lease_test.go
+++ b/core/cflease/lease_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	cf "currantford"
-	"currantford/cflease"
+	"currantford/core/cflease"
 )
 
 var bounds = cflease.Bounds{Renew: 700, Validity: 1800, Takeover: 2200, Handover: 3200}
--- a/cfmember/neighbour_test.go
+++ b/core/cfmember/neighbour_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	cf "currantford"
-	"currantford/cfmember"
+	"currantford/core/cfmember"
 )
 
 // Symptom: copies of texts go to an instance that does not answer, or to a weak one
--- a/cfmember/successor_test.go
+++ b/core/cfmember/successor_test.go
@@ -4,7 +4,7 @@
 	"testing"
 
 	cf "currantford"
-	"currantford/cfmember"
+	"currantford/core/cfmember"
 )
 
 // Symptom: steps are late all through a rolling restart, because weight orders
--- a/cfmember/table_test.go
+++ b/core/cfmember/table_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"currantford/cfmember"
+	"currantford/core/cfmember"
 )
 
 // Symptom: callers are sent to an instance that is dead, not ready or stopping.
--- a/cfreward/reward.go
+++ b/core/cfreward/reward.go
@@ -23,8 +23,8 @@
 	"slices"
 
 	cf "currantford"
-	"currantford/cfbalance"
-	"currantford/cfbatch"
+	"currantford/core/cfbalance"
+	"currantford/core/cfbatch"
 )
 
 type (
--- a/cfreward/reward_test.go
+++ b/core/cfreward/reward_test.go
@@ -7,8 +7,8 @@
 	"testing"
 
 	cf "currantford"
-	"currantford/cfbatch"
-	"currantford/cfreward"
+	"currantford/core/cfbatch"
+	"currantford/core/cfreward"
 )
 
 const (
--- a/cfrollout/bench_test.go
+++ b/core/cfrollout/bench_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	cf "currantford"
-	"currantford/cfrollout"
+	"currantford/core/cfrollout"
 )
 
 // BenchmarkSwaps measures one choice of the engines to load while a version that
--- a/cfrollout/memory_test.go
+++ b/core/cfrollout/memory_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	cf "currantford"
-	"currantford/cfbatch"
+	"currantford/core/cfbatch"
 )
 
 // memorySite returns a planner with engines of six slots and 23,000 tokens, which knows
--- a/cfrollout/planner.go
+++ b/core/cfrollout/planner.go
@@ -25,7 +25,7 @@
 	"sync"
 
 	cf "currantford"
-	"currantford/cfbatch"
+	"currantford/core/cfbatch"
 )
 
 type (
--- a/cfrollout/planner_test.go
+++ b/core/cfrollout/planner_test.go
@@ -5,8 +5,8 @@
 	"testing"
 
 	cf "currantford"
-	"currantford/cfbatch"
-	"currantford/cfrollout"
+	"currantford/core/cfbatch"
+	"currantford/core/cfrollout"
 )
 
 const service cf.ServiceName = "engines"
--- a/cfrollout/session_test.go
+++ b/core/cfrollout/session_test.go
@@ -9,8 +9,8 @@
 	"github.com/cockroachdb/datadriven"
 
 	cf "currantford"
-	"currantford/cfbatch"
-	"currantford/cfrollout"
+	"currantford/core/cfbatch"
+	"currantford/core/cfrollout"
 )
 
 // session is a trainer's step from its submission to the next version, played
--- a/cfrollout/shares_test.go
+++ b/core/cfrollout/shares_test.go
@@ -4,7 +4,7 @@
 	"testing"
 
 	cf "currantford"
-	"currantford/cfrollout"
+	"currantford/core/cfrollout"
 )
 
 // Symptom: a trainer's steps are never begun while others' are.
--- a/cfrollout/single_test.go
+++ b/core/cfrollout/single_test.go
@@ -4,7 +4,7 @@
 	"testing"
 
 	cf "currantford"
-	"currantford/cfrollout"
+	"currantford/core/cfrollout"
 )
 
 var singleTerms = cfrollout.Terms{Service: service, MaxAttempts: 3, MaxWait: 40000, SingleVersion: true}
--- a/cfrollout/slow_test.go
+++ b/core/cfrollout/slow_test.go
@@ -5,8 +5,8 @@
 	"testing"
 
 	cf "currantford"
-	"currantford/cfbatch"
-	"currantford/cfrollout"
+	"currantford/core/cfbatch"
+	"currantford/core/cfrollout"
 )
 
 // hinted returns a batch of single items with the lengths that their submitter
--- a/cfsite/relay_test.go
+++ b/core/cfsite/relay_test.go
@@ -6,8 +6,8 @@
 	"testing"
 
 	cf "currantford"
-	"currantford/cfsite"
-	"currantford/cfstandin"
+	"currantford/core/cfsite"
+	"currantford/testbed/cfstandin"
 )
 
 // sameTargets says whether two views show the same targets, weights left out.
--- a/cfsite/site_test.go
+++ b/core/cfsite/site_test.go
@@ -4,8 +4,8 @@
 	"testing"
 
 	cf "currantford"
-	"currantford/cfsite"
-	"currantford/cfstandin"
+	"currantford/core/cfsite"
+	"currantford/testbed/cfstandin"
 )
 
 // Symptom: a dropped route answers again.
--- a/cfcoord/batches.go
+++ b/io/cfcoord/batches.go
@@ -8,9 +8,9 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfbatch"
-	"currantford/cflog"
-	"currantford/cfwatch"
+	"currantford/core/cfbatch"
+	"currantford/io/cflog"
+	"currantford/io/cfwatch"
 )
 
 const (
--- a/cfcoord/checkpoint.go
+++ b/io/cfcoord/checkpoint.go
@@ -12,8 +12,8 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cflog"
-	"currantford/cfrollout"
+	"currantford/core/cfrollout"
+	"currantford/io/cflog"
 )
 
 const (
--- a/cfcoord/checkpoint_test.go
+++ b/io/cfcoord/checkpoint_test.go
@@ -10,8 +10,8 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfrollout"
-	"currantford/cfstandin"
+	"currantford/core/cfrollout"
+	"currantford/testbed/cfstandin"
 )
 
 // Symptom: a sample's text has a gap, or is of two runs.
--- a/cfcoord/chunks.go
+++ b/io/cfcoord/chunks.go
@@ -6,8 +6,8 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfbatch"
-	"currantford/cflog"
+	"currantford/core/cfbatch"
+	"currantford/io/cflog"
 )
 
 // startChunk writes the next chunk of a batch's results.
--- a/cfcoord/chunks_test.go
+++ b/io/cfcoord/chunks_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	cf "currantford"
-	"currantford/cfbatch"
-	"currantford/cfstandin"
+	"currantford/core/cfbatch"
+	"currantford/testbed/cfstandin"
 )
 
 type (
--- a/cfcoord/coordinator.go
+++ b/io/cfcoord/coordinator.go
@@ -26,10 +26,10 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfbatch"
-	"currantford/cfguard"
-	"currantford/cfrollout"
-	"currantford/cfsite"
+	"currantford/core/cfbatch"
+	"currantford/core/cfrollout"
+	"currantford/core/cfsite"
+	"currantford/io/cfguard"
 )
 
 const (
--- a/cfcoord/expire_test.go
+++ b/io/cfcoord/expire_test.go
@@ -7,8 +7,8 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfbatch"
-	"currantford/cfstandin"
+	"currantford/core/cfbatch"
+	"currantford/testbed/cfstandin"
 )
 
 // Symptom: the store grows for ever, or a batch vanishes while it can still be
--- a/cfcoord/finish.go
+++ b/io/cfcoord/finish.go
@@ -4,7 +4,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfrollout"
+	"currantford/core/cfrollout"
 )
 
 // complete takes a complete text: its reward is asked for, or it is listed. Until
--- a/cfcoord/guard_test.go
+++ b/io/cfcoord/guard_test.go
@@ -11,10 +11,10 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfbatch"
-	"currantford/cfguard"
-	"currantford/cfquarantine"
-	"currantford/cfstandin"
+	"currantford/core/cfbatch"
+	"currantford/core/cfquarantine"
+	"currantford/io/cfguard"
+	"currantford/testbed/cfstandin"
 )
 
 // deadTargets refuse connections: before a request is sent, or after.
--- a/cfcoord/mirror.go
+++ b/io/cfcoord/mirror.go
@@ -6,7 +6,7 @@
 	"time"
 
 	cf "currantford"
-	"currantford/cfrollout"
+	"currantford/core/cfrollout"
 )
 
 const (
--- a/cfcoord/mirror_test.go
+++ b/io/cfcoord/mirror_test.go
@@ -7,8 +7,8 @@
 	"testing"
 
 	cf "currantford"
-	"currantford/cfbatch"
-	"currantford/cfrollout"
+	"currantford/core/cfbatch"
+	"currantford/core/cfrollout"
 )
 
 func text(from, to int) cfrollout.Text { return textOf(1, from, to) }
--- a/cfcoord/operator.go
+++ b/io/cfcoord/operator.go
@@ -7,7 +7,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfwatch"
+	"currantford/io/cfwatch"
 )
 
 func (c *Coordinator) versionWatcher() *cfwatch.Watcher {
--- a/cfcoord/prepared.go
+++ b/io/cfcoord/prepared.go
@@ -2,7 +2,7 @@
 
 import (
 	cf "currantford"
-	"currantford/cfbatch"
+	"currantford/core/cfbatch"
 )
 
 const (
--- a/cfcoord/reads_test.go
+++ b/io/cfcoord/reads_test.go
@@ -8,8 +8,8 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfbatch"
-	"currantford/cfstandin"
+	"currantford/core/cfbatch"
+	"currantford/testbed/cfstandin"
 )
 
 // loadStored writes a batch to the store and lets the coordinator keep it.
--- a/cfcoord/rewards.go
+++ b/io/cfcoord/rewards.go
@@ -9,12 +9,12 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfbatch"
-	"currantford/cflog"
-	"currantford/cfquarantine"
-	"currantford/cfreward"
-	"currantford/cfrollout"
-	"currantford/cfsite"
+	"currantford/core/cfbatch"
+	"currantford/core/cfquarantine"
+	"currantford/core/cfreward"
+	"currantford/core/cfrollout"
+	"currantford/core/cfsite"
+	"currantford/io/cflog"
 )
 
 // rewardTimeout is the deadline of a try of a reward call, here and at its
--- a/cfcoord/runs.go
+++ b/io/cfcoord/runs.go
@@ -10,8 +10,8 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfquarantine"
-	"currantford/cfrollout"
+	"currantford/core/cfquarantine"
+	"currantford/core/cfrollout"
 )
 
 const (
--- a/cfcoord/served_test.go
+++ b/io/cfcoord/served_test.go
@@ -9,7 +9,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	cf "currantford"
-	"currantford/cfbatch"
+	"currantford/core/cfbatch"
 )
 
 // A trainer's wait and its samples' staleness are logged and counted once, when
--- a/cfcoord/takeover_test.go
+++ b/io/cfcoord/takeover_test.go
@@ -11,10 +11,10 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfbatch"
-	"currantford/cfrollout"
-	"currantford/cfsite"
-	"currantford/cfstandin"
+	"currantford/core/cfbatch"
+	"currantford/core/cfrollout"
+	"currantford/core/cfsite"
+	"currantford/testbed/cfstandin"
 )
 
 type (
--- a/cfcoord/weights.go
+++ b/io/cfcoord/weights.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfrollout"
+	"currantford/core/cfrollout"
 )
 
 const (
--- a/cfcoord/weights_test.go
+++ b/io/cfcoord/weights_test.go
@@ -9,7 +9,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfrollout"
+	"currantford/core/cfrollout"
 )
 
 // silentTargets leave orders unanswered and show a report.
--- a/cfguard/guard.go
+++ b/io/cfguard/guard.go
@@ -24,8 +24,8 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cflog"
-	"currantford/cfquarantine"
+	"currantford/core/cfquarantine"
+	"currantford/io/cflog"
 )
 
 const (
--- a/cfguard/guard_test.go
+++ b/io/cfguard/guard_test.go
@@ -11,7 +11,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfquarantine"
+	"currantford/core/cfquarantine"
 )
 
 type (
--- a/cfingress/batches.go
+++ b/io/cfingress/batches.go
@@ -9,8 +9,8 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfbatch"
-	"currantford/cflog"
+	"currantford/core/cfbatch"
+	"currantford/io/cflog"
 )
 
 const (
--- a/cfingress/fakes_test.go
+++ b/io/cfingress/fakes_test.go
@@ -10,10 +10,10 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfingress"
-	"currantford/cfmember"
-	"currantford/cfsite"
-	"currantford/cfstandin"
+	"currantford/core/cfmember"
+	"currantford/core/cfsite"
+	"currantford/io/cfingress"
+	"currantford/testbed/cfstandin"
 )
 
 const host = "site.example"
--- a/cfingress/forward.go
+++ b/io/cfingress/forward.go
@@ -12,10 +12,10 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfbalance"
-	"currantford/cflog"
-	"currantford/cfquarantine"
-	"currantford/cfsite"
+	"currantford/core/cfbalance"
+	"currantford/core/cfquarantine"
+	"currantford/core/cfsite"
+	"currantford/io/cflog"
 )
 
 const (
--- a/cfingress/forward_test.go
+++ b/io/cfingress/forward_test.go
@@ -7,7 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	cf "currantford"
-	"currantford/cfsite"
+	"currantford/core/cfsite"
 )
 
 // Symptom: a log reading is refused as not run, and stands in the log.
--- a/cfingress/history_test.go
+++ b/io/cfingress/history_test.go
@@ -13,8 +13,8 @@
 	"github.com/rotisserie/eris"
 
 	cf "currantford"
-	"currantford/cfingress"
-	"currantford/cfsite"
+	"currantford/core/cfsite"
+	"currantford/io/cfingress"
 )
 
 type (
--- a/cfingress/ingress.go
+++ b/io/cfingress/ingress.go
@@ -17,10 +17,10 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfbalance"
-	"currantford/cfguard"
-	"currantford/cfmember"
-	"currantford/cfsite"
+	"currantford/core/cfbalance"
+	"currantford/core/cfmember"
+	"currantford/core/cfsite"
+	"currantford/io/cfguard"
 )
 
 const (
--- a/cfingress/ready_test.go
+++ b/io/cfingress/ready_test.go
@@ -7,9 +7,9 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfingress"
-	"currantford/cfsite"
-	"currantford/cfstandin"
+	"currantford/core/cfsite"
+	"currantford/io/cfingress"
+	"currantford/testbed/cfstandin"
 )
 
 // Symptom: an instance that has just started refuses its first requests, though all
--- a/cfingress/stream.go
+++ b/io/cfingress/stream.go
@@ -9,7 +9,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfbalance"
+	"currantford/core/cfbalance"
 )
 
 // streamStall is how long a resumable stream may send nothing before it is
--- a/cfingress/stream_test.go
+++ b/io/cfingress/stream_test.go
@@ -8,7 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	cf "currantford"
-	"currantford/cfsite"
+	"currantford/core/cfsite"
 )
 
 var resumable = cfsite.Route{Kind: cfsite.KindStream, Resumable: true, MaxAttempts: 3, Timeout: 5000}
--- a/cfnode/candidate.go
+++ b/io/cfnode/candidate.go
@@ -12,8 +12,8 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cflease"
-	"currantford/cflog"
+	"currantford/core/cflease"
+	"currantford/io/cflog"
 )
 
 const (
--- a/cfnode/duty_test.go
+++ b/io/cfnode/duty_test.go
@@ -10,9 +10,9 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cflease"
-	"currantford/cfmember"
-	"currantford/cfstandin"
+	"currantford/core/cflease"
+	"currantford/core/cfmember"
+	"currantford/testbed/cfstandin"
 )
 
 // noRelay reaches no other instance.
--- a/cfnode/feed.go
+++ b/io/cfnode/feed.go
@@ -10,12 +10,12 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cflease"
-	"currantford/cflog"
-	"currantford/cfmember"
-	"currantford/cfquarantine"
-	"currantford/cfsite"
-	"currantford/cfwatch"
+	"currantford/core/cflease"
+	"currantford/core/cfmember"
+	"currantford/core/cfquarantine"
+	"currantford/core/cfsite"
+	"currantford/io/cflog"
+	"currantford/io/cfwatch"
 )
 
 const (
--- a/cfnode/handlers.go
+++ b/io/cfnode/handlers.go
@@ -6,8 +6,8 @@
 	"github.com/fxamacker/cbor/v2"
 
 	cf "currantford"
-	"currantford/cfcoord"
-	"currantford/cfpeer"
+	"currantford/io/cfcoord"
+	"currantford/io/cfpeer"
 )
 
 // decoded makes a handler of a function that takes a call of type T.
--- a/cfnode/node.go
+++ b/io/cfnode/node.go
@@ -26,17 +26,17 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfcoord"
-	"currantford/cfguard"
-	"currantford/cfingress"
-	"currantford/cflease"
-	"currantford/cflog"
-	"currantford/cfmember"
-	"currantford/cfpeer"
-	"currantford/cfrollout"
-	"currantford/cfrunner"
-	"currantford/cfsite"
-	"currantford/cfwatch"
+	"currantford/core/cflease"
+	"currantford/core/cfmember"
+	"currantford/core/cfrollout"
+	"currantford/core/cfsite"
+	"currantford/io/cfcoord"
+	"currantford/io/cfguard"
+	"currantford/io/cfingress"
+	"currantford/io/cflog"
+	"currantford/io/cfpeer"
+	"currantford/io/cfrunner"
+	"currantford/io/cfwatch"
 )
 
 // watchTick is how often an instance checks whether it must watch the store
@@ -44,23 +44,12 @@
 const watchTick = 100 * time.Millisecond
 
 type (
-	// Relay passes calls to the store through other instances; the adapter
-	// knows their form.
-	Relay interface {
-		// SetRelay sets how a call reaches another instance, there to be
-		// answered by the store within timeout; watch tells that the call waits
-		// for changes.
-		SetRelay(call func(ctx context.Context, timeout cf.Millis, watch bool, body, answer any) error)
-		// Relayed carries out a call that another instance passed on.
-		Relayed(ctx context.Context, body []byte) (any, error)
-	}
-
 	// Adapter is what the process uses of its platform.
 	Adapter struct {
 		Store   cf.Store
 		Targets cf.Targets
 		Codec   cfsite.Codec
-		Relay   Relay
+		Relay   cf.Relay
 	}
 
 	// Node is one entry instance. Close waits for all it started.
--- a/cfnode/process.go
+++ b/io/cfnode/process.go
@@ -14,7 +14,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cflog"
+	"currantford/io/cflog"
 )
 
 const (
--- a/cfnode/quarantine.go
+++ b/io/cfnode/quarantine.go
@@ -14,11 +14,11 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfguard"
-	"currantford/cflog"
-	"currantford/cfmember"
-	"currantford/cfpeer"
-	"currantford/cfquarantine"
+	"currantford/core/cfmember"
+	"currantford/core/cfquarantine"
+	"currantford/io/cfguard"
+	"currantford/io/cflog"
+	"currantford/io/cfpeer"
 )
 
 const (
--- a/cfnode/quarantine_test.go
+++ b/io/cfnode/quarantine_test.go
@@ -7,8 +7,8 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfguard"
-	"currantford/cfquarantine"
+	"currantford/core/cfquarantine"
+	"currantford/io/cfguard"
 )
 
 // Symptom: links between instances carry nothing but news of crashes.
--- a/cfnode/reads.go
+++ b/io/cfnode/reads.go
@@ -10,9 +10,9 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfbatch"
-	"currantford/cfcoord"
-	"currantford/cflog"
+	"currantford/core/cfbatch"
+	"currantford/io/cfcoord"
+	"currantford/io/cflog"
 )
 
 // readGrace is what a read at the coordinator may take beyond its wait before
--- a/cfnode/relay.go
+++ b/io/cfnode/relay.go
@@ -9,7 +9,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfmember"
+	"currantford/core/cfmember"
 )
 
 const (
--- a/cfnode/settings.go
+++ b/io/cfnode/settings.go
@@ -11,7 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	cf "currantford"
-	"currantford/cfcoord"
+	"currantford/io/cfcoord"
 )
 
 type (
--- a/cfnode/settings_test.go
+++ b/io/cfnode/settings_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
-	"currantford/cfnode"
+	"currantford/io/cfnode"
 )
 
 // TestSettings checks settings files against the faults that they give.
--- a/cfnode/texts.go
+++ b/io/cfnode/texts.go
@@ -10,10 +10,10 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfcoord"
-	"currantford/cflease"
-	"currantford/cfmember"
-	"currantford/cfrollout"
+	"currantford/core/cflease"
+	"currantford/core/cfmember"
+	"currantford/core/cfrollout"
+	"currantford/io/cfcoord"
 )
 
 const (
--- a/cfnode/texts_test.go
+++ b/io/cfnode/texts_test.go
@@ -10,11 +10,11 @@
 	"time"
 
 	cf "currantford"
-	"currantford/cfcoord"
-	"currantford/cflease"
-	"currantford/cfmember"
-	"currantford/cfrollout"
-	"currantford/cfstandin"
+	"currantford/core/cflease"
+	"currantford/core/cfmember"
+	"currantford/core/cfrollout"
+	"currantford/io/cfcoord"
+	"currantford/testbed/cfstandin"
 )
 
 // slowConn writes at the rate of a link of 60 Mbit/s.
--- a/cfpeer/cancel_test.go
+++ b/io/cfpeer/cancel_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"currantford/cfpeer"
+	"currantford/io/cfpeer"
 )
 
 // Symptom: an instance loses the coordinator for half a second, again and
--- a/cfpeer/dial_test.go
+++ b/io/cfpeer/dial_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"currantford/cfpeer"
+	"currantford/io/cfpeer"
 )
 
 // Symptom: after an outage of the store a coordinator neither renews its lease nor
--- a/cfrunner/assign.go
+++ b/io/cfrunner/assign.go
@@ -6,7 +6,7 @@
 	"slices"
 
 	cf "currantford"
-	"currantford/cfmember"
+	"currantford/core/cfmember"
 )
 
 const (
--- a/cfrunner/assign_test.go
+++ b/io/cfrunner/assign_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	cf "currantford"
-	"currantford/cfmember"
+	"currantford/core/cfmember"
 )
 
 func site(domains, instances, engines, slots int, capacity float64) (members []cfmember.Entry, targets []cf.Target) {
--- a/cfrunner/cfrunner_test.go
+++ b/io/cfrunner/cfrunner_test.go
@@ -12,7 +12,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfmember"
+	"currantford/core/cfmember"
 )
 
 // gated is a target whose streams wait for their events.
--- a/cfrunner/explore_test.go
+++ b/io/cfrunner/explore_test.go
@@ -16,7 +16,7 @@
 // them, and returns the first in which a host still holds its runs when the coordinator
 // takes them for lost. Clocks of host and coordinator differ by a minute.
 func exploreLink(n int, asked func(clock, now cf.Millis) cf.Millis) (played int, broken []question) {
-	const offset = 60_000
+	const offset cf.Millis = 60_000
 	kinds := []question{}
 	for _, up := range []cf.Millis{0, 300, 640, 900, 1800, 4000} {
 		for _, down := range []cf.Millis{0, 200, 600, -1} {
@@ -48,7 +48,7 @@
 // holdsWhenLost plays one sequence, after which the link is silent.
 func holdsWhenLost(seq []question, offset cf.Millis, asked func(clock, now cf.Millis) cf.Millis) bool {
 	now, sent, failures := cf.Millis(0), cf.Millis(0), 0
-	clock, clockAt := cf.Millis(offset), cf.Millis(0) // of the report that began the session
+	clock, clockAt := offset, cf.Millis(0) // of the report that began the session
 	type arrival struct{ at, clock cf.Millis }
 	var arrivals []arrival
 	for i := 0; failures < lostAfter; i++ {
@@ -68,7 +68,7 @@
 		clock, clockAt, now = back-q.down+offset, back, back
 	}
 	lost := max(givenUpBy(sent), now)
-	last := cf.Millis(offset)
+	last := offset
 	for _, a := range arrivals {
 		hostNow := a.at + offset
 		if !holds(last, hostNow) {
--- a/cfrunner/link.go
+++ b/io/cfrunner/link.go
@@ -10,8 +10,8 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cflog"
-	"currantford/cfmember"
+	"currantford/core/cfmember"
+	"currantford/io/cflog"
 )
 
 const (
--- a/cfwatch/site.go
+++ b/io/cfwatch/site.go
@@ -6,7 +6,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfsite"
+	"currantford/core/cfsite"
 )
 
 const (
--- a/cfwatch/watch.go
+++ b/io/cfwatch/watch.go
@@ -19,7 +19,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cflog"
+	"currantford/io/cflog"
 )
 
 // Retry pauses after a failed call to the store. Calls to a store that is
--- a/nodecommands/commands.go
+++ b/nodecommands/commands.go
@@ -18,9 +18,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
-	"currantford/cflog"
-	"currantford/cfnode"
-	"currantford/cfquarantine"
+	"currantford/core/cfquarantine"
+	"currantford/io/cflog"
+	"currantford/io/cfnode"
 	"currantford/platform"
 )
 
--- a/cfconfig/config.go
+++ b/older/cfconfig/config.go
@@ -30,8 +30,8 @@
 	"github.com/rotisserie/eris"
 
 	cf "currantford"
-	"currantford/cfengine"
-	"currantford/cfroute"
+	"currantford/older/cfroute"
+	"currantford/testbed/cfengine"
 )
 
 // Engine roles.
--- a/cfconfig/config_test.go
+++ b/older/cfconfig/config_test.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	cf "currantford"
-	"currantford/cfconfig"
+	"currantford/older/cfconfig"
 )
 
 // TestCheck replays documents through the checker: each fault is printed
--- a/cfentry/claims.go
+++ b/older/cfentry/claims.go
@@ -12,7 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	cf "currantford"
-	"currantford/cfpool"
+	"currantford/older/cfpool"
 )
 
 const (
--- a/cfentry/delivery_test.go
+++ b/older/cfentry/delivery_test.go
@@ -7,10 +7,10 @@
 
 	"go.uber.org/zap"
 
-	"currantford/cfconfig"
-	"currantford/cfplatform"
-	"currantford/cfpool"
-	"currantford/cfstandin"
+	"currantford/older/cfconfig"
+	"currantford/older/cfplatform"
+	"currantford/older/cfpool"
+	"currantford/testbed/cfstandin"
 )
 
 // TestSamplesOnceAcrossLeaderLoss: a trainer gets every sample once when
--- a/cfentry/engines.go
+++ b/older/cfentry/engines.go
@@ -19,7 +19,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfconfig"
+	"currantford/older/cfconfig"
 )
 
 const (
--- a/cfentry/entry.go
+++ b/older/cfentry/entry.go
@@ -34,11 +34,11 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfconfig"
-	"currantford/cfpeer"
-	"currantford/cfplatform"
-	"currantford/cfpool"
-	"currantford/cfroute"
+	"currantford/io/cfpeer"
+	"currantford/older/cfconfig"
+	"currantford/older/cfplatform"
+	"currantford/older/cfpool"
+	"currantford/older/cfroute"
 )
 
 // Instance roles and states in the instance list.
--- a/cfentry/services.go
+++ b/older/cfentry/services.go
@@ -15,8 +15,8 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfconfig"
-	"currantford/cfplatform"
+	"currantford/older/cfconfig"
+	"currantford/older/cfplatform"
 )
 
 const (
--- a/cfentry/site_test.go
+++ b/older/cfentry/site_test.go
@@ -12,11 +12,12 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfconfig"
-	"currantford/cfengine"
-	"currantford/cfentry"
-	"currantford/cfplatform"
-	"currantford/cfstandin"
+	"currantford/older/cfconfig"
+	"currantford/older/cfentry"
+	"currantford/older/cfplatform"
+	"currantford/testbed/cfengine"
+	"currantford/testbed/cfobjects"
+	"currantford/testbed/cfstandin"
 )
 
 // testSite is a small site in one test process: the platform, engines, the
@@ -24,7 +25,7 @@
 // port and reached over HTTP as in production.
 type testSite struct {
 	site     cfconfig.Site
-	platform *cfplatform.Server
+	platform *cfobjects.Server
 	store    *cfplatform.Client
 	entries  []*cfentry.Entry
 	urls     []string
@@ -61,7 +62,7 @@
 	s.Drain = 300
 	pl := listen(t)
 	s.Platform.Addr = pl.Addr().String()
-	ts.platform = cfplatform.NewServer(cfplatform.ServerSettings{InstanceLag: s.Platform.InstanceLag})
+	ts.platform = cfobjects.NewServer(cfobjects.ServerSettings{InstanceLag: s.Platform.InstanceLag})
 	serve(t, pl, ts.platform.Handler())
 	ts.store = cfplatform.NewClient(s.PlatformURL())
 
--- a/cfplatform/client.go
+++ b/older/cfplatform/client.go
@@ -1,3 +1,11 @@
+// Package cfplatform is the older interface's client of the platform's object
+// API and instance list: versioned JSON objects by kind and name, conditional
+// writes, and watches that are long polls.
+//
+// Usage:
+//
+//	c := cfplatform.NewClient("http://127.0.0.1:7000")
+//	obj, err := c.Put(ctx, "claim", "forecast/t1", value, currantford.CreateOnly)
 package cfplatform
 
 import (
@@ -15,6 +23,9 @@
 	cf "currantford"
 )
 
+// KindInstance is the kind of instance-list objects.
+const KindInstance = "instance"
+
 // callTimeout bounds one unary call. The platform answers in milliseconds;
 // a call that takes seconds is treated as an outage so that a slow platform
 // delays a controller instead of wedging it.
--- a/cfpool/claim.go
+++ b/older/cfpool/claim.go
@@ -11,7 +11,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfplatform"
+	"currantford/older/cfplatform"
 )
 
 // retryPause is the wait after a failed group before the next try, so that
--- a/cfpool/model_test.go
+++ b/older/cfpool/model_test.go
@@ -12,7 +12,8 @@
 	"github.com/anishathalye/porcupine"
 
 	cf "currantford"
-	"currantford/cfplatform"
+	"currantford/older/cfplatform"
+	"currantford/testbed/cfobjects"
 )
 
 type (
@@ -73,7 +74,7 @@
 
 func runLeaders(t *testing.T, seed uint64) []porcupine.Operation {
 	t.Helper()
-	srv := httptest.NewServer(cfplatform.NewServer(cfplatform.ServerSettings{}).Handler())
+	srv := httptest.NewServer(cfobjects.NewServer(cfobjects.ServerSettings{}).Handler())
 	defer srv.Close()
 	store := cfplatform.NewClient(srv.URL)
 	ctx := context.Background()
--- a/cfpool/pool.go
+++ b/older/cfpool/pool.go
@@ -36,8 +36,8 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfconfig"
-	"currantford/cfplatform"
+	"currantford/older/cfconfig"
+	"currantford/older/cfplatform"
 )
 
 // Object kinds in the platform.
--- a/cfpool/session_test.go
+++ b/older/cfpool/session_test.go
@@ -13,9 +13,10 @@
 	"github.com/cockroachdb/datadriven"
 
 	cf "currantford"
-	"currantford/cfconfig"
-	"currantford/cfplatform"
-	"currantford/cfpool"
+	"currantford/older/cfconfig"
+	"currantford/older/cfplatform"
+	"currantford/older/cfpool"
+	"currantford/testbed/cfobjects"
 )
 
 // backend is an in-memory engine fleet: every rollout is produced by the
@@ -52,7 +53,7 @@
 // and a paused leader fenced by its successor.
 func TestSession(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		srv := httptest.NewServer(cfplatform.NewServer(cfplatform.ServerSettings{}).Handler())
+		srv := httptest.NewServer(cfobjects.NewServer(cfobjects.ServerSettings{}).Handler())
 		defer srv.Close()
 		store := cfplatform.NewClient(srv.URL)
 		settings := cfconfig.Pool{Name: "forecast", GroupSize: 2, MaxTokens: 4, StaleVersions: 1, StaleAge: 60000,
--- a/cfroute/bench_test.go
+++ b/older/cfroute/bench_test.go
@@ -16,8 +16,8 @@
 	"time"
 
 	cf "currantford"
-	"currantford/cfengine"
-	"currantford/cfroute"
+	"currantford/older/cfroute"
+	"currantford/testbed/cfengine"
 )
 
 // BenchmarkDecision is the cost of one marginal-cost decision against the
--- a/commands/commands.go
+++ b/older/commands/commands.go
@@ -24,9 +24,9 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfconfig"
-	"currantford/cfentry"
-	"currantford/cfplatform"
+	"currantford/older/cfconfig"
+	"currantford/older/cfentry"
+	"currantford/older/cfplatform"
 )
 
 // shutdownTimeout bounds a graceful stop after the drain.
--- a/commands/run.go
+++ b/older/commands/run.go
@@ -14,13 +14,13 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfconfig"
-	"currantford/cfengine"
-	"currantford/cfentry"
-	"currantford/cfload"
-	"currantford/cflog"
-	"currantford/cfplatform"
-	"currantford/cfstandin"
+	"currantford/io/cflog"
+	"currantford/older/cfconfig"
+	"currantford/older/cfentry"
+	"currantford/testbed/cfengine"
+	"currantford/testbed/cfload"
+	"currantford/testbed/cfobjects"
+	"currantford/testbed/cfstandin"
 )
 
 type (
@@ -144,7 +144,7 @@
 		return err
 	}
 	log := cflog.New("platform", "platform")
-	srv := cfplatform.NewServer(cfplatform.ServerSettings{InstanceLag: site.Platform.InstanceLag})
+	srv := cfobjects.NewServer(cfobjects.ServerSettings{InstanceLag: site.Platform.InstanceLag})
 	return serveUntilSignal(site.Platform.Addr, srv.Handler(), 0, nil, log)
 }
 
--- a/commands/trial.go
+++ b/older/commands/trial.go
@@ -11,8 +11,8 @@
 	"github.com/rotisserie/eris"
 
 	cf "currantford"
-	"currantford/cflog"
-	"currantford/cftrial"
+	"currantford/io/cflog"
+	"currantford/testbed/cftrial"
 )
 
 type trialCommand struct {
--- /dev/null
+++ b/scripts/check-layout.sh
@@ -0,0 +1,21 @@
+#!/usr/bin/env bash
+# Fails if a package imports what its folder may not touch (tests aside):
+# decisions have no sockets, files, clock, logger or metrics; the product knows
+# neither the adapter nor a stand-in; only what wires programs knows both.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+check() { # FOLDER FORBIDDEN-IMPORTS
+  go list -f '{{$p := .ImportPath}}{{range .Imports}}{{$p}} {{.}}{{"\n"}}{{end}}' "./$1/..." |
+    grep -v '^currantford/platform/standin ' | grep -E " ($2)\$" || true
+}
+found=$(
+  check core 'net|net/.*|os|os/.*|syscall|time|log|log/.*|go\.uber\.org/zap.*|github\.com/prometheus/.*|currantford/(io|platform|older|testbed|nodecommands)(/.*)?'
+  check io 'currantford/(platform|older|testbed|nodecommands)(/.*)?'
+  check platform 'currantford/(io|older|testbed|nodecommands|platform/standin)(/.*)?'
+  check older 'currantford/(core|io|platform|nodecommands)(/.*)?' | grep -vE ' currantford/io/(cfpeer|cflog)$' || true
+)
+if [ -n "$found" ]; then
+  echo "imports that their folders forbid:" >&2
+  echo "$found" >&2
+  exit 1
+fi
--- a/store.go
+++ b/store.go
@@ -46,6 +46,17 @@
 		SetStatus(ctx context.Context, kind, name string, status any) error
 		Delete(ctx context.Context, kind, name string) error
 	}
+
+	// Relay passes calls to the store through other instances; the adapter
+	// knows their form.
+	Relay interface {
+		// SetRelay sets how a call reaches another instance, there to be
+		// answered by the store within timeout; watch tells that the call waits
+		// for changes.
+		SetRelay(call func(ctx context.Context, timeout Millis, watch bool, body, answer any) error)
+		// Relayed carries out a call that another instance passed on.
+		Relayed(ctx context.Context, body []byte) (any, error)
+	}
 )
 
 // Kinds of the store that the product itself creates.
--- a/target.go
+++ b/target.go
@@ -179,3 +179,6 @@
 	// to another request; the request may have run.
 	ErrBadAnswer = errors.New("bad answer from target")
 )
+
+// Failed says whether the target answered that it failed.
+func (a *TargetAnswer) Failed() bool { return a.Status >= http.StatusInternalServerError }
--- a/cfload/load.go
+++ b/testbed/cfload/load.go
@@ -29,9 +29,9 @@
 	"github.com/rotisserie/eris"
 
 	cf "currantford"
-	"currantford/cfconfig"
-	"currantford/cfplatform"
-	"currantford/cfstandin"
+	"currantford/older/cfconfig"
+	"currantford/older/cfplatform"
+	"currantford/testbed/cfstandin"
 )
 
 //go:embed defaults/plan.json
--- a/cfplatform/server.go
+++ b/testbed/cfobjects/server.go
@@ -1,24 +1,22 @@
-// Package cfplatform is the stand-in for the platform's object API and
-// instance list, and the client that entries use to reach the real one.
+// Package cfobjects is the stand-in for the platform's object API and
+// instance list that the older interface uses.
 //
-// The object API holds versioned JSON objects by kind and name. Each write
-// takes the store's next revision as the object's version; a write may be
-// conditional on the version the writer last read. A watch is a long poll
-// for the objects of a kind written after a revision. Instances are objects
-// of kind "instance" that become visible only after a lag, as the real
-// instance list does.
+// It holds versioned JSON objects by kind and name. Each write takes the
+// store's next revision as the object's version; a write may be conditional
+// on the version the writer last read. A watch is a long poll for the objects
+// of a kind written after a revision. Instances are objects of kind
+// "instance" that become visible only after a lag, as the real instance list
+// does.
 //
-// The stand-in injects the faults the brief names: an outage (every call
-// answers 503), slowness (every call waits), and lost answers (the change
-// takes effect, then the connection is dropped before the answer).
+// It injects the faults the brief names: an outage (every call answers 503),
+// slowness (every call waits), and lost answers (the change takes effect,
+// then the connection is dropped before the answer).
 //
 // Usage:
 //
-//	srv := cfplatform.NewServer(cfplatform.ServerSettings{InstanceLag: 500})
+//	srv := cfobjects.NewServer(cfobjects.ServerSettings{InstanceLag: 500})
 //	http.Serve(listener, srv.Handler())
-//	c := cfplatform.NewClient("http://127.0.0.1:7000")
-//	obj, err := c.Put(ctx, "claim", "forecast/t1", value, currantford.CreateOnly)
-package cfplatform
+package cfobjects
 
 import (
 	"encoding/json"
@@ -34,13 +32,12 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	cf "currantford"
+	"currantford/older/cfplatform"
 )
 
 const (
-	// KindInstance is the kind of instance-list objects.
-	KindInstance = "instance"
-	maxWait      = 30 * time.Second
-	maxValue     = 1 << 20
+	maxWait  = 30 * time.Second
+	maxValue = 1 << 20
 )
 
 type (
@@ -231,7 +228,7 @@
 	}
 	s.revision++
 	obj := cf.Object{Kind: kind, Name: name, Version: s.revision, Value: value}
-	if kind == KindInstance && s.settings.InstanceLag > 0 {
+	if kind == cfplatform.KindInstance && s.settings.InstanceLag > 0 {
 		s.pending = append(s.pending, pendingWrite{visibleAt: cf.Now() + s.settings.InstanceLag, obj: obj})
 		return obj, nil
 	}
--- a/cfstandin/codec.go
+++ b/testbed/cfstandin/codec.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 
 	cf "currantford"
-	"currantford/cfsite"
+	"currantford/core/cfsite"
 )
 
 // Codec decodes records written as the product's own types, for tests without
--- a/cfstandin/trainer.go
+++ b/testbed/cfstandin/trainer.go
@@ -15,7 +15,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
-	"currantford/cfconfig"
+	"currantford/older/cfconfig"
 )
 
 const (
--- a/cftrial/report_test.go
+++ b/testbed/cftrial/report_test.go
@@ -6,14 +6,14 @@
 	"strings"
 	"testing"
 
-	"currantford/cftrial"
 	"currantford/platform/standin"
+	"currantford/testbed/cftrial"
 )
 
 // Every plan that the project ships is valid.
 func TestShippedPlansAreValid(t *testing.T) {
 	for _, name := range []string{"slow-engine", "store-outage", "on-call"} {
-		if _, err := cftrial.ReadPlan(filepath.Join("..", "scripts", "plans", name+".json")); err != nil {
+		if _, err := cftrial.ReadPlan(filepath.Join("..", "..", "scripts", "plans", name+".json")); err != nil {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
