Scouts: in an outage few instances ask the store, the others leave it to them

Ruled out: longer steps between questions for all (the first instance to reach a store that turns part away decides how old a configuration gets), and the coordinator alone asking (it may be what is lost).

Change: the strongest eight instances, or an eighth of many, ask at once; the others leave it 1.5 s where the coordinator is silent and 8 s where it answers without anything new. A holder that can't renew answers feed calls with what it has, marked as not fresh, instead of turning them away; whoever takes the duty over says so round the ring; an instance that starts gives the coordinator 300 ms before it reads the store itself.

--- a/io/cfnode/candidate.go
+++ b/io/cfnode/candidate.go
@@ -29,6 +29,9 @@
 	// lapseMost is how long a holder that can't renew goes on. All steps
 	// that it knows are over by then.
 	lapseMost cf.Millis = 15000
+	// leftProbeEvery is how often an instance reads the lease that leaves that to the
+	// scouts for a while: a new holder tells all others.
+	leftProbeEvery cf.Millis = 2000
 	// doubtEvery is the same while the holder denies that it is: after a
 	// planned stop the lease is free, and every moment of it is idle time.
 	doubtEvery cf.Millis = 250
@@ -50,6 +53,9 @@
 	log   *zap.Logger
 	// word returns when the coordinator was last heard from.
 	word func() cf.Millis
+	// left is how long without word of the coordinator this instance leaves the lease
+	// to others, zero if it does not.
+	left func(now cf.Millis) cf.Millis
 	// outranked says whether stronger instances may take the duty; better gives
 	// a duty that was held for a time to one of them.
 	outranked func() bool
@@ -185,10 +191,11 @@
 		c.takeFree(ctx)
 		return
 	}
-	if rev > 0 && !abandoned && !doubted && now-c.word() < probeEvery {
+	silent, left := now-c.word(), c.left(now)
+	if rev > 0 && (left == 0 && !abandoned && !doubted && silent < probeEvery || silent < left) {
 		return
 	}
-	if since := now - c.probed; since >= probeEvery || doubted && since >= doubtEvery {
+	if since := now - c.probed; left == 0 && (since >= probeEvery || doubted && since >= doubtEvery) || since >= leftProbeEvery {
 		c.probed = now
 		c.doubted.Store(false)
 		c.probe(ctx)
--- a/io/cfnode/feed.go
+++ b/io/cfnode/feed.go
@@ -39,6 +39,14 @@
 	// feedSilence is how long an instance relies on the last answer before
 	// it watches the store itself.
 	feedSilence cf.Millis = 900
+	// coordinatorAlive is how long after its last answer a coordinator counts as alive.
+	coordinatorAlive cf.Millis = 1000
+	// startGrace is how long a starting instance waits for a coordinator's word before
+	// it asks the store itself: it reads the lease and calls, within some 30 ms.
+	startGrace cf.Millis = 300
+	// staleWait is how long the coordinator holds a call while it has no current
+	// view itself.
+	staleWait = 300 * time.Millisecond
 	// feedRetry is the pause after a failed call.
 	feedRetry = 150 * time.Millisecond
 )
@@ -93,14 +101,16 @@
 
 // serveFeed answers another instance's feed call.
 func (n *Node) serveFeed(ctx context.Context, call feedCall) (any, error) {
-	if !n.candidate.Valid() {
+	// A holder that can't renew, as the store is away, still is the holder, and says
+	// that it knows nothing new: were it silent, all others would ask the store.
+	if !n.candidate.Held() {
 		return nil, cf.ErrNotLeader
 	}
 	n.hear(call)
 	if err := n.awaitNews(ctx, call); err != nil {
 		return nil, err
 	}
-	if !n.candidate.Valid() {
+	if !n.candidate.Held() {
 		return nil, cf.ErrNotLeader
 	}
 	return n.answerFeed(call), nil
@@ -112,8 +122,8 @@
 	count, changed := n.site.Relay()
 	wait := feedWait.Duration()
 	switch {
-	case !n.viewFresh(cf.Uptime()):
-		wait = feedRetry // nothing can be told yet
+	case !n.current(cf.Uptime()):
+		wait = staleWait // nothing can be told yet
 	case call.Term != holder.Term || call.News != count:
 		return nil
 	}
@@ -131,7 +141,7 @@
 // answerFeed tells an instance what it does not know.
 func (n *Node) answerFeed(call feedCall) feedAnswer {
 	holder, rev := n.candidate.holder()
-	a := feedAnswer{Holder: holder, Rev: rev, Fresh: n.viewFresh(cf.Uptime()), Quarantine: n.guard.Table.Sums(), Informed: n.quarantine.known.Load()}
+	a := feedAnswer{Holder: holder, Rev: rev, Fresh: n.current(cf.Uptime()), Quarantine: n.guard.Table.Sums(), Informed: n.quarantine.known.Load()}
 	same := call.Term == holder.Term
 	a.Members, a.MembersAt = n.memberList()
 	if same && call.Members == a.MembersAt {
@@ -171,6 +181,34 @@
 	return w != nil && w.config.Age(now) < cfwatch.SiteFresh && w.targets.Age(now) < cfwatch.SiteFresh
 }
 
+// current says whether this instance may tell others how things stand.
+func (n *Node) current(now cf.Millis) bool { return n.candidate.Valid() && n.viewFresh(now) }
+
+// left is how long this instance leaves the store to the coordinator and the scouts after
+// the last current word; zero for a scout.
+func (n *Node) left(now cf.Millis) cf.Millis {
+	if n.scout() {
+		return 0
+	}
+	return cfmember.LeaveStore(now-cf.Millis(n.candidate.answered.Load()) < coordinatorAlive)
+}
+
+// alone says whether this instance must watch the store itself.
+func (n *Node) alone(now cf.Millis) bool {
+	if n.coord.Load() != nil {
+		return true
+	}
+	return now-n.started >= startGrace && now-cf.Millis(n.feed.heard.Load()) >= max(n.left(now), feedSilence)
+}
+
+// scout says whether this instance looks after the store as soon as the coordinator can't
+// tell how things stand.
+func (n *Node) scout() bool {
+	n.feed.mu.Lock()
+	defer n.feed.mu.Unlock()
+	return cfmember.Scout(n.feed.members, n.self())
+}
+
 // runFeed asks the coordinator for news until ctx ends.
 func (n *Node) runFeed(ctx context.Context) {
 	connected := ""
--- a/io/cfnode/node.go
+++ b/io/cfnode/node.go
@@ -39,9 +39,13 @@
 	"currantford/io/cfwatch"
 )
 
-// watchTick is how often an instance checks whether it must watch the store
-// itself.
-const watchTick = 100 * time.Millisecond
+const (
+	// watchTick is how often an instance checks whether it must watch the store
+	// itself.
+	watchTick = 100 * time.Millisecond
+	// watchLeft is the longest pause between the tries of an instance that is no scout.
+	watchLeft = 2500 * time.Millisecond
+)
 
 type (
 	// Adapter is what the process uses of its platform.
@@ -89,6 +93,8 @@
 		ctx    context.Context
 		cancel context.CancelFunc
 		wg     sync.WaitGroup
+		// telling are calls that handlers of other instances' calls have started.
+		telling sync.WaitGroup
 		// candidacy ends before the rest at a planned stop.
 		candidacy     context.Context
 		endCandidacy  context.CancelFunc
@@ -124,7 +130,7 @@
 	n.candidate = &candidate{
 		self: s.Entry, addr: s.Listen.Peers, store: a.Store, log: log, lease: cflease.New(s.Entry, bounds),
 		word: func() cf.Millis { return cf.Millis(n.feed.heard.Load()) }, acquired: n.beginDuty, lost: n.endDuty,
-		outranked: n.outranked, better: n.betterHolder, state: n.dutyState,
+		left: n.left, outranked: n.outranked, better: n.betterHolder, state: n.dutyState,
 	}
 	n.ingress = cfingress.New(cfingress.Options{
 		Store: a.Store, Targets: a.Targets, Site: n.site, Coordinator: reader{n}, Members: n, Guard: n.guard, Informed: func() bool { return n.quarantine.ready(cf.Uptime()) },
@@ -142,6 +148,7 @@
 		n.candidate.offered.Store(true)
 		return true, nil
 	})
+	n.peerSrv.Handle(opHolder, decoded(n.serveHolder))
 	n.peerSrv.Handle(opAlive, func(context.Context, cbor.RawMessage) (any, error) { return true, nil })
 	n.peerSrv.Handle(opMirror, decoded(n.serveMirror))
 	n.peerSrv.Handle(cfrunner.OpOrders, decoded(func(ctx context.Context, o cfrunner.Orders) (any, error) { return n.host.Orders(ctx, o) }))
@@ -284,7 +291,9 @@
 	_ = n.host.Close()
 	_ = n.guard.Close()
 	_ = n.peers.Close()
-	return n.peerSrv.Close()
+	err := n.peerSrv.Close()
+	n.telling.Wait()
+	return err
 }
 
 // self describes this instance to the coordinator.
@@ -357,6 +366,7 @@
 		Pages: n.pages, Loads: before.Loads, Policy: n.settings.Policy.Policy,
 	})
 	n.coord.Store(c)
+	n.announce()
 	c.Start(func(ctx context.Context) map[cf.ItemID]cfrollout.Text { return n.gatherTexts(ctx, before, members) })
 }
 
@@ -410,7 +420,7 @@
 		now := cf.Uptime()
 		w := n.watching.Load()
 		// The instance that has the duty serves the others by its watches.
-		need := n.coord.Load() != nil || !n.feed.fresh(now)
+		need := n.alone(now)
 		switch {
 		case need && w == nil:
 			n.watching.Store(n.watch())
@@ -434,6 +444,9 @@
 	ctx, cancel := context.WithCancel(n.ctx)
 	w := &watching{cancel: cancel}
 	w.config, w.targets = cfwatch.ForSite(n.adapter.Store, n.site, n.adapter.Codec, n.log)
+	if n.coord.Load() == nil && !n.scout() {
+		w.config.RetryMost, w.targets.RetryMost = watchLeft, watchLeft
+	}
 	w.wg.Go(func() { w.config.Run(ctx) })
 	w.wg.Go(func() { w.targets.Run(ctx) })
 	return w
--- a/io/cfwatch/watch.go
+++ b/io/cfwatch/watch.go
@@ -52,7 +52,9 @@
 	// Regained is called before the first answer after failed calls is
 	// taken.
 	Regained func()
-	Log      *zap.Logger
+	// RetryMost is the longest pause after failed calls, retryMost if it is zero.
+	RetryMost time.Duration
+	Log       *zap.Logger
 
 	contact atomic.Int64
 	at      cf.Revision
@@ -88,7 +90,7 @@
 		}
 		w.failing = true
 		cf.Sleep(ctx, retry/2+rand.N(retry))
-		retry = min(2*retry, retryMost)
+		retry = min(2*retry, max(w.RetryMost, retryMost))
 	}
 }
 
