--- a/io/cfcoord/batches.go
+++ b/io/cfcoord/batches.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,10 +22,6 @@
 	retirementWait cf.Millis = 5000
 	// chunkRetry is the pause after a chunk could not be written.
 	chunkRetry = 250 * time.Millisecond
-	// keepEnded bounds the text of ended batches that stays in memory for
-	// readers who come back; what is dropped is read from the store, at two
-	// calls a read.
-	keepEnded = 16 << 20
 )
 
 func (c *Coordinator) batchWatcher() *cfwatch.Watcher {
@@ -36,13 +31,13 @@
 			err := cfwatch.Each(c.takeBatch)(list)
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			c.known = true
+			c.takeover.listed = true
 			return err
 		},
 		CaughtUp: func() {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			c.current = true
+			c.takeover.current = true
 			c.checkLoaded()
 		},
 	}
@@ -58,7 +53,7 @@
 	defer c.Kick()
 	ended := cfbatch.Ended(r)
 	if ended || r.Deleted {
-		c.noteOver(id)
+		c.history.noteOver(id)
 	}
 	if rd := c.readings[id]; rd != nil {
 		rd.ended, rd.removed = rd.ended || ended, rd.removed || r.Deleted
@@ -74,10 +69,10 @@
 	case st != nil && ended:
 		c.endBatch(st)
 	case st == nil && !ended: // an ended batch stays in the store alone
-		if c.known && c.openPrepared(id, acceptedIn(r)) {
+		if c.takeover.listed && c.openPrepared(id, acceptedIn(r)) {
 			return nil
 		}
-		rd := &reading{inherited: !c.known}
+		rd := &reading{inherited: !c.takeover.listed}
 		c.readings[id] = rd
 		c.wg.Go(func() { c.load(r, rd) })
 	}
@@ -117,25 +112,17 @@
 // is held.
 func (c *Coordinator) checkLoaded() {
 	c.Kick()
-	if c.loaded || !c.current || !c.gathered {
+	if c.takeover.done {
 		return
 	}
+	reading := false
 	for _, rd := range c.readings {
-		if rd.inherited {
-			return
-		}
+		reading = reading || rd.inherited
 	}
-	if c.textsLost {
-		if c.storedAsked {
-			return // they are being read; their arrival looks again
-		}
-		c.storedAsked = true
-		if open := c.openInherited(); len(open) > 0 {
-			c.wg.Go(func() { c.adoptStored(open) })
-			return
-		}
+	open := c.openInherited()
+	if c.takeover.next(reading, len(open) > 0) == takeoverReads {
+		c.wg.Go(func() { c.adoptStored(open) })
 	}
-	c.loaded = true
 }
 
 // readBatch reads a batch, with its results where an earlier coordinator may have
@@ -184,7 +171,7 @@
 func (c *Coordinator) knows(id cf.BatchID, ended bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.loaded {
+	if !c.takeover.done {
 		return true // the first list will bring it
 	}
 	st, rd := c.batches[id], c.readings[id]
@@ -214,46 +201,6 @@
 	c.Log.Info("batch_ended", zap.String("batch_id", string(st.batch.Sub.ID)), zap.Int("stopped", len(stop)),
 		zap.Int("groups_whole", st.batch.WholeGroups()), zap.Bool("complete", st.batch.Complete()),
 		zap.Int64("took_ms", int64(cf.Now()-st.batch.Sub.Accepted)))
-	c.endedOrder = append(c.endedOrder, st.batch.Sub.ID)
-	c.noteGroups(st.batch)
-	c.trim()
-}
-
-// knownFor is for how many ends of batches their groups are remembered: a trainer
-// asks for a group again in its next steps or not at all, and a site has tens of
-// trainers.
-const knownFor = 40
-
-// noteGroups remembers the groups of an ended batch. Any of them may come back:
-// one that is whole here may not have been when the trainer looked last. c.mu is
-// held.
-func (c *Coordinator) noteGroups(b *cfbatch.Batch) {
-	c.ends++
-	for _, it := range b.Sub.Items {
-		c.groups[it.Group] = c.ends
-	}
-	for g, end := range c.groups {
-		if end <= c.ends-knownFor {
-			delete(c.groups, g)
-		}
-	}
-}
-
-// trim drops the oldest ended batches beyond what is kept in memory, and those
-// of which a chunk of the coordinator before may still arrive in the store: it
-// would be seen by a read of the store and be missing here.
-func (c *Coordinator) trim() {
-	size := 0
-	for _, id := range slices.Backward(c.endedOrder) {
-		st := c.batches[id]
-		if st == nil {
-			continue
-		}
-		size += st.batch.Size()
-		late := st.inherited && !st.batch.Complete()
-		if (late || size > keepEnded) && st.pending.Len() == 0 {
-			delete(c.batches, id)
-		}
-	}
-	c.endedOrder = slices.DeleteFunc(c.endedOrder, func(id cf.BatchID) bool { return c.batches[id] == nil })
+	c.history.noteEnd(st.batch)
+	c.history.trim(c.batches)
 }
--- a/io/cfcoord/checkpoint.go
+++ b/io/cfcoord/checkpoint.go
@@ -107,7 +107,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.planner.Adopt(texts)
-	c.textsLost = false
+	c.takeover.takeStored()
 	c.checkLoaded()
 }
 
--- a/io/cfcoord/checkpoint_test.go
+++ b/io/cfcoord/checkpoint_test.go
@@ -105,10 +105,10 @@
 	loaded := func() bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		return c.loaded
+		return c.takeover.done
 	}
 	c.mu.Lock()
-	c.current = true
+	c.takeover.current = true
 	c.mu.Unlock()
 	c.adopt(nil)
 	c.mu.Lock()
--- a/io/cfcoord/chunks.go
+++ b/io/cfcoord/chunks.go
@@ -48,7 +48,7 @@
 	c.served(st)
 	st.wake()
 	if st.batch.Ended {
-		c.trim()
+		c.history.trim(c.batches)
 	}
 	c.Kick()
 }
--- a/io/cfcoord/chunks_test.go
+++ b/io/cfcoord/chunks_test.go
@@ -57,7 +57,7 @@
 func (c *Coordinator) hasListed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.known
+	return c.takeover.listed
 }
 
 // Symptom: a step that is complete is listed two seconds late while the coordinator
--- a/io/cfcoord/coordinator.go
+++ b/io/cfcoord/coordinator.go
@@ -112,16 +112,10 @@
 		readSlots chan struct{}
 
 		mu sync.Mutex
-		// known: the batches from before this duty have been listed; current:
-		// what has changed since, too; gathered: the texts from before have
-		// been taken; loaded: all batches have been read as well.
-		known, current, gathered, loaded bool
-		// textsLost: nobody had texts, and those in the store have not been read;
-		// storedAsked: they are being read.
-		textsLost, storedAsked bool
-
-		planner *cfrollout.Planner
-		batches map[cf.BatchID]*state
+		// takeover is what is still to come from before this duty.
+		takeover takeover
+		planner  *cfrollout.Planner
+		batches  map[cf.BatchID]*state
 		// readings are the batches that are being read.
 		readings map[cf.BatchID]*reading
 		runs     map[*cfrollout.Work]context.CancelFunc
@@ -129,21 +123,13 @@
 		// finished are the texts that are complete and not listed yet, scored
 		// or not.
 		finished map[cf.ItemID]finishedText
-		counts   map[cf.InstanceID]orderCount
+		orders   *orders
 		named    named
 		// seen is the count of the site's changes that the planner knows.
 		seen       int64
 		configSeen cfsite.ConfigVersion
 		prepared   prepared
-		// over are batches that were seen ended or removed, so that a late word
-		// of their acceptance does not begin them; the map is bounded.
-		over map[cf.BatchID]bool
-		// endedOrder lists the ended batches in memory, oldest first.
-		endedOrder []cf.BatchID
-		// groups are those of ended batches, with the number of the end; the
-		// oldest are forgotten.
-		groups map[cf.GroupID]int
-		ends   int
+		history    history
 		// refused are held requests whose refusal was logged; the map is bounded.
 		refused map[cf.RequestID]bool
 	}
@@ -154,13 +140,6 @@
 		text  cfrollout.Text
 	}
 
-	// orderCount is an engine's count of the orders that it has taken since its
-	// start.
-	orderCount struct {
-		born cf.Millis
-		seq  int64
-	}
-
 	// reading is a batch that is being read from the store, with what has
 	// become of it meanwhile.
 	reading struct {
@@ -201,9 +180,10 @@
 		runs:     map[*cfrollout.Work]context.CancelFunc{},
 		finished: map[cf.ItemID]finishedText{},
 		rewards:  newRewards(o.Policy),
-		counts:   map[cf.InstanceID]orderCount{}, named: named{}, groups: map[cf.GroupID]int{}, over: map[cf.BatchID]bool{}, prepared: newPrepared(),
+		named:    named{}, history: newHistory(), prepared: newPrepared(),
 		refused: map[cf.RequestID]bool{},
 	}
+	c.orders = newOrders(o, c.reported)
 	limits.Admit = c.admit
 	c.planner = cfrollout.New(limits)
 	return c
@@ -226,7 +206,7 @@
 	if !c.Policy.NoTextStore {
 		c.wg.Go(c.keepTexts)
 	}
-	c.wg.Go(c.sweep)
+	c.wg.Go(func() { (&sweeper{c.Store, c.KeepResults, c.Log}).run(c.ctx) })
 	c.wg.Go(func() { c.batchWatcher().Run(c.ctx) })
 	c.wg.Go(func() { c.versionWatcher().Run(c.ctx) })
 	c.wg.Go(func() { c.retirementWatcher().Run(c.ctx) })
@@ -256,9 +236,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.planner.Adopt(texts)
-	c.gathered = true
-	// Without any the instances that held them are lost as well.
-	c.textsLost = len(texts) == 0
+	c.takeover.take(len(texts))
 	c.checkLoaded()
 }
 
@@ -299,7 +277,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	config := c.Site.Config()
-	if config == nil || !c.loaded || !c.Duty.Held() {
+	if config == nil || !c.takeover.done || !c.Duty.Held() {
 		return tick
 	}
 	now := cf.Uptime()
@@ -426,7 +404,7 @@
 	st.added = true
 	c.noteDeadline(config, st)
 	for _, it := range sub.Items {
-		if _, again := c.groups[it.Group]; again && it.Group != "" && !c.Policy.AnyGroups {
+		if c.history.carried(it.Group) && !c.Policy.AnyGroups {
 			st.batch.Carry(it.Group)
 		}
 	}
--- a/io/cfcoord/expire.go
+++ b/io/cfcoord/expire.go
@@ -24,61 +24,68 @@
 	abandonedAfter cf.Millis = 6 * 3600 * 1000
 )
 
-// sweep removes the batches that need not be kept any more. Nothing expires
+// sweeper removes the batches that need not be kept any more. Nothing expires
 // in the store by itself: without it the store, and the list that each new
 // coordinator reads, would grow for ever.
-func (c *Coordinator) sweep() {
+type sweeper struct {
+	store cf.Store
+	// keep is how long after its acceptance an ended batch can still be read.
+	keep cf.Millis
+	log  *zap.Logger
+}
+
+func (s *sweeper) run(ctx context.Context) {
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-c.ctx.Done():
+		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		if err := c.sweepOnce(c.ctx, cf.Now()); err != nil {
-			c.Log.Warn("sweep_failed", cflog.Error(err))
+		if err := s.once(ctx, cf.Now()); err != nil {
+			s.log.Warn("sweep_failed", cflog.Error(err))
 		}
 	}
 }
 
-func (c *Coordinator) sweepOnce(ctx context.Context, now cf.Millis) error {
-	list, err := c.Store.List(ctx, cf.KindBatch)
+func (s *sweeper) once(ctx context.Context, now cf.Millis) error {
+	list, err := s.store.List(ctx, cf.KindBatch)
 	if err != nil {
 		return err
 	}
 	for _, r := range list.Items {
 		head, err := cfbatch.DecodeHead(r)
 		if err != nil {
-			c.Log.Error("batch_not_read", zap.String("batch_id", r.Name), cflog.Error(err))
+			s.log.Error("batch_not_read", zap.String("batch_id", r.Name), cflog.Error(err))
 			continue
 		}
 		age := now - head.Accepted
-		if age < abandonedAfter && (!cfbatch.Ended(r) || age < c.KeepResults+sweepSlack) {
+		if age < abandonedAfter && (!cfbatch.Ended(r) || age < s.keep+sweepSlack) {
 			continue
 		}
-		if err := c.remove(ctx, head.ID); err != nil {
+		if err := s.remove(ctx, head.ID); err != nil {
 			return err
 		}
-		c.Log.Info("batch_removed", zap.String("batch_id", r.Name), zap.Bool("ended", cfbatch.Ended(r)), zap.Int64("age_ms", int64(age)))
+		s.log.Info("batch_removed", zap.String("batch_id", r.Name), zap.Bool("ended", cfbatch.Ended(r)), zap.Int64("age_ms", int64(age)))
 	}
 	return nil
 }
 
 // remove deletes a batch: its own object last, by which the others are found.
-func (c *Coordinator) remove(ctx context.Context, id cf.BatchID) error {
+func (s *sweeper) remove(ctx context.Context, id cf.BatchID) error {
 	for _, kind := range []string{cf.KindResults(id), cf.KindTexts(id), cf.KindParts(id)} {
-		list, err := c.Store.List(ctx, kind)
+		list, err := s.store.List(ctx, kind)
 		if err != nil {
 			return err
 		}
 		for _, r := range list.Items {
-			if err := gone(c.Store.Delete(ctx, kind, r.Name)); err != nil {
+			if err := gone(s.store.Delete(ctx, kind, r.Name)); err != nil {
 				return err
 			}
 		}
 	}
-	return gone(c.Store.Delete(ctx, cf.KindBatch, string(id)))
+	return gone(s.store.Delete(ctx, cf.KindBatch, string(id)))
 }
 
 func gone(err error) error {
--- a/io/cfcoord/expire_test.go
+++ b/io/cfcoord/expire_test.go
@@ -17,7 +17,7 @@
 func TestSweepRemovesOnlyWhatNeedNotBeKept(t *testing.T) {
 	ctx := context.Background()
 	store := cfstandin.NewMemStore()
-	c := New(Options{Store: store, KeepResults: 120_000, Log: zap.NewNop()})
+	s := sweeper{store, 120_000, zap.NewNop()}
 	now := cf.Millis(100_000_000)
 	cases := map[cf.BatchID]struct {
 		age   cf.Millis
@@ -44,7 +44,7 @@
 			}
 		}
 	}
-	if err := c.sweepOnce(ctx, now); err != nil {
+	if err := s.once(ctx, now); err != nil {
 		t.Fatal(err)
 	}
 	for id, b := range cases {
--- a/io/cfcoord/prepared.go
+++ b/io/cfcoord/prepared.go
@@ -13,13 +13,11 @@
 	// enough by itself. An older one was held up on its way, and its batch may
 	// have been ended since.
 	acceptedFresh cf.Millis = 1500
-	// overMost bounds the batches that are remembered as over: those of an hour
-	// at ten steps a second.
-	overMost = 36000
 )
 
 // prepared are batches that instances are about to accept, by their id, and the
-// acceptances whose batches have not arrived yet. Each way may be the faster one.
+// acceptances whose batches have not arrived yet. Each way may be the faster one. The
+// lock of who holds it guards it.
 type prepared struct {
 	batches  map[cf.BatchID]cf.Submission
 	accepted map[cf.BatchID]cf.Millis
@@ -29,6 +27,37 @@
 	return prepared{batches: map[cf.BatchID]cf.Submission{}, accepted: map[cf.BatchID]cf.Millis{}}
 }
 
+// offer takes a batch that is about to be accepted; it returns when it was, if that is
+// known.
+func (p *prepared) offer(sub cf.Submission) (cf.Millis, bool) {
+	if len(p.batches) >= preparedMost {
+		clear(p.batches) // the store brings those that are accepted
+	}
+	p.batches[sub.ID] = sub
+	at, known := p.accepted[sub.ID]
+	return at, known
+}
+
+// accept notes that a batch was accepted at a time.
+func (p *prepared) accept(id cf.BatchID, at cf.Millis) {
+	if len(p.accepted) >= preparedMost {
+		clear(p.accepted)
+	}
+	p.accepted[id] = at
+}
+
+// take hands out a batch that was accepted at a time; false if it is not there, or is
+// another instance's, which was handed the batch too.
+func (p *prepared) take(id cf.BatchID, at cf.Millis) (cf.Submission, bool) {
+	sub, known := p.batches[id]
+	if !known || sub.Accepted != at {
+		return cf.Submission{}, false
+	}
+	delete(p.batches, id)
+	delete(p.accepted, id)
+	return sub, true
+}
+
 // Prepare takes a batch that an instance is about to accept. Through the store it
 // comes later, by the time of a watch and of a read of its items: 60 to 140 ms on a
 // sound store, seconds while this instance does not reach it. It is begun when it
@@ -36,11 +65,7 @@
 func (c *Coordinator) Prepare(sub cf.Submission) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.prepared.batches) >= preparedMost {
-		clear(c.prepared.batches) // the store brings those that are accepted
-	}
-	c.prepared.batches[sub.ID] = sub
-	if at, known := c.prepared.accepted[sub.ID]; known {
+	if at, known := c.prepared.offer(sub); known {
 		c.openAccepted(sub.ID, at)
 	}
 }
@@ -53,16 +78,13 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.prepared.accepted) >= preparedMost {
-		clear(c.prepared.accepted)
-	}
-	c.prepared.accepted[id] = at
+	c.prepared.accept(id, at)
 	c.openAccepted(id, at)
 }
 
 // openAccepted opens a batch by instances' words alone. c.mu is held.
 func (c *Coordinator) openAccepted(id cf.BatchID, at cf.Millis) {
-	if c.ctx.Err() != nil || !c.loaded || c.over[id] || c.batches[id] != nil || c.readings[id] != nil {
+	if c.ctx.Err() != nil || !c.takeover.done || c.history.over[id] || c.batches[id] != nil || c.readings[id] != nil {
 		return
 	}
 	if cf.Now()-at <= acceptedFresh {
@@ -73,12 +95,10 @@
 // openPrepared opens a prepared batch that was accepted at a time; false if there
 // is none. c.mu is held.
 func (c *Coordinator) openPrepared(id cf.BatchID, at cf.Millis) bool {
-	sub, known := c.prepared.batches[id]
-	if !known || sub.Accepted != at {
-		return false // another instance's, which was handed the batch too
+	sub, ok := c.prepared.take(id, at)
+	if !ok {
+		return false
 	}
-	delete(c.prepared.batches, id)
-	delete(c.prepared.accepted, id)
 	c.batches[id] = &state{batch: cfbatch.New(sub), changed: make(chan struct{}), loadedAt: cf.Uptime()}
 	c.Kick()
 	return true
@@ -93,11 +113,3 @@
 	}
 	return head.Accepted
 }
-
-// noteOver remembers that a batch is over. c.mu is held.
-func (c *Coordinator) noteOver(id cf.BatchID) {
-	if len(c.over) >= overMost {
-		clear(c.over) // acceptedFresh keeps what is forgotten from coming back
-	}
-	c.over[id] = true
-}
--- /dev/null
+++ b/io/cfcoord/takeover.go
@@ -0,0 +1,57 @@
+package cfcoord
+
+// A takeover's next step.
+const (
+	// takeoverWaits: something of the duty before is still to come.
+	takeoverWaits takeoverStep = iota
+	// takeoverReads: nobody had texts, and those in the store are to be read.
+	takeoverReads
+	// takeoverDone: the duty may begin to run items.
+	takeoverDone
+)
+
+type (
+	takeoverStep int
+
+	// takeover is what a duty has to learn of the one before. It runs nothing until
+	// then: a batch that was ended meanwhile would run on, and a text that is not
+	// awaited would be generated once more, 7 s for the longest. The lock of who holds it
+	// guards it.
+	takeover struct {
+		// listed: the batches from before have been listed; current: what has
+		// changed since, too; gathered: the texts from before have been taken.
+		listed, current, gathered bool
+		// textsLost: nobody had texts, and those in the store have not been read;
+		// asked: they are being read.
+		textsLost, asked bool
+		done             bool
+	}
+)
+
+// take notes that the texts of the instances before have come, so many of them.
+func (t *takeover) take(texts int) {
+	t.gathered = true
+	// Without any the instances that held them are lost as well.
+	t.textsLost = texts == 0
+}
+
+// takeStored notes that the texts in the store have been read.
+func (t *takeover) takeStored() { t.textsLost = false }
+
+// next returns what is to be done now. reading says that batches from before are still
+// being read, stored whether the store may have texts of any.
+func (t *takeover) next(reading, stored bool) takeoverStep {
+	switch {
+	case t.done:
+		return takeoverDone
+	case !t.current || !t.gathered || reading:
+		return takeoverWaits
+	case t.textsLost && t.asked:
+		return takeoverWaits // their arrival asks again
+	case t.textsLost && stored:
+		t.asked = true
+		return takeoverReads
+	}
+	t.done = true
+	return takeoverDone
+}
--- a/io/cfcoord/takeover_test.go
+++ b/io/cfcoord/takeover_test.go
@@ -151,7 +151,7 @@
 			return f()
 		}
 	}
-	eventually("duty", is(func() bool { return c.loaded }))
+	eventually("duty", is(func() bool { return c.takeover.done }))
 	c.Accepted(sub.ID, sub.Accepted)
 	time.Sleep(50 * time.Millisecond)
 	if n := targets.runs.Load(); n != 0 {
@@ -174,7 +174,7 @@
 	late := sub
 	late.Accepted -= 5000
 	c.mu.Lock()
-	clear(c.over)
+	clear(c.history.over)
 	c.mu.Unlock()
 	c.Prepare(late)
 	c.Accepted(late.ID, late.Accepted)
@@ -183,3 +183,78 @@
 		t.Errorf("%d runs, want the one from before the end", n)
 	}
 }
+
+// Every order in which the news of a duty before may come: nothing begins before all of
+// them have, the store's texts are read once, and only if nobody else had any.
+func TestTakeoverWaitsForEverything(t *testing.T) {
+	type event int
+	const (
+		current event = iota
+		texts
+		read // the last inherited batch
+		storedRead
+		events
+	)
+	var play func(done []event, lost, stored bool)
+	plays := 0
+	play = func(order []event, lost, stored bool) {
+		if len(order) < int(events) {
+		next:
+			for e := range events {
+				for _, before := range order {
+					if before == e {
+						continue next
+					}
+				}
+				play(append(order[:len(order):len(order)], e), lost, stored)
+			}
+			return
+		}
+		plays++
+		var to takeover
+		seen := map[event]bool{}
+		asked, answered := 0, false
+		for _, e := range order {
+			seen[e] = true
+			switch e {
+			case current:
+				to.current = true
+			case texts:
+				n := 1
+				if lost {
+					n = 0
+				}
+				to.take(n)
+			}
+			if seen[storedRead] && asked > 0 && !answered {
+				to.takeStored()
+				answered = true
+			}
+			switch to.next(!seen[read], stored) {
+			case takeoverReads:
+				asked++
+			case takeoverDone:
+				if !seen[current] || !seen[texts] || !seen[read] || lost && stored && !answered {
+					t.Fatalf("order %v, lost %v, stored %v: done after %v", order, lost, stored, seen)
+				}
+			}
+		}
+		if asked > 0 && !answered {
+			to.takeStored()
+		}
+		if to.next(false, stored) != takeoverDone {
+			t.Fatalf("order %v, lost %v, stored %v: never done", order, lost, stored)
+		}
+		if want := lost && stored; (asked == 1) != want || asked > 1 {
+			t.Fatalf("order %v, lost %v, stored %v: the store's texts asked for %d times", order, lost, stored, asked)
+		}
+	}
+	for _, lost := range []bool{false, true} {
+		for _, stored := range []bool{false, true} {
+			play(nil, lost, stored)
+		}
+	}
+	if plays != 4*24 {
+		t.Errorf("%d orders played", plays)
+	}
+}
