A weight version that ends its engines is not ordered on

Cause, the one of the incident in another place: a fault that travels with the work. An order whose engine ended was given to the next one, and again to each engine that came back: nothing remembered the version.

Ruled out: counting refused orders (an engine that turns an order away has not ended), and holding a version after any loss (engines of a failure domain end while they load sound ones).

The decision is logged (weights_suspected).

Not covered: a successor of the coordinator begins to count anew.

--- a/core/cfrollout/engines.go
+++ b/core/cfrollout/engines.go
@@ -23,7 +23,7 @@
 			p.engines[t.ID] = e
 		}
 		born := max(e.Born, t.Born)
-		e.starts(t.Born)
+		p.starts(e, t.Born)
 		e.Target = t
 		e.Born = born
 		if t.Born == born || t.Born == 0 { // else the list may still show the start before
@@ -34,6 +34,7 @@
 	}
 	for id := range p.engines {
 		if !seen[id] {
+			p.trials.noteEnd(p.engines[id])
 			delete(p.engines, id)
 		}
 	}
@@ -44,7 +45,7 @@
 // starts records a start of an engine under the id that it had: it holds nothing
 // of before, and what was learned of it may hold no more. Its runs end by
 // themselves.
-func (e *Engine) starts(born cf.Millis) {
+func (p *Planner) starts(e *Engine, born cf.Millis) {
 	if born <= e.Born {
 		return
 	}
@@ -53,8 +54,9 @@
 	if first {
 		return // when it started was not known
 	}
+	p.trials.noteEnd(e)
 	e.versions = map[cf.ModelName]cf.WeightVersion{}
-	e.loading, e.loadBegan, e.pace, e.usual, e.avoid, e.rest = 0, 0, 0, 0, 0, 0
+	e.loading, e.loadBegan, e.pace, e.usual, e.avoid, e.rest, e.failed = 0, 0, 0, 0, 0, 0, 0
 }
 
 // hold records that an engine has a version. Versions of one start of an
@@ -63,6 +65,9 @@
 	if v > e.versions[m] {
 		e.versions[m] = v
 	}
+	if m == e.Share && e.versions[m] >= e.failed {
+		e.failed = 0
+	}
 	if m == e.Share && e.loading > 0 && e.versions[m] >= e.loading {
 		e.loading = 0
 	}
--- a/core/cfrollout/planner.go
+++ b/core/cfrollout/planner.go
@@ -76,9 +76,12 @@
 		loadBegan cf.Millis
 		beside    int
 		undelayed bool
-		avoid     cf.Millis // no new items until then
-		rest      cf.Millis // no new order until then
-		versions  map[cf.ModelName]cf.WeightVersion
+		// failed is the version whose order failed last, at failedAt.
+		failed   cf.WeightVersion
+		failedAt cf.Millis
+		avoid    cf.Millis // no new items until then
+		rest     cf.Millis // no new order until then
+		versions map[cf.ModelName]cf.WeightVersion
 		// Memory is its memory in tokens, zero where that is not known; told that
 		// it has said so. used is what its runs are expected to take.
 		Memory cf.Tokens
@@ -163,6 +166,7 @@
 		// scarce: a service has fewer engines than models.
 		scarce  bool
 		loads   loadPace
+		trials  trials
 		lengths lengths
 		slots   slotCost
 		memory  memory
@@ -192,7 +196,7 @@
 	return &Planner{
 		limits: limits, engines: map[cf.InstanceID]*Engine{}, named: map[cf.ModelName]cf.WeightVersion{},
 		models: map[cf.ServiceName][]cf.ModelName{}, need: Need{}, batches: map[cf.BatchID]*open{},
-		carry: map[cf.ItemID]*Work{}, orphans: map[cf.ItemID]*Work{}, single: map[cf.ModelName]bool{}, loads: newLoadPace(limits.Loads, limits.Learned), slots: slotCost{cost: slotPrior}, memory: memory{asked: map[cf.InstanceID]cf.Millis{}},
+		carry: map[cf.ItemID]*Work{}, orphans: map[cf.ItemID]*Work{}, single: map[cf.ModelName]bool{}, loads: newLoadPace(limits.Loads, limits.Learned), trials: trials{models: map[cf.ModelName]*trial{}}, slots: slotCost{cost: slotPrior}, memory: memory{asked: map[cf.InstanceID]cf.Millis{}},
 	}
 }
 
--- a/core/cfrollout/swap.go
+++ b/core/cfrollout/swap.go
@@ -79,12 +79,13 @@
 // that it may not: before, the load would hold up work; much later, the next step
 // would find it without the version it needs.
 func (p *Planner) Swaps(now cf.Millis) []Swap {
+	p.trials.judge(p.held, now)
 	loading := p.loading()
 	urgent := max(p.loads.allowed(), p.limits.UrgentLoads)
 	if loading >= urgent {
 		return nil
 	}
-	due := p.dueSwaps(now)
+	due, onTrial := p.dueSwaps(now), p.onTrial()
 	var out []Swap
 	for len(due) > 0 {
 		c := heap.Pop(&due).(swapCandidate)
@@ -96,13 +97,16 @@
 			break // those after it are not more urgent
 		}
 		e := c.engine
-		if !p.spared(e) {
+		if !p.spared(e) || !p.trials.allows(e.Share, p.Named(e.Share), onTrial[e.Share], now) {
 			continue
 		}
 		loading++
 		e.loading = p.Named(e.Share)
+		if onTrial != nil {
+			onTrial[e.Share]++
+		}
 		single := p.single[e.Share]
-		e.loadBegan, e.beside, e.undelayed = now, 0, !single || e.Running == 0
+		e.failed, e.loadBegan, e.beside, e.undelayed = 0, now, 0, !single || e.Running == 0
 		out = append(out, Swap{Target: e.Target, Model: e.Share, Version: e.loading, KeepRuns: !single})
 	}
 	if len(out) > 0 {
@@ -204,7 +208,7 @@
 	if e == nil || r.Born < e.Born {
 		return
 	}
-	e.starts(r.Born)
+	p.starts(e, r.Born)
 	e.Memory, e.told = r.Memory, true
 	p.memory.note(r.Runs, p.running())
 	for _, m := range r.Models {
@@ -222,6 +226,9 @@
 // SwapFailed records that an order was not taken; it is given again later.
 func (p *Planner) SwapFailed(id cf.InstanceID, now cf.Millis) {
 	if e := p.engines[id]; e != nil {
+		if e.loading > 0 {
+			e.failed, e.failedAt = e.loading, now
+		}
 		e.loading = 0
 		e.rest = now + p.limits.OrderRest
 	}
--- a/io/cfcoord/coordinator.go
+++ b/io/cfcoord/coordinator.go
@@ -290,6 +290,10 @@
 			c.startSwap(s, term)
 		}
 	}
+	for _, l := range c.planner.LoadLosses() {
+		c.Log.Warn("weights_suspected", zap.String("target", string(l.Engine)), zap.String("model", string(l.Model)),
+			zap.Int64("version", int64(l.Version)), zap.Int("losses", l.Losses), zap.Int64("rest_ms", int64(l.Rest)))
+	}
 	if !c.Policy.KeepSlowRuns {
 		for _, w := range c.planner.Moves(now) {
 			c.move(w)
