A denial leads to the holder, and an outage is confirmed by another

Cause: an instance that leaves the store to the scouts did so on the word of whoever it took for the coordinator. Two cases were wrong: one that denies that it holds the duty counted as a coordinator whose store is away, and a holder that is cut off from the store alone says that it knows nothing new while it has been replaced. Either way the instance served by a replaced configuration for up to 8 s.

Change: a denial is no answer of a coordinator; whoever denies is asked who the holder is. A holder without news is believed only if another instance of the ring, asked each 0.5 s, has none either. The pause between tries of an instance that is no scout is 1.3 s (drawn from half to one and a half), as a configuration is to be in force in 2 s.

Ruled out: the relay of the configuration (the instance heard nothing at all from the new holder).

The tests fail on the code before (TestADenialLeadsToTheHolder: the new holder is not found; TestOutagesAreLeftToScouts: two rows).

--- a/core/cfmember/scouts.go
+++ b/core/cfmember/scouts.go
@@ -17,9 +17,10 @@
 	// when the coordinator is silent: a configuration is to be in force within two
 	// seconds.
 	leaveSilent cf.Millis = 1500
-	// leaveAlive is the same where the coordinator answers and only has nothing new: the
-	// store is away then for it, for the two instances that it asks and for the scouts,
-	// of which one would replace it within 2.2 s.
+	// leaveAlive is the same where the coordinator answers and only has nothing new, and
+	// another instance has not either: the store is away then for both, for the two
+	// instances that the coordinator asks and for the scouts, of which one would replace
+	// it within 2.2 s.
 	leaveAlive cf.Millis = 8000
 )
 
@@ -48,9 +49,10 @@
 }
 
 // LeaveStore returns how long after the last current word an instance that is no scout
-// leaves the store to others; alive says that the coordinator still answers.
-func LeaveStore(alive bool) cf.Millis {
-	if alive {
+// leaves the store to others; away says that the coordinator and another instance answer that
+// they know nothing new.
+func LeaveStore(away bool) cf.Millis {
+	if away {
 		return leaveAlive
 	}
 	return leaveSilent
--- a/io/cfnode/announce.go
+++ b/io/cfnode/announce.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,7 +15,8 @@
 )
 
 const (
-	opHolder = "holder"
+	opHolder    = "holder"
+	opAskHolder = "ask_holder"
 	// announceTimeout bounds a call that tells another instance of the holder.
 	announceTimeout = 400 * time.Millisecond
 )
@@ -26,6 +29,14 @@
 	Rev    cf.Revision    `cbor:"rev"`
 }
 
+// holderAnswer is what an instance knows of the holder, and whether its view of the store
+// is current.
+type holderAnswer struct {
+	Holder cflease.Holder `cbor:"holder"`
+	Rev    cf.Revision    `cbor:"rev"`
+	Fresh  bool           `cbor:"fresh"`
+}
+
 // announce tells the others that this instance is the coordinator.
 func (n *Node) announce() {
 	holder, rev := n.candidate.holder()
@@ -60,3 +71,50 @@
 		})
 	}
 }
+
+// serveAskHolder tells another instance what this one knows.
+func (n *Node) serveAskHolder(context.Context, struct{}) (any, error) {
+	holder, rev := n.candidate.holder()
+	now := cf.Uptime()
+	return holderAnswer{holder, rev, n.feed.fresh(now) || n.viewFresh(now)}, nil
+}
+
+// askHolder asks another instance who the holder is; fresh says that its view is current.
+func (n *Node) askHolder(ctx context.Context, addr string) (fresh bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	var a holderAnswer
+	if err := n.peers.Call(ctx, addr, opAskHolder, struct{}{}, &a); err != nil {
+		return false, err
+	}
+	n.candidate.observe(a.Rev, a.Holder)
+	return a.Fresh, nil
+}
+
+// confirmOutage asks another instance whether it knows nothing new either, when the
+// coordinator doesn't. A holder that is cut off from the store says so as well, and may
+// have been replaced: without another's word an instance would wait beside it for
+// seconds with a configuration that is not in force any more.
+func (n *Node) confirmOutage() {
+	now := cf.Uptime()
+	if n.scout() || now-cf.Millis(n.feed.askedAt.Load()) < outageAsk {
+		return
+	}
+	n.feed.askedAt.Store(int64(now))
+	holder, _ := n.candidate.holder()
+	ring := slices.DeleteFunc(cfmember.Ring(n.Live(), n.self()), func(e cfmember.Entry) bool { return e.ID == holder.Entry })
+	if len(ring) == 0 {
+		return
+	}
+	e := ring[rand.IntN(len(ring))]
+	n.wg.Go(func() {
+		switch fresh, err := n.askHolder(n.ctx, e.Peers); {
+		case err != nil:
+			n.log.Info("outage_not_confirmed", zap.String("entry", string(e.ID)), cflog.Error(err))
+		case fresh:
+			n.feed.away.Store(0)
+		default:
+			n.feed.away.Store(int64(cf.Uptime()))
+		}
+	})
+}
--- a/io/cfnode/feed.go
+++ b/io/cfnode/feed.go
@@ -39,8 +39,10 @@
 	// feedSilence is how long an instance relies on the last answer before
 	// it watches the store itself.
 	feedSilence cf.Millis = 900
-	// coordinatorAlive is how long after its last answer a coordinator counts as alive.
-	coordinatorAlive cf.Millis = 1000
+	// outageTold is how long an instance believes that the store is away for others
+	// too: the coordinator by its own word, and one more that is asked each outageAsk.
+	outageTold cf.Millis = 1000
+	outageAsk  cf.Millis = 500
 	// startGrace is how long a starting instance waits for a coordinator's word before
 	// it asks the store itself: it reads the lease and calls, within some 30 ms.
 	startGrace cf.Millis = 300
@@ -86,9 +88,12 @@
 
 	// feed is what an instance has from the coordinator.
 	feed struct {
-		heard   atomic.Int64 // Uptime of the last fresh answer
-		mu      sync.Mutex
-		members []cfmember.Entry
+		heard atomic.Int64 // Uptime of the last fresh answer
+		// unsure is that of the last answer of a holder that knew nothing new, away
+		// that of the last of another instance, askedAt when one was asked last.
+		unsure, away, askedAt atomic.Int64
+		mu                    sync.Mutex
+		members               []cfmember.Entry
 		// term, news and membersAt say what the instance has.
 		term      cf.Revision
 		news      int64
@@ -190,7 +195,7 @@
 	if n.scout() {
 		return 0
 	}
-	return cfmember.LeaveStore(now-cf.Millis(n.candidate.answered.Load()) < coordinatorAlive)
+	return cfmember.LeaveStore(now-cf.Millis(n.feed.unsure.Load()) < outageTold && now-cf.Millis(n.feed.away.Load()) < outageTold)
 }
 
 // alone says whether this instance must watch the store itself.
@@ -230,6 +235,10 @@
 				n.candidate.holderDead(holder)
 			case errors.Is(err, cf.ErrNotLeader):
 				n.candidate.doubt()
+				// It may know its successor; if not, the store shows it.
+				if _, err := n.askHolder(ctx, holder.Addr); err != nil {
+					n.log.Info("holder_not_asked", zap.String("entry", string(holder.Entry)), cflog.Error(err))
+				}
 			}
 			if connected != "" && ctx.Err() == nil {
 				n.log.Warn("coordinator_lost", zap.String("entry", string(holder.Entry)), cflog.Error(err))
@@ -270,6 +279,8 @@
 	}
 	n.feed.mu.Unlock()
 	if !a.Fresh {
+		n.feed.unsure.Store(int64(cf.Uptime()))
+		n.confirmOutage()
 		return
 	}
 	if a.Config != nil {
--- a/io/cfnode/node.go
+++ b/io/cfnode/node.go
@@ -43,8 +43,10 @@
 	// watchTick is how often an instance checks whether it must watch the store
 	// itself.
 	watchTick = 100 * time.Millisecond
-	// watchLeft is the longest pause between the tries of an instance that is no scout.
-	watchLeft = 2500 * time.Millisecond
+	// watchLeft is the longest pause between the tries of an instance that is no scout,
+	// drawn from half of it to half more: what a store that is back shows is to be in
+	// force within two seconds.
+	watchLeft = 1300 * time.Millisecond
 )
 
 type (
@@ -149,6 +151,7 @@
 		return true, nil
 	})
 	n.peerSrv.Handle(opHolder, decoded(n.serveHolder))
+	n.peerSrv.Handle(opAskHolder, decoded(n.serveAskHolder))
 	n.peerSrv.Handle(opAlive, func(context.Context, cbor.RawMessage) (any, error) { return true, nil })
 	n.peerSrv.Handle(opMirror, decoded(n.serveMirror))
 	n.peerSrv.Handle(cfrunner.OpOrders, decoded(func(ctx context.Context, o cfrunner.Orders) (any, error) { return n.host.Orders(ctx, o) }))
--- a/io/cfnode/scout_test.go
+++ b/io/cfnode/scout_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	cf "currantford"
 	"currantford/core/cflease"
@@ -43,14 +46,18 @@
 		name    string
 		members []cfmember.Entry
 		silent  cf.Millis // since the last current word
-		alive   bool      // the coordinator answers
+		unsure  bool      // the coordinator says that it knows nothing new
+		away    bool      // another instance says so too
+		denies  bool      // whoever was the coordinator says that it is not
 		asks    bool
 	}{
-		{"small deployment", members[:7], 1000, true, true},
-		{"large, a moment", members, 1000, false, false},
-		{"large, coordinator silent", members, 1600, false, true},
-		{"large, coordinator has no news", members, 5000, true, false},
-		{"large, no news for long", members, 9000, true, true},
+		{"small deployment", members[:7], 1000, true, true, false, true},
+		{"large, a moment", members, 1000, false, false, false, false},
+		{"large, coordinator silent", members, 1600, false, false, false, true},
+		{"large, coordinator has no news", members, 5000, true, true, false, false},
+		{"large, no news for long", members, 9000, true, true, false, true},
+		{"large, coordinator alone has no news", members, 1600, true, false, false, true},
+		{"large, coordinator is none any more", members, 1600, false, false, true, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			store := &awayStore{MemStore: cfstandin.NewMemStore()}
@@ -59,8 +66,14 @@
 			n.started = now - 60_000
 			n.feed.members = c.members
 			n.feed.heard.Store(int64(now - c.silent))
-			if c.alive {
-				n.candidate.heard()
+			if c.unsure {
+				n.feed.unsure.Store(int64(now))
+			}
+			if c.away {
+				n.feed.away.Store(int64(now))
+			}
+			if c.denies {
+				n.candidate.doubt()
 			}
 			n.candidate.observe(5, cflease.Holder{Entry: "strong-0", Term: 1})
 			if got := n.alone(now); got != c.asks {
@@ -107,3 +120,76 @@
 		t.Errorf("holder %s at %d, want y at 8", h.Entry, rev)
 	}
 }
+
+// Symptom: an instance serves by a configuration that was replaced six seconds before.
+// Sequence: it misses the word of a new holder; the one before, which has started again,
+// denies each of its calls.
+// Cause: a denial counted as the answer of a coordinator whose store is away, and the
+// instance left the store to the scouts; and whoever denied was not asked who the holder
+// is.
+func TestADenialLeadsToTheHolder(t *testing.T) {
+	there := newTestNode(t, cfstandin.NewMemStore())
+	there.candidate.observe(8, cflease.Holder{Entry: "y", Term: 8, Addr: "127.0.0.1:1"})
+	addr := serve(t, there)
+	n := newTestNode(t, cfstandin.NewMemStore())
+	n.candidate.observe(5, cflease.Holder{Entry: "x", Term: 5, Addr: addr})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.runFeed(ctx)
+	}()
+	defer func() { cancel(); <-done }()
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if h, _ := n.candidate.holder(); h.Entry == "y" {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the new holder is not found")
+		}
+	}
+}
+
+// Symptom: the same, beside a holder that is cut off from the store and was replaced.
+// Sequence: it says that it knows nothing new; another instance has current news.
+func TestAnOutageIsConfirmedByAnother(t *testing.T) {
+	there := newTestNode(t, cfstandin.NewMemStore())
+	there.started -= 60_000
+	there.candidate.observe(8, cflease.Holder{Entry: "y", Term: 8, Addr: "127.0.0.1:1"})
+	addr := serve(t, there)
+	n := newTestNode(t, cfstandin.NewMemStore())
+	for i := range 9 {
+		n.feed.members = append(n.feed.members, cfmember.Entry{ID: cf.EntryID(fmt.Sprint("strong-", i)), Capacity: 9, Peers: addr})
+	}
+	n.feed.term = 5
+	n.candidate.observe(5, cflease.Holder{Entry: "x", Term: 5, Addr: "127.0.0.1:1"})
+	ask := func(then func() bool) {
+		t.Helper()
+		for deadline := time.Now().Add(10 * time.Second); !then(); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatal("no answer")
+			}
+			n.feed.askedAt.Store(0)
+			n.takeFeed(feedAnswer{Holder: cflease.Holder{Entry: "x", Term: 5}, Rev: 5}, cf.Uptime())
+		}
+	}
+	ask(func() bool { return n.feed.away.Load() > 0 }) // it has none either
+	there.feed.heard.Store(int64(cf.Uptime()) + 60_000)
+	ask(func() bool { return n.feed.away.Load() == 0 })
+	if h, _ := n.candidate.holder(); h.Entry != "y" {
+		t.Errorf("the holder is %s, want the one that the other knows", h.Entry)
+	}
+}
+
+// serve lets a node answer other instances.
+func serve(t *testing.T, n *Node) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := &http.Server{Handler: n.PeerHandler(), ReadHeaderTimeout: time.Second}
+	go func() { _ = srv.Serve(l) }() // ends with the listener
+	t.Cleanup(func() { _ = srv.Close() })
+	return l.Addr().String()
+}
