--- a/batch.go
+++ b/batch.go
@@ -84,7 +84,7 @@
 	// Request is one caller attempt as an entry instance took it.
 	Request struct {
 		ID       RequestID
-		Caller   string // who sends it, the same for each of the caller's tries
+		Who      Credentials
 		Method   string
 		Host     string
 		Path     string // path and query, as the caller sent them
--- a/core/cfquarantine/key.go
+++ b/core/cfquarantine/key.go
@@ -41,10 +41,26 @@
 	return Key{Content: Digest(h.Sum(nil)[:16]), Caller: CallerDigest(who[:8])}
 }
 
-// KeyOfItem returns the key of an item of a batch. Its batch's host stands for its
-// caller.
-func KeyOfItem(host string, item cf.Item) Key {
-	return KeyOf(itemMethod, host, item.Path, host, item.Body)
+// CallerOf returns who a request counts as the caller of: its organisation, so that a
+// caller gets no fresh tries by another of its keys or from another machine; where there
+// is none, what tells senders apart.
+func CallerOf(a cf.Access, who cf.Credentials) string {
+	if a.Organisation != "" {
+		return callerOfOrganisation(a.Organisation)
+	}
+	return who.Machine
+}
+
+func callerOfOrganisation(o cf.Organisation) string { return "organisation " + string(o) }
+
+// KeyOfItem returns the key of an item of a batch. The batch's host stands for a caller
+// that belongs to no organisation.
+func KeyOfItem(sub *cf.Submission, item cf.Item) Key {
+	caller := sub.Host
+	if o := sub.ID.Organisation(); o != "" {
+		caller = callerOfOrganisation(o)
+	}
+	return KeyOf(itemMethod, sub.Host, item.Path, caller, item.Body)
 }
 
 // KeyOfReward returns the key of an item's reward call.
--- a/core/cfrollout/memory.go
+++ b/core/cfrollout/memory.go
@@ -36,9 +36,9 @@
 }
 
 // note takes an engine's account of the runs that it holds.
-func (m *memory) note(runs []cf.TargetRun, works map[cf.ItemID]*Work) {
+func (m *memory) note(runs []cf.TargetRun, works map[cf.RequestID]*Work) {
 	for _, r := range runs {
-		w := works[cf.ItemID(r.ID)]
+		w := works[r.ID]
 		if w == nil || w.from > 0 || r.Events < memoryEvents || r.Tokens <= w.Item.Prompt {
 			continue
 		}
--- a/core/cfrollout/planner.go
+++ b/core/cfrollout/planner.go
@@ -62,6 +62,8 @@
 		MaxAttempts   int
 		SingleVersion bool
 		MaxWait       cf.Millis
+		// Access ranks the batch.
+		Access cf.Access
 	}
 
 	// Engine is a model target with what is known of it.
@@ -379,15 +381,18 @@
 	return false
 }
 
-// sorted returns the open batches, those accepted first before the others:
-// their trainers give up first. A coordinator that takes over finds them in no
-// order.
+// sorted returns the open batches by their priority, and of one priority those accepted
+// first before the others: their trainers give up first. A coordinator that takes over
+// finds them in no order.
 func (p *Planner) sorted() []*open {
 	out := make([]*open, 0, len(p.batches))
 	for _, o := range p.batches {
 		out = append(out, o)
 	}
 	sort.Slice(out, func(i, j int) bool {
+		if p, q := out[i].terms.Access.Priority, out[j].terms.Access.Priority; p != q {
+			return p < q
+		}
 		a, b := &out[i].batch.Sub, &out[j].batch.Sub
 		if a.Accepted != b.Accepted {
 			return a.Accepted < b.Accepted
--- a/core/cfrollout/swap.go
+++ b/core/cfrollout/swap.go
@@ -216,10 +216,10 @@
 	}
 }
 
-// running returns the items that run, by id.
-func (p *Planner) running() map[cf.ItemID]*Work {
-	out := map[cf.ItemID]*Work{}
-	p.eachRunning(func(w *Work) { out[w.Item.ID] = w })
+// running returns the items that run, by the ids that they bear at their engines.
+func (p *Planner) running() map[cf.RequestID]*Work {
+	out := map[cf.RequestID]*Work{}
+	p.eachRunning(func(w *Work) { out[w.Item.ID.Request()] = w })
 	return out
 }
 
--- a/core/cfsite/config.go
+++ b/core/cfsite/config.go
@@ -14,6 +14,7 @@
 	"strings"
 
 	cf "currantford"
+	"currantford/core/cfaccess"
 )
 
 type (
@@ -29,6 +30,10 @@
 		Routes   []Route
 		Services []Service
 		Limits   Limits
+		// Organisations are those that callers belong to, nil where the deployment
+		// keeps none; Directory finds them by their keys.
+		Organisations []cfaccess.Organisation
+		Directory     *cfaccess.Directory
 	}
 
 	// Route maps requests of a host and path prefix to services.
@@ -53,6 +58,10 @@
 		ResultsSLO cf.Millis
 		// Resumable streams may go on at another target.
 		Resumable bool
+		// Public routes ask callers for no key.
+		Public bool
+		// Priority ranks the route's requests, 0 first.
+		Priority int
 	}
 
 	// Share is one service of a split route.
@@ -105,6 +114,20 @@
 	KindBatch
 )
 
+// directed sets the directory of the organisations, by that of the configuration before.
+func (c *Config) directed(before *Config) error {
+	if c.Organisations == nil {
+		return nil
+	}
+	var err error
+	if before != nil && before.Directory != nil {
+		c.Directory, err = before.Directory.Next(c.Organisations)
+	} else {
+		c.Directory, err = cfaccess.NewDirectory(c.Organisations)
+	}
+	return err
+}
+
 // Match returns the route of host whose prefix is the longest that begins
 // path.
 func (c *Config) Match(host, path string) (Route, bool) {
@@ -142,6 +165,9 @@
 	return r.Split[len(r.Split)-1].Service
 }
 
+// Use returns what a request on the route asks for.
+func (r *Route) Use() cfaccess.Use { return cfaccess.Use{Public: r.Public, Priority: r.Priority} }
+
 // Idempotent says whether a request may run more than once.
 func (r *Route) Idempotent() bool {
 	return r.Kind == KindIdempotent || r.Kind == KindBatch || r.Kind == KindStream && r.Resumable
--- a/core/cfsite/site.go
+++ b/core/cfsite/site.go
@@ -162,6 +162,9 @@
 	if s.config != nil && (c.Version <= s.config.Version || r.Rev <= s.configAt.Rev) {
 		return false, nil
 	}
+	if err := c.directed(s.config); err != nil {
+		return false, err // as a whole: the one in force goes on
+	}
 	s.config, s.configAt = &c, r
 	s.notify()
 	s.relay.notify()
--- a/ingress.go
+++ b/ingress.go
@@ -34,17 +34,21 @@
 		ReserveBody(n int64) (release func(), err error)
 		// TakesBatches says whether a request is the submission of a batch.
 		TakesBatches(host, path string) bool
+		// Authenticate says whether a request may go on that is not read yet. It
+		// returns an ErrRefused or ErrUnauthenticated.
+		Authenticate(host, path string, who Credentials) error
 		// Forward answers a request by sending it to a target.
 		Forward(ctx context.Context, req *Request, w http.ResponseWriter)
 		// Submit accepts a batch for good, or returns an ErrRefused,
-		// ErrNotFound, or ErrUnavailable when it is not known which.
-		Submit(ctx context.Context, sub Submission) error
+		// ErrUnauthenticated, ErrNotFound, or ErrUnavailable when it is not known
+		// which. The calls below find only batches of the caller's organisation.
+		Submit(ctx context.Context, who Credentials, sub Submission) error
 		// Results reads a batch from a position on, waiting for one result.
-		Results(ctx context.Context, id BatchID, after int, wait Millis) (ResultPage, error)
+		Results(ctx context.Context, who Credentials, id BatchID, after int, wait Millis) (ResultPage, error)
 		// ItemBody returns the body of an item.
-		ItemBody(ctx context.Context, id BatchID, item ItemID) ([]byte, error)
+		ItemBody(ctx context.Context, who Credentials, id BatchID, item ItemID) ([]byte, error)
 		// End ends a batch: none of its items is started any more.
-		End(ctx context.Context, id BatchID) error
+		End(ctx context.Context, who Credentials, id BatchID) error
 	}
 )
 
--- a/io/cfcoord/batches.go
+++ b/io/cfcoord/batches.go
@@ -138,7 +138,7 @@
 		if errors.Is(err, cf.ErrInvalid) {
 			return nil, err
 		}
-		c.Log.Warn("batch_not_read", zap.String("batch_id", r.Name), cflog.Error(err))
+		c.Log.Warn("batch_not_read", cflog.Batch(cf.BatchID(r.Name)), cflog.Error(err))
 		if !c.pause(readRetry) {
 			return nil, err
 		}
@@ -164,7 +164,7 @@
 		if err == nil {
 			err = c.takeBatch(r)
 		}
-		c.Log.Info("batch_hint_taken", zap.String("batch_id", string(id)), zap.Bool("ended", ended), cflog.Error(err))
+		c.Log.Info("batch_hint_taken", cflog.Batch(id), zap.Bool("ended", ended), cflog.Error(err))
 	})
 }
 
@@ -198,7 +198,7 @@
 			cancel()
 		}
 	}
-	c.Log.Info("batch_ended", zap.String("batch_id", string(st.batch.Sub.ID)), zap.Int("stopped", len(stop)),
+	c.Log.Info("batch_ended", cflog.Batch(st.batch.Sub.ID), zap.Int("stopped", len(stop)),
 		zap.Int("groups_whole", st.batch.WholeGroups()), zap.Bool("complete", st.batch.Complete()),
 		zap.Int64("took_ms", int64(cf.Now()-st.batch.Sub.Accepted)))
 	c.history.noteEnd(st.batch)
--- a/io/cfcoord/checkpoint.go
+++ b/io/cfcoord/checkpoint.go
@@ -59,7 +59,7 @@
 			// The names of a later holder's parts come after those of this one.
 			name := fmt.Sprintf("%016d-%06d", term, n)
 			if _, err := c.Store.Create(c.ctx, cf.KindTexts(id), name, part); err != nil {
-				c.Log.Warn("texts_not_kept", zap.String("batch_id", string(id)), zap.Int("items", len(part.Texts)), cflog.Error(err))
+				c.Log.Warn("texts_not_kept", cflog.Batch(id), zap.Int("items", len(part.Texts)), cflog.Error(err))
 				continue // it goes with the next part
 			}
 			copied.arrived(part.Texts, nil)
@@ -134,12 +134,12 @@
 func (c *Coordinator) storedTexts(ctx context.Context, id cf.BatchID) map[cf.ItemID]cfrollout.Text {
 	parts, err := c.Store.List(ctx, cf.KindTexts(id))
 	if err != nil {
-		c.Log.Warn("stored_texts_not_read", zap.String("batch_id", string(id)), cflog.Error(err))
+		c.Log.Warn("stored_texts_not_read", cflog.Batch(id), cflog.Error(err))
 		return nil // a cache that is not reached is a cache miss
 	}
 	texts, err := joinCheckpoints(parts.Items)
 	if err != nil {
-		c.Log.Error("stored_texts_not_read", zap.String("batch_id", string(id)), cflog.Error(err))
+		c.Log.Error("stored_texts_not_read", cflog.Batch(id), cflog.Error(err))
 	}
 	return texts
 }
--- a/io/cfcoord/chunks.go
+++ b/io/cfcoord/chunks.go
@@ -32,7 +32,7 @@
 	defer c.mu.Unlock()
 	st.batch.Apply(name, results)
 	c.Metrics.Chunks.WithLabelValues("written").Inc()
-	c.Log.Info("results_listed", zap.String("batch_id", string(st.batch.Sub.ID)), zap.String("chunk", name),
+	c.Log.Info("results_listed", cflog.Batch(st.batch.Sub.ID), zap.String("chunk", name),
 		zap.Int("items", len(results)), zap.Int("groups_whole", st.batch.WholeGroups()))
 	c.listed(st)
 }
@@ -59,7 +59,7 @@
 // instance. r is what the store sent back, if anything.
 func (c *Coordinator) rereadChunk(st *state, name string, r cf.Record, cause error) {
 	c.Metrics.Chunks.WithLabelValues("reread").Inc()
-	c.Log.Warn("chunk_in_doubt", zap.String("batch_id", string(st.batch.Sub.ID)), zap.String("chunk", name), cflog.Error(cause))
+	c.Log.Warn("chunk_in_doubt", cflog.Batch(st.batch.Sub.ID), zap.String("chunk", name), cflog.Error(cause))
 	for err := cause; c.ctx.Err() == nil; r, err = c.Store.Get(c.ctx, cf.KindResults(st.batch.Sub.ID), name) {
 		there := r.Name == name && len(r.Spec) > 0
 		if !there && !errors.Is(err, cf.ErrNotFound) {
@@ -71,7 +71,7 @@
 		c.mu.Lock()
 		if there {
 			if err := st.batch.ApplyAll([]cf.Record{r}); err != nil {
-				c.Log.Error("chunks_not_taken", zap.String("batch_id", string(st.batch.Sub.ID)), cflog.Error(err))
+				c.Log.Error("chunks_not_taken", cflog.Batch(st.batch.Sub.ID), cflog.Error(err))
 			}
 		}
 		c.listed(st)
--- a/io/cfcoord/coordinator.go
+++ b/io/cfcoord/coordinator.go
@@ -30,6 +30,7 @@
 	"currantford/core/cfrollout"
 	"currantford/core/cfsite"
 	"currantford/io/cfguard"
+	"currantford/io/cflog"
 )
 
 const (
@@ -380,7 +381,7 @@
 	}
 	return cfrollout.Terms{
 		Service: route.Pick(drawOf(string(sub.ID))), MaxAttempts: route.MaxAttempts,
-		SingleVersion: route.SingleVersion, MaxWait: route.MaxWait,
+		SingleVersion: route.SingleVersion, MaxWait: route.MaxWait, Access: config.Directory.Access(sub.ID.Organisation(), route.Use()),
 	}, true
 }
 
@@ -413,7 +414,7 @@
 		}
 	}
 	ready := c.planner.AddBatch(st.batch, terms)
-	c.Log.Info("batch_opened", zap.String("batch_id", string(sub.ID)), zap.String("model", string(sub.Model)),
+	c.Log.Info("batch_opened", cflog.Batch(sub.ID), zap.String("model", string(sub.Model)),
 		zap.Int64("step", sub.Step), zap.Int64("min_version", int64(sub.MinVersion)), zap.Int("items", len(sub.Items)),
 		zap.Int("ready", len(ready)), zap.Int64("config_version", int64(config.Version)))
 	for _, w := range ready {
--- a/io/cfcoord/expire.go
+++ b/io/cfcoord/expire.go
@@ -57,7 +57,7 @@
 	for _, r := range list.Items {
 		head, err := cfbatch.DecodeHead(r)
 		if err != nil {
-			s.log.Error("batch_not_read", zap.String("batch_id", r.Name), cflog.Error(err))
+			s.log.Error("batch_not_read", cflog.Batch(cf.BatchID(r.Name)), cflog.Error(err))
 			continue
 		}
 		age := now - head.Accepted
@@ -67,7 +67,7 @@
 		if err := s.remove(ctx, head.ID); err != nil {
 			return err
 		}
-		s.log.Info("batch_removed", zap.String("batch_id", r.Name), zap.Bool("ended", cfbatch.Ended(r)), zap.Int64("age_ms", int64(age)))
+		s.log.Info("batch_removed", cflog.Batch(cf.BatchID(r.Name)), zap.Bool("ended", cfbatch.Ended(r)), zap.Int64("age_ms", int64(age)))
 	}
 	return nil
 }
--- a/io/cfcoord/reads.go
+++ b/io/cfcoord/reads.go
@@ -9,6 +9,7 @@
 
 	cf "currantford"
 	"currantford/core/cfbatch"
+	"currantford/io/cflog"
 )
 
 const (
@@ -42,7 +43,7 @@
 		return err
 	}
 	if st.batch.NextChunk() != before {
-		c.Log.Info("results_inherited", zap.String("batch_id", string(st.batch.Sub.ID)), zap.Int("groups_whole", st.batch.WholeGroups()))
+		c.Log.Info("results_inherited", cflog.Batch(st.batch.Sub.ID), zap.Int("groups_whole", st.batch.WholeGroups()))
 		st.pending.Settle(st.batch, cf.Uptime())
 		c.served(st)
 		st.wake()
--- a/io/cfcoord/rewards.go
+++ b/io/cfcoord/rewards.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
+	"currantford/core/cfaccess"
 	"currantford/core/cfbatch"
 	"currantford/core/cfquarantine"
 	"currantford/core/cfreward"
@@ -117,8 +118,8 @@
 	stopped, cancel := context.WithCancel(c.ctx)
 	c.rewards.cancels[a] = cancel
 	reward := a.Call.Item.Reward
-	c.Log.Info("reward_sent", zap.String("request_id", string(reward.ID)), zap.String("item_id", string(a.Call.Item.ID)),
-		zap.String("batch_id", string(a.Call.Batch.Sub.ID)), zap.String("target", string(a.Target.ID)), zap.Int("sends", a.Call.Sends),
+	c.Log.Info("reward_sent", zap.String("request_id", string(reward.ID)), zap.String("item_id", string(a.Call.Item.ID.Request())),
+		cflog.Batch(a.Call.Batch.Sub.ID), zap.String("target", string(a.Target.ID)), zap.Int("sends", a.Call.Sends),
 		zap.Int("failures", a.Call.Failures), zap.Bool("hedge", a.Hedge), zap.Int64("config_version", int64(version)))
 	c.wg.Go(func() {
 		defer cancel()
@@ -126,7 +127,7 @@
 		defer expire()
 		answer, err := c.Targets.Send(ctx, a.Target, cf.TargetCall{
 			ID: reward.ID, Method: http.MethodPost, Host: reward.Host, Path: reward.Path, Header: http.Header{}, Body: reward.Body,
-			Urgency: itemUrgency, Ranked: true, Timeout: rewardTimeout,
+			Urgency: cfaccess.Urgency(cf.Access{}, cfaccess.LongItem), Ranked: true, Timeout: rewardTimeout,
 		})
 		c.rewarded(a, answer, err, stopped.Err() != nil)
 	})
@@ -166,8 +167,8 @@
 	verdict := c.rewards.planner.Done(a, outcome, answer.Load, now)
 	c.Metrics.Rewards.WithLabelValues(rewardOutcomes[outcome]).Inc()
 	c.Metrics.RewardTook.Observe(float64(now-a.Began) / 1000)
-	c.Log.Info("reward_ended", zap.String("request_id", string(call.Item.Reward.ID)), zap.String("item_id", string(call.Item.ID)),
-		zap.String("batch_id", string(call.Batch.Sub.ID)), zap.String("target", string(a.Target.ID)),
+	c.Log.Info("reward_ended", zap.String("request_id", string(call.Item.Reward.ID)), zap.String("item_id", string(call.Item.ID.Request())),
+		cflog.Batch(call.Batch.Sub.ID), zap.String("target", string(a.Target.ID)),
 		zap.String("outcome", rewardOutcomes[outcome]), zap.Int("status", answer.Status), zap.Int("failures", call.Failures),
 		zap.Int64("took_ms", int64(now-a.Began)), cflog.Error(err))
 	switch verdict {
--- a/io/cfcoord/runs.go
+++ b/io/cfcoord/runs.go
@@ -10,8 +10,10 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
+	"currantford/core/cfaccess"
 	"currantford/core/cfquarantine"
 	"currantford/core/cfrollout"
+	"currantford/io/cflog"
 )
 
 const (
@@ -19,14 +21,6 @@
 	// at another. Events come every 40 to 200 ms; a load of weights under
 	// a run takes about a second.
 	stall = 2500 * time.Millisecond
-	// itemUrgency ranks items behind callers' own requests, which targets
-	// take as 5: someone waits for each of those, and for an item only with
-	// its whole step.
-	itemUrgency = 6
-	// shortUrgency ranks short items behind long ones: an engine whose memory is
-	// full puts the newest of the least urgent runs back, and a short text costs
-	// least then, while a step is never whole before its longest.
-	shortUrgency = 7
 	// runTimeout is the deadline of one run at an engine; the longest items
 	// take about 7 s on an engine at normal speed.
 	runTimeout cf.Millis = 30000
@@ -49,21 +43,23 @@
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
 	c.runs[w] = cancel
-	item, host, version, urgency := w.Item, w.Batch.Sub.Host, w.Version, shortUrgency
+	item, host, version, class := w.Item, w.Batch.Sub.Host, w.Version, cfaccess.ShortItem
 	if c.planner.Long(w) {
-		urgency = itemUrgency
+		class = cfaccess.LongItem
 	}
 	route := c.Streams.Route(e.ID)
-	c.Log.Info("item_placed", zap.String("request_id", string(item.ID)), zap.String("batch_id", string(w.Batch.Sub.ID)),
+	c.Log.Info("item_placed", zap.String("request_id", string(item.ID.Request())), cflog.Batch(w.Batch.Sub.ID),
 		zap.String("group_id", string(item.Group)), zap.String("target", string(e.ID)), zap.String("via", string(route.Via)), zap.Int64("version", int64(version)), zap.Int64("resume_after", int64(w.Text.Last)),
 		zap.Int("failures", w.Failures), zap.Int("running_there", e.Running), zap.Float64("event_ms_there", e.Pace()))
+	call := cf.TargetCall{
+		ID: item.ID.Request(), Method: http.MethodPost, Host: host, Path: item.Path, Header: itemHeader(item), Body: item.Body,
+		Urgency: cfaccess.Urgency(w.Terms.Access, class), Ranked: true, Organisation: w.Batch.Sub.ID.Organisation(),
+		Timeout: runTimeout, ResumeAfter: w.Text.Last, ExpectVersion: version,
+	}
 	c.wg.Go(func() {
 		defer cancel()
 		started := time.Now()
-		end := c.run(ctx, route, e.Target, cf.TargetCall{
-			ID: cf.RequestID(item.ID), Method: http.MethodPost, Host: host, Path: item.Path, Header: itemHeader(item), Body: item.Body,
-			Urgency: urgency, Ranked: true, Timeout: runTimeout, ResumeAfter: w.Text.Last, ExpectVersion: version,
-		}, w)
+		end := c.run(ctx, route, e.Target, call, w)
 		c.Metrics.Runs.WithLabelValues(outcomeNames[end.outcome]).Inc()
 		c.Metrics.ItemRun.Observe(time.Since(started).Seconds())
 		c.ended(w, e.Target, end)
@@ -73,7 +69,7 @@
 // move stops a run; the planner then starts it at another engine, after the
 // last event that it made.
 func (c *Coordinator) move(w *cfrollout.Work) {
-	c.Log.Info("item_moved", zap.String("request_id", string(w.Item.ID)), zap.String("batch_id", string(w.Batch.Sub.ID)),
+	c.Log.Info("item_moved", zap.String("request_id", string(w.Item.ID.Request())), cflog.Batch(w.Batch.Sub.ID),
 		zap.String("target", string(w.Engine)), zap.Int64("ran_ms", int64(cf.Uptime()-w.Started)))
 	if cancel := c.runs[w]; cancel != nil {
 		cancel()
@@ -101,7 +97,7 @@
 		return // the duty is over; a successor runs the item again
 	}
 	c.follow(w, t, end)
-	c.Log.Info("item_run", zap.String("request_id", string(w.Item.ID)), zap.String("batch_id", string(w.Batch.Sub.ID)),
+	c.Log.Info("item_run", zap.String("request_id", string(w.Item.ID.Request())), cflog.Batch(w.Batch.Sub.ID),
 		zap.String("target", string(t.ID)), zap.String("outcome", outcomeNames[outcome]), zap.String("reason", end.reason),
 		zap.Int64("version", int64(w.Version)), zap.Int64("events", int64(w.Text.Last)),
 		zap.Int64("took_ms", int64(now-w.Started)))
@@ -120,7 +116,7 @@
 // admit asks the guard whether an item may be sent to an engine; its end is then due to
 // the guard.
 func (c *Coordinator) admit(w *cfrollout.Work, engine cf.Target) (ok, elsewhere bool) {
-	v := c.passes(cf.RequestID(w.Item.ID), cfquarantine.KeyOfItem(w.Batch.Sub.Host, w.Item), engine)
+	v := c.passes(w.Item.ID.Request(), cfquarantine.KeyOfItem(&w.Batch.Sub, w.Item), engine)
 	return v.Pass, v.Elsewhere
 }
 
@@ -140,12 +136,12 @@
 
 // follow tells the guard how a run ended.
 func (c *Coordinator) follow(w *cfrollout.Work, t cf.Target, end runEnd) {
-	key := cfquarantine.KeyOfItem(w.Batch.Sub.Host, w.Item)
+	key := cfquarantine.KeyOfItem(&w.Batch.Sub, w.Item)
 	switch {
 	case end.outcome == cfrollout.OutcomeDone || end.outcome == cfrollout.OutcomeFailed || end.outcome == cfrollout.OutcomeNever:
 		c.Guard.Answered(key, t, w.Started)
 	case end.outcome == cfrollout.OutcomeBroken && !end.unsent:
-		c.Guard.Lost(cf.RequestID(w.Item.ID), key, t, end.heard)
+		c.Guard.Lost(w.Item.ID.Request(), key, t, end.heard)
 	default:
 		c.Guard.Dropped(key, t)
 	}
--- a/io/cfcoord/served.go
+++ b/io/cfcoord/served.go
@@ -4,6 +4,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
+	"currantford/io/cflog"
 )
 
 // namedKept is how many versions of a model are remembered with the time at
@@ -66,7 +67,7 @@
 	st.served = true
 	waited := cf.Now() - sub.Accepted
 	c.Metrics.StepWait.WithLabelValues(string(sub.Model)).Observe(float64(waited) / 1000)
-	c.Log.Info("step_served", zap.String("batch_id", string(sub.ID)), zap.String("model", string(sub.Model)),
+	c.Log.Info("step_served", cflog.Batch(sub.ID), zap.String("model", string(sub.Model)),
 		zap.Int64("step", sub.Step), zap.Int64("waited_ms", int64(waited)), zap.Int("groups_whole", st.batch.WholeGroups()),
 		zap.Int64("stalest_versions", int64(st.stalest)))
 }
--- a/io/cfingress/batches.go
+++ b/io/cfingress/batches.go
@@ -31,7 +31,17 @@
 
 // Submit accepts a batch: once its object is in the store it is kept, and the
 // coordinator, which watches for new ones, runs it.
-func (in *Ingress) Submit(ctx context.Context, sub cf.Submission) error {
+func (in *Ingress) Submit(ctx context.Context, who cf.Credentials, sub cf.Submission) error {
+	config := in.Site.Config()
+	route, ok := config.Match(sub.Host, sub.Path)
+	if !ok {
+		return in.definite(cf.ErrNotFound)
+	}
+	access, err := in.identify(config, route.Use(), who, string(sub.ID))
+	if err != nil {
+		return err
+	}
+	belongs(&sub, access.Organisation)
 	sub.Accepted = cf.Now()
 	started := cf.Uptime()
 	ctx, cancel := context.WithTimeout(ctx, submitBudget)
@@ -41,13 +51,12 @@
 	in.Coordinator.Prepare(sub)
 	refused := 0
 	doubt := false // a write without an answer may still take effect
-	var err error
 	for tries := 1; ; tries++ {
 		err = cfbatch.Create(ctx, in.Store, sub, in.ValueBytes)
 		if err == nil || errors.Is(err, cf.ErrConflict) {
 			// A conflict is the batch itself: submitted before, or written
 			// by a try whose answer was lost.
-			in.Log.Info("batch_accepted", zap.String("batch_id", string(sub.ID)), zap.Int("items", len(sub.Items)),
+			in.Log.Info("batch_accepted", cflog.Batch(sub.ID), zap.Int("items", len(sub.Items)),
 				zap.Int("tries", tries), zap.Bool("again", err != nil), zap.Int64("took_ms", int64(cf.Uptime()-started)))
 			in.countBatch("submit", "accepted", started)
 			if err == nil {
@@ -58,7 +67,7 @@
 			return nil
 		}
 		if errors.Is(err, cf.ErrInvalid) {
-			in.Log.Warn("batch_invalid", zap.String("batch_id", string(sub.ID)), cflog.Error(err))
+			in.Log.Warn("batch_invalid", cflog.Batch(sub.ID), cflog.Error(err))
 			return err
 		}
 		doubt = doubt || errors.Is(err, cf.ErrUnavailable)
@@ -69,7 +78,7 @@
 			break
 		}
 	}
-	in.Log.Warn("batch_not_accepted", zap.String("batch_id", string(sub.ID)), zap.Bool("in_doubt", doubt), cflog.Error(err))
+	in.Log.Warn("batch_not_accepted", cflog.Batch(sub.ID), zap.Bool("in_doubt", doubt), cflog.Error(err))
 	in.countBatch("submit", "not_accepted", started)
 	if doubt {
 		return eris.Wrap(cf.ErrUnavailable, "the store did not answer")
@@ -77,9 +86,36 @@
 	return &cf.Refusal{After: storeBack, Reason: "the store takes no batches now"}
 }
 
+// belongs gives a batch to an organisation.
+func belongs(sub *cf.Submission, o cf.Organisation) {
+	sub.ID = o.Batch(sub.ID)
+	for i := range sub.Items {
+		it := &sub.Items[i]
+		it.ID = o.Item(it.ID)
+		if it.Group != "" {
+			it.Group = o.Group(it.Group)
+		}
+	}
+}
+
 // Results reads a batch at the coordinator, or from the store where the
 // coordinator can't be asked.
-func (in *Ingress) Results(ctx context.Context, id cf.BatchID, after int, longest cf.Millis) (cf.ResultPage, error) {
+func (in *Ingress) Results(ctx context.Context, who cf.Credentials, id cf.BatchID, after int, longest cf.Millis) (cf.ResultPage, error) {
+	owner, anonymous, err := in.reader(who, id)
+	if err != nil {
+		return cf.ResultPage{}, err
+	}
+	page, err := in.results(ctx, owner.Batch(id), after, longest)
+	if err != nil {
+		return page, in.notFound(anonymous, err)
+	}
+	for i := range page.Results {
+		page.Results[i].ID = cf.ItemID(page.Results[i].ID.Request())
+	}
+	return page, nil
+}
+
+func (in *Ingress) results(ctx context.Context, id cf.BatchID, after int, longest cf.Millis) (cf.ResultPage, error) {
 	started := cf.Uptime()
 	page, err := in.Coordinator.Results(ctx, id, after, longest)
 	if err == nil {
@@ -88,7 +124,7 @@
 	}
 	b, err := in.readStore(ctx, id, true)
 	if err != nil {
-		in.Log.Warn("results_not_read", zap.String("batch_id", string(id)), zap.Int("after", after), cflog.Error(err))
+		in.Log.Warn("results_not_read", cflog.Batch(id), zap.Int("after", after), cflog.Error(err))
 		in.countBatch("results", "failed", started)
 		return cf.ResultPage{}, err
 	}
@@ -119,7 +155,19 @@
 }
 
 // ItemBody returns the body of an item.
-func (in *Ingress) ItemBody(ctx context.Context, id cf.BatchID, item cf.ItemID) ([]byte, error) {
+func (in *Ingress) ItemBody(ctx context.Context, who cf.Credentials, id cf.BatchID, item cf.ItemID) ([]byte, error) {
+	owner, anonymous, err := in.reader(who, id)
+	if err != nil {
+		return nil, err
+	}
+	body, err := in.itemBody(ctx, owner.Batch(id), owner.Item(item))
+	if err != nil {
+		return nil, in.notFound(anonymous, err)
+	}
+	return body, nil
+}
+
+func (in *Ingress) itemBody(ctx context.Context, id cf.BatchID, item cf.ItemID) ([]byte, error) {
 	body, err := in.Coordinator.ItemBody(ctx, id, item)
 	if err == nil || errors.Is(err, cf.ErrNotFound) {
 		return body, err
@@ -137,18 +185,29 @@
 
 // End ends a batch. The end lies in the store, so that a coordinator that
 // takes over does not start its items again.
-func (in *Ingress) End(ctx context.Context, id cf.BatchID) error {
+func (in *Ingress) End(ctx context.Context, who cf.Credentials, id cf.BatchID) error {
+	owner, anonymous, err := in.reader(who, id)
+	if err != nil {
+		return err
+	}
+	if err := in.end(ctx, owner.Batch(id)); err != nil {
+		return in.notFound(anonymous, err)
+	}
+	return nil
+}
+
+func (in *Ingress) end(ctx context.Context, id cf.BatchID) error {
 	ctx, cancel := context.WithTimeout(ctx, endBudget)
 	defer cancel()
 	for {
 		err := in.Store.SetStatus(ctx, cf.KindBatch, string(id), cf.BatchStatus{Ended: true})
 		if err == nil || errors.Is(err, cf.ErrNotFound) {
-			in.Log.Info("batch_end_taken", zap.String("batch_id", string(id)), cflog.Error(err))
+			in.Log.Info("batch_end_taken", cflog.Batch(id), cflog.Error(err))
 			in.Coordinator.Changed(id, true)
 			return err
 		}
 		if !cf.Sleep(ctx, storeRetry) {
-			in.Log.Warn("batch_end_not_taken", zap.String("batch_id", string(id)), cflog.Error(err))
+			in.Log.Warn("batch_end_not_taken", cflog.Batch(id), cflog.Error(err))
 			if errors.Is(err, cf.ErrUnavailable) {
 				return err // it may have been taken
 			}
--- a/io/cfingress/forward.go
+++ b/io/cfingress/forward.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
+	"currantford/core/cfaccess"
 	"currantford/core/cfbalance"
 	"currantford/core/cfquarantine"
 	"currantford/core/cfsite"
@@ -40,6 +41,7 @@
 	in       *Ingress
 	req      *cf.Request
 	key      cfquarantine.Key
+	access   cf.Access
 	route    cfsite.Route
 	service  cf.ServiceName
 	version  cfsite.ConfigVersion
@@ -57,10 +59,13 @@
 	config := in.Site.Config()
 	route, ok := config.Match(req.Host, req.Route)
 	if !ok {
-		in.Log.Info("no_route", zap.String("request_id", string(req.ID)), zap.String("host", req.Host), zap.String("path", req.Route),
-			zap.Int64("config_version", int64(config.Version)))
-		http.Error(w, "no route", http.StatusNotFound)
-		in.count("forward", "no_route", req)
+		in.noRoute(w, req, config)
+		return
+	}
+	// Again, by the same configuration as the route: the body may have taken seconds.
+	access, err := in.identify(config, route.Use(), req.Who, string(req.ID))
+	if err != nil {
+		in.deny(w, req, err)
 		return
 	}
 	deadline := req.Received + route.Timeout
@@ -68,7 +73,8 @@
 		deadline = req.Received + req.Deadline
 	}
 	f := &forwarding{
-		in: in, req: req, key: cfquarantine.KeyOf(req.Method, req.Host, req.Path, req.Caller, req.Body), route: route, service: route.Pick(rand.Float64()), version: config.Version,
+		in: in, req: req, key: cfquarantine.KeyOf(req.Method, req.Host, req.Path, cfquarantine.CallerOf(access, req.Who), req.Body), access: access,
+		route: route, service: route.Pick(rand.Float64()), version: config.Version,
 		attempts: cfbalance.NewAttempts(route, deadline), tried: map[cf.InstanceID]bool{}, results: make(chan attempt, 8),
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.attempts.Left(cf.Uptime()).Duration())
@@ -80,6 +86,36 @@
 	f.whole(ctx, w)
 }
 
+// noRoute answers a request that no route takes.
+func (in *Ingress) noRoute(w http.ResponseWriter, req *cf.Request, config *cfsite.Config) {
+	b := in.belief()
+	in.Log.Info("no_route", zap.String("request_id", string(req.ID)), zap.String("host", req.Host), zap.String("path", req.Route),
+		zap.Int64("config_version", int64(config.Version)), zap.Int64("config_age_ms", int64(b.Age)), zap.Bool("current", b.Current))
+	in.deny(w, req, in.definite(cf.ErrNotFound))
+}
+
+// deny answers a request that may go nowhere, or whose sender is not known.
+func (in *Ingress) deny(w http.ResponseWriter, req *cf.Request, err error) {
+	var refusal *cf.Refusal
+	switch {
+	case errors.As(err, &refusal):
+		answerRefusal(w, refusal.After, refusal.Reason)
+		in.count("forward", "unsure", req)
+	case errors.Is(err, cf.ErrUnauthenticated):
+		http.Error(w, err.Error(), http.StatusUnauthorized)
+		in.count("forward", "unauthenticated", req)
+	default:
+		http.Error(w, "no route", http.StatusNotFound)
+		in.count("forward", "no_route", req)
+	}
+}
+
+// answerRefusal says that a request has not run, and when to come back.
+func answerRefusal(w http.ResponseWriter, after cf.Millis, reason string) {
+	w.Header().Set("Retry-After", strconv.FormatFloat(float64(after)/1000, 'f', 3, 64))
+	http.Error(w, reason, http.StatusServiceUnavailable)
+}
+
 // whole forwards a request whose answer is passed on once it is whole, so
 // that an answer cut short can be asked for again at another target.
 func (f *forwarding) whole(ctx context.Context, w http.ResponseWriter) {
@@ -118,7 +154,7 @@
 	f.pending++
 	now := cf.Uptime()
 	f.in.Log.Info("request_sent", zap.String("request_id", string(f.req.ID)), zap.Stringer("request_digest", f.key.Content),
-		zap.Stringer("caller_digest", f.key.Caller), zap.String("route", f.route.Name),
+		zap.Stringer("caller_digest", f.key.Caller), zap.String("organisation", string(f.access.Organisation)), zap.String("route", f.route.Name),
 		zap.String("target", string(target.ID)), zap.Int("tried", len(f.tried)), zap.Int64("left_ms", int64(f.attempts.Left(now))),
 		zap.Int64("config_version", int64(f.version)), zap.Int64("targets_revision", int64(f.in.Site.TargetsAt())))
 	call := f.call(now)
@@ -165,6 +201,7 @@
 	return cf.TargetCall{
 		ID: f.req.ID, Method: f.req.Method, Host: f.req.Host, Path: f.req.Path, Header: f.req.Header, Body: f.req.Body,
 		Timeout: f.attempts.Left(now), FreshConnection: !f.route.Idempotent(),
+		Organisation: f.access.Organisation, Ranked: f.access.Ranked, Urgency: cfaccess.Urgency(f.access, cfaccess.Live),
 	}
 }
 
@@ -276,8 +313,7 @@
 	f.in.Log.Warn("request_refused", zap.String("request_id", string(f.req.ID)), zap.String("service", string(f.service)),
 		zap.String("reason", reason), zap.Int("tried", len(f.tried)), zap.Int64("retry_after_ms", int64(after)),
 		zap.Int64("config_version", int64(f.version)), zap.Int64("targets_revision", int64(f.in.Site.TargetsAt())))
-	w.Header().Set("Retry-After", strconv.FormatFloat(float64(after)/1000, 'f', 3, 64))
-	http.Error(w, reason, http.StatusServiceUnavailable)
+	answerRefusal(w, after, reason)
 	f.in.count("forward", "refused", f.req)
 }
 
--- a/io/cfingress/ingress.go
+++ b/io/cfingress/ingress.go
@@ -63,6 +63,9 @@
 		// Informed says whether this instance has heard what the others hold back;
 		// nil: it need not.
 		Informed func() bool
+		// Believes tells how far this instance can rely on its configuration; nil: it
+		// is the newest.
+		Believes func() Belief
 		// ValueBytes is the store's limit for one object.
 		ValueBytes int64
 		// MemoryBytes is the process's memory limit, zero if there is none.
@@ -82,8 +85,9 @@
 
 	// Metrics are the ingress's counters.
 	Metrics struct {
-		Requests *prometheus.CounterVec
-		Took     *prometheus.HistogramVec
+		Requests        *prometheus.CounterVec
+		Took            *prometheus.HistogramVec
+		Unauthenticated *prometheus.CounterVec
 	}
 )
 
@@ -97,8 +101,10 @@
 		Took: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "currantford_request_seconds", Help: "Time to answer callers' requests by call.",
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 11)}, []string{"call"}),
+		Unauthenticated: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "currantford_requests_not_identified_total", Help: "Callers' requests without a key that is in force, by what became of them and why."}, []string{"outcome", "reason"}),
 	}
-	reg.MustRegister(m.Requests, m.Took)
+	reg.MustRegister(m.Requests, m.Took, m.Unauthenticated)
 	return m
 }
 
--- a/io/cflog/log.go
+++ b/io/cflog/log.go
@@ -15,6 +15,8 @@
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	cf "currantford"
 )
 
 // New returns a JSON-line logger for one process.
@@ -39,6 +41,21 @@
 	return zap.New(core).With(zap.String("component", component), zap.String("id", id)), w
 }
 
+// Batch returns the fields of a batch: its id as its submitter chose it, and whose it is.
+func Batch(id cf.BatchID) zap.Field { return zap.Inline(batchFields(id)) }
+
+type batchFields cf.BatchID
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (b batchFields) MarshalLogObject(enc zapcore.ObjectEncoder) error {
+	id := cf.BatchID(b)
+	enc.AddString("batch_id", id.Bare())
+	if o := id.Organisation(); o != "" {
+		enc.AddString("organisation", string(o))
+	}
+	return nil
+}
+
 // Error returns the field of an error's message. zap.Error would add the call
 // stack that eris keeps, which is longer than all other fields together.
 func Error(err error) zap.Field {
--- a/io/cfnode/announce.go
+++ b/io/cfnode/announce.go
@@ -97,7 +97,7 @@
 // seconds with a configuration that is not in force any more.
 func (n *Node) confirmOutage() {
 	now := cf.Uptime()
-	if n.scout() || now-cf.Millis(n.feed.askedAt.Load()) < outageAsk {
+	if now-cf.Millis(n.feed.askedAt.Load()) < outageAsk {
 		return
 	}
 	n.feed.askedAt.Store(int64(now))
--- a/io/cfnode/feed.go
+++ b/io/cfnode/feed.go
@@ -280,7 +280,9 @@
 	n.feed.mu.Unlock()
 	if !a.Fresh {
 		n.feed.unsure.Store(int64(cf.Uptime()))
-		n.confirmOutage()
+		if !n.scout() {
+			n.confirmOutage()
+		}
 		return
 	}
 	if a.Config != nil {
--- a/io/cfnode/node.go
+++ b/io/cfnode/node.go
@@ -70,11 +70,15 @@
 		candidate *candidate
 		coord     atomic.Pointer[cfcoord.Coordinator]
 		watching  atomic.Pointer[watching]
-		feed      feed
-		peers     *cfpeer.Client
-		peerSrv   *cfpeer.Server
-		leaving   atomic.Bool
-		started   cf.Millis
+		// watchMetrics are those of all watchers of the site.
+		watchMetrics *cfwatch.Metrics
+		feed         feed
+		// known is when the configuration was last seen to be the newest.
+		known   atomic.Int64
+		peers   *cfpeer.Client
+		peerSrv *cfpeer.Server
+		leaving atomic.Bool
+		started cf.Millis
 		// texts are what this instance had generated when its duty ended.
 		texts   atomic.Pointer[keptTexts]
 		mirrors mirrors
@@ -118,7 +122,7 @@
 		settings: s, adapter: a, log: log, site: cfsite.New(a.Codec), metrics: cfcoord.NewMetrics(reg),
 		peers: cfpeer.NewClient(), peerSrv: cfpeer.NewServer(), ctx: ctx, cancel: cancel,
 		started: cf.Uptime(), candidateDone: make(chan struct{}), pages: cfcoord.NewLinkBudget(s.Machine.LinkMbps),
-		host: cfrunner.NewHost(a.Targets, log),
+		host: cfrunner.NewHost(a.Targets, log), watchMetrics: cfwatch.NewMetrics(reg),
 	}
 	n.quarantine = newQuarantine(n)
 	n.guard = cfguard.New(cfguard.Options{
@@ -136,6 +140,7 @@
 	}
 	n.ingress = cfingress.New(cfingress.Options{
 		Store: a.Store, Targets: a.Targets, Site: n.site, Coordinator: reader{n}, Members: n, Guard: n.guard, Informed: func() bool { return n.quarantine.ready(cf.Uptime()) },
+		Believes:   n.belief,
 		ValueBytes: s.Store.ValueBytes, MemoryBytes: s.Memory.LimitMB << 20,
 		Metrics: cfingress.NewMetrics(reg), Log: log,
 	})
@@ -431,6 +436,7 @@
 			n.watching.Store(nil)
 			w.close()
 		}
+		n.watchBelief(now)
 		n.quarantine.tick(now)
 		for _, t := range n.site.Sweep(now) {
 			n.log.Info("target_changed", zap.String("target", string(t.ID)), zap.Bool("gone", true), zap.String("reason", "lapsed"))
@@ -446,7 +452,7 @@
 func (n *Node) watch() *watching {
 	ctx, cancel := context.WithCancel(n.ctx)
 	w := &watching{cancel: cancel}
-	w.config, w.targets = cfwatch.ForSite(n.adapter.Store, n.site, n.adapter.Codec, n.log)
+	w.config, w.targets = cfwatch.ForSite(n.adapter.Store, n.site, n.adapter.Codec, n.watchMetrics, n.log)
 	if n.coord.Load() == nil && !n.scout() {
 		w.config.RetryMost, w.targets.RetryMost = watchLeft, watchLeft
 	}
--- a/io/cfnode/reads.go
+++ b/io/cfnode/reads.go
@@ -68,7 +68,7 @@
 		return a.Page, err
 	}
 	page, err := r.n.readPlaces(ctx, id, *a.Places)
-	r.n.log.Info("results_read_apart", zap.String("batch_id", string(id)), zap.Int("after", after), zap.Int("next", a.Places.Next),
+	r.n.log.Info("results_read_apart", cflog.Batch(id), zap.Int("after", after), zap.Int("next", a.Places.Next),
 		zap.Strings("chunks", a.Places.Chunks), cflog.Error(err))
 	if err == nil {
 		return page, nil
--- a/io/cfnode/settings.go
+++ b/io/cfnode/settings.go
@@ -71,6 +71,11 @@
 		KeepResultsS float64 `json:"keep_results_s"`
 		// LeaseMs is how long two holders' orders must lie apart.
 		LeaseMs cf.Millis `json:"lease_ms"`
+		// KeyTrustMs is how long an instance that hears of no configuration goes on
+		// with the keys that it knows, zero without bound. StrictKeys says that it
+		// counts also while no other instance hears of one.
+		KeyTrustMs cf.Millis `json:"key_trust_ms"`
+		StrictKeys bool      `json:"strict_keys"`
 	}
 
 	// MachineSettings are what a process may use of its machine.
@@ -141,6 +146,9 @@
 	if s.Bounds.LeaseMs <= 0 {
 		bad("bounds.lease_ms", "must be over 0")
 	}
+	if s.Bounds.KeyTrustMs < 0 {
+		bad("bounds.key_trust_ms", "must not be under 0")
+	}
 	if s.Machine.CPUShare < 0 || s.Machine.Cores < 0 || s.Machine.LinkMbps < 0 {
 		bad("machine", "must not be under 0")
 	}
--- a/io/cfwatch/site.go
+++ b/io/cfwatch/site.go
@@ -26,7 +26,7 @@
 
 // ForSite returns the watchers that keep site's configuration and targets
 // current.
-func ForSite(store cf.Store, site *cfsite.Site, codec cfsite.Codec, log *zap.Logger) (config, targets *Watcher) {
+func ForSite(store cf.Store, site *cfsite.Site, codec cfsite.Codec, metrics *Metrics, log *zap.Logger) (config, targets *Watcher) {
 	kinds := codec.Kinds()
 	takeConfig := func(r cf.Record) error {
 		if r.Name != configName {
@@ -40,11 +40,11 @@
 		return err
 	}
 	config = &Watcher{
-		Store: store, Kind: kinds.Config, Wait: siteWait, Log: log, Change: takeConfig,
+		Store: store, Kind: kinds.Config, Wait: siteWait, Log: log, Metrics: metrics, Change: takeConfig,
 		List: Each(takeConfig),
 	}
 	targets = &Watcher{
-		Store: store, Kind: kinds.Targets, Wait: siteWait, Pause: targetPause, Log: log,
+		Store: store, Kind: kinds.Targets, Wait: siteWait, Pause: targetPause, Log: log, Metrics: metrics,
 		Change: func(r cf.Record) error {
 			t, changed, err := site.ApplyTarget(r, cf.Uptime())
 			if changed {
--- a/io/cfwatch/watch.go
+++ b/io/cfwatch/watch.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	cf "currantford"
@@ -55,6 +56,8 @@
 	// RetryMost is the longest pause after failed calls, retryMost if it is zero.
 	RetryMost time.Duration
 	Log       *zap.Logger
+	// Metrics may be nil.
+	Metrics *Metrics
 
 	contact atomic.Int64
 	at      cf.Revision
@@ -63,6 +66,25 @@
 	failing bool
 }
 
+// Metrics are the watchers' counters.
+type Metrics struct{ notTaken *prometheus.CounterVec }
+
+// NewMetrics registers the watchers' metrics.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "currantford_changes_not_taken_total", Help: "Objects of the store that could not be taken, by kind; what was there before goes on.",
+	}, []string{"kind"})}
+	reg.MustRegister(m.notTaken)
+	return m
+}
+
+func (w *Watcher) notTaken(msg, name string, err error) {
+	w.Log.Error(msg, zap.String("kind", w.Kind), zap.String("name", name), cflog.Error(err))
+	if w.Metrics != nil {
+		w.Metrics.notTaken.WithLabelValues(w.Kind).Inc()
+	}
+}
+
 // Age returns how long ago the view was known to be current.
 func (w *Watcher) Age(now cf.Millis) cf.Millis {
 	at := cf.Millis(w.contact.Load())
@@ -116,7 +138,7 @@
 		}
 		w.answered()
 		if err := w.List(list); err != nil {
-			w.Log.Error("list_not_taken", zap.String("kind", w.Kind), cflog.Error(err))
+			w.notTaken("list_not_taken", "", err)
 		}
 		w.listed, w.behind = true, w.CaughtUp != nil
 		w.reached(list.At, asked)
@@ -138,7 +160,7 @@
 	w.answered()
 	for _, r := range changes.Items {
 		if err := w.Change(r); err != nil {
-			w.Log.Error("change_not_taken", zap.String("kind", w.Kind), zap.String("name", r.Name), cflog.Error(err))
+			w.notTaken("change_not_taken", r.Name, err)
 		}
 	}
 	w.reached(changes.At, cf.Uptime())
--- a/scripts/check-names.sh
+++ b/scripts/check-names.sh
@@ -3,7 +3,7 @@
 # platform/ (tests aside): each is decoded once, in the adapter.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-names='(^|[^-A-Za-z])Currantford-[A-Z]|(^|[^a-z])/currantford/|Kv-|kv-(move|pin|handle|events|list)|path-prefix|max-attempts|can-resume|slo-ms|timeout-ms|max-wait-s|single-version|min-version|target-groups|next-token|current-rev|allow-stale|wait-ms|max-conns|health-path|max-body-bytes|max-header-bytes|idle-timeout-ms|header-timeout-ms|port-range|value-bytes|ttl-s|cold-left-ms|num-(waiting|running)|kv-(used|total|capacity)'
+names='(^|[^-A-Za-z])Currantford-[A-Z]|(^|[^a-z])/currantford/|Kv-|kv-(move|pin|handle|events|list)|path-prefix|max-attempts|can-resume|slo-ms|timeout-ms|max-wait-s|single-version|min-version|target-groups|next-token|current-rev|allow-stale|wait-ms|max-conns|health-path|max-body-bytes|max-header-bytes|idle-timeout-ms|header-timeout-ms|port-range|value-bytes|ttl-s|cold-left-ms|num-(waiting|running)|kv-(used|total|capacity)|X-Api-Key|api-keys|"tenants?"'
 found=$(git ls-files --cached --others --exclude-standard '*.go' | grep -v -e '^platform/' -e '_test\.go$' | xargs grep -nE "$names" || true)
 if [ -n "$found" ]; then
   echo "names of the platform's protocols outside platform/:" >&2
--- a/systemtest/checks_test.go
+++ b/systemtest/checks_test.go
@@ -18,7 +18,7 @@
 	n := 0
 	eventually(s.t, "all results of "+b.id, func() bool {
 		n++
-		p, _, err := s.entries[n%len(s.entries)].read(b.id, len(out), 300*time.Millisecond)
+		p, _, err := s.entries[n%len(s.entries)].read(b.id, len(out), 300*time.Millisecond, withKey(b.key)...)
 		if err == nil {
 			out = append(out, p.Results...)
 		}
@@ -26,7 +26,7 @@
 	})
 	s.check(b, out)
 	for _, e := range s.entries {
-		p, _, err := e.read(b.id, 0, 0)
+		p, _, err := e.read(b.id, 0, 0, withKey(b.key)...)
 		if err != nil || p.Total == 0 {
 			continue // stopped, or can't be sure
 		}
--- a/systemtest/site_test.go
+++ b/systemtest/site_test.go
@@ -10,6 +10,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -81,6 +82,8 @@
 		linkMbps float64
 		// policy turns decisions of the entries off.
 		policy map[string]any
+		// bounds are added to the entries' bounds.
+		bounds map[string]any
 		load   time.Duration
 		event  time.Duration
 	}
@@ -100,6 +103,7 @@
 		valueBytes int
 		links      bool
 		policy     map[string]any
+		bounds     map[string]any
 		cores      []float64
 		linkMbps   float64
 	}
@@ -123,6 +127,7 @@
 
 	batch struct {
 		id           string
+		key          string // of who hands it in, if there is one
 		Step         int    `json:"step"`
 		Model        string `json:"model"`
 		MinVersion   int    `json:"min-version"`
@@ -188,7 +193,7 @@
 	if o.valueBytes == 0 {
 		o.valueBytes = 1 << 20
 	}
-	s := &site{t: t, store: standin.NewStore(), valueBytes: o.valueBytes, links: o.links, policy: o.policy, cores: o.cores, linkMbps: o.linkMbps}
+	s := &site{t: t, store: standin.NewStore(), valueBytes: o.valueBytes, links: o.links, policy: o.policy, bounds: o.bounds, cores: o.cores, linkMbps: o.linkMbps}
 	s.addr = listen(t, s.store)
 	for i := range o.engines {
 		s.engines = append(s.engines, s.target(fmt.Sprintf("i-engine-%d", i), service, o.models, o))
@@ -253,11 +258,13 @@
 	if s.linkMbps > 0 {
 		machine["link_mbps"] = s.linkMbps
 	}
+	bounds := map[string]any{"grace_s": 8, "keep_results_s": 120, "lease_ms": 3000}
+	maps.Copy(bounds, s.bounds)
 	raw, err := json.Marshal(map[string]any{
 		"machine": machine, "entry": e.id, "failure_domain": fmt.Sprintf("domain-%c", 'a'+i%2),
 		"listen": map[string]any{"callers": e.callers, "ready": e.ready, "directory": e.names, "peers": freeAddr(s.t)},
 		"store":  map[string]any{"addr": store, "value_bytes": s.valueBytes},
-		"bounds": map[string]any{"grace_s": 8, "keep_results_s": 120, "lease_ms": 3000},
+		"bounds": bounds,
 		"memory": map[string]any{"limit_mb": 200},
 		"policy": s.policy,
 	})
@@ -436,7 +443,7 @@
 		req.Header.Set("Currantford-Request-Id", id)
 	}
 	for i := 0; i+1 < len(header); i += 2 {
-		req.Header.Set(header[i], header[i+1])
+		req.Header.Add(header[i], header[i+1])
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
@@ -454,7 +461,7 @@
 	if err != nil {
 		e.t.Fatal(err)
 	}
-	r, err := e.do(http.MethodPost, batchPrefix+b.id, b.id, raw)
+	r, err := e.do(http.MethodPost, batchPrefix+b.id, b.id, raw, withKey(b.key)...)
 	if err != nil {
 		e.t.Logf("submit: %v", err)
 		return reply{}
@@ -472,9 +479,17 @@
 	})
 }
 
-func (e *entry) read(id string, after int, wait time.Duration) (page, reply, error) {
+// withKey returns the header of a caller's key, if it has one.
+func withKey(key string) []string {
+	if key == "" {
+		return nil
+	}
+	return []string{"X-Api-Key", key}
+}
+
+func (e *entry) read(id string, after int, wait time.Duration, header ...string) (page, reply, error) {
 	r, err := e.do(http.MethodGet, "/currantford/lots/"+id+"?after="+strconv.Itoa(after), "", nil,
-		"Currantford-Wait-Ms", strconv.FormatInt(wait.Milliseconds(), 10))
+		append(header, "Currantford-Wait-Ms", strconv.FormatInt(wait.Milliseconds(), 10))...)
 	var p page
 	if err == nil && r.status == http.StatusOK {
 		err = json.Unmarshal(r.body, &p)
--- a/target.go
+++ b/target.go
@@ -59,6 +59,8 @@
 		// a target admits more urgent calls first.
 		Urgency int
 		Ranked  bool
+		// Organisation is whose request it is, as this system has found out.
+		Organisation Organisation
 		// FreshConnection forbids a kept connection: on one that the target
 		// is closing it is unknown whether the request was read.
 		FreshConnection bool
