News of the targets that an instance forwards to, by a log of changes

Cause: each instance held all targets and heard of each change of one; an answer walked all targets for what had changed, for each of 836 callers that a change woke.

Change: news are of the services to which the configuration lets single requests go, each with a sum of its own; items of batches go to engines by the coordinator alone. What changed is read from a log (cfchange), for the other instances and, by Site.Since, for the planner; lists of usable targets are kept by service.

Ruled out: a filter by each caller's own configuration (a caller with an older one would never reach the sender's sum; the answer names the services that it covers).

TestNewsAreOfForwardedServices: 10,000 engines beside three targets, none told, nor a change of one.

--- a/core/cfsite/config.go
+++ b/core/cfsite/config.go
@@ -172,3 +172,18 @@
 func (r *Route) Idempotent() bool {
 	return r.Kind == KindIdempotent || r.Kind == KindBatch || r.Kind == KindStream && r.Resumable
 }
+
+// Forwarded returns the services to which instances forward single requests. Items of
+// batches go to targets by the coordinator alone.
+func (c *Config) Forwarded() map[cf.ServiceName]bool {
+	out := map[cf.ServiceName]bool{}
+	for _, r := range c.Routes {
+		if r.Kind == KindBatch {
+			continue
+		}
+		for _, s := range r.Split {
+			out[s.Service] = true
+		}
+	}
+	return out
+}
--- a/core/cfsite/relay.go
+++ b/core/cfsite/relay.go
@@ -3,60 +3,115 @@
 import (
 	"encoding/binary"
 	"hash/fnv"
+	"maps"
+	"slices"
 
 	cf "currantford"
+	"currantford/core/cfchange"
 )
 
-// buriedMost bounds the targets that are remembered as gone. An instance that
-// has missed more gets the whole list.
-const buriedMost = 4096
-
 type (
-	// relay is what other instances must hear of. A target's weights are not
-	// part of it: only the coordinator uses those.
+	// relay is what other instances must hear of: the targets of the services to which
+	// they forward requests. Those that only the coordinator uses are not part of it,
+	// nor are a target's weights. So what an instance hears and holds follows what it
+	// serves, and not the number of engines.
 	relay struct {
 		// count numbers the changes, next is closed at the next one.
 		count int64
 		next  chan struct{}
-		// gone are the targets that left, each with the count of the change;
-		// those of changes up to forgotten are not known any more.
-		gone      map[cf.InstanceID]int64
-		forgotten int64
-		// sum identifies the targets in the view, whatever their order.
-		sum uint64
+		log   cfchange.Log[cf.InstanceID]
+		// pending: a target has changed since the last count.
+		pending bool
+		// forwarded are the services, nil before a configuration is known: then all are.
+		forwarded map[cf.ServiceName]bool
+		// sums identify the targets of each service, whatever their order.
+		sums map[cf.ServiceName]uint64
 	}
 
 	// News is what has changed in the view of targets, or all of it.
 	News struct {
-		Count   int64           `cbor:"count"` // of the changes, as of this
-		At      cf.Revision     `cbor:"at"`
-		Sum     uint64          `cbor:"sum"` // of the view after this
-		Whole   bool            `cbor:"whole,omitempty"`
-		Targets []cf.Target     `cbor:"targets,omitempty"`
-		Gone    []cf.InstanceID `cbor:"gone,omitempty"`
+		Count int64       `cbor:"count"` // of the changes, as of this
+		At    cf.Revision `cbor:"at"`
+		// Services are those whose targets are told, nil for all; Sum is that of their
+		// targets after this.
+		Services []cf.ServiceName `cbor:"services"`
+		Sum      uint64           `cbor:"sum"`
+		Whole    bool             `cbor:"whole,omitempty"`
+		Targets  []cf.Target      `cbor:"targets,omitempty"`
+		Gone     []cf.InstanceID  `cbor:"gone,omitempty"`
 	}
 )
 
 func newRelay() relay {
-	return relay{next: make(chan struct{}), gone: map[cf.InstanceID]int64{}}
+	return relay{next: make(chan struct{}), sums: map[cf.ServiceName]uint64{}}
 }
 
 func (r *relay) notify() {
 	r.count++
+	r.pending = false
 	close(r.next)
 	r.next = make(chan struct{})
 }
 
-// bury remembers that a target left with the change that is notified next.
-func (r *relay) bury(id cf.InstanceID) {
-	if len(r.gone) >= buriedMost {
-		clear(r.gone)
-		r.forgotten = r.count + 1
+// flush notifies if a target has changed of which others must hear.
+func (r *relay) flush() {
+	if r.pending {
+		r.notify()
+	}
+}
+
+// tells says whether others hear of a service's targets.
+func (r *relay) tells(service cf.ServiceName) bool { return r.forwarded == nil || r.forwarded[service] }
+
+// note records that a target changes with the change that is notified next.
+func (r *relay) note(service cf.ServiceName, id cf.InstanceID) {
+	if r.tells(service) {
+		r.log.Note(r.count+1, id)
+		r.pending = true
+	}
+}
+
+// services returns the services that others hear of, nil for all.
+func (r *relay) services() []cf.ServiceName {
+	if r.forwarded == nil {
+		return nil
+	}
+	return slices.AppendSeq(make([]cf.ServiceName, 0, len(r.forwarded)), maps.Keys(r.forwarded))
+}
+
+// sumOver returns the sum of the targets of services, of all if that is nil.
+func (r *relay) sumOver(services []cf.ServiceName) uint64 {
+	sum := uint64(0)
+	if services == nil {
+		for _, s := range r.sums {
+			sum ^= s
+		}
+	}
+	for _, s := range services {
+		sum ^= r.sums[s]
+	}
+	return sum
+}
+
+// forward takes the services to which a new configuration lets requests go. The targets
+// of those that were not told of before are told with the next change.
+func (s *Site) forward(services map[cf.ServiceName]bool) {
+	before := s.relay.forwarded
+	s.relay.forwarded = services
+	if before == nil {
+		return // they were told of all
+	}
+	for service := range services {
+		if before[service] {
+			continue
+		}
+		for _, t := range s.sorted(maps.Keys(s.services[service])) {
+			s.relay.note(service, t.ID)
+		}
 	}
-	r.gone[id] = r.count + 1
 }
 
-// sumOf returns a target's part of the view's sum.
+// sumOf returns a target's part of its service's sum.
 func sumOf(t cf.Target) uint64 {
 	h := fnv.New64a()
 	for _, s := range []string{string(t.ID), string(t.Service), t.Addr, string(t.Domain)} {
@@ -79,30 +134,27 @@
 	return s.relay.count, s.relay.next
 }
 
-// Sum identifies the targets in the view: equal sums mean equal targets.
+// Sum identifies the targets in the view that others hear of: equal sums mean equal
+// targets.
 func (s *Site) Sum() uint64 {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return s.relay.sum
+	return s.relay.sumOver(s.relay.services())
 }
 
-// NewsSince returns what has changed since the count of an earlier answer. With
-// a whole list for each change, 300 instances before 3,000 targets had 90 MB to
-// hear of one target that drained.
+// NewsSince returns what has changed since the count of an earlier answer.
 func (s *Site) NewsSince(count int64) News {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if count < s.relay.forgotten || count > s.relay.count {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	ids, known := s.relay.log.Since(count)
+	if !known || count > s.relay.count {
 		return s.whole()
 	}
 	n := s.news()
-	for _, e := range s.targets {
-		if e.relayedAt > count {
+	for _, id := range ids {
+		if e, up := s.targets[id]; up && s.relay.tells(e.target.Service) {
 			n.Targets = append(n.Targets, withoutWeights(e.target))
-		}
-	}
-	for id, at := range s.relay.gone {
-		if at > count {
+		} else {
 			n.Gone = append(n.Gone, id)
 		}
 	}
@@ -112,33 +164,46 @@
 // AllNews returns the whole view, for an instance that has heard nothing from
 // this one. One whose own view has the same sum already needs no list.
 func (s *Site) AllNews(sum uint64) News {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if sum == s.relay.sum {
-		return s.news()
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if n := s.news(); sum == n.Sum {
+		return n
 	}
 	return s.whole()
 }
 
-func (s *Site) news() News { return News{Count: s.relay.count, At: s.at, Sum: s.relay.sum} }
+func (s *Site) news() News {
+	services := s.relay.services()
+	return News{Count: s.relay.count, At: s.at, Services: services, Sum: s.relay.sumOver(services)}
+}
 
 func (s *Site) whole() News {
 	n := s.news()
 	n.Whole = true
-	for _, t := range s.list() {
-		n.Targets = append(n.Targets, withoutWeights(t))
+	for _, service := range s.told() {
+		for _, t := range s.sorted(maps.Keys(s.services[service])) {
+			n.Targets = append(n.Targets, withoutWeights(t))
+		}
 	}
 	return n
 }
 
+// told returns the services whose targets others hear of.
+func (s *Site) told() []cf.ServiceName {
+	if s.relay.forwarded != nil {
+		return s.relay.services()
+	}
+	return slices.Sorted(maps.Keys(s.services))
+}
+
 func withoutWeights(t cf.Target) cf.Target {
 	t.Models = nil
 	return t
 }
 
-// TakeNews takes news of the instance that watches the store, unless they are
-// older than the view. It returns false if the view then differs from the
-// sender's, which must send all of it.
+// TakeNews takes news of an instance that watches the store, or has them from one that
+// does, unless they are older than the view. It returns false if the view then differs
+// from the sender's, which must send all of it.
 func (s *Site) TakeNews(n News, now cf.Millis) (same bool) {
 	if n.Whole {
 		s.ReplaceTargets(n.Targets, n.At, now)
@@ -148,7 +213,6 @@
 	if n.At < s.at {
 		return true // this instance has watched the store itself
 	}
-	before := s.relay.sum
 	if !n.Whole {
 		for _, t := range n.Targets {
 			s.put(entry{target: t, rev: n.At})
@@ -160,9 +224,9 @@
 		}
 		s.at = n.At
 	}
-	if s.relay.sum != before {
+	if s.relay.pending {
 		s.notify()
 		s.relay.notify()
 	}
-	return s.relay.sum == n.Sum
+	return s.relay.sumOver(n.Services) == n.Sum
 }
--- a/core/cfsite/relay_test.go
+++ b/core/cfsite/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 
 	cf "currantford"
@@ -115,3 +116,102 @@
 		t.Error("a heartbeat counts as a change")
 	}
 }
+
+// forwardingCodec decodes configurations that have one batch route to "engines" and
+// single requests to the services named in the record.
+type forwardingCodec struct{ cfstandin.Codec }
+
+func (forwardingCodec) Config(r cf.Record) (cfsite.Config, error) {
+	c := cfsite.Config{Version: cfsite.ConfigVersion(r.Rev), Routes: []cfsite.Route{{Kind: cfsite.KindBatch, Split: []cfsite.Share{{Service: "engines"}}}}}
+	for _, s := range strings.Fields(string(r.Spec)) {
+		c.Routes = append(c.Routes, cfsite.Route{Kind: cfsite.KindIdempotent, Split: []cfsite.Share{{Service: cf.ServiceName(s)}}})
+	}
+	return c, nil
+}
+
+// An instance hears of the targets to which it forwards requests alone: with 10,000 engines
+// beside them it is sent none of these, nor any change of one.
+func TestNewsAreOfForwardedServices(t *testing.T) {
+	source, follower := cfsite.New(forwardingCodec{}), cfsite.New(forwardingCodec{})
+	list := []cf.Target{{ID: "log-1", Service: "log"}, {ID: "log-2", Service: "log"}, {ID: "mail-1", Service: "mail"}}
+	for i := range 10_000 {
+		list = append(list, cf.Target{ID: cf.InstanceID(fmt.Sprintf("e%05d", i)), Service: "engines"})
+	}
+	configure := func(rev cf.Revision, services string) {
+		for _, s := range []*cfsite.Site{source, follower} {
+			if _, err := s.ApplyConfig(cf.Record{Name: "main", Rev: rev, Spec: []byte(services)}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	configure(1, "log")
+	source.ReplaceTargets(list, 5, 0)
+	news := source.AllNews(follower.Sum())
+	if !follower.TakeNews(news, 0) || len(follower.Targets()) != 2 {
+		t.Fatalf("told of %d targets", len(follower.Targets()))
+	}
+	count := news.Count
+	change := func(rev cf.Revision, target cf.Target) {
+		if _, _, err := source.ApplyTarget(cfstandin.Record(string(target.ID), rev, target), 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	change(6, cf.Target{ID: "e00007", Service: "engines", Draining: true})
+	if now, _ := source.Relay(); now != count {
+		t.Error("the change of an engine is told")
+	}
+	change(7, cf.Target{ID: "log-1", Service: "log", Draining: true})
+	news = source.NewsSince(count)
+	if !follower.TakeNews(news, 0) || len(news.Targets) != 1 || len(follower.Usable("log")) != 1 {
+		t.Errorf("news %+v", news)
+	}
+	// A route to another service: its targets are told with the configuration.
+	configure(8, "log mail")
+	news = source.NewsSince(news.Count)
+	if !follower.TakeNews(news, 0) || news.Whole || len(follower.Usable("mail")) != 1 {
+		t.Errorf("news %+v after a route to another service", news)
+	}
+	configure(9, "")
+	news = source.NewsSince(news.Count)
+	if !follower.TakeNews(news, 0) || news.Whole {
+		t.Errorf("news %+v without any route for single requests", news)
+	}
+	// The address of an engine is used again by a service that is told of, and back.
+	configure(10, "log")
+	for i, service := range []cf.ServiceName{"log", "engines"} {
+		change(cf.Revision(11+i), cf.Target{ID: "e00009", Service: service})
+		news = source.NewsSince(news.Count)
+		if !follower.TakeNews(news, 0) || news.Whole {
+			t.Errorf("news %+v of a target that is now of %s", news, service)
+		}
+	}
+	if n := len(follower.Usable("log")); n != 1 {
+		t.Errorf("%d usable targets", n)
+	}
+}
+
+// Cost of a change: readers are told of it, whatever the number of targets.
+func TestChangesAreTellable(t *testing.T) {
+	s := cfsite.New(cfstandin.Codec{})
+	var list []cf.Target
+	for i := range 10_000 {
+		list = append(list, cf.Target{ID: cf.InstanceID(fmt.Sprintf("e%05d", i)), Service: "engines"})
+	}
+	s.ReplaceTargets(list, 5, 0)
+	first := s.Since(0)
+	if !first.Whole || len(first.Targets) != len(list) {
+		t.Fatalf("%d targets at first", len(first.Targets))
+	}
+	_, _, _ = s.ApplyTarget(cfstandin.Record("e00003", 6, cf.Target{ID: "e00003", Service: "engines", Models: []cf.ModelState{{Name: "m", Version: 2}}}), 0)
+	gone := cfstandin.Record("e00004", 7, nil)
+	gone.Deleted = true
+	_, _, _ = s.ApplyTarget(gone, 0)
+	if d := s.Since(first.Count); d.Whole || len(d.Targets) != 1 || d.Targets[0].Models[0].Version != 2 || len(d.Gone) != 1 {
+		t.Errorf("changes %+v", d)
+	}
+	list = list[:4]
+	s.ReplaceTargets(list, 8, 0)
+	if d := s.Since(first.Count); !d.Whole || len(d.Targets) != 4 {
+		t.Errorf("after more changes than are remembered: whole %t, %d targets", d.Whole, len(d.Targets))
+	}
+}
--- a/core/cfsite/site.go
+++ b/core/cfsite/site.go
@@ -1,11 +1,15 @@
 package cfsite
 
 import (
+	"iter"
+	"maps"
 	"reflect"
-	"sort"
+	"slices"
+	"strings"
 	"sync"
 
 	cf "currantford"
+	"currantford/core/cfchange"
 )
 
 // Site is an instance's view of its site. It is safe for concurrent use.
@@ -23,20 +27,29 @@
 	// grace is until when an entry that vanishes is kept as lapsed.
 	grace cf.Millis
 	relay relay
-	// sorted and usable are Targets and Usable as of the changes counted,
-	// for readers that ask more often than anything changes.
-	sorted []cf.Target
-	usable map[cf.ServiceName][]cf.Target
+	// log tells which targets the last changes concern.
+	log cfchange.Log[cf.InstanceID]
+	// services are the ids of the targets of each service, usable the lists of
+	// Usable that were asked for since a target of the service changed.
+	services map[cf.ServiceName]map[cf.InstanceID]bool
+	usable   map[cf.ServiceName][]cf.Target
 }
 
 type entry struct {
 	target cf.Target
 	rev    cf.Revision
 	lapsed bool
-	// sum is the target's part of the view's sum, relayedAt the count of the
-	// relayed changes at its last one.
-	sum       uint64
-	relayedAt int64
+	// sum is the target's part of its service's sum.
+	sum uint64
+}
+
+// Delta is what has changed in the view of targets since an earlier count of changes.
+type Delta struct {
+	Count int64 // of the changes, as of this
+	// Whole says that Targets are all that there are.
+	Whole   bool
+	Targets []cf.Target
+	Gone    []cf.InstanceID
 }
 
 // lapseGrace is how long after the store's return an entry may be missing:
@@ -50,6 +63,7 @@
 	return &Site{
 		codec: codec, targets: map[cf.InstanceID]entry{}, versions: map[cf.ModelName]cf.WeightVersion{},
 		changed: make(chan struct{}), relay: newRelay(),
+		services: map[cf.ServiceName]map[cf.InstanceID]bool{}, usable: map[cf.ServiceName][]cf.Target{},
 	}
 }
 
@@ -69,7 +83,6 @@
 
 func (s *Site) notify() {
 	s.changes++
-	s.sorted, s.usable = nil, nil
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -77,23 +90,47 @@
 // put takes a target into the view, and into the relay if others must hear of
 // its change.
 func (s *Site) put(e entry) {
-	id := e.target.ID
-	e.sum = sumOf(e.target)
+	id, service := e.target.ID, e.target.Service
 	old, known := s.targets[id]
-	e.relayedAt = old.relayedAt
-	if !known || old.sum != e.sum {
-		e.relayedAt = s.relay.count + 1
-		delete(s.relay.gone, id)
-	}
-	s.relay.sum ^= old.sum ^ e.sum
+	e.sum = sumOf(e.target)
 	s.targets[id] = e
+	if known && old.target.Service != service {
+		s.leave(old)
+	}
+	if known && old.sum == e.sum && reflect.DeepEqual(old.target, e.target) {
+		return
+	}
+	s.log.Note(s.changes+1, id)
+	if known && old.sum == e.sum {
+		return // its weights alone
+	}
+	if s.services[service] == nil {
+		s.services[service] = map[cf.InstanceID]bool{}
+	}
+	s.services[service][id] = true
+	delete(s.usable, service)
+	if known && old.target.Service == service {
+		s.relay.sums[service] ^= old.sum
+	}
+	s.relay.sums[service] ^= e.sum
+	s.relay.note(service, id)
 }
 
 // remove takes a target out of the view.
 func (s *Site) remove(id cf.InstanceID) {
-	s.relay.sum ^= s.targets[id].sum
+	old := s.targets[id]
 	delete(s.targets, id)
-	s.relay.bury(id)
+	s.leave(old)
+	s.log.Note(s.changes+1, id)
+}
+
+// leave takes a target out of its service.
+func (s *Site) leave(e entry) {
+	service := e.target.Service
+	delete(s.services[service], e.target.ID)
+	delete(s.usable, service)
+	s.relay.sums[service] ^= e.sum
+	s.relay.note(service, e.target.ID)
 }
 
 // StoreRegained records that the store answers again after it did not.
@@ -119,7 +156,7 @@
 	}
 	if len(gone) > 0 {
 		s.notify()
-		s.relay.notify()
+		s.relay.flush()
 	}
 	return gone
 }
@@ -166,6 +203,7 @@
 		return false, err // as a whole: the one in force goes on
 	}
 	s.config, s.configAt = &c, r
+	s.forward(c.Forwarded())
 	s.notify()
 	s.relay.notify()
 	return true, nil
@@ -194,7 +232,7 @@
 		}
 		s.remove(id)
 		s.notify()
-		s.relay.notify()
+		s.relay.flush()
 		return old.target, true, nil
 	}
 	t, err := s.codec.Target(r)
@@ -204,7 +242,7 @@
 		if known {
 			s.remove(id)
 			s.notify()
-			s.relay.notify()
+			s.relay.flush()
 		}
 		return old.target, known, err
 	}
@@ -219,9 +257,7 @@
 	}
 	s.put(entry{target: t, rev: r.Rev})
 	s.notify()
-	if s.targets[id].sum != old.sum {
-		s.relay.notify()
-	}
+	s.relay.flush()
 	return t, true, nil
 }
 
@@ -234,7 +270,6 @@
 		return nil, false
 	}
 	listed := make(map[cf.InstanceID]bool, len(list))
-	before := s.relay.sum
 	for _, t := range list {
 		listed[t.ID] = true
 		if old, ok := s.targets[t.ID]; !ok || old.rev <= at {
@@ -255,9 +290,7 @@
 	}
 	s.at = at
 	s.notify()
-	if s.relay.sum != before {
-		s.relay.notify()
-	}
+	s.relay.flush()
 	return gone, true
 }
 
@@ -275,34 +308,47 @@
 	return s.at
 }
 
-// Targets returns all targets, sorted by id. The list is not to be changed.
+// Targets returns all targets, sorted by id.
 func (s *Site) Targets() []cf.Target {
 	s.mu.RLock()
-	sorted := s.sorted
-	s.mu.RUnlock()
-	if sorted != nil {
-		return sorted
+	defer s.mu.RUnlock()
+	return s.sorted(maps.Keys(s.targets))
+}
+
+// sorted returns the targets with these ids, sorted by id. s.mu is held.
+func (s *Site) sorted(ids iter.Seq[cf.InstanceID]) []cf.Target {
+	out := []cf.Target{}
+	for id := range ids {
+		out = append(out, s.targets[id].target)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.list()
+	slices.SortFunc(out, func(a, b cf.Target) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return out
 }
 
-// list returns the targets, sorted by id. s.mu is held.
-func (s *Site) list() []cf.Target {
-	if s.sorted == nil {
-		s.sorted = make([]cf.Target, 0, len(s.targets))
-		for _, e := range s.targets {
-			s.sorted = append(s.sorted, e.target)
+// Since returns what has changed in the view of targets since the count of an earlier
+// answer; of a view that was never asked for, all of it. Its cost is that of the changes.
+func (s *Site) Since(count int64) Delta {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	d := Delta{Count: s.changes}
+	ids, known := s.log.Since(count)
+	if count <= 0 || !known {
+		d.Whole = true
+		d.Targets = s.sorted(maps.Keys(s.targets))
+		return d
+	}
+	for _, id := range ids {
+		if e, up := s.targets[id]; up {
+			d.Targets = append(d.Targets, e.target)
+		} else {
+			d.Gone = append(d.Gone, id)
 		}
-		sort.Slice(s.sorted, func(i, j int) bool { return s.sorted[i].ID < s.sorted[j].ID })
 	}
-	return s.sorted
+	return d
 }
 
-// Usable returns the targets of a service that take new work. The list is not to
-// be changed. It is kept until the view changes: made anew for each request it
-// cost 1.2 ms with 3,000 targets.
+// Usable returns the targets of a service that take new work, sorted by id. The list
+// is kept until one of them changes, and not to be changed.
 func (s *Site) Usable(service cf.ServiceName) []cf.Target {
 	s.mu.RLock()
 	out, known := s.usable[service]
@@ -312,14 +358,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, t := range s.list() {
-		if t.Service == service && !t.Draining {
-			out = append(out, t)
-		}
-	}
-	if s.usable == nil {
-		s.usable = map[cf.ServiceName][]cf.Target{}
-	}
+	out = slices.DeleteFunc(s.sorted(maps.Keys(s.services[service])), func(t cf.Target) bool { return t.Draining })
 	s.usable[service] = out
 	return out
 }
