--- a/core/cfmember/neighbour.go
+++ b/core/cfmember/neighbour.go
@@ -1,5 +1,7 @@
 package cfmember
 
+import "slices"
+
 // Neighbour returns the instance to which a coordinator, self, copies its texts, and
 // the one at the address avoid only if there is no other. Copies cost nothing within a
 // failure domain; the strong instances take the duty over, and find them at home.
@@ -26,3 +28,14 @@
 	}
 	return best
 }
+
+// Keepers returns the instances that may hold texts of a coordinator: all where there are no
+// hubs, else the strong ones, of which its neighbours and its hosts are. To ask hundreds of
+// others costs a successor a connection to each, in the moment in which all turn to it.
+func Keepers(entries, hubs []Entry) []Entry {
+	if len(hubs) == 0 {
+		return entries
+	}
+	strongest := Strongest(entries)
+	return slices.DeleteFunc(slices.Clone(entries), func(e Entry) bool { return !StrongOf(e.Capacity, strongest) })
+}
--- a/core/cfmember/ring.go
+++ b/core/cfmember/ring.go
@@ -1,7 +1,6 @@
 package cfmember
 
 import (
-	"hash/fnv"
 	"slices"
 	"strings"
 
@@ -34,9 +33,7 @@
 func drawn(all []Entry, self cf.EntryID) int {
 	best, most := 0, uint64(0)
 	for i, e := range all {
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(self + "\x00" + e.ID)) // a hash takes everything
-		if sum := mixed(h.Sum64()); e.ID != self && sum > most {
+		if sum := pairOf(self, e.ID); e.ID != self && sum > most {
 			best, most = i, sum
 		}
 	}
--- a/core/cfmember/scouts.go
+++ b/core/cfmember/scouts.go
@@ -1,22 +1,22 @@
 package cfmember
 
 import (
-	"cmp"
-	"hash/fnv"
-
 	cf "currantford"
 )
 
 const (
 	// scoutsLeast and scoutsPart say how many instances look after the store and the
 	// lease at once when the coordinator can't tell: enough for some of them to
-	// reach a store that turns a third away, and an eighth of many.
+	// reach a store that turns a third away, and an eighth of many. Where there are hubs,
+	// they are the scouts.
 	scoutsLeast = 8
 	scoutsPart  = 8
 	// leaveSilent is how long an instance that is no scout leaves the store to the others
 	// when the coordinator is silent: a configuration is to be in force within two
 	// seconds.
 	leaveSilent cf.Millis = 1500
+	// leaveHubs is the same where hubs are scouts, which list the targets first.
+	leaveHubs cf.Millis = 3000
 	// leaveAlive is the same where the coordinator answers and only has nothing new, and
 	// another instance has not either: the store is away then for both, for the two
 	// instances that the coordinator asks and for the scouts, of which one would replace
@@ -29,19 +29,19 @@
 // hear from the one that takes the duty over.
 //
 // The load it answers: an outage of the store, or the loss of the coordinator, on a
-// deployment of 72 instances, which all asked the store at once and went on asking: 2,900
-// of 5,700 calls of a day, at 1,300 instances more than the store takes when it returns.
-//
-// The strong come first, as they take the duty; of these the order is drawn by their ids,
-// so that the scouts lie in all failure domains.
-func Scout(entries []Entry, self Entry) bool {
+// deployment of hundreds of instances, which would all ask the store at once and go on
+// asking. Where there are hubs, they are the scouts.
+func Scout(entries, hubs []Entry, self Entry) bool {
+	if len(hubs) > 0 {
+		return Listed(hubs, self.ID)
+	}
 	most := max(scoutsLeast, len(entries)/scoutsPart)
 	if len(entries) <= most {
 		return true
 	}
-	before := 0
+	before, own := 0, ranked{self, drawOf(self.ID)}
 	for _, e := range entries {
-		if e.ID != self.ID && earlier(e, self) {
+		if e.ID != self.ID && earlier(ranked{e, drawOf(e.ID)}, own) < 0 {
 			before++
 		}
 	}
@@ -49,22 +49,15 @@
 }
 
 // LeaveStore returns how long after the last current word an instance that is no scout
-// leaves the store to others; away says that the coordinator and another instance answer that
-// they know nothing new.
-func LeaveStore(away bool) cf.Millis {
-	if away {
+// leaves the store to others; hubs says that there are hubs, away that the coordinator and
+// another instance answer that they know nothing new.
+func LeaveStore(hubs, away bool) cf.Millis {
+	switch {
+	case away:
 		return leaveAlive
+	case hubs:
+		return leaveHubs
+	default:
+		return leaveSilent
 	}
-	return leaveSilent
-}
-
-// earlier says whether a is a scout before b is.
-func earlier(a, b Entry) bool {
-	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(drawOf(a.ID), drawOf(b.ID)), cmp.Compare(a.ID, b.ID)) < 0
-}
-
-func drawOf(id cf.EntryID) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(id)) // a hash takes everything
-	return mixed(h.Sum64())
 }
--- a/core/cfmember/table.go
+++ b/core/cfmember/table.go
@@ -35,6 +35,8 @@
 	// is not safe for concurrent use.
 	Table struct {
 		heard map[cf.EntryID]heard
+		// groups are the instances for which others vouch.
+		groups map[cf.EntryID]Group
 		// live is the list as of its last change, which changes counts;
 		// stale is when an instance may drop out of it, at the earliest.
 		live    []Entry
@@ -45,6 +47,17 @@
 	heard struct {
 		entry Entry
 		at    cf.Millis
+		// said is when it told its age, by the hub that vouches for it, if it did not
+		// report here.
+		said cf.Millis
+		by   cf.EntryID
+	}
+
+	// Group is what a hub tells of the instances that ask it. Entries are left out where
+	// the recipient has those of the sum.
+	Group struct {
+		Sum     uint64  `cbor:"sum"`
+		Entries []Entry `cbor:"entries,omitempty"`
 	}
 )
 
@@ -53,18 +66,59 @@
 const Silence cf.Millis = 1500
 
 // Heard takes an instance's account of itself.
-func (t *Table) Heard(e Entry, now cf.Millis) {
+func (t *Table) Heard(e Entry, now cf.Millis) { t.note(e, "", now) }
+
+func (t *Table) note(e Entry, by cf.EntryID, now cf.Millis) {
 	if t.heard == nil {
 		t.heard = map[cf.EntryID]heard{}
 	}
 	old, known := t.heard[e.ID]
-	t.heard[e.ID] = heard{e, now}
-	old.entry.Age = e.Age // changes with each report
-	if !known || old.entry != e {
+	t.heard[e.ID] = heard{e, now, now, by}
+	if !known || !sameButAge(old.entry, e) {
 		t.stale = 0
 	}
 }
 
+// Vouched takes a hub's word for the instances that ask it. It returns the sum of the group
+// that is known here now; a hub whose group has another one tells its entries.
+func (t *Table) Vouched(hub cf.EntryID, g Group, now cf.Millis) uint64 {
+	known := t.groups[hub]
+	switch {
+	case g.Sum == known.Sum:
+		for _, e := range known.Entries {
+			if h, alive := t.heard[e.ID]; alive {
+				h.at = max(h.at, now)
+				t.heard[e.ID] = h
+			} else {
+				t.note(e, hub, now)
+			}
+		}
+		return known.Sum
+	case len(g.Entries) == 0 && g.Sum != 0:
+		return known.Sum
+	}
+	t.dissolve(hub)
+	for _, e := range g.Entries {
+		t.note(e, hub, now)
+	}
+	if t.groups == nil {
+		t.groups = map[cf.EntryID]Group{}
+	}
+	t.groups[hub] = g
+	return g.Sum
+}
+
+// dissolve forgets a hub's group, with the instances in it that nobody else has told of.
+func (t *Table) dissolve(hub cf.EntryID) {
+	for _, e := range t.groups[hub].Entries {
+		if t.heard[e.ID].by == hub {
+			delete(t.heard, e.ID)
+			t.stale = 0
+		}
+	}
+	delete(t.groups, hub)
+}
+
 // Adopt takes a table from a coordinator before: until each instance has had
 // time to report, it counts as heard, so that a change of coordinator does not
 // send all callers to one instance.
@@ -83,10 +137,7 @@
 	}
 	live, stale := t.collect(now)
 	t.stale = stale
-	if !slices.EqualFunc(live, t.live, func(a, b Entry) bool {
-		a.Age = b.Age
-		return a == b
-	}) || t.changes == 0 {
+	if !slices.EqualFunc(live, t.live, sameButAge) || t.changes == 0 {
 		t.live = live
 		t.changes++
 	}
@@ -109,10 +160,14 @@
 	for id, h := range t.heard {
 		if now-h.at > Silence {
 			delete(t.heard, id)
+			delete(t.groups, id)
 			continue
 		}
 		stale = min(stale, h.at+Silence+1)
 		if h.entry.Ready {
+			if h.by != "" {
+				h.entry.Age += now - h.said
+			}
 			live = append(live, h.entry)
 		}
 	}
@@ -140,9 +195,10 @@
 }
 
 // Strong says whether a capacity is enough for a duty among entries.
-func Strong(capacity float64, entries []Entry) bool {
-	return capacity >= strongPart*Strongest(entries)
-}
+func Strong(capacity float64, entries []Entry) bool { return StrongOf(capacity, Strongest(entries)) }
+
+// StrongOf says the same where the most capacity is known.
+func StrongOf(capacity, strongest float64) bool { return capacity >= strongPart*strongest }
 
 // Successor returns the instance that should take a duty over from one that
 // stops as planned: of the strong ones the youngest that has settled. In a rolling
--- a/io/cfnode/candidate.go
+++ b/io/cfnode/candidate.go
@@ -154,7 +154,14 @@
 }
 
 // heard notes that the instance believed to be the holder has answered.
-func (c *candidate) heard() { c.answered.Store(int64(cf.Uptime())) }
+func (c *candidate) heard() { c.heardAt(cf.Uptime()) }
+
+// heardAt is the same as of an earlier moment, by the word of a hub.
+func (c *candidate) heardAt(at cf.Millis) {
+	if int64(at) > c.answered.Load() {
+		c.answered.Store(int64(at))
+	}
+}
 
 // holderDead notes that the holder's process has ended.
 func (c *candidate) holderDead(h cflease.Holder) {
--- a/io/cfnode/feed.go
+++ b/io/cfnode/feed.go
@@ -47,6 +47,10 @@
 	// startGrace is how long a starting instance waits for a coordinator's word before
 	// it asks the store itself: it reads the lease and calls, within some 30 ms.
 	startGrace cf.Millis = 300
+	// startUnsure is the same while the coordinator answers that it has no current view
+	// yet, or that a hub is to be asked: where all start at once it lists the targets
+	// for all.
+	startUnsure cf.Millis = 3000
 	// staleWait is how long the coordinator holds a call while it has no current
 	// view itself.
 	staleWait = 300 * time.Millisecond
@@ -59,33 +63,50 @@
 	feedCall struct {
 		Entry   cfmember.Entry `cbor:"entry"`
 		Leaving bool           `cbor:"leaving,omitempty"`
-		// Term, News and Members are those of the last answer; Sum is that
-		// of the view of targets, Config the revision of the configuration
-		// in force.
-		Term    cf.Revision `cbor:"term"`
-		News    int64       `cbor:"news"`
-		Members int64       `cbor:"members"`
-		Sum     uint64      `cbor:"sum"`
-		Config  cf.Revision `cbor:"config"`
+		// Hub says that the instance which is asked need not be the coordinator, Without
+		// which hubs did not answer.
+		Hub     bool         `cbor:"hub,omitempty"`
+		Without []cf.EntryID `cbor:"without,omitempty"`
+		// Origin, News and Members are those of the last answer; Sum is that
+		// of the view of targets, MembersSum that of the roster, Config the revision
+		// of the configuration in force.
+		Origin     uint64      `cbor:"origin"`
+		News       int64       `cbor:"news"`
+		Sum        uint64      `cbor:"sum"`
+		Members    int64       `cbor:"members"`
+		MembersSum uint64      `cbor:"members_sum"`
+		Config     cf.Revision `cbor:"config"`
+		// Term is that of the coordinator as the caller knows it.
+		Term cf.Revision `cbor:"term"`
+		// Group are the instances that ask this one.
+		Group *cfmember.Group `cbor:"group,omitempty"`
 		// Wall is the instance's time of day, Usage what it has counted.
 		Wall  cf.Millis       `cbor:"wall,omitempty"`
 		Usage *cfusage.Report `cbor:"usage,omitempty"`
 	}
 
-	// feedAnswer brings an instance up to the coordinator's view. What the
-	// instance has already is left out.
+	// feedAnswer brings an instance up to the view of the coordinator, or of a hub. What
+	// the instance has already is left out.
 	feedAnswer struct {
 		Holder cflease.Holder `cbor:"holder"`
 		Rev    cf.Revision    `cbor:"rev"`
-		Fresh  bool           `cbor:"fresh"`
-		Config *cf.Record     `cbor:"config,omitempty"`
-		News   *cfsite.News   `cbor:"news,omitempty"`
-		// MembersAt counts the changes of the list of members, which is sent
-		// where it has changed.
-		MembersAt int64            `cbor:"members_at"`
-		Members   []cfmember.Entry `cbor:"members,omitempty"`
-		// Quarantine identifies what the coordinator knows of requests that crash
-		// targets, where Informed says that it knows all.
+		// Hub is who is to be asked instead; nothing else is told then.
+		Hub *cfmember.Entry `cbor:"hub,omitempty"`
+		// Fresh says that this is how things stand, as of Age ago; Unsure that the
+		// coordinator answers and has no current view, which it last did HolderAge ago.
+		Fresh     bool      `cbor:"fresh"`
+		Age       cf.Millis `cbor:"age,omitempty"`
+		Unsure    bool      `cbor:"unsure,omitempty"`
+		HolderAge cf.Millis `cbor:"holder_age,omitempty"`
+		// Origin identifies whose counts News and Members have.
+		Origin  uint64               `cbor:"origin"`
+		Config  *cf.Record           `cbor:"config,omitempty"`
+		News    *cfsite.News         `cbor:"news,omitempty"`
+		Members *cfmember.RosterNews `cbor:"members,omitempty"`
+		// GroupSum is that of the caller's group as it is known here.
+		GroupSum uint64 `cbor:"group_sum,omitempty"`
+		// Quarantine identifies what is known here of requests that crash targets, where
+		// Informed says that this is all.
 		Quarantine cfquarantine.Sums `cbor:"quarantine"`
 		Informed   bool              `cbor:"informed,omitempty"`
 		// Wall is the time of day by the clocks of all instances. UsageTaken says that
@@ -95,122 +116,86 @@
 		UsageSettled cf.UsageWindow `cbor:"usage_settled,omitempty"`
 	}
 
-	// feed is what an instance has from the coordinator.
+	// feed is what an instance has from the coordinator or its hub.
 	feed struct {
-		heard atomic.Int64 // Uptime of the last fresh answer
+		heard atomic.Int64 // Uptime as of which the last fresh answer is
 		// unsure is that of the last answer of a holder that knew nothing new, away
 		// that of the last of another instance, askedAt when one was asked last.
 		unsure, away, askedAt atomic.Int64
-		mu                    sync.Mutex
-		members               []cfmember.Entry
-		// term, news and membersAt say what the instance has.
-		term      cf.Revision
+		// callSince is when the call under way began, zero if none is.
+		callSince atomic.Int64
+		mu        sync.Mutex
+		// origin, news and membersAt say what the instance has.
+		origin    uint64
 		news      int64
 		membersAt int64
+		// groupSum is that of the own group as the coordinator knows it.
+		groupSum uint64
+		// hub is asked for news, the coordinator if there is none; until hubUntil, as of
+		// when another may be the one to ask. hubSilent are hubs that did not answer,
+		// with until when they are avoided.
+		hub      *cfmember.Entry
+		hubUntil cf.Millis
+		// follow is until when that hub is asked in any case.
+		follow cf.Millis
+		// pastAt is when the coordinator was asked last though there is a hub.
+		pastAt    cf.Millis
+		hubSilent map[cf.EntryID]cf.Millis
+		// settled is the last window of use that nobody needs, as told to those that ask
+		// this instance.
+		settled cf.UsageWindow
 	}
 )
 
-// fresh says whether the view from the coordinator is current.
-func (f *feed) fresh(now cf.Millis) bool { return now-cf.Millis(f.heard.Load()) < feedSilence }
-
-// serveFeed answers another instance's feed call.
-func (n *Node) serveFeed(ctx context.Context, call feedCall) (any, error) {
-	// A holder that can't renew, as the store is away, still is the holder, and says
-	// that it knows nothing new: were it silent, all others would ask the store.
-	if !n.candidate.Held() {
-		return nil, cf.ErrNotLeader
-	}
-	n.hear(call)
-	taken, settled := n.usage.hear(call.Usage)
-	if err := n.awaitNews(ctx, call); err != nil {
-		return nil, err
-	}
-	if !n.candidate.Held() {
-		return nil, cf.ErrNotLeader
-	}
-	a := n.answerFeed(call)
-	a.Wall, a.UsageTaken, a.UsageSettled = n.timeOfDay(), taken, settled
-	return a, nil
-}
-
-// awaitNews holds a call until there is something to tell, for a while.
-func (n *Node) awaitNews(ctx context.Context, call feedCall) error {
-	holder, _ := n.candidate.holder()
-	count, changed := n.site.Relay()
-	wait := feedWait.Duration()
-	switch {
-	case !n.current(cf.Uptime()):
-		wait = staleWait // nothing can be told yet
-	case call.Term != holder.Term || call.News != count:
-		return nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-changed:
-	case <-timer.C:
-	case <-ctx.Done():
-		return cf.ErrUnavailable
-	}
-	return nil
-}
-
-// answerFeed tells an instance what it does not know.
-func (n *Node) answerFeed(call feedCall) feedAnswer {
-	holder, rev := n.candidate.holder()
-	a := feedAnswer{Holder: holder, Rev: rev, Fresh: n.current(cf.Uptime()), Quarantine: n.guard.Table.Sums(), Informed: n.quarantine.known.Load()}
-	same := call.Term == holder.Term
-	a.Members, a.MembersAt = n.memberList()
-	if same && call.Members == a.MembersAt {
-		a.Members = nil
-	}
-	if !a.Fresh {
-		return a
-	}
-	if r := n.site.ConfigRecord(); r.Rev > call.Config {
-		a.Config = &r
-	}
-	if count, _ := n.site.Relay(); !same || call.News != count {
-		news := n.newsFor(call, same)
-		a.News = &news
-	}
-	return a
+// usageSettled returns the last window of use that nobody needs.
+func (f *feed) usageSettled() cf.UsageWindow {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.settled
 }
 
-// newsFor returns what an instance must hear of the targets.
-func (n *Node) newsFor(call feedCall, same bool) cfsite.News {
-	if same {
-		return n.site.NewsSince(call.News)
-	}
-	return n.site.AllNews(call.Sum)
-}
-
-func (n *Node) hear(call feedCall) {
-	n.memberMu.Lock()
-	defer n.memberMu.Unlock()
-	call.Entry.Ready = call.Entry.Ready && !call.Leaving
-	n.members.Heard(call.Entry, cf.Uptime())
-	if call.Wall > 0 {
-		n.clocks.Heard(call.Entry.ID, call.Wall, cf.Uptime())
-	}
-}
+// fresh says whether the view from the coordinator is current.
+func (f *feed) fresh(now cf.Millis) bool { return now-cf.Millis(f.heard.Load()) < feedSilence }
 
 // viewFresh says whether this instance's own watches are current.
 func (n *Node) viewFresh(now cf.Millis) bool {
 	w := n.watching.Load()
-	return w != nil && w.config.Age(now) < cfwatch.SiteFresh && w.targets.Age(now) < cfwatch.SiteFresh
+	return w != nil && w.config.Age(now) < cfwatch.SiteFresh && w.targets.Current(now, cfwatch.SiteFresh, cfwatch.SiteListed)
 }
 
-// current says whether this instance may tell others how things stand.
+// current says whether this instance may tell others how things stand, as the
+// coordinator.
 func (n *Node) current(now cf.Millis) bool { return n.candidate.Valid() && n.viewFresh(now) }
 
 // left is how long this instance leaves the store to the coordinator and the scouts after
 // the last current word; zero for a scout.
 func (n *Node) left(now cf.Millis) cf.Millis {
-	if n.scout() {
+	if n.starting(now) {
+		return now + 1 // as long as it starts
+	}
+	n.feed.mu.Lock()
+	behind := n.feed.hub != nil
+	n.feed.mu.Unlock()
+	if !behind && n.scout() {
 		return 0
 	}
-	return cfmember.LeaveStore(now-cf.Millis(n.feed.unsure.Load()) < outageTold && now-cf.Millis(n.feed.away.Load()) < outageTold)
+	away := now-cf.Millis(n.feed.unsure.Load()) < outageTold && now-cf.Millis(n.feed.away.Load()) < outageTold
+	n.memberMu.Lock()
+	defer n.memberMu.Unlock()
+	return cfmember.LeaveStore(behind || len(n.hubs()) > 0, away)
+}
+
+// starting says whether this instance has just started, and waits for the word of a
+// coordinator that it has found.
+func (n *Node) starting(now cf.Millis) bool {
+	if n.feed.heard.Load() > 0 {
+		return false
+	}
+	since := now - n.started
+	if call := cf.Millis(n.feed.callSince.Load()); call > 0 && since < startGrace+feedWait+feedGrace {
+		return true
+	}
+	return since < startUnsure && now-cf.Millis(n.feed.unsure.Load()) < outageTold
 }
 
 // alone says whether this instance must watch the store itself.
@@ -224,12 +209,13 @@
 // scout says whether this instance looks after the store as soon as the coordinator can't
 // tell how things stand.
 func (n *Node) scout() bool {
-	n.feed.mu.Lock()
-	defer n.feed.mu.Unlock()
-	return cfmember.Scout(n.feed.members, n.self())
+	n.memberMu.Lock()
+	defer n.memberMu.Unlock()
+	n.hubs()
+	return n.isScout
 }
 
-// runFeed asks the coordinator for news until ctx ends.
+// runFeed asks the coordinator, or a hub, for news until ctx ends.
 func (n *Node) runFeed(ctx context.Context) {
 	connected := ""
 	for ctx.Err() == nil {
@@ -239,7 +225,18 @@
 			cf.Sleep(ctx, feedRetry)
 			continue
 		}
-		err := n.feedOnce(ctx, holder.Addr)
+		if hub, ok := n.hubToAsk(holder); ok {
+			switch err := n.feedOnce(ctx, hub.Peers, true); {
+			case err == nil || ctx.Err() != nil:
+			case errors.Is(err, errNoWord):
+				n.askPast(ctx, holder, hub)
+			default:
+				n.log.Info("hub_lost", zap.String("entry", string(hub.ID)), cflog.Error(err))
+				n.hubLost(hub.ID)
+			}
+			continue
+		}
+		err := n.feedOnce(ctx, holder.Addr, false)
 		switch {
 		case err == nil && connected != holder.Addr:
 			n.log.Info("coordinator_found", zap.String("entry", string(holder.Entry)), zap.Int64("term", int64(holder.Term)))
@@ -259,49 +256,87 @@
 				n.log.Warn("coordinator_lost", zap.String("entry", string(holder.Entry)), cflog.Error(err))
 			}
 			connected = ""
+			n.findHub(holder)
 			cf.Sleep(ctx, feedRetry)
 		}
 	}
 }
 
-func (n *Node) feedOnce(ctx context.Context, addr string) error {
+func (n *Node) feedOnce(ctx context.Context, addr string, hub bool) error {
 	ctx, cancel := context.WithTimeout(ctx, (feedWait + feedGrace).Duration())
 	defer cancel()
 	asked := cf.Uptime()
-	n.feed.mu.Lock()
-	call := feedCall{
-		Entry: n.self(), Leaving: n.leaving.Load(), Term: n.feed.term, News: n.feed.news, Members: n.feed.membersAt,
-		Sum: n.site.Sum(), Config: n.site.ConfigRecord().Rev,
-	}
-	n.feed.mu.Unlock()
-	call.Usage = n.usage.report(call.Term)
-	if n.usage != nil {
-		call.Wall = cf.Now()
-	}
+	n.feed.callSince.Store(int64(asked))
+	defer n.feed.callSince.Store(0)
+	call := n.feedCall(hub, asked)
 	var a feedAnswer
 	if err := n.peers.Call(ctx, addr, opFeed, call, &a); err != nil {
 		return err
 	}
-	n.usage.heard(a, call.Usage)
+	if a.Hub != nil {
+		n.candidate.heard()
+		n.candidate.observe(a.Rev, a.Holder)
+		n.feed.unsure.Store(int64(cf.Uptime()))
+		n.setHub(*a.Hub)
+		n.feed.mu.Lock()
+		n.feed.follow = cf.Uptime() + hubFollow
+		n.feed.mu.Unlock()
+		return nil
+	}
+	n.usage.heard(a, call)
 	n.takeFeed(a, asked)
 	if a.Informed {
 		n.quarantine.compare(addr, a.Quarantine)
 	}
+	if hub {
+		n.usage.tellCounted()
+		if !a.Fresh && !a.Unsure && cf.Uptime()-cf.Millis(n.feed.heard.Load()) > hubDoubt {
+			return errNoWord
+		}
+	}
 	return nil
 }
 
+// feedCall returns the call that tells and asks how things stand.
+func (n *Node) feedCall(hub bool, now cf.Millis) feedCall {
+	call := feedCall{Entry: n.self(), Leaving: n.leaving.Load(), Hub: hub, Sum: n.site.Sum(), Config: n.site.ConfigRecord().Rev}
+	n.feed.mu.Lock()
+	call.Origin, call.News, call.Members, call.Without = n.feed.origin, n.feed.news, n.feed.membersAt, n.feed.silentHubs(now)
+	known := n.feed.groupSum
+	n.feed.mu.Unlock()
+	n.memberMu.Lock()
+	call.MembersSum = n.roster.Sum()
+	if !hub {
+		call.Group = n.group(known)
+	}
+	n.memberMu.Unlock()
+	holder, _ := n.candidate.holder()
+	call.Term = holder.Term
+	if !hub {
+		call.Usage = n.usage.report(call.Term)
+	}
+	if n.usage != nil {
+		call.Wall = cf.Now()
+	}
+	return call
+}
+
 func (n *Node) takeFeed(a feedAnswer, asked cf.Millis) {
-	n.candidate.heard()
+	n.candidate.heardAt(cf.Uptime() - a.HolderAge)
 	n.candidate.observe(a.Rev, a.Holder)
 	n.feed.mu.Lock()
-	if a.MembersAt != n.feed.membersAt || a.Holder.Term != n.feed.term {
-		n.feed.members, n.feed.membersAt = a.Members, a.MembersAt
+	n.feed.groupSum, n.feed.settled = a.GroupSum, a.UsageSettled
+	if n.feed.origin != a.Origin {
+		n.feed.origin, n.feed.news, n.feed.membersAt = a.Origin, -1, -1
 	}
 	n.feed.mu.Unlock()
+	n.takeMembers(a.Members)
 	if !a.Fresh {
-		n.feed.unsure.Store(int64(cf.Uptime()))
-		if !n.scout() {
-			n.confirmOutage()
+		if a.Unsure {
+			n.feed.unsure.Store(int64(cf.Uptime()))
+			if !n.scout() {
+				n.confirmOutage()
+			}
 		}
 		return
 	}
@@ -315,22 +350,36 @@
 				zap.Int64("revision", int64(a.Config.Rev)), zap.String("source", "coordinator"))
 		}
 	}
-	n.takeNews(a.Holder.Term, a.News)
+	n.takeNews(a.News)
 	// The answer shows the view as of its sending. One that took longer than
 	// a call may was held up on the way, or this machine was suspended.
 	heard := cf.Uptime()
 	if heard-asked > feedWait+feedGrace {
 		heard = asked
 	}
-	n.feed.heard.Store(int64(heard))
+	n.feed.heard.Store(int64(heard - a.Age))
 }
 
-// takeNews takes what the coordinator tells of the targets. A view that differs
-// afterwards is asked for as a whole.
-func (n *Node) takeNews(term cf.Revision, news *cfsite.News) {
+// takeMembers takes what is told of the instances. A roster that differs afterwards is
+// asked for as a whole.
+func (n *Node) takeMembers(news *cfmember.RosterNews) {
+	if news == nil {
+		return
+	}
+	n.memberMu.Lock()
+	same := n.keeping || n.roster.Take(*news)
+	n.memberMu.Unlock()
 	n.feed.mu.Lock()
-	n.feed.term = term
-	n.feed.mu.Unlock()
+	defer n.feed.mu.Unlock()
+	n.feed.membersAt = news.Count
+	if !same {
+		n.feed.origin = 0
+	}
+}
+
+// takeNews takes what is told of the targets. A view that differs afterwards is asked for
+// as a whole.
+func (n *Node) takeNews(news *cfsite.News) {
 	if news == nil {
 		return
 	}
@@ -341,6 +390,6 @@
 	defer n.feed.mu.Unlock()
 	n.feed.news = news.Count
 	if !same {
-		n.feed.term = 0
+		n.feed.origin = 0
 	}
 }
--- /dev/null
+++ b/io/cfnode/feedserve.go
@@ -0,0 +1,157 @@
+package cfnode
+
+import (
+	"context"
+	"time"
+
+	cf "currantford"
+	"currantford/core/cfmember"
+	"currantford/core/cfsite"
+)
+
+// serveFeed answers another instance's feed call.
+func (n *Node) serveFeed(ctx context.Context, call feedCall) (any, error) {
+	// A holder that can't renew, as the store is away, still is the holder, and says
+	// that it knows nothing new: were it silent, all others would ask the store.
+	holds := n.candidate.Held()
+	if !holds && !call.Hub {
+		return nil, cf.ErrNotLeader
+	}
+	groupSum := n.hear(call, holds)
+	if holds {
+		if hub, other := n.hubOf(call); other {
+			holder, rev := n.candidate.holder()
+			return feedAnswer{Holder: holder, Rev: rev, Hub: &hub}, nil
+		}
+	}
+	taken, settled := n.usage.hear(call.Usage)
+	if err := n.awaitNews(ctx, call); err != nil {
+		return nil, err
+	}
+	if holds && !n.candidate.Held() {
+		return nil, cf.ErrNotLeader
+	}
+	if !holds {
+		settled = n.feed.usageSettled()
+	}
+	a := n.answerFeed(call)
+	a.GroupSum, a.Wall, a.UsageTaken, a.UsageSettled = groupSum, n.timeOfDay(holds), taken, settled
+	return a, nil
+}
+
+// awaitNews holds a call until there is something to tell, for a while.
+func (n *Node) awaitNews(ctx context.Context, call feedCall) error {
+	count, changed := n.site.Relay()
+	wait := feedWait.Duration()
+	switch fresh, _ := n.word(cf.Uptime()); {
+	case !fresh:
+		wait = staleWait // nothing can be told yet
+	case call.Origin != n.origin || call.News != count:
+		return nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+		return cf.ErrUnavailable
+	}
+	return nil
+}
+
+// word says whether this instance may tell others how things stand, and as of how long
+// ago.
+func (n *Node) word(now cf.Millis) (fresh bool, age cf.Millis) {
+	switch {
+	case n.current(now):
+		return true, 0
+	case n.candidate.Held():
+		return false, 0
+	case n.viewFresh(now):
+		return true, 0
+	default:
+		return n.feed.fresh(now), now - cf.Millis(n.feed.heard.Load())
+	}
+}
+
+// answerFeed tells an instance what it does not know.
+func (n *Node) answerFeed(call feedCall) feedAnswer {
+	now := cf.Uptime()
+	holder, rev := n.candidate.holder()
+	a := feedAnswer{Holder: holder, Rev: rev, Origin: n.origin, Quarantine: n.guard.Table.Sums(), Informed: n.quarantine.known.Load()}
+	a.Fresh, a.Age = n.word(now)
+	if n.candidate.Held() {
+		a.Unsure = !a.Fresh
+	} else {
+		a.HolderAge = now - cf.Millis(n.candidate.answered.Load())
+		a.Unsure = !a.Fresh && now-cf.Millis(n.feed.unsure.Load()) < outageTold
+	}
+	same := call.Origin == n.origin
+	n.memberMu.Lock()
+	n.live(now)
+	switch {
+	case !same:
+		news := n.roster.All(call.MembersSum)
+		a.Members = &news
+	case call.Members != n.roster.Count():
+		news := n.roster.Since(call.Members)
+		a.Members = &news
+	}
+	n.memberMu.Unlock()
+	if !a.Fresh {
+		return a
+	}
+	if r := n.site.ConfigRecord(); r.Rev > call.Config {
+		a.Config = &r
+	}
+	if count, _ := n.site.Relay(); !same || call.News != count {
+		news := n.newsFor(call, same)
+		a.News = &news
+	}
+	return a
+}
+
+// newsFor returns what an instance must hear of the targets.
+func (n *Node) newsFor(call feedCall, same bool) cfsite.News {
+	if same {
+		return n.site.NewsSince(call.News)
+	}
+	return n.site.AllNews(call.Sum)
+}
+
+// hear takes an instance's report: as the coordinator, or as its hub. It returns the sum of
+// its group as it is known now.
+func (n *Node) hear(call feedCall, holds bool) (groupSum uint64) {
+	n.memberMu.Lock()
+	defer n.memberMu.Unlock()
+	now := cf.Uptime()
+	call.Entry.Ready = call.Entry.Ready && !call.Leaving
+	if !holds {
+		n.clients.Heard(call.Entry, now)
+		return 0
+	}
+	n.members.Heard(call.Entry, now)
+	if call.Wall > 0 {
+		n.clocks.Heard(call.Entry.ID, call.Wall, now)
+	}
+	if call.Group == nil {
+		return 0
+	}
+	return n.members.Vouched(call.Entry.ID, *call.Group, now)
+}
+
+// group returns what this instance tells the coordinator of those that ask it, nil if
+// nobody does. memberMu is held.
+func (n *Node) group(known uint64) *cfmember.Group {
+	live := n.clients.Live(cf.Uptime())
+	if len(live) == 0 && known == 0 {
+		return nil
+	}
+	n.clientRoster.Set(live)
+	g := &cfmember.Group{Sum: n.clientRoster.Sum()}
+	if g.Sum != known {
+		g.Entries = live
+	}
+	return g
+}
--- /dev/null
+++ b/io/cfnode/fleet_test.go
@@ -0,0 +1,225 @@
+package cfnode
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/core/cfmember"
+	"currantford/core/cfsite"
+	"currantford/testbed/cfstandin"
+)
+
+const (
+	fleetSize    = 150
+	fleetDomains = 3
+	fleetLogs    = 60
+	fleetEngines = 600
+)
+
+// countedStore is a store whose watches wait, and which counts the lists of targets.
+type countedStore struct {
+	*cfstandin.MemStore
+	lists, calls atomic.Int64
+}
+
+func (s *countedStore) Get(ctx context.Context, kind, name string) (cf.Record, error) {
+	s.calls.Add(1)
+	return s.MemStore.Get(ctx, kind, name)
+}
+
+func (s *countedStore) List(ctx context.Context, kind string) (cf.Records, error) {
+	s.calls.Add(1)
+	if kind == (cfstandin.Codec{}).Kinds().Targets {
+		s.lists.Add(1)
+	}
+	return s.MemStore.List(ctx, kind)
+}
+
+func (s *countedStore) Watch(ctx context.Context, kind string, since cf.Revision, wait cf.Millis) (cf.Records, error) {
+	s.calls.Add(1)
+	for deadline := cf.Uptime() + wait; ; {
+		out, err := s.MemStore.Watch(ctx, kind, since, 0)
+		if err != nil || len(out.Items) > 0 || cf.Uptime() >= deadline || !cf.Sleep(ctx, 10*time.Millisecond) {
+			return out, err
+		}
+	}
+}
+
+// testFleet is a deployment of many instances in one process, before one store.
+type testFleet struct {
+	t     *testing.T
+	store *countedStore
+	nodes map[cf.EntryID]*Node
+	stop  map[cf.EntryID]func()
+}
+
+func newTestFleet(t *testing.T) *testFleet {
+	t.Helper()
+	f := &testFleet{t: t, store: &countedStore{MemStore: cfstandin.NewMemStore()}, nodes: map[cf.EntryID]*Node{}, stop: map[cf.EntryID]func(){}}
+	kinds := cfstandin.Codec{}.Kinds()
+	f.create(kinds.Config, "main", cfsite.Config{Version: 1, Routes: []cfsite.Route{
+		{Host: "h", Prefix: "/log/", Kind: cfsite.KindIdempotent, Split: []cfsite.Share{{Service: "log", Weight: 1}}},
+		{Host: "h", Prefix: "/step/", Kind: cfsite.KindBatch, Split: []cfsite.Share{{Service: "engines", Weight: 1}}},
+	}, Services: []cfsite.Service{{Name: "log"}, {Name: "engines", Models: []cf.ModelName{"m"}}}})
+	for i := range fleetLogs {
+		f.create(kinds.Targets, fmt.Sprintf("log-%03d", i), f.log(i))
+	}
+	for i := range fleetEngines {
+		id := fmt.Sprintf("engine-%03d", i)
+		f.create(kinds.Targets, id, cf.Target{ID: cf.InstanceID(id), Service: "engines", Slots: 4, Models: []cf.ModelState{{Name: "m", Version: 1}}})
+	}
+	for i := range fleetSize {
+		f.start(i)
+	}
+	t.Cleanup(func() {
+		var wg sync.WaitGroup
+		for _, stop := range f.stop {
+			wg.Go(stop)
+		}
+		wg.Wait()
+	})
+	return f
+}
+
+func (f *testFleet) log(i int) cf.Target {
+	return cf.Target{ID: cf.InstanceID(fmt.Sprintf("log-%03d", i)), Service: "log", Slots: 4, Addr: fmt.Sprintf("10.0.0.%d:1", i)}
+}
+
+func (f *testFleet) create(kind, name string, v any) {
+	f.t.Helper()
+	if _, err := f.store.Create(context.Background(), kind, name, v); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// start starts an instance; one in five is strong.
+func (f *testFleet) start(i int) {
+	f.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	s := Settings{
+		Entry: cf.EntryID(fmt.Sprintf("front-%03d", i)), Domain: cf.FailureDomain(fmt.Sprint("d", i%fleetDomains)),
+		Listen: Listen{Peers: addr, Callers: addr}, Bounds: Bounds{GraceS: 1, KeepResultsS: 1, LeaseMs: 3000}, Members: MemberSettings{HubsFrom: cfmember.HubsFrom}, Machine: MachineSettings{Cores: 1, CPUShare: 0.2},
+	}
+	if i/fleetDomains%5 == 0 {
+		s.Machine.CPUShare = 1
+	}
+	n := New(s, Adapter{Store: f.store, Codec: cfstandin.Codec{}, Relay: noRelay{}}, prometheus.NewRegistry(), zap.NewNop())
+	srv := &http.Server{Handler: n.PeerHandler(), ReadHeaderTimeout: time.Second}
+	go func() { _ = srv.Serve(l) }() // ends with the server
+	n.Start()
+	f.nodes[s.Entry] = n
+	f.stop[s.Entry] = sync.OnceFunc(func() {
+		_ = srv.Close()
+		_ = n.Close()
+	})
+}
+
+// kill ends an instance without a word to the others.
+func (f *testFleet) kill(id cf.EntryID) {
+	f.stop[id]()
+	delete(f.nodes, id)
+}
+
+// settled waits until all instances know all others and the targets to which they forward.
+func (f *testFleet) settled(what string, logs int) {
+	f.t.Helper()
+	behind := func() string {
+		for id, n := range f.nodes {
+			if n.coord.Load() == nil && !n.feed.fresh(cf.Uptime()) {
+				return fmt.Sprint(id, " has no current word")
+			}
+			if live := n.Live(); len(live) != len(f.nodes) {
+				return fmt.Sprint(id, " knows ", len(live), " instances")
+			}
+			if usable := n.site.Usable("log"); len(usable) != logs {
+				return fmt.Sprint(id, " knows ", len(usable), " targets")
+			}
+		}
+		return ""
+	}
+	for deadline := time.Now().Add(60 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		why := behind()
+		if why == "" {
+			return
+		}
+		if time.Now().After(deadline) {
+			f.t.Fatalf("%s: %s", what, why)
+		}
+	}
+}
+
+func (f *testFleet) holder() *Node {
+	f.t.Helper()
+	for _, n := range f.nodes {
+		if n.coord.Load() != nil {
+			return n
+		}
+	}
+	f.t.Fatal("nobody has the duty")
+	return nil
+}
+
+// hubOf returns an instance that passes news on to others.
+func (f *testFleet) hub() cf.EntryID {
+	f.t.Helper()
+	for id, n := range f.nodes {
+		n.memberMu.Lock()
+		clients := len(n.clients.Live(cf.Uptime()))
+		n.memberMu.Unlock()
+		if clients > 0 && n.coord.Load() == nil {
+			return id
+		}
+	}
+	f.t.Fatal("there is no hub")
+	return ""
+}
+
+// Load: a fleet whose coordinator can't answer each instance, and which starts at once;
+// then loses a hub, and its coordinator. What is asked of the store and of the coordinator
+// follows the hubs, and what an instance is told what it forwards to.
+func TestFleetIsToldByHubs(t *testing.T) {
+	f := newTestFleet(t)
+	f.settled("start", fleetLogs)
+	hubs := len(cfmember.Hubs(f.holder().Live(), cfmember.HubsFrom))
+	if lists := f.store.lists.Load(); lists > int64(hubs) {
+		t.Errorf("the targets were listed %d times at the start, by a fleet with %d hubs", lists, hubs)
+	}
+	for id, n := range f.nodes {
+		if n.coord.Load() == nil && len(n.site.Targets()) > fleetLogs {
+			t.Errorf("%s holds %d targets, and forwards to %d", id, len(n.site.Targets()), fleetLogs)
+		}
+	}
+	drained := f.log(7)
+	drained.Draining = true
+	r, err := f.store.Get(context.Background(), cfstandin.Codec{}.Kinds().Targets, "log-007")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.store.Replace(context.Background(), cfstandin.Codec{}.Kinds().Targets, "log-007", r.Rev, drained); err != nil {
+		t.Fatal(err)
+	}
+	f.settled("a target drains", fleetLogs-1)
+	f.kill(f.hub())
+	f.settled("a hub is lost", fleetLogs-1)
+	before := f.store.lists.Load()
+	f.kill(f.holder().settings.Entry)
+	f.settled("the coordinator is lost", fleetLogs-1)
+	f.holder()
+	if lists := f.store.lists.Load() - before; lists > int64(hubs)+1 {
+		t.Errorf("the targets were listed %d times after the loss of the coordinator, by a fleet with %d hubs", lists, hubs)
+	}
+}
--- a/io/cfnode/node.go
+++ b/io/cfnode/node.go
@@ -17,7 +17,9 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -102,8 +104,23 @@
 		clocks cfusage.Clocks
 		pool   atomic.Pointer[cfrunner.Pool]
 
+		// origin identifies the counts of this process's answers to feed calls.
+		origin   uint64
 		memberMu sync.Mutex
-		members  cfmember.Table
+		// members are the instances as the coordinator hears of them, roster those that
+		// take callers, as this instance knows, with the hubs among them as of a count
+		// of its changes; clients those that ask this instance as their hub.
+		members     cfmember.Table
+		membersSeen int64
+		// keeping: this instance keeps the roster, as the coordinator.
+		keeping      bool
+		liveAt       cf.Millis
+		roster       cfmember.Roster
+		hubList      []cfmember.Entry
+		hubsAt       int64
+		isScout      bool
+		clients      cfmember.Table
+		clientRoster cfmember.Roster
 
 		ctx    context.Context
 		cancel context.CancelFunc
@@ -130,7 +147,7 @@
 	n := &Node{
 		settings: s, adapter: a, log: log, site: cfsite.New(a.Codec), metrics: cfcoord.NewMetrics(reg),
 		peers: cfpeer.NewClient(), peerSrv: cfpeer.NewServer(), ctx: ctx, cancel: cancel,
-		started: cf.Uptime(), candidateDone: make(chan struct{}), pages: cfcoord.NewLinkBudget(s.Machine.LinkMbps),
+		started: cf.Uptime(), origin: rand.Uint64(), hubsAt: -1, candidateDone: make(chan struct{}), pages: cfcoord.NewLinkBudget(s.Machine.LinkMbps),
 		host: cfrunner.NewHost(a.Targets, log), watchMetrics: cfwatch.NewMetrics(reg),
 	}
 	n.quarantine = newQuarantine(n)
@@ -209,7 +226,7 @@
 	n.leaving.Store(true)
 	n.candidate.leaving.Store(true)
 	n.ingress.Stop()
-	n.hear(feedCall{Entry: n.self(), Leaving: true})
+	n.hear(feedCall{Entry: n.self(), Leaving: true}, true)
 }
 
 // HandOver gives up the coordinator's duty, if the instance has it, and does not
@@ -266,9 +283,9 @@
 	if n.settings.Policy.DutyAnywhere {
 		return false
 	}
-	n.feed.mu.Lock()
-	defer n.feed.mu.Unlock()
-	return !cfmember.Strong(n.settings.Machine.Capacity(), n.feed.members)
+	n.memberMu.Lock()
+	defer n.memberMu.Unlock()
+	return !cfmember.Strong(n.settings.Machine.Capacity(), n.roster.Entries())
 }
 
 const (
@@ -328,39 +345,41 @@
 // Live implements cfingress.Members: as coordinator from the instances' own
 // reports, else as the coordinator last told.
 func (n *Node) Live() []cfmember.Entry {
-	if n.candidate.Valid() {
-		members, _ := n.memberList()
-		return members
+	self, ready := n.self(), n.ingress.Ready()
+	n.memberMu.Lock()
+	live := n.live(cf.Uptime())
+	n.memberMu.Unlock()
+	at, known := slices.BinarySearchFunc(live, self.ID, func(e cfmember.Entry, id cf.EntryID) int { return strings.Compare(string(e.ID), string(id)) })
+	switch {
+	case known == ready:
+		return live
+	case ready:
+		return slices.Insert(slices.Clone(live), at, self)
+	default:
+		return slices.Delete(slices.Clone(live), at, at+1)
 	}
-	n.feed.mu.Lock()
-	defer n.feed.mu.Unlock()
-	var out []cfmember.Entry
-	known := false
-	for _, e := range n.feed.members {
-		if e.ID == n.settings.Entry {
-			known = true
-			if !n.ingress.Ready() {
-				continue
-			}
+}
+
+// live returns the instances that take callers, as this one knows; the list is not to be
+// changed. memberMu is held.
+func (n *Node) live(now cf.Millis) []cfmember.Entry {
+	if n.keeping && (now-n.liveAt >= liveEvery || len(n.roster.Entries()) < liveFew) {
+		n.liveAt = now
+		n.members.Heard(n.self(), now)
+		if live := n.members.Live(now); n.members.Changes() != n.membersSeen {
+			n.roster.Set(live)
+			n.membersSeen = n.members.Changes()
 		}
-		out = append(out, e)
 	}
-	if !known && n.ingress.Ready() {
-		out = append(out, n.self())
-	}
-	return out
+	return n.roster.Entries()
 }
 
-// memberList returns the instances as the coordinator has heard of them, and the
-// count of the list's changes.
-func (n *Node) memberList() ([]cfmember.Entry, int64) {
-	n.memberMu.Lock()
-	defer n.memberMu.Unlock()
-	now := cf.Uptime()
-	n.members.Heard(n.self(), now)
-	live := n.members.Live(now)
-	return live, n.members.Changes()
-}
+const (
+	// liveEvery spaces the coordinator's looks at a long list of instances, from liveFew
+	// on: when hundreds start, each of their first calls changes it.
+	liveEvery cf.Millis = 50
+	liveFew             = 100
+)
 
 // successor returns the instance that should take the duty over, other than those
 // left out.
@@ -374,10 +393,9 @@
 
 func (n *Node) beginDuty(before cflease.Holder, left json.RawMessage) {
 	n.memberMu.Lock()
-	n.feed.mu.Lock()
-	members := n.feed.members
-	n.feed.mu.Unlock()
+	members := n.roster.Entries()
 	n.members.Adopt(members, cf.Uptime())
+	n.membersSeen, n.keeping = 0, true
 	n.memberMu.Unlock()
 	pool := n.newPool()
 	n.pool.Store(pool)
@@ -433,11 +451,11 @@
 		pool := n.pool.Swap(nil)
 		pool.Hurry()
 		defer func() { _ = pool.Close() }()
-		// What the coordinator before told is as old as this duty.
-		members, _ := n.memberList()
-		n.feed.mu.Lock()
-		n.feed.members, n.feed.term = members, 0
-		n.feed.mu.Unlock()
+		n.memberMu.Lock()
+		n.liveAt = 0
+		n.live(cf.Uptime())
+		n.keeping = false
+		n.memberMu.Unlock()
 		_ = c.Close()
 		n.texts.Store(&keptTexts{pool.Term, c.Texts()})
 	}
--- a/io/cfnode/quarantine.go
+++ b/io/cfnode/quarantine.go
@@ -288,7 +288,7 @@
 		q.keep(now)
 	case fresh:
 	default:
-		if !q.known.Load() && now-n.started >= startGrace {
+		if !q.known.Load() && n.alone(now) {
 			q.read(now)
 		}
 		// No coordinator is there to compare with; any other instance will do.
--- a/io/cfnode/settings.go
+++ b/io/cfnode/settings.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	cf "currantford"
+	"currantford/core/cfmember"
 	"currantford/io/cfcoord"
 )
 
@@ -31,6 +32,14 @@
 		Control ControlSettings `json:"control"`
 		Usage   UsageSettings   `json:"usage"`
 		Policy  PolicySettings  `json:"policy"`
+		Members MemberSettings  `json:"members"`
+	}
+
+	// MemberSettings say how the instances hear of each other.
+	MemberSettings struct {
+		// HubsFrom is from how many instances on some pass the coordinator's news on to
+		// the others; cfmember.HubsFrom where it is not given.
+		HubsFrom int `json:"hubs_from"`
 	}
 
 	// PolicySettings turn decisions off, to measure what they bring.
@@ -113,7 +122,7 @@
 // ReadSettings reads and checks a settings file. Errors name the JSON path of
 // each bad field.
 func ReadSettings(path string) (Settings, error) {
-	var s Settings
+	s := Settings{Members: MemberSettings{HubsFrom: cfmember.HubsFrom}}
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return s, eris.Wrap(err, "read settings")
@@ -167,6 +176,9 @@
 	if s.Bounds.KeyTrustMs < 0 {
 		bad("bounds.key_trust_ms", "must not be under 0")
 	}
+	if s.Members.HubsFrom < 2 {
+		bad("members.hubs_from", "must be over 1")
+	}
 	if s.Usage.WindowS < 0 || s.Usage.LateS < 0 {
 		bad("usage", "must not be under 0")
 	}
--- a/io/cfnode/texts.go
+++ b/io/cfnode/texts.go
@@ -163,7 +163,10 @@
 	if before.Copies != "" && before.Copies != n.settings.Listen.Peers {
 		addrs[before.Copies] = true
 	}
-	for _, e := range members {
+	n.memberMu.Lock()
+	hubs := n.hubs()
+	n.memberMu.Unlock()
+	for _, e := range cfmember.Keepers(members, hubs) {
 		if e.ID != n.settings.Entry {
 			addrs[e.Peers] = true
 		}
--- a/io/cfnode/usage.go
+++ b/io/cfnode/usage.go
@@ -27,6 +27,9 @@
 	// what they have counted; what is not told at once comes with the next report of
 	// life.
 	tellTimes = 100
+	// tellMost is the longest time until an instance tells what it has counted: its hub
+	// passes no counts on.
+	tellMost cf.Millis = 1000
 	// flushRetry is the pause between the tries of an instance that stops; flushBudget
 	// bounds them all.
 	flushRetry  = 50 * time.Millisecond
@@ -72,7 +75,7 @@
 func (u *usage) tell() {
 	n := u.node
 	now, last := cf.Uptime(), u.toldAt.Load()
-	if now-cf.Millis(last) < cf.Millis(1000*len(n.Live())/tellTimes) || !u.toldAt.CompareAndSwap(last, int64(now)) {
+	if now-cf.Millis(last) < min(cf.Millis(1000*len(n.Live())/tellTimes), tellMost) || !u.toldAt.CompareAndSwap(last, int64(now)) {
 		return
 	}
 	if u.duty.Load() != nil {
@@ -88,6 +91,17 @@
 	})
 }
 
+// tellCounted tells the holder what it has not taken yet, if there is anything.
+func (u *usage) tellCounted() {
+	if u == nil {
+		return
+	}
+	holder, _ := u.node.candidate.holder()
+	if len(u.meter.Report(holder.Term, u.now()).Windows) > 0 {
+		u.tell()
+	}
+}
+
 // usageMessage tells the holder of a term what an instance has counted.
 type usageMessage struct {
 	Term   cf.Revision    `cbor:"term"`
@@ -124,8 +138,8 @@
 	return true, d.Take(*r)
 }
 
-// heard takes the holder's answer to a report of life.
-func (u *usage) heard(a feedAnswer, r *cfusage.Report) {
+// heard takes the answer to a report of life.
+func (u *usage) heard(a feedAnswer, call feedCall) {
 	if u == nil {
 		return
 	}
@@ -133,15 +147,20 @@
 		u.clock.Told(a.Wall, cf.Now(), cf.Uptime())
 	}
 	u.meter.Settle(a.UsageSettled)
-	u.took(a.Holder.Term, *r, a.UsageTaken)
+	if call.Usage != nil && a.Holder.Term == call.Term { // another holder may lack what this one had
+		u.took(call.Term, *call.Usage, a.UsageTaken)
+	}
 }
 
 // timeOfDay returns the time of day by the clocks of all instances, zero where nobody
-// needs it.
-func (n *Node) timeOfDay() cf.Millis {
+// needs it: as the coordinator, or as that one has told.
+func (n *Node) timeOfDay(holds bool) cf.Millis {
 	if n.usage == nil {
 		return 0
 	}
+	if !holds {
+		return n.usage.now()
+	}
 	n.memberMu.Lock()
 	defer n.memberMu.Unlock()
 	wall, uptime := cf.Now(), cf.Uptime()
--- a/io/cfwatch/site.go
+++ b/io/cfwatch/site.go
@@ -17,6 +17,8 @@
 	// SiteFresh is the age beyond which a view of the site is doubted: a
 	// whole wait and a slow answer.
 	SiteFresh cf.Millis = 1100
+	// SiteListed is the same of a view of targets that is listed again.
+	SiteListed cf.Millis = 2200
 	// targetPause lets the changes of targets gather between calls.
 	targetPause cf.Millis = 100
 )
--- a/io/cfwatch/watch.go
+++ b/io/cfwatch/watch.go
@@ -60,10 +60,12 @@
 	Metrics *Metrics
 
 	contact atomic.Int64
-	at      cf.Revision
-	listed  bool
-	behind  bool // since the list no changes were asked for
-	failing bool
+	// relisting: the store has dropped its history, and the list is being read again.
+	relisting atomic.Bool
+	at        cf.Revision
+	listed    bool
+	behind    bool // since the list no changes were asked for
+	failing   bool
 }
 
 // Metrics are the watchers' counters.
@@ -94,6 +96,16 @@
 	return now - at
 }
 
+// Current says whether the view was known to be current within fresh, or within listed while
+// it is listed again: what takes longer the more there is to list makes it no worse than it
+// was a moment before.
+func (w *Watcher) Current(now, fresh, listed cf.Millis) bool {
+	if w.relisting.Load() {
+		fresh = listed
+	}
+	return w.Age(now) < fresh
+}
+
 // Run follows the kind until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	retry := retryFirst
@@ -152,6 +164,7 @@
 	if errors.Is(err, cf.ErrHistoryGone) {
 		w.Log.Info("watch_history_gone", zap.String("kind", w.Kind), zap.Int64("since", int64(w.at)))
 		w.listed = false
+		w.relisting.Store(true)
 		return nil
 	}
 	if err != nil {
@@ -174,6 +187,7 @@
 func (w *Watcher) reached(at cf.Revision, when cf.Millis) {
 	w.at = max(w.at, at)
 	w.contact.Store(int64(when))
+	w.relisting.Store(false)
 	if w.Contact != nil {
 		w.Contact(w.at)
 	}
