--- /dev/null
+++ b/core/cfpeak/cfpeak.go
@@ -0,0 +1,35 @@
+// Package cfpeak remembers the most of a number over a while.
+//
+// Usage:
+//
+//	var p cfpeak.Peak
+//	p.Note(running, now)
+//	most := p.Of(now)
+package cfpeak
+
+import cf "currantford"
+
+// span is for how long the most is remembered, at least: the steps of a trainer are
+// seconds apart, and what follows their size should not change between them.
+const span cf.Millis = 30000
+
+// Peak is the most of a number in the last one or two spans. The zero value has seen
+// nothing.
+type Peak struct {
+	now, before int
+	since       cf.Millis
+}
+
+// Note takes the number as of at.
+func (p *Peak) Note(n int, at cf.Millis) {
+	p.Of(at)
+	p.now = max(p.now, n)
+}
+
+// Of returns the most, as of at.
+func (p *Peak) Of(at cf.Millis) int {
+	if at-p.since > span {
+		p.before, p.now, p.since = p.now, 0, at
+	}
+	return max(p.before, p.now)
+}
--- a/core/cfrollout/bench_test.go
+++ b/core/cfrollout/bench_test.go
@@ -30,3 +30,63 @@
 		})
 	}
 }
+
+// sameWork returns a planner before n engines with six trainers, each of which has a step of
+// 208 items under way and has named the version of the next.
+func sameWork(n int) (*cfrollout.Planner, []cf.Target) {
+	p := cfrollout.New(cfrollout.DefaultLimits)
+	var names []cf.ModelName
+	var held []cf.ModelState
+	for i := range 6 {
+		m := cf.ModelName(fmt.Sprint("m", i))
+		names = append(names, m)
+		held = append(held, cf.ModelState{Name: m, Version: 1})
+	}
+	targets := make([]cf.Target, n)
+	for i := range targets {
+		targets[i] = cf.Target{ID: cf.InstanceID(fmt.Sprintf("e%05d", i)), Service: service, Slots: 6, Models: held, Domain: cf.FailureDomain(fmt.Sprint(i % 6))}
+	}
+	p.SetEngines(targets, models(names...))
+	for _, m := range names {
+		p.AddBatch(step(cf.BatchID(m), m, 1, 13, 16), terms)
+	}
+	p.Place(0)
+	for _, m := range names {
+		p.SetVersion(m, 2)
+	}
+	return p, targets
+}
+
+// BenchmarkSameWork measures what a look costs, what a change of a target does, and what a
+// step does that comes, with the same work before ever more engines.
+func BenchmarkSameWork(b *testing.B) {
+	for _, n := range []int{1000, 10_000, 20_000} {
+		p, targets := sameWork(n)
+		now := cf.Millis(1000)
+		b.Run(fmt.Sprint("look/", n, "_engines"), func(b *testing.B) {
+			for b.Loop() {
+				now += 20
+				p.Place(now)
+				p.Swaps(now)
+				p.Moves(now)
+				p.Unknown(now)
+			}
+		})
+		b.Run(fmt.Sprint("change/", n, "_engines"), func(b *testing.B) {
+			for b.Loop() {
+				p.ChangeEngines(targets[7:8], nil)
+			}
+		})
+		b.Run(fmt.Sprint("step/", n, "_engines"), func(b *testing.B) {
+			for i := 0; b.Loop(); i++ {
+				now += 20
+				id := cf.BatchID(fmt.Sprint("s", i))
+				p.AddBatch(step(id, "m0", 1, 13, 16), terms)
+				for _, w := range p.Place(now) {
+					p.Finished(w, cfrollout.OutcomeDone, now)
+				}
+				p.EndBatch(id)
+			}
+		})
+	}
+}
--- a/core/cfrollout/engines.go
+++ b/core/cfrollout/engines.go
@@ -7,41 +7,96 @@
 	cf "currantford"
 )
 
-// SetEngines takes the targets that are up, and the models of each service.
-// Targets of services without models are passed over.
+// SetEngines takes all targets that are up, and the models of each service. Targets of
+// services without models are passed over.
 func (p *Planner) SetEngines(targets []cf.Target, models map[cf.ServiceName][]cf.ModelName) {
 	p.models = models
-	seen := map[cf.InstanceID]bool{}
+	seen := make(map[cf.InstanceID]bool, len(targets))
 	for _, t := range targets {
-		if len(models[t.Service]) == 0 || len(t.Models) == 0 {
-			continue // no model target, or its weights are not known yet
-		}
-		seen[t.ID] = true
-		e := p.engines[t.ID]
-		if e == nil {
-			e = &Engine{versions: map[cf.ModelName]cf.WeightVersion{}, groups: map[cf.GroupID]int{}}
-			p.engines[t.ID] = e
-		}
-		born := max(e.Born, t.Born)
-		p.starts(e, t.Born)
-		e.Target = t
-		e.Born = born
-		if t.Born == born || t.Born == 0 { // else the list may still show the start before
-			for _, m := range t.Models {
-				e.hold(m.Name, m.Version)
-			}
-		}
+		seen[t.ID] = p.takeEngine(t)
 	}
 	for id := range p.engines {
 		if !seen[id] {
-			p.trials.noteEnd(p.engines[id])
-			delete(p.engines, id)
+			p.dropEngine(id)
+		}
+	}
+	p.enginesChanged()
+}
+
+// ChangeEngines takes the targets that have come or changed since, and those that are gone.
+func (p *Planner) ChangeEngines(changed []cf.Target, gone []cf.InstanceID) {
+	for _, t := range changed {
+		if !p.takeEngine(t) {
+			p.dropEngine(t.ID)
 		}
 	}
+	for _, id := range gone {
+		p.dropEngine(id)
+	}
+	p.enginesChanged()
+}
+
+func (p *Planner) enginesChanged() {
 	p.loads.bound(len(p.engines))
 	p.divide()
 }
 
+// takeEngine takes a target; false if it is no model target, or its weights are not known
+// yet.
+func (p *Planner) takeEngine(t cf.Target) bool {
+	if len(p.models[t.Service]) == 0 || len(t.Models) == 0 {
+		return false
+	}
+	e := p.engines[t.ID]
+	if e != nil && e.Service != t.Service {
+		p.dropEngine(t.ID)
+		e = nil
+	}
+	if e == nil {
+		e = &Engine{versions: make(map[cf.ModelName]cf.WeightVersion, len(t.Models)), draw: drawFor(t.ID)}
+		p.engines[t.ID] = e
+	}
+	born := max(e.Born, t.Born)
+	p.starts(e, t.Born)
+	e.Target = t
+	e.Born = born
+	if t.Born == born || t.Born == 0 { // else the list may still show the start before
+		for _, m := range t.Models {
+			p.hold(e, m.Name, m.Version)
+		}
+	}
+	f := p.fleets[t.Service]
+	if f == nil {
+		f = newFleet()
+		p.fleets[t.Service] = f
+	}
+	if e.Draining {
+		delete(f.usable, e.ID)
+		delete(f.spare, e.ID)
+	} else {
+		f.usable[e.ID] = e
+		p.noteSpare(e)
+	}
+	return true
+}
+
+// dropEngine forgets an engine.
+func (p *Planner) dropEngine(id cf.InstanceID) {
+	e := p.engines[id]
+	if e == nil {
+		return
+	}
+	p.trials.noteEnd(e)
+	delete(p.engines, id)
+	delete(p.loadings, id)
+	delete(p.busy, id)
+	p.unlist(e)
+	if f := p.fleets[e.Service]; f != nil {
+		delete(f.usable, id)
+		delete(f.spare, id)
+	}
+}
+
 // starts records a start of an engine under the id that it had: it holds nothing
 // of before, and what was learned of it may hold no more. Its runs end by
 // themselves.
@@ -55,13 +110,15 @@
 		return // when it started was not known
 	}
 	p.trials.noteEnd(e)
-	e.versions = map[cf.ModelName]cf.WeightVersion{}
-	e.loading, e.loadBegan, e.pace, e.usual, e.avoid, e.rest, e.failed = 0, 0, 0, 0, 0, 0, 0
+	clear(e.versions)
+	p.setLoading(e, 0)
+	e.loadBegan, e.pace, e.usual, e.avoid, e.rest, e.failed = 0, 0, 0, 0, 0, 0
 }
 
 // hold records that an engine has a version. Versions of one start of an
 // engine only rise; the instance list shows them late.
-func (e *Engine) hold(m cf.ModelName, v cf.WeightVersion) {
+func (p *Planner) hold(e *Engine, m cf.ModelName, v cf.WeightVersion) {
+	p.proved[m] = max(p.proved[m], v)
 	if v > e.versions[m] {
 		e.versions[m] = v
 	}
@@ -69,40 +126,31 @@
 		e.failed = 0
 	}
 	if m == e.Share && e.loading > 0 && e.versions[m] >= e.loading {
-		e.loading = 0
+		p.setLoading(e, 0)
 	}
 }
 
-// divide assigns the engines that are not leaving to the models.
-func (p *Planner) divide() {
-	p.scarce = false
-	for service, models := range p.models {
-		var shares []share
-		newest := p.newest(service)
-		for id, e := range p.engines {
-			if e.Service != service || e.Draining {
-				continue
-			}
-			if e.Share == "" {
-				e.Share = closest(e, models, newest)
-			}
-			cost := e.Running
-			if e.loading > 0 || e.versions[e.Share] >= p.Named(e.Share) {
-				cost += e.Slots
-			}
-			shares = append(shares, share{id: id, model: e.Share, moveCost: cost})
+// divideAll assigns all engines that are not leaving to the models.
+func (p *Planner) divideAll(service cf.ServiceName, models []cf.ModelName, f *fleet) {
+	var shares []share
+	newest := p.newest(f)
+	for id, e := range f.usable {
+		if e.Share == "" {
+			p.setShare(e, closest(e, models, newest))
 		}
-		if len(shares) < len(models) {
-			p.scarce = true
-			models = p.turns(service, models)[:len(shares)]
-		}
-		for id, m := range assign(shares, models, p.need) {
-			if e := p.engines[id]; e.Share != m {
-				e.Share, e.loading = m, 0
-			}
+		cost := e.Running
+		if e.loading > 0 || e.versions[e.Share] >= p.Named(e.Share) {
+			cost += e.Slots
 		}
+		shares = append(shares, share{id: id, model: e.Share, moveCost: cost})
+	}
+	if len(shares) < len(models) {
+		p.scarce = true
+		models = p.turns(service, models)[:len(shares)]
+	}
+	for id, m := range assign(shares, models, p.need) {
+		p.setShare(p.engines[id], m)
 	}
-	p.index()
 }
 
 // turns orders the models of a service that has fewer engines than models: those
@@ -131,18 +179,6 @@
 	return out
 }
 
-// index rebuilds the shares' lists.
-func (p *Planner) index() {
-	p.shares = map[shareKey][]*Engine{}
-	for _, e := range p.engines {
-		k := shareKey{e.Service, e.Share}
-		p.shares[k] = append(p.shares[k], e)
-	}
-	for _, es := range p.shares {
-		sort.Slice(es, func(i, j int) bool { return es[i].ID < es[j].ID })
-	}
-}
-
 // share returns the engines that serve a batch.
 func (p *Planner) share(o *open) []*Engine {
 	return p.shares[shareKey{o.terms.Service, o.batch.Sub.Model}]
@@ -173,12 +209,9 @@
 }
 
 // newest returns the newest version of each model that any engine holds.
-func (p *Planner) newest(service cf.ServiceName) map[cf.ModelName]cf.WeightVersion {
+func (p *Planner) newest(f *fleet) map[cf.ModelName]cf.WeightVersion {
 	out := map[cf.ModelName]cf.WeightVersion{}
-	for _, e := range p.engines {
-		if e.Service != service {
-			continue
-		}
+	for _, e := range f.usable {
 		for m, v := range e.versions {
 			out[m] = max(out[m], v)
 		}
--- a/core/cfrollout/loads.go
+++ b/core/cfrollout/loads.go
@@ -17,10 +17,16 @@
 	// that run alone: those beside others would bring it up little by little.
 	usualWeight = 0.1
 	// loadsMost bounds the loads at once that are learned: each costs the coordinator
-	// seven calls a second, and 1,250 engines, an eighth of 10,000, follow a version
-	// within 9 s by 125 at once. Without it a sweep with 3,000 engines gave 325 orders
-	// in one run and 1,292 in another, which served 0.91 of the steps.
+	// some calls a second.
 	loadsMost = 128
+	// loadsQuick is the part of the engines below which a bound grows by loadsFactor at a
+	// time: a weight store is made for its fleet, and a large fleet would else learn for
+	// longer than a version lasts.
+	loadsQuick  = 1.0 / 32
+	loadsFactor = 4
+	// unprovedMost is how many engines load a version that none has held yet: it may end
+	// each of them.
+	unprovedMost = 16
 	// loadsPart is the part of the engines that may load at once: the others go on
 	// taking work, which loads hold up for their second each.
 	loadsPart = 0.5
@@ -36,13 +42,15 @@
 // two for 44 engines a fleet is never through with a version before the next.
 //
 // After a round of loads that took as long as usual it allows half as many more,
-// or one more below a bound that was found; after a slow round it goes back to
-// what was proved.
+// or goes half of the way to a bound that was found; after a slow round it goes back
+// to what was proved.
 type loadPace struct {
 	limit  int
 	least  int
 	most   int
 	proved int // the most that were as fast as usual
+	// quick is up to where the bound grows quickly.
+	quick int
 	// usual is the time of a load that nothing slows down, in ms.
 	usual      float64
 	good, slow int // loads of this round
@@ -60,6 +68,7 @@
 // bound takes how many engines there are.
 func (l *loadPace) bound(engines int) {
 	l.most = max(min(int(float64(engines)*loadsPart), loadsMost), l.least)
+	l.quick = int(float64(engines) * loadsQuick)
 }
 
 // allowed is how many may load at once.
@@ -116,8 +125,11 @@
 	}
 	l.proved = max(l.proved, beside)
 	next := l.proved + max(l.proved/2, 1)
+	if l.proved < l.quick {
+		next = min(loadsFactor*l.proved, max(loadsFactor*l.quick, next))
+	}
 	if l.found > 0 {
-		next = l.proved + 1
+		next = l.proved + max((l.found-l.proved)/2, 1)
 	}
 	if l.found > 0 && next >= l.found && now < l.retry {
 		next = l.proved
--- a/core/cfrollout/memory.go
+++ b/core/cfrollout/memory.go
@@ -33,6 +33,44 @@
 	perEvent float64
 	// asked is when which engine was asked.
 	asked map[cf.InstanceID]cf.Millis
+	// told are the engines of each service that have told their memory.
+	told map[cf.ServiceName]*toldMemory
+}
+
+// toldMemory is what engines of a service have told of their memory.
+type toldMemory struct {
+	tokens cf.Tokens
+	by     map[cf.InstanceID]bool
+	differ bool
+}
+
+// alikeFrom is from how many engines on that have the same memory the others of their
+// service are taken to have it too.
+const alikeFrom = 8
+
+// tell takes an engine's memory.
+func (m *memory) tell(e *Engine) {
+	t := m.told[e.Service]
+	if t == nil {
+		t = &toldMemory{tokens: e.Memory, by: map[cf.InstanceID]bool{}}
+		m.told[e.Service] = t
+	}
+	t.differ = t.differ || t.tokens != e.Memory
+	if len(t.by) < alikeFrom {
+		t.by[e.ID] = true
+	}
+}
+
+// of returns an engine's memory, zero where it is not known: as it has told, or as all
+// others have.
+func (m *memory) of(e *Engine) cf.Tokens {
+	if e.told {
+		return e.Memory
+	}
+	if t := m.told[e.Service]; t != nil && !t.differ && len(t.by) >= alikeFrom {
+		return t.tokens
+	}
+	return 0
 }
 
 // note takes an engine's account of the runs that it holds.
@@ -78,8 +116,10 @@
 
 // takeSizes makes what the engines hold that of the runs that they have now.
 func (p *Planner) takeSizes() {
-	for _, e := range p.engines {
-		e.used = 0
+	for id, e := range p.busy {
+		if e.used = 0; e.Running == 0 {
+			delete(p.busy, id)
+		}
 	}
 	p.eachRunning(func(w *Work) {
 		if e := p.engines[w.Engine]; e != nil {
@@ -91,7 +131,8 @@
 // fits says whether an engine has memory for an item beside what its runs are
 // expected to take.
 func (p *Planner) fits(e *Engine, w *Work) bool {
-	return e.Memory == 0 || p.memory.perEvent == 0 || e.used+p.size(w) <= float64(e.Memory)
+	memory := p.memory.of(e)
+	return memory == 0 || p.memory.perEvent == 0 || e.used+p.size(w) <= float64(memory)
 }
 
 // Long says whether an item's text is, or is expected to be, one of those that its
@@ -119,12 +160,12 @@
 	return sum / float64(n)
 }
 
-// Unknown returns the engines to ask for their memory: those with runs that have not
-// told it, and one while nothing is known of the tokens of events.
+// Unknown returns the engines to ask for their memory: those with runs of which it is not
+// known, and any while nothing is known of the tokens of events.
 func (p *Planner) Unknown(now cf.Millis) []cf.Target {
 	var out []cf.Target
-	for id, e := range p.engines {
-		if e.Running == 0 || now-p.memory.asked[id] < askEvery || e.told && p.memory.perEvent > 0 {
+	for id, e := range p.busy {
+		if e.Running == 0 || now-p.memory.asked[id] < askEvery || p.memory.of(e) > 0 && p.memory.perEvent > 0 || e.told && p.memory.perEvent > 0 {
 			continue
 		}
 		p.memory.asked[id] = now
--- a/core/cfrollout/memory_test.go
+++ b/core/cfrollout/memory_test.go
@@ -141,3 +141,39 @@
 		t.Errorf("%d engines are asked for what is known", n)
 	}
 }
+
+// Load: a thousand engines that are alike come into use with a step. A few are asked for their
+// memory, and the others are taken to have the same; once one differs each is asked.
+func TestMemoryOfEnginesThatAreAlike(t *testing.T) {
+	p := memorySite(20)
+	for _, e := range p.engines {
+		e.told, e.Memory = false, 0
+	}
+	p.memory.told = map[cf.ServiceName]*toldMemory{}
+	p.AddBatch(memoryBatch(0, 120), Terms{Service: "s"})
+	p.Place(0)
+	asked := func(now cf.Millis, memory cf.Tokens) int {
+		n := 0
+		for _, target := range p.Unknown(now) {
+			if n++; n <= alikeFrom {
+				p.Reported(target.ID, cf.TargetReport{Memory: memory})
+			}
+		}
+		return n
+	}
+	if n := asked(askEvery, 23000); n != 20 {
+		t.Errorf("%d engines are asked at first", n)
+	}
+	if n := asked(3*askEvery, 23000); n != 0 {
+		t.Errorf("%d engines are asked though %d have told the same", n, alikeFrom)
+	}
+	for id := range p.engines {
+		if got := p.memory.of(p.engines[id]); got != 23000 {
+			t.Errorf("%s is taken to have %d tokens", id, got)
+		}
+	}
+	p.Reported("e00", cf.TargetReport{Memory: 11000})
+	if n := asked(5*askEvery, 23000); n < 20-alikeFrom-1 {
+		t.Errorf("%d engines are asked though one differs", n)
+	}
+}
--- /dev/null
+++ b/core/cfrollout/need.go
@@ -0,0 +1,418 @@
+package cfrollout
+
+import (
+	"cmp"
+	"hash/fnv"
+	"math"
+	"slices"
+
+	cf "currantford"
+	"currantford/core/cfpeak"
+)
+
+const (
+	// crowded is how much slower than alone a run may get by those that share its
+	// engine: the longest text of a step decides when the step is whole.
+	crowded = 0.03
+	// leastWarm is how many engines a model has at the least, for its first step.
+	leastWarm = 12
+	// turns is how many times the engines that serve a step a model has: while some
+	// serve, others load the version that the next step asks for.
+	turns = 2
+	// slackNeed is by how much the need must be exceeded until engines are left to
+	// themselves, and slackShare until a share gives some up: neither swings with the
+	// size of the last step.
+	slackNeed  = 1.25
+	slackShare = 1.5
+	// unevenPace is how much slower than usual an engine is that is replaced by another
+	// when it would load.
+	unevenPace = 1.15
+	// replaceEvery spaces the looks for such engines.
+	replaceEvery cf.Millis = 1000
+)
+
+// fleet is the engines of a service.
+type fleet struct {
+	// usable are those that are not leaving, spare those of them that serve no model.
+	usable map[cf.InstanceID]*Engine
+	spare  map[cf.InstanceID]*Engine
+	// assumed is what a model whose steps are not known yet is taken to need.
+	assumed map[cf.ModelName]int
+	// byNeed: the models take as many engines as their work needs, and not all.
+	byNeed bool
+}
+
+func newFleet() *fleet {
+	return &fleet{usable: map[cf.InstanceID]*Engine{}, spare: map[cf.InstanceID]*Engine{}, assumed: map[cf.ModelName]int{}}
+}
+
+// following counts the engines that hold one of the two newest versions of a model that any
+// holds: a planner before had them follow.
+func (f *fleet) following(m cf.ModelName) int {
+	newest, n := cf.WeightVersion(0), 0
+	for _, e := range f.usable {
+		newest = max(newest, e.versions[m])
+	}
+	for _, e := range f.usable {
+		if e.versions[m] >= newest-1 {
+			n++
+		}
+	}
+	return n
+}
+
+// openItems counts the items of a model that are not done.
+func (p *Planner) openItems(m cf.ModelName) int {
+	n := 0
+	for _, o := range p.batches {
+		if o.batch.Sub.Model == m && !o.paused {
+			n += len(o.waiting) + len(o.running)
+		}
+	}
+	for _, w := range p.orphans {
+		if w.Batch.Sub.Model == m {
+			n++
+		}
+	}
+	return n
+}
+
+// noteOpen remembers the most items of a model that were open at once, where that are n
+// beside what is open now.
+func (p *Planner) noteOpen(m cf.ModelName, n int) {
+	peak := p.peaks[m]
+	if peak == nil {
+		peak = &cfpeak.Peak{}
+		p.peaks[m] = peak
+	}
+	peak.Note(n+p.openItems(m), p.now)
+}
+
+// perEngine is how many runs an engine with so many slots should have at once.
+func (p *Planner) perEngine(slots int) int {
+	alone := p.slots.factor(1)
+	n := 1 + int(crowded*alone/p.slots.cost)
+	return max(min(n, slots), 1)
+}
+
+// serving is how many engines of a fleet the open items of a model should run on, a
+// reserve for the loss of a failure domain among them.
+func (p *Planner) serving(f *fleet, m cf.ModelName) int {
+	service := p.serviceOf(m)
+	peak := p.peaks[m]
+	switch {
+	case peak != nil && peak.Of(p.now) > 0:
+	case p.Named(m) > 1: // it is trained, and its steps are not known yet
+		if _, assumed := f.assumed[m]; !assumed {
+			f.assumed[m] = min(f.following(m)/turns, len(f.usable)/len(p.models[service]))
+		}
+		return max(f.assumed[m], leastWarm)
+	default:
+		return leastWarm
+	}
+	slots, domains := 1, map[cf.FailureDomain]bool{}
+	for _, e := range f.usable {
+		slots = e.Slots // those of one service are alike
+		break
+	}
+	for _, e := range p.shares[shareKey{service, m}] {
+		domains[e.Domain] = true
+	}
+	n := math.Ceil(float64(peak.Of(p.now)) / float64(p.perEngine(slots)))
+	if d := float64(len(domains)); d > 1 {
+		n = math.Ceil(n * d / (d - 1))
+	}
+	return max(int(n), leastWarm)
+}
+
+// serviceOf returns the service of a model, empty if none has it.
+func (p *Planner) serviceOf(m cf.ModelName) cf.ServiceName {
+	for s, models := range p.models {
+		if slices.Contains(models, m) {
+			return s
+		}
+	}
+	return ""
+}
+
+// divide assigns engines to the models: all of them where the work needs as many, else
+// as many as it needs.
+//
+// The load it answers: six trainers before 9,444 engines, of which some hundreds can serve
+// them. With all engines divided, each version is ordered at each of 1,574, and those that
+// a step waits for load late among them.
+func (p *Planner) divide() {
+	p.scarce, p.undivided = false, false
+	for service, models := range p.models {
+		f := p.fleets[service]
+		if f == nil {
+			continue
+		}
+		need := 0
+		for _, m := range models {
+			need += turns * p.serving(f, m)
+		}
+		limit := float64(len(f.usable))
+		if !f.byNeed {
+			limit /= slackNeed
+		}
+		if f.byNeed = float64(need) <= limit; f.byNeed {
+			p.meet(service, models, f)
+		} else {
+			p.divideAll(service, models, f)
+		}
+	}
+}
+
+// meet gives each model the engines that its work needs.
+func (p *Planner) meet(service cf.ServiceName, models []cf.ModelName, f *fleet) {
+	for k, es := range p.shares {
+		if k.service == service && !slices.Contains(models, k.model) {
+			for _, e := range slices.Clone(es) {
+				p.setShare(e, "")
+			}
+		}
+	}
+	for _, m := range models {
+		share := p.shares[shareKey{service, m}]
+		active := 0
+		for _, e := range share {
+			if !e.Draining {
+				active++
+			}
+		}
+		want := turns * p.serving(f, m)
+		switch {
+		case active < want:
+			for _, e := range p.recruits(f, m, want-active) {
+				p.setShare(e, m)
+			}
+		case float64(active) > slackShare*float64(want):
+			p.release(share, m, active-want)
+		}
+	}
+}
+
+// release lets engines go that do nothing, the least useful first.
+func (p *Planner) release(share []*Engine, m cf.ModelName, n int) {
+	var idle []*Engine
+	for _, e := range share {
+		if !e.Draining && e.Running == 0 && e.loading == 0 {
+			idle = append(idle, e)
+		}
+	}
+	slices.SortFunc(idle, func(a, b *Engine) int { return p.moreUseful(b, a, m) })
+	for _, e := range idle[:min(n, len(idle))] {
+		p.setShare(e, "")
+	}
+}
+
+// moreUseful orders engines by their use for a model: those that hold its newest weights come
+// first, then those that are known to be no slower than usual.
+func (p *Planner) moreUseful(a, b *Engine, m cf.ModelName) int {
+	return cmp.Or(cmp.Compare(b.versions[m], a.versions[m]), cmp.Compare(p.paceClass(a), p.paceClass(b)), cmp.Compare(a.draw, b.draw), cmp.Compare(a.ID, b.ID))
+}
+
+// paceClass ranks engines by what is known of their pace.
+func (p *Planner) paceClass(e *Engine) int {
+	switch {
+	case e.pace == 0:
+		return 1
+	case p.uneven(e):
+		return 2
+	default:
+		return 0
+	}
+}
+
+// uneven says whether an engine is known to be slower than is usual.
+func (p *Planner) uneven(e *Engine) bool {
+	return e.pace > unevenPace*p.typical()
+}
+
+// recruits returns n spare engines for a model, spread over the failure domains.
+func (p *Planner) recruits(f *fleet, m cf.ModelName, n int) []*Engine {
+	there := map[cf.FailureDomain]int{}
+	for _, e := range p.shares[shareKey{p.serviceOf(m), m}] {
+		there[e.Domain]++
+	}
+	byDomain := map[cf.FailureDomain][]*Engine{}
+	for _, e := range f.spare {
+		byDomain[e.Domain] = append(byDomain[e.Domain], e)
+	}
+	domains := make([]cf.FailureDomain, 0, len(byDomain))
+	for d, es := range byDomain {
+		slices.SortFunc(es, func(a, b *Engine) int { return p.moreUseful(a, b, m) })
+		domains = append(domains, d)
+	}
+	slices.Sort(domains)
+	var out []*Engine
+	for len(out) < n {
+		best := -1
+		for i, d := range domains {
+			if len(byDomain[d]) == 0 {
+				continue
+			}
+			if best < 0 || p.comesBefore(byDomain[d][0], byDomain[domains[best]][0], m, there[d]-there[domains[best]]) {
+				best = i
+			}
+		}
+		if best < 0 {
+			break
+		}
+		d := domains[best]
+		out = append(out, byDomain[d][0])
+		byDomain[d] = byDomain[d][1:]
+		there[d]++
+	}
+	return out
+}
+
+// comesBefore says whether engine a is taken before b of another failure domain; more is
+// how many more engines of the share are in the domain of a.
+func (p *Planner) comesBefore(a, b *Engine, m cf.ModelName, more int) bool {
+	if c := cmp.Or(cmp.Compare(b.versions[m], a.versions[m]), cmp.Compare(p.paceClass(a), p.paceClass(b))); c != 0 {
+		return c < 0
+	}
+	return more < 0
+}
+
+// dueByNeed returns the engines of a share that should load where there are more than the
+// work needs: as many as will serve a step, those first that no step can use any more. Those
+// that hold the version before go on serving, so that a step which comes just now finds
+// them, and no run stands still for a load.
+func (p *Planner) dueByNeed(f *fleet, k shareKey, share []*Engine, d *demand, now cf.Millis) []swapCandidate {
+	newest := p.Named(k.model)
+	ready, useful, active := 0, 0, 0
+	var idle []idleEngine
+	for _, e := range share {
+		if e.Draining {
+			continue
+		}
+		active++
+		v := e.versions[k.model]
+		switch {
+		case v >= newest || e.loading >= newest:
+			ready++
+			continue
+		case e.loading > 0:
+			continue
+		case v >= newest-1:
+			useful++
+		}
+		blocked := d.blocked(v)
+		if now < e.rest || !blocked && (e.Running > 0 || d.served(v)) || blocked && p.limits.SwapWhenIdle && d.served(v) {
+			continue
+		}
+		idle = append(idle, idleEngine{e, v, p.paceClass(e), blocked})
+	}
+	need := p.serving(f, k.model)
+	if ready >= need || len(idle) == 0 {
+		return nil
+	}
+	keep := min(need, active/turns)
+	slices.SortFunc(idle, func(a, b idleEngine) int {
+		return cmp.Or(cmp.Compare(a.Running, b.Running), cmp.Compare(a.version, b.version), cmp.Compare(a.class, b.class), cmp.Compare(a.draw, b.draw))
+	})
+	var due []swapCandidate
+	for _, e := range idle {
+		if len(due) == need-ready {
+			break
+		}
+		if !e.blocked && e.version >= newest-1 {
+			if useful <= keep {
+				continue
+			}
+			useful--
+		}
+		due = append(due, swapCandidate{e.Engine, e.blocked})
+	}
+	return due
+}
+
+// idleEngine is an engine that may load, with what ranks it.
+type idleEngine struct {
+	*Engine
+	version cf.WeightVersion
+	class   int
+	blocked bool
+}
+
+// replaceSlow lets spare engines take the place of those that are known to be slow and
+// would have to load before they are of use: the load costs the same.
+func (p *Planner) replaceSlow() {
+	if p.now-p.replacedAt < replaceEvery {
+		return
+	}
+	p.replacedAt = p.now
+	for k, es := range p.shares {
+		f := p.fleets[k.service]
+		if f == nil || !f.byNeed {
+			continue
+		}
+		var slow []*Engine
+		for _, e := range es {
+			if !e.Draining && e.Running == 0 && e.loading == 0 && e.versions[k.model] < p.Named(k.model)-1 && p.uneven(e) {
+				slow = append(slow, e)
+			}
+		}
+		if len(slow) == 0 {
+			continue
+		}
+		for _, e := range p.recruits(f, k.model, len(slow)) {
+			if p.paceClass(e) < p.paceClass(slow[0]) {
+				p.setShare(slow[0], "")
+				p.setShare(e, k.model)
+				slow = slow[1:]
+			}
+		}
+	}
+}
+
+// setShare gives an engine to a model, or to none.
+func (p *Planner) setShare(e *Engine, m cf.ModelName) {
+	if e.Share == m && m != "" {
+		return
+	}
+	p.unlist(e)
+	e.Share = m
+	p.setLoading(e, 0)
+	if m == "" {
+		p.noteSpare(e)
+		return
+	}
+	k := shareKey{e.Service, m}
+	at, _ := slices.BinarySearchFunc(p.shares[k], e.ID, byID)
+	p.shares[k] = slices.Insert(p.shares[k], at, e)
+	if f := p.fleets[e.Service]; f != nil {
+		delete(f.spare, e.ID)
+	}
+}
+
+// unlist takes an engine out of the list of its share.
+func (p *Planner) unlist(e *Engine) {
+	k := shareKey{e.Service, e.Share}
+	if at, found := slices.BinarySearchFunc(p.shares[k], e.ID, byID); found {
+		p.shares[k] = slices.Delete(p.shares[k], at, at+1)
+	}
+	if len(p.shares[k]) == 0 {
+		delete(p.shares, k)
+	}
+}
+
+func byID(e *Engine, id cf.InstanceID) int { return cmp.Compare(e.ID, id) }
+
+// noteSpare lists an engine among the spare ones, if it is one.
+func (p *Planner) noteSpare(e *Engine) {
+	if f := p.fleets[e.Service]; f != nil && e.Share == "" && !e.Draining {
+		f.spare[e.ID] = e
+	}
+}
+
+// drawFor returns a number drawn by an engine's id, so that those with ids that follow each
+// other are not taken together.
+func drawFor(id cf.InstanceID) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id)) // a hash takes everything
+	return h.Sum64()
+}
--- a/core/cfrollout/pace.go
+++ b/core/cfrollout/pace.go
@@ -149,19 +149,39 @@
 // it has not shown yet.
 func (e *Engine) Pace() float64 { return e.pace }
 
+// typicalEvery is how long what is usual counts.
+const typicalEvery cf.Millis = 200
+
 // typical is the pace assumed of an engine that has not shown its own.
 func (p *Planner) typical() float64 {
+	if p.usualAt >= 0 && p.now-p.usualAt < typicalEvery && p.now >= p.usualAt {
+		return p.usual
+	}
 	var paces []float64
-	for _, e := range p.engines {
-		if e.pace > 0 {
-			paces = append(paces, e.pace)
+	for _, es := range p.shares {
+		for _, e := range es {
+			if e.pace > 0 {
+				paces = append(paces, e.pace)
+			}
 		}
 	}
+	p.usual, p.usualAt = 1, p.now
 	if len(paces) == 0 {
-		return 1
+		p.usualAt = -1 // the first that shows counts at once
+		return p.usual
 	}
 	slices.Sort(paces)
-	return paces[(len(paces)-1)/2]
+	p.usual = paces[(len(paces)-1)/2]
+	return p.usual
+}
+
+// Pace returns the milliseconds that an event takes with one run at a usual engine, zero
+// while none has shown it.
+func (p *Planner) Pace() float64 {
+	if pace := p.typical(); p.usualAt >= 0 {
+		return pace
+	}
+	return 0
 }
 
 // Moves returns the runs to stop because another engine would finish them
@@ -169,6 +189,7 @@
 // an engine turns several times slower in mid-step, and the step would wait
 // for its longest item there.
 func (p *Planner) Moves(now cf.Millis) []*Work {
+	p.now = now
 	p.observe(now)
 	p.takeSizes()
 	typical := p.typical()
--- a/core/cfrollout/place.go
+++ b/core/cfrollout/place.go
@@ -29,7 +29,8 @@
 
 // Place returns the items to start now, each with its engine set.
 func (p *Planner) Place(now cf.Millis) []*Work {
-	if p.scarce {
+	p.now = now
+	if p.scarce || p.undivided {
 		p.divide() // the models take turns
 	}
 	var out []*Work
@@ -117,7 +118,14 @@
 		w.Oldest = min(w.Oldest, v)
 	}
 	e.Running++
+	if e.warm(now) {
+		e.kept = e.kept[:len(e.kept)-1] // the run takes the one that was used last
+	}
+	p.busy[e.ID] = e
 	e.used += p.size(w)
+	if e.groups == nil {
+		e.groups = map[cf.GroupID]int{}
+	}
 	e.groups[w.Item.Group]++
 	o.running[w.Item.ID] = w
 }
@@ -139,7 +147,7 @@
 		case !e.takes(w, now):
 			continue
 		case !p.fits(e, w):
-			if roomiest == nil || float64(e.Memory)-e.used > float64(roomiest.Memory)-roomiest.used {
+			if roomiest == nil || float64(p.memory.of(e))-e.used > float64(p.memory.of(roomiest))-roomiest.used {
 				roomiest = e
 			}
 			continue
@@ -148,6 +156,9 @@
 		if !long && e.groups[w.Item.Group] > 0 {
 			pace *= p.limits.Affinity
 		}
+		if !long && e.warm(now) {
+			pace *= warmPace
+		}
 		if pace < bestPace {
 			best, bestPace = e, pace
 		}
@@ -161,13 +172,35 @@
 		return best
 	}
 	for _, f := range fitting {
-		if f.pace <= bestPace*evenPace && (emptiest == nil || f.engine.used < emptiest.used) {
+		if f.pace > bestPace*evenPace {
+			continue
+		}
+		if emptiest == nil || f.engine.used < emptiest.used || f.engine.used == emptiest.used && f.engine.warm(now) && !emptiest.warm(now) {
 			emptiest = f.engine
 		}
 	}
 	return emptiest
 }
 
+// warmPace makes an engine to which a connection is kept count as so much faster: another
+// costs it a handshake, in which it serves nobody.
+const warmPace = 0.94
+
+// warm says whether a connection to the engine is kept that nobody uses.
+func (e *Engine) warm(now cf.Millis) bool {
+	for len(e.kept) > 0 && e.kept[0] <= now {
+		e.kept = e.kept[1:]
+	}
+	return len(e.kept) > 0
+}
+
+// Kept records that a connection to an engine is kept until then.
+func (p *Planner) Kept(id cf.InstanceID, until cf.Millis) {
+	if e := p.engines[id]; e != nil && len(e.kept) < e.Slots {
+		e.kept = append(e.kept, until)
+	}
+}
+
 // pacedEngine is an engine with what an event would take there.
 type pacedEngine struct {
 	engine *Engine
--- a/core/cfrollout/planner.go
+++ b/core/cfrollout/planner.go
@@ -26,6 +26,7 @@
 
 	cf "currantford"
 	"currantford/core/cfbatch"
+	"currantford/core/cfpeak"
 )
 
 type (
@@ -96,6 +97,11 @@
 		// usual is its mean pace as of usualAt, usualRuns the mean of its runs.
 		usual, usualRuns float64
 		usualAt          cf.Millis
+		// kept are until when connections to it are kept that nobody uses, the first to
+		// end first.
+		kept []cf.Millis
+		// draw orders engines that differ in nothing else.
+		draw uint64
 	}
 
 	// Text is what has been generated of an item.
@@ -160,8 +166,25 @@
 		carry   map[cf.ItemID]*Work
 		// orphans run on for a batch to come, though theirs was ended.
 		orphans map[cf.ItemID]*Work
-		// shares indexes the engines by what they serve, sorted by id.
-		shares map[shareKey][]*Engine
+		// fleets are the engines of each service, shares those that serve a model, sorted
+		// by id; loadings are those that load weights, busy those that run something.
+		fleets   map[cf.ServiceName]*fleet
+		shares   map[shareKey][]*Engine
+		loadings map[cf.InstanceID]*Engine
+		busy     map[cf.InstanceID]*Engine
+		// proved are the newest versions that engines were seen to hold.
+		proved map[cf.ModelName]cf.WeightVersion
+		// peaks are the most items of each model that were open at once.
+		peaks map[cf.ModelName]*cfpeak.Peak
+		// undivided: the first version of a model was named, which changes what it needs.
+		undivided bool
+		// replacedAt is when slow engines were looked for last.
+		replacedAt cf.Millis
+		// now is the time of the last call that brought it.
+		now cf.Millis
+		// usual is what typical returned at usualAt.
+		usual   float64
+		usualAt cf.Millis
 		// single are the models whose latest batch asks for samples of one
 		// version each; its runs may go on when it has ended.
 		single map[cf.ModelName]bool
@@ -198,7 +221,8 @@
 	return &Planner{
 		limits: limits, engines: map[cf.InstanceID]*Engine{}, named: map[cf.ModelName]cf.WeightVersion{},
 		models: map[cf.ServiceName][]cf.ModelName{}, need: Need{}, batches: map[cf.BatchID]*open{},
-		carry: map[cf.ItemID]*Work{}, orphans: map[cf.ItemID]*Work{}, single: map[cf.ModelName]bool{}, loads: newLoadPace(limits.Loads, limits.Learned), trials: trials{models: map[cf.ModelName]*trial{}}, slots: slotCost{cost: slotPrior}, memory: memory{asked: map[cf.InstanceID]cf.Millis{}},
+		fleets: map[cf.ServiceName]*fleet{}, shares: map[shareKey][]*Engine{}, loadings: map[cf.InstanceID]*Engine{}, busy: map[cf.InstanceID]*Engine{}, proved: map[cf.ModelName]cf.WeightVersion{}, peaks: map[cf.ModelName]*cfpeak.Peak{}, usualAt: -1,
+		carry: map[cf.ItemID]*Work{}, orphans: map[cf.ItemID]*Work{}, single: map[cf.ModelName]bool{}, loads: newLoadPace(limits.Loads, limits.Learned), trials: trials{models: map[cf.ModelName]*trial{}}, slots: slotCost{cost: slotPrior}, memory: memory{asked: map[cf.InstanceID]cf.Millis{}, told: map[cf.ServiceName]*toldMemory{}},
 	}
 }
 
@@ -207,13 +231,18 @@
 
 // SetVersion takes a version that a trainer has named.
 func (p *Planner) SetVersion(m cf.ModelName, v cf.WeightVersion) {
+	p.undivided = p.undivided || p.Named(m) == 1 && v > 1
 	p.named[m] = max(p.named[m], v)
 }
 
 // AddBatch takes a batch; its listed items are done. It returns items that
 // are complete already, because an earlier batch generated them.
 func (p *Planner) AddBatch(b *cfbatch.Batch, terms Terms) []*Work {
-	if p.batches[b.Sub.ID] != nil || b.Ended {
+	if p.batches[b.Sub.ID] != nil {
+		return nil
+	}
+	if b.Ended {
+		p.noteOpen(b.Sub.Model, len(b.Sub.Items)) // the next step will be like it
 		return nil
 	}
 	o := &open{batch: b, terms: terms, running: map[cf.ItemID]*Work{}}
@@ -244,6 +273,7 @@
 	}
 	order(o.waiting)
 	p.need[b.Sub.Model] = tokens
+	p.noteOpen(b.Sub.Model, b.ListedCount())
 	p.single[b.Sub.Model] = terms.SingleVersion
 	p.divide()
 	return ready
--- a/core/cfrollout/swap.go
+++ b/core/cfrollout/swap.go
@@ -79,13 +79,18 @@
 // that it may not: before, the load would hold up work; much later, the next step
 // would find it without the version it needs.
 func (p *Planner) Swaps(now cf.Millis) []Swap {
+	p.now = now
+	if p.undivided {
+		p.divide()
+	}
+	p.replaceSlow()
 	p.trials.judge(p.held, now)
 	loading := p.loading()
 	urgent := max(p.loads.allowed(), p.limits.UrgentLoads)
 	if loading >= urgent {
 		return nil
 	}
-	due, onTrial := p.dueSwaps(now), p.onTrial()
+	due, onTrial, unproved := p.dueSwaps(now), p.onTrial(), p.unproved()
 	var out []Swap
 	for len(due) > 0 {
 		c := heap.Pop(&due).(swapCandidate)
@@ -97,11 +102,15 @@
 			break // those after it are not more urgent
 		}
 		e := c.engine
+		if p.proved[e.Share] < p.Named(e.Share) && unproved[e.Share] >= unprovedMost {
+			continue
+		}
 		if !p.spared(e) || !p.trials.allows(e.Share, p.Named(e.Share), onTrial[e.Share], now) {
 			continue
 		}
 		loading++
-		e.loading = p.Named(e.Share)
+		unproved[e.Share]++
+		p.setLoading(e, p.Named(e.Share))
 		if onTrial != nil {
 			onTrial[e.Share]++
 		}
@@ -115,12 +124,27 @@
 	return out
 }
 
+// unproved counts the engines that load a version which none has held yet.
+func (p *Planner) unproved() map[cf.ModelName]int {
+	out := map[cf.ModelName]int{}
+	for _, e := range p.loadings {
+		if e.loading > p.proved[e.Share] {
+			out[e.Share]++
+		}
+	}
+	return out
+}
+
 // dueSwaps returns the engines that should load, as a heap.
 func (p *Planner) dueSwaps(now cf.Millis) swapQueue {
 	demands := p.demands()
 	var due swapQueue
 	for k, es := range p.shares {
 		d := demands[k]
+		if f := p.fleets[k.service]; f != nil && f.byNeed {
+			due = append(due, p.dueByNeed(f, k, es, d, now)...)
+			continue
+		}
 		for _, e := range es {
 			if p.due(e, d, now) {
 				due = append(due, swapCandidate{e, d.blocked(e.versions[e.Share])})
@@ -133,10 +157,8 @@
 
 // noteBeside records how many engines load now with each that does.
 func (p *Planner) noteBeside(loading int) {
-	for _, e := range p.engines {
-		if e.loading > 0 {
-			e.beside = max(e.beside, loading)
-		}
+	for _, e := range p.loadings {
+		e.beside = max(e.beside, loading)
 	}
 }
 
@@ -153,14 +175,23 @@
 	return p.loads.allowed()
 }
 
+// loading counts the engines that load weights.
 func (p *Planner) loading() int {
-	n := 0
-	for _, e := range p.engines {
-		if e.loading > 0 {
-			n++
+	for id, e := range p.loadings {
+		if e.loading == 0 {
+			delete(p.loadings, id)
 		}
 	}
-	return n
+	return len(p.loadings)
+}
+
+// setLoading records that an engine loads a version, or none.
+func (p *Planner) setLoading(e *Engine, v cf.WeightVersion) {
+	if e.loading = v; v > 0 {
+		p.loadings[e.ID] = e
+	} else {
+		delete(p.loadings, e.ID)
+	}
 }
 
 // due says whether an engine should load its share's newest version.
@@ -198,7 +229,7 @@
 // SwapDone records that an engine holds a version.
 func (p *Planner) SwapDone(id cf.InstanceID, m cf.ModelName, v cf.WeightVersion) {
 	if e := p.engines[id]; e != nil {
-		e.hold(m, v)
+		p.hold(e, m, v)
 	}
 }
 
@@ -210,9 +241,10 @@
 	}
 	p.starts(e, r.Born)
 	e.Memory, e.told = r.Memory, true
+	p.memory.tell(e)
 	p.memory.note(r.Runs, p.running())
 	for _, m := range r.Models {
-		e.hold(m.Name, m.Version)
+		p.hold(e, m.Name, m.Version)
 	}
 }
 
@@ -229,7 +261,7 @@
 		if e.loading > 0 {
 			e.failed, e.failedAt = e.loading, now
 		}
-		e.loading = 0
+		p.setLoading(e, 0)
 		e.rest = now + p.limits.OrderRest
 	}
 }
--- a/core/cfrollout/trial.go
+++ b/core/cfrollout/trial.go
@@ -144,7 +144,7 @@
 		return nil
 	}
 	out := map[cf.ModelName]int{}
-	for _, e := range p.engines {
+	for _, e := range p.loadings {
 		if e.loading > 0 && p.trials.models[e.Share] != nil {
 			out[e.Share]++
 		}
--- a/io/cfcoord/coordinator.go
+++ b/io/cfcoord/coordinator.go
@@ -20,7 +20,9 @@
 
 import (
 	"context"
+	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -65,7 +67,7 @@
 	// Streams runs items at targets, here or at other instances.
 	Streams interface {
 		// Route returns the way of a stream that is about to begin.
-		Route(t cf.InstanceID) cf.StreamRoute
+		Route(t cf.Target) cf.StreamRoute
 	}
 
 	// ownStreams are streams that this instance holds itself.
@@ -131,6 +133,8 @@
 		configSeen cfsite.ConfigVersion
 		prepared   prepared
 		history    history
+		// pace is how long an event takes at a usual engine, as bits of a float.
+		pace atomic.Uint64
 		// refused are held requests whose refusal was logged; the map is bounded.
 		refused map[cf.RequestID]bool
 	}
@@ -191,7 +195,7 @@
 }
 
 // Route implements Streams.
-func (s ownStreams) Route(cf.InstanceID) cf.StreamRoute {
+func (s ownStreams) Route(cf.Target) cf.StreamRoute {
 	return cf.StreamRoute{Via: s.self, Stream: s.Stream}
 }
 
@@ -303,6 +307,7 @@
 	for _, t := range c.planner.Unknown(now) {
 		c.checkReport(t)
 	}
+	c.pace.Store(math.Float64bits(c.planner.Pace()))
 	c.placeRewards(config, now)
 	c.expire(now)
 	for _, st := range c.batches {
@@ -332,6 +337,10 @@
 	return c.planner.ProvedLoads()
 }
 
+// Pace returns how long an event takes at a usual engine, in ms, zero while that is not
+// known.
+func (c *Coordinator) Pace() float64 { return math.Float64frombits(c.pace.Load()) }
+
 // Busy says whether items wait or run.
 func (c *Coordinator) Busy() bool {
 	c.mu.Lock()
@@ -341,14 +350,16 @@
 
 // refresh brings the planner up to what the site shows.
 func (c *Coordinator) refresh(config *cfsite.Config) {
-	if changes := c.Site.Changes(); changes != c.seen {
-		c.refreshEngines(config)
-		c.seen = changes
-	}
 	reroute := config.Version != c.configSeen
 	c.configSeen = config.Version
+	if changes := c.Site.Changes(); changes != c.seen || reroute {
+		c.refreshEngines(config, reroute)
+	}
 	for _, st := range c.batches {
 		switch {
+		case st.batch.Ended && !st.added:
+			st.added = true
+			c.planner.AddBatch(st.batch, cfrollout.Terms{}) // it shows what steps are like
 		case st.batch.Ended:
 		case !st.added:
 			c.open(config, st)
@@ -385,7 +396,9 @@
 	}, true
 }
 
-func (c *Coordinator) refreshEngines(config *cfsite.Config) {
+// refreshEngines tells the planner what has changed of the engines, or, where the
+// configuration has, of all.
+func (c *Coordinator) refreshEngines(config *cfsite.Config, all bool) {
 	models := map[cf.ServiceName][]cf.ModelName{}
 	for _, s := range config.Services {
 		if len(s.Models) > 0 {
@@ -396,7 +409,16 @@
 			c.named.note(m, c.planner.Named(m), cf.Uptime())
 		}
 	}
-	c.planner.SetEngines(c.Site.Targets(), models)
+	if all {
+		c.seen = 0
+	}
+	delta := c.Site.Since(c.seen)
+	c.seen = delta.Count
+	if delta.Whole {
+		c.planner.SetEngines(delta.Targets, models)
+		return
+	}
+	c.planner.ChangeEngines(delta.Targets, delta.Gone)
 }
 
 // open hands a batch to the planner.
--- a/io/cfcoord/runs.go
+++ b/io/cfcoord/runs.go
@@ -47,7 +47,7 @@
 	if c.planner.Long(w) {
 		class = cfaccess.LongItem
 	}
-	route := c.Streams.Route(e.ID)
+	route := c.Streams.Route(e.Target)
 	c.Log.Info("item_placed", zap.String("request_id", string(item.ID.Request())), cflog.Batch(w.Batch.Sub.ID),
 		zap.String("group_id", string(item.Group)), zap.String("target", string(e.ID)), zap.String("via", string(route.Via)), zap.Int64("version", int64(version)), zap.Int64("resume_after", int64(w.Text.Last)),
 		zap.Int("failures", w.Failures), zap.Int("running_there", e.Running), zap.Float64("event_ms_there", e.Pace()))
@@ -83,6 +83,8 @@
 	// unsent: it did not reach the engine. heard: the engine was heard of after it was
 	// sent.
 	unsent, heard bool
+	// kept is how long the connection is kept for another run.
+	kept cf.Millis
 }
 
 // ended takes the end of a run back to the planner.
@@ -104,6 +106,9 @@
 	if outcome == cfrollout.OutcomeNotRun && !c.planner.Loading(t.ID) {
 		c.checkReport(t)
 	}
+	if end.kept > 0 {
+		c.planner.Kept(t.ID, now+end.kept)
+	}
 	switch ended := c.planner.Finished(w, outcome, now); {
 	case ended && outcome == cfrollout.OutcomeDone:
 		c.complete(w, now)
@@ -181,7 +186,7 @@
 	if err != nil && outer.Err() != nil {
 		return runEnd{outcome: cfrollout.OutcomeStopped, reason: "ended or moved"}
 	}
-	end := runEnd{unsent: errors.Is(err, cf.ErrNotRun), heard: answer.Heard}
+	end := runEnd{unsent: errors.Is(err, cf.ErrNotRun), heard: answer.Heard, kept: answer.Kept}
 	end.outcome, end.reason = classify(answer, err)
 	return end
 }
--- a/io/cfnode/node.go
+++ b/io/cfnode/node.go
@@ -435,8 +435,11 @@
 	term, _ := n.candidate.MayOrder()
 	o := cfrunner.Options{
 		Self: n.self(), Term: term, Local: n.adapter.Targets, Peers: n.peers, Members: n.Live, Log: n.log,
-		Engines: func() []cf.Target {
-			return slices.DeleteFunc(slices.Clone(n.site.Targets()), func(t cf.Target) bool { return len(t.Models) == 0 })
+		Pace: func() float64 {
+			if c := n.coord.Load(); c != nil {
+				return c.Pace()
+			}
+			return 0
 		},
 	}
 	if n.settings.Policy.NoRunners {
--- a/io/cfrunner/assign.go
+++ b/io/cfrunner/assign.go
@@ -10,11 +10,12 @@
 )
 
 const (
-	// ownPerCore is how many runs a coordinator of one core holds itself. A run
-	// brings some 25 events a second of 25 us each, so these take a third of the
-	// core. The load it answers: 198 runs of two steps at a coordinator of a fifth
+	// ownPerCore is how many usual runs a coordinator of one core holds itself. A usual
+	// run brings an event each usualPace ms, which costs 25 us, so these take a third of
+	// the core. The load it answers: 198 runs of two steps at a coordinator of a fifth
 	// of a core, which then handles events, renewals and acceptances seconds late.
 	ownPerCore = 500
+	usualPace  = 40
 	// heldPerCore is the same of another instance, which serves callers and may be
 	// the next coordinator: an eighth of its core.
 	heldPerCore = 200
@@ -24,11 +25,21 @@
 // that is not in it stay with the coordinator.
 type Plan map[cf.InstanceID]cfmember.Entry
 
+// usualRuns returns how many usual runs cost as much as runs whose events come each pace ms;
+// a pace that is not known is zero.
+func usualRuns(runs int, pace float64) int {
+	if pace <= 0 {
+		return runs
+	}
+	return int(float64(runs) * usualPace / pace)
+}
+
 // Assign divides the engines among the instances, if more runs are under way at once
 // than the coordinator, self, can hold. As few instances as can carry it are taken, each
 // near its engines, the strong ones first; which ones changes little as instances
-// come and go.
-func Assign(engines []cf.Target, runs int, members []cfmember.Entry, self cfmember.Entry) Plan {
+// come and go, and an engine stays with the instance that it had before: that one has
+// connections to it.
+func Assign(engines []cf.Target, runs int, members []cfmember.Entry, self cfmember.Entry, before Plan) Plan {
 	members = slices.DeleteFunc(slices.Clone(members), func(e cfmember.Entry) bool { return e.ID == self.ID })
 	if len(members) == 0 || len(engines) == 0 || holdsAll(runs, self) {
 		return nil
@@ -51,20 +62,37 @@
 	near[""] = members
 	plan := Plan{}
 	for d, ts := range at {
-		plan.divide(ts, perSlot, near[d])
+		plan.divide(ts, perSlot, near[d], before)
 	}
 	return plan
 }
 
+// For returns the instance that holds the streams of an engine, one of those in the plan if
+// the engine is new to it; false if the coordinator does.
+func (p Plan) For(t cf.Target) (cfmember.Entry, bool) {
+	if e, known := p[t.ID]; known || len(p) == 0 {
+		return e, known
+	}
+	var best cfmember.Entry
+	for _, e := range p {
+		near, bestNear := e.Domain == t.Domain, best.Domain == t.Domain
+		if best.ID == "" || near && !bestNear || near == bestNear && weight(t.ID, e.ID) > weight(t.ID, best.ID) {
+			best = e
+		}
+	}
+	p[t.ID] = best
+	return best, true
+}
+
 // holdsAll says whether an instance can hold so many runs by itself.
 func holdsAll(runs int, self cfmember.Entry) bool { return float64(runs) <= ownPerCore*self.Capacity }
 
 // divide gives engines to the first instances, in the order of their weight, that
 // can carry them together.
-func (p Plan) divide(engines []cf.Target, perSlot float64, members []cfmember.Entry) {
-	order := slices.Clone(members)
+func (p Plan) divide(engines []cf.Target, perSlot float64, members []cfmember.Entry, before Plan) {
+	order, strongest := slices.Clone(members), cfmember.Strongest(members)
 	slices.SortFunc(order, func(a, b cfmember.Entry) int {
-		strongA, strongB := cfmember.Strong(a.Capacity, members), cfmember.Strong(b.Capacity, members)
+		strongA, strongB := cfmember.StrongOf(a.Capacity, strongest), cfmember.StrongOf(b.Capacity, strongest)
 		if strongA != strongB {
 			if strongA {
 				return -1
@@ -84,6 +112,16 @@
 		room[e.ID] = heldPerCore * e.Capacity
 	}
 	for _, t := range engines {
+		runs := perSlot * float64(t.Slots)
+		if e := before[t.ID]; room[e.ID] >= runs && e.ID != "" {
+			room[e.ID] -= runs
+			p[t.ID] = e
+		}
+	}
+	for _, t := range engines {
+		if p[t.ID].ID != "" {
+			continue
+		}
 		runs := perSlot * float64(t.Slots)
 		e := slices.MaxFunc(order, func(a, b cfmember.Entry) int {
 			if fitsA, fitsB := room[a.ID] >= runs, room[b.ID] >= runs; !fitsA || !fitsB {
--- a/io/cfrunner/assign_test.go
+++ b/io/cfrunner/assign_test.go
@@ -25,7 +25,7 @@
 // fifth of a core; the coordinator alone was a second behind its streams' events.
 func TestWeakCoordinatorsDivideTheirStreams(t *testing.T) {
 	members, engines := site(6, 13, 6, 6, 0.192)
-	plan := Assign(engines, slots(engines), members, members[0])
+	plan := Assign(engines, slots(engines), members, members[0], nil)
 	held := map[cf.EntryID]int{}
 	for _, e := range engines {
 		m, ok := plan[e.ID]
@@ -51,10 +51,10 @@
 // division that nobody needs.
 func TestStrongCoordinatorsHoldTheirStreamsThemselves(t *testing.T) {
 	members, engines := site(4, 2, 3, 12, 0.4)
-	if plan := Assign(engines, slots(engines), members, members[0]); len(plan) > 0 {
+	if plan := Assign(engines, slots(engines), members, members[0], nil); len(plan) > 0 {
 		t.Errorf("%d engines are divided", len(plan))
 	}
-	if plan := Assign(engines, slots(engines), members[:1], cfmember.Entry{ID: members[0].ID}); len(plan) > 0 {
+	if plan := Assign(engines, slots(engines), members[:1], cfmember.Entry{ID: members[0].ID}, nil); len(plan) > 0 {
 		t.Error("an instance without others divides its streams")
 	}
 }
@@ -64,7 +64,7 @@
 func TestDivisionChangesLittle(t *testing.T) {
 	members, engines := site(6, 13, 6, 6, 0.192)
 	self := members[0]
-	before := Assign(engines, slots(engines), members, self)
+	before := Assign(engines, slots(engines), members, self, nil)
 	gone := before[engines[0].ID]
 	var rest []cfmember.Entry
 	for _, m := range members {
@@ -72,7 +72,7 @@
 			rest = append(rest, m)
 		}
 	}
-	after := Assign(engines, slots(engines), rest, self)
+	after := Assign(engines, slots(engines), rest, self, nil)
 	for _, e := range engines {
 		if before[e.ID].ID != gone.ID && after[e.ID].ID != before[e.ID].ID {
 			t.Errorf("%s moved from %s to %s", e.ID, before[e.ID].ID, after[e.ID].ID)
@@ -80,12 +80,12 @@
 	}
 	members[5].Capacity = 0.8
 	for _, e := range engines[:6] {
-		if m := Assign(engines, slots(engines), members, self)[e.ID]; m.ID != members[5].ID {
+		if m := Assign(engines, slots(engines), members, self, nil)[e.ID]; m.ID != members[5].ID {
 			t.Errorf("%s is held by %s, a weak one", e.ID, m.ID)
 		}
 	}
 	far := []cf.Target{{ID: "far", Domain: "elsewhere", Slots: 200}}
-	if _, ok := Assign(far, 200, members, self)["far"]; !ok {
+	if _, ok := Assign(far, 200, members, self, nil)["far"]; !ok {
 		t.Error("an engine without an instance near it is held by nobody")
 	}
 }
@@ -94,14 +94,45 @@
 // does, and a strong coordinator holds it.
 func TestDivisionGoesByTheRunsUnderWay(t *testing.T) {
 	members, engines := site(6, 5, 50, 6, 0.8)
-	if plan := Assign(engines, 320, members, members[0]); len(plan) > 0 {
+	if plan := Assign(engines, 320, members, members[0], nil); len(plan) > 0 {
 		t.Errorf("%d engines are divided for 320 runs", len(plan))
 	}
 	hosts := map[cf.EntryID]bool{}
-	for _, m := range Assign(engines, 480, members, members[0]) {
+	for _, m := range Assign(engines, 480, members, members[0], nil) {
 		hosts[m.ID] = true
 	}
 	if len(hosts) == 0 || len(hosts) > 6 {
 		t.Errorf("480 runs are divided among %d instances", len(hosts))
 	}
 }
+
+// Load: more engines come into use while streams are divided. Those that were divided stay
+// where connections to them are kept.
+func TestDividedEnginesStay(t *testing.T) {
+	members, engines := site(6, 13, 12, 6, 0.192)
+	self := members[0]
+	few := engines[:len(engines)/2]
+	before := Assign(few, 300, members, self, nil)
+	after := Assign(engines, 500, members, self, before)
+	moved := 0
+	for _, e := range few {
+		if after[e.ID].ID != before[e.ID].ID {
+			moved++
+		}
+	}
+	if len(before) == 0 || moved > len(few)/10 {
+		t.Errorf("%d of %d engines moved", moved, len(few))
+	}
+}
+
+// Load: six steps of 224 items at engines whose events come each 80 ms. A coordinator of 1.6
+// cores holds them by itself, and one of 0.8 does not.
+func TestSlowEventsCostLess(t *testing.T) {
+	runs := usualRuns(6*224, 80)
+	if !holdsAll(runs, cfmember.Entry{Capacity: 1.6}) || holdsAll(runs, cfmember.Entry{Capacity: 0.8}) {
+		t.Errorf("%d usual runs", runs)
+	}
+	if usualRuns(100, 0) != 100 {
+		t.Error("a pace that is not known counts")
+	}
+}
--- a/io/cfrunner/cfrunner.go
+++ b/io/cfrunner/cfrunner.go
@@ -25,7 +25,7 @@
 //
 //	pool := cfrunner.NewPool(options) // at the coordinator
 //	defer pool.Close()
-//	answer, err := pool.Route(target.ID).Stream(ctx, target, call, sink)
+//	answer, err := pool.Route(target).Stream(ctx, target, call, sink)
 package cfrunner
 
 import (
--- a/io/cfrunner/cfrunner_test.go
+++ b/io/cfrunner/cfrunner_test.go
@@ -136,6 +136,9 @@
 	return len(s.events)
 }
 
+// engine is the one that runs all.
+var engine = cf.Target{ID: "e", Slots: manySlots}
+
 const manySlots = 1000
 
 // pool returns a pool that holds nothing itself, and the wire to its only host.
@@ -148,7 +151,6 @@
 		Members: func() []cfmember.Entry {
 			return []cfmember.Entry{{ID: "self", Capacity: 0.001}, {ID: "host", Peers: "host", Capacity: 0.1}}
 		},
-		Engines: func() []cf.Target { return []cf.Target{{ID: "e", Slots: manySlots}} },
 	})
 	t.Cleanup(func() { _ = p.Close() })
 	return p, w
@@ -171,7 +173,7 @@
 func begin(ctx context.Context, p *Pool, id cf.RequestID, s cf.StreamSink) chan ended {
 	done := make(chan ended, 1)
 	go func() {
-		a, err := p.Route("e").Stream(ctx, cf.Target{ID: "e"}, cf.TargetCall{ID: id}, s)
+		a, err := p.Route(engine).Stream(ctx, engine, cf.TargetCall{ID: id}, s)
 		done <- ended{a, err}
 	}()
 	return done
@@ -346,7 +348,7 @@
 // Cause: a host's word on the end of a run left out that it was never sent.
 func TestHostTellsThatARunWasNotSent(t *testing.T) {
 	p, _ := pool(t, refusing{})
-	_, err := p.Route("e").Stream(context.Background(), cf.Target{ID: "e"}, cf.TargetCall{ID: "1"}, &sink{})
+	_, err := p.Route(engine).Stream(context.Background(), engine, cf.TargetCall{ID: "1"}, &sink{})
 	if !errors.Is(err, cf.ErrNotRun) {
 		t.Errorf("error %v, want one that says it was not run", err)
 	}
--- a/io/cfrunner/pool.go
+++ b/io/cfrunner/pool.go
@@ -1,8 +1,10 @@
 package cfrunner
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -10,6 +12,7 @@
 
 	cf "currantford"
 	"currantford/core/cfmember"
+	"currantford/core/cfpeak"
 )
 
 const (
@@ -18,6 +21,9 @@
 	planEvery cf.Millis = 250
 	// avoidFor is how long an instance that was lost gets no runs.
 	avoidFor cf.Millis = 8000
+	// usedFor is how long an engine that has run something is counted among those that
+	// are divided.
+	usedFor cf.Millis = 60000
 )
 
 type (
@@ -32,10 +38,12 @@
 		Term  cf.Revision
 		Local cf.Targets
 		Peers Caller
-		// Members returns the instances that are alive, Engines the engines.
+		// Members returns the instances that are alive.
 		Members func() []cfmember.Entry
-		Engines func() []cf.Target
-		Log     *zap.Logger
+		// Pace returns how long an event takes at a usual engine, in ms, zero while that
+		// is not known; nil: it never is.
+		Pace func() float64
+		Log  *zap.Logger
 	}
 
 	// Pool runs streams at other instances, as a coordinator's division says, or
@@ -50,16 +58,23 @@
 		hurried chan struct{}
 		hurry   sync.Once
 
-		mu      sync.Mutex
+		mu sync.Mutex
+		// used are the engines that run something or lately did.
+		used    map[cf.InstanceID]usedEngine
 		plan    Plan
 		planned cf.Millis // when, zero if never
 		links   map[cf.EntryID]*link
 		avoid   map[cf.EntryID]cf.Millis
 		running int
-		peak    peak
+		peak    cfpeak.Peak
 		// runs counts the runs.
 		runs atomic.Uint64
 	}
+
+	usedEngine struct {
+		target cf.Target
+		at     cf.Millis
+	}
 )
 
 // NewPool returns a pool without runs.
@@ -67,7 +82,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Pool{
 		Options: o, duty: Duty{Term: o.Term, Number: rand.Uint64()}, ctx: ctx, cancel: cancel, hurried: make(chan struct{}),
-		links: map[cf.EntryID]*link{}, avoid: map[cf.EntryID]cf.Millis{},
+		used: map[cf.InstanceID]usedEngine{}, links: map[cf.EntryID]*link{}, avoid: map[cf.EntryID]cf.Millis{},
 	}
 }
 
@@ -85,7 +100,7 @@
 
 // Route returns the way of a stream that is about to begin. A sink that is a
 // cf.SeenSink also learns until when no events were missing.
-func (p *Pool) Route(t cf.InstanceID) cf.StreamRoute {
+func (p *Pool) Route(t cf.Target) cf.StreamRoute {
 	p.count(1)
 	l := p.linkFor(t)
 	via := p.Self.ID
@@ -94,7 +109,7 @@
 	}
 	return cf.StreamRoute{Via: via, Stream: func(ctx context.Context, t cf.Target, call cf.TargetCall, sink cf.StreamSink) (cf.TargetAnswer, error) {
 		defer p.count(-1)
-		for ; l != nil; l = p.linkFor(t.ID) { // it may have ended meanwhile
+		for ; l != nil; l = p.linkFor(t) { // it may have ended meanwhile
 			if r := l.start(t, call); r != nil {
 				return r.follow(ctx, sink)
 			}
@@ -108,19 +123,29 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.running += n
-	p.peak.note(p.running, cf.Uptime())
-	if len(p.plan) == 0 && !holdsAll(p.running, p.Self) {
+	p.peak.Note(p.running, cf.Uptime())
+	if len(p.plan) == 0 && !holdsAll(p.load(p.running), p.Self) {
 		p.planned = 0 // a step begins all its runs within a moment
 	}
 }
 
+// load returns what runs cost, in usual ones.
+func (p *Pool) load(runs int) int {
+	if p.Pace == nil {
+		return runs
+	}
+	return usualRuns(runs, p.Pace())
+}
+
 // linkFor returns the link to the instance that holds a target's streams, nil if
 // this one does.
-func (p *Pool) linkFor(t cf.InstanceID) *link {
+func (p *Pool) linkFor(t cf.Target) *link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.replan(cf.Uptime())
-	e, ok := p.plan[t]
+	now := cf.Uptime()
+	p.used[t.ID] = usedEngine{t, now}
+	p.replan(now)
+	e, ok := p.plan.For(t)
 	if !ok || p.ctx.Err() != nil {
 		return nil
 	}
@@ -146,8 +171,17 @@
 			members = append(members, e)
 		}
 	}
+	var engines []cf.Target
+	for id, u := range p.used {
+		if now-u.at > usedFor {
+			delete(p.used, id)
+			continue
+		}
+		engines = append(engines, u.target)
+	}
+	slices.SortFunc(engines, func(a, b cf.Target) int { return cmp.Compare(a.ID, b.ID) })
 	before := len(p.plan)
-	p.plan = Assign(p.Engines(), p.peak.of(now), members, p.Self)
+	p.plan = Assign(engines, p.load(p.peak.Of(now)), members, p.Self, p.plan)
 	if (before == 0) != (len(p.plan) == 0) {
 		hosts := map[cf.EntryID]bool{}
 		for _, e := range p.plan {
@@ -164,25 +198,3 @@
 	p.avoid[e] = cf.Uptime() + avoidFor
 	p.planned = 0
 }
-
-// peakSpan is for how long the most runs at once are remembered, at least: the steps of a
-// trainer are seconds apart, and the division should not change between them.
-const peakSpan cf.Millis = 30000
-
-// peak is the most of a number in the last one or two spans.
-type peak struct {
-	now, before int
-	since       cf.Millis
-}
-
-func (p *peak) note(n int, at cf.Millis) {
-	p.of(at)
-	p.now = max(p.now, n)
-}
-
-func (p *peak) of(at cf.Millis) int {
-	if at-p.since > peakSpan {
-		p.before, p.now, p.since = p.now, 0, at
-	}
-	return max(p.before, p.now)
-}
