--- a/core/cfbalance/balance.go
+++ b/core/cfbalance/balance.go
@@ -76,6 +76,9 @@
 	// lets an instance stay with some of those that are alike, and so spares them
 	// the handshakes of all the others.
 	coldCost = 4
+	// knownEnough is from how many targets on that have answered the others are expected
+	// to be like them.
+	knownEnough = 2
 	// forget drops what is known of targets that are not heard of any more.
 	forget cf.Millis = 60000
 )
@@ -99,6 +102,7 @@
 	defer b.mu.Unlock()
 	best := -1
 	bestScore := 0.0
+	usual := b.usual(candidates, now)
 	// Ties are broken by a random start, or all instances would send to the
 	// same target.
 	n := len(candidates)
@@ -109,9 +113,7 @@
 		if tried[t.ID] {
 			continue
 		}
-		s := b.of(t.ID)
-		s.seen = now
-		score := s.score(t, now)
+		score := b.state[t.ID].score(t, usual, now)
 		if best < 0 || score < bestScore {
 			best, bestScore = j, score
 		}
@@ -119,19 +121,47 @@
 	if best < 0 {
 		return cf.Target{}, false
 	}
+	b.of(candidates[best].ID).seen = now
 	return candidates[best], true
 }
 
+// usual returns what an answer of a target takes that has not answered yet: the mean of
+// those that have, once there are some, else less than any, so that they are tried.
+//
+// The load it answers: hundreds of instances before hundreds of targets, each with a request
+// every second or two. With targets that are expected to be faster until they have answered,
+// each instance tried them all, and opened a connection for nearly every request.
+func (b *Balancer) usual(candidates []cf.Target, now cf.Millis) float64 {
+	sum, known := 0.0, 0
+	for _, t := range candidates {
+		if s := b.state[t.ID]; s != nil && s.took > 0 && now >= s.avoid {
+			sum += s.took
+			known++
+		}
+	}
+	if known < knownEnough {
+		return 1
+	}
+	return max(sum/float64(known), 1)
+}
+
 // avoidScore puts targets that failed lately behind all others.
 const avoidScore = 1e6
 
-func (s *state) score(t cf.Target, now cf.Millis) float64 {
+// score is when a target is expected to answer; usual is for one that has not answered yet.
+func (s *state) score(t cf.Target, usual float64, now cf.Millis) float64 {
+	if s == nil {
+		return usual + coldCost
+	}
 	queue := float64(s.sent)
 	if now-s.loadAt < loadFresh {
 		queue = max(queue, float64(s.load.Running+s.load.Waiting))
 	}
-	slots := float64(max(t.Slots, 1))
-	score := (1 + queue/slots) * max(s.took, 1)
+	took := usual
+	if s.took > 0 {
+		took = max(s.took, 1)
+	}
+	score := (1 + queue/float64(max(t.Slots, 1))) * took
 	if now >= s.warm {
 		score += coldCost
 	}
@@ -161,6 +191,9 @@
 	switch o {
 	case Answered:
 		s.failures = 0
+		if s.took == 0 {
+			s.took = float64(took)
+		}
 		s.took += smooth * (float64(took) - s.took)
 		if load == nil || load.Waiting == 0 {
 			if s.work == 0 {
--- a/core/cfbalance/balance_test.go
+++ b/core/cfbalance/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	cf "currantford"
@@ -148,3 +149,44 @@
 		})
 	}
 }
+
+// Load: an instance sends a request every two seconds, one of hundreds before hundreds of
+// targets, which keep connections for eight. It stays with a few that answer as the others
+// do, and leaves one that turns slow.
+func TestFewTargetsOfManyAreUsed(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 5))
+	all := make([]cf.Target, 558)
+	for i := range all {
+		all[i] = cf.Target{ID: cf.InstanceID(fmt.Sprintf("t%03d", i)), Slots: 6}
+	}
+	b := cfbalance.New()
+	warm, used := map[cf.InstanceID]cf.Millis{}, map[cf.InstanceID]int{}
+	opened := 0
+	var slow cf.InstanceID
+	for i := range 300 {
+		now := cf.Millis(i) * 2000
+		target, _ := b.Choose(all, nil, random.Float64(), now)
+		if now >= warm[target.ID] {
+			opened++
+		}
+		took := 20 + cf.Millis(random.IntN(10))
+		if i == 150 {
+			slow = target.ID
+			clear(used)
+		}
+		if target.ID == slow {
+			took = 200
+		}
+		used[target.ID]++
+		warm[target.ID] = now + 8000
+		b.Sent(target.ID)
+		b.Done(target.ID, cfbalance.Answered, &cf.TargetLoad{Slots: 6}, took, now+took)
+		b.Kept(target.ID, now+8000)
+	}
+	if opened > 60 {
+		t.Errorf("%d connections for 300 requests", opened)
+	}
+	if used[slow] > 10 {
+		t.Errorf("%d requests to a target that takes eight times as long", used[slow])
+	}
+}
