--- a/core/cfbatch/parts.go
+++ b/core/cfbatch/parts.go
@@ -14,8 +14,7 @@
 	// headroom is left of the store's value limit for an object's own fields.
 	headroom = 64 << 10
 	// headMost is the largest batch that is kept in its head. A coordinator
-	// that takes over lists all heads, those of ended batches too: with the
-	// items in them it took 0.7 s for ten steps of 0.4 MB.
+	// that takes over lists all heads, those of ended batches too.
 	headMost = 16 << 10
 )
 
--- a/core/cfmember/hubs.go
+++ b/core/cfmember/hubs.go
@@ -10,8 +10,7 @@
 )
 
 const (
-	// HubsFrom is from how many instances on there are hubs, where nothing else is set: a
-	// coordinator of four fifths of a core answers as many by itself.
+	// HubsFrom is from how many instances on there are hubs, where nothing else is set.
 	HubsFrom = 97
 	// perHub is how many instances ask one hub on average.
 	perHub = 48
@@ -21,11 +20,10 @@
 // failure domain, the strongest of each; none on a deployment of fewer than from, whose
 // coordinator answers all by itself.
 //
-// The load it answers: 836 instances that ask one coordinator each 0.4 s, and that all have
-// to hear of a target that drains; a start of all of them, which each are sent the whole
-// view. Hubs ask the coordinator, and each is asked by some tens of others of its failure
-// domain, so that the coordinator's load grows by a fiftieth of the fleet, and what crosses
-// between domains as well.
+// The load it answers: hundreds of instances that all ask one coordinator, several times a
+// second, and all have to hear of a target that drains; a start of all of them, which each
+// are sent the whole view. Hubs ask the coordinator, and the others ask them, so that what
+// the coordinator answers, and what crosses between failure domains, grows with the hubs.
 func Hubs(entries []Entry, from int) []Entry {
 	if len(entries) < from {
 		return nil
--- a/core/cfmember/table.go
+++ b/core/cfmember/table.go
@@ -129,8 +129,7 @@
 }
 
 // Live returns the instances that take callers, sorted by id. The list is kept
-// until it changes, and not to be changed: 300 instances ask for it 750 times a
-// second.
+// until it changes, and not to be changed.
 func (t *Table) Live(now cf.Millis) []Entry {
 	if now < t.stale {
 		return t.live
@@ -176,8 +175,7 @@
 }
 
 // settled is the age from which on an instance can take a duty over: it has
-// its view of the site, which takes about 0.3 s, and has not ended right after
-// its start.
+// its view of the site, and has not ended right after its start.
 const settled cf.Millis = 600
 
 // strongPart is the part of the most capacity among the instances that a holder
@@ -203,9 +201,7 @@
 // Successor returns the instance that should take a duty over from one that
 // stops as planned: of the strong ones the youngest that has settled. In a rolling
 // restart the young ones have been restarted, and the others will be, so that the
-// duty moves once or twice and not with each of its holders. On instances of a
-// fifth of a core and 60 Mbit/s the coordinator of three trainers lost its steps:
-// 0.09 of them were served.
+// duty moves once or twice and not with each of its holders.
 func Successor(entries []Entry, self cf.EntryID) (Entry, bool) {
 	able := slices.DeleteFunc(slices.Clone(entries), func(e Entry) bool { return e.ID == self || e.Age < settled })
 	if len(able) == 0 {
--- a/core/cfrollout/loads.go
+++ b/core/cfrollout/loads.go
@@ -6,7 +6,7 @@
 
 const (
 	// slowLoad is how much longer than usual a load takes that others slow
-	// down: loads are seen to end at steps of 0.15 s of about 1 s.
+	// down, beyond what the time between two looks at it may add.
 	slowLoad = 1.25
 	// oddLoad is how much longer a load takes that tells nothing of those
 	// beside it: its order was carried out late, or its engine is slow.
@@ -38,8 +38,8 @@
 
 // loadPace learns how many engines may load weights at once. The weight store
 // serves some loads at full speed and slows all of them down beyond; how many is
-// not told, and differs with its size: two with 10 engines, nine with 44. With
-// two for 44 engines a fleet is never through with a version before the next.
+// not told, and differs with its size. With too few a fleet is never through with a
+// version before the next.
 //
 // After a round of loads that took as long as usual it allows half as many more,
 // or goes half of the way to a bound that was found; after a slow round it goes back
--- a/core/cfrollout/memory.go
+++ b/core/cfrollout/memory.go
@@ -25,9 +25,9 @@
 
 // memory is what is known of the tokens that texts take in engines' memory. The load
 // it answers: a step's longest texts are started or moved to the fastest engines, and
-// three of them fill the memory of one. It then puts back the newest run, which stands
-// still for seconds: 100 to 140 times on a day with trouble, and mostly texts that had
-// just been moved there, which the step waits for.
+// a few of them fill the memory of one. It then puts back the newest run, which stands
+// still for seconds: mostly a text that had just been moved there, which the step waits
+// for.
 type memory struct {
 	// perEvent is the tokens of an event, zero while that is not known.
 	perEvent float64
--- a/core/cfrollout/need.go
+++ b/core/cfrollout/need.go
@@ -138,9 +138,9 @@
 // divide assigns engines to the models: all of them where the work needs as many, else
 // as many as it needs.
 //
-// The load it answers: six trainers before 9,444 engines, of which some hundreds can serve
-// them. With all engines divided, each version is ordered at each of 1,574, and those that
-// a step waits for load late among them.
+// The load it answers: a few trainers before thousands of engines, of which some hundreds
+// serve them. With all engines divided, each version is ordered at all of them, and those
+// that a step waits for load late among the others.
 func (p *Planner) divide() {
 	p.scarce, p.undivided = false, false
 	for service, models := range p.models {
--- a/core/cfrollout/pace.go
+++ b/core/cfrollout/pace.go
@@ -390,6 +390,5 @@
 }
 
 // moveGain is what a move must be expected to save, in ms. Each one doubles it: what
-// the moves before were to save they did not, so the estimate is not to be trusted. A
-// text that moved each 0.8 s, seven times in all, took 2.6 s more than it takes alone.
+// the moves before were to save they did not, so the estimate is not to be trusted.
 func (w *Work) moveGain() float64 { return moveGain * float64(int(1)<<min(w.moves, moveDoublings)) }
--- a/core/cfrollout/planner_test.go
+++ b/core/cfrollout/planner_test.go
@@ -324,9 +324,7 @@
 }
 
 // BenchmarkLook measures a look of the planner at a busy site: every engine is
-// full, twice as many items wait, and a version has been named. Before the
-// shares were indexed and what waits was summed up a look took 0.5 ms with 10
-// engines, and grew with their square.
+// full, twice as many items wait, and a version has been named.
 func BenchmarkLook(b *testing.B) {
 	for _, n := range []int{10, 100, 1000} {
 		b.Run(fmt.Sprintf("engines_%d", n), func(b *testing.B) {
--- a/core/cfrollout/slots.go
+++ b/core/cfrollout/slots.go
@@ -6,8 +6,8 @@
 
 const (
 	// slotPrior is how much slower each further run is taken to make the others
-	// on its engine until engines have shown it: 0.3, 1.5 and 4% were seen on
-	// three kinds of them. slotLeast and slotMost bound what is learned.
+	// on its engine until engines have shown it; kinds of engines differ tenfold.
+	// slotLeast and slotMost bound what is learned.
 	slotPrior = 0.02
 	slotLeast = 0.01
 	slotMost  = 0.05
@@ -24,9 +24,8 @@
 )
 
 // slotCost learns how much slower an engine gets with each run, from its pace with
-// few and with many. Engines differ: taken for 3% where it is 0.3%, a full engine
-// looks a third slower than an empty one, and each long text moved three to seven
-// times in vain.
+// few and with many. Where it is taken for too much, a full engine looks slower than an
+// empty one, and long texts move in vain.
 type slotCost struct {
 	cov, spread float64
 	cost        float64
--- a/core/cfrollout/swap.go
+++ b/core/cfrollout/swap.go
@@ -47,9 +47,8 @@
 	urgent bool
 }
 
-// swapQueue is a heap of candidates, the one to load first at its head. Only a
-// few may load at once: sorting all of 3,000 at each look took 2.9 ms, and two
-// thirds of the coordinator's processor.
+// swapQueue is a heap of candidates, the one to load first at its head: only a few
+// of them may load at once, so that sorting all would be in vain.
 type swapQueue []swapCandidate
 
 func (q swapQueue) Len() int      { return len(q) }
--- a/io/cfcoord/batches.go
+++ b/io/cfcoord/batches.go
@@ -151,7 +151,7 @@
 
 // Changed is an instance's word that a batch was accepted or ended. Without it
 // a watch whose connection has gone silent would hold a step up until it times
-// out: 2 s were seen after an outage of the store.
+// out.
 func (c *Coordinator) Changed(id cf.BatchID, ended bool) {
 	if c.ctx.Err() != nil {
 		return
--- a/io/cfcoord/budget.go
+++ b/io/cfcoord/budget.go
@@ -8,10 +8,10 @@
 
 const (
 	// pagesPart is the part of its machine's link that a coordinator spends on
-	// pages of results for other instances. The load it answers: a step of 1.2 MB
+	// pages of results for other instances. The load it answers: a step of a megabyte
 	// is read by its trainer and by others, from any position and some twice, just
-	// when the next step is under way; on a link of 60 Mbit/s pages took 2.9 of
-	// 7.5 MB a second, and renewals and chunks waited behind them.
+	// when the next step is under way; on a weak link renewals and chunks wait behind
+	// the pages.
 	pagesPart = 0.15
 	// pagesSpan is how long the link's part may be saved up, so that a lone reader
 	// gets its page at once.
--- a/io/cfcoord/prepared.go
+++ b/io/cfcoord/prepared.go
@@ -59,8 +59,8 @@
 }
 
 // Prepare takes a batch that an instance is about to accept. Through the store it
-// comes later, by the time of a watch and of a read of its items: 60 to 140 ms on a
-// sound store, seconds while this instance does not reach it. It is begun when it
+// comes later, by the time of a watch and of a read of its items: some tens of
+// ms where the store is sound, seconds while this instance does not reach it. It is begun when it
 // is known to be accepted, and not before: one that is refused must never run.
 func (c *Coordinator) Prepare(sub cf.Submission) {
 	c.mu.Lock()
--- a/io/cfcoord/takeover.go
+++ b/io/cfcoord/takeover.go
@@ -15,8 +15,7 @@
 
 	// takeover is what a duty has to learn of the one before. It runs nothing until
 	// then: a batch that was ended meanwhile would run on, and a text that is not
-	// awaited would be generated once more, 7 s for the longest. The lock of who holds it
-	// guards it.
+	// awaited would be generated once more. The lock of who holds it guards it.
 	takeover struct {
 		// listed: the batches from before have been listed; current: what has
 		// changed since, too; gathered: the texts from before have been taken.
--- a/io/cfnode/announce.go
+++ b/io/cfnode/announce.go
@@ -23,7 +23,7 @@
 
 // holderMessage tells who holds the coordinator's lease. Each instance to which that is
 // news passes it on, so that all find a new coordinator within a few round trips and none
-// asks the store for it: 72 did at each planned stop of one, twice.
+// asks the store for it.
 type holderMessage struct {
 	Holder cflease.Holder `cbor:"holder"`
 	Rev    cf.Revision    `cbor:"rev"`
--- a/io/cfnode/candidate.go
+++ b/io/cfnode/candidate.go
@@ -39,9 +39,8 @@
 	// one instance writes and the others see its lease.
 	takeSpread = 250 * time.Millisecond
 	// outrankedWait is how long an instance leaves a free duty to stronger ones, from
-	// when the store answers: they look each 0.6 s, and draw. After an outage, when
-	// 66 weak instances and six strong ones look, the duty went to a weak one, and
-	// from there to a strong one with another pause of the orders.
+	// when the store answers: one of their looks, and their draw. From a weak one it
+	// would go to a strong one with another pause of the orders.
 	outrankedWait = 900 * time.Millisecond
 )
 
--- a/io/cfnode/node.go
+++ b/io/cfnode/node.go
@@ -245,8 +245,8 @@
 )
 
 // reachedSuccessor returns the instance that should take the duty over, of those that
-// answer: one that was cut off in the last 1.5 s still counts as alive, and the duty,
-// named for it, was nobody's for a second while the texts here were lost.
+// answer: one that was cut off a moment ago still counts as alive, and the duty, named for
+// it, would be nobody's for a while.
 func (n *Node) reachedSuccessor(ctx context.Context) cfmember.Entry {
 	var silent []cf.EntryID
 	for range successorTries {
--- a/io/cfnode/relay.go
+++ b/io/cfnode/relay.go
@@ -20,7 +20,7 @@
 	// relayRest is the pause after a call that nobody could relay, which
 	// doubles up to relayRestMost: in an outage of the store each try finds out
 	// nothing, and holds up the next call of this instance itself, which would
-	// see that the store is back. Renewals were late by 2.5 s after it.
+	// see that the store is back.
 	relayRest     cf.Millis = 250
 	relayRestMost cf.Millis = 2000
 	// relayAvoid keeps calls off an instance that did not answer one: each try
--- a/io/cfnode/texts.go
+++ b/io/cfnode/texts.go
@@ -220,8 +220,7 @@
 }
 
 // fetchTexts reads the texts of the instance that holds the newest, and of these the
-// most. Two megabytes take a link of 60 Mbit/s 0.3 s, and as long again where others
-// share it: the time to wait goes by the size.
+// most. The time to wait goes by the size, as others may share the link.
 func (n *Node) fetchTexts(ctx context.Context, holders []textsOf, term cf.Revision) textsOf {
 	slices.SortFunc(holders, func(a, b textsOf) int {
 		return cmp.Or(cmp.Compare(b.Of, a.Of), cmp.Compare(b.Size, a.Size))
--- a/io/cfpeer/peer.go
+++ b/io/cfpeer/peer.go
@@ -300,9 +300,8 @@
 
 func (s *slot) release() { <-s.taken }
 
-// dial connects to a peer. The slot is taken, by a call that may have seconds: with
-// all of them for its try, one call of 5.9 s held a coordinator's renewals and
-// watches up for as long.
+// dial connects to a peer. The slot is taken, by a call that may have seconds: with all
+// of them for its try, it would hold a coordinator's renewals and watches up for as long.
 func (s *slot) dial(ctx context.Context, addr string) (*websocket.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
--- a/io/cfrunner/assign.go
+++ b/io/cfrunner/assign.go
@@ -11,9 +11,9 @@
 
 const (
 	// ownPerCore is how many usual runs a coordinator of one core holds itself. A usual
-	// run brings an event each usualPace ms, which costs 25 us, so these take a third of
-	// the core. The load it answers: 198 runs of two steps at a coordinator of a fifth
-	// of a core, which then handles events, renewals and acceptances seconds late.
+	// run brings an event each usualPace ms; their events then take a third of the core.
+	// The load it answers: the runs of two steps at a coordinator of a fifth of a core,
+	// which then handles events, renewals and acceptances seconds late.
 	ownPerCore = 500
 	usualPace  = 40
 	// heldPerCore is the same of another instance, which serves callers and may be
