What an instance knows of the others is one type, without sockets or clock

cfmember.Membership holds the coordinator's table, the list as it is told, who is a hub or a scout, and who asks this instance; the node had eleven fields and their lock. No change of behaviour is meant.

--- a/io/cfnode/feed.go
+++ b/io/cfnode/feed.go
@@ -180,9 +180,7 @@
 		return 0
 	}
 	away := now-cf.Millis(n.feed.unsure.Load()) < outageTold && now-cf.Millis(n.feed.away.Load()) < outageTold
-	n.memberMu.Lock()
-	defer n.memberMu.Unlock()
-	return cfmember.LeaveStore(behind || len(n.hubs()) > 0, away)
+	return cfmember.LeaveStore(behind || len(n.members.Hubs(n.self(), now)) > 0, away)
 }
 
 // starting says whether this instance has just started, and waits for the word of a
@@ -208,12 +206,7 @@
 
 // scout says whether this instance looks after the store as soon as the coordinator can't
 // tell how things stand.
-func (n *Node) scout() bool {
-	n.memberMu.Lock()
-	defer n.memberMu.Unlock()
-	n.hubs()
-	return n.isScout
-}
+func (n *Node) scout() bool { return n.members.Scout(n.self()) }
 
 // runFeed asks the coordinator, or a hub, for news until ctx ends.
 func (n *Node) runFeed(ctx context.Context) {
@@ -304,12 +297,10 @@
 	call.Origin, call.News, call.Members, call.Without = n.feed.origin, n.feed.news, n.feed.membersAt, n.feed.silentHubs(now)
 	known := n.feed.groupSum
 	n.feed.mu.Unlock()
-	n.memberMu.Lock()
-	call.MembersSum = n.roster.Sum()
+	call.MembersSum = n.members.Sum()
 	if !hub {
-		call.Group = n.group(known)
+		call.Group = n.members.Group(known, now)
 	}
-	n.memberMu.Unlock()
 	holder, _ := n.candidate.holder()
 	call.Term = holder.Term
 	if !hub {
@@ -366,9 +357,7 @@
 	if news == nil {
 		return
 	}
-	n.memberMu.Lock()
-	same := n.keeping || n.roster.Take(*news)
-	n.memberMu.Unlock()
+	same := n.members.Take(*news)
 	n.feed.mu.Lock()
 	defer n.feed.mu.Unlock()
 	n.feed.membersAt = news.Count
--- a/io/cfnode/feedserve.go
+++ b/io/cfnode/feedserve.go
@@ -5,7 +5,6 @@
 	"time"
 
 	cf "currantford"
-	"currantford/core/cfmember"
 	"currantford/core/cfsite"
 )
 
@@ -88,17 +87,7 @@
 		a.Unsure = !a.Fresh && now-cf.Millis(n.feed.unsure.Load()) < outageTold
 	}
 	same := call.Origin == n.origin
-	n.memberMu.Lock()
-	n.live(now)
-	switch {
-	case !same:
-		news := n.roster.All(call.MembersSum)
-		a.Members = &news
-	case call.Members != n.roster.Count():
-		news := n.roster.Since(call.Members)
-		a.Members = &news
-	}
-	n.memberMu.Unlock()
+	a.Members = n.members.News(same, call.Members, call.MembersSum, n.self(), now)
 	if !a.Fresh {
 		return a
 	}
@@ -123,35 +112,16 @@
 // hear takes an instance's report: as the coordinator, or as its hub. It returns the sum of
 // its group as it is known now.
 func (n *Node) hear(call feedCall, holds bool) (groupSum uint64) {
-	n.memberMu.Lock()
-	defer n.memberMu.Unlock()
 	now := cf.Uptime()
 	call.Entry.Ready = call.Entry.Ready && !call.Leaving
 	if !holds {
-		n.clients.Heard(call.Entry, now)
+		n.members.Asked(call.Entry, now)
 		return 0
 	}
-	n.members.Heard(call.Entry, now)
 	if call.Wall > 0 {
+		n.clockMu.Lock()
 		n.clocks.Heard(call.Entry.ID, call.Wall, now)
+		n.clockMu.Unlock()
 	}
-	if call.Group == nil {
-		return 0
-	}
-	return n.members.Vouched(call.Entry.ID, *call.Group, now)
-}
-
-// group returns what this instance tells the coordinator of those that ask it, nil if
-// nobody does. memberMu is held.
-func (n *Node) group(known uint64) *cfmember.Group {
-	live := n.clients.Live(cf.Uptime())
-	if len(live) == 0 && known == 0 {
-		return nil
-	}
-	n.clientRoster.Set(live)
-	g := &cfmember.Group{Sum: n.clientRoster.Sum()}
-	if g.Sum != known {
-		g.Entries = live
-	}
-	return g
+	return n.members.Heard(call.Entry, call.Group, now)
 }
--- a/io/cfnode/fleet_test.go
+++ b/io/cfnode/fleet_test.go
@@ -177,10 +177,7 @@
 func (f *testFleet) hub() cf.EntryID {
 	f.t.Helper()
 	for id, n := range f.nodes {
-		n.memberMu.Lock()
-		clients := len(n.clients.Live(cf.Uptime()))
-		n.memberMu.Unlock()
-		if clients > 0 && n.coord.Load() == nil {
+		if n.members.Asking(cf.Uptime()) > 0 && n.coord.Load() == nil {
 			return id
 		}
 	}
--- a/io/cfnode/hub.go
+++ b/io/cfnode/hub.go
@@ -36,10 +36,7 @@
 // hubOf returns the hub that an instance which asks the coordinator is to ask instead,
 // false if there is none.
 func (n *Node) hubOf(call feedCall) (cfmember.Entry, bool) {
-	n.memberMu.Lock()
-	n.live(cf.Uptime())
-	hubs := n.hubs()
-	n.memberMu.Unlock()
+	hubs := n.members.Hubs(n.self(), cf.Uptime())
 	if call.Group != nil || cfmember.Listed(hubs, call.Entry.ID) {
 		return cfmember.Entry{}, false
 	}
@@ -52,22 +49,11 @@
 	return choices[0], true
 }
 
-// hubs returns the hubs of the roster. memberMu is held.
-func (n *Node) hubs() []cfmember.Entry {
-	if count := n.roster.Count(); n.hubsAt != count {
-		n.hubList, n.hubsAt = cfmember.Hubs(n.roster.Entries(), n.settings.Members.HubsFrom), count
-		n.isScout = cfmember.Scout(n.roster.Entries(), n.hubList, n.self())
-	}
-	return n.hubList
-}
-
 // hubToAsk returns the hub to ask, false if the coordinator is to be asked: by the hubs
 // themselves, by an instance that knows none, and where a hub has had no word for a while.
 func (n *Node) hubToAsk(holder cflease.Holder) (cfmember.Entry, bool) {
 	now := cf.Uptime()
-	n.memberMu.Lock()
-	own := cfmember.Listed(n.hubs(), n.settings.Entry) || len(n.clients.Live(now)) > 0
-	n.memberMu.Unlock()
+	own := cfmember.Listed(n.members.Hubs(n.self(), now), n.settings.Entry) || n.members.Asking(now) > 0
 	n.feed.mu.Lock()
 	hub, until, follow := n.feed.hub, n.feed.hubUntil, n.feed.follow
 	n.feed.mu.Unlock()
@@ -83,9 +69,7 @@
 // findHub chooses the hub to ask from now on, if there are any.
 func (n *Node) findHub(holder cflease.Holder) {
 	now := cf.Uptime()
-	n.memberMu.Lock()
-	hubs := n.hubs()
-	n.memberMu.Unlock()
+	hubs := n.members.Hubs(n.self(), now)
 	choices := cfmember.HubsFor(hubs, n.self(), func(id cf.EntryID) bool { return id == holder.Entry || n.hubAvoided(id, now) })
 	if len(choices) > 0 && !cfmember.Listed(hubs, n.settings.Entry) {
 		n.setHub(choices[0])
--- a/io/cfnode/node.go
+++ b/io/cfnode/node.go
@@ -100,27 +100,14 @@
 		quarantine *quarantine
 		// usage counts what callers use, nil where that is not asked for; clocks are
 		// those of the instances, as the holder hears them.
-		usage  *usage
-		clocks cfusage.Clocks
-		pool   atomic.Pointer[cfrunner.Pool]
+		usage   *usage
+		clockMu sync.Mutex
+		clocks  cfusage.Clocks
+		pool    atomic.Pointer[cfrunner.Pool]
 
 		// origin identifies the counts of this process's answers to feed calls.
-		origin   uint64
-		memberMu sync.Mutex
-		// members are the instances as the coordinator hears of them, roster those that
-		// take callers, as this instance knows, with the hubs among them as of a count
-		// of its changes; clients those that ask this instance as their hub.
-		members     cfmember.Table
-		membersSeen int64
-		// keeping: this instance keeps the roster, as the coordinator.
-		keeping      bool
-		liveAt       cf.Millis
-		roster       cfmember.Roster
-		hubList      []cfmember.Entry
-		hubsAt       int64
-		isScout      bool
-		clients      cfmember.Table
-		clientRoster cfmember.Roster
+		origin  uint64
+		members *cfmember.Membership
 
 		ctx    context.Context
 		cancel context.CancelFunc
@@ -147,7 +134,7 @@
 	n := &Node{
 		settings: s, adapter: a, log: log, site: cfsite.New(a.Codec), metrics: cfcoord.NewMetrics(reg),
 		peers: cfpeer.NewClient(), peerSrv: cfpeer.NewServer(), ctx: ctx, cancel: cancel,
-		started: cf.Uptime(), origin: rand.Uint64(), hubsAt: -1, candidateDone: make(chan struct{}), pages: cfcoord.NewLinkBudget(s.Machine.LinkMbps),
+		started: cf.Uptime(), origin: rand.Uint64(), members: cfmember.NewMembership(s.Members.HubsFrom), candidateDone: make(chan struct{}), pages: cfcoord.NewLinkBudget(s.Machine.LinkMbps),
 		host: cfrunner.NewHost(a.Targets, log), watchMetrics: cfwatch.NewMetrics(reg),
 	}
 	n.quarantine = newQuarantine(n)
@@ -283,9 +270,7 @@
 	if n.settings.Policy.DutyAnywhere {
 		return false
 	}
-	n.memberMu.Lock()
-	defer n.memberMu.Unlock()
-	return !cfmember.Strong(n.settings.Machine.Capacity(), n.roster.Entries())
+	return !cfmember.Strong(n.settings.Machine.Capacity(), n.members.Live(n.self(), cf.Uptime()))
 }
 
 const (
@@ -346,9 +331,7 @@
 // reports, else as the coordinator last told.
 func (n *Node) Live() []cfmember.Entry {
 	self, ready := n.self(), n.ingress.Ready()
-	n.memberMu.Lock()
-	live := n.live(cf.Uptime())
-	n.memberMu.Unlock()
+	live := n.members.Live(self, cf.Uptime())
 	at, known := slices.BinarySearchFunc(live, self.ID, func(e cfmember.Entry, id cf.EntryID) int { return strings.Compare(string(e.ID), string(id)) })
 	switch {
 	case known == ready:
@@ -360,43 +343,16 @@
 	}
 }
 
-// live returns the instances that take callers, as this one knows; the list is not to be
-// changed. memberMu is held.
-func (n *Node) live(now cf.Millis) []cfmember.Entry {
-	if n.keeping && (now-n.liveAt >= liveEvery || len(n.roster.Entries()) < liveFew) {
-		n.liveAt = now
-		n.members.Heard(n.self(), now)
-		if live := n.members.Live(now); n.members.Changes() != n.membersSeen {
-			n.roster.Set(live)
-			n.membersSeen = n.members.Changes()
-		}
-	}
-	return n.roster.Entries()
-}
-
-const (
-	// liveEvery spaces the coordinator's looks at a long list of instances, from liveFew
-	// on: when hundreds start, each of their first calls changes it.
-	liveEvery cf.Millis = 50
-	liveFew   int       = 100
-)
-
 // successor returns the instance that should take the duty over, other than those
 // left out.
 func (n *Node) successor(without ...cf.EntryID) cfmember.Entry {
-	n.memberMu.Lock()
-	defer n.memberMu.Unlock()
 	fresh := slices.DeleteFunc(n.members.Fresh(cf.Uptime()), func(e cfmember.Entry) bool { return slices.Contains(without, e.ID) })
 	e, _ := cfmember.Successor(fresh, n.settings.Entry)
 	return e
 }
 
 func (n *Node) beginDuty(before cflease.Holder, left json.RawMessage) {
-	n.memberMu.Lock()
-	members := n.roster.Entries()
-	n.members.Adopt(members, cf.Uptime())
-	n.membersSeen, n.keeping = 0, true
-	n.memberMu.Unlock()
+	members := n.members.Keep(cf.Uptime())
 	pool := n.newPool()
 	n.pool.Store(pool)
 	c := cfcoord.New(cfcoord.Options{
@@ -454,11 +410,7 @@
 		pool := n.pool.Swap(nil)
 		pool.Hurry()
 		defer func() { _ = pool.Close() }()
-		n.memberMu.Lock()
-		n.liveAt = 0
-		n.live(cf.Uptime())
-		n.keeping = false
-		n.memberMu.Unlock()
+		n.members.Leave(n.self(), cf.Uptime())
 		_ = c.Close()
 		n.texts.Store(&keptTexts{pool.Term, c.Texts()})
 	}
--- a/io/cfnode/scout_test.go
+++ b/io/cfnode/scout_test.go
@@ -64,7 +64,7 @@
 			n := newTestNode(t, store)
 			now := cf.Uptime()
 			n.started = now - 60_000
-			n.roster.Set(c.members)
+			n.members.Take(cfmember.RosterNews{Whole: true, Entries: c.members})
 			n.feed.heard.Store(int64(now - c.silent))
 			if c.unsure {
 				n.feed.unsure.Store(int64(now))
@@ -162,7 +162,7 @@
 	for i := range 9 {
 		members = append(members, cfmember.Entry{ID: cf.EntryID(fmt.Sprint("strong-", i)), Capacity: 9, Peers: addr})
 	}
-	n.roster.Set(members)
+	n.members.Take(cfmember.RosterNews{Whole: true, Entries: members})
 	n.candidate.observe(5, cflease.Holder{Entry: "x", Term: 5, Addr: "127.0.0.1:1"})
 	ask := func(then func() bool) {
 		t.Helper()
--- a/io/cfnode/texts.go
+++ b/io/cfnode/texts.go
@@ -163,10 +163,7 @@
 	if before.Copies != "" && before.Copies != n.settings.Listen.Peers {
 		addrs[before.Copies] = true
 	}
-	n.memberMu.Lock()
-	hubs := n.hubs()
-	n.memberMu.Unlock()
-	for _, e := range cfmember.Keepers(members, hubs) {
+	for _, e := range cfmember.Keepers(members, n.members.Hubs(n.self(), cf.Uptime())) {
 		if e.ID != n.settings.Entry {
 			addrs[e.Peers] = true
 		}
--- a/io/cfnode/texts_test.go
+++ b/io/cfnode/texts_test.go
@@ -95,8 +95,8 @@
 	}
 	t.Cleanup(func() { _ = silent.Close() })
 	now := cf.Uptime()
-	n.members.Heard(cfmember.Entry{ID: "cut", Peers: silent.Addr().String(), Ready: true, Age: 1000}, now)
-	n.members.Heard(cfmember.Entry{ID: "old", Peers: ln.Addr().String(), Ready: true, Age: 60000}, now)
+	n.members.Heard(cfmember.Entry{ID: "cut", Peers: silent.Addr().String(), Ready: true, Age: 1000}, nil, now)
+	n.members.Heard(cfmember.Entry{ID: "old", Peers: ln.Addr().String(), Ready: true, Age: 60000}, nil, now)
 	if e := n.successor(); e.ID != "cut" {
 		t.Fatalf("the youngest is %q", e.ID)
 	}
--- a/io/cfnode/usage.go
+++ b/io/cfnode/usage.go
@@ -161,8 +161,8 @@
 	if !holds {
 		return n.usage.now()
 	}
-	n.memberMu.Lock()
-	defer n.memberMu.Unlock()
+	n.clockMu.Lock()
+	defer n.clockMu.Unlock()
 	wall, uptime := cf.Now(), cf.Uptime()
 	now := n.clocks.Now(wall, uptime)
 	n.usage.clock.Told(now, wall, uptime)
