--- a/io/cfnode/hub.go
+++ b/io/cfnode/hub.go
@@ -70,6 +70,12 @@
 func (n *Node) findHub(holder cflease.Holder) {
 	now := cf.Uptime()
 	hubs := n.members.Hubs(n.self(), now)
+	if len(hubs) == 0 { // the deployment has shrunk, or nothing is known of it
+		n.feed.mu.Lock()
+		n.feed.hub = nil
+		n.feed.mu.Unlock()
+		return
+	}
 	choices := cfmember.HubsFor(hubs, n.self(), func(id cf.EntryID) bool { return id == holder.Entry || n.hubAvoided(id, now) })
 	if len(choices) > 0 && !cfmember.Listed(hubs, n.settings.Entry) {
 		n.setHub(choices[0])
