Instances that start at once on busy machines leave the list of targets to the coordinator

A trace of each such decision shows two ways: - 422 to 965 ms after the start, no word, no call under way: the lease named the coordinator, but the feed's first call had not begun, so the grace of 300 ms held; - 1,032 ms after the start, first word 1,001 ms ago, no hub known: an instance that knows few others yet holds itself for one of the scouts. Now a starting instance waits for the coordinator that the lease names as long as a call may take, is no scout in its first 3 s, and a hub leaves the list 1.5 s to a new coordinator. Ruled out: a fault in the relay of news (the instances were current afterwards).

--- a/io/cfnode/feed.go
+++ b/io/cfnode/feed.go
@@ -40,6 +40,9 @@
 	// feedSilence is how long an instance relies on the last answer before
 	// it watches the store itself.
 	feedSilence cf.Millis = 900
+	// hubSilence is the same for a hub: to list what thousands of targets are is left to a
+	// new coordinator for a moment.
+	hubSilence cf.Millis = 1500
 	// outageTold is how long an instance believes that the store is away for others
 	// too: the coordinator by its own word, and one more that is asked each outageAsk.
 	outageTold cf.Millis = 1000
@@ -122,9 +125,7 @@
 		// unsure is that of the last answer of a holder that knew nothing new, away
 		// that of the last of another instance, askedAt when one was asked last.
 		unsure, away, askedAt atomic.Int64
-		// callSince is when the call under way began, zero if none is.
-		callSince atomic.Int64
-		mu        sync.Mutex
+		mu                    sync.Mutex
 		// origin, news and membersAt say what the instance has.
 		origin    uint64
 		news      int64
@@ -147,6 +148,13 @@
 	}
 )
 
+// behind says whether a hub is asked for news.
+func (f *feed) behind() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hub != nil
+}
+
 // usageSettled returns the last window of use that nobody needs.
 func (f *feed) usageSettled() cf.UsageWindow {
 	f.mu.Lock()
@@ -173,27 +181,29 @@
 	if n.starting(now) {
 		return now + 1 // as long as it starts
 	}
-	n.feed.mu.Lock()
-	behind := n.feed.hub != nil
-	n.feed.mu.Unlock()
-	if !behind && n.scout() {
+	behind := n.feed.behind()
+	// One that has just started doesn't know yet who else looks after the store.
+	if !behind && n.scout() && now-n.started >= startUnsure {
 		return 0
 	}
 	away := now-cf.Millis(n.feed.unsure.Load()) < outageTold && now-cf.Millis(n.feed.away.Load()) < outageTold
 	return cfmember.LeaveStore(behind || len(n.members.Hubs(n.self(), now)) > 0, away)
 }
 
-// starting says whether this instance has just started, and waits for the word of a
-// coordinator that it has found.
+// starting says whether this instance has just started, and waits for the word of the
+// coordinator that the lease names.
+//
+// The load it answers: a deployment that starts at once on machines that are busy, where
+// each instance would list all targets because its first call has not got through yet.
 func (n *Node) starting(now cf.Millis) bool {
 	if n.feed.heard.Load() > 0 {
 		return false
 	}
 	since := now - n.started
-	if call := cf.Millis(n.feed.callSince.Load()); call > 0 && since < startGrace+feedWait+feedGrace {
+	if holder, _ := n.candidate.holder(); holder.Entry != "" && since < startGrace+feedWait+feedGrace {
 		return true
 	}
-	return since < startUnsure && now-cf.Millis(n.feed.unsure.Load()) < outageTold
+	return since < startUnsure && (n.feed.behind() || now-cf.Millis(n.feed.unsure.Load()) < outageTold)
 }
 
 // alone says whether this instance must watch the store itself.
@@ -201,7 +211,11 @@
 	if n.coord.Load() != nil {
 		return true
 	}
-	return now-n.started >= startGrace && now-cf.Millis(n.feed.heard.Load()) >= max(n.left(now), feedSilence)
+	silence := feedSilence
+	if len(n.members.Hubs(n.self(), now)) > 0 {
+		silence = hubSilence
+	}
+	return now-n.started >= startGrace && now-cf.Millis(n.feed.heard.Load()) >= max(n.left(now), silence)
 }
 
 // scout says whether this instance looks after the store as soon as the coordinator can't
@@ -259,8 +273,6 @@
 	ctx, cancel := context.WithTimeout(ctx, (feedWait + feedGrace).Duration())
 	defer cancel()
 	asked := cf.Uptime()
-	n.feed.callSince.Store(int64(asked))
-	defer n.feed.callSince.Store(0)
 	call := n.feedCall(hub, asked)
 	var a feedAnswer
 	if err := n.peers.Call(ctx, addr, opFeed, call, &a); err != nil {
