--- /dev/null
+++ b/core/cfmember/word.go
@@ -0,0 +1,104 @@
+package cfmember
+
+import (
+	cf "currantford"
+)
+
+const (
+	// CallWait is how long a call for news is held without any; each call is also the
+	// caller's report that it is alive. CallGrace is what an answer may take beyond that.
+	CallWait  cf.Millis = 400
+	CallGrace cf.Millis = 350
+	// wordFresh is how long an instance relies on the last current word before it watches
+	// the store itself.
+	wordFresh cf.Millis = 900
+	// wordFreshHub is the same for a hub: to list what thousands of targets are is left to
+	// a new coordinator for a moment.
+	wordFreshHub cf.Millis = 1500
+	// answerShared is how long an instance believes that the store is away for others
+	// too: the coordinator by its own word, and one more that is asked.
+	answerShared cf.Millis = 1000
+	// leaveSilent is how long an instance that is no scout leaves the store to the others
+	// when the coordinator is silent: a configuration is to be in force within two
+	// seconds.
+	leaveSilent cf.Millis = 1500
+	// leaveHubs is the same where hubs are scouts, which list the targets first.
+	leaveHubs cf.Millis = 3000
+	// leaveAlive is the same where the coordinator answers and only has nothing new, and
+	// another instance has not either: the store is away then for both, for the two
+	// instances that the coordinator asks and for the scouts, of which one would replace
+	// it within 2.2 s.
+	leaveAlive cf.Millis = 8000
+	// startGrace is how long a starting instance waits until the lease names a
+	// coordinator; it reads it at once.
+	startGrace cf.Millis = 300
+	// startUnsure is how long it waits while the coordinator answers that it has no current
+	// view yet, or that a hub is to be asked: where all start at once it lists the targets
+	// for all.
+	startUnsure cf.Millis = 3000
+)
+
+// Word is what an instance has heard of how things stand, and when, zero if never.
+type Word struct {
+	// Started is when the instance started, Heard as of when the last current word is.
+	Started, Heard cf.Millis
+	// Unsure is when the coordinator answered last that it knows nothing new, or that a
+	// hub is to be asked; Away when another instance said that it knows nothing new either.
+	Unsure, Away cf.Millis
+	// Named says that the lease names a coordinator.
+	Named bool
+	// Hubs says that there are hubs, Behind that one of them is asked for news, and Scout
+	// that this instance is one of the scouts.
+	Hubs, Behind, Scout bool
+}
+
+// Fresh says whether an instance relies on the current word that it heard at that moment.
+func Fresh(heard, now cf.Millis) bool { return now-heard < wordFresh }
+
+// AnswerShared says whether what another answered at that moment still counts.
+func AnswerShared(at, now cf.Millis) bool { return now-at < answerShared }
+
+// Leaves returns how long after the last current word the instance leaves the store to the
+// coordinator and the scouts; zero for a scout.
+//
+// The load it answers: an outage of the store, the loss of the coordinator, or a start of
+// all on machines that are busy, on a deployment of hundreds of instances which would each
+// list all targets.
+func (w Word) Leaves(now cf.Millis) cf.Millis {
+	switch {
+	case w.starting(now):
+		return now + 1 // as long as it starts
+	case w.Scout && !w.Behind && now-w.Started >= startUnsure:
+		// One that has just started does not know yet who else looks after the store.
+		return 0
+	case AnswerShared(w.Unsure, now) && AnswerShared(w.Away, now):
+		return leaveAlive
+	case w.Behind || w.Hubs:
+		return leaveHubs
+	default:
+		return leaveSilent
+	}
+}
+
+// Alone says whether the instance must watch the store itself.
+func (w Word) Alone(now cf.Millis) bool {
+	silence := wordFresh
+	if w.Hubs {
+		silence = wordFreshHub
+	}
+	return now-w.Started >= startGrace && now-w.Heard >= max(w.Leaves(now), silence)
+}
+
+// starting says whether the instance has just started, and waits for the first word of the
+// coordinator that the lease names.
+func (w Word) starting(now cf.Millis) bool {
+	since := now - w.Started
+	switch {
+	case w.Heard > 0:
+		return false
+	case w.Named && since < startGrace+CallWait+CallGrace:
+		return true
+	default:
+		return since < startUnsure && (w.Behind || AnswerShared(w.Unsure, now))
+	}
+}
--- /dev/null
+++ b/core/cfmember/word_test.go
@@ -0,0 +1,45 @@
+package cfmember
+
+import (
+	"testing"
+
+	cf "currantford"
+)
+
+// Load: an outage of the store, the loss of the coordinator, and a start of all on machines
+// that are busy, where the first calls take longer than an instance's grace, and the next
+// ones after a first word, when it knows few others. Those that list all targets for
+// themselves are the ones that must.
+func TestWhoListsTheTargets(t *testing.T) {
+	const now, longAgo cf.Millis = 1_000_000, 900_000
+	for _, c := range []struct {
+		name string
+		word Word
+		want bool
+	}{
+		{"a scout of a small deployment, without word for a moment", Word{Started: longAgo, Heard: now - 800, Named: true, Scout: true}, false},
+		{"a scout, without word", Word{Started: longAgo, Heard: now - 900, Named: true, Scout: true}, true},
+		{"no scout, without word", Word{Started: longAgo, Heard: now - 1400, Named: true}, false},
+		{"no scout, for long", Word{Started: longAgo, Heard: now - 1500, Named: true}, true},
+		{"no scout, the store is away", Word{Started: longAgo, Heard: now - 5000, Unsure: now - 300, Away: now - 600, Named: true}, false},
+		{"no scout, the store is away for long", Word{Started: longAgo, Heard: now - 8000, Unsure: now - 300, Away: now - 600, Named: true}, true},
+		{"a hub leaves it to a new coordinator", Word{Started: longAgo, Heard: now - 1400, Named: true, Hubs: true, Scout: true}, false},
+		{"a hub, for longer", Word{Started: longAgo, Heard: now - 1500, Named: true, Hubs: true, Scout: true}, true},
+		{"behind a hub", Word{Started: longAgo, Heard: now - 2900, Named: true, Hubs: true, Behind: true}, false},
+		{"behind a hub, for long", Word{Started: longAgo, Heard: now - 3000, Named: true, Hubs: true, Behind: true}, true},
+		{"behind a hub that it takes itself for", Word{Started: longAgo, Heard: now - 2900, Named: true, Hubs: true, Behind: true, Scout: true}, false},
+		{"just started", Word{Started: now - 200, Scout: true}, false},
+		{"started, no coordinator is found", Word{Started: now - 300}, true},
+		{"started, the first call is late", Word{Started: now - 1000, Named: true, Scout: true}, false},
+		{"started, no call gets through", Word{Started: now - 1050, Named: true, Scout: true}, true},
+		{"started, the coordinator has no view yet", Word{Started: now - 2900, Unsure: now - 500, Named: true, Scout: true}, false},
+		{"started, it has none for long", Word{Started: now - 3000, Unsure: now - 500, Named: true, Scout: true}, true},
+		{"started, told to ask a hub", Word{Started: now - 2900, Named: true, Behind: true}, false},
+		{"started, the second call is late", Word{Started: now - 2900, Heard: now - 1400, Named: true, Scout: true}, false},
+		{"started, the second call does not get through", Word{Started: now - 2900, Heard: now - 1500, Named: true, Scout: true}, true},
+	} {
+		if got := c.word.Alone(now); got != c.want {
+			t.Errorf("%s: lists all targets %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/core/cfrollout/need.go
+++ b/core/cfrollout/need.go
@@ -16,19 +16,14 @@
 	crowded = 0.03
 	// leastWarm is how many engines a model has at the least, for its first step.
 	leastWarm = 12
-	// turns is how many times the engines that serve a step a model has: while some
+	// shifts is how many times the engines that serve a step a model has: while some
 	// serve, others load the version that the next step asks for.
-	turns = 2
+	shifts = 2
 	// slackNeed is by how much the need must be exceeded until engines are left to
 	// themselves, and slackShare until a share gives some up: neither swings with the
 	// size of the last step.
 	slackNeed  = 1.25
 	slackShare = 1.5
-	// unevenPace is how much slower than usual an engine is that is replaced by another
-	// when it would load.
-	unevenPace = 1.15
-	// replaceEvery spaces the looks for such engines.
-	replaceEvery cf.Millis = 1000
 )
 
 // fleet is the engines of a service.
@@ -104,7 +99,7 @@
 	case peak != nil && peak.Of(p.now) > 0:
 	case p.Named(m) > 1: // it is trained, and its steps are not known yet
 		if _, assumed := f.assumed[m]; !assumed {
-			f.assumed[m] = min(f.following(m)/turns, len(f.usable)/len(p.models[service]))
+			f.assumed[m] = min(f.following(m)/shifts, len(f.usable)/len(p.models[service]))
 		}
 		return max(f.assumed[m], leastWarm)
 	default:
@@ -150,7 +145,7 @@
 		}
 		need := 0
 		for _, m := range models {
-			need += turns * p.serving(f, m)
+			need += shifts * p.serving(f, m)
 		}
 		limit := float64(len(f.usable))
 		if !f.byNeed {
@@ -181,7 +176,7 @@
 				active++
 			}
 		}
-		want := turns * p.serving(f, m)
+		want := shifts * p.serving(f, m)
 		switch {
 		case active < want:
 			for _, e := range p.recruits(f, m, want-active) {
@@ -193,90 +188,6 @@
 	}
 }
 
-// release lets engines go that do nothing, the least useful first.
-func (p *Planner) release(share []*Engine, m cf.ModelName, n int) {
-	var idle []*Engine
-	for _, e := range share {
-		if !e.Draining && e.Running == 0 && e.loading == 0 {
-			idle = append(idle, e)
-		}
-	}
-	slices.SortFunc(idle, func(a, b *Engine) int { return p.moreUseful(b, a, m) })
-	for _, e := range idle[:min(n, len(idle))] {
-		p.setShare(e, "")
-	}
-}
-
-// moreUseful orders engines by their use for a model: those that hold its newest weights come
-// first, then those that are known to be no slower than usual.
-func (p *Planner) moreUseful(a, b *Engine, m cf.ModelName) int {
-	return cmp.Or(cmp.Compare(b.versions[m], a.versions[m]), cmp.Compare(p.paceClass(a), p.paceClass(b)), cmp.Compare(a.draw, b.draw), cmp.Compare(a.ID, b.ID))
-}
-
-// paceClass ranks engines by what is known of their pace.
-func (p *Planner) paceClass(e *Engine) int {
-	switch {
-	case e.pace == 0:
-		return 1
-	case p.uneven(e):
-		return 2
-	default:
-		return 0
-	}
-}
-
-// uneven says whether an engine is known to be slower than is usual.
-func (p *Planner) uneven(e *Engine) bool {
-	return e.pace > unevenPace*p.typical()
-}
-
-// recruits returns n spare engines for a model, spread over the failure domains.
-func (p *Planner) recruits(f *fleet, m cf.ModelName, n int) []*Engine {
-	there := map[cf.FailureDomain]int{}
-	for _, e := range p.shares[shareKey{p.serviceOf(m), m}] {
-		there[e.Domain]++
-	}
-	byDomain := map[cf.FailureDomain][]*Engine{}
-	for _, e := range f.spare {
-		byDomain[e.Domain] = append(byDomain[e.Domain], e)
-	}
-	domains := make([]cf.FailureDomain, 0, len(byDomain))
-	for d, es := range byDomain {
-		slices.SortFunc(es, func(a, b *Engine) int { return p.moreUseful(a, b, m) })
-		domains = append(domains, d)
-	}
-	slices.Sort(domains)
-	var out []*Engine
-	for len(out) < n {
-		best := -1
-		for i, d := range domains {
-			if len(byDomain[d]) == 0 {
-				continue
-			}
-			if best < 0 || p.comesBefore(byDomain[d][0], byDomain[domains[best]][0], m, there[d]-there[domains[best]]) {
-				best = i
-			}
-		}
-		if best < 0 {
-			break
-		}
-		d := domains[best]
-		out = append(out, byDomain[d][0])
-		byDomain[d] = byDomain[d][1:]
-		there[d]++
-	}
-	return out
-}
-
-// comesBefore says whether engine a is taken before b of another failure domain; more is
-// how many more engines of the share are in the domain of a.
-func (p *Planner) comesBefore(a, b *Engine, m cf.ModelName, more int) bool {
-	if c := cmp.Or(cmp.Compare(b.versions[m], a.versions[m]), cmp.Compare(p.paceClass(a), p.paceClass(b))); c != 0 {
-		return c < 0
-	}
-	return more < 0
-}
-
 // dueByNeed returns the engines of a share that should load where there are more than the
 // work needs: as many as will serve a step, those first that no step can use any more. Those
 // that hold the version before go on serving, so that a step which comes just now finds
@@ -310,7 +221,7 @@
 	if ready >= need || len(idle) == 0 {
 		return nil
 	}
-	keep := min(need, active/turns)
+	keep := min(need, active/shifts)
 	slices.SortFunc(idle, func(a, b idleEngine) int {
 		return cmp.Or(cmp.Compare(a.Running, b.Running), cmp.Compare(a.version, b.version), cmp.Compare(a.class, b.class), cmp.Compare(a.draw, b.draw))
 	})
@@ -338,37 +249,6 @@
 	blocked bool
 }
 
-// replaceSlow lets spare engines take the place of those that are known to be slow and
-// would have to load before they are of use: the load costs the same.
-func (p *Planner) replaceSlow() {
-	if p.now-p.replacedAt < replaceEvery {
-		return
-	}
-	p.replacedAt = p.now
-	for k, es := range p.shares {
-		f := p.fleets[k.service]
-		if f == nil || !f.byNeed {
-			continue
-		}
-		var slow []*Engine
-		for _, e := range es {
-			if !e.Draining && e.Running == 0 && e.loading == 0 && e.versions[k.model] < p.Named(k.model)-1 && p.uneven(e) {
-				slow = append(slow, e)
-			}
-		}
-		if len(slow) == 0 {
-			continue
-		}
-		for _, e := range p.recruits(f, k.model, len(slow)) {
-			if p.paceClass(e) < p.paceClass(slow[0]) {
-				p.setShare(slow[0], "")
-				p.setShare(e, k.model)
-				slow = slow[1:]
-			}
-		}
-	}
-}
-
 // setShare gives an engine to a model, or to none.
 func (p *Planner) setShare(e *Engine, m cf.ModelName) {
 	if e.Share == m && m != "" {
--- /dev/null
+++ b/core/cfrollout/recruits.go
@@ -0,0 +1,131 @@
+package cfrollout
+
+import (
+	"cmp"
+	"slices"
+
+	cf "currantford"
+)
+
+const (
+	// slowerPace is how much slower than usual an engine is that is replaced by another
+	// when it would load.
+	slowerPace = 1.15
+	// replaceEvery spaces the looks for such engines.
+	replaceEvery cf.Millis = 1000
+)
+
+// release lets engines go that do nothing, the least useful first.
+func (p *Planner) release(share []*Engine, m cf.ModelName, n int) {
+	var idle []*Engine
+	for _, e := range share {
+		if !e.Draining && e.Running == 0 && e.loading == 0 {
+			idle = append(idle, e)
+		}
+	}
+	slices.SortFunc(idle, func(a, b *Engine) int { return p.moreUseful(b, a, m) })
+	for _, e := range idle[:min(n, len(idle))] {
+		p.setShare(e, "")
+	}
+}
+
+// moreUseful orders engines by their use for a model: those that hold its newest weights come
+// first, then those that are known to be no slower than usual.
+func (p *Planner) moreUseful(a, b *Engine, m cf.ModelName) int {
+	return cmp.Or(cmp.Compare(b.versions[m], a.versions[m]), cmp.Compare(p.paceClass(a), p.paceClass(b)), cmp.Compare(a.draw, b.draw), cmp.Compare(a.ID, b.ID))
+}
+
+// paceClass ranks engines by what is known of their pace.
+func (p *Planner) paceClass(e *Engine) int {
+	switch {
+	case e.pace == 0:
+		return 1
+	case p.slowerThanUsual(e):
+		return 2
+	default:
+		return 0
+	}
+}
+
+// slowerThanUsual says whether an engine is known to be.
+func (p *Planner) slowerThanUsual(e *Engine) bool {
+	return e.pace > slowerPace*p.typical()
+}
+
+// recruits returns n spare engines for a model, spread over the failure domains.
+func (p *Planner) recruits(f *fleet, m cf.ModelName, n int) []*Engine {
+	there := map[cf.FailureDomain]int{}
+	for _, e := range p.shares[shareKey{p.serviceOf(m), m}] {
+		there[e.Domain]++
+	}
+	byDomain := map[cf.FailureDomain][]*Engine{}
+	for _, e := range f.spare {
+		byDomain[e.Domain] = append(byDomain[e.Domain], e)
+	}
+	domains := make([]cf.FailureDomain, 0, len(byDomain))
+	for d, es := range byDomain {
+		slices.SortFunc(es, func(a, b *Engine) int { return p.moreUseful(a, b, m) })
+		domains = append(domains, d)
+	}
+	slices.Sort(domains)
+	var out []*Engine
+	for len(out) < n {
+		best := -1
+		for i, d := range domains {
+			if len(byDomain[d]) == 0 {
+				continue
+			}
+			if best < 0 || p.comesBefore(byDomain[d][0], byDomain[domains[best]][0], m, there[d]-there[domains[best]]) {
+				best = i
+			}
+		}
+		if best < 0 {
+			break
+		}
+		d := domains[best]
+		out = append(out, byDomain[d][0])
+		byDomain[d] = byDomain[d][1:]
+		there[d]++
+	}
+	return out
+}
+
+// comesBefore says whether engine a is taken before b of another failure domain; more is
+// how many more engines of the share are in the domain of a.
+func (p *Planner) comesBefore(a, b *Engine, m cf.ModelName, more int) bool {
+	if c := cmp.Or(cmp.Compare(b.versions[m], a.versions[m]), cmp.Compare(p.paceClass(a), p.paceClass(b))); c != 0 {
+		return c < 0
+	}
+	return more < 0
+}
+
+// replaceSlow lets spare engines take the place of those that are known to be slow and
+// would have to load before they are of use: the load costs the same.
+func (p *Planner) replaceSlow() {
+	if p.now-p.replacedAt < replaceEvery {
+		return
+	}
+	p.replacedAt = p.now
+	for k, es := range p.shares {
+		f := p.fleets[k.service]
+		if f == nil || !f.byNeed {
+			continue
+		}
+		var slow []*Engine
+		for _, e := range es {
+			if !e.Draining && e.Running == 0 && e.loading == 0 && e.versions[k.model] < p.Named(k.model)-1 && p.slowerThanUsual(e) {
+				slow = append(slow, e)
+			}
+		}
+		if len(slow) == 0 {
+			continue
+		}
+		for _, e := range p.recruits(f, k.model, len(slow)) {
+			if p.paceClass(e) < p.paceClass(slow[0]) {
+				p.setShare(slow[0], "")
+				p.setShare(e, k.model)
+				slow = slow[1:]
+			}
+		}
+	}
+}
--- a/io/cfnode/feed.go
+++ b/io/cfnode/feed.go
@@ -32,28 +32,8 @@
 	opOffered  = "offered"
 	opAlive    = "alive"
 
-	// feedWait is how long the coordinator holds a feed call without news;
-	// each call is also the caller's report that it is alive.
-	feedWait cf.Millis = 400
-	// feedGrace is what an answer may take beyond that.
-	feedGrace cf.Millis = 350
-	// feedSilence is how long an instance relies on the last answer before
-	// it watches the store itself.
-	feedSilence cf.Millis = 900
-	// hubSilence is the same for a hub: to list what thousands of targets are is left to a
-	// new coordinator for a moment.
-	hubSilence cf.Millis = 1500
-	// outageTold is how long an instance believes that the store is away for others
-	// too: the coordinator by its own word, and one more that is asked each outageAsk.
-	outageTold cf.Millis = 1000
-	outageAsk  cf.Millis = 500
-	// startGrace is how long a starting instance waits for a coordinator's word before
-	// it asks the store itself: it reads the lease and calls, within some 30 ms.
-	startGrace cf.Millis = 300
-	// startUnsure is the same while the coordinator answers that it has no current view
-	// yet, or that a hub is to be asked: where all start at once it lists the targets
-	// for all.
-	startUnsure cf.Millis = 3000
+	// outageAsk spaces the questions to others whether the store is away for them too.
+	outageAsk cf.Millis = 500
 	// staleWait is how long the coordinator holds a call while it has no current
 	// view itself.
 	staleWait = 300 * time.Millisecond
@@ -125,6 +105,7 @@
 		// unsure is that of the last answer of a holder that knew nothing new, away
 		// that of the last of another instance, askedAt when one was asked last.
 		unsure, away, askedAt atomic.Int64
+		upstream              *cfmember.Upstream
 		mu                    sync.Mutex
 		// origin, news and membersAt say what the instance has.
 		origin    uint64
@@ -132,29 +113,12 @@
 		membersAt int64
 		// groupSum is that of the own group as the coordinator knows it.
 		groupSum uint64
-		// hub is asked for news, the coordinator if there is none; until hubUntil, as of
-		// when another may be the one to ask. hubSilent are hubs that did not answer,
-		// with until when they are avoided.
-		hub      *cfmember.Entry
-		hubUntil cf.Millis
-		// follow is until when that hub is asked in any case.
-		follow cf.Millis
-		// pastAt is when the coordinator was asked last though there is a hub.
-		pastAt    cf.Millis
-		hubSilent map[cf.EntryID]cf.Millis
 		// settled is the last window of use that nobody needs, as told to those that ask
 		// this instance.
 		settled cf.UsageWindow
 	}
 )
 
-// behind says whether a hub is asked for news.
-func (f *feed) behind() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.hub != nil
-}
-
 // usageSettled returns the last window of use that nobody needs.
 func (f *feed) usageSettled() cf.UsageWindow {
 	f.mu.Lock()
@@ -163,7 +127,7 @@
 }
 
 // fresh says whether the view from the coordinator is current.
-func (f *feed) fresh(now cf.Millis) bool { return now-cf.Millis(f.heard.Load()) < feedSilence }
+func (f *feed) fresh(now cf.Millis) bool { return cfmember.Fresh(cf.Millis(f.heard.Load()), now) }
 
 // viewFresh says whether this instance's own watches are current.
 func (n *Node) viewFresh(now cf.Millis) bool {
@@ -175,48 +139,22 @@
 // coordinator.
 func (n *Node) current(now cf.Millis) bool { return n.candidate.Valid() && n.viewFresh(now) }
 
-// left is how long this instance leaves the store to the coordinator and the scouts after
-// the last current word; zero for a scout.
-func (n *Node) left(now cf.Millis) cf.Millis {
-	if n.starting(now) {
-		return now + 1 // as long as it starts
-	}
-	behind := n.feed.behind()
-	// One that has just started doesn't know yet who else looks after the store.
-	if !behind && n.scout() && now-n.started >= startUnsure {
-		return 0
+// lastWord returns what this instance has heard from the coordinator.
+func (n *Node) lastWord(now cf.Millis) cfmember.Word {
+	f, self := &n.feed, n.self()
+	holder, _ := n.candidate.holder()
+	return cfmember.Word{
+		Started: n.started, Heard: cf.Millis(f.heard.Load()), Unsure: cf.Millis(f.unsure.Load()), Away: cf.Millis(f.away.Load()),
+		Named: holder.Entry != "", Hubs: len(n.members.Hubs(self, now)) > 0, Behind: f.upstream.Behind(), Scout: n.members.Scout(self),
 	}
-	away := now-cf.Millis(n.feed.unsure.Load()) < outageTold && now-cf.Millis(n.feed.away.Load()) < outageTold
-	return cfmember.LeaveStore(behind || len(n.members.Hubs(n.self(), now)) > 0, away)
 }
 
-// starting says whether this instance has just started, and waits for the word of the
-// coordinator that the lease names.
-//
-// The load it answers: a deployment that starts at once on machines that are busy, where
-// each instance would list all targets because its first call has not got through yet.
-func (n *Node) starting(now cf.Millis) bool {
-	if n.feed.heard.Load() > 0 {
-		return false
-	}
-	since := now - n.started
-	if holder, _ := n.candidate.holder(); holder.Entry != "" && since < startGrace+feedWait+feedGrace {
-		return true
-	}
-	return since < startUnsure && (n.feed.behind() || now-cf.Millis(n.feed.unsure.Load()) < outageTold)
-}
+// leaves is how long this instance leaves the store to the coordinator and the scouts after
+// the last current word.
+func (n *Node) leaves(now cf.Millis) cf.Millis { return n.lastWord(now).Leaves(now) }
 
 // alone says whether this instance must watch the store itself.
-func (n *Node) alone(now cf.Millis) bool {
-	if n.coord.Load() != nil {
-		return true
-	}
-	silence := feedSilence
-	if len(n.members.Hubs(n.self(), now)) > 0 {
-		silence = hubSilence
-	}
-	return now-n.started >= startGrace && now-cf.Millis(n.feed.heard.Load()) >= max(n.left(now), silence)
-}
+func (n *Node) alone(now cf.Millis) bool { return n.coord.Load() != nil || n.lastWord(now).Alone(now) }
 
 // scout says whether this instance looks after the store as soon as the coordinator can't
 // tell how things stand.
@@ -239,7 +177,7 @@
 				n.askPast(ctx, holder, hub)
 			default:
 				n.log.Info("hub_lost", zap.String("entry", string(hub.ID)), cflog.Error(err))
-				n.hubLost(hub.ID)
+				n.feed.upstream.Lost(hub.ID, cf.Uptime())
 			}
 			continue
 		}
@@ -270,7 +208,7 @@
 }
 
 func (n *Node) feedOnce(ctx context.Context, addr string, hub bool) error {
-	ctx, cancel := context.WithTimeout(ctx, (feedWait + feedGrace).Duration())
+	ctx, cancel := context.WithTimeout(ctx, (cfmember.CallWait + cfmember.CallGrace).Duration())
 	defer cancel()
 	asked := cf.Uptime()
 	call := n.feedCall(hub, asked)
@@ -282,10 +220,7 @@
 		n.candidate.heard()
 		n.candidate.observe(a.Rev, a.Holder)
 		n.feed.unsure.Store(int64(cf.Uptime()))
-		n.setHub(*a.Hub)
-		n.feed.mu.Lock()
-		n.feed.follow = cf.Uptime() + hubFollow
-		n.feed.mu.Unlock()
+		n.feed.upstream.Named(*a.Hub, cf.Uptime())
 		return nil
 	}
 	n.usage.heard(a, call)
@@ -295,7 +230,7 @@
 	}
 	if hub {
 		n.usage.tellCounted()
-		if !a.Fresh && !a.Unsure && cf.Uptime()-cf.Millis(n.feed.heard.Load()) > hubDoubt {
+		if !a.Fresh && !a.Unsure && cf.Uptime()-cf.Millis(n.feed.heard.Load()) > cfmember.HubDoubt {
 			return errNoWord
 		}
 	}
@@ -306,10 +241,10 @@
 func (n *Node) feedCall(hub bool, now cf.Millis) feedCall {
 	call := feedCall{Entry: n.self(), Leaving: n.leaving.Load(), Hub: hub, Sum: n.site.Sum(), Config: n.site.ConfigRecord().Rev}
 	n.feed.mu.Lock()
-	call.Origin, call.News, call.Members, call.Without = n.feed.origin, n.feed.news, n.feed.membersAt, n.feed.silentHubs(now)
+	call.Origin, call.News, call.Members = n.feed.origin, n.feed.news, n.feed.membersAt
 	known := n.feed.groupSum
 	n.feed.mu.Unlock()
-	call.MembersSum = n.members.Sum()
+	call.Without, call.MembersSum = n.feed.upstream.Without(now), n.members.Sum()
 	if !hub {
 		call.Group = n.members.Group(known, now)
 	}
@@ -357,7 +292,7 @@
 	// The answer shows the view as of its sending. One that took longer than
 	// a call may was held up on the way, or this machine was suspended.
 	heard := cf.Uptime()
-	if heard-asked > feedWait+feedGrace {
+	if heard-asked > cfmember.CallWait+cfmember.CallGrace {
 		heard = asked
 	}
 	n.feed.heard.Store(int64(heard - a.Age))
--- a/io/cfnode/feedserve.go
+++ b/io/cfnode/feedserve.go
@@ -5,6 +5,7 @@
 	"time"
 
 	cf "currantford"
+	"currantford/core/cfmember"
 	"currantford/core/cfsite"
 )
 
@@ -41,7 +42,7 @@
 // awaitNews holds a call until there is something to tell, for a while.
 func (n *Node) awaitNews(ctx context.Context, call feedCall) error {
 	count, changed := n.site.Relay()
-	wait := feedWait.Duration()
+	wait := cfmember.CallWait.Duration()
 	switch fresh, _ := n.word(cf.Uptime()); {
 	case !fresh:
 		wait = staleWait // nothing can be told yet
@@ -84,7 +85,7 @@
 		a.Unsure = !a.Fresh
 	} else {
 		a.HolderAge = now - cf.Millis(n.candidate.answered.Load())
-		a.Unsure = !a.Fresh && now-cf.Millis(n.feed.unsure.Load()) < outageTold
+		a.Unsure = !a.Fresh && cfmember.AnswerShared(cf.Millis(n.feed.unsure.Load()), now)
 	}
 	same := call.Origin == n.origin
 	a.Members = n.members.News(same, call.Members, call.MembersSum, n.self(), now)
--- a/io/cfnode/node.go
+++ b/io/cfnode/node.go
@@ -148,12 +148,13 @@
 	})
 	n.quarantine.guard = n.guard
 	n.candidacy, n.endCandidacy = context.WithCancel(ctx)
+	n.feed.upstream = cfmember.NewUpstream(cfmember.Entry{ID: s.Entry, Domain: s.Domain}, rand.Float64, n.hubChosen)
 	bounds := cflease.DefaultBounds
 	bounds.Handover = s.Bounds.LeaseMs + handoverSlack
 	n.candidate = &candidate{
 		self: s.Entry, addr: s.Listen.Peers, store: a.Store, log: log, lease: cflease.New(s.Entry, bounds),
 		word: func() cf.Millis { return cf.Millis(n.feed.heard.Load()) }, acquired: n.beginDuty, lost: n.endDuty,
-		patience: n.left, outranked: n.outranked, better: n.betterHolder, state: n.dutyState,
+		patience: n.leaves, outranked: n.outranked, better: n.betterHolder, state: n.dutyState,
 	}
 	n.ingress = cfingress.New(cfingress.Options{
 		Store: a.Store, Targets: a.Targets, Site: n.site, Coordinator: reader{n}, Members: n, Guard: n.guard, Informed: func() bool { return n.quarantine.ready(cf.Uptime()) },
--- a/io/cfnode/process.go
+++ b/io/cfnode/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/pprof"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -76,7 +77,7 @@
 		{s.Listen.Peers, peers},
 		{s.Listen.Ready, h.Ready},
 		{s.Listen.Directory, h.Directory},
-		{s.Listen.Metrics, promhttp.HandlerFor(reg, promhttp.HandlerOpts{})},
+		{s.Listen.Metrics, metricsHandler(reg, s.Listen.Profiles)},
 	}
 	for _, l := range listeners {
 		if l.addr == "" {
@@ -101,6 +102,19 @@
 	return p, nil
 }
 
+// metricsHandler serves the metrics at any path, and profiles at their usual one if they are
+// asked for: they tell what the process holds in memory.
+func metricsHandler(reg *prometheus.Registry, profiles bool) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	if profiles {
+		mux.HandleFunc("/debug/pprof/", pprof.Index)
+		mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+		mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	}
+	return mux
+}
+
 // Run serves until a signal asks it to stop, then stops as planned.
 func (p *Process) Run(reload func() error) {
 	signals := make(chan os.Signal, 4)
--- /dev/null
+++ b/io/cfnode/process_test.go
@@ -0,0 +1,22 @@
+package cfnode
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Whoever may read the metrics may not read what is in the process's memory, unless its
+// settings say so.
+func TestProfilesAreOffByDefault(t *testing.T) {
+	for _, on := range []bool{false, true} {
+		w := httptest.NewRecorder()
+		metricsHandler(prometheus.NewRegistry(), on).ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/debug/pprof/heap?debug=1", nil))
+		if got := strings.Contains(w.Body.String(), "heap profile"); got != on {
+			t.Errorf("profiles %v: a heap profile is served: %v", on, got)
+		}
+	}
+}
--- a/io/cfnode/settings.go
+++ b/io/cfnode/settings.go
@@ -63,9 +63,11 @@
 		Callers   string `json:"callers"`
 		Ready     string `json:"ready"`
 		Directory string `json:"directory"`
-		// Peers is for the other instances; Metrics for the scraper.
-		Peers   string `json:"peers"`
-		Metrics string `json:"metrics"`
+		// Peers is for the other instances; Metrics for the scraper, and with Profiles
+		// for the tool that reads profiles of the process.
+		Peers    string `json:"peers"`
+		Metrics  string `json:"metrics"`
+		Profiles bool   `json:"profiles"`
 	}
 
 	// StoreSettings say how the platform's store is reached.
