Sight: why an instance watches the store, how old its configuration is, and how its calls for news end

The logs could not tell the hypotheses apart: no line said why an instance turned to the store or left it, how large a configuration was that came in force, or for how long the one before had not been known to be the newest; failed calls for news were logged once for each loss, without their kind. Lines store_watched, store_left and outage_confirmed, sizes and ages at config_in_force and request_sent, metrics of calls for news, of the bytes told, of the version in force and its age. No decision changes.

--- a/io/cfingress/forward.go
+++ b/io/cfingress/forward.go
@@ -158,7 +158,8 @@
 	f.in.Log.Info("request_sent", zap.String("request_id", string(f.req.ID)), zap.Stringer("request_digest", f.key.Content),
 		zap.Stringer("caller_digest", f.key.Caller), zap.String("organisation", string(f.access.Organisation)), zap.String("route", f.route.Name),
 		zap.String("target", string(target.ID)), zap.Int("tried", len(f.tried)), zap.Int64("left_ms", int64(f.attempts.Left(now))),
-		zap.Int64("config_version", int64(f.version)), zap.Int64("targets_revision", int64(f.in.Site.TargetsAt())))
+		zap.Int64("config_version", int64(f.version)), zap.Int64("config_age_ms", int64(f.in.belief().Age)),
+		zap.Int64("targets_revision", int64(f.in.Site.TargetsAt())))
 	call := f.call(now)
 	f.use.sent(target.ID, now)
 	go func() {
--- a/io/cfnode/announce.go
+++ b/io/cfnode/announce.go
@@ -124,7 +124,9 @@
 		case fresh:
 			n.feed.away.Store(0)
 		default:
-			n.feed.away.Store(int64(cf.Uptime()))
+			if at := cf.Millis(n.feed.away.Swap(int64(cf.Uptime()))); !cfmember.AnswerShared(at, now) {
+				n.log.Info("outage_confirmed", zap.String("entry", string(e.ID)))
+			}
 		}
 	})
 }
--- a/io/cfnode/feed.go
+++ b/io/cfnode/feed.go
@@ -213,7 +213,9 @@
 	asked := cf.Uptime()
 	call := n.feedCall(hub, asked)
 	var a feedAnswer
-	if err := n.peers.Call(ctx, addr, opFeed, call, &a); err != nil {
+	err := n.peers.Call(ctx, addr, opFeed, call, &a)
+	n.feedMetrics.called(a, err, ctx.Err() != nil)
+	if err != nil {
 		return err
 	}
 	if a.Hub != nil {
@@ -279,13 +281,13 @@
 		return
 	}
 	if a.Config != nil {
+		age := n.belief().Age
 		changed, err := n.site.ApplyConfig(*a.Config)
 		if err != nil {
 			n.log.Error("change_not_taken", zap.String("kind", "config"), cflog.Error(err))
 		}
 		if changed {
-			n.log.Info("config_in_force", zap.Int64("config_version", int64(n.site.Config().Version)),
-				zap.Int64("revision", int64(a.Config.Rev)), zap.String("source", "coordinator"))
+			cfwatch.LogInForce(n.log, n.site, "coordinator", age)
 		}
 	}
 	n.takeNews(a.News)
--- /dev/null
+++ b/io/cfnode/feedmetrics.go
@@ -0,0 +1,64 @@
+package cfnode
+
+import (
+	"errors"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	cf "currantford"
+)
+
+// feedMetrics show how an instance hears how things stand, and how old what it goes by is.
+type feedMetrics struct {
+	calls *prometheus.CounterVec
+	told  *prometheus.CounterVec
+}
+
+func newFeedMetrics(reg prometheus.Registerer, n *Node) feedMetrics {
+	m := feedMetrics{
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "currantford_feed_calls_total", Help: "Calls for news to the coordinator or a hub, by outcome.",
+		}, []string{"outcome"}),
+		told: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "currantford_config_told_bytes_total", Help: "Bytes of configurations told to other instances, by what was told.",
+		}, []string{"part"}),
+	}
+	reg.MustRegister(m.calls, m.told,
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "currantford_config_version", Help: "Version of the configuration in force here.",
+		}, func() float64 {
+			if c := n.site.Config(); c != nil {
+				return float64(c.Version)
+			}
+			return 0
+		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "currantford_config_age_seconds", Help: "Time since the configuration here was last known to be the newest.",
+		}, func() float64 { return float64(n.belief().Age) / 1000 }),
+	)
+	return m
+}
+
+// called counts a call for news; late says that its time was up.
+func (m feedMetrics) called(a feedAnswer, err error, late bool) {
+	m.calls.WithLabelValues(feedOutcome(a, err, late)).Inc()
+}
+
+func feedOutcome(a feedAnswer, err error, late bool) string {
+	switch {
+	case err == nil && a.Hub != nil:
+		return "hub_named"
+	case err == nil && a.Fresh:
+		return "current"
+	case err == nil:
+		return "not_current"
+	case errors.Is(err, cf.ErrNotLeader):
+		return "not_holder"
+	case errors.Is(err, cf.ErrNoProcess):
+		return "no_process"
+	case late:
+		return "late"
+	default:
+		return "no_answer"
+	}
+}
--- a/io/cfnode/feedserve.go
+++ b/io/cfnode/feedserve.go
@@ -94,6 +94,7 @@
 	}
 	if r := n.site.ConfigRecord(); r.Rev > call.Config {
 		a.Config = &r
+		n.feedMetrics.told.WithLabelValues("whole").Add(float64(len(r.Spec)))
 	}
 	if count, _ := n.site.Relay(); !same || call.News != count {
 		news := n.newsFor(call, same)
--- a/io/cfnode/node.go
+++ b/io/cfnode/node.go
@@ -80,6 +80,7 @@
 		// watchMetrics are those of all watchers of the site.
 		watchMetrics *cfwatch.Metrics
 		feed         feed
+		feedMetrics  feedMetrics
 		// known is when the configuration was last seen to be the newest.
 		known   atomic.Int64
 		peers   *cfpeer.Client
@@ -137,6 +138,7 @@
 		started: cf.Uptime(), origin: rand.Uint64(), members: cfmember.NewMembership(s.Members.HubsFrom), candidateDone: make(chan struct{}), pages: cfcoord.NewLinkBudget(s.Machine.LinkMbps),
 		host: cfrunner.NewHost(a.Targets, log), watchMetrics: cfwatch.NewMetrics(reg),
 	}
+	n.feedMetrics = newFeedMetrics(reg, n)
 	n.quarantine = newQuarantine(n)
 	if a.Metering != nil && s.Usage.WindowS > 0 {
 		n.usage = newUsage(n, cfmeter.NewMetrics(reg))
@@ -429,8 +431,10 @@
 		need := n.alone(now)
 		switch {
 		case need && w == nil:
+			n.logWatch("store_watched", now)
 			n.watching.Store(n.watch())
 		case !need && w != nil:
+			n.logWatch("store_left", now)
 			n.watching.Store(nil)
 			w.close()
 		}
@@ -447,6 +451,22 @@
 	}
 }
 
+// logWatch tells why this instance begins or ends to watch the store itself.
+func (n *Node) logWatch(msg string, now cf.Millis) {
+	w := n.lastWord(now)
+	n.log.Info(msg, zap.Bool("coordinator", n.coord.Load() != nil), zap.Bool("scout", w.Scout), zap.Bool("behind_hub", w.Behind), zap.Bool("holder_named", w.Named),
+		ageField("word_age_ms", w.Heard, now), ageField("unsure_age_ms", w.Unsure, now), ageField("away_age_ms", w.Away, now),
+		zap.Int64("config_age_ms", int64(n.belief().Age)))
+}
+
+// ageField is how long ago something was, left out if it never was.
+func ageField(name string, at, now cf.Millis) zap.Field {
+	if at == 0 {
+		return zap.Skip()
+	}
+	return zap.Int64(name, int64(now-at))
+}
+
 func (n *Node) watch() *watching {
 	ctx, cancel := context.WithCancel(n.ctx)
 	w := &watching{cancel: cancel}
--- a/io/cfwatch/site.go
+++ b/io/cfwatch/site.go
@@ -26,6 +26,14 @@
 // configName is the object that holds the newest configuration.
 const configName = "main"
 
+// LogInForce tells of a configuration that has come in force, from where, and how long ago
+// the one before was last known to be the newest.
+func LogInForce(log *zap.Logger, site *cfsite.Site, source string, age cf.Millis) {
+	r := site.ConfigRecord()
+	log.Info("config_in_force", zap.Int64("config_version", int64(site.Config().Version)), zap.Int64("revision", int64(r.Rev)),
+		zap.String("source", source), zap.Int("bytes", len(r.Spec)), zap.Int64("config_age_ms", int64(age)))
+}
+
 // ForSite returns the watchers that keep site's configuration and targets
 // current.
 func ForSite(store cf.Store, site *cfsite.Site, codec cfsite.Codec, metrics *Metrics, log *zap.Logger) (config, targets *Watcher) {
@@ -36,8 +44,7 @@
 		}
 		changed, err := site.ApplyConfig(r)
 		if changed {
-			log.Info("config_in_force", zap.Int64("config_version", int64(site.Config().Version)), zap.Int64("revision", int64(r.Rev)),
-				zap.String("source", "store"))
+			LogInForce(log, site, "store", config.Age(cf.Uptime()))
 		}
 		return err
 	}
