--- a/io/cfnode/fleet_test.go
+++ b/io/cfnode/fleet_test.go
@@ -26,10 +26,11 @@
 	fleetEngines = 600
 )
 
-// countedStore is a store whose watches wait, and which counts the lists of targets.
+// countedStore is a store whose watches wait, and which counts the lists of targets and of
+// configurations.
 type countedStore struct {
 	*cfstandin.MemStore
-	lists, calls atomic.Int64
+	lists, configs, calls atomic.Int64
 }
 
 func (s *countedStore) Get(ctx context.Context, kind, name string) (cf.Record, error) {
@@ -39,8 +40,11 @@
 
 func (s *countedStore) List(ctx context.Context, kind string) (cf.Records, error) {
 	s.calls.Add(1)
-	if kind == (cfstandin.Codec{}).Kinds().Targets {
+	switch kind {
+	case cfstandin.Codec{}.Kinds().Targets:
 		s.lists.Add(1)
+	case cfstandin.Codec{}.Kinds().Config:
+		s.configs.Add(1)
 	}
 	return s.MemStore.List(ctx, kind)
 }
@@ -61,16 +65,15 @@
 	store *countedStore
 	nodes map[cf.EntryID]*Node
 	stop  map[cf.EntryID]func()
+	// link is the rate of an instance's link in bytes a second, zero without bound.
+	link int
 }
 
-func newTestFleet(t *testing.T) *testFleet {
+func newTestFleet(t *testing.T, size, link int) *testFleet {
 	t.Helper()
-	f := &testFleet{t: t, store: &countedStore{MemStore: cfstandin.NewMemStore()}, nodes: map[cf.EntryID]*Node{}, stop: map[cf.EntryID]func(){}}
+	f := &testFleet{t: t, store: &countedStore{MemStore: cfstandin.NewMemStore()}, nodes: map[cf.EntryID]*Node{}, stop: map[cf.EntryID]func(){}, link: link}
 	kinds := cfstandin.Codec{}.Kinds()
-	f.create(kinds.Config, "main", cfsite.Config{Version: 1, Routes: []cfsite.Route{
-		{Host: "h", Prefix: "/log/", Kind: cfsite.KindIdempotent, Split: []cfsite.Share{{Service: "log", Weight: 1}}},
-		{Host: "h", Prefix: "/step/", Kind: cfsite.KindBatch, Split: []cfsite.Share{{Service: "engines", Weight: 1}}},
-	}, Services: []cfsite.Service{{Name: "log"}, {Name: "engines", Models: []cf.ModelName{"m"}}}})
+	f.create(kinds.Config, "main", fleetConfig(1))
 	for i := range fleetLogs {
 		f.create(kinds.Targets, fmt.Sprintf("log-%03d", i), f.log(i))
 	}
@@ -78,7 +81,7 @@
 		id := fmt.Sprintf("engine-%03d", i)
 		f.create(kinds.Targets, id, cf.Target{ID: cf.InstanceID(id), Service: "engines", Slots: 4, Models: []cf.ModelState{{Name: "m", Version: 1}}})
 	}
-	for i := range fleetSize {
+	for i := range size {
 		f.start(i)
 	}
 	t.Cleanup(func() {
@@ -91,6 +94,14 @@
 	return f
 }
 
+// fleetConfig returns a configuration of two routes, and others.
+func fleetConfig(version cfsite.ConfigVersion, others ...cfsite.Route) cfsite.Config {
+	return cfsite.Config{Version: version, Routes: append([]cfsite.Route{
+		{Host: "h", Prefix: "/log/", Kind: cfsite.KindIdempotent, Split: []cfsite.Share{{Service: "log", Weight: 1}}},
+		{Host: "h", Prefix: "/step/", Kind: cfsite.KindBatch, Split: []cfsite.Share{{Service: "engines", Weight: 1}}},
+	}, others...), Services: []cfsite.Service{{Name: "log"}, {Name: "engines", Models: []cf.ModelName{"m"}}}}
+}
+
 func (f *testFleet) log(i int) cf.Target {
 	return cf.Target{ID: cf.InstanceID(fmt.Sprintf("log-%03d", i)), Service: "log", Slots: 4, Addr: fmt.Sprintf("10.0.0.%d:1", i)}
 }
@@ -118,6 +129,9 @@
 		s.Machine.CPUShare = 1
 	}
 	n := New(s, Adapter{Store: f.store, Codec: cfstandin.Codec{}, Relay: noRelay{}}, prometheus.NewRegistry(), zap.NewNop())
+	if f.link > 0 {
+		l = &sharedLink{Listener: l, rate: f.link}
+	}
 	srv := &http.Server{Handler: n.PeerHandler(), ReadHeaderTimeout: time.Second}
 	go func() { _ = srv.Serve(l) }() // ends with the server
 	n.Start()
@@ -189,7 +203,7 @@
 // then loses a hub, and its coordinator. What is asked of the store and of the coordinator
 // follows the hubs, and what an instance is told what it forwards to.
 func TestFleetIsToldByHubs(t *testing.T) {
-	f := newTestFleet(t)
+	f := newTestFleet(t, fleetSize, 0)
 	f.settled("start", fleetLogs)
 	hubs := len(cfmember.Hubs(f.holder().Live(), cfmember.HubsFrom))
 	if lists := f.store.lists.Load(); lists > int64(hubs) {
