News of a configuration are what differs, and go on from what has arrived

Cause: at each change the configuration went whole to each instance, over the coordinator's link. With 1,400 routes it is 244 KB, 17 MB for 71 instances, 0.7 s of a link of 200 Mbit/s; a call for news ends after 0.75 s whatever it carries, its connection is closed, and the next one begins from nothing. The full link held up the coordinator's renewals and watches too, and all instances read the configuration from the store at once. The class: work for each change that grows with the size of what changes times the instances, under a time limit that knows neither, and repeated from nothing.

Ruled out: longer calls (they only move the size at which it happens), changed routes by name (a second form of the operator's document in the adapter).

Change: an instance says which configuration it has, and is told what differs, packed with the old one as dictionary (klauspost/compress, which iris brings already); one that has none gets the whole, packed, in parts of 32 KB, and goes on from what has arrived, also while newer ones come. Damaged news are followed by the whole. An instance counts as told only when it has the newest.

--- /dev/null
+++ b/core/cfpatch/cfpatch_test.go
@@ -0,0 +1,122 @@
+package cfpatch_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"currantford/core/cfpatch"
+)
+
+// document returns one of n entries as operators write them; edited are changed.
+func document(n int, edited ...int) []byte {
+	random := rand.New(rand.NewPCG(1, 1))
+	var out bytes.Buffer
+	for i := range n {
+		timeout := 800
+		for _, e := range edited {
+			if e == i {
+				timeout = 900
+			}
+		}
+		fmt.Fprintf(&out, `{"name":"r-%x","host":"%x.example","prefix":"/%x/","timeout_ms":%d},`, random.Uint32(), random.Uint32(), random.Uint32(), timeout)
+	}
+	return out.Bytes()
+}
+
+// Load: a document of thousands of entries of which a few change.
+func TestWhatIsSentFollowsTheChange(t *testing.T) {
+	const most = 4 << 20
+	for _, n := range []int{0, 1, 40, 1400, 10_000} {
+		base, next := document(n), document(n, n/3, n/2)
+		whole, err := cfpatch.Pack(nil, next)
+		if err != nil {
+			t.Fatal(err)
+		}
+		change, err := cfpatch.Pack(base, next)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n >= 40 && (len(whole) > len(next)*2/5 || len(change) > 300+len(next)/500) {
+			t.Errorf("%d entries: %d bytes, whole %d, change %d", n, len(next), len(whole), len(change))
+		}
+		for name, c := range map[string]struct{ base, packed []byte }{"whole": {nil, whole}, "change": {base, change}} {
+			if got, err := cfpatch.Unpack(c.base, c.packed, most); err != nil || !bytes.Equal(got, next) {
+				t.Errorf("%d entries, %s: %d bytes, %v", n, name, len(got), err)
+			}
+		}
+	}
+}
+
+// What was packed with another base, is cut short, damaged or too large is an error.
+func TestDamageIsSeen(t *testing.T) {
+	base, next := document(400), document(400, 7)
+	packed, err := cfpatch.Pack(base, next)
+	if err != nil {
+		t.Fatal(err)
+	}
+	damaged := bytes.Clone(packed)
+	damaged[len(damaged)/2] ^= 1
+	for name, c := range map[string]struct {
+		base, packed []byte
+		most         int
+	}{
+		"another base": {document(400, 9), packed, 1 << 20},
+		"no base":      {nil, packed, 1 << 20},
+		"cut short":    {base, packed[:len(packed)-1], 1 << 20},
+		"damaged":      {base, damaged, 1 << 20},
+		"too large":    {base, packed, len(next) - 1},
+	} {
+		if got, err := cfpatch.Unpack(c.base, c.packed, c.most); !errors.Is(err, cfpatch.ErrDamaged) {
+			t.Errorf("%s: %d bytes, %v", name, len(got), err)
+		}
+	}
+}
+
+func BenchmarkPack(b *testing.B) {
+	for _, n := range []int{40, 1400} {
+		base, next := document(n), document(n, n/2)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := cfpatch.Pack(base, next); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkUnpack(b *testing.B) {
+	for _, n := range []int{40, 1400} {
+		base, next := document(n), document(n, n/2)
+		packed, err := cfpatch.Pack(base, next)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := cfpatch.Unpack(base, packed, 1<<20); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func FuzzUnpack(f *testing.F) {
+	base := document(40)
+	packed, err := cfpatch.Pack(base, document(40, 3))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(packed)
+	f.Fuzz(func(t *testing.T, packed []byte) {
+		if got, err := cfpatch.Unpack(base, packed, 64<<10); err == nil && len(got) > 64<<10 {
+			t.Errorf("%d bytes", len(got))
+		}
+	})
+}
--- a/core/cfsite/site.go
+++ b/core/cfsite/site.go
@@ -27,6 +27,11 @@
 	// grace is until when an entry that vanishes is kept as lapsed.
 	grace cf.Millis
 	relay relay
+	// teller makes news of the configuration for other instances; arriving is what has come
+	// of such news, and wholeConfig that they can't be taken as changes.
+	teller      configTeller
+	arriving    partNews
+	wholeConfig bool
 	// log tells which targets the last changes concern.
 	log cfchange.Log[cf.InstanceID]
 	// services are the ids of the targets of each service, usable the lists of
@@ -196,13 +201,20 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.config != nil && (c.Version <= s.config.Version || r.Rev <= s.configAt.Rev) {
+	switch {
+	case s.config == nil:
+	case r.Rev <= s.configAt.Rev || c.Version < s.config.Version:
+		return false, nil
+	case c.Version == s.config.Version:
+		s.configAt = r // written once more
+		s.teller.note(r)
 		return false, nil
 	}
 	if err := c.directed(s.config); err != nil {
 		return false, err // as a whole: the one in force goes on
 	}
 	s.config, s.configAt = &c, r
+	s.teller.note(r)
 	s.forward(c.Forwarded())
 	s.notify()
 	s.relay.notify()
--- a/io/cfnode/feed.go
+++ b/io/cfnode/feed.go
@@ -51,14 +51,13 @@
 		Hub     bool         `cbor:"hub,omitempty"`
 		Without []cf.EntryID `cbor:"without,omitempty"`
 		// Origin, News and Members are those of the last answer; Sum is that
-		// of the view of targets, MembersSum that of the roster, Config the revision
-		// of the configuration in force.
-		Origin     uint64      `cbor:"origin"`
-		News       int64       `cbor:"news"`
-		Sum        uint64      `cbor:"sum"`
-		Members    int64       `cbor:"members"`
-		MembersSum uint64      `cbor:"members_sum"`
-		Config     cf.Revision `cbor:"config"`
+		// of the view of targets, MembersSum that of the roster.
+		Origin     uint64            `cbor:"origin"`
+		News       int64             `cbor:"news"`
+		Sum        uint64            `cbor:"sum"`
+		Members    int64             `cbor:"members"`
+		MembersSum uint64            `cbor:"members_sum"`
+		Config     cfsite.ConfigHeld `cbor:"config"`
 		// Term is that of the coordinator as the caller knows it.
 		Term cf.Revision `cbor:"term"`
 		// Group are the instances that ask this one.
@@ -83,7 +82,7 @@
 		HolderAge cf.Millis `cbor:"holder_age,omitempty"`
 		// Origin identifies whose counts News and Members have.
 		Origin  uint64               `cbor:"origin"`
-		Config  *cf.Record           `cbor:"config,omitempty"`
+		Config  *cfsite.ConfigNews   `cbor:"config,omitempty"`
 		News    *cfsite.News         `cbor:"news,omitempty"`
 		Members *cfmember.RosterNews `cbor:"members,omitempty"`
 		// GroupSum is that of the caller's group as it is known here.
@@ -226,7 +225,10 @@
 		return nil
 	}
 	n.usage.heard(a, call)
-	n.takeFeed(a, asked)
+	if err := n.takeFeed(a, asked); err != nil {
+		n.log.Error("change_not_taken", zap.String("kind", "config"), cflog.Error(err))
+		return err
+	}
 	if a.Informed {
 		n.quarantine.compare(addr, a.Quarantine)
 	}
@@ -241,7 +243,7 @@
 
 // feedCall returns the call that tells and asks how things stand.
 func (n *Node) feedCall(hub bool, now cf.Millis) feedCall {
-	call := feedCall{Entry: n.self(), Leaving: n.leaving.Load(), Hub: hub, Sum: n.site.Sum(), Config: n.site.ConfigRecord().Rev}
+	call := feedCall{Entry: n.self(), Leaving: n.leaving.Load(), Hub: hub, Sum: n.site.Sum(), Config: n.site.ConfigHeld()}
 	n.feed.mu.Lock()
 	call.Origin, call.News, call.Members = n.feed.origin, n.feed.news, n.feed.membersAt
 	known := n.feed.groupSum
@@ -261,7 +263,7 @@
 	return call
 }
 
-func (n *Node) takeFeed(a feedAnswer, asked cf.Millis) {
+func (n *Node) takeFeed(a feedAnswer, asked cf.Millis) error {
 	n.candidate.heardAt(cf.Uptime() - a.HolderAge)
 	n.candidate.observe(a.Rev, a.Holder)
 	n.feed.mu.Lock()
@@ -278,19 +280,13 @@
 				n.confirmOutage()
 			}
 		}
-		return
-	}
-	if a.Config != nil {
-		age := n.belief().Age
-		changed, err := n.site.ApplyConfig(*a.Config)
-		if err != nil {
-			n.log.Error("change_not_taken", zap.String("kind", "config"), cflog.Error(err))
-		}
-		if changed {
-			cfwatch.LogInForce(n.log, n.site, "coordinator", age)
-		}
+		return nil
 	}
+	newest, err := n.takeConfig(a.Config)
 	n.takeNews(a.News)
+	if err != nil || !newest {
+		return err // the next call brings the rest
+	}
 	// The answer shows the view as of its sending. One that took longer than
 	// a call may was held up on the way, or this machine was suspended.
 	heard := cf.Uptime()
@@ -298,6 +294,20 @@
 		heard = asked
 	}
 	n.feed.heard.Store(int64(heard - a.Age))
+	return nil
+}
+
+// takeConfig takes what is told of the configuration; false if there is more to come.
+func (n *Node) takeConfig(news *cfsite.ConfigNews) (newest bool, err error) {
+	if news == nil {
+		return true, nil
+	}
+	age := n.belief().Age
+	changed, err := n.site.TakeConfigNews(*news)
+	if changed {
+		cfwatch.LogInForce(n.log, n.site, "coordinator", age)
+	}
+	return news.Newest && n.site.ConfigRecord().Rev >= news.Rev, err
 }
 
 // takeMembers takes what is told of the instances. A roster that differs afterwards is
--- a/io/cfnode/feedserve.go
+++ b/io/cfnode/feedserve.go
@@ -4,9 +4,12 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	cf "currantford"
 	"currantford/core/cfmember"
 	"currantford/core/cfsite"
+	"currantford/io/cflog"
 )
 
 // serveFeed answers another instance's feed call.
@@ -46,7 +49,7 @@
 	switch fresh, _ := n.word(cf.Uptime()); {
 	case !fresh:
 		wait = staleWait // nothing can be told yet
-	case call.Origin != n.origin || call.News != count:
+	case call.Origin != n.origin || call.News != count || call.Config.Rev < n.site.ConfigRecord().Rev:
 		return nil
 	}
 	timer := time.NewTimer(wait)
@@ -92,10 +95,13 @@
 	if !a.Fresh {
 		return a
 	}
-	if r := n.site.ConfigRecord(); r.Rev > call.Config {
-		a.Config = &r
-		n.feedMetrics.told.WithLabelValues("whole").Add(float64(len(r.Spec)))
+	config, err := n.configNews(call.Config)
+	if err != nil {
+		n.log.Error("config_not_told", zap.Int64("held_revision", int64(call.Config.Rev)), cflog.Error(err))
+		a.Fresh = false
+		return a
 	}
+	a.Config = config
 	if count, _ := n.site.Relay(); !same || call.News != count {
 		news := n.newsFor(call, same)
 		a.News = &news
@@ -103,6 +109,20 @@
 	return a
 }
 
+// configNews returns what an instance must hear of the configuration.
+func (n *Node) configNews(held cfsite.ConfigHeld) (*cfsite.ConfigNews, error) {
+	news, err := n.site.ConfigNews(held)
+	if news == nil {
+		return nil, err
+	}
+	part := "change"
+	if news.Base == 0 {
+		part = "whole"
+	}
+	n.feedMetrics.told.WithLabelValues(part).Add(float64(len(news.Packed)))
+	return news, nil
+}
+
 // newsFor returns what an instance must hear of the targets.
 func (n *Node) newsFor(call feedCall, same bool) cfsite.News {
 	if same {
