An outage is confirmed by those that ask the store, and denied by those that hear it

Callers saw requests run by a replaced configuration at a few instances, up to 8 s after the new one was acknowledged. Cause: an instance leaves the store alone where its coordinator has no news and one other, drawn from its neighbours, has none either. But the neighbour has its word from the same coordinator: all that follow it confirm each other's outage. A coordinator that keeps its lease and whose watches bring nothing is not replaced, so the few that never meet a scout wait until the 8 s are over. The class: hearsay taken for a second witness.

Change: scouts are asked, and one confirms an outage only if it asks the store itself and has no answer; one that has current word while the coordinator has none denies it, and the asking instance looks for itself after 0.9 s. What a coordinator said before it lost its news is no current word. Scouts do not wait for 0.9 s where the coordinator says itself that it has none. In a real outage all but the scouts wait within 1.5 s, as before.

Ruled out: a shorter wait (a larger constant the other way: all ask a store that is away), more neighbours (they all follow the same coordinator).

TestInstancesBesideACoordinatorWithoutNews and TestHearsayConfirmsNoOutage fail on the code before. TestAnOutageIsConfirmedByAnother let a neighbour that had asked nobody confirm the outage, which was the fault: now it must have asked the store in vain, and the denial is checked too.

--- a/core/cfmember/membership.go
+++ b/core/cfmember/membership.go
@@ -26,10 +26,12 @@
 	keeping bool
 	seen    int64
 	liveAt  cf.Millis
-	// roster are those that take callers, hubs the hubs among them and scout whether this
-	// instance is one of the scouts, as of the roster's changes counted by ranked.
+	// roster are those that take callers, hubs and scouts those among them, and scout
+	// whether this instance is one of the scouts, as of the roster's changes counted by
+	// ranked.
 	roster Roster
 	hubs   []Entry
+	scouts []Entry
 	scout  bool
 	ranked int64
 	// clients are the instances that ask this one, clientRoster identifies them.
@@ -78,6 +80,7 @@
 func (m *Membership) rank(self Entry) {
 	if count := m.roster.Count(); m.ranked != count {
 		m.hubs, m.ranked = Hubs(m.roster.Entries(), m.hubsFrom), count
+		m.scouts = Scouts(m.roster.Entries(), m.hubs)
 		m.scout = Scout(m.roster.Entries(), m.hubs, self)
 	}
 }
@@ -115,6 +118,15 @@
 	return m.scout
 }
 
+// Scouts returns the instances that look after the store by themselves. The list is not to be
+// changed.
+func (m *Membership) Scouts(self Entry) []Entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rank(self)
+	return m.scouts
+}
+
 // Heard takes an instance's report, as the coordinator, with what it tells of those that ask
 // it. It returns the sum of that group as it is known now.
 func (m *Membership) Heard(e Entry, g *Group, now cf.Millis) uint64 {
--- a/core/cfmember/scouts.go
+++ b/core/cfmember/scouts.go
@@ -1,5 +1,9 @@
 package cfmember
 
+import (
+	"slices"
+)
+
 const (
 	// scoutsLeast and scoutsPart say how many instances look after the store and the
 	// lease at once when the coordinator can't tell: enough for some of them to
@@ -32,3 +36,24 @@
 	}
 	return before < most
 }
+
+// Scouts returns the instances that look after the store by themselves.
+func Scouts(entries, hubs []Entry) []Entry {
+	if len(hubs) > 0 {
+		return hubs
+	}
+	most := max(scoutsLeast, len(entries)/scoutsPart)
+	if len(entries) <= most {
+		return entries
+	}
+	order := make([]ranked, len(entries))
+	for i, e := range entries {
+		order[i] = ranked{e, drawOf(e.ID)}
+	}
+	slices.SortFunc(order, earlier)
+	out := make([]Entry, most)
+	for i, r := range order[:most] {
+		out[i] = r.Entry
+	}
+	return out
+}
--- a/core/cfmember/scouts_test.go
+++ b/core/cfmember/scouts_test.go
@@ -26,12 +26,18 @@
 			if !Scout(entries, hubs, e) {
 				continue
 			}
+			if !Listed(Scouts(entries, hubs), e.ID) {
+				t.Errorf("%d instances: scout %s is not listed", c.n, e.ID)
+			}
 			scouts++
 			domains[e.Domain] = true
 			if e.Capacity > 0.5 {
 				strong++
 			}
 		}
+		if listed := len(Scouts(entries, hubs)); listed != scouts {
+			t.Errorf("%d instances: %d scouts are listed, of %d", c.n, listed, scouts)
+		}
 		if scouts != c.want || strong != min(c.strong, c.want) {
 			t.Errorf("%d instances, %d strong: %d scouts, %d of them strong, want %d", c.n, c.strong, scouts, strong, c.want)
 		}
--- a/core/cfmember/word.go
+++ b/core/cfmember/word.go
@@ -25,9 +25,10 @@
 	// leaveHubs is the same where hubs are scouts, which list the targets first.
 	leaveHubs cf.Millis = 3000
 	// leaveAlive is the same where the coordinator answers and only has nothing new, and
-	// another instance has not either: the store is away then for both, for the two
+	// another instance asks the store itself in vain: it is away then for both, for the two
 	// instances that the coordinator asks and for the scouts, of which one would replace
-	// it within 2.2 s.
+	// it within 2.2 s. That another has no news says nothing: it follows the same
+	// coordinator.
 	leaveAlive cf.Millis = 8000
 	// startGrace is how long a starting instance waits until the lease names a
 	// coordinator; it reads it at once.
@@ -43,8 +44,9 @@
 	// Started is when the instance started, Heard as of when the last current word is.
 	Started, Heard cf.Millis
 	// Unsure is when the coordinator answered last that it knows nothing new, or that a
-	// hub is to be asked; Away when another instance said that it knows nothing new either.
-	Unsure, Away cf.Millis
+	// hub is to be asked. Away is when another instance said that it asks the store itself,
+	// in vain; Denied when another said that it has current word all the same.
+	Unsure, Away, Denied cf.Millis
 	// Named says that the lease names a coordinator.
 	Named bool
 	// Hubs says that there are hubs, Behind that one of them is asked for news, and Scout
@@ -68,8 +70,7 @@
 	switch {
 	case w.starting(now):
 		return now + 1 // as long as it starts
-	case w.Scout && !w.Behind && now-w.Started >= startUnsure:
-		// One that has just started does not know yet who else looks after the store.
+	case w.Scout && !w.Behind && w.Settled(now):
 		return 0
 	case AnswerShared(w.Unsure, now) && AnswerShared(w.Away, now):
 		return leaveAlive
@@ -82,13 +83,31 @@
 
 // Alone says whether the instance must watch the store itself.
 func (w Word) Alone(now cf.Millis) bool {
-	silence := wordFresh
-	if w.Hubs {
-		silence = wordFreshHub
+	if now-w.Started < startGrace {
+		return false
+	}
+	leaves := w.Leaves(now)
+	if !w.Hubs && AnswerShared(w.Unsure, now) && AnswerShared(w.Denied, now) {
+		leaves = 0 // there is something to hear, and not from this coordinator
+	}
+	return now-w.Heard >= max(leaves, w.relies(now))
+}
+
+// relies returns how long the instance relies on the last current word.
+func (w Word) relies(now cf.Millis) cf.Millis {
+	switch {
+	case w.Hubs:
+		return wordFreshHub
+	case w.Scout && AnswerShared(w.Unsure, now):
+		return 0 // the coordinator says itself that it can't tell
+	default:
+		return wordFresh
 	}
-	return now-w.Started >= startGrace && now-w.Heard >= max(w.Leaves(now), silence)
 }
 
+// Settled says whether the instance has had the time to learn who else looks after the store.
+func (w Word) Settled(now cf.Millis) bool { return now-w.Started >= startUnsure }
+
 // starting says whether the instance has just started, and waits for the first word of the
 // coordinator that the lease names.
 func (w Word) starting(now cf.Millis) bool {
@@ -99,6 +118,6 @@
 	case w.Named && since < startGrace+CallWait+CallGrace:
 		return true
 	default:
-		return since < startUnsure && (w.Behind || AnswerShared(w.Unsure, now))
+		return !w.Settled(now) && (w.Behind || AnswerShared(w.Unsure, now))
 	}
 }
--- a/io/cfnode/announce.go
+++ b/io/cfnode/announce.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,12 +30,13 @@
 	Rev    cf.Revision    `cbor:"rev"`
 }
 
-// holderAnswer is what an instance knows of the holder, and whether its view of the store
-// is current.
+// holderAnswer is what an instance knows of the holder, and of the store: whether its view
+// of it is current, and whether it asks the store itself, in vain.
 type holderAnswer struct {
 	Holder cflease.Holder `cbor:"holder"`
 	Rev    cf.Revision    `cbor:"rev"`
 	Fresh  bool           `cbor:"fresh"`
+	InVain bool           `cbor:"in_vain,omitempty"`
 }
 
 // announce tells the others that this instance is the coordinator.
@@ -76,19 +78,22 @@
 func (n *Node) serveAskHolder(context.Context, struct{}) (any, error) {
 	holder, rev := n.candidate.holder()
 	now := cf.Uptime()
-	return holderAnswer{holder, rev, n.feed.fresh(now) || n.viewFresh(now)}, nil
+	w := n.watching.Load()
+	// The word of a coordinator that has none any more is no news.
+	told := n.feed.fresh(now) && n.feed.heard.Load() > n.feed.unsure.Load()
+	return holderAnswer{holder, rev, told || n.viewFresh(now), w != nil && w.config.InVain(now)}, nil
 }
 
-// askHolder asks another instance who the holder is; fresh says that its view is current.
-func (n *Node) askHolder(ctx context.Context, addr string) (fresh bool, err error) {
+// askHolder asks another instance who the holder is, and how it stands with the store.
+func (n *Node) askHolder(ctx context.Context, addr string) (holderAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	var a holderAnswer
 	if err := n.peers.Call(ctx, addr, opAskHolder, struct{}{}, &a); err != nil {
-		return false, err
+		return holderAnswer{}, err
 	}
 	n.candidate.observe(a.Rev, a.Holder)
-	return a.Fresh, nil
+	return a, nil
 }
 
 // findHolder asks another instance who the holder is.
@@ -101,9 +106,9 @@
 	return err
 }
 
-// confirmOutage asks another instance whether it knows nothing new either, when the
-// coordinator doesn't. A holder that is cut off from the store says so as well, and may
-// have been replaced: without another's word an instance would wait beside it for
+// confirmOutage asks an instance that looks after the store by itself whether it is away,
+// when the coordinator has no news. A holder that is cut off from the store says so as well,
+// and may have been replaced: without another's word an instance would wait beside it for
 // seconds with a configuration that is not in force any more.
 func (n *Node) confirmOutage() {
 	now := cf.Uptime()
@@ -112,21 +117,38 @@
 	}
 	n.feed.askedAt.Store(int64(now))
 	holder, _ := n.candidate.holder()
-	ring := slices.DeleteFunc(cfmember.Ring(n.Live(), n.self()), func(e cfmember.Entry) bool { return e.ID == holder.Entry })
-	if len(ring) == 0 {
+	self := n.self()
+	scouts := slices.DeleteFunc(slices.Clone(n.members.Scouts(self)), func(e cfmember.Entry) bool { return e.ID == holder.Entry || e.ID == self.ID })
+	if len(scouts) == 0 {
 		return
 	}
-	e := ring[rand.IntN(len(ring))]
+	e := scouts[rand.IntN(len(scouts))]
 	n.wg.Go(func() {
-		switch fresh, err := n.askHolder(n.ctx, e.Peers); {
-		case err != nil:
+		a, err := n.askHolder(n.ctx, e.Peers)
+		if err != nil {
 			n.log.Info("outage_not_confirmed", zap.String("entry", string(e.ID)), cflog.Error(err))
-		case fresh:
-			n.feed.away.Store(0)
-		default:
-			if at := cf.Millis(n.feed.away.Swap(int64(cf.Uptime()))); !cfmember.AnswerShared(at, now) {
-				n.log.Info("outage_confirmed", zap.String("entry", string(e.ID)))
-			}
+			return
 		}
+		n.takeWitness(e.ID, a)
 	})
 }
+
+// takeWitness takes another instance's word of the store.
+func (n *Node) takeWitness(from cf.EntryID, a holderAnswer) {
+	now := cf.Uptime()
+	var at *atomic.Int64
+	msg := "outage_confirmed"
+	switch {
+	case a.Fresh:
+		n.feed.away.Store(0)
+		at, msg = &n.feed.denied, "outage_denied"
+	case a.InVain:
+		n.feed.denied.Store(0)
+		at = &n.feed.away
+	default:
+		return // it has heard nothing either, and does not know
+	}
+	if before := cf.Millis(at.Swap(int64(now))); !cfmember.AnswerShared(before, now) {
+		n.log.Info(msg, zap.String("entry", string(from)))
+	}
+}
--- a/io/cfnode/config_test.go
+++ b/io/cfnode/config_test.go
@@ -76,8 +76,9 @@
 	return out
 }
 
-// configure replaces the configuration and waits until it is in force everywhere.
-func (f *testFleet) configure(c cfsite.Config) {
+// configure replaces the configuration and waits until it is in force everywhere but where
+// the store is shut; watch is called meanwhile.
+func (f *testFleet) configure(c cfsite.Config, watch func()) {
 	f.t.Helper()
 	kind := cfstandin.Codec{}.Kinds().Config
 	r, err := f.store.Get(context.Background(), kind, "main")
@@ -89,11 +90,12 @@
 	}
 	for deadline := time.Now().Add(60 * time.Second); ; time.Sleep(10 * time.Millisecond) {
 		behind := 0
-		for _, n := range f.nodes {
-			if now := n.site.Config(); now == nil || now.Version < c.Version {
+		for id, n := range f.nodes {
+			if now := n.site.Config(); !f.gates[id].shut.Load() && (now == nil || now.Version < c.Version) {
 				behind++
 			}
 		}
+		watch()
 		if behind == 0 {
 			return
 		}
@@ -125,13 +127,13 @@
 	f := newTestFleet(t, size, 750_000)
 	f.settled("start", fleetLogs)
 	routes := manyRoutes(140)
-	f.configure(fleetConfig(2, routes...))
+	f.configure(fleetConfig(2, routes...), func() {})
 	f.settled("a large configuration", fleetLogs)
 	lists, told := f.store.configs.Load(), f.told()
 	for i := range 3 {
 		routes = slices.Clone(routes)
 		routes[70+i].Timeout = 900
-		f.configure(fleetConfig(cfsite.ConfigVersion(3+i), routes...))
+		f.configure(fleetConfig(cfsite.ConfigVersion(3+i), routes...), func() {})
 	}
 	if told := f.told() - told; told > 3*size*toldMost {
 		t.Errorf("%.0f bytes told to %d instances of three changes of a route", told, size)
@@ -165,3 +167,82 @@
 		t.Error("an instance that has not asked the store has confirmed that it is away")
 	}
 }
+
+// waiting returns how many instances leave the store alone because it is away.
+func (f *testFleet) waiting() (n int) {
+	for _, node := range f.nodes {
+		if cfmember.AnswerShared(cf.Millis(node.feed.away.Load()), cf.Uptime()) {
+			n++
+		}
+	}
+	return n
+}
+
+// watched returns how many instances watch the store themselves.
+func (f *testFleet) watched() (n int) {
+	for _, node := range f.nodes {
+		if node.watching.Load() != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// A coordinator that keeps its lease and hears no changes says that it knows nothing new, and
+// is not replaced. The others must not take the store for away, as it answers them.
+func TestInstancesBesideACoordinatorWithoutNews(t *testing.T) {
+	f := newTestFleet(t, 40, 0)
+	f.settled("start", fleetLogs)
+	f.gates[f.holder().settings.Entry].shut.Store(true)
+	f.configure(fleetConfig(2), func() {
+		if n := f.waiting(); n > 0 {
+			t.Fatalf("%d instances take the store for away", n)
+		}
+	})
+}
+
+// Load: the store is away for all. Those that look after it do, and the others leave it to
+// them by their word.
+func TestStoreThatIsAwayIsLeftToScouts(t *testing.T) {
+	const size = 40
+	f := newTestFleet(t, size, 0)
+	f.settled("start", fleetLogs)
+	scouts := len(f.holder().members.Scouts(f.holder().self()))
+	for _, n := range f.nodes {
+		for !n.lastWord(cf.Uptime()).Settled(cf.Uptime()) {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	for _, g := range f.gates {
+		g.shut.Store(true)
+	}
+	for deadline := time.Now().Add(30 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		waiting, watched := f.waiting(), f.watched()
+		if waiting >= size-scouts-1 && watched <= scouts+1 {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d instances of %d wait and %d watch the store, with %d scouts", waiting, size, watched, scouts)
+		}
+	}
+}
+
+// A coordinator whose watch is late tells its view as of when the answer was due, and not as
+// of now: a change may have been missed since.
+func TestWordOfALateWatchIsOld(t *testing.T) {
+	f := newTestFleet(t, 3, 0)
+	f.settled("start", fleetLogs)
+	h := f.holder()
+	f.gates[h.settings.Entry].shut.Store(true)
+	old := cf.Millis(0)
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		fresh, age := h.word(cf.Uptime())
+		if !fresh {
+			break
+		}
+		old = max(old, age)
+	}
+	if old < 200 {
+		t.Errorf("just before it has no word any more its word counts as %d ms old", old)
+	}
+}
--- a/io/cfnode/feed.go
+++ b/io/cfnode/feed.go
@@ -33,7 +33,7 @@
 	opAlive    = "alive"
 
 	// outageAsk spaces the questions to others whether the store is away for them too.
-	outageAsk cf.Millis = 500
+	outageAsk cf.Millis = 300
 	// staleWait is how long the coordinator holds a call while it has no current
 	// view itself.
 	staleWait = 300 * time.Millisecond
@@ -102,10 +102,11 @@
 	feed struct {
 		heard atomic.Int64 // Uptime as of which the last fresh answer is
 		// unsure is that of the last answer of a holder that knew nothing new, away
-		// that of the last of another instance, askedAt when one was asked last.
-		unsure, away, askedAt atomic.Int64
-		upstream              *cfmember.Upstream
-		mu                    sync.Mutex
+		// that of the last of another instance that asks the store in vain, denied of one
+		// that has current word; askedAt is when one was asked last.
+		unsure, away, denied, askedAt atomic.Int64
+		upstream                      *cfmember.Upstream
+		mu                            sync.Mutex
 		// origin, news and membersAt say what the instance has.
 		origin    uint64
 		news      int64
@@ -128,22 +129,29 @@
 // fresh says whether the view from the coordinator is current.
 func (f *feed) fresh(now cf.Millis) bool { return cfmember.Fresh(cf.Millis(f.heard.Load()), now) }
 
-// viewFresh says whether this instance's own watches are current.
-func (n *Node) viewFresh(now cf.Millis) bool {
+// view says whether this instance's own watches are current, and by how much the answer is
+// late that would show the next configuration.
+func (n *Node) view(now cf.Millis) (fresh bool, behind cf.Millis) {
 	w := n.watching.Load()
-	return w != nil && w.config.Age(now) < cfwatch.SiteFresh && w.targets.Current(now, cfwatch.SiteFresh, cfwatch.SiteListed)
+	if w == nil {
+		return false, 0
+	}
+	fresh = w.config.Age(now) < cfwatch.SiteFresh && w.targets.Current(now, cfwatch.SiteFresh, cfwatch.SiteListed)
+	return fresh, w.config.Behind(now)
 }
 
-// current says whether this instance may tell others how things stand, as the
-// coordinator.
-func (n *Node) current(now cf.Millis) bool { return n.candidate.Valid() && n.viewFresh(now) }
+// viewFresh says whether this instance's own watches are current.
+func (n *Node) viewFresh(now cf.Millis) bool {
+	fresh, _ := n.view(now)
+	return fresh
+}
 
 // lastWord returns what this instance has heard from the coordinator.
 func (n *Node) lastWord(now cf.Millis) cfmember.Word {
 	f, self := &n.feed, n.self()
 	holder, _ := n.candidate.holder()
 	return cfmember.Word{
-		Started: n.started, Heard: cf.Millis(f.heard.Load()), Unsure: cf.Millis(f.unsure.Load()), Away: cf.Millis(f.away.Load()),
+		Started: n.started, Heard: cf.Millis(f.heard.Load()), Unsure: cf.Millis(f.unsure.Load()), Away: cf.Millis(f.away.Load()), Denied: cf.Millis(f.denied.Load()),
 		Named: holder.Entry != "", Hubs: len(n.members.Hubs(self, now)) > 0, Behind: f.upstream.Behind(), Scout: n.members.Scout(self),
 	}
 }
--- a/io/cfnode/feedserve.go
+++ b/io/cfnode/feedserve.go
@@ -66,13 +66,12 @@
 // word says whether this instance may tell others how things stand, and as of how long
 // ago.
 func (n *Node) word(now cf.Millis) (fresh bool, age cf.Millis) {
-	switch {
-	case n.current(now):
+	held := n.candidate.Held()
+	switch fresh, _ := n.view(now); {
+	case fresh && (!held || n.candidate.Valid()):
 		return true, 0
-	case n.candidate.Held():
+	case held:
 		return false, 0
-	case n.viewFresh(now):
-		return true, 0
 	default:
 		return n.feed.fresh(now), now - cf.Millis(n.feed.heard.Load())
 	}
--- a/io/cfnode/fleet_test.go
+++ b/io/cfnode/fleet_test.go
@@ -59,19 +59,51 @@
 	}
 }
 
+// gatedStore is a store as one instance reaches it: while it is shut, calls that may take
+// long are not answered.
+type gatedStore struct {
+	*countedStore
+	shut atomic.Bool
+}
+
+// wait holds a call while the store is shut, for as long as its answer is waited for.
+func (s *gatedStore) wait(ctx context.Context, most time.Duration) error {
+	if !s.shut.Load() {
+		return nil
+	}
+	cf.Sleep(ctx, most)
+	return cf.ErrUnavailable
+}
+
+func (s *gatedStore) List(ctx context.Context, kind string) (cf.Records, error) {
+	if err := s.wait(ctx, 750*time.Millisecond); err != nil {
+		return cf.Records{}, err
+	}
+	return s.countedStore.List(ctx, kind)
+}
+
+func (s *gatedStore) Watch(ctx context.Context, kind string, since cf.Revision, wait cf.Millis) (cf.Records, error) {
+	out, err := s.countedStore.Watch(ctx, kind, since, wait)
+	if err := s.wait(ctx, 700*time.Millisecond); err != nil {
+		return cf.Records{}, err
+	}
+	return out, err
+}
+
 // testFleet is a deployment of many instances in one process, before one store.
 type testFleet struct {
 	t     *testing.T
 	store *countedStore
 	nodes map[cf.EntryID]*Node
 	stop  map[cf.EntryID]func()
+	gates map[cf.EntryID]*gatedStore
 	// link is the rate of an instance's link in bytes a second, zero without bound.
 	link int
 }
 
 func newTestFleet(t *testing.T, size, link int) *testFleet {
 	t.Helper()
-	f := &testFleet{t: t, store: &countedStore{MemStore: cfstandin.NewMemStore()}, nodes: map[cf.EntryID]*Node{}, stop: map[cf.EntryID]func(){}, link: link}
+	f := &testFleet{t: t, store: &countedStore{MemStore: cfstandin.NewMemStore()}, nodes: map[cf.EntryID]*Node{}, stop: map[cf.EntryID]func(){}, gates: map[cf.EntryID]*gatedStore{}, link: link}
 	kinds := cfstandin.Codec{}.Kinds()
 	f.create(kinds.Config, "main", fleetConfig(1))
 	for i := range fleetLogs {
@@ -128,7 +160,8 @@
 	if i/fleetDomains%5 == 0 {
 		s.Machine.CPUShare = 1
 	}
-	n := New(s, Adapter{Store: f.store, Codec: cfstandin.Codec{}, Relay: noRelay{}}, prometheus.NewRegistry(), zap.NewNop())
+	f.gates[s.Entry] = &gatedStore{countedStore: f.store}
+	n := New(s, Adapter{Store: f.gates[s.Entry], Codec: cfstandin.Codec{}, Relay: noRelay{}}, prometheus.NewRegistry(), zap.NewNop())
 	if f.link > 0 {
 		l = &sharedLink{Listener: l, rate: f.link}
 	}
--- a/io/cfnode/scout_test.go
+++ b/io/cfnode/scout_test.go
@@ -26,6 +26,10 @@
 	return cf.Record{}, cf.ErrUnavailable
 }
 
+func (s *awayStore) List(context.Context, string) (cf.Records, error) {
+	return cf.Records{}, cf.ErrUnavailable
+}
+
 func (s *awayStore) Replace(context.Context, string, string, cf.Revision, any) (cf.Record, error) {
 	s.asked.Add(1)
 	return cf.Record{}, cf.ErrUnavailable
@@ -169,9 +173,10 @@
 }
 
 // Symptom: the same, beside a holder that is cut off from the store and was replaced.
-// Sequence: it says that it knows nothing new; another instance has current news.
+// Sequence: it says that it knows nothing new; another instance asks the store in vain, and
+// then has current news.
 func TestAnOutageIsConfirmedByAnother(t *testing.T) {
-	there := newTestNode(t, cfstandin.NewMemStore())
+	there := newTestNode(t, &awayStore{MemStore: cfstandin.NewMemStore()})
 	there.started -= 60_000
 	there.candidate.observe(8, cflease.Holder{Entry: "y", Term: 8, Addr: "127.0.0.1:1"})
 	addr := serve(t, there)
@@ -192,9 +197,10 @@
 			_ = n.takeFeed(feedAnswer{Holder: cflease.Holder{Entry: "x", Term: 5}, Rev: 5, Unsure: true}, cf.Uptime())
 		}
 	}
-	ask(func() bool { return n.feed.away.Load() > 0 }) // it has none either
+	there.watching.Store(there.watch()) // it asks the store itself, which does not answer
+	ask(func() bool { return n.feed.away.Load() > 0 })
 	there.feed.heard.Store(int64(cf.Uptime()) + 60_000)
-	ask(func() bool { return n.feed.away.Load() == 0 })
+	ask(func() bool { return n.feed.away.Load() == 0 && n.feed.denied.Load() > 0 })
 	if h, _ := n.candidate.holder(); h.Entry != "y" {
 		t.Errorf("the holder is %s, want the one that the other knows", h.Entry)
 	}
--- a/io/cfwatch/watch.go
+++ b/io/cfwatch/watch.go
@@ -31,6 +31,15 @@
 	retryMost  = 900 * time.Millisecond
 )
 
+const (
+	// overdue is how long after it should have come an answer counts as missing: a slow
+	// store takes some hundred milliseconds.
+	overdue cf.Millis = 400
+	// vainFor is how long a failed call says that the store does not answer: the longest
+	// pause, and the next call.
+	vainFor cf.Millis = 2500
+)
+
 // Watcher follows one kind. Its fields are set before Run.
 type Watcher struct {
 	Store cf.Store
@@ -60,6 +69,9 @@
 	Metrics *Metrics
 
 	contact atomic.Int64
+	// failed is when a call failed last, and due as of when the answer of the call under
+	// way is missing, zero if there is none.
+	failed, due atomic.Int64
 	// relisting: the store has dropped its history, and the list is being read again.
 	relisting atomic.Bool
 	at        cf.Revision
@@ -96,6 +108,16 @@
 	return now - at
 }
 
+// Behind returns by how much the answer is late that would show the next change: until then
+// nothing has been missed.
+func (w *Watcher) Behind(now cf.Millis) cf.Millis { return max(w.Age(now)-w.Wait, 0) }
+
+// InVain says whether the store is being asked, and does not answer.
+func (w *Watcher) InVain(now cf.Millis) bool {
+	contact, failed, due := w.contact.Load(), cf.Millis(w.failed.Load()), cf.Millis(w.due.Load())
+	return int64(failed) > contact && now-failed < vainFor || due > 0 && now >= due
+}
+
 // Current says whether the view was known to be current within fresh, or within listed while
 // it is listed again: what takes longer the more there is to list makes it no worse than it
 // was a moment before.
@@ -123,6 +145,7 @@
 			w.Log.Warn("store_lost", zap.String("kind", w.Kind), cflog.Error(err))
 		}
 		w.failing = true
+		w.failed.Store(int64(cf.Uptime()))
 		cf.Sleep(ctx, retry/2+rand.N(retry))
 		retry = min(2*retry, max(w.RetryMost, retryMost))
 	}
@@ -143,7 +166,9 @@
 func (w *Watcher) step(ctx context.Context) error {
 	// A list or an empty watch shows the view as of when it was asked for.
 	asked := cf.Uptime()
+	defer w.due.Store(0)
 	if !w.listed {
+		w.due.Store(int64(asked + overdue))
 		list, err := w.Store.List(ctx, w.Kind)
 		if err != nil {
 			return err
@@ -160,6 +185,7 @@
 	if w.behind {
 		wait = 1 // what is there now
 	}
+	w.due.Store(int64(asked + wait + overdue))
 	changes, err := w.Store.Watch(ctx, w.Kind, w.at, wait)
 	if errors.Is(err, cf.ErrHistoryGone) {
 		w.Log.Info("watch_history_gone", zap.String("kind", w.Kind), zap.Int64("since", int64(w.at)))
