A word is as old as the answer that its teller waits for

Cause: a coordinator's word counted as of its sending, while its own watch might have been without an answer for 0.4 s beyond its wait; with 0.9 to 1.5 s until an instance looks by itself, a configuration could stay unknown that much longer. The class: the age of a view lost as it is passed on. Change: the word says by how much the teller's watch is late. Where watches answer nothing changes, as it is zero.

--- a/io/cfnode/feedserve.go
+++ b/io/cfnode/feedserve.go
@@ -67,9 +67,9 @@
 // ago.
 func (n *Node) word(now cf.Millis) (fresh bool, age cf.Millis) {
 	held := n.candidate.Held()
-	switch fresh, _ := n.view(now); {
+	switch fresh, behind := n.view(now); {
 	case fresh && (!held || n.candidate.Valid()):
-		return true, 0
+		return true, behind
 	case held:
 		return false, 0
 	default:
