--- /dev/null
+++ b/systemtest/soak_config_test.go
@@ -0,0 +1,77 @@
+package systemtest
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"testing"
+)
+
+// configSeeds is the first seed in which the operator changes the configuration, which grows
+// by hundreds of routes at a time.
+const configSeeds = 6000
+
+// configsMost bounds the routes that the soak adds.
+const configsMost = 3000
+
+// changeConfig changes one route, or adds hundreds.
+func (s *soak) changeConfig() {
+	s.configMu.Lock()
+	defer s.configMu.Unlock()
+	routes := s.config["routes"].([]map[string]any)
+	if added := s.span(100, 700); s.draw(2) == 0 && len(routes) < configsMost {
+		for range int(added.Milliseconds()) {
+			name := fmt.Sprintf("%08x", s.draw(1<<31))
+			routes = append(routes, map[string]any{
+				"name": "r-" + name, "host": name + ".example", "path-prefix": "/" + name + "/", "kind": "safe", "timeout-ms": 800, "slo-ms": 150,
+				"priority": 2, "service": plain, "max-attempts": 2,
+			})
+		}
+	}
+	last := routes[len(routes)-1]
+	last["timeout-ms"] = 2000 + s.draw(1000)
+	s.config["routes"], s.config["version"] = routes, s.config["version"].(int)+1
+	s.store.Put("config", "main", s.config)
+}
+
+// checkConfigs checks that each process's configurations have only become newer, and that all
+// have the newest.
+func (s *soak) checkConfigs(t *testing.T) {
+	t.Helper()
+	newest := s.config["version"].(int)
+	for _, e := range s.entries {
+		eventually(t, fmt.Sprintf("version %d at %s", newest, e.id), func() bool { return s.configOf(t, e) == newest })
+	}
+}
+
+// configOf returns the version in force at an entry, by its log.
+func (s *soak) configOf(t *testing.T, e *entry) (version int) {
+	t.Helper()
+	raw, err := os.ReadFile(e.logPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := bufio.NewScanner(bytes.NewReader(raw))
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		var line struct {
+			Msg     string `json:"msg"`
+			Version int    `json:"config_version"`
+		}
+		if json.Unmarshal(lines.Bytes(), &line) != nil {
+			continue // a line that was cut short by a kill
+		}
+		switch line.Msg {
+		case "started":
+			version = 0
+		case "config_in_force":
+			if line.Version <= version {
+				t.Errorf("%s: version %d after %d", e.id, line.Version, version)
+			}
+			version = line.Version
+		}
+	}
+	return version
+}
--- a/systemtest/soak_test.go
+++ b/systemtest/soak_test.go
@@ -18,7 +18,7 @@
 )
 
 var (
-	soakSeeds   = flag.String("soak.seeds", "1,3,36,1001,2001,3001,4001,5001", "seeds of the fault soak, such as 1,2,10-20")
+	soakSeeds   = flag.String("soak.seeds", "1,3,36,1001,2001,3001,4001,5001,6001", "seeds of the fault soak, such as 1,2,10-20")
 	soakSeconds = flag.Int("soak.seconds", 10, "length of each seed")
 )
 
@@ -45,13 +45,14 @@
 	// heldBids are the answers that say that a bid is held.
 	heldBids map[string]string
 	down     map[*entry]bool // killed, stopped or frozen by the soak
+	configMu sync.Mutex      // one change of the configuration at a time
 }
 
 // TestSoak runs the programs through random faults, injected from outside, and
 // checks while and after it runs: every sample whole and of allowed weights, no
-// position changed, bids at most once and never after a refusal, scores of good
-// answers to calls made when the text was complete, orders of two
-// holders 3 s apart with rising numbers. Seeds that ever failed:
+// position changed, bids at most once and never after a refusal, configurations that only
+// become newer, scores of good answers to calls made when the text was complete, orders of
+// two holders 3 s apart with rising numbers. Seeds that ever failed:
 //
 //	3, 36: an engine carried an order out 0.7 s late; the check took that time
 //	for the order's own (2.95 s to the next holder's; arrivals 3.68 s apart)
@@ -142,6 +143,9 @@
 	if seed >= crashSeeds {
 		faults = append(faults, s.endTarget)
 	}
+	if seed >= configSeeds {
+		faults = append(faults, s.changeConfig, s.changeConfig)
+	}
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for ctx.Err() == nil {
@@ -333,6 +337,7 @@
 	}
 	checkOrders(t, s.site)
 	s.checkCrashes(t)
+	s.checkConfigs(t)
 	s.checkAccepted(t)
 }
 
