What ends late at an engine belongs to the life of it that it was given to

Symptom: the coordinator's process ends with a panic (assignment to entry in nil map) in Planner.Finished; where nothing panics, an engine has one run too few, down to -1, and is given more than its slots. Cause: a run named its engine by id. An engine that leaves the list and comes back before the run ends was made anew under that id, without its runs. The class: an end, a penalty or a connection of an engine's earlier life put down to a later one.

Change: a run holds the engine that it was given to, and since when that runs. One that leaves with runs under way is remembered until they end, and comes back with them; one of another service or a later start has none of their penalties, paces or connections; an order's outcome counts only where the engine has not started again since.

Ruled out: a guard for the nil map (the miscount stays).

--- a/core/cfrollout/engines.go
+++ b/core/cfrollout/engines.go
@@ -53,7 +53,7 @@
 		e = nil
 	}
 	if e == nil {
-		e = &Engine{versions: make(map[cf.ModelName]cf.WeightVersion, len(t.Models)), draw: drawFor(t.ID)}
+		e = p.back(t)
 		p.engines[t.ID] = e
 	}
 	born := max(e.Born, t.Born)
@@ -80,7 +80,55 @@
 	return true
 }
 
-// dropEngine forgets an engine.
+// back returns the engine of a target that was not listed: the one that left, if it has runs
+// under way, else a new one.
+func (p *Planner) back(t cf.Target) *Engine {
+	k := unlistedKey{t.ID, t.Service}
+	e := p.unlisted[k]
+	if e == nil {
+		return &Engine{versions: make(map[cf.ModelName]cf.WeightVersion, len(t.Models)), draw: drawFor(t.ID)}
+	}
+	delete(p.unlisted, k)
+	p.busy[t.ID] = e
+	return e
+}
+
+// at returns the engine at which a run is under way, nil if it has left the list or has
+// started again since: what the run shows is then of no use.
+func (p *Planner) at(w *Work) *Engine {
+	e := w.engine
+	if e == nil || p.engines[e.ID] != e || w.born > 0 && w.born < e.Born {
+		return nil
+	}
+	return e
+}
+
+// runEnded takes the end of a run from the engine that it was given to.
+func (p *Planner) runEnded(w *Work, outcome Outcome, now cf.Millis) {
+	e := w.engine
+	if e == nil {
+		return
+	}
+	e.Running--
+	if e.groups[w.Item.Group]--; e.groups[w.Item.Group] <= 0 {
+		delete(e.groups, w.Item.Group)
+	}
+	if k := (unlistedKey{e.ID, e.Service}); e.Running == 0 && p.unlisted[k] == e {
+		delete(p.unlisted, k)
+	}
+	if here := p.at(w); here != nil {
+		p.judge(here, outcome, now)
+	}
+}
+
+// Same says whether a target is listed, and has not started again since it was as t shows it.
+func (p *Planner) Same(t cf.Target) bool {
+	e := p.engines[t.ID]
+	return e != nil && e.Service == t.Service && (t.Born == 0 || t.Born >= e.Born)
+}
+
+// dropEngine forgets an engine, but for its runs that are under way: they end at it, and it
+// has them if it comes back.
 func (p *Planner) dropEngine(id cf.InstanceID) {
 	e := p.engines[id]
 	if e == nil {
@@ -88,9 +136,13 @@
 	}
 	p.trials.noteEnd(e)
 	delete(p.engines, id)
-	delete(p.loadings, id)
+	p.setLoading(e, 0)
 	delete(p.busy, id)
 	p.unlist(e)
+	e.Share = ""
+	if e.Running > 0 {
+		p.unlisted[unlistedKey{id, e.Service}] = e
+	}
 	if f := p.fleets[e.Service]; f != nil {
 		delete(f.usable, id)
 		delete(f.spare, id)
@@ -112,7 +164,7 @@
 	p.trials.noteEnd(e)
 	clear(e.versions)
 	p.setLoading(e, 0)
-	e.loadBegan, e.pace, e.usual, e.avoid, e.rest, e.failed = 0, 0, 0, 0, 0, 0
+	e.loadBegan, e.pace, e.usual, e.avoid, e.rest, e.failed, e.kept = 0, 0, 0, 0, 0, 0, nil
 }
 
 // hold records that an engine has a version. Versions of one start of an
--- a/core/cfrollout/export_test.go
+++ b/core/cfrollout/export_test.go
@@ -1,5 +1,9 @@
 package cfrollout
 
+import (
+	cf "currantford"
+)
+
 // Waiting counts the items that wait for an engine.
 func (p *Planner) Waiting() int {
 	n := 0
@@ -8,3 +12,10 @@
 	}
 	return n
 }
+
+// KeptAt records that a connection to an engine is kept until then.
+func (p *Planner) KeptAt(id cf.InstanceID, until cf.Millis) {
+	if e := p.engines[id]; e != nil {
+		p.Kept(&Work{engine: e, born: e.Born}, until)
+	}
+}
--- a/core/cfrollout/life_test.go
+++ b/core/cfrollout/life_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	cf "currantford"
@@ -39,3 +40,105 @@
 		t.Errorf("%d runs after the only one has ended", e.Running)
 	}
 }
+
+// What ends late is accounted to the life of the engine that it was given to, whatever the
+// list has shown since.
+func TestEnginesHaveTheRunsThatAreUnderWay(t *testing.T) {
+	for seed := range uint64(300) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		p := New(DefaultLimits)
+		p.SetEngines(nil, lifeModels)
+		up := map[cf.InstanceID]cf.Target{}
+		born := map[cf.InstanceID]cf.Millis{"e0": 1, "e1": 1, "e2": 1, "e3": 1}
+		under := map[*Work]cf.Target{} // the runs under way, with their engines as they were
+		ids := []cf.InstanceID{"e0", "e1", "e2", "e3"}
+		batches := 0
+		for now := cf.Millis(1); now < 4000; now += 10 {
+			id := ids[random.IntN(len(ids))]
+			switch random.IntN(9) {
+			case 0: // leaves
+				delete(up, id)
+				p.ChangeEngines(nil, []cf.InstanceID{id})
+			case 1: // comes, comes back, or changes its service
+				service := cf.ServiceName("a")
+				if random.IntN(4) == 0 {
+					service = "b"
+				}
+				up[id] = lifeTarget(id, service, born[id])
+				p.ChangeEngines([]cf.Target{up[id]}, nil)
+			case 2: // starts again
+				if t, known := up[id]; known {
+					born[id] += 100
+					t.Born = born[id]
+					up[id] = t
+					p.ChangeEngines([]cf.Target{t}, nil)
+				}
+			case 3: // drains, or takes it back
+				if t, known := up[id]; known {
+					t.Draining = !t.Draining
+					up[id] = t
+					p.ChangeEngines([]cf.Target{t}, nil)
+				}
+			case 4: // the list is read again
+				var list []cf.Target
+				for _, t := range up {
+					list = append(list, t)
+				}
+				p.SetEngines(list, lifeModels)
+			case 5:
+				if batches < 40 {
+					batches++
+					p.AddBatch(lifeStep(cf.BatchID(fmt.Sprint("s", batches)), []cf.ServiceName{"a", "b"}[random.IntN(2)], 5))
+				}
+			case 6:
+				p.Reported(id, cf.TargetReport{Born: born[id], Models: []cf.ModelState{{Name: "m-a", Version: 1}}})
+			default:
+				for w, at := range under {
+					avoid, kept := judged(p, at.ID)
+					p.Kept(w, now+500)
+					p.Finished(w, []Outcome{OutcomeDone, OutcomeBroken, OutcomeNotRun, OutcomeStopped}[random.IntN(4)], now)
+					delete(under, w)
+					e := p.engines[at.ID]
+					if a, k := judged(p, at.ID); e != nil && (at.Born < e.Born || at.Service != e.Service) && (a != avoid || k != kept) {
+						t.Fatalf("seed %d: the end of a run of %s since %d is put down to the one since %d", seed, at.ID, at.Born, e.Born)
+					}
+					break
+				}
+			}
+			for _, w := range p.Place(now) {
+				under[w] = up[w.Engine]
+			}
+			checkLives(t, p, under, seed)
+		}
+	}
+}
+
+// judged returns what the ends of runs have brought upon an engine.
+func judged(p *Planner, id cf.InstanceID) (avoid cf.Millis, kept int) {
+	e := p.engines[id]
+	if e == nil {
+		return 0, 0
+	}
+	return e.avoid, len(e.kept)
+}
+
+// checkLives compares what the planner holds of the engines with what is under way.
+func checkLives(t *testing.T, p *Planner, under map[*Work]cf.Target, seed uint64) {
+	t.Helper()
+	p.takeSizes()
+	for id, e := range p.engines {
+		runs, groups := 0, map[cf.GroupID]int{}
+		for w, at := range under {
+			if at.ID == id && at.Service == e.Service {
+				runs++
+				groups[w.Item.Group]++
+			}
+		}
+		if e.Running != runs || fmt.Sprint(e.groups) != fmt.Sprint(groups) || e.Running > e.Slots || len(e.kept) > e.Slots || runs == 0 && e.used != 0 {
+			t.Fatalf("seed %d: engine %s has %d runs of %v, %d kept, %.0f used; under way are %d of %v", seed, id, e.Running, e.groups, len(e.kept), e.used, runs, groups)
+		}
+	}
+	if len(p.unlisted) > len(under) {
+		t.Fatalf("seed %d: %d engines are remembered, with %d runs under way", seed, len(p.unlisted), len(under))
+	}
+}
--- a/core/cfrollout/memory.go
+++ b/core/cfrollout/memory.go
@@ -125,8 +125,8 @@
 		}
 	}
 	p.eachRunning(func(w *Work) {
-		if e := p.engines[w.Engine]; e != nil {
-			e.used += p.size(w)
+		if w.engine != nil {
+			w.engine.used += p.size(w)
 		}
 	})
 }
--- a/core/cfrollout/need_test.go
+++ b/core/cfrollout/need_test.go
@@ -408,10 +408,10 @@
 		for _, w := range p.Place(now) {
 			used[w.Engine] = true
 			p.Finished(w, cfrollout.OutcomeDone, now+500)
-			p.Kept(targets[0].ID, 0) // over already
+			p.KeptAt(targets[0].ID, 0) // over already
 			for _, target := range targets {
 				if used[target.ID] {
-					p.Kept(target.ID, now+8000)
+					p.KeptAt(target.ID, now+8000)
 				}
 			}
 		}
--- a/core/cfrollout/pace.go
+++ b/core/cfrollout/pace.go
@@ -100,19 +100,19 @@
 
 // observe updates the engines' pace from their runs.
 func (p *Planner) observe(now cf.Millis) {
-	sum, count := map[cf.InstanceID]float64{}, map[cf.InstanceID]float64{}
+	sum, count := map[*Engine]float64{}, map[*Engine]float64{}
 	p.eachRunning(func(w *Work) {
+		e := p.at(w)
+		if e == nil {
+			return
+		}
 		if pace, ok := w.Progress.pace(now); ok {
-			sum[w.Engine] += pace
-			count[w.Engine]++
+			sum[e] += pace
+			count[e]++
 		}
 	})
-	for id, n := range count {
-		e := p.engines[id]
-		if e == nil {
-			continue
-		}
-		pace := sum[id] / n
+	for e, n := range count {
+		pace := sum[e] / n
 		p.slots.note(e, pace, now)
 		alone := pace / p.slots.factor(e.Running)
 		if e.pace == 0 {
@@ -236,7 +236,7 @@
 	most := max(q.slots/slotsPerMove, 1)
 	var out []*Work
 	for _, w := range o.running {
-		e := p.engines[w.Engine]
+		e := p.at(w)
 		if e == nil || w.moving || now-w.Started < moveRest || !p.slow(q, e) {
 			continue
 		}
@@ -371,7 +371,7 @@
 
 // better returns an engine that a run should move to.
 func (p *Planner) better(room *fastest, w *Work, now cf.Millis) *Engine {
-	from := p.engines[w.Engine]
+	from := p.at(w)
 	if from == nil || w.moving || now-w.Started < moveRest {
 		return nil
 	}
--- a/core/cfrollout/place.go
+++ b/core/cfrollout/place.go
@@ -110,7 +110,8 @@
 }
 
 func (p *Planner) start(o *open, w *Work, e *Engine, now cf.Millis) {
-	w.Engine, w.Version, w.Started = e.ID, e.versions[w.Batch.Sub.Model], now
+	w.Engine, w.engine, w.born = e.ID, e, e.Born
+	w.Version, w.Started = e.versions[w.Batch.Sub.Model], now
 	w.Oldest = w.Version
 	w.moving, w.from = false, w.Text.Last
 	w.Progress.reset()
@@ -194,9 +195,10 @@
 	return len(e.kept) > 0
 }
 
-// Kept records that a connection to an engine is kept until then.
-func (p *Planner) Kept(id cf.InstanceID, until cf.Millis) {
-	if e := p.engines[id]; e != nil && len(e.kept) < e.Slots {
+// Kept records that the connection of a run, which has not been noted as finished, is kept
+// until then.
+func (p *Planner) Kept(w *Work, until cf.Millis) {
+	if e := p.at(w); e != nil && len(e.kept) < e.Slots {
 		e.kept = append(e.kept, until)
 	}
 }
@@ -240,14 +242,8 @@
 // Finished takes the end of a run. It returns true when the item is to be
 // listed, as done or as failed; otherwise it waits again.
 func (p *Planner) Finished(w *Work, outcome Outcome, now cf.Millis) (list bool) {
-	if e := p.engines[w.Engine]; e != nil {
-		e.Running--
-		if e.groups[w.Item.Group]--; e.groups[w.Item.Group] <= 0 {
-			delete(e.groups, w.Item.Group)
-		}
-		p.judge(e, outcome, now)
-	}
-	w.Engine, w.from = "", w.Text.Last
+	p.runEnded(w, outcome, now)
+	w.Engine, w.engine, w.from = "", nil, w.Text.Last
 	o := p.batches[w.Batch.Sub.ID]
 	if o != nil {
 		delete(o.running, w.Item.ID)
--- a/core/cfrollout/planner.go
+++ b/core/cfrollout/planner.go
@@ -104,6 +104,11 @@
 		draw uint64
 	}
 
+	unlistedKey struct {
+		id      cf.InstanceID
+		service cf.ServiceName
+	}
+
 	// Text is what has been generated of an item.
 	Text struct {
 		// Origin names the run that made the first event; the texts of two
@@ -125,7 +130,10 @@
 		Failures int // answers that count as failed attempts
 		Text     Text
 		Engine   cf.InstanceID // where it runs, empty while it waits
-		Version  cf.WeightVersion
+		// engine is the same, as of the start that born tells, zero if that was not known.
+		engine  *Engine
+		born    cf.Millis
+		Version cf.WeightVersion
 		// Oldest is the oldest version of the text, as of the run's start.
 		Oldest  cf.WeightVersion
 		Started cf.Millis
@@ -164,6 +172,8 @@
 		need    Need
 		batches map[cf.BatchID]*open
 		carry   map[cf.ItemID]*Work
+		// unlisted are engines that have left the list and have runs under way.
+		unlisted map[unlistedKey]*Engine
 		// orphans run on for a batch to come, though theirs was ended.
 		orphans map[cf.ItemID]*Work
 		// fleets are the engines of each service, shares those that serve a model, sorted
@@ -222,7 +232,7 @@
 		limits: limits, engines: map[cf.InstanceID]*Engine{}, named: map[cf.ModelName]cf.WeightVersion{},
 		models: map[cf.ServiceName][]cf.ModelName{}, need: Need{}, batches: map[cf.BatchID]*open{},
 		fleets: map[cf.ServiceName]*fleet{}, shares: map[shareKey][]*Engine{}, loadings: map[cf.InstanceID]*Engine{}, busy: map[cf.InstanceID]*Engine{}, proved: map[cf.ModelName]cf.WeightVersion{}, peaks: map[cf.ModelName]*cfpeak.Peak{}, usualAt: -1,
-		carry: map[cf.ItemID]*Work{}, orphans: map[cf.ItemID]*Work{}, single: map[cf.ModelName]bool{}, loads: newLoadPace(limits.Loads, limits.Learned), trials: trials{models: map[cf.ModelName]*trial{}}, slots: slotCost{cost: slotPrior}, memory: memory{asked: map[cf.InstanceID]cf.Millis{}, told: map[cf.ServiceName]*toldMemory{}},
+		carry: map[cf.ItemID]*Work{}, orphans: map[cf.ItemID]*Work{}, unlisted: map[unlistedKey]*Engine{}, single: map[cf.ModelName]bool{}, loads: newLoadPace(limits.Loads, limits.Learned), trials: trials{models: map[cf.ModelName]*trial{}}, slots: slotCost{cost: slotPrior}, memory: memory{asked: map[cf.InstanceID]cf.Millis{}, told: map[cf.ServiceName]*toldMemory{}},
 	}
 }
 
--- a/io/cfcoord/runs.go
+++ b/io/cfcoord/runs.go
@@ -107,7 +107,7 @@
 		c.checkReport(t)
 	}
 	if end.kept > 0 {
-		c.planner.Kept(t.ID, now+end.kept)
+		c.planner.Kept(w, now+end.kept)
 	}
 	switch ended := c.planner.Finished(w, outcome, now); {
 	case ended && outcome == cfrollout.OutcomeDone:
--- a/io/cfcoord/weights.go
+++ b/io/cfcoord/weights.go
@@ -20,8 +20,13 @@
 		outcome, limit := "done", 0
 		if err != nil {
 			outcome = err.Error()
+		}
+		switch {
+		case !c.planner.Same(s.Target):
+			outcome += ", of an earlier start" // the order says nothing of what is listed now
+		case err != nil:
 			c.planner.SwapFailed(s.Target.ID, cf.Uptime())
-		} else {
+		default:
 			limit = c.planner.SwapTook(s.Target.ID, cf.Uptime())
 			c.planner.SwapDone(s.Target.ID, s.Model, s.Version)
 		}
