A panic leaves its reason, stack and role as one line of the log, and restarts are counted

A process that ended by itself left a trace on standard error alone, which is not kept with the log; an HTTP handler's panic was swallowed by the server's own recovery, which served on with state that may be wrong. Goroutines of the deployed programs run in cflog.Group, handlers behind cflog.Handler; the process writes what waits in its log and ends with status 2. The coordinator counts instances that start again (currantford_instance_restarts_total).

--- a/core/cfmember/membership.go
+++ b/core/cfmember/membership.go
@@ -118,6 +118,13 @@
 	return m.scout
 }
 
+// Restarts counts the instances that the coordinator here heard to have started again.
+func (m *Membership) Restarts() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.restarts
+}
+
 // Scouts returns the instances that look after the store by themselves. The list is not to be
 // changed.
 func (m *Membership) Scouts(self Entry) []Entry {
--- a/core/cfmember/table.go
+++ b/core/cfmember/table.go
@@ -42,6 +42,8 @@
 		live    []Entry
 		changes int64
 		stale   cf.Millis
+		// restarts counts the instances that were heard to have started again.
+		restarts int64
 	}
 
 	heard struct {
@@ -73,6 +75,9 @@
 		t.heard = map[cf.EntryID]heard{}
 	}
 	old, known := t.heard[e.ID]
+	if known && e.Age < old.entry.Age {
+		t.restarts++
+	}
 	t.heard[e.ID] = heard{e, now, now, by}
 	if !known || !sameButAge(old.entry, e) {
 		t.stale = 0
--- a/core/cfmember/table_test.go
+++ b/core/cfmember/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	cf "currantford"
 	"currantford/core/cfmember"
 )
 
@@ -42,3 +43,14 @@
 		t.Errorf("nearest: %v", got)
 	}
 }
+
+// An instance that starts again is counted, whatever it says of itself besides.
+func TestRestartsAreCounted(t *testing.T) {
+	m := cfmember.NewMembership(cfmember.HubsFrom)
+	for i, age := range []cf.Millis{100, 500, 20, 600, 700, 5} {
+		m.Heard(cfmember.Entry{ID: "a", Age: age}, nil, cf.Millis(i*100))
+	}
+	if n := m.Restarts(); n != 2 {
+		t.Errorf("%d restarts, want 2", n)
+	}
+}
--- a/io/cfcoord/coordinator.go
+++ b/io/cfcoord/coordinator.go
@@ -109,7 +109,7 @@
 		Options
 		ctx    context.Context
 		cancel context.CancelFunc
-		wg     sync.WaitGroup
+		wg     cflog.Group
 		kick   chan struct{}
 		// readSlots bounds the batches that are read at once.
 		readSlots chan struct{}
--- a/io/cfguard/guard.go
+++ b/io/cfguard/guard.go
@@ -68,7 +68,7 @@
 		Table  *cfquarantine.Table
 		ctx    context.Context
 		cancel context.CancelFunc
-		wg     sync.WaitGroup
+		wg     cflog.Group
 
 		mu       sync.Mutex
 		checking map[cfquarantine.Incarnation]bool
--- a/io/cfingress/forward.go
+++ b/io/cfingress/forward.go
@@ -163,6 +163,7 @@
 	call := f.call(now)
 	f.use.sent(target.ID, now)
 	go func() {
+		defer cflog.Panicking()
 		answer, err := f.in.Targets.Send(ctx, target, call)
 		f.results <- attempt{target: target, answer: answer, err: err, sent: now, took: cf.Uptime() - now}
 	}()
@@ -248,6 +249,7 @@
 	}
 	n := f.pending
 	go func() {
+		defer cflog.Panicking()
 		for range n {
 			a := <-f.results
 			outcome := cfbalance.Abandoned
--- a/io/cflog/async.go
+++ b/io/cflog/async.go
@@ -4,6 +4,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // queueLines bounds the lines that wait to be written, about 1 MB. A reader
@@ -11,12 +12,16 @@
 // dropped.
 const queueLines = 4096
 
+// flushTick is how often a flush looks whether all is written.
+const flushTick = 5 * time.Millisecond
+
 // Async writes lines in the background and never blocks its callers. Close
 // writes what waits.
 type Async struct {
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
+	waiting atomic.Int64
 	wg      sync.WaitGroup
 	once    sync.Once
 }
@@ -31,14 +36,23 @@
 // Write queues one line, or drops it if the queue is full.
 func (a *Async) Write(p []byte) (int, error) {
 	line := append([]byte(nil), p...)
+	a.waiting.Add(1)
 	select {
 	case a.lines <- line:
 	default:
+		a.waiting.Add(-1)
 		a.dropped.Add(1)
 	}
 	return len(p), nil
 }
 
+// Flush waits until what was queued is written, for most at the longest.
+func (a *Async) Flush(most time.Duration) {
+	for deadline := time.Now().Add(most); a.waiting.Load() > 0 && time.Now().Before(deadline); {
+		time.Sleep(flushTick)
+	}
+}
+
 // Dropped counts the lines that were dropped.
 func (a *Async) Dropped() int64 { return a.dropped.Load() }
 
@@ -57,9 +71,11 @@
 	var buf []byte
 	for line := range a.lines {
 		buf = append(buf[:0], line...)
-		for len(a.lines) > 0 && len(buf) < 32<<10 {
+		n := int64(1)
+		for ; len(a.lines) > 0 && len(buf) < 32<<10; n++ {
 			buf = append(buf, <-a.lines...)
 		}
 		_, _ = a.out.Write(buf) // there is nowhere else to report it
+		a.waiting.Add(-n)
 	}
 }
--- /dev/null
+++ b/io/cflog/crash.go
@@ -0,0 +1,84 @@
+package cflog
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// exitPanic is the exit status of a process that ends itself, as the runtime's is.
+	exitPanic = 2
+	// flushMost is how long a process that ends itself waits for its last lines to be
+	// read.
+	flushMost = time.Second
+)
+
+type (
+	// lastWords are how a process tells of the panic that ends it.
+	lastWords struct {
+		log  *zap.Logger
+		out  *Async
+		role func() string
+	}
+
+	// Group is a WaitGroup whose goroutines leave a line in the log before a panic ends the
+	// process.
+	Group struct{ sync.WaitGroup }
+)
+
+var words atomic.Pointer[lastWords]
+
+// TellPanics makes a panic leave its reason and stack as one line of log, with the role that
+// the process has then, before it ends the process.
+func TellPanics(log *zap.Logger, out *Async, role func() string) {
+	words.Store(&lastWords{log, out, role})
+}
+
+// Go runs f, as sync.WaitGroup does.
+func (g *Group) Go(f func()) {
+	g.WaitGroup.Go(func() {
+		defer Panicking()
+		f()
+	})
+}
+
+// Panicking is deferred by whatever runs apart. State that may be wrong is not served on: the
+// process ends.
+func Panicking() {
+	if reason := recover(); reason != nil {
+		end(reason)
+	}
+}
+
+// Handler answers by h. The server's own recovery would serve on after a panic.
+func Handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			switch reason := recover(); reason {
+			case nil:
+			case http.ErrAbortHandler: //nolint:errorlint // the value that the server knows
+				panic(reason)
+			default:
+				end(reason)
+			}
+		}()
+		h.ServeHTTP(w, r)
+	})
+}
+
+func end(reason any) {
+	w := words.Load()
+	if w == nil {
+		panic(reason)
+	}
+	w.log.Error("panic", zap.String("role", w.role()), zap.String("reason", fmt.Sprint(reason)), zap.ByteString("stack", debug.Stack()))
+	w.out.Flush(flushMost)
+	os.Exit(exitPanic)
+}
--- a/io/cfmeter/cfmeter.go
+++ b/io/cfmeter/cfmeter.go
@@ -68,7 +68,7 @@
 		Options
 		ctx    context.Context
 		cancel context.CancelFunc
-		wg     sync.WaitGroup
+		wg     cflog.Group
 
 		mu      sync.Mutex
 		account *cfusage.Account
--- a/io/cfnode/feedmetrics.go
+++ b/io/cfnode/feedmetrics.go
@@ -24,6 +24,9 @@
 		}, []string{"part"}),
 	}
 	reg.MustRegister(m.calls, m.told,
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "currantford_instance_restarts_total", Help: "Starts of other instances' processes after the first, as the coordinator here heard of them.",
+		}, func() float64 { return float64(n.members.Restarts()) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "currantford_config_version", Help: "Version of the configuration in force here.",
 		}, func() float64 {
--- a/io/cfnode/node.go
+++ b/io/cfnode/node.go
@@ -112,9 +112,9 @@
 
 		ctx    context.Context
 		cancel context.CancelFunc
-		wg     sync.WaitGroup
+		wg     cflog.Group
 		// telling are calls that handlers of other instances' calls have started.
-		telling sync.WaitGroup
+		telling cflog.Group
 		// candidacy ends before the rest at a planned stop.
 		candidacy     context.Context
 		endCandidacy  context.CancelFunc
@@ -125,7 +125,7 @@
 	watching struct {
 		config, targets *cfwatch.Watcher
 		cancel          context.CancelFunc
-		wg              sync.WaitGroup
+		wg              cflog.Group
 	}
 )
 
@@ -196,6 +196,14 @@
 // Ingress returns what the node offers to callers.
 func (n *Node) Ingress() cf.Ingress { return n.ingress }
 
+// Role names the duty that the node has.
+func (n *Node) Role() string {
+	if n.coord.Load() != nil {
+		return "coordinator"
+	}
+	return "entry"
+}
+
 // PeerHandler returns the handler for the other instances.
 func (n *Node) PeerHandler() *cfpeer.Server { return n.peerSrv }
 
--- a/io/cfnode/server.go
+++ b/io/cfnode/server.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	cf "currantford"
+	"currantford/io/cflog"
 )
 
 const (
@@ -43,7 +44,7 @@
 		mu    sync.Mutex
 		conns map[*conn]cf.Millis // since when idle, zero while busy
 		stop  chan struct{}
-		wg    sync.WaitGroup
+		wg    cflog.Group
 	}
 
 	// conn is a caller's connection that can be closed only while no request
@@ -116,7 +117,7 @@
 		return nil, eris.Wrapf(err, "listen on %s", addr)
 	}
 	s := &Server{ln: ln, idle: idle, conns: map[*conn]cf.Millis{}, stop: make(chan struct{})}
-	s.http = &http.Server{Handler: s.ending(h), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ConnState: s.track}
+	s.http = &http.Server{Handler: cflog.Handler(s.ending(h)), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ConnState: s.track}
 	s.wg.Go(func() { _ = s.http.Serve(listener{ln}) }) // ends with the listener
 	s.wg.Go(s.reap)
 	return s, nil
--- a/io/cfpeer/peer.go
+++ b/io/cfpeer/peer.go
@@ -31,6 +31,7 @@
 	"github.com/rotisserie/eris"
 
 	cf "currantford"
+	"currantford/io/cflog"
 )
 
 const (
@@ -61,7 +62,7 @@
 		handlers map[string]HandlerFunc
 		ctx      context.Context
 		cancel   context.CancelFunc
-		wg       sync.WaitGroup
+		wg       cflog.Group
 	}
 
 	// Client keeps one connection per peer address. Close waits for the
@@ -69,7 +70,7 @@
 	Client struct {
 		mu    sync.Mutex
 		slots map[string]*slot
-		wg    sync.WaitGroup
+		wg    cflog.Group
 	}
 
 	// slot is the connection to one peer. It is taken while dialling: a peer that
@@ -148,11 +149,7 @@
 		if err := cbor.Unmarshal(data, &m); err != nil {
 			return
 		}
-		s.wg.Add(1)
-		go func() {
-			defer s.wg.Done()
-			s.answer(ws, m)
-		}()
+		s.wg.Go(func() { s.answer(ws, m) })
 	}
 }
 
@@ -283,8 +280,7 @@
 	ws.SetReadLimit(readLimit)
 	cn := &conn{ws: ws, pending: map[uint64]chan Message{}}
 	s.conn = cn
-	c.wg.Add(1)
-	go c.read(cn)
+	c.wg.Go(func() { c.read(cn) })
 	return cn, nil
 }
 
@@ -348,7 +344,6 @@
 // waiting call fails at once instead of waiting for its own timeout, and the
 // connection is forgotten so that the next call dials again.
 func (c *Client) read(cn *conn) {
-	defer c.wg.Done()
 	for {
 		_, data, err := cn.ws.Read(context.Background())
 		if err != nil {
--- a/io/cfrunner/host.go
+++ b/io/cfrunner/host.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
+	"currantford/io/cflog"
 )
 
 // watchEvery is how often a host looks whether its coordinator still asks.
@@ -24,7 +25,7 @@
 		log     *zap.Logger
 		ctx     context.Context
 		cancel  context.CancelFunc
-		wg      sync.WaitGroup
+		wg      cflog.Group
 
 		mu sync.Mutex
 		// term is the highest that was heard of; orders of a lower one are
--- a/io/cfrunner/pool.go
+++ b/io/cfrunner/pool.go
@@ -13,6 +13,7 @@
 	cf "currantford"
 	"currantford/core/cfmember"
 	"currantford/core/cfpeak"
+	"currantford/io/cflog"
 )
 
 const (
@@ -53,7 +54,7 @@
 		duty   Duty
 		ctx    context.Context
 		cancel context.CancelFunc
-		wg     sync.WaitGroup
+		wg     cflog.Group
 		// hurried is closed when the coordinator's time is over.
 		hurried chan struct{}
 		hurry   sync.Once
