--- a/systemtest/recovery_test.go
+++ b/systemtest/recovery_test.go
@@ -217,3 +217,29 @@
 	}
 	first.signal(syscall.SIGCONT)
 }
+
+// An engine whose entry lapses and comes back while its runs are under way ends the
+// coordinator's process.
+func TestEnginesThatLapseWithRunsUnderWay(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 2, engines: 3, event: 20 * time.Millisecond})
+	held := s.coordinator()
+	b := step("b1", "m0", 14, 4, 20)
+	s.accept(b)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.readAll(b)
+	}()
+	for n := 0; ; n++ {
+		select {
+		case <-done:
+			if c := s.coordinator(); c != held {
+				t.Error("the coordinator has lost its duty")
+			}
+			return
+		default:
+			s.engines[n%len(s.engines)].Lapse(60 * time.Millisecond)
+		}
+	}
+}
--- a/systemtest/soak_config_test.go
+++ b/systemtest/soak_config_test.go
@@ -7,10 +7,12 @@
 	"fmt"
 	"os"
 	"testing"
+
+	"currantford/platform/standin"
 )
 
 // configSeeds is the first seed in which the operator changes the configuration, which grows
-// by hundreds of routes at a time.
+// by hundreds of routes at a time, and targets lapse from the instance list.
 const configSeeds = 6000
 
 // configsMost bounds the routes that the soak adds.
@@ -75,3 +77,11 @@
 	}
 	return version
 }
+
+// lapseTargets takes targets out of the instance list and back, within the length of a run.
+func (s *soak) lapseTargets() {
+	targets := append(append([]*standin.Engine{}, s.engines...), s.plains...)
+	for range 3 {
+		targets[s.draw(len(targets))].Lapse(s.span(20, 400))
+	}
+}
--- a/systemtest/soak_test.go
+++ b/systemtest/soak_test.go
@@ -144,7 +144,7 @@
 		faults = append(faults, s.endTarget)
 	}
 	if seed >= configSeeds {
-		faults = append(faults, s.changeConfig, s.changeConfig)
+		faults = append(faults, s.changeConfig, s.changeConfig, s.lapseTargets)
 	}
 	var wg sync.WaitGroup
 	defer wg.Wait()
