--- a/core/cfsite/confignews.go
+++ b/core/cfsite/confignews.go
@@ -193,11 +193,15 @@
 		s.arriving, s.wholeConfig = partNews{}, false
 		return cf.Record{}, false, nil // this instance has watched the store itself
 	}
+	if n.Base != 0 && n.Base != s.configAt.Rev {
+		s.arriving = partNews{}
+		return cf.Record{}, false, nil // it has changed since this instance asked
+	}
 	k := newsKey{n.Base, n.Rev}
 	if n.At == 0 {
 		s.arriving = partNews{newsKey: k}
 	}
-	if k != s.arriving.newsKey || n.At != len(s.arriving.packed) || n.Base != 0 && n.Base != s.configAt.Rev || len(n.Packed) == 0 {
+	if k != s.arriving.newsKey || n.At != len(s.arriving.packed) || len(n.Packed) == 0 {
 		s.arriving = partNews{}
 		return cf.Record{}, false, eris.Wrapf(ErrNewsNotTaken, "%d bytes at %d of %d to %d", len(n.Packed), n.At, n.Base, n.Rev)
 	}
--- a/io/cflog/crash.go
+++ b/io/cflog/crash.go
@@ -21,8 +21,8 @@
 )
 
 type (
-	// lastWords are how a process tells of the panic that ends it.
-	lastWords struct {
+	// panicReporter is how a process reports the panic that ends it.
+	panicReporter struct {
 		log  *zap.Logger
 		out  *Async
 		role func() string
@@ -33,12 +33,12 @@
 	Group struct{ sync.WaitGroup }
 )
 
-var words atomic.Pointer[lastWords]
+var reporter atomic.Pointer[panicReporter]
 
-// TellPanics makes a panic leave its reason and stack as one line of log, with the role that
+// ReportPanics makes a panic leave its reason and stack as one line of log, with the role that
 // the process has then, before it ends the process.
-func TellPanics(log *zap.Logger, out *Async, role func() string) {
-	words.Store(&lastWords{log, out, role})
+func ReportPanics(log *zap.Logger, out *Async, role func() string) {
+	reporter.Store(&panicReporter{log, out, role})
 }
 
 // Go runs f, as sync.WaitGroup does.
@@ -74,11 +74,11 @@
 }
 
 func end(reason any) {
-	w := words.Load()
-	if w == nil {
+	r := reporter.Load()
+	if r == nil {
 		panic(reason)
 	}
-	w.log.Error("panic", zap.String("role", w.role()), zap.String("reason", fmt.Sprint(reason)), zap.ByteString("stack", debug.Stack()))
-	w.out.Flush(flushMost)
+	r.log.Error("panic", zap.String("role", r.role()), zap.String("reason", fmt.Sprint(reason)), zap.ByteString("stack", debug.Stack()))
+	r.out.Flush(flushMost)
 	os.Exit(exitPanic)
 }
--- a/nodecommands/commands.go
+++ b/nodecommands/commands.go
@@ -118,7 +118,7 @@
 		adapter.Metering = control
 	}
 	node := cfnode.New(s, adapter, reg, log)
-	cflog.TellPanics(log, out, node.Role)
+	cflog.ReportPanics(log, out, node.Role)
 	callers := platform.NewCallers(node.Ingress(), log)
 	p, err := cfnode.StartProcess(s, node, cfnode.Handlers{
 		Callers: callers, Ready: http.HandlerFunc(callers.ServeReady), Directory: http.HandlerFunc(callers.ServeDirectory),
@@ -142,7 +142,7 @@
 	}
 	log, out := cflog.NewStdout("standby", string(s.Entry))
 	defer func() { _ = out.Close() }()
-	cflog.TellPanics(log, out, func() string { return "standby" })
+	cflog.ReportPanics(log, out, func() string { return "standby" })
 	log.Info("started", zap.String("failure_domain", string(s.Domain)))
 	cfnode.WaitForStop(log)
 	log.Info("stopped")
