--- a/core/cfsite/confignews.go
+++ b/core/cfsite/confignews.go
@@ -15,8 +15,8 @@
 	// basesKept is how many configurations are remembered, the one in force among them: an
 	// instance that has one of them is told what differs.
 	basesKept = 4
-	// newsPart is the most of a configuration that one answer brings, in bytes. A hundred
-	// answers of this size leave a link of 60 Mbit/s within half a second.
+	// newsPart is the most of a configuration that one answer brings, in bytes: answers to
+	// all that ask a weak instance must leave its link within the time of a call.
 	newsPart = 32 << 10
 	// configMost bounds a configuration in bytes; the store's objects are smaller.
 	configMost = 16 << 20
--- a/io/cfnode/config_test.go
+++ b/io/cfnode/config_test.go
@@ -77,8 +77,8 @@
 }
 
 // configure replaces the configuration and waits until it is in force everywhere but where
-// the store is shut; watch is called meanwhile.
-func (f *testFleet) configure(c cfsite.Config, watch func()) {
+// the store is shut; meanwhile is called while it waits.
+func (f *testFleet) configure(c cfsite.Config, meanwhile func()) {
 	f.t.Helper()
 	kind := cfstandin.Codec{}.Kinds().Config
 	r, err := f.store.Get(context.Background(), kind, "main")
@@ -95,7 +95,7 @@
 				behind++
 			}
 		}
-		watch()
+		meanwhile()
 		if behind == 0 {
 			return
 		}
@@ -115,8 +115,8 @@
 	return bytes
 }
 
-// toldMost is what an instance may be told of a changed route, in bytes: control has 3 KB a
-// second, and a configuration changes more than once in two.
+// toldMost is what an instance may be told of a changed route, in bytes: control may use as
+// much in a second, and there are changes nearly each second.
 const toldMost = 3 << 10
 
 // Load: a configuration of many routes before many instances on weak links. A change of one
