--- a/core/cfmember/hubs.go
+++ b/core/cfmember/hubs.go
@@ -30,7 +30,7 @@
 	}
 	domains := map[cf.FailureDomain][]ranked{}
 	for _, e := range entries {
-		domains[e.Domain] = append(domains[e.Domain], ranked{e, drawOf(e.ID)})
+		domains[e.Domain] = append(domains[e.Domain], rankedOf(e))
 	}
 	var out []Entry
 	for _, there := range domains {
@@ -84,6 +84,8 @@
 	draw uint64
 }
 
+func rankedOf(e Entry) ranked { return ranked{e, drawOf(e.ID)} }
+
 // earlier orders instances by how soon they are taken as hubs or scouts: the strong come
 // first, as they take the duty; of these the order is drawn by their ids.
 func earlier(a, b ranked) int {
--- a/core/cfmember/scouts.go
+++ b/core/cfmember/scouts.go
@@ -21,23 +21,21 @@
 // deployment of hundreds of instances, which would all ask the store at once and go on
 // asking. Where there are hubs, they are the scouts.
 func Scout(entries, hubs []Entry, self Entry) bool {
-	if len(hubs) > 0 {
-		return Listed(hubs, self.ID)
-	}
-	most := max(scoutsLeast, len(entries)/scoutsPart)
-	if len(entries) <= most {
+	scouts := Scouts(entries, hubs)
+	switch {
+	case Listed(scouts, self.ID):
 		return true
+	case len(hubs) > 0:
+		return false
+	case len(scouts) == len(entries):
+		return true // so few that all are
+	default: // it may not be listed itself
+		return earlier(rankedOf(self), rankedOf(scouts[len(scouts)-1])) < 0
 	}
-	before, own := 0, ranked{self, drawOf(self.ID)}
-	for _, e := range entries {
-		if e.ID != self.ID && earlier(ranked{e, drawOf(e.ID)}, own) < 0 {
-			before++
-		}
-	}
-	return before < most
 }
 
-// Scouts returns the instances that look after the store by themselves.
+// Scouts returns the instances that look after the store by themselves, the strongest first
+// where they are not all.
 func Scouts(entries, hubs []Entry) []Entry {
 	if len(hubs) > 0 {
 		return hubs
@@ -48,7 +46,7 @@
 	}
 	order := make([]ranked, len(entries))
 	for i, e := range entries {
-		order[i] = ranked{e, drawOf(e.ID)}
+		order[i] = rankedOf(e)
 	}
 	slices.SortFunc(order, earlier)
 	out := make([]Entry, most)
--- a/io/cfnode/config_test.go
+++ b/io/cfnode/config_test.go
@@ -151,16 +151,9 @@
 	there.started -= 60_000
 	there.candidate.observe(5, cflease.Holder{Entry: "x", Term: 5, Addr: "127.0.0.1:1"})
 	addr := serve(t, there)
-	n := newTestNode(t, cfstandin.NewMemStore())
-	var members []cfmember.Entry
-	for i := range 40 {
-		members = append(members, cfmember.Entry{ID: cf.EntryID(fmt.Sprint("strong-", i)), Capacity: 9, Peers: addr})
-	}
-	n.members.Take(cfmember.RosterNews{Whole: true, Entries: members})
-	n.candidate.observe(5, cflease.Holder{Entry: "x", Term: 5, Addr: "127.0.0.1:1"})
+	n := newFollower(t, addr, 40)
 	for range 20 {
-		n.feed.askedAt.Store(0)
-		_ = n.takeFeed(feedAnswer{Holder: cflease.Holder{Entry: "x", Term: 5}, Rev: 5, Unsure: true}, cf.Uptime())
+		n.hearsNothingNew()
 		time.Sleep(10 * time.Millisecond)
 	}
 	if n.feed.away.Load() > 0 {
--- a/io/cfnode/scout_test.go
+++ b/io/cfnode/scout_test.go
@@ -180,21 +180,14 @@
 	there.started -= 60_000
 	there.candidate.observe(8, cflease.Holder{Entry: "y", Term: 8, Addr: "127.0.0.1:1"})
 	addr := serve(t, there)
-	n := newTestNode(t, cfstandin.NewMemStore())
-	var members []cfmember.Entry
-	for i := range 9 {
-		members = append(members, cfmember.Entry{ID: cf.EntryID(fmt.Sprint("strong-", i)), Capacity: 9, Peers: addr})
-	}
-	n.members.Take(cfmember.RosterNews{Whole: true, Entries: members})
-	n.candidate.observe(5, cflease.Holder{Entry: "x", Term: 5, Addr: "127.0.0.1:1"})
+	n := newFollower(t, addr, 9)
 	ask := func(then func() bool) {
 		t.Helper()
 		for deadline := time.Now().Add(10 * time.Second); !then(); time.Sleep(5 * time.Millisecond) {
 			if time.Now().After(deadline) {
 				t.Fatal("no answer")
 			}
-			n.feed.askedAt.Store(0)
-			_ = n.takeFeed(feedAnswer{Holder: cflease.Holder{Entry: "x", Term: 5}, Rev: 5, Unsure: true}, cf.Uptime())
+			n.hearsNothingNew()
 		}
 	}
 	there.watching.Store(there.watch()) // it asks the store itself, which does not answer
@@ -206,6 +199,26 @@
 	}
 }
 
+// newFollower returns a node that follows a holder x, among others of which each is found at
+// addr.
+func newFollower(t *testing.T, addr string, others int) *Node {
+	t.Helper()
+	n := newTestNode(t, cfstandin.NewMemStore())
+	var members []cfmember.Entry
+	for i := range others {
+		members = append(members, cfmember.Entry{ID: cf.EntryID(fmt.Sprint("strong-", i)), Capacity: 9, Peers: addr})
+	}
+	n.members.Take(cfmember.RosterNews{Whole: true, Entries: members})
+	n.candidate.observe(5, cflease.Holder{Entry: "x", Term: 5, Addr: "127.0.0.1:1"})
+	return n
+}
+
+// hearsNothingNew lets a follower hear that x knows nothing new, and ask another.
+func (n *Node) hearsNothingNew() {
+	n.feed.askedAt.Store(0)
+	_ = n.takeFeed(feedAnswer{Holder: cflease.Holder{Entry: "x", Term: 5}, Rev: 5, Unsure: true}, cf.Uptime())
+}
+
 // serve lets a node answer other instances.
 func serve(t *testing.T, n *Node) string {
 	t.Helper()
--- a/systemtest/usage_test.go
+++ b/systemtest/usage_test.go
@@ -67,6 +67,20 @@
 	return out
 }
 
+// holderMisses is how many requests may go uncounted where the holder is lost: those since its
+// last renewal.
+const holderMisses = int64(800 * time.Millisecond / usageEvery)
+
+// loseHolder kills the coordinator, and starts it again once there is another.
+func loseHolder(s *site) {
+	time.Sleep(2500 * time.Millisecond)
+	c := s.coordinator()
+	c.kill()
+	s.waitCoordinator(c.id)
+	c.start()
+	time.Sleep(5 * time.Second)
+}
+
 // checkUsage checks that the reports of all windows that are over say what ran, but for
 // what came within a moment of a window's end; at most so many requests are missing or
 // too many in all. It waits for the reports.
@@ -148,14 +162,7 @@
 			s.store.SetFaults(standin.StoreFaults{})
 		}, 0},
 		// Of the holder itself, what came since its last renewal.
-		{"the holder", func(s *site) {
-			time.Sleep(2500 * time.Millisecond)
-			c := s.coordinator()
-			c.kill()
-			s.waitCoordinator(c.id)
-			c.start()
-			time.Sleep(5 * time.Second)
-		}, int64(800 * time.Millisecond / usageEvery)},
+		{"the holder", loseHolder, holderMisses},
 		// Of all instances, what came since the holder's last renewal.
 		{"all instances", func(s *site) {
 			time.Sleep(2500 * time.Millisecond)
@@ -223,14 +230,7 @@
 		missing int64
 	}{
 		{"calm", func(*site) { time.Sleep(4 * time.Second) }, 0},
-		{"the holder", func(s *site) {
-			time.Sleep(2500 * time.Millisecond)
-			c := s.coordinator()
-			c.kill()
-			s.waitCoordinator(c.id)
-			c.start()
-			time.Sleep(5 * time.Second)
-		}, int64(800 * time.Millisecond / usageEvery)},
+		{"the holder", loseHolder, holderMisses},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
