--- a/io/cfnode/quarantine.go
+++ b/io/cfnode/quarantine.go
@@ -26,8 +26,9 @@
 	opFree    = "free"
 	opReach   = "reach"
 
-	// heldName is the object that holds what is held.
-	heldName = "held"
+	// heldName is the object that holds what is held, sourceStore names it in logs.
+	heldName    = "held"
+	sourceStore = "store"
 	// heldStored bounds the requests in it, 1,000 bytes each at the most, and
 	// asked those of one exchange, of 120 bytes for each of their crashes.
 	heldStored = 256
@@ -237,13 +238,23 @@
 	return q.guard.Free(m.Digest), nil
 }
 
+// informed notes that this instance has heard what the others hold.
+func (q *quarantine) informed(source string) {
+	if q.known.Swap(true) {
+		return
+	}
+	_, held := q.guard.Table.Held(0, cf.Uptime())
+	q.node.log.Info("held_requests_known", zap.String("source", source), zap.Int("held", held),
+		zap.Int64("since_start_ms", int64(cf.Uptime()-q.node.started)))
+}
+
 // compare takes what identifies another instance's table. Where it differs the two
 // exchange what they have.
 func (q *quarantine) compare(addr string, theirs cfquarantine.Sums) {
 	ours := q.guard.Table.Sums()
 	switch {
 	case ours == theirs:
-		q.known.Store(true)
+		q.informed(addr)
 	case ours.Held == theirs.Held && q.known.Load():
 		q.exchange([]string{addr}, exchangeRest)
 	default:
@@ -270,7 +281,7 @@
 			answer, err := q.call(q.node.ctx, addr, strikesMessage{From: q.node.settings.Entry, Strikes: ours, Ask: true})
 			if err == nil {
 				q.guard.Learn("", answer)
-				q.known.Store(true)
+				q.informed(addr)
 				return
 			}
 			q.node.log.Info("strikes_not_taken", zap.String("addr", addr), cflog.Error(err))
@@ -353,7 +364,7 @@
 func (q *quarantine) load() error {
 	r, err := q.node.adapter.Store.Get(q.node.ctx, cf.KindQuarantine, heldName)
 	if errors.Is(err, cf.ErrNotFound) {
-		q.known.Store(true)
+		q.informed(sourceStore)
 		return nil
 	}
 	if err != nil {
@@ -375,8 +386,8 @@
 	q.mu.Lock()
 	q.storedRev = r.Rev
 	q.mu.Unlock()
-	q.guard.Learn("store", o.Strikes)
-	q.known.Store(true)
+	q.guard.Learn(sourceStore, o.Strikes)
+	q.informed(sourceStore)
 	return nil
 }
 
