A starting instance asks for what is held as soon as it knows whom

Callers saw a held request sent on for a second after each start of an instance, crashing targets again.

Cause: exchanges of what is held are spaced a second apart. The first look of a process, before it knows any other instance, asked an empty list and took the turn; the coordinator's first answer 50 ms later found none left.

The test failed before.

--- a/io/cfnode/quarantine.go
+++ b/io/cfnode/quarantine.go
@@ -265,6 +265,9 @@
 // exchange asks the first of some instances that answers for what it has, unless one was
 // asked a moment ago.
 func (q *quarantine) exchange(addrs []string, spacing cf.Millis) {
+	if len(addrs) == 0 {
+		return // the first instance that is known is asked at once
+	}
 	now := cf.Uptime()
 	q.mu.Lock()
 	due := q.exchanged == 0 || now-q.exchanged >= spacing
--- a/io/cfnode/quarantine_test.go
+++ b/io/cfnode/quarantine_test.go
@@ -46,3 +46,13 @@
 		t.Errorf("%d strikes in %d s, want %d at most", sent, seconds, most)
 	}
 }
+
+// Guards against: a starting instance that knows no other one and so learns a second late what
+// is held.
+func TestExchangeWithNobodyDelaysNone(t *testing.T) {
+	q := newQuarantine(&Node{log: zap.NewNop()})
+	q.exchange(nil, exchangeEvery)
+	if q.exchanged != 0 {
+		t.Error("the next exchange waits for one that asked nobody")
+	}
+}
