An instance sends nothing before it knows which requests are held

Callers saw a request that is held run again, three to twelve times, at instances that had just started, whenever one, several or all started.

Cause: all that stood between a start and the knowledge of what is held was that the instance was not ready, which a caller with a kept address or connection does not see. The configuration and the targets came with the first word of another instance and what is held later; and what counted as hearing it did not: an exchange of 16 requests, whoever gave it, also one that had just started itself (fleets that all start). After three seconds it was ready in any case.

Now the table of an instance that starts lets nothing pass, on any path (callers, streams, items, reward calls), until it has taken all that is held: from an instance with current word, before the configuration that comes with it, by equal sums or one question; alone, from the store and from the coordinator that the lease names. Until then requests are refused with 503, not run, and the time to come back.

TestWhatIsACrash and its neighbours inform their guard first; their checks are as they were.

--- a/core/cfquarantine/table.go
+++ b/core/cfquarantine/table.go
@@ -25,9 +25,14 @@
 // is cut: a strike until the target answers anyone. Begun or queued: a sender can't tell;
 // both count, and the queued ones are run to their end elsewhere.
 //
+// At a start. An instance that has just started knows nothing, and any request may be one
+// that the others hold: it sends none before it has taken what they hold.
+//
 // Usage:
 //
-//	table := cfquarantine.New(self)
+//	table := cfquarantine.NewStarting(self)
+//	table.Merge(heldByOthers, now)
+//	table.Inform()
 //	v := table.Admit(key, target, now)
 //	if v.Pass { ... send; then one of: }
 //	news := table.Answered(key, target, sentAt, now)
@@ -84,6 +89,8 @@
 		Wait bool
 		// Elsewhere: not at this target, where another suspect runs.
 		Elsewhere bool
+		// Uninformed: it is not known yet what other instances hold.
+		Uninformed bool
 		// Until is when a held request may come back, zero if it is not held.
 		Until cf.Millis
 		// Strikes are the evidence against it.
@@ -92,8 +99,10 @@
 
 	// Table holds the evidence. It is safe for concurrent use.
 	Table struct {
-		self     cf.EntryID
-		mu       sync.Mutex
+		self cf.EntryID
+		mu   sync.Mutex
+		// informed: what other instances hold has been taken.
+		informed bool
 		suspects map[Digest]*suspect
 		// underWay counts the sends without an end, by content and target.
 		underWay map[Digest]map[Incarnation]int
@@ -120,11 +129,35 @@
 
 // New returns an instance's table, without evidence.
 func New(self cf.EntryID) *Table {
+	t := NewStarting(self)
+	t.informed = true
+	return t
+}
+
+// NewStarting returns the table of an instance that has just started. It lets nothing pass
+// until Inform: any request may be one that the others hold.
+func NewStarting(self cf.EntryID) *Table {
 	return &Table{
 		self: self, suspects: map[Digest]*suspect{}, underWay: map[Digest]map[Incarnation]int{}, struck: map[Incarnation]int{}, changed: make(chan struct{}),
 	}
 }
 
+// Inform notes that what other instances hold has been taken; false if it was before.
+func (t *Table) Inform() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	first := !t.informed
+	t.informed = true
+	return first
+}
+
+// Informed says whether what other instances hold has been taken.
+func (t *Table) Informed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.informed
+}
+
 // Changed returns a channel that is closed at the next change of the evidence, or end of
 // a suspect's send.
 func (t *Table) Changed() <-chan struct{} {
@@ -166,6 +199,9 @@
 // judge is Judge with t.mu held. As long as it is not known whether a suspect crashes
 // targets, no more of it are under way than may crash one each.
 func (t *Table) judge(k Key, now cf.Millis) Verdict {
+	if !t.informed {
+		return Verdict{Uninformed: true}
+	}
 	s := t.suspects[k.Content]
 	if s == nil {
 		return Verdict{Pass: true}
--- a/core/cfquarantine/table_test.go
+++ b/core/cfquarantine/table_test.go
@@ -400,6 +400,33 @@
 	}
 }
 
+// Guards against: a request that others hold, sent on by an instance that has just started.
+func TestStartingInstanceLetsNothingPass(t *testing.T) {
+	a, b := New("a"), NewStarting("b")
+	held, sound := keyOf("x", "1"), keyOf("y", "1")
+	for n := range crashesMost {
+		a.Admit(held, target(n), 0)
+		a.Lost(held, target(n), true, cf.Millis(n))
+		a.Checked(target(n), cf.Millis(n), LossRefused, 10)
+	}
+	for _, k := range []Key{held, sound} {
+		if v := b.Admit(k, target(9), 100); v.Pass || !v.Uninformed || v.Wait {
+			t.Errorf("before it knows what is held: %+v", v)
+		}
+	}
+	news, _ := a.Held(1, 200)
+	b.Merge(news, 200)
+	if v := b.Judge(sound, 200); v.Pass {
+		t.Error("sends before it knows that it has heard all")
+	}
+	if !b.Inform() || b.Inform() {
+		t.Error("it is informed once")
+	}
+	if passes(b, held, 300) || !passes(b, sound, 300) {
+		t.Error("informed, it holds what the others hold, and nothing else")
+	}
+}
+
 // Instances that hear of the same strikes in any order, some twice, hold the same.
 func TestInstancesComeToAgree(t *testing.T) {
 	a, b, c := New("a"), New("b"), New("c")
--- a/io/cfcoord/guard_test.go
+++ b/io/cfcoord/guard_test.go
@@ -34,6 +34,52 @@
 
 func (*deadTargets) Reach(context.Context, cf.Target) error { return cf.ErrNoProcess }
 
+// itemWithGuard starts a coordinator with eight engines, which hands an item to them as far as
+// the guard that it returns lets it.
+func itemWithGuard(t *testing.T, targets cf.Targets) (*cfguard.Guard, cf.Submission) {
+	t.Helper()
+	store, site := cfstandin.NewMemStore(), engineSite(t)
+	var engines []cf.Target
+	for n := range 8 {
+		engines = append(engines, cf.Target{
+			ID: cf.InstanceID(fmt.Sprint("e", n)), Service: "s", Slots: 4, Models: []cf.ModelState{{Name: "m", Version: 1}},
+		})
+	}
+	site.ReplaceTargets(engines, 2, 0)
+	guard := cfguard.New(cfguard.Options{
+		Self: "i", Targets: targets, Site: site, Share: func([]cfquarantine.Strike) {},
+		Metrics: cfguard.NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
+	})
+	t.Cleanup(func() { _ = guard.Close() })
+	c := New(Options{
+		Store: store, Targets: targets, Site: site, Codec: cfstandin.Codec{}, Duty: held{}, Policy: Policy{NoTextCopies: true},
+		Guard: guard, KeepResults: 120_000, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
+	})
+	c.Start(noTexts)
+	t.Cleanup(func() { _ = c.Close() })
+	sub := cf.Submission{ID: "b", Host: "h", Path: "/", Model: "m", MinVersion: 1, Items: []cf.Item{{ID: "1", Path: "/x", Body: []byte("p")}}}
+	if err := cfbatch.Create(context.Background(), store, sub, 1<<20); err != nil {
+		t.Fatal(err)
+	}
+	return guard, sub
+}
+
+// Guards against: a coordinator that has just started and runs items which are held.
+func TestNothingRunsBeforeItIsKnownWhatIsHeld(t *testing.T) {
+	targets := &deadTargets{}
+	guard, _ := itemWithGuard(t, targets)
+	time.Sleep(300 * time.Millisecond)
+	if n := targets.runs.Load(); n > 0 {
+		t.Errorf("%d runs before it is known what is held", n)
+	}
+	guard.Inform("store", nil)
+	for deadline := time.Now().Add(20 * time.Second); targets.runs.Load() == 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("no run once it is known")
+		}
+	}
+}
+
 // Symptom: items that no engine has run are held, and their step is never whole.
 // Sequence: a third of the engines are lost; their entries stand for three seconds more,
 // in which items are placed there again and again and refused the connection.
@@ -41,29 +87,9 @@
 func TestItemsThatReachedNoEngineAreNotHeld(t *testing.T) {
 	for _, sent := range []bool{false, true} {
 		t.Run(fmt.Sprint("sent ", sent), func(t *testing.T) {
-			store, targets, site := cfstandin.NewMemStore(), &deadTargets{sent: sent}, engineSite(t)
-			var engines []cf.Target
-			for n := range 8 {
-				engines = append(engines, cf.Target{
-					ID: cf.InstanceID(fmt.Sprint("e", n)), Service: "s", Slots: 4, Models: []cf.ModelState{{Name: "m", Version: 1}},
-				})
-			}
-			site.ReplaceTargets(engines, 2, 0)
-			guard := cfguard.New(cfguard.Options{
-				Self: "i", Targets: targets, Site: site, Share: func([]cfquarantine.Strike) {},
-				Metrics: cfguard.NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
-			})
-			t.Cleanup(func() { _ = guard.Close() })
-			c := New(Options{
-				Store: store, Targets: targets, Site: site, Codec: cfstandin.Codec{}, Duty: held{}, Policy: Policy{NoTextCopies: true},
-				Guard: guard, KeepResults: 120_000, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
-			})
-			c.Start(noTexts)
-			t.Cleanup(func() { _ = c.Close() })
-			sub := cf.Submission{ID: "b", Host: "h", Path: "/", Model: "m", MinVersion: 1, Items: []cf.Item{{ID: "1", Path: "/x", Body: []byte("p")}}}
-			if err := cfbatch.Create(context.Background(), store, sub, 1<<20); err != nil {
-				t.Fatal(err)
-			}
+			targets := &deadTargets{sent: sent}
+			guard, sub := itemWithGuard(t, targets)
+			guard.Inform("store", nil)
 			for deadline := time.Now().Add(20 * time.Second); targets.runs.Load() < 3; time.Sleep(5 * time.Millisecond) {
 				if time.Now().After(deadline) {
 					t.Fatalf("%d tries", targets.runs.Load())
--- a/io/cfguard/guard.go
+++ b/io/cfguard/guard.go
@@ -9,6 +9,7 @@
 //
 //	g := cfguard.New(options)
 //	defer g.Close()
+//	g.Inform(source, heldByOthers)
 //	v := g.Judge(ctx, id, key)
 //	v = g.Admit(key, target)
 //	if v.Pass { ... send; then g.Answered, g.Lost or g.Dropped }
@@ -97,11 +98,12 @@
 	return m
 }
 
-// New returns a guard without evidence.
+// New returns the guard of an instance that has just started: nothing passes before its
+// table is informed.
 func New(o Options) *Guard {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Guard{
-		Options: o, Table: cfquarantine.New(o.Self), ctx: ctx, cancel: cancel, checking: map[cfquarantine.Incarnation]bool{},
+		Options: o, Table: cfquarantine.NewStarting(o.Self), ctx: ctx, cancel: cancel, checking: map[cfquarantine.Incarnation]bool{},
 	}
 }
 
@@ -278,6 +280,16 @@
 	g.share(news)
 }
 
+// Inform takes what other instances hold, all of it, and lets requests pass from then on;
+// false if they did before.
+func (g *Guard) Inform(source string, held []cfquarantine.Strike) bool {
+	g.Learn(cf.EntryID(source), held)
+	return g.Table.Inform()
+}
+
+// Informed says whether it is known here what other instances hold.
+func (g *Guard) Informed() bool { return g == nil || g.Off || g.Table.Informed() }
+
 // Free lets a held request pass again, by hand.
 func (g *Guard) Free(d cfquarantine.Digest) int {
 	news := g.Table.Free(d, cf.Uptime())
--- a/io/cfguard/guard_test.go
+++ b/io/cfguard/guard_test.go
@@ -77,6 +77,7 @@
 				Witness: func(context.Context, cf.Target) bool { return c.witness },
 				Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
 			})
+			g.Inform("store", nil)
 			key := cfquarantine.KeyOf("POST", "h", "/", "caller", []byte("x"))
 			for id, target := range all {
 				if v := g.Admit(key, target); !v.Pass {
@@ -122,6 +123,7 @@
 		},
 		Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
 	})
+	g.Inform("store", nil)
 	for n := range 40 {
 		key := cfquarantine.KeyOf("POST", "h", "/", "caller", []byte{byte(n)})
 		g.Admit(key, target)
--- a/io/cfingress/forward.go
+++ b/io/cfingress/forward.go
@@ -23,6 +23,8 @@
 	// noTargetRetry is when a caller should come back while a service has
 	// no target at all; a target that starts is listed within a heartbeat.
 	noTargetRetry cf.Millis = 1000
+	// uninformedRetry is the same while it is not known yet which requests are held.
+	uninformedRetry cf.Millis = 200
 )
 
 // attempt is what came of one send.
@@ -52,7 +54,9 @@
 	last     *attempt // a failure that a target answered, to be passed on
 	// held is until when the request is held, zero if it is not.
 	held cf.Millis
-	use  use
+	// uninformed: it is not known here yet which requests are held.
+	uninformed bool
+	use        use
 }
 
 // Forward answers a request by sending it to a target of its route.
@@ -196,6 +200,7 @@
 		}
 		avoid[target.ID] = true
 	}
+	f.uninformed = v.Uninformed
 	if f.held = v.Until; f.held > 0 {
 		f.in.Guard.Refused(f.req.ID, f.key, v)
 	}
@@ -289,6 +294,8 @@
 	switch {
 	case f.held > 0 && !f.attempts.MayHaveRun():
 		f.refuse(w, f.held-cf.Uptime(), "the request is held: targets crashed under it")
+	case f.uninformed && !f.attempts.MayHaveRun():
+		f.refuse(w, uninformedRetry, "it is not known here yet which requests are held")
 	case !f.attempts.MayHaveRun():
 		f.refuse(w, f.comeBack(), "no target has room")
 	case f.last != nil:
--- a/io/cfingress/ingress.go
+++ b/io/cfingress/ingress.go
@@ -60,9 +60,6 @@
 		Members     Members
 		// Guard decides which requests may be sent, and learns how they ended.
 		Guard *cfguard.Guard
-		// Informed says whether this instance has heard what the others hold back;
-		// nil: it need not.
-		Informed func() bool
 		// Believes tells how far this instance can rely on its configuration; nil: it
 		// is the newest.
 		Believes func() Belief
@@ -121,10 +118,9 @@
 func (in *Ingress) Stop() { in.stopping.Store(true) }
 
 // Ready says whether callers may be sent to this instance. One that knows its
-// routes and no targets yet would refuse them all.
+// routes and no targets yet, or not which requests are held, would refuse them all.
 func (in *Ingress) Ready() bool {
-	informed := in.Informed == nil || in.Informed()
-	return !in.stopping.Load() && informed && in.Site.Config() != nil && in.Site.TargetsAt() > 0
+	return !in.stopping.Load() && in.Guard.Informed() && in.Site.Config() != nil && in.Site.TargetsAt() > 0
 }
 
 // Resolve returns the addresses for a caller in domain.
--- a/io/cfnode/candidate.go
+++ b/io/cfnode/candidate.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	cf "currantford"
@@ -169,6 +170,27 @@
 	c.lease.HolderDead(h.Term, cf.Uptime())
 }
 
+// read returns the lease as last seen; one that was never seen is read.
+func (c *candidate) read(ctx context.Context) (cflease.Holder, error) {
+	holder, rev := c.holder()
+	if rev > 0 {
+		return holder, nil
+	}
+	r, err := c.store.Get(ctx, cf.KindLease, leaseName)
+	if errors.Is(err, cf.ErrNotFound) {
+		return holder, nil
+	}
+	if err != nil {
+		return holder, err
+	}
+	var o leaseObject
+	if err := json.Unmarshal(r.Spec, &o); err != nil {
+		return holder, eris.Wrapf(cf.ErrInvalid, "lease: %v", err)
+	}
+	c.observe(r.Rev, o.Holder)
+	return o.Holder, nil
+}
+
 // observe takes the lease as another instance or the store shows it.
 func (c *candidate) observe(rev cf.Revision, h cflease.Holder) {
 	c.mu.Lock()
--- a/io/cfnode/feed.go
+++ b/io/cfnode/feed.go
@@ -37,6 +37,9 @@
 	// staleWait is how long the coordinator holds a call while it has no current
 	// view itself.
 	staleWait = 300 * time.Millisecond
+	// uninformedWait is the same while it does not know itself what is held: those that
+	// start beside it wait for that.
+	uninformedWait = 50 * time.Millisecond
 	// feedRetry is the pause after a failed call.
 	feedRetry = 150 * time.Millisecond
 )
@@ -221,6 +224,7 @@
 	call := n.feedCall(hub, asked)
 	var a feedAnswer
 	err := n.peers.Call(ctx, addr, opFeed, call, &a)
+	answered := cf.Uptime()
 	n.feedMetrics.called(a, err, ctx.Err() != nil)
 	if err != nil {
 		return err
@@ -233,7 +237,11 @@
 		return nil
 	}
 	n.usage.heard(a, call)
-	if err := n.takeFeed(a, asked); err != nil {
+	// With the configuration this instance begins to forward.
+	if a.Informed && a.Fresh && !n.guard.Informed() {
+		n.quarantine.informBy(addr, a.Quarantine)
+	}
+	if err := n.takeFeed(a, asked, answered); err != nil {
 		n.log.Error("change_not_taken", zap.String("kind", "config"), cflog.Error(err))
 		return err
 	}
@@ -271,8 +279,9 @@
 	return call
 }
 
-func (n *Node) takeFeed(a feedAnswer, asked cf.Millis) error {
-	n.candidate.heardAt(cf.Uptime() - a.HolderAge)
+// takeFeed takes an answer that was asked for, and came, at these times.
+func (n *Node) takeFeed(a feedAnswer, asked, heard cf.Millis) error {
+	n.candidate.heardAt(heard - a.HolderAge)
 	n.candidate.observe(a.Rev, a.Holder)
 	n.feed.mu.Lock()
 	n.feed.groupSum, n.feed.settled = a.GroupSum, a.UsageSettled
@@ -297,7 +306,6 @@
 	}
 	// The answer shows the view as of its sending. One that took longer than
 	// a call may was held up on the way, or this machine was suspended.
-	heard := cf.Uptime()
 	if heard-asked > cfmember.CallWait+cfmember.CallGrace {
 		heard = asked
 	}
--- a/io/cfnode/node.go
+++ b/io/cfnode/node.go
@@ -159,7 +159,7 @@
 		patience: n.leaves, outranked: n.outranked, better: n.betterHolder, state: n.dutyState,
 	}
 	n.ingress = cfingress.New(cfingress.Options{
-		Store: a.Store, Targets: a.Targets, Site: n.site, Coordinator: reader{n}, Members: n, Guard: n.guard, Informed: func() bool { return n.quarantine.ready(cf.Uptime()) },
+		Store: a.Store, Targets: a.Targets, Site: n.site, Coordinator: reader{n}, Members: n, Guard: n.guard,
 		Believes: n.belief, Count: n.usage.count,
 		ValueBytes: s.Store.ValueBytes, MemoryBytes: s.Memory.LimitMB << 20,
 		Metrics: cfingress.NewMetrics(reg), Log: log,
@@ -183,6 +183,7 @@
 	n.peerSrv.Handle(cfrunner.OpCollect, decoded(func(ctx context.Context, c cfrunner.Collect) (any, error) { return n.host.Collect(ctx, c) }))
 	n.peerSrv.Handle(opStore, func(ctx context.Context, body cbor.RawMessage) (any, error) { return a.Relay.Relayed(ctx, body) })
 	n.peerSrv.Handle(opStrikes, decoded(n.quarantine.serve))
+	n.peerSrv.Handle(opHeld, decoded(n.quarantine.serveHeld))
 	n.peerSrv.Handle(opReach, decoded(n.quarantine.serveReach))
 	n.peerSrv.Handle(opFree, decoded(n.quarantine.serveFree))
 	a.Relay.SetRelay(n.relay)
@@ -451,10 +452,15 @@
 		for _, t := range n.site.Sweep(now) {
 			n.log.Info("target_changed", zap.String("target", string(t.ID)), zap.Bool("gone", true), zap.String("reason", "lapsed"))
 		}
+		var changed <-chan struct{}
+		if !n.guard.Informed() {
+			changed = n.site.Changed() // by its first configuration it must know what is held
+		}
 		select {
 		case <-n.ctx.Done():
 			return
 		case <-ticker.C:
+		case <-changed:
 		}
 	}
 }
--- a/io/cfnode/quarantine.go
+++ b/io/cfnode/quarantine.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -26,13 +23,8 @@
 	opFree    = "free"
 	opReach   = "reach"
 
-	// heldName is the object that holds what is held, sourceStore names it in logs.
-	heldName    = "held"
-	sourceStore = "store"
-	// heldStored bounds the requests in it, 1,000 bytes each at the most, and
-	// asked those of one exchange, of 120 bytes for each of their crashes.
-	heldStored = 256
-	asked      = 16
+	// asked bounds the requests of one exchange, of 120 bytes for each of their crashes.
+	asked = 16
 	// strikesRate and strikesBurst bound the strikes that an instance hands on, in
 	// strikes a second: of 120 bytes each to three neighbours, 2 KB/s. A crash of a
 	// whole failure domain brings a few hundred at once.
@@ -53,11 +45,6 @@
 	// while a caller crashes targets by ever other requests.
 	exchangeEvery cf.Millis = 1000
 	exchangeRest  cf.Millis = 2000
-	// heldRetry spaces the tries to read or write what is held.
-	heldRetry cf.Millis = 500
-	// heldKnownWithin is how long a starting instance is kept from callers until it
-	// has heard what is held.
-	heldKnownWithin cf.Millis = 3000
 )
 
 type (
@@ -73,12 +60,6 @@
 		Digest cfquarantine.Digest `cbor:"digest"`
 	}
 
-	// heldObject is what is held as it is kept in the store.
-	heldObject struct {
-		SavedAt cf.Millis             `json:"saved_ms"` // wall clock, as of which the ages are
-		Strikes []cfquarantine.Strike `json:"strikes"`
-	}
-
 	// quarantine shares what the instances learn of requests that crash targets: news
 	// go from neighbour to neighbour at once, an instance that has missed some sees it
 	// by the sum in the feed, and what is held lies in the store for the loss of all.
@@ -86,8 +67,6 @@
 		node  *Node
 		guard *cfguard.Guard
 		news  chan []cfquarantine.Strike
-		// known: what others hold has been heard since the start.
-		known atomic.Bool
 
 		mu        sync.Mutex
 		tokens    float64
@@ -96,8 +75,10 @@
 		stored    uint64 // the sum of what lies in the store
 		storedRev cf.Revision
 		storeAt   cf.Millis // the next try
-		busy      bool      // a read or write of the store is under way
-		term      cf.Revision
+		// informedAt is the last try of a starting instance to learn what is held.
+		informedAt cf.Millis
+		busy       bool // a read or write of the store is under way
+		term       cf.Revision
 	}
 )
 
@@ -238,24 +219,13 @@
 	return q.guard.Free(m.Digest), nil
 }
 
-// informed notes that this instance has heard what the others hold.
-func (q *quarantine) informed(source string) {
-	if q.known.Swap(true) {
-		return
-	}
-	_, held := q.guard.Table.Held(0, cf.Uptime())
-	q.node.log.Info("held_requests_known", zap.String("source", source), zap.Int("held", held),
-		zap.Int64("since_start_ms", int64(cf.Uptime()-q.node.started)))
-}
-
-// compare takes what identifies another instance's table. Where it differs the two
-// exchange what they have.
+// compare takes what identifies another instance's table. Where it differs the two exchange
+// what they have.
 func (q *quarantine) compare(addr string, theirs cfquarantine.Sums) {
 	ours := q.guard.Table.Sums()
 	switch {
 	case ours == theirs:
-		q.informed(addr)
-	case ours.Held == theirs.Held && q.known.Load():
+	case ours.Held == theirs.Held:
 		q.exchange([]string{addr}, exchangeRest)
 	default:
 		q.exchange([]string{addr}, exchangeEvery)
@@ -284,7 +254,6 @@
 			answer, err := q.call(q.node.ctx, addr, strikesMessage{From: q.node.settings.Entry, Strikes: ours, Ask: true})
 			if err == nil {
 				q.guard.Learn("", answer)
-				q.informed(addr)
 				return
 			}
 			q.node.log.Info("strikes_not_taken", zap.String("addr", addr), cflog.Error(err))
@@ -302,8 +271,8 @@
 		q.keep(now)
 	case fresh:
 	default:
-		if !q.known.Load() && n.alone(now) {
-			q.read(now)
+		if !q.guard.Informed() && n.site.Config() != nil && n.alone(now) {
+			q.informAlone(now)
 		}
 		// No coordinator is there to compare with; any other instance will do.
 		others := q.neighbours()
@@ -312,122 +281,6 @@
 	}
 }
 
-// keep writes what is held to the store whenever it has changed. It first reads what a
-// coordinator before has written.
-func (q *quarantine) keep(now cf.Millis) {
-	sum := q.guard.Table.Sums().Held
-	holder, _ := q.node.candidate.holder()
-	term := holder.Term
-	q.mu.Lock()
-	fresh := q.term != term
-	due := !q.busy && now >= q.storeAt && (fresh || sum != q.stored)
-	q.busy = q.busy || due
-	q.mu.Unlock()
-	if !due {
-		return
-	}
-	q.node.wg.Go(func() {
-		var err error
-		if fresh {
-			err = q.load()
-		} else {
-			err = q.save(sum)
-		}
-		q.done(err, term)
-	})
-}
-
-// read reads what is held from the store, for an instance that has heard of it from
-// nobody.
-func (q *quarantine) read(now cf.Millis) {
-	q.mu.Lock()
-	due := !q.busy && now >= q.storeAt
-	q.busy = q.busy || due
-	q.mu.Unlock()
-	if due {
-		q.node.wg.Go(func() { q.done(q.load(), 0) })
-	}
-}
-
-func (q *quarantine) done(err error, term cf.Revision) {
-	if err != nil {
-		q.node.log.Info("held_not_kept", cflog.Error(err))
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.busy = false
-	if err != nil {
-		q.storeAt = cf.Uptime() + heldRetry
-		return
-	}
-	q.term = max(q.term, term)
-}
-
-// load takes what lies in the store.
-func (q *quarantine) load() error {
-	r, err := q.node.adapter.Store.Get(q.node.ctx, cf.KindQuarantine, heldName)
-	if errors.Is(err, cf.ErrNotFound) {
-		q.informed(sourceStore)
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	return q.take(r)
-}
-
-// take takes the object with what is held.
-func (q *quarantine) take(r cf.Record) error {
-	var o heldObject
-	if err := json.Unmarshal(r.Spec, &o); err != nil {
-		return eris.Wrapf(cf.ErrInvalid, "%s: %v", heldName, err)
-	}
-	since := max(cf.Now()-o.SavedAt, 0)
-	for i := range o.Strikes {
-		o.Strikes[i].Age += since
-	}
-	q.mu.Lock()
-	q.storedRev = r.Rev
-	q.mu.Unlock()
-	q.guard.Learn(sourceStore, o.Strikes)
-	q.informed(sourceStore)
-	return nil
-}
-
-// save writes what is held, as of a sum.
-func (q *quarantine) save(sum uint64) error {
-	strikes, _ := q.guard.Table.Held(heldStored, cf.Uptime())
-	o := heldObject{SavedAt: cf.Now(), Strikes: strikes}
-	q.mu.Lock()
-	rev := q.storedRev
-	q.mu.Unlock()
-	store := q.node.adapter.Store
-	var r cf.Record
-	var err error
-	if rev == 0 {
-		r, err = store.Create(q.node.ctx, cf.KindQuarantine, heldName, o)
-	} else {
-		r, err = store.Replace(q.node.ctx, cf.KindQuarantine, heldName, rev, o)
-	}
-	if err != nil {
-		// Another has written, or this write took effect without its answer: what
-		// lies there is read, and written once more with it.
-		return errors.Join(err, q.load())
-	}
-	q.mu.Lock()
-	q.stored, q.storedRev = sum, r.Rev
-	q.mu.Unlock()
-	if r.Rev == 0 { // it was a large one
-		return q.load()
-	}
-	return nil
-}
-
-// ready says whether callers may be sent here, as far as it is for what is held.
-func (q *quarantine) ready(now cf.Millis) bool {
-	return q.known.Load() || now-q.node.started > heldKnownWithin
-}
-
 // FreeRequest frees a held request at the running instance of the settings, which tells
 // the others. It returns ErrNotFound where the instance knows nothing of it.
 func FreeRequest(s Settings, digest cfquarantine.Digest) error {
--- a/io/cfnode/scout_test.go
+++ b/io/cfnode/scout_test.go
@@ -216,7 +216,7 @@
 // hearsNothingNew lets a follower hear that x knows nothing new, and ask another.
 func (n *Node) hearsNothingNew() {
 	n.feed.askedAt.Store(0)
-	_ = n.takeFeed(feedAnswer{Holder: cflease.Holder{Entry: "x", Term: 5}, Rev: 5, Unsure: true}, cf.Uptime())
+	_ = n.takeFeed(feedAnswer{Holder: cflease.Holder{Entry: "x", Term: 5}, Rev: 5, Unsure: true}, cf.Uptime(), cf.Uptime())
 }
 
 // serve lets a node answer other instances.
