Instances that hold many different requests come to agree

What an operator would see: an instance that missed news of more than 16 held requests, cut off or frozen, never learned of the others, and sent them on.

Cause: an exchange shows the 16 requests that are foremost; the next one showed the same 16. Found by seeking the cause of the start elsewhere: held_requests_known named 16 of 20 held requests.

Now each exchange goes on where the last one ended until both agree or have shown all. TestExchangesInPartsBringInstancesToAgree: with the same part each time no agreement of 40 and 40 requests ever, now after five exchanges.

--- a/core/cfquarantine/share.go
+++ b/core/cfquarantine/share.go
@@ -80,12 +80,13 @@
 	return exportsOf(held[:min(most, len(held))], now), len(held)
 }
 
-// Foremost returns the strikes of at most so many contents: those that are held before
-// others, and of these those struck last.
-func (t *Table) Foremost(most int, now cf.Millis) []Strike {
+// Foremost returns the strikes of at most so many contents after the first few: those that
+// are held before others, and of these those struck last.
+func (t *Table) Foremost(after, most int, now cf.Millis) []Strike {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	all := t.foremost(false)
+	all = all[min(max(after, 0), len(all)):]
 	return exportsOf(all[:min(most, len(all))], now)
 }
 
@@ -116,9 +117,9 @@
 }
 
 // Answer returns what an instance that holds other things must hear: what is foremost
-// here, and what is known of the contents it names.
-func (t *Table) Answer(theirs []Strike, most int, now cf.Millis) []Strike {
-	out := t.Foremost(most, now)
+// here after the first few, and what is known of the contents it names.
+func (t *Table) Answer(theirs []Strike, after, most int, now cf.Millis) []Strike {
+	out := t.Foremost(after, most, now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	told := map[Digest]bool{}
@@ -136,6 +137,15 @@
 	return out
 }
 
+// Contents counts the contents that strikes are against.
+func Contents(strikes []Strike) int {
+	seen := map[Digest]bool{}
+	for i := range strikes {
+		seen[strikes[i].Content] = true
+	}
+	return len(seen)
+}
+
 // exports returns the strikes that are shared.
 func (s *suspect) exports(now cf.Millis) []Strike {
 	var out []Strike
--- a/core/cfquarantine/table_test.go
+++ b/core/cfquarantine/table_test.go
@@ -466,13 +466,40 @@
 	if n != 1 {
 		t.Errorf("%d held, want 1", n)
 	}
-	d.Merge(a.Answer(nil, 10, 800), 800)
+	d.Merge(a.Answer(nil, 0, 10, 800), 800)
 	if d.Sums() != a.Sums() {
 		t.Error("an exchange does not bring the two to agree")
 	}
 	a.Free(k.Content, 900)
-	d.Merge(a.Answer(held, 10, 900), 900)
+	d.Merge(a.Answer(held, 0, 10, 900), 900)
 	if !passes(d, k, 900) {
 		t.Error("held where the exchange shows that it was freed")
 	}
 }
+
+// Guards against: instances that go on holding different requests, as each exchange shows the
+// same few.
+func TestExchangesInPartsBringInstancesToAgree(t *testing.T) {
+	const held, part = 40, 16
+	a, b := New("a"), New("b")
+	for n := range 2 * held {
+		table, k := a, keyOf("caller", fmt.Sprint(n))
+		if n%2 == 0 {
+			table = b
+		}
+		for i := range crashesMost {
+			table.Admit(k, target(10*n+i), 0)
+			table.Lost(k, target(10*n+i), true, cf.Millis(n))
+			table.Checked(target(10*n+i), cf.Millis(n), LossRefused, cf.Millis(n))
+		}
+	}
+	exchanges := 0
+	for after := 0; a.Sums() != b.Sums(); after += part {
+		if exchanges++; exchanges > 2*held/part {
+			t.Fatalf("no agreement after %d exchanges", exchanges)
+		}
+		ours := a.Foremost(after, part, 1000)
+		b.Merge(ours, 1000)
+		a.Merge(b.Answer(ours, after, part, 1000), 1000)
+	}
+}
--- a/io/cfnode/quarantine.go
+++ b/io/cfnode/quarantine.go
@@ -48,11 +48,13 @@
 )
 
 type (
-	// strikesMessage hands strikes to another instance, and may ask for its own.
+	// strikesMessage hands strikes to another instance, and may ask for its own, but for
+	// those of the foremost After requests.
 	strikesMessage struct {
 		From    cf.EntryID            `cbor:"from"`
 		Strikes []cfquarantine.Strike `cbor:"strikes,omitempty"`
 		Ask     bool                  `cbor:"ask,omitempty"`
+		After   int                   `cbor:"after,omitempty"`
 	}
 
 	// freeMessage asks an instance to free a request by hand.
@@ -72,6 +74,7 @@
 		tokens    float64
 		filled    cf.Millis
 		exchanged cf.Millis
+		after     int    // the next exchange is about what follows so many requests
 		stored    uint64 // the sum of what lies in the store
 		storedRev cf.Revision
 		storeAt   cf.Millis // the next try
@@ -172,7 +175,7 @@
 	if !m.Ask {
 		return []cfquarantine.Strike{}, nil
 	}
-	return q.guard.Table.Answer(m.Strikes, asked, cf.Uptime()), nil
+	return q.guard.Table.Answer(m.Strikes, m.After, asked, cf.Uptime()), nil
 }
 
 // witness asks others, of other failure domains if it can, whether they reach a target.
@@ -225,6 +228,7 @@
 	ours := q.guard.Table.Sums()
 	switch {
 	case ours == theirs:
+		q.exchangedAll()
 	case ours.Held == theirs.Held:
 		q.exchange([]string{addr}, exchangeRest)
 	default:
@@ -241,8 +245,9 @@
 	now := cf.Uptime()
 	q.mu.Lock()
 	due := q.exchanged == 0 || now-q.exchanged >= spacing
+	after := q.after
 	if due {
-		q.exchanged = now
+		q.exchanged, q.after = now, after+asked
 	}
 	q.mu.Unlock()
 	if !due {
@@ -250,10 +255,13 @@
 	}
 	q.node.wg.Go(func() {
 		for _, addr := range addrs {
-			ours := q.guard.Table.Foremost(asked, cf.Uptime())
-			answer, err := q.call(q.node.ctx, addr, strikesMessage{From: q.node.settings.Entry, Strikes: ours, Ask: true})
+			ours := q.guard.Table.Foremost(after, asked, cf.Uptime())
+			answer, err := q.call(q.node.ctx, addr, strikesMessage{From: q.node.settings.Entry, Strikes: ours, Ask: true, After: after})
 			if err == nil {
 				q.guard.Learn("", answer)
+				if cfquarantine.Contents(ours) < asked && cfquarantine.Contents(answer) < asked {
+					q.exchangedAll()
+				}
 				return
 			}
 			q.node.log.Info("strikes_not_taken", zap.String("addr", addr), cflog.Error(err))
@@ -261,6 +269,13 @@
 	})
 }
 
+// exchangedAll lets the next exchange begin with what is foremost.
+func (q *quarantine) exchangedAll() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.after = 0
+}
+
 // tick looks after what is due. It is called several times a second.
 func (q *quarantine) tick(now cf.Millis) {
 	n := q.node
