A start that nobody tells of what is held serves as soon as before

Cause: it began to ask when it had a configuration, one call after the other, and asked a coordinator that had just left its call for news without an answer. Now the first try runs beside the first list of the configuration, the lease and what is held are read at once, and a coordinator that is silent is not asked again.

Requests that run at most once leave nothing that an instance must know: each try has its own id.

--- a/io/cfnode/feed.go
+++ b/io/cfnode/feed.go
@@ -108,8 +108,10 @@
 		// that of the last of another instance that asks the store in vain, denied of one
 		// that has current word; askedAt is when one was asked last.
 		unsure, away, denied, askedAt atomic.Int64
-		upstream                      *cfmember.Upstream
-		mu                            sync.Mutex
+		// silent is the address at which the last call for news had no answer.
+		silent   atomic.Pointer[string]
+		upstream *cfmember.Upstream
+		mu       sync.Mutex
 		// origin, news and membersAt say what the instance has.
 		origin    uint64
 		news      int64
@@ -226,6 +228,11 @@
 	err := n.peers.Call(ctx, addr, opFeed, call, &a)
 	answered := cf.Uptime()
 	n.feedMetrics.called(a, err, ctx.Err() != nil)
+	if err != nil && !errors.Is(err, cf.ErrNotLeader) {
+		n.feed.silent.Store(&addr)
+		return err
+	}
+	n.feed.silent.Store(nil)
 	if err != nil {
 		return err
 	}
--- a/io/cfnode/held.go
+++ b/io/cfnode/held.go
@@ -26,7 +26,7 @@
 	// heldRetry spaces the tries to read or write what is held.
 	heldRetry cf.Millis = 500
 	// informEvery spaces the tries of a starting instance to learn what is held.
-	informEvery cf.Millis = 200
+	informEvery cf.Millis = 500
 )
 
 type (
@@ -69,33 +69,38 @@
 	}
 }
 
-// informAlone informs a starting instance that nobody tells, once it has a configuration by
-// which it could forward.
-func (q *quarantine) informAlone(now cf.Millis) {
+// informAlone informs a starting instance that nobody tells: it tries once as it begins to
+// ask the store for a configuration, and from then on when it has one, by which it could forward.
+func (q *quarantine) informAlone(now cf.Millis, configured bool) {
 	q.mu.Lock()
-	due := !q.busy && now-q.informedAt >= informEvery
+	due := q.triedAlone == 0 || configured && (!q.triedConfigured || now-q.triedAlone >= informEvery)
 	if due {
-		q.busy, q.informedAt = true, now
+		q.triedAlone, q.triedConfigured = now, configured
 	}
 	q.mu.Unlock()
-	if due {
-		q.node.wg.Go(func() { q.done("held_not_known", q.learnAlone(), 0) })
+	if !due {
+		return
 	}
+	q.node.wg.Go(func() {
+		if err := q.learnAlone(); err != nil {
+			q.node.log.Info("held_not_known", cflog.Error(err))
+		}
+	})
 }
 
 // learnAlone takes what is held from the store, and from the coordinator, if it answers: it
 // may know of what the store was not there to keep.
 func (q *quarantine) learnAlone() error {
-	if err := q.load(); err != nil {
-		return err
-	}
+	loaded := make(chan error, 1)
+	q.node.wg.Go(func() { loaded <- q.load() })
 	holder, err := q.node.candidate.read(q.node.ctx)
-	if err != nil {
+	if err = errors.Join(err, <-loaded); err != nil {
 		return err
 	}
-	if holder.Entry != "" && holder.Entry != q.node.settings.Entry {
+	silent := q.node.feed.silent.Load()
+	if holder.Entry != "" && holder.Entry != q.node.settings.Entry && (silent == nil || *silent != holder.Addr) {
 		answer, err := q.askHeld(holder.Addr)
-		if err != nil { // it is gone or silent
+		if err != nil {
 			q.node.log.Info("held_not_told", zap.String("addr", holder.Addr), cflog.Error(err))
 		}
 		q.guard.Learn(holder.Entry, answer.Strikes)
@@ -142,13 +147,13 @@
 		} else {
 			err = q.save(sum)
 		}
-		q.done("held_not_kept", err, term)
+		q.done(err, term)
 	})
 }
 
-func (q *quarantine) done(failure string, err error, term cf.Revision) {
+func (q *quarantine) done(err error, term cf.Revision) {
 	if err != nil {
-		q.node.log.Info(failure, cflog.Error(err))
+		q.node.log.Info("held_not_kept", cflog.Error(err))
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/io/cfnode/quarantine.go
+++ b/io/cfnode/quarantine.go
@@ -78,10 +78,12 @@
 		stored    uint64 // the sum of what lies in the store
 		storedRev cf.Revision
 		storeAt   cf.Millis // the next try
-		// informedAt is the last try of a starting instance to learn what is held.
-		informedAt cf.Millis
-		busy       bool // a read or write of the store is under way
-		term       cf.Revision
+		// triedAlone is the last try of a starting instance to learn what is held,
+		// triedConfigured says that it had a configuration then.
+		triedAlone      cf.Millis
+		triedConfigured bool
+		busy            bool // a read or write of the store is under way
+		term            cf.Revision
 	}
 )
 
@@ -286,8 +288,8 @@
 		q.keep(now)
 	case fresh:
 	default:
-		if !q.guard.Informed() && n.site.Config() != nil && n.alone(now) {
-			q.informAlone(now)
+		if !q.guard.Informed() && n.alone(now) {
+			q.informAlone(now, n.site.Config() != nil)
 		}
 		// No coordinator is there to compare with; any other instance will do.
 		others := q.neighbours()
--- /dev/null
+++ b/systemtest/start_test.go
@@ -0,0 +1,234 @@
+package systemtest
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"currantford/platform/standin"
+)
+
+const (
+	// pressFor is how long a started instance is sent requests from its start on, each
+	// pressEvery: longer than it may take to become ready.
+	pressFor   = 4 * time.Second
+	pressEvery = 15 * time.Millisecond
+)
+
+// press sends requests with the bodies to an instance in turn, as a client does that keeps an
+// address and asks nobody whether the instance is ready. It returns the statuses by body, and
+// how long it took until a sound request was served.
+func (e *entry) press(bodies []string) (statuses map[int]int, served time.Duration) {
+	statuses = map[int]int{}
+	began := time.Now()
+	for n := 0; time.Since(began) < pressFor; n++ {
+		id := fmt.Sprintf("press-%s-%d-%d", e.id, began.UnixNano(), n)
+		if r, err := e.do(http.MethodPost, plainPrefix+"bids", id, []byte(bodies[n%len(bodies)])); err == nil {
+			statuses[r.status]++
+		}
+		if served == 0 {
+			if r, err := e.do(http.MethodPost, plainPrefix+"bids", id+"-sound", []byte("sound")); err == nil && r.status == http.StatusOK {
+				served = time.Since(began)
+			}
+		}
+		time.Sleep(pressEvery)
+	}
+	return statuses, served
+}
+
+// starts are ways in which instances start beside others.
+var starts = map[string]startCase{
+	"one":                     {down: one},
+	"one and the coordinator": {down: func(s *site) []*entry { return append(one(s), s.coordinator()) }},
+	"all":                     {down: all},
+	"most, behind hubs":       {hubsFrom: 4, down: func(s *site) []*entry { return s.others(4) }},
+	"all, behind hubs":        {hubsFrom: 4, down: all},
+	"one, the store slow": {down: one, then: func(s *site, _ []*entry) {
+		s.storeFor(standin.StoreFaults{Slow: 250 * time.Millisecond}, pressFor)
+	}},
+	"all, the store away": {down: all, then: func(s *site, _ []*entry) {
+		s.storeFor(standin.StoreFaults{Down: true}, pressFor/3)
+	}},
+	"one, the store busy": {down: one, then: func(s *site, _ []*entry) {
+		s.storeFor(standin.StoreFaults{Busy: true}, pressFor/3)
+	}},
+	"one, the others frozen": {
+		down: one,
+		before: func(s *site, down []*entry) {
+			s.signalBut(down, syscall.SIGSTOP)
+		},
+		then: func(s *site, down []*entry) {
+			time.Sleep(pressFor / 2)
+			s.signalBut(down, syscall.SIGCONT)
+		},
+	},
+	"one, cut off from the store": {down: one, then: func(_ *site, down []*entry) {
+		for _, e := range down {
+			e.storeLink.set(linkFaults{HoldUp: true, HoldDown: true})
+			time.Sleep(pressFor / 2)
+			e.storeLink.set(linkFaults{})
+		}
+	}},
+}
+
+// startCase is one of them.
+type startCase struct {
+	hubsFrom int
+	// down returns the instances that are killed and start again; before and then are what
+	// happens while they are down, and from their start on.
+	down         func(*site) []*entry
+	before, then func(s *site, down []*entry)
+}
+
+func one(s *site) []*entry { return s.others(1) }
+func all(s *site) []*entry { return s.entries }
+
+// others returns so many instances that are not the coordinator.
+func (s *site) others(n int) []*entry {
+	c := s.coordinator()
+	return slices.DeleteFunc(slices.Clone(s.entries), func(e *entry) bool { return e == c })[:n]
+}
+
+func (s *site) signalBut(not []*entry, sig syscall.Signal) {
+	for _, e := range s.entries {
+		if !slices.Contains(not, e) {
+			e.signal(sig)
+		}
+	}
+}
+
+// options returns those of a site for the case.
+func (c startCase) options() options {
+	o := options{entries: 5, engines: 1, plains: 4, crashes: crashDown, links: true}
+	if c.hubsFrom > 0 {
+		o.entries, o.hubsFrom = 7, c.hubsFrom
+	}
+	return o
+}
+
+// play kills instances and starts them again, and plays use beside each from its start on.
+// Changed is called while they are down.
+func (c startCase) play(s *site, changed func(), use func(e *entry)) {
+	down := slices.Clone(c.down(s))
+	for _, e := range down {
+		e.kill()
+	}
+	if c.before != nil {
+		c.before(s, down)
+	}
+	if changed != nil {
+		changed()
+	}
+	var wg sync.WaitGroup
+	for _, e := range down {
+		e.start()
+		wg.Go(func() { use(e) })
+	}
+	if c.then != nil {
+		c.then(s, down)
+	}
+	wg.Wait()
+}
+
+// Guards against: an instance that forwards before it knows which requests are held.
+func TestStartingInstanceSendsNothingThatIsHeld(t *testing.T) {
+	const many = 18 // more than are told at once
+	for name, c := range starts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			pressHeld(t, c, 1)
+		})
+	}
+	for _, name := range []string{"one", "all"} {
+		t.Run(name+", of many held", func(t *testing.T) {
+			t.Parallel()
+			pressHeld(t, starts[name], many)
+		})
+	}
+}
+
+func pressHeld(t *testing.T, c startCase, held int) {
+	s := startSite(t, c.options())
+	s.awaitMembers()
+	bodies := s.holdMany(held)
+	runs := map[string]int{}
+	for _, b := range bodies {
+		runs[b] = len(s.runsOf(b))
+	}
+	c.play(s, nil, func(e *entry) {
+		statuses, served := e.press(bodies)
+		t.Logf("%s: a sound request served after %s; answers to held ones: %v", e.id, served, statuses)
+		if served == 0 {
+			t.Errorf("%s served no request in %s", e.id, pressFor)
+		}
+		if statuses[http.StatusBadGateway] > 0 || statuses[http.StatusOK] > 0 {
+			t.Errorf("%s answered held requests with %v", e.id, statuses)
+		}
+	})
+	for _, b := range bodies {
+		if n := len(s.runsOf(b)); n > runs[b] {
+			t.Errorf("%q ran %d times more after the start", b, n-runs[b])
+		}
+	}
+}
+
+// Guards against: a key that was taken away and is taken again, or one in force that is
+// denied, by an instance that has just started.
+func TestStartingInstanceKnowsWhichKeysAreInForce(t *testing.T) {
+	for name, c := range starts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			o := c.options()
+			o.config = twoOrganisations
+			s := startSite(t, o)
+			s.awaitMembers()
+			c.play(s, func() {
+				s.config["tenants"] = []map[string]any{organisation(orgA, 1, keyA), organisation(orgB, 2, keyB)}
+				s.config["version"] = s.config["version"].(int) + 1
+				s.store.Put("config", "main", s.config)
+			}, func(e *entry) {
+				gone, kept := map[int]int{}, map[int]int{}
+				for n, began := 0, time.Now(); time.Since(began) < pressFor; n++ {
+					id := fmt.Sprintf("key-%s-%d", e.id, n)
+					if r, err := e.do(http.MethodPost, plainPrefix+"bids", id, []byte("x"), withKey(keyA2)...); err == nil {
+						gone[r.status]++
+					}
+					if r, err := e.do(http.MethodPost, plainPrefix+"bids", id+"-kept", []byte("x"), withKey(keyA)...); err == nil {
+						kept[r.status]++
+					}
+					time.Sleep(pressEvery)
+				}
+				t.Logf("%s: key taken away %v, key in force %v", e.id, gone, kept)
+				if gone[http.StatusOK] > 0 || gone[http.StatusUnauthorized] == 0 {
+					t.Errorf("%s answered a key that was taken away with %v", e.id, gone)
+				}
+				if kept[http.StatusOK] == 0 || kept[http.StatusUnauthorized] > 0 {
+					t.Errorf("%s answered a key in force with %v", e.id, kept)
+				}
+			})
+		})
+	}
+}
+
+func (s *site) storeFor(f standin.StoreFaults, span time.Duration) {
+	s.store.SetFaults(f)
+	time.Sleep(span)
+	s.store.SetFaults(standin.StoreFaults{})
+}
+
+// holdMany has so many requests held, and waits until all instances and the store know.
+func (s *site) holdMany(n int) (bodies []string) {
+	s.t.Helper()
+	for i := range n {
+		body := fmt.Sprintf("%s at start %d", standin.CrashingBody, i)
+		bodies = append(bodies, body)
+		s.hold(body)
+	}
+	eventually(s.t, "what is held in the store", func() bool { return s.store.Spec("currantford-quarantine", "held") != nil })
+	time.Sleep(contact)
+	return bodies
+}
