A request that others have served is not held at an instance that has just started

Cause: crashes of one moment count once for a request that was run to its end here lately, as a popular one meets several lost targets; an instance that has just started has run nothing to its end. The same question as for what is held: what must an instance know before it may serve?

Now a strike says whether its request had been served where the loss was seen, and that counts at all instances that hear of it, also by the store.

Left: a request that nobody has served since all instances started, and that meets three targets lost at once, is held until it is run to its end anywhere.

--- a/core/cfquarantine/evidence.go
+++ b/core/cfquarantine/evidence.go
@@ -110,7 +110,10 @@
 func (t *Table) Lost(k Key, target Incarnation, alive bool, now cf.Millis) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.add(strike{Strike: Strike{Content: k.Content, Caller: k.Caller, Target: target, SeenBy: t.self}, at: now, doubt: unchecked, alive: alive})
+	t.add(strike{
+		Strike: Strike{Content: k.Content, Caller: k.Caller, Target: target, SeenBy: t.self, Served: t.good.knows(k, now)},
+		at:     now, doubt: unchecked, alive: alive,
+	})
 	t.ended(k, target)
 }
 
--- a/core/cfquarantine/share.go
+++ b/core/cfquarantine/share.go
@@ -37,6 +37,9 @@
 	if st.doubt != proven {
 		st.doubt, st.Loss, changed = proven, in.Loss, true
 	}
+	if in.Served && !st.Served {
+		st.Served, changed = true, true
+	}
 	if in.Standing > st.Standing {
 		if in.Standing == Void {
 			t.unstrike(st.Target)
--- a/core/cfquarantine/strike.go
+++ b/core/cfquarantine/strike.go
@@ -29,6 +29,9 @@
 		Loss     Loss         `cbor:"loss" json:"loss"`
 		SeenBy   cf.EntryID   `cbor:"seen_by" json:"seen_by"`
 		Standing Standing     `cbor:"standing,omitempty" json:"standing,omitempty"`
+		// Served: the caller's request had been run to its end lately where the loss was
+		// seen.
+		Served bool `cbor:"served,omitempty" json:"served,omitempty"`
 		// Age is how long ago the loss was seen, as of when the strike was handed
 		// out: instances' clocks differ.
 		Age cf.Millis `cbor:"age" json:"age_ms"`
@@ -108,13 +111,20 @@
 // shared says whether other instances hear of the strike.
 func (s *strike) shared() bool { return s.doubt == proven }
 
-// sum identifies a strike and its standing.
+// servedBit is added to the standing in a strike's sum.
+const servedBit = 1 << 7
+
+// sum identifies a strike, its standing, and whether its request had been served.
 func (s *strike) sum() uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write(s.Content[:]) // a hash takes everything
 	_, _ = h.Write(s.Caller[:])
 	_, _ = h.Write([]byte(s.Target.ID))
 	raw := binary.LittleEndian.AppendUint64(nil, uint64(s.Target.Born))
-	_, _ = h.Write(append(raw, byte(s.Standing)))
+	standing := byte(s.Standing)
+	if s.Served {
+		standing |= servedBit
+	}
+	_, _ = h.Write(append(raw, standing))
 	return h.Sum64()
 }
--- a/core/cfquarantine/table.go
+++ b/core/cfquarantine/table.go
@@ -43,6 +43,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"sync"
 
 	cf "currantford"
@@ -206,7 +207,7 @@
 	if s == nil {
 		return Verdict{Pass: true}
 	}
-	served := t.good.knows(k, now)
+	served := t.good.knows(k, now) || s.servedFor(k.Caller)
 	proofs, last := s.crashes(k.Caller, served, true)
 	crashes, _ := s.crashes(k.Caller, served, false)
 	until := last + t.holdHere(k.Content, proofs)
@@ -287,6 +288,12 @@
 	return n, last
 }
 
+// servedFor says whether a caller's request had been run to its end at an instance that saw one
+// of its losses: an instance that has just started has served nothing itself.
+func (s *suspect) servedFor(c CallerDigest) bool {
+	return slices.ContainsFunc(s.strikes, func(st strike) bool { return st.Caller == c && st.Served })
+}
+
 // callers counts the callers whose requests have crashed targets, as far as these strikes
 // count for all.
 func (s *suspect) callers() int {
--- a/core/cfquarantine/table_test.go
+++ b/core/cfquarantine/table_test.go
@@ -427,6 +427,38 @@
 	}
 }
 
+// Guards against: a popular request that is refused where nobody has served it since the start,
+// as several targets are lost at once.
+func TestStartedInstanceKnowsWhatOthersHaveServed(t *testing.T) {
+	for _, served := range []bool{true, false} {
+		a, b := New("a"), New("b")
+		k := keyOf("x", "popular")
+		if served {
+			a.Admit(k, target(9), 0)
+			a.Answered(k, target(9), 0, 10)
+		}
+		// Both lose it at the first target; which one tells the other first is open.
+		var news []Strike
+		for n := range crashesMost {
+			at := second + cf.Millis(30*n)
+			a.Admit(k, target(n), at-10)
+			a.Lost(k, target(n), true, at)
+			news = append(news, a.Checked(target(n), at, LossRefused, at+2)...)
+		}
+		b.Admit(k, target(0), second-10)
+		b.Lost(k, target(0), true, second)
+		b.Checked(target(0), second, LossRefused, second+2)
+		b.Merge(news, second+70)
+		if passes(b, k, second+100) != served {
+			t.Errorf("passes %v at an instance that has served nothing, others have: %v", !served, served)
+		}
+		a.Merge(b.Foremost(0, 1, second+100), second+100)
+		if a.Sums() != b.Sums() {
+			t.Errorf("served %v: the two do not agree: %v and %v", served, a.Sums(), b.Sums())
+		}
+	}
+}
+
 // Instances that hear of the same strikes in any order, some twice, hold the same.
 func TestInstancesComeToAgree(t *testing.T) {
 	a, b, c := New("a"), New("b"), New("c")
--- a/systemtest/held_test.go
+++ b/systemtest/held_test.go
@@ -182,9 +182,59 @@
 func TestEqualRequestsAreNotHeld(t *testing.T) {
 	t.Parallel()
 	s := crashSite(t, 3, 1, 6)
+	answers := s.popular(func() {
+		for range 3 {
+			time.Sleep(300 * time.Millisecond)
+			for _, p := range s.plains[:5] {
+				p.End()
+			}
+			s.awaitTargets(s.plains)
+		}
+	})
+	if answers.held > 0 || answers.statuses[http.StatusOK] == 0 {
+		t.Errorf("%d of the answers %v say that the request is held", answers.held, answers.statuses)
+	}
+}
+
+// Guards against: the same at an instance that has started since it was served last.
+func TestEqualRequestsAreNotHeldAfterAStart(t *testing.T) {
+	t.Parallel()
+	s := crashSite(t, 3, 1, 3)
+	answers := s.popular(func() {
+		for n := range 6 {
+			time.Sleep(300 * time.Millisecond)
+			e := s.entries[n%len(s.entries)]
+			e.kill()
+			for _, p := range s.plains {
+				p.SetFaults(standin.EngineFaults{Slower: 100}) // it has runs under way and none that has ended
+			}
+			e.start()
+			e.waitReady()
+			time.Sleep(200 * time.Millisecond)
+			for _, p := range s.plains {
+				p.End()
+				p.SetFaults(standin.EngineFaults{})
+				time.Sleep(30 * time.Millisecond)
+			}
+			s.awaitTargets(s.plains)
+		}
+	})
+	if answers.held > 0 || answers.statuses[http.StatusOK] == 0 {
+		t.Errorf("%d of the answers %v say that the request is held", answers.held, answers.statuses)
+	}
+}
+
+// popularAnswers count the answers to equal requests, and those that say that they are held.
+type popularAnswers struct {
+	mu       sync.Mutex
+	statuses map[int]int
+	held     int
+}
+
+// popular sends equal requests to all instances while play runs.
+func (s *site) popular(play func()) *popularAnswers {
 	stop := make(chan struct{})
-	var mu sync.Mutex
-	statuses, held := map[int]int{}, 0
+	a := &popularAnswers{statuses: map[int]int{}}
 	var wg sync.WaitGroup
 	for i := range 12 {
 		e := s.entries[i%len(s.entries)]
@@ -196,29 +246,24 @@
 				default:
 				}
 				r, err := e.do(http.MethodPost, plainPrefix+"popular", fmt.Sprintf("popular-%d-%d", i, n), []byte("the same"), "Currantford-Deadline-Ms", "1500")
-				mu.Lock()
+				if err != nil {
+					time.Sleep(pressEvery) // it is down
+				}
+				a.mu.Lock()
 				if err == nil {
-					statuses[r.status]++
+					a.statuses[r.status]++
 				}
 				if strings.Contains(string(r.body), "held") {
-					held++
+					a.held++
 				}
-				mu.Unlock()
+				a.mu.Unlock()
 			}
 		})
 	}
-	for range 3 {
-		time.Sleep(300 * time.Millisecond)
-		for _, p := range s.plains[:5] {
-			p.End()
-		}
-		s.awaitTargets(s.plains)
-	}
+	play()
 	close(stop)
 	wg.Wait()
-	if held > 0 || statuses[http.StatusOK] == 0 {
-		t.Errorf("%d of the answers %v say that the request is held", held, statuses)
-	}
+	return a
 }
 
 // An operator frees a request by its digest, at any instance.
