--- a/io/cfingress/forward.go
+++ b/io/cfingress/forward.go
@@ -295,7 +295,7 @@
 	case f.held > 0 && !f.attempts.MayHaveRun():
 		f.refuse(w, f.held-cf.Uptime(), "the request is held: targets crashed under it")
 	case f.uninformed && !f.attempts.MayHaveRun():
-		f.refuse(w, uninformedRetry, "it is not known here yet which requests are held")
+		f.refuse(w, uninformedRetry, "the instance has just started, and can't tell yet whether the request may run")
 	case !f.attempts.MayHaveRun():
 		f.refuse(w, f.comeBack(), "no target has room")
 	case f.last != nil:
