Whoever has served a request says so of its losses elsewhere

Cause: as at an instance that has just started; a strike said whether its request had been served where the loss was seen. Evidence: entry-0 and entry-1 had answered bids 0 and 1 (1,168 and 1,200 ms) and lost none; entry-2, 3, 4 and 6 had served none and lost bids 2, 3, 4 and 6 to a request that crashed all three targets (1,283 to 1,449 ms). Entry-0 learned of the first loss at 1,299 ms and said nothing of what it knew; 2 to 5 held the bids until one was run to its end at 2,246 ms.

Now an instance that hears of a strike adds that it has served the request, and passes that on as news.

--- a/core/cfquarantine/share.go
+++ b/core/cfquarantine/share.go
@@ -14,6 +14,8 @@
 	defer t.mu.Unlock()
 	var news []Strike
 	for _, st := range in {
+		// Who has served the request may have seen none of its losses.
+		st.Served = st.Served || t.good.knows(Key{st.Content, st.Caller}, now)
 		if t.merge(st, now) {
 			news = append(news, st)
 		}
--- a/core/cfquarantine/strike.go
+++ b/core/cfquarantine/strike.go
@@ -29,8 +29,8 @@
 		Loss     Loss         `cbor:"loss" json:"loss"`
 		SeenBy   cf.EntryID   `cbor:"seen_by" json:"seen_by"`
 		Standing Standing     `cbor:"standing,omitempty" json:"standing,omitempty"`
-		// Served: the caller's request had been run to its end lately where the loss was
-		// seen.
+		// Served: the caller's request had been run to its end lately, where the loss was
+		// seen or where it was heard of.
 		Served bool `cbor:"served,omitempty" json:"served,omitempty"`
 		// Age is how long ago the loss was seen, as of when the strike was handed
 		// out: instances' clocks differ.
--- a/core/cfquarantine/table.go
+++ b/core/cfquarantine/table.go
@@ -288,8 +288,8 @@
 	return n, last
 }
 
-// servedFor says whether a caller's request had been run to its end at an instance that saw one
-// of its losses: an instance that has just started has served nothing itself.
+// servedFor says whether a caller's request had been run to its end at an instance that knows of
+// its losses: one that has just started has served nothing itself.
 func (s *suspect) servedFor(c CallerDigest) bool {
 	return slices.ContainsFunc(s.strikes, func(st strike) bool { return st.Caller == c && st.Served })
 }
--- a/core/cfquarantine/table_test.go
+++ b/core/cfquarantine/table_test.go
@@ -430,31 +430,47 @@
 // Guards against: a popular request that is refused where nobody has served it since the start,
 // as several targets are lost at once.
 func TestStartedInstanceKnowsWhatOthersHaveServed(t *testing.T) {
-	for _, served := range []bool{true, false} {
-		a, b := New("a"), New("b")
+	const at = second
+	for _, c := range []struct {
+		name string
+		// served and sees are the instances that have served the request, and that see the
+		// losses of the three targets.
+		served []int
+		sees   [crashesMost]int
+		passes bool
+	}{
+		{"served where the losses are seen", []int{0}, [crashesMost]int{0, 0, 1}, true},
+		{"served where one of them is seen", []int{0}, [crashesMost]int{1, 0, 2}, true},
+		{"served where none is seen", []int{0}, [crashesMost]int{1, 2, 1}, true},
+		{"served nowhere", nil, [crashesMost]int{0, 1, 2}, false},
+	} {
+		tables := []*Table{New("a"), New("b"), New("c")}
 		k := keyOf("x", "popular")
-		if served {
-			a.Admit(k, target(9), 0)
-			a.Answered(k, target(9), 0, 10)
+		for _, i := range c.served {
+			tables[i].Admit(k, target(9), 0)
+			tables[i].Answered(k, target(9), 0, 10)
 		}
-		// Both lose it at the first target; which one tells the other first is open.
 		var news []Strike
-		for n := range crashesMost {
-			at := second + cf.Millis(30*n)
-			a.Admit(k, target(n), at-10)
-			a.Lost(k, target(n), true, at)
-			news = append(news, a.Checked(target(n), at, LossRefused, at+2)...)
+		for n, i := range c.sees {
+			seen := at + cf.Millis(30*n)
+			tables[i].Admit(k, target(n), at-10)
+			tables[i].Lost(k, target(n), true, seen)
+			news = append(news, tables[i].Checked(target(n), seen, LossRefused, seen+2)...)
 		}
-		b.Admit(k, target(0), second-10)
-		b.Lost(k, target(0), true, second)
-		b.Checked(target(0), second, LossRefused, second+2)
-		b.Merge(news, second+70)
-		if passes(b, k, second+100) != served {
-			t.Errorf("passes %v at an instance that has served nothing, others have: %v", !served, served)
+		for len(news) > 0 { // as they are handed on
+			var next []Strike
+			for _, table := range tables {
+				next = append(next, table.Merge(news, at+100)...)
+			}
+			news = next
 		}
-		a.Merge(b.Foremost(0, 1, second+100), second+100)
-		if a.Sums() != b.Sums() {
-			t.Errorf("served %v: the two do not agree: %v and %v", served, a.Sums(), b.Sums())
+		for i, table := range tables {
+			if got := passes(table, k, at+200); got != c.passes {
+				t.Errorf("%s: passes %v at instance %d", c.name, got, i)
+			}
+			if table.Sums() != tables[0].Sums() {
+				t.Errorf("%s: instance %d does not agree: %v and %v", c.name, i, table.Sums(), tables[0].Sums())
+			}
 		}
 	}
 }
