System tests: a port that is looked at is not held by a process that is forked meanwhile

Cause: a test looks whether a port is free by listening on it; a process that a parallel test forks in that moment has the listener's descriptor until its exec. Nothing of the product; no check is changed.

--- a/systemtest/site_test.go
+++ b/systemtest/site_test.go
@@ -175,17 +175,27 @@
 	t.Helper()
 	for range 1000 {
 		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1))
-		l, err := net.Listen("tcp", addr)
-		if err != nil {
-			continue
+		if listens(addr) {
+			return addr
 		}
-		_ = l.Close()
-		return addr
 	}
 	t.Fatal("no free port")
 	return ""
 }
 
+// listens says whether an address can be listened on. A process that another test forks
+// meanwhile would hold the port until its exec.
+func listens(addr string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return false
+	}
+	_ = l.Close()
+	return true
+}
+
 // startSite starts stand-ins and entries and waits until all are ready.
 func startSite(t *testing.T, o options) *site {
 	t.Helper()
