Order engines from the platform by what open steps need

Cause: some deployments let engines be ordered by failure domain, and none ever was; with too few of them almost no group of a step is whole in time.

Change: fields of the configuration and of targets, the order behind cf.Scaling with its stand-in, settings and the template, cfrollout's Demand, the decision and the keeper of orders in core/cfscale, and the duty io/cfautoscale under the coordinator's term. Off unless control.duties has autoscale and a service has scaling.

--- /dev/null
+++ b/core/cfrollout/demand.go
@@ -0,0 +1,97 @@
+package cfrollout
+
+import (
+	"slices"
+
+	cf "currantford"
+)
+
+type (
+	// Demand is what the open steps of a service ask of its engines.
+	Demand struct {
+		Service cf.ServiceName
+		// Slots are those of one engine; Pace is how many milliseconds an event takes
+		// there while all are taken, zero while no engine has shown it.
+		Slots int
+		Pace  float64
+		// Engines counts those in service by pool; one that drains is gone.
+		Engines map[cf.EnginePool]int
+		// Draining counts those that leave.
+		Draining map[cf.EnginePool]int
+		// Loading counts those of them that load weights.
+		Loading int
+		Steps   []StepDemand
+	}
+
+	// StepDemand is the work of an open step.
+	StepDemand struct {
+		Batch    cf.BatchID
+		Model    cf.ModelName
+		Accepted cf.Millis
+		// Groups are those that its trainer waits for and that are not whole.
+		Groups  int
+		Waiting int
+		Running int
+		// Events are those that all its items are expected to have, Left those that are
+		// to come, Longest the most that one item is expected to have. They are zero
+		// while no lengths are known.
+		Events  float64
+		Left    float64
+		Longest float64
+	}
+)
+
+// Demand returns what the open steps of a service ask for.
+func (p *Planner) Demand(service cf.ServiceName) Demand {
+	d := Demand{Service: service, Engines: map[cf.EnginePool]int{}, Draining: map[cf.EnginePool]int{}}
+	var paces []float64
+	for _, e := range p.engines {
+		if e.Service != service {
+			continue
+		}
+		pool := cf.EnginePool{Service: service, Domain: e.Domain, Spot: e.Spot}
+		if e.Draining {
+			d.Draining[pool]++
+			continue
+		}
+		d.Engines[pool]++
+		d.Slots = max(d.Slots, e.Slots)
+		if e.loading > 0 {
+			d.Loading++
+		}
+		if e.pace > 0 {
+			paces = append(paces, p.full(e))
+		}
+	}
+	if len(paces) > 0 {
+		slices.Sort(paces)
+		d.Pace = paces[len(paces)/2]
+	}
+	for _, o := range p.sorted() {
+		if o.terms.Service != service || o.paused || len(o.waiting)+len(o.running) == 0 {
+			continue
+		}
+		d.Steps = append(d.Steps, p.stepDemand(o))
+	}
+	return d
+}
+
+func (p *Planner) stepDemand(o *open) StepDemand {
+	sub := &o.batch.Sub
+	s := StepDemand{
+		Batch: sub.ID, Model: sub.Model, Accepted: sub.Accepted, Groups: max(sub.TargetGroups-o.batch.WholeGroups(), 0),
+		Waiting: len(o.waiting), Running: len(o.running),
+	}
+	for _, it := range sub.Items {
+		n := p.lengths.of(it)
+		s.Events += n
+		s.Longest = max(s.Longest, n)
+	}
+	for _, w := range o.waiting {
+		s.Left += p.left(w)
+	}
+	for _, w := range o.running {
+		s.Left += p.left(w)
+	}
+	return s
+}
--- /dev/null
+++ b/core/cfscale/replay_test.go
@@ -0,0 +1,364 @@
+package cfscale_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	cf "currantford"
+	"currantford/core/cfrollout"
+	"currantford/core/cfscale"
+)
+
+const (
+	replayTick  cf.Millis = 50
+	replayLook  cf.Millis = 500
+	replayBoot  cf.Millis = 4000
+	replayDue   cf.Millis = 7500
+	replayCount cf.Millis = 8200
+	replaySlots           = 6
+	// replayEvent is what an event takes at a full engine that loads a version for each
+	// step.
+	replayEvent = 52.0 / 0.75
+)
+
+var replayDomains = []cf.FailureDomain{"a", "b", "c"}
+
+type (
+	// replay is a platform with engines and four trainers, each with a quarter of them. A
+	// trainer hands in a step each
+	// 4 s, or when the one before has nine tenths of its groups whole.
+	replay struct {
+		random  *rand.Rand
+		now     cf.Millis
+		decider *cfscale.Decider
+		kept    cfscale.Kept
+		off     bool
+		load    float64
+		engines []*replayEngine
+		wanted  map[cf.EnginePool]int
+		steps   []*replayStep
+		next    [4]cf.Millis
+		// owed and whole count groups, spent is the price of the engines.
+		owed, whole  int
+		spent        float64
+		raises, cuts int
+		// orders are the totals that were wanted, each time they changed.
+		orders []replayOrder
+	}
+
+	replayOrder struct {
+		at    cf.Millis
+		total int
+	}
+
+	replayEngine struct {
+		pool   cf.EnginePool
+		from   cf.Millis // in service since
+		leaves cf.Millis // zero while it stays
+		runs   []*replayItem
+	}
+
+	replayItem struct {
+		step   *replayStep
+		group  int
+		left   float64
+		events float64
+		guess  float64
+	}
+
+	replayStep struct {
+		trainer int
+		at      cf.Millis
+		waiting []*replayItem
+		groups  []int // items left of each
+		wholeAt []cf.Millis
+		over    bool
+	}
+)
+
+func newReplay(engines int, load float64, off bool) *replay {
+	r := &replay{
+		random: rand.New(rand.NewPCG(3, 5)), off: off, load: load, wanted: map[cf.EnginePool]int{},
+		decider: cfscale.NewDecider(cfscale.Terms{
+			Service: "s", Min: 1, Max: 32, Boot: replayBoot, SpotPrice: 0.18, DomainPrices: map[cf.FailureDomain]float64{"a": 1, "b": 1.1, "c": 0.9},
+			EnginePrice: 0.0055, GroupValue: 2,
+		}, 0),
+	}
+	for _, d := range replayDomains {
+		for range engines {
+			r.engines = append(r.engines, &replayEngine{pool: cf.EnginePool{Service: "s", Domain: d}})
+		}
+		r.wanted[cf.EnginePool{Service: "s", Domain: d}] = engines
+	}
+	for i := range r.next {
+		r.next[i] = cf.Millis(i) * 700
+	}
+	return r
+}
+
+func (e *replayEngine) serves(now cf.Millis) bool { return now >= e.from && e.leaves == 0 }
+
+// play goes on until a moment.
+func (r *replay) play(until cf.Millis) {
+	for ; r.now < until; r.now += replayTick {
+		r.submit()
+		r.run()
+		if r.now%replayLook == 0 && !r.off {
+			r.look()
+		}
+	}
+}
+
+func (r *replay) submit() {
+	for i := range r.next {
+		open := slices.ContainsFunc(r.steps, func(s *replayStep) bool { return s.trainer == i && !s.over })
+		if open || r.now < r.next[i] {
+			continue
+		}
+		r.next[i] = max(r.next[i]+4000, r.now)
+		s := &replayStep{trainer: i, at: r.now}
+		groups, items := 10+r.random.IntN(5), 8+8*r.random.IntN(2)
+		for g := range groups {
+			s.groups = append(s.groups, items)
+			s.wholeAt = append(s.wholeAt, 0)
+			for range items {
+				events := r.load * (4 + 10*r.random.Float64())
+				if r.random.Float64() < 0.08 {
+					events *= 5
+				}
+				s.waiting = append(s.waiting, &replayItem{step: s, group: g, left: events, events: events, guess: events * (0.6 + r.random.Float64())})
+			}
+		}
+		slices.SortFunc(s.waiting, func(a, b *replayItem) int { return int(b.guess - a.guess) })
+		r.owed += needed(groups)
+		r.steps = append(r.steps, s)
+	}
+}
+
+func (r *replay) run() {
+	for i, e := range r.engines {
+		if r.now < e.from || e.leaves > 0 && r.now >= e.leaves {
+			for _, it := range e.runs {
+				it.step.waiting = append([]*replayItem{it}, it.step.waiting...)
+			}
+			e.runs = nil
+			continue
+		}
+		price := 0.0055 * map[cf.FailureDomain]float64{"a": 1, "b": 1.1, "c": 0.9}[e.pool.Domain]
+		if e.pool.Spot {
+			price *= 0.18
+		}
+		r.spent += price * float64(replayTick) / 1000
+		e.runs = slices.DeleteFunc(e.runs, func(it *replayItem) bool {
+			if it.left -= float64(replayTick) / replayEvent; it.left > 0 {
+				return false
+			}
+			it.step.done(it.group, r.now)
+			return true
+		})
+		for _, s := range r.steps {
+			for s.trainer == i%len(r.next) && e.leaves == 0 && len(e.runs) < replaySlots && len(s.waiting) > 0 {
+				e.runs = append(e.runs, s.waiting[0])
+				s.waiting = s.waiting[1:]
+			}
+		}
+	}
+	for _, s := range r.steps {
+		whole := 0
+		for _, left := range s.groups {
+			if left == 0 {
+				whole++
+			}
+		}
+		if whole >= needed(len(s.groups)) {
+			s.over, s.waiting = true, nil
+			r.next[s.trainer] = max(r.next[s.trainer], r.now+750)
+			inTime := 0
+			for _, at := range s.wholeAt {
+				if at > 0 && at-s.at <= replayCount {
+					inTime++
+				}
+			}
+			r.whole += min(inTime, needed(len(s.groups)))
+			for _, e := range r.engines {
+				e.runs = slices.DeleteFunc(e.runs, func(it *replayItem) bool { return it.step == s })
+			}
+		}
+	}
+	r.steps = slices.DeleteFunc(r.steps, func(s *replayStep) bool { return s.over })
+	r.engines = slices.DeleteFunc(r.engines, func(e *replayEngine) bool { return e.leaves > 0 && r.now >= e.leaves })
+}
+
+// needed is how many groups a trainer waits for.
+func needed(groups int) int { return (9*groups + 9) / 10 }
+
+func (s *replayStep) done(group int, now cf.Millis) {
+	if s.groups[group]--; s.groups[group] == 0 {
+		s.wholeAt[group] = now
+	}
+}
+
+func (r *replay) demand() cfscale.Demand {
+	d := cfscale.Demand{Demand: cfrollout.Demand{
+		Service: "s", Slots: replaySlots, Pace: 52, Engines: map[cf.EnginePool]int{}, Draining: map[cf.EnginePool]int{},
+	}}
+	for _, e := range r.engines {
+		switch {
+		case e.leaves > 0:
+			d.Draining[e.pool]++
+		case e.serves(r.now):
+			d.Engines[e.pool]++
+		}
+	}
+	running := map[*replayStep][]*replayItem{}
+	for _, e := range r.engines {
+		for _, it := range e.runs {
+			running[it.step] = append(running[it.step], it)
+		}
+	}
+	for _, s := range r.steps {
+		o := cfscale.OpenStep{Age: r.now - s.at, Due: replayDue}
+		o.Waiting, o.Running = len(s.waiting), len(running[s])
+		for _, left := range s.groups {
+			if left > 0 {
+				o.Groups++
+			}
+			o.Events += float64(left)
+		}
+		o.Events = 0
+		for _, it := range slices.Concat(s.waiting, running[s]) {
+			o.Events += it.guess
+			o.Left += max(it.guess-(it.events-it.left), (it.events-it.left)/2)
+			o.Longest = max(o.Longest, it.guess)
+		}
+		d.Open = append(d.Open, o)
+	}
+	return d
+}
+
+func (r *replay) look() {
+	before := 0
+	for _, n := range r.wanted {
+		before += n
+	}
+	orders, _ := r.decider.Look(r.now, r.demand(), r.kept)
+	r.kept = cfscale.Kept{Orders: orders, Found: r.decider.Found()}
+	after := before
+	for _, o := range orders {
+		has := r.wanted[o.EnginePool]
+		after += o.Count - has
+		r.wanted[o.EnginePool] = o.Count
+		for ; has < o.Count; has++ {
+			r.engines = append(r.engines, &replayEngine{pool: o.EnginePool, from: r.now + replayBoot})
+		}
+		for _, e := range r.engines {
+			if has > o.Count && e.pool == o.EnginePool && e.leaves == 0 {
+				e.leaves = r.now + 2000
+				has--
+			}
+		}
+	}
+	switch {
+	case after > before:
+		r.raises++
+	case after < before:
+		r.cuts++
+	}
+	if after != before {
+		r.orders = append(r.orders, replayOrder{r.now, after})
+	}
+}
+
+// reclaim takes a failure domain's reclaimable engines back.
+func (r *replay) reclaim(d cf.FailureDomain) {
+	for _, e := range r.engines {
+		if e.pool.Spot && e.pool.Domain == d && e.leaves == 0 {
+			e.leaves = r.now + 2000
+		}
+	}
+}
+
+func (r *replay) served() float64 { return float64(r.whole) / float64(max(r.owed, 1)) }
+
+func (r *replay) serving() int { return len(r.engines) }
+
+// Symptom: with too few engines almost no group is whole in time, for the whole day.
+func TestTooFewEnginesAreMore(t *testing.T) {
+	for _, engines := range []int{5, 8} {
+		off, on := newReplay(engines, 1, true), newReplay(engines, 1, false)
+		ample := newReplay(30, 1, true)
+		for _, r := range []*replay{off, on, ample} {
+			r.play(80_000)
+		}
+		t.Logf("%d a domain: %d groups whole, switched off %d, with ample engines %d; %d engines, %d orders up, %d down, spent %.1f against %.1f",
+			engines, on.whole, off.whole, ample.whole, on.serving(), on.raises, on.cuts, on.spent, off.spent)
+		if on.whole < ample.whole*3/4 || on.whole <= off.whole {
+			t.Errorf("%d a domain: %d groups, %d with ample engines, %d with the decision switched off", engines, on.whole, ample.whole, off.whole)
+		}
+	}
+}
+
+// Symptom: a quiet day is paid for engines that no step needs, or steps come late because
+// they went.
+func TestTooManyEnginesAreFewer(t *testing.T) {
+	off, on := newReplay(30, 0.8, true), newReplay(30, 0.8, false)
+	off.play(300_000)
+	on.play(300_000)
+	t.Logf("served %.3f, switched off %.3f; %d engines, %d orders up, %d down, spent %.1f against %.1f", on.served(), off.served(), on.serving(), on.raises, on.cuts, on.spent, off.spent)
+	if on.spent > 0.8*off.spent {
+		t.Errorf("spent %.1f, switched off %.1f", on.spent, off.spent)
+	}
+	if on.whole < off.whole*99/100 {
+		t.Errorf("served %.3f, switched off %.3f", on.served(), off.served())
+	}
+}
+
+// Symptom: engines are ordered and given back in turn, as steps come and end.
+func TestStepsEveryFourSecondsDoNotSwing(t *testing.T) {
+	for _, engines := range []int{5, 12, 16} {
+		r := newReplay(engines, 1, false)
+		r.play(300_000)
+		t.Logf("%d a domain: served %.3f, %d engines, %d orders up, %d down: %v", engines, r.served(), r.serving(), r.raises, r.cuts, r.orders)
+		total, rose, turned := 3*engines, false, cf.Millis(0)
+		for i, o := range r.orders {
+			if rises := o.total > total; i == 0 || rises != rose {
+				if i > 0 && o.at-turned < 8*4000 {
+					t.Errorf("%d a domain: turns at %d and at %d ms", engines, turned, o.at)
+				}
+				rose, turned = rises, o.at
+			}
+			total = o.total
+		}
+	}
+}
+
+// Symptom: a failure domain's reclaimable engines are taken back in the middle of a step,
+// and the steps after it come late.
+func TestReclaimedEnginesAreReplaced(t *testing.T) {
+	off, on := newReplay(5, 1, false), newReplay(5, 1, false)
+	for _, r := range []*replay{off, on} {
+		r.play(41_500)
+		r.owed, r.whole = 0, 0
+		r.reclaim("a")
+		r.play(44_500)
+		r.reclaim("b")
+	}
+	before := on.serving()
+	off.off = true
+	off.play(90_000)
+	on.play(90_000)
+	t.Logf("served %.3f, switched off %.3f; %d engines of %d, switched off %d", on.served(), off.served(), on.serving(), before, off.serving())
+	if on.serving() <= off.serving() {
+		t.Errorf("%d engines of %d, switched off %d", on.serving(), before, off.serving())
+	}
+	firm := 0
+	for _, e := range on.engines {
+		if !e.pool.Spot {
+			firm++
+		}
+	}
+	if firm <= 15 {
+		t.Errorf("%d firm engines, as before", firm)
+	}
+}
--- a/core/cfsite/config.go
+++ b/core/cfsite/config.go
@@ -75,6 +75,20 @@
 		Name cf.ServiceName
 		// Models is set for model targets.
 		Models []cf.ModelName
+		// Scaling says which of them may be ordered, nil where none may.
+		Scaling *Scaling
+	}
+
+	// Scaling bounds what is ordered of a service's engines.
+	Scaling struct {
+		// Min and Max bound the engines of each failure domain, of both kinds together.
+		Min, Max int
+		// Boot is how long after an order an engine is in service.
+		Boot cf.Millis
+		// SpotPrice is the price of a reclaimable engine as a part of a firm one's, zero
+		// where there are none; DomainPrices multiply both.
+		SpotPrice    float64
+		DomainPrices map[cf.FailureDomain]float64
 	}
 
 	// Limits bound what a caller may send.
--- /dev/null
+++ b/io/cfautoscale/cfautoscale.go
@@ -0,0 +1,287 @@
+// Package cfautoscale is the duty of ordering engines from the platform. One instance at a
+// time has it, with the coordinator's lease: it is given a term, acts under it alone, and
+// ends with it. How many engines are wanted, and when that is written and ordered, is
+// cfscale's decision; this package carries it out.
+//
+// Usage:
+//
+//	d := cfautoscale.New(options)
+//	d.Start()
+//	defer d.Close()
+package cfautoscale
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/core/cfscale"
+	"currantford/io/cflog"
+)
+
+const (
+	// wantedName is the object that holds what is wanted.
+	wantedName = "engines"
+	// tick is how often the duty looks: two looks and an order take less than the time in
+	// which an engine is in service.
+	tick = 500 * time.Millisecond
+	// orderTimeout bounds an order. It is less than the time between two holders' orders;
+	// one without an answer is given again, the same.
+	orderTimeout = 1500 * time.Millisecond
+)
+
+type (
+	// Options are what the duty works with.
+	Options struct {
+		Act     cf.Act
+		Store   cf.Store
+		Scaling cf.Scaling
+		// MayAct says whether the term allows an order now; Ordered notes that one is
+		// given now, or has just ended.
+		MayAct  func() bool
+		Ordered func()
+		// Demand returns what a service's open steps ask for, false while that is not
+		// known.
+		Demand func(cf.ServiceName) (cfscale.Demand, bool)
+		// Terms are those of the services whose engines may be ordered.
+		Terms   func() map[cf.ServiceName]cfscale.Terms
+		Metrics *Metrics
+		Log     *zap.Logger
+	}
+
+	// Duty orders engines. Close ends it and waits for the call under way.
+	Duty struct {
+		Options
+		ctx    context.Context
+		cancel context.CancelFunc
+		wg     cflog.Group
+
+		// What follows is the loop's alone.
+		keeper   *cfscale.Keeper
+		deciders map[cf.ServiceName]*cfscale.Decider
+		// why is what last changed the orders of a service.
+		why map[cf.ServiceName]cfscale.Why
+	}
+
+	// Metrics are the duty's counters.
+	Metrics struct {
+		Orders  *prometheus.CounterVec
+		Wanted  prometheus.Gauge
+		Serving prometheus.Gauge
+		Needed  prometheus.Gauge
+	}
+)
+
+// NewMetrics registers the duty's metrics.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	gauge := func(name, help string) prometheus.Gauge {
+		return prometheus.NewGauge(prometheus.GaugeOpts{Name: name, Help: help})
+	}
+	m := &Metrics{
+		Orders: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "currantford_engine_orders_total", Help: "Orders of engines by cause and outcome."}, []string{"cause", "outcome"}),
+		Wanted:  gauge("currantford_engines_wanted", "Engines that the holder wants in service."),
+		Serving: gauge("currantford_engines_serving", "Engines in service, as the holder sees them."),
+		Needed:  gauge("currantford_engines_needed", "Engines that the open steps need to be whole in time."),
+	}
+	reg.MustRegister(m.Orders, m.Wanted, m.Serving, m.Needed)
+	return m
+}
+
+// New returns a duty that has not started.
+func New(o Options) *Duty {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Duty{
+		Options: o, ctx: ctx, cancel: cancel, keeper: cfscale.NewKeeper(), deciders: map[cf.ServiceName]*cfscale.Decider{},
+		why: map[cf.ServiceName]cfscale.Why{},
+	}
+}
+
+// Start begins the duty.
+func (d *Duty) Start() { d.wg.Go(d.loop) }
+
+// Close ends the duty.
+func (d *Duty) Close() error {
+	d.cancel()
+	d.wg.Wait()
+	return nil
+}
+
+func (d *Duty) loop() {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		d.look()
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// look decides, and does what is due.
+func (d *Duty) look() {
+	terms := d.Terms()
+	if len(terms) == 0 {
+		return // nothing may be ordered, and nothing is read
+	}
+	if kept, known := d.keeper.Kept(); known {
+		d.act(d.decide(terms, kept), terms)
+		return
+	}
+	if d.read() {
+		kept, _ := d.keeper.Kept()
+		d.act(d.decide(terms, kept), terms)
+	}
+}
+
+// decide returns what is wanted.
+func (d *Duty) decide(terms map[cf.ServiceName]cfscale.Terms, kept cfscale.Kept) cfscale.Kept {
+	now := cf.Uptime()
+	var wanted cfscale.Kept
+	var target, serving, need float64
+	for service, t := range terms {
+		decider := d.deciders[service]
+		if decider == nil {
+			decider = cfscale.NewDecider(t, now)
+			d.deciders[service] = decider
+		}
+		decider.SetTerms(t)
+		demand, known := d.Demand(service)
+		if !known {
+			continue
+		}
+		orders, why := decider.Look(now, demand, kept)
+		if why.Cause != "" {
+			d.why[service] = why
+		}
+		for _, pool := range decider.Missing(now, demand, kept) {
+			d.Log.Info("engines_missing", zap.String("service", string(pool.Service)), zap.String("failure_domain", string(pool.Domain)),
+				zap.Bool("spot", pool.Spot), zap.Int("in_service", demand.Engines[pool]))
+			d.keeper.Repeat(pool)
+		}
+		wanted.Orders = append(wanted.Orders, orders...)
+		wanted.Found = append(wanted.Found, decider.Found()...)
+		target, serving, need = target+float64(why.Target), serving+float64(why.Serving), need+why.Need
+	}
+	d.Metrics.Wanted.Set(target)
+	d.Metrics.Serving.Set(serving)
+	d.Metrics.Needed.Set(need)
+	return wanted
+}
+
+// act does what is due until nothing is.
+func (d *Duty) act(wanted cfscale.Kept, terms map[cf.ServiceName]cfscale.Terms) {
+	may := func(s cf.ServiceName) bool { _, ok := terms[s]; return ok }
+	for d.ctx.Err() == nil && d.MayAct() {
+		step := d.keeper.Next(cf.Uptime(), wanted, may)
+		switch step.Kind {
+		case cfscale.Keep:
+			if !d.keep(step) {
+				return
+			}
+		case cfscale.Give:
+			if !d.give(step.Order) {
+				return
+			}
+		case cfscale.Read: // at the next look: what is wanted follows from it
+			return
+		default:
+			return
+		}
+	}
+}
+
+// read reads what lies in the store.
+func (d *Duty) read() bool {
+	r, err := d.Store.Get(d.ctx, cf.KindScaling, wantedName)
+	var kept cfscale.Kept
+	if err == nil {
+		if err = json.Unmarshal(r.Spec, &kept); err != nil {
+			err = eris.Wrapf(cf.ErrInvalid, "%s: %v", wantedName, err)
+		}
+	}
+	switch {
+	case errors.Is(err, cf.ErrNotFound):
+		d.keeper.FoundNone()
+	case err != nil:
+		d.Log.Warn("engines_wanted_not_read", cflog.Error(err))
+		return false
+	default:
+		d.keeper.Found(kept, r.Rev)
+		d.Log.Info("engines_wanted_read", zap.Int64("term", int64(d.Act.Fence)), zap.Int64("revision", int64(r.Rev)), zap.Any("orders", kept.Orders))
+	}
+	return true
+}
+
+// keep writes what is wanted.
+func (d *Duty) keep(step cfscale.Step) bool {
+	var r cf.Record
+	var err error
+	if step.Rev == 0 {
+		r, err = d.Store.Create(d.ctx, cf.KindScaling, wantedName, step.Kept)
+	} else {
+		r, err = d.Store.Replace(d.ctx, cf.KindScaling, wantedName, step.Rev, step.Kept)
+	}
+	if err != nil || r.Rev == 0 {
+		d.keeper.InDoubt()
+		d.Log.Warn("engines_wanted_in_doubt", cflog.Error(err))
+		return false
+	}
+	d.keeper.Found(step.Kept, r.Rev)
+	d.Log.Info("engines_wanted_kept", zap.Int64("term", int64(d.Act.Fence)), zap.Int64("revision", int64(r.Rev)), zap.Any("orders", step.Kept.Orders))
+	return true
+}
+
+// give gives an order.
+func (d *Duty) give(o cf.EngineOrder) bool {
+	ctx, cancel := context.WithTimeout(d.ctx, orderTimeout)
+	defer cancel()
+	d.Ordered()
+	began := time.Now()
+	err := d.Scaling.OrderEngines(ctx, d.Act, o)
+	d.Ordered()
+	outcome := "taken"
+	switch {
+	case errors.Is(err, cf.ErrFenced):
+		outcome = "fenced"
+	case errors.Is(err, cf.ErrConflict):
+		outcome = "none_available"
+	case errors.Is(err, cf.ErrUnavailable):
+		outcome = "no_answer"
+	case err != nil:
+		outcome = "refused"
+	}
+	why := d.why[o.Service]
+	cause := why.Cause
+	if cause == "" {
+		cause = "kept" // as the holder before wanted it
+	}
+	d.Metrics.Orders.WithLabelValues(cause, outcome).Inc()
+	d.Log.Info("engines_ordered", zap.String("service", string(o.Service)), zap.String("failure_domain", string(o.Domain)), zap.Bool("spot", o.Spot),
+		zap.Int("count", o.Count), zap.Int64("term", int64(d.Act.Fence)), zap.String("outcome", outcome), zap.String("cause", cause),
+		zap.Float64("need", why.Need), zap.Float64("need_recent", why.Recent), zap.Int("target", why.Target), zap.Int("in_service", why.Serving),
+		zap.Int("booting", why.Booting), zap.Float64("earns", why.Earns), zap.Float64("costs", why.Costs),
+		zap.Int64("took_ms", time.Since(began).Milliseconds()), cflog.Error(err))
+	now, decider := cf.Uptime(), d.deciders[o.Service]
+	if decider != nil && errors.Is(err, cf.ErrConflict) {
+		decider.Refused(o.EnginePool, now)
+	} else if decider != nil {
+		decider.Given(o.EnginePool, now)
+	}
+	if err == nil {
+		d.keeper.Given(o)
+		return true
+	}
+	d.keeper.NotGiven(o, now)
+	// Others may be taken where one was refused; without an answer they would wait for
+	// theirs in vain.
+	return !errors.Is(err, cf.ErrUnavailable) && !errors.Is(err, cf.ErrFenced)
+}
--- /dev/null
+++ b/io/cfcoord/demand.go
@@ -0,0 +1,29 @@
+package cfcoord
+
+import (
+	cf "currantford"
+	"currantford/core/cfscale"
+)
+
+// Demand returns what the open steps of a service ask of its engines, false while this
+// instance does not know all of them yet.
+func (c *Coordinator) Demand(service cf.ServiceName) (cfscale.Demand, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	config := c.Site.Config()
+	if config == nil || !c.takeover.done {
+		return cfscale.Demand{}, false
+	}
+	d := cfscale.Demand{Demand: c.planner.Demand(service)}
+	wall := cf.Now()
+	for _, s := range d.Steps {
+		open := cfscale.OpenStep{StepDemand: s, Age: max(wall-s.Accepted, 0)}
+		if st := c.batches[s.Batch]; st != nil {
+			if route, ok := config.Match(st.batch.Sub.Host, st.batch.Sub.Path); ok {
+				open.Due = route.ResultsSLO
+			}
+		}
+		d.Open = append(d.Open, open)
+	}
+	return d, true
+}
--- /dev/null
+++ b/io/cfnode/autoscale.go
@@ -0,0 +1,68 @@
+package cfnode
+
+import (
+	"sync/atomic"
+
+	cf "currantford"
+	"currantford/core/cfscale"
+	"currantford/io/cfautoscale"
+	"currantford/io/cfcoord"
+)
+
+// autoscale is an instance's part in ordering engines: the duty, while it is the
+// coordinator. A nil one orders nothing.
+type autoscale struct {
+	node    *Node
+	metrics *cfautoscale.Metrics
+	duty    atomic.Pointer[cfautoscale.Duty]
+}
+
+// begin begins the duty under the coordinator's term.
+func (a *autoscale) begin(c *cfcoord.Coordinator) {
+	if a == nil {
+		return
+	}
+	n := a.node
+	term, _ := n.candidate.MayOrder()
+	d := cfautoscale.New(cfautoscale.Options{
+		Act: cf.Act{Holder: n.settings.Entry, Fence: term}, Store: n.adapter.Store, Scaling: n.adapter.Scaling,
+		MayAct: func() bool {
+			now, ok := n.candidate.MayOrder()
+			return ok && now == term
+		},
+		Ordered: n.candidate.Ordered, Demand: c.Demand, Terms: a.terms, Metrics: a.metrics, Log: n.log,
+	})
+	a.duty.Store(d)
+	d.Start()
+}
+
+// terms returns what the configuration in force says of the services whose engines may be
+// ordered.
+func (a *autoscale) terms() map[cf.ServiceName]cfscale.Terms {
+	out := map[cf.ServiceName]cfscale.Terms{}
+	config := a.node.site.Config()
+	if config == nil {
+		return out
+	}
+	for _, s := range config.Services {
+		if s.Scaling == nil || len(s.Models) == 0 {
+			continue
+		}
+		out[s.Name] = cfscale.Terms{
+			Service: s.Name, Min: s.Scaling.Min, Max: s.Scaling.Max, Boot: s.Scaling.Boot, SpotPrice: s.Scaling.SpotPrice,
+			DomainPrices: s.Scaling.DomainPrices,
+			EnginePrice:  a.node.settings.Scaling.EnginePrice, GroupValue: a.node.settings.Scaling.GroupValue,
+		}
+	}
+	return out
+}
+
+// end ends the duty and waits for the call under way.
+func (a *autoscale) end() {
+	if a == nil {
+		return
+	}
+	if d := a.duty.Swap(nil); d != nil {
+		_ = d.Close()
+	}
+}
--- a/io/cfnode/node.go
+++ b/io/cfnode/node.go
@@ -34,6 +34,7 @@
 	"currantford/core/cfrollout"
 	"currantford/core/cfsite"
 	"currantford/core/cfusage"
+	"currantford/io/cfautoscale"
 	"currantford/io/cfcoord"
 	"currantford/io/cfguard"
 	"currantford/io/cfingress"
@@ -63,6 +64,8 @@
 		Relay   cf.Relay
 		// Metering takes reports of use; nil where none are sent.
 		Metering cf.Metering
+		// Scaling takes orders of engines; nil where none are given.
+		Scaling cf.Scaling
 	}
 
 	// Node is one entry instance. Close waits for all it started.
@@ -101,10 +104,12 @@
 		quarantine *quarantine
 		// usage counts what callers use, nil where that is not asked for; clocks are
 		// those of the instances, as the holder hears them.
-		usage   *usage
-		clockMu sync.Mutex
-		clocks  cfusage.Clocks
-		pool    atomic.Pointer[cfrunner.Pool]
+		usage *usage
+		// autoscale orders engines, nil where that is not asked for.
+		autoscale *autoscale
+		clockMu   sync.Mutex
+		clocks    cfusage.Clocks
+		pool      atomic.Pointer[cfrunner.Pool]
 
 		// origin identifies the counts of this process's answers to feed calls.
 		origin  uint64
@@ -144,6 +149,9 @@
 		n.usage = newUsage(n, cfmeter.NewMetrics(reg))
 		n.peerSrv.Handle(opUsage, decoded(n.usage.serve))
 	}
+	if a.Scaling != nil && s.autoscales() {
+		n.autoscale = &autoscale{node: n, metrics: cfautoscale.NewMetrics(reg)}
+	}
 	n.guard = cfguard.New(cfguard.Options{
 		Self: s.Entry, Targets: a.Targets, Site: n.site, Share: n.quarantine.share, Witness: n.quarantine.witness, Off: s.Policy.NoQuarantine,
 		Metrics: cfguard.NewMetrics(reg), Log: log,
@@ -375,6 +383,7 @@
 	n.coord.Store(c)
 	n.announce()
 	n.usage.begin(entryIDs(members), left)
+	n.autoscale.begin(c)
 	c.Start(func(ctx context.Context) map[cf.ItemID]cfrollout.Text { return n.gatherTexts(ctx, before, members) })
 }
 
@@ -418,6 +427,7 @@
 
 func (n *Node) endDuty() {
 	n.usage.end()
+	n.autoscale.end()
 	if c := n.coord.Swap(nil); c != nil {
 		pool := n.pool.Swap(nil)
 		pool.Hurry()
--- a/io/cfnode/settings.go
+++ b/io/cfnode/settings.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 
 	"github.com/rotisserie/eris"
 
@@ -31,6 +32,7 @@
 		// nothing of it where they are not given.
 		Control ControlSettings `json:"control"`
 		Usage   UsageSettings   `json:"usage"`
+		Scaling ScalingSettings `json:"scaling"`
 		Policy  PolicySettings  `json:"policy"`
 		Members MemberSettings  `json:"members"`
 	}
@@ -55,6 +57,8 @@
 		NoRunners bool `json:"no_runners"`
 		// NoQuarantine sends requests on that have crashed targets.
 		NoQuarantine bool `json:"no_quarantine"`
+		// NoAutoscale orders no engines.
+		NoAutoscale bool `json:"no_autoscale"`
 	}
 
 	// Listen holds the addresses to serve at, IP:PORT each. An empty one is
@@ -105,6 +109,18 @@
 	// ControlSettings say how the platform's API is reached.
 	ControlSettings struct {
 		Addr string `json:"addr"`
+		// Duties names what it takes from this deployment; engines are ordered where
+		// DutyAutoscale is among them.
+		Duties []string `json:"duties"`
+	}
+
+	// ScalingSettings weigh what engines cost against what they earn, in one unit.
+	ScalingSettings struct {
+		// EnginePrice is the price of a firm engine in service for a second, where its
+		// failure domain's price is one; GroupValue what a group of a step earns that is
+		// whole in time.
+		EnginePrice float64 `json:"engine_price"`
+		GroupValue  float64 `json:"group_value"`
 	}
 
 	// UsageSettings say how use is reported.
@@ -124,7 +140,7 @@
 // ReadSettings reads and checks a settings file. Errors name the JSON path of
 // each bad field.
 func ReadSettings(path string) (Settings, error) {
-	s := Settings{Members: MemberSettings{HubsFrom: cfmember.HubsFrom}}
+	s := Settings{Members: MemberSettings{HubsFrom: cfmember.HubsFrom}, Scaling: defaultScaling}
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return s, eris.Wrap(err, "read settings")
@@ -156,7 +172,7 @@
 		{"listen.peers", s.Listen.Peers, true},
 		{"listen.metrics", s.Listen.Metrics, false},
 		{"store.addr", s.Store.Addr, true},
-		{"control.addr", s.Control.Addr, s.Usage.WindowS > 0},
+		{"control.addr", s.Control.Addr, s.Usage.WindowS > 0 || s.autoscales()},
 	}
 	for _, a := range addrs {
 		if a.value == "" && !a.required {
@@ -184,6 +200,9 @@
 	if s.Usage.WindowS < 0 || s.Usage.LateS < 0 {
 		bad("usage", "must not be under 0")
 	}
+	if s.Scaling.EnginePrice < 0 || s.Scaling.GroupValue < 0 {
+		bad("scaling", "must not be under 0")
+	}
 	if s.Machine.CPUShare < 0 || s.Machine.Cores < 0 || s.Machine.LinkMbps < 0 {
 		bad("machine", "must not be under 0")
 	}
@@ -193,6 +212,18 @@
 	return errors.Join(errs...)
 }
 
+// DutyAutoscale is the duty of ordering engines.
+const DutyAutoscale = "autoscale"
+
+// defaultScaling is for where the operator gives no prices: a firm engine of a model costs
+// as much in five minutes as a group of a step earns.
+var defaultScaling = ScalingSettings{EnginePrice: 0.0055, GroupValue: 2}
+
+// autoscales says whether this deployment orders engines.
+func (s *Settings) autoscales() bool {
+	return slices.Contains(s.Control.Duties, DutyAutoscale) && !s.Policy.NoAutoscale
+}
+
 func (u UsageSettings) length() cf.Millis { return cf.Millis(u.WindowS * 1000) }
 
 func (u UsageSettings) late() cf.Millis { return cf.Millis(u.LateS * 1000) }
--- a/nodecommands/commands.go
+++ b/nodecommands/commands.go
@@ -115,7 +115,7 @@
 	if s.Control.Addr != "" {
 		control := platform.NewControl(s.Control.Addr, reg)
 		defer func() { _ = control.Close() }()
-		adapter.Metering = control
+		adapter.Metering, adapter.Scaling = control, control
 	}
 	node := cfnode.New(s, adapter, reg, log)
 	cflog.ReportPanics(log, out, node.Role)
--- a/store.go
+++ b/store.go
@@ -69,6 +69,8 @@
 	KindQuarantine = "currantford-quarantine"
 	// KindUsage holds the reports of use before they are sent.
 	KindUsage = "currantford-usage"
+	// KindScaling holds the engines that are wanted, before they are ordered.
+	KindScaling = "currantford-scaling"
 	// kindParts is the head of the kind that holds one batch's items, where
 	// they do not fit into its object.
 	kindParts = "currantford-parts-"
--- a/target.go
+++ b/target.go
@@ -33,6 +33,10 @@
 		// does not say. A target may start again under its id: it then holds
 		// nothing of before, and counts anew.
 		Born Millis `cbor:"born,omitempty"`
+		// Spot: the platform may reclaim it; Leaves is how long it stays then, as of its
+		// entry, zero when it does not say.
+		Spot   bool   `cbor:"spot,omitempty"`
+		Leaves Millis `cbor:"leaves,omitempty"`
 	}
 
 	// TargetLoad is what a target says of itself in an answer.
