--- a/core/cfrollout/demand.go
+++ b/core/cfrollout/demand.go
@@ -16,8 +16,8 @@
 		Pace  float64
 		// Engines counts those in service by pool; one that drains is gone.
 		Engines map[cf.EnginePool]int
-		// Draining counts those that leave.
-		Draining map[cf.EnginePool]int
+		// Reclaimed counts those that the platform takes back and that have not left yet.
+		Reclaimed map[cf.EnginePool]int
 		// Loading counts those of them that load weights.
 		Loading int
 		Steps   []StepDemand
@@ -43,7 +43,7 @@
 
 // Demand returns what the open steps of a service ask for.
 func (p *Planner) Demand(service cf.ServiceName) Demand {
-	d := Demand{Service: service, Engines: map[cf.EnginePool]int{}, Draining: map[cf.EnginePool]int{}}
+	d := Demand{Service: service, Engines: map[cf.EnginePool]int{}, Reclaimed: map[cf.EnginePool]int{}}
 	var paces []float64
 	for _, e := range p.engines {
 		if e.Service != service {
@@ -51,7 +51,9 @@
 		}
 		pool := cf.EnginePool{Service: service, Domain: e.Domain, Spot: e.Spot}
 		if e.Draining {
-			d.Draining[pool]++
+			if e.Spot && e.Leaves > 0 {
+				d.Reclaimed[pool]++
+			}
 			continue
 		}
 		d.Engines[pool]++
--- /dev/null
+++ b/core/cfscale/decider_test.go
@@ -0,0 +1,110 @@
+package cfscale_test
+
+import (
+	"fmt"
+	"testing"
+
+	cf "currantford"
+	"currantford/core/cfrollout"
+	"currantford/core/cfscale"
+)
+
+func pool(d cf.FailureDomain, spot bool) cf.EnginePool {
+	return cf.EnginePool{Service: "s", Domain: d, Spot: spot}
+}
+
+// asking is the demand of so many steps, each of which needs some 15 engines, before so many
+// firm engines in each failure domain.
+func asking(steps int, due cf.Millis, engines ...int) cfscale.Demand {
+	d := cfscale.Demand{Demand: cfrollout.Demand{Service: "s", Slots: 6, Pace: 50, Engines: map[cf.EnginePool]int{}}}
+	for i, n := range engines {
+		if n > 0 {
+			d.Engines[pool(replayDomains[i], false)] = n
+		}
+	}
+	for i := range steps {
+		d.Open = append(d.Open, cfscale.OpenStep{StepDemand: cfrollout.StepDemand{Batch: cf.BatchID(fmt.Sprint(i)), Groups: 12, Events: 5400, Left: 2700, Longest: 40}, Due: due})
+	}
+	return d
+}
+
+// follow shows a decider one demand for so long, and takes every order but those that react
+// refuses. It returns what is wanted at last.
+func follow(d *cfscale.Decider, from, until cf.Millis, demand cfscale.Demand, kept cfscale.Kept, refuse func(cf.EngineOrder) bool) cfscale.Kept {
+	for now := from; now < until; now += replayLook {
+		orders, _ := d.Look(now, demand, kept)
+		for _, o := range orders {
+			if refuse != nil && refuse(o) {
+				d.Refused(o.EnginePool, now)
+			}
+		}
+		kept = cfscale.Kept{Orders: orders, Found: d.Found()}
+	}
+	return kept
+}
+
+func counts(k cfscale.Kept) map[cf.EnginePool]int {
+	out := map[cf.EnginePool]int{}
+	for _, o := range k.Orders {
+		out[o.EnginePool] = o.Count
+	}
+	return out
+}
+
+// Symptom: an order that counts fewer engines than are there makes the platform take some
+// away; one that can't be carried out keeps others from being ordered.
+func TestOrdersOfOneDemand(t *testing.T) {
+	terms := cfscale.Terms{
+		Service: "s", Min: 1, Max: 20, Boot: 4000, SpotPrice: 0.18, EnginePrice: 0.0055, GroupValue: 2,
+		DomainPrices: map[cf.FailureDomain]float64{"a": 1, "b": 1, "c": 1},
+	}
+	least := func(n int) cfscale.Terms { t := terms; t.Min = n; return t }
+	never := func(cf.EngineOrder) bool { return false }
+	for _, c := range []struct {
+		name   string
+		terms  cfscale.Terms
+		demand cfscale.Demand
+		refuse func(cf.EngineOrder) bool
+		check  func(map[cf.EnginePool]int) bool
+	}{
+		{"nothing open", terms, asking(0, 0, 5, 5, 5), never, func(m map[cf.EnginePool]int) bool { return len(m) == 0 }},
+		{"no time named", terms, asking(4, 0, 5, 5, 5), never, func(m map[cf.EnginePool]int) bool { return len(m) == 0 }},
+		{"reclaimable ones first", terms, asking(2, 7500, 5, 5, 5), never, func(m map[cf.EnginePool]int) bool {
+			return m[pool("a", true)] > 0 && m[pool("b", true)] > 0 && m[pool("c", true)] > 0 && len(m) == 3
+		}},
+		{"none reclaimable", terms, asking(2, 7500, 5, 5, 5), func(o cf.EngineOrder) bool { return o.Spot && o.Count > 0 }, func(m map[cf.EnginePool]int) bool {
+			return m[pool("a", false)] > 5 && m[pool("a", true)] == 0
+		}},
+		{"a failure domain out of sight", terms, asking(1, 7500, 5, 5, 0), never, func(m map[cf.EnginePool]int) bool {
+			_, firm := m[pool("c", false)]
+			return !firm && m[pool("a", true)] > 0
+		}},
+		{"bound above the need", least(7), asking(0, 0, 5, 5, 5), never, func(m map[cf.EnginePool]int) bool {
+			return m[pool("a", true)] == 2 && m[pool("b", true)] == 2 && m[pool("c", true)] == 2
+		}},
+		{"bound below the need", terms, asking(9, 7500, 5, 5, 5), never, func(m map[cf.EnginePool]int) bool {
+			return m[pool("a", true)] == 15 && m[pool("b", true)] == 15
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := cfscale.NewDecider(c.terms, 0)
+			seen := asking(0, 0, 5, 5, 5)
+			kept := follow(d, 0, 1000, seen, cfscale.Kept{}, c.refuse)
+			kept = follow(d, 1000, 9_000, c.demand, kept, c.refuse)
+			if m := counts(kept); !c.check(m) {
+				t.Errorf("ordered %v", m)
+			}
+		})
+	}
+}
+
+// Symptom: after a change of holder engines are given back that the steps of the holder
+// before needed, or those that were there are counted anew.
+func TestSuccessorKeepsWhatIsWanted(t *testing.T) {
+	terms := cfscale.Terms{Service: "s", Max: 32, Boot: 4000, SpotPrice: 0.18, EnginePrice: 0.0055, GroupValue: 2}
+	kept := follow(cfscale.NewDecider(terms, 0), 0, 3000, asking(2, 7500, 5, 5, 5), cfscale.Kept{}, nil)
+	after := follow(cfscale.NewDecider(terms, 3000), 3000, 30_000, asking(0, 0, 5, 5, 0), kept, nil)
+	if before, now := counts(kept), counts(after); len(before) == 0 || len(now) != len(before) || now[pool("c", true)] != before[pool("c", true)] {
+		t.Errorf("wanted %v, after the change %v", before, now)
+	}
+}
--- a/core/cfscale/keeper.go
+++ b/core/cfscale/keeper.go
@@ -24,8 +24,14 @@
 	// further one doubles it, up to retryMost.
 	retryFirst cf.Millis = 500
 	retryMost  cf.Millis = 8_000
+	// lateMost is how long after it was given an order without an answer may take effect: an
+	// API that is slow for seconds may carry it out after the next.
+	lateMost cf.Millis = 6_000
 )
 
+// severalCounts is the count of no order.
+const severalCounts = -1
+
 type (
 	// StepKind is what a keeper does next.
 	StepKind int
@@ -41,15 +47,19 @@
 	// Kept is what lies in the store: what is wanted of each pool for which something was
 	// ever ordered, and of the others how many engines were found.
 	Kept struct {
+		// Term is that of the holder that wrote it.
+		Term   cf.Revision      `json:"term"`
 		Orders []cf.EngineOrder `json:"orders"`
 		Found  []cf.EngineOrder `json:"found,omitempty"`
 	}
 
 	// Keeper decides what a holder writes and orders. An order is given only as it was
 	// read from the store, or written there with an answer, and each holder gives all of
-	// them once: one that the holder before had kept may not have been given. It is not
+	// them once: one that the holder before had kept may not have been given. Its first
+	// write sets its term, so that none of a holder before takes effect after it. It is not
 	// safe for concurrent use.
 	Keeper struct {
+		term cf.Revision
 		// known says that kept, at rev, is what lies in the store.
 		known bool
 		kept  Kept
@@ -57,6 +67,14 @@
 		// given are the counts that the platform has taken from this holder.
 		given map[cf.EnginePool]int
 		again map[cf.EnginePool]pause
+		// doubts are the last orders without an answer, and until when they may take effect.
+		doubts map[cf.EnginePool]doubt
+	}
+
+	doubt struct {
+		// count is that of the orders, severalCounts where they differ.
+		count int
+		until cf.Millis
 	}
 
 	pause struct {
@@ -64,9 +82,9 @@
 	}
 )
 
-// NewKeeper returns the keeper of a duty that begins.
-func NewKeeper() *Keeper {
-	return &Keeper{given: map[cf.EnginePool]int{}, again: map[cf.EnginePool]pause{}}
+// NewKeeper returns the keeper of a duty that begins under a term.
+func NewKeeper(term cf.Revision) *Keeper {
+	return &Keeper{term: term, given: map[cf.EnginePool]int{}, again: map[cf.EnginePool]pause{}, doubts: map[cf.EnginePool]doubt{}}
 }
 
 // Kept returns what lies in the store, false while that is not known.
@@ -78,18 +96,28 @@
 	if !k.known {
 		return Step{Kind: Read}
 	}
-	if next := k.kept.with(wanted.Orders); !slices.Equal(next, k.kept.Orders) {
-		return Step{Kind: Keep, Kept: Kept{Orders: next, Found: wanted.Found}, Rev: k.rev}
+	next := k.kept.with(wanted.Orders)
+	if len(next) > 0 && k.kept.Term != k.term || !slices.Equal(next, k.kept.Orders) {
+		return Step{Kind: Keep, Kept: Kept{Term: k.term, Orders: next, Found: wanted.Found}, Rev: k.rev}
 	}
 	for _, o := range k.kept.Orders {
-		count, given := k.given[o.EnginePool]
-		if (!given || count != o.Count) && now >= k.again[o.EnginePool].until && may(o.Service) {
+		if k.due(o, now) && may(o.Service) {
 			return Step{Kind: Give, Order: o}
 		}
 	}
 	return Step{Kind: Wait}
 }
 
+// due says whether an order is to be given: the platform has not taken it from this holder,
+// or one without an answer may have taken effect after it.
+func (k *Keeper) due(o cf.EngineOrder, now cf.Millis) bool {
+	if count, given := k.given[o.EnginePool]; !given || count != o.Count {
+		return now >= k.again[o.EnginePool].until
+	}
+	d, doubted := k.doubts[o.EnginePool]
+	return doubted && d.count != o.Count && now >= d.until
+}
+
 // with returns the orders with others in the place of those of the same pools.
 func (k Kept) with(others []cf.EngineOrder) []cf.EngineOrder {
 	by := map[cf.EnginePool]cf.EngineOrder{}
@@ -119,15 +147,28 @@
 func (k *Keeper) InDoubt() { k.known = false }
 
 // Given notes that the platform has taken an order.
-func (k *Keeper) Given(o cf.EngineOrder) {
+func (k *Keeper) Given(o cf.EngineOrder, now cf.Millis) {
 	k.given[o.EnginePool] = o.Count
 	delete(k.again, o.EnginePool)
+	if now >= k.doubts[o.EnginePool].until {
+		delete(k.doubts, o.EnginePool)
+	}
+}
+
+// InDoubtGiven notes that an order had no answer: it may have been taken, or may be yet.
+func (k *Keeper) InDoubtGiven(o cf.EngineOrder, now cf.Millis) {
+	d := doubt{o.Count, now + lateMost}
+	if before, doubted := k.doubts[o.EnginePool]; doubted && before.count != o.Count && now < before.until {
+		d.count = severalCounts
+	}
+	k.doubts[o.EnginePool] = d
+	k.NotGiven(o, now)
 }
 
-// NotGiven notes that an order was not taken, or had no answer. It is given again, each time
-// after a longer pause.
+// NotGiven notes that an order was not taken. It is given again, each time after a longer
+// pause.
 func (k *Keeper) NotGiven(o cf.EngineOrder, now cf.Millis) {
-	delete(k.given, o.EnginePool) // without an answer it may have been taken
+	delete(k.given, o.EnginePool)
 	length := min(max(2*k.again[o.EnginePool].length, retryFirst), retryMost)
 	k.again[o.EnginePool] = pause{now + length, length}
 }
--- a/core/cfscale/need.go
+++ b/core/cfscale/need.go
@@ -39,24 +39,29 @@
 		Open []OpenStep
 	}
 
-	// need is how many engines the open steps need to be whole in time, and what they
-	// earn then in a second.
+	// need is how many engines the open steps need to be whole in time if their long texts
+	// begin last, and what they earn then in a second.
 	need struct {
 		engines float64
-		earns   float64
+		// least is the same if the long texts begin first, as far as they are known.
+		least float64
+		earns float64
+		// unsure: there are steps whose need is not known.
+		unsure bool
 	}
 )
 
-// needOf returns what the open steps need. A step whose route names no time can't be late,
-// and needs none.
+// needOf returns what the open steps need. Of a step whose route names no time that is not
+// known.
 func needOf(d Demand, groupValue float64) need {
 	var n need
 	if d.Slots == 0 || d.Pace == 0 {
-		return n
+		return need{unsure: len(d.Open) > 0}
 	}
 	perEngine := float64(d.Slots) * serving
 	for _, s := range d.Open {
 		if s.Due <= 0 || s.Events == 0 {
+			n.unsure = true
 			continue
 		}
 		due := float64(s.Due)
@@ -65,7 +70,9 @@
 		// behind needs more than it did.
 		fresh := s.Events * d.Pace / max(dueShare*due-longest, leastSpan*due)
 		now := s.Left * d.Pace / max(dueShare*due-float64(s.Age), leastSpan*due)
+		least := s.Events * d.Pace / max(dueShare*due-longest/2, leastSpan*due)
 		n.engines += max(fresh, now) / perEngine
+		n.least += max(least, now) / perEngine
 		n.earns += float64(s.Groups) * groupValue / (due / 1000)
 	}
 	return n
@@ -80,10 +87,10 @@
 	return n.earns / n.engines / (1 + math.Pow(float64(engines)/n.engines, needSpread))
 }
 
-// spread returns how many engines leave the need if one of so many failure domains is lost.
-func (n need) spread(domains int) int {
-	if domains < 2 {
-		return int(math.Ceil(n.engines))
+// spread returns how many engines leave so many if one of the failure domains is lost.
+func spread(engines float64, domains int) int {
+	if domains > 1 {
+		engines *= float64(domains) / float64(domains-1)
 	}
-	return int(math.Ceil(n.engines * float64(domains) / float64(domains-1)))
+	return int(math.Ceil(engines))
 }
--- /dev/null
+++ b/core/cfscale/plan.go
@@ -0,0 +1,340 @@
+package cfscale
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	cf "currantford"
+)
+
+type (
+	// plan is a look under way.
+	plan struct {
+		*Decider
+		now     cf.Millis
+		demand  Demand
+		kept    map[cf.EnginePool]int
+		wanted  map[cf.EnginePool]int
+		domains []cf.FailureDomain
+	}
+)
+
+func (p *plan) allDomains() []cf.FailureDomain {
+	seen := map[cf.FailureDomain]bool{}
+	for d := range p.terms.DomainPrices {
+		seen[d] = true
+	}
+	for pool := range p.found {
+		seen[pool.Domain] = true
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
+func (p *plan) pool(d cf.FailureDomain, spot bool) cf.EnginePool {
+	return cf.EnginePool{Service: p.terms.Service, Domain: d, Spot: spot}
+}
+
+// count is how many of a pool the platform is to have: as ordered, or as found.
+func (p *plan) count(pool cf.EnginePool) int {
+	if n, ordered := p.wanted[pool]; ordered {
+		return n
+	}
+	return p.found[pool]
+}
+
+// before is how many of a pool the platform was to have before this look.
+func (p *plan) before(pool cf.EnginePool) int {
+	if n, ordered := p.kept[pool]; ordered {
+		return n
+	}
+	return p.found[pool]
+}
+
+// coming is how many of a pool are in service, or will be soon, with what this look
+// changes.
+func (p *plan) coming(pool cf.EnginePool) int {
+	n := p.demand.Engines[pool]
+	if kept, ordered := p.kept[pool]; ordered && !p.overdue(pool) {
+		n = max(n, kept)
+	}
+	return n + p.count(pool) - p.before(pool)
+}
+
+// overdue says whether engines of a pool that were ordered and are not there can't be
+// counted on: they had the time to come, were refused, or were reclaimed.
+func (p *plan) overdue(pool cf.EnginePool) bool {
+	return p.now-p.raised[pool] >= p.bootTime() || p.now < p.refused[pool]
+}
+
+// short says whether ordered engines of a pool have not come, or were lost.
+func (p *plan) short(pool cf.EnginePool) bool {
+	return p.demand.Engines[pool] < p.kept[pool] && p.overdue(pool)
+}
+
+func (p *plan) domain(d cf.FailureDomain) int {
+	return p.coming(p.pool(d, false)) + p.coming(p.pool(d, true))
+}
+
+func (p *plan) total() int {
+	n := 0
+	for _, d := range p.domains {
+		n += p.domain(d)
+	}
+	return n
+}
+
+func (p *plan) serving() int {
+	n := 0
+	for _, count := range p.demand.Engines {
+		n += count
+	}
+	return n
+}
+
+func (p *plan) booting() int { return max(p.total()-p.serving(), 0) }
+
+// price is what an engine of a pool costs in a second.
+func (p *plan) price(pool cf.EnginePool) float64 {
+	price := p.terms.EnginePrice
+	if domain, set := p.terms.DomainPrices[pool.Domain]; set {
+		price *= domain
+	}
+	if pool.Spot {
+		price *= p.terms.SpotPrice
+	}
+	return price
+}
+
+// add asks for one more engine of a pool.
+func (p *plan) add(pool cf.EnginePool) { p.wanted[pool] = p.count(pool) + 1 }
+
+// counted says whether it is known how many of a pool the platform has. An order that names
+// fewer takes some away, and those that were there first are listed one after the other
+// when a deployment starts.
+func (p *plan) counted(pool cf.EnginePool) bool {
+	_, ordered := p.wanted[pool]
+	return ordered || p.now-p.began >= listedWithin
+}
+
+// gone says whether a failure domain had engines and shows none: more that are ordered
+// there would not be seen either.
+func (p *plan) gone(d cf.FailureDomain) bool {
+	had := false
+	for _, spot := range []bool{false, true} {
+		pool := p.pool(d, spot)
+		if p.demand.Engines[pool] > 0 {
+			return false
+		}
+		_, ordered := p.kept[pool]
+		had = had || p.found[pool] > 0 && (!ordered || p.overdue(pool))
+	}
+	return had
+}
+
+// mayAdd says whether one more of a pool may be ordered.
+func (p *plan) mayAdd(pool cf.EnginePool) bool {
+	if p.now < p.refused[pool] || p.short(pool) || pool.Spot && p.terms.SpotPrice <= 0 {
+		return false
+	}
+	if p.gone(pool.Domain) || !pool.Spot && !p.counted(pool) {
+		return false
+	}
+	return p.count(p.pool(pool.Domain, false))+p.count(p.pool(pool.Domain, true)) < p.terms.Max
+}
+
+// cheapest returns the pool for one more engine: of the failure domain that has the fewest,
+// reclaimable where there are such ones, firm while some were just reclaimed.
+func (p *plan) cheapest() (cf.EnginePool, bool) {
+	var best cf.EnginePool
+	found := false
+	for _, d := range p.domains {
+		for _, spot := range []bool{true, false} {
+			pool := p.pool(d, spot)
+			if p.mayAdd(pool) && (!found || p.rather(pool, best)) {
+				best, found = pool, true
+			}
+		}
+	}
+	return best, found
+}
+
+func (p *plan) rather(a, b cf.EnginePool) bool {
+	if p.now < p.reclaimed && a.Spot != b.Spot {
+		return b.Spot
+	}
+	return cmp.Or(cmp.Compare(p.domain(a.Domain), p.domain(b.Domain)), cmp.Compare(p.price(a), p.price(b))) < 0
+}
+
+// withdraw takes back what can't be had: of reclaimable engines that leave, and of a pool
+// that had none. It would take the room of others below the failure domain's bound.
+func (p *plan) withdraw(why *Why) {
+	for pool := range p.demand.Reclaimed {
+		have := p.demand.Engines[pool]
+		p.refused[pool], p.reclaimed = p.now+refusedRest, p.now+refusedRest
+		p.found[pool] = min(p.found[pool], have)
+		if p.kept[pool] > have {
+			p.wanted[pool] = have
+			why.Cause = CauseReclaim
+		}
+	}
+	for pool, n := range p.lower {
+		if n < p.kept[pool] {
+			p.wanted[pool] = n
+			why.Cause = CauseNone
+		}
+		delete(p.lower, pool)
+	}
+}
+
+// maximum takes back orders beyond a bound that was lowered.
+func (p *plan) maximum(why *Why) {
+	for _, d := range p.domains {
+		for _, spot := range []bool{true, false} {
+			pool := p.pool(d, spot)
+			over := p.count(p.pool(d, false)) + p.count(p.pool(d, true)) - p.terms.Max
+			if n, ordered := p.wanted[pool]; ordered && over > 0 && n > 0 {
+				p.wanted[pool] = max(n-over, 0)
+				why.Cause = CauseMaximum
+			}
+		}
+	}
+}
+
+// minimum orders what the configuration asks for at the least.
+func (p *plan) minimum(why *Why) {
+	for _, d := range p.domains {
+		for p.count(p.pool(d, false))+p.count(p.pool(d, true)) < min(p.terms.Min, p.terms.Max) {
+			pool := p.pool(d, true)
+			if !p.mayAdd(pool) {
+				pool = p.pool(d, false)
+			}
+			if !p.mayAdd(pool) {
+				break
+			}
+			p.add(pool)
+			why.Cause = CauseMinimum
+		}
+	}
+}
+
+// tooFew says whether open steps will come late with so many engines: by what recent ones
+// took, or by the estimate where those show nothing.
+func (p *plan) tooFew(n need, engines int) bool {
+	switch {
+	case p.course.worst() >= late:
+		return float64(engines) < growSlack*float64(spread(n.engines, len(p.domains)))
+	case p.course.roomy(p.serving()):
+		return false
+	case p.now < p.reclaimed || len(p.course.ended) < roomyEnded:
+		return float64(engines) < n.engines // nothing shows how steps go with what is left
+	default:
+		return float64(engines) < n.least
+	}
+}
+
+// grow orders as many as are missing, at once: while one more earns more than it costs, and
+// as many as leave the need where a failure domain is lost.
+func (p *plan) grow(n need, why *Why) {
+	spread := spread(n.engines, len(p.domains))
+	why.Target = p.total()
+	if !p.tooFew(n, why.Target) {
+		return
+	}
+	cause := CauseSteps
+	if p.now < p.reclaimed {
+		cause = CauseReclaim
+	}
+	for {
+		pool, ok := p.cheapest()
+		if !ok {
+			break
+		}
+		earns, costs := n.another(p.total()), p.price(pool)
+		if p.total() >= spread && earns < costs || n.another(0) < costs {
+			break
+		}
+		why.Cause, why.Earns, why.Costs = cause, earns, costs
+		p.add(pool)
+	}
+	why.Target = p.total()
+}
+
+// shrink gives some engines back: those that the steps of the last while did not need.
+func (p *plan) shrink(recent need, why *Why) {
+	if !p.course.roomy(p.serving()) || p.now-p.began < recentSteps || p.unsure > 0 && p.now-p.unsure < remembered || p.now-p.changed < grownRest || p.now-p.shrunk < shrinkRest || p.now < p.reclaimed || p.booting() > 0 {
+		return
+	}
+	keep := p.keepFor(recent)
+	for range shrinkMost * len(p.domains) {
+		pool, ok := p.dearest(recent)
+		if !ok || p.total()-1 < keep {
+			return
+		}
+		earns, costs := recent.another(p.total()-1), p.price(pool)
+		if earns >= costs {
+			return
+		}
+		p.wanted[pool] = p.count(pool) - 1
+		why.Cause, why.Earns, why.Costs, why.Target = CauseSurplus, earns, costs, p.total()-1
+	}
+}
+
+func (p *plan) keepFor(recent need) int {
+	return int(math.Ceil(shrinkSlack * float64(spread(recent.least, len(p.domains)))))
+}
+
+// dearest returns the pool to give an engine back from: the failure domain that has the
+// most, of which none went by this look, and its dearer kind. Firm ones stay for half of
+// what was needed: what is reclaimed may be so in two failure domains one after the other.
+func (p *plan) dearest(recent need) (cf.EnginePool, bool) {
+	firm := 0
+	for _, d := range p.domains {
+		firm += p.count(p.pool(d, false))
+	}
+	var best cf.EnginePool
+	found := false
+	for _, d := range p.domains {
+		if p.lowered(d) >= shrinkMost {
+			continue
+		}
+		for _, spot := range []bool{false, true} {
+			pool := p.pool(d, spot)
+			n := p.count(pool)
+			if n == 0 || p.demand.Engines[pool] < n || p.domain(d)-1 < p.terms.Min || !spot && float64(firm-1) < recent.engines/2 {
+				continue
+			}
+			if !found || cmp.Or(cmp.Compare(p.domain(best.Domain), p.domain(d)), cmp.Compare(p.price(best), p.price(pool))) < 0 {
+				best, found = pool, true
+			}
+		}
+	}
+	return best, found
+}
+
+// lowered is how many engines of a failure domain this look gives back.
+func (p *plan) lowered(d cf.FailureDomain) int {
+	n := 0
+	for _, spot := range []bool{false, true} {
+		pool := p.pool(d, spot)
+		n += max(p.before(pool)-p.count(pool), 0)
+	}
+	return n
+}
+
+// orders returns what is wanted, and notes when it changed.
+func (p *plan) orders() []cf.EngineOrder {
+	var out []cf.EngineOrder
+	for pool, n := range p.wanted {
+		out = append(out, cf.EngineOrder{EnginePool: pool, Count: n})
+		switch before := p.before(pool); {
+		case n > before:
+			p.changed, p.raised[pool], p.prior[pool] = p.now, p.now, before
+		case n < before:
+			p.shrunk = p.now
+		}
+	}
+	sortOrders(out)
+	return out
+}
--- a/io/cfautoscale/cfautoscale.go
+++ b/io/cfautoscale/cfautoscale.go
@@ -98,7 +98,7 @@
 func New(o Options) *Duty {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Duty{
-		Options: o, ctx: ctx, cancel: cancel, keeper: cfscale.NewKeeper(), deciders: map[cf.ServiceName]*cfscale.Decider{},
+		Options: o, ctx: ctx, cancel: cancel, keeper: cfscale.NewKeeper(o.Act.Fence), deciders: map[cf.ServiceName]*cfscale.Decider{},
 		why: map[cf.ServiceName]cfscale.Why{},
 	}
 }
@@ -262,12 +262,12 @@
 	why := d.why[o.Service]
 	cause := why.Cause
 	if cause == "" {
-		cause = "kept" // as the holder before wanted it
+		cause = cfscale.CauseKept
 	}
-	d.Metrics.Orders.WithLabelValues(cause, outcome).Inc()
+	d.Metrics.Orders.WithLabelValues(string(cause), outcome).Inc()
 	d.Log.Info("engines_ordered", zap.String("service", string(o.Service)), zap.String("failure_domain", string(o.Domain)), zap.Bool("spot", o.Spot),
-		zap.Int("count", o.Count), zap.Int64("term", int64(d.Act.Fence)), zap.String("outcome", outcome), zap.String("cause", cause),
-		zap.Float64("need", why.Need), zap.Float64("need_recent", why.Recent), zap.Int("target", why.Target), zap.Int("in_service", why.Serving),
+		zap.Int("count", o.Count), zap.Int64("term", int64(d.Act.Fence)), zap.String("outcome", outcome), zap.String("cause", string(cause)),
+		zap.Float64("need", why.Need), zap.Float64("need_recent", why.Recent), zap.Float64("worst_step", why.Worst), zap.Int("target", why.Target), zap.Int("in_service", why.Serving),
 		zap.Int("booting", why.Booting), zap.Float64("earns", why.Earns), zap.Float64("costs", why.Costs),
 		zap.Int64("took_ms", time.Since(began).Milliseconds()), cflog.Error(err))
 	now, decider := cf.Uptime(), d.deciders[o.Service]
@@ -276,11 +276,15 @@
 	} else if decider != nil {
 		decider.Given(o.EnginePool, now)
 	}
-	if err == nil {
-		d.keeper.Given(o)
+	switch {
+	case err == nil:
+		d.keeper.Given(o, now)
 		return true
+	case errors.Is(err, cf.ErrUnavailable):
+		d.keeper.InDoubtGiven(o, now)
+	default:
+		d.keeper.NotGiven(o, now)
 	}
-	d.keeper.NotGiven(o, now)
 	// Others may be taken where one was refused; without an answer they would wait for
 	// theirs in vain.
 	return !errors.Is(err, cf.ErrUnavailable) && !errors.Is(err, cf.ErrFenced)
