--- a/core/cfscale/cfscale.go
+++ b/core/cfscale/cfscale.go
@@ -52,6 +52,8 @@
 	// listedWithin is how long after the duty's begin engines that were there before are
 	// all in the list.
 	listedWithin cf.Millis = 4_000
+	// asServing stands for as many of a pool as are in service.
+	asServing = -1
 	// repeatMost is the longest pause between repeats of an order whose engines are
 	// missing.
 	repeatMost cf.Millis = 60_000
@@ -200,6 +202,8 @@
 	d.refused[p] = now + refusedRest
 	if n, raised := d.prior[p]; raised {
 		d.lower[p] = n
+	} else if p.Spot {
+		d.lower[p] = asServing // a holder before has raised it
 	}
 }
 
--- a/core/cfscale/keeper.go
+++ b/core/cfscale/keeper.go
@@ -111,8 +111,11 @@
 // due says whether an order is to be given: the platform has not taken it from this holder,
 // or one without an answer may have taken effect after it.
 func (k *Keeper) due(o cf.EngineOrder, now cf.Millis) bool {
+	if now < k.again[o.EnginePool].until {
+		return false
+	}
 	if count, given := k.given[o.EnginePool]; !given || count != o.Count {
-		return now >= k.again[o.EnginePool].until
+		return true
 	}
 	d, doubted := k.doubts[o.EnginePool]
 	return doubted && d.count != o.Count && now >= d.until
@@ -162,13 +165,13 @@
 		d.count = severalCounts
 	}
 	k.doubts[o.EnginePool] = d
+	delete(k.given, o.EnginePool)
 	k.NotGiven(o, now)
 }
 
-// NotGiven notes that an order was not taken. It is given again, each time after a longer
-// pause.
+// NotGiven notes that an order was not taken: what was taken before holds. It is given again,
+// each time after a longer pause.
 func (k *Keeper) NotGiven(o cf.EngineOrder, now cf.Millis) {
-	delete(k.given, o.EnginePool)
 	length := min(max(2*k.again[o.EnginePool].length, retryFirst), retryMost)
 	k.again[o.EnginePool] = pause{now + length, length}
 }
--- a/core/cfscale/plan.go
+++ b/core/cfscale/plan.go
@@ -59,7 +59,10 @@
 	if kept, ordered := p.kept[pool]; ordered && !p.overdue(pool) {
 		n = max(n, kept)
 	}
-	return n + p.count(pool) - p.before(pool)
+	if changed := p.count(pool) - p.before(pool); changed >= 0 {
+		return n + changed
+	}
+	return min(n, p.count(pool))
 }
 
 // overdue says whether engines of a pool that were ordered and are not there can't be
@@ -180,6 +183,9 @@
 		}
 	}
 	for pool, n := range p.lower {
+		if n == asServing {
+			n = p.demand.Engines[pool]
+		}
 		if n < p.kept[pool] {
 			p.wanted[pool] = n
 			why.Cause = CauseNone
--- a/io/cfautoscale/cfautoscale.go
+++ b/io/cfautoscale/cfautoscale.go
@@ -159,7 +159,7 @@
 			continue
 		}
 		orders, why := decider.Look(now, demand, kept)
-		if why.Cause != "" {
+		if why.Cause != "" || d.why[service].Cause == "" {
 			d.why[service] = why
 		}
 		for _, pool := range decider.Missing(now, demand, kept) {
