Order at the first look where engines are far too few, and nothing before the list is known

Change: below half of the need of all models the first look orders for the trainers too that have handed in nothing yet. Between room and lateness the need without its reserve decides, no longer the least estimate; a successor takes that one until steps have shown more. What is there is counted by the instance list, with engines that have not told their weights. Minimum and firm engines wait until 4 s after the first engine was seen, 15 s where none is. A case with a frozen holder and a benchmark.

--- a/core/cfrollout/demand.go
+++ b/core/cfrollout/demand.go
@@ -14,6 +14,8 @@
 		// there while all are taken, zero while no engine has shown it.
 		Slots int
 		Pace  float64
+		// Models are how many models it serves.
+		Models int
 		// Engines counts those in service by pool; one that drains is gone.
 		Engines map[cf.EnginePool]int
 		// Reclaimed counts those that the platform takes back and that have not left yet.
@@ -43,7 +45,7 @@
 
 // Demand returns what the open steps of a service ask for.
 func (p *Planner) Demand(service cf.ServiceName) Demand {
-	d := Demand{Service: service, Engines: map[cf.EnginePool]int{}, Reclaimed: map[cf.EnginePool]int{}}
+	d := Demand{Service: service, Models: len(p.models[service]), Engines: map[cf.EnginePool]int{}, Reclaimed: map[cf.EnginePool]int{}}
 	var paces []float64
 	for _, e := range p.engines {
 		if e.Service != service {
--- a/core/cfscale/cfscale.go
+++ b/core/cfscale/cfscale.go
@@ -40,6 +40,12 @@
 	// shrinkSlack is by how much what is there must exceed what was needed: in a replay at
 	// half of the usual load, 1.15 cost 2.5% of the groups, worth 25 times what it saved.
 	shrinkSlack = 1.4
+	// severe is the part of the need of all models below which engines are ordered by the
+	// first look that shows it.
+	severe = 0.5
+	// growMore is by how much more is ordered than is missing: the need swings with each
+	// step, and each order is a call to the store and some to the API.
+	growMore = 1.1
 	// growSlack is how far what is there may fall short, where steps are late, before more
 	// is ordered: the need swings with each step.
 	growSlack = 0.92
@@ -49,9 +55,11 @@
 	// refusedRest is how long a pool that had none is left out, and a failure domain's
 	// reclaimable engines after it was reclaimed.
 	refusedRest cf.Millis = 20_000
-	// listedWithin is how long after the duty's begin engines that were there before are
-	// all in the list.
+	// listedWithin is how long after the first engine was seen all that were there before
+	// are in the list: one is listed by its heartbeat of 1.2 s, and seen 0.8 s later.
+	// noneWithin is how long after the duty's begin none is there if none was seen.
 	listedWithin cf.Millis = 4_000
+	noneWithin   cf.Millis = 15_000
 	// asServing stands for as many of a pool as are in service.
 	asServing = -1
 	// repeatMost is the longest pause between repeats of an order whose engines are
@@ -114,9 +122,11 @@
 
 	// Decider decides for one service. It is not safe for concurrent use.
 	Decider struct {
-		terms  Terms
-		needs  []pastNeed
-		course course
+		terms Terms
+		// follows: a holder before has seen how steps go, and ordered what they needed.
+		follows bool
+		needs   []pastNeed
+		course  course
 		// last is the need at the look before.
 		last need
 		// found is the most engines seen of each pool: nobody here ordered them.
@@ -134,8 +144,10 @@
 		// repeats are the orders whose engines are missing.
 		repeats map[cf.EnginePool]repeat
 		// unsure is when the need of open steps was last not known.
-		unsure  cf.Millis
-		began   cf.Millis
+		unsure cf.Millis
+		began  cf.Millis
+		// listed is when the first engine was seen, zero if none was.
+		listed  cf.Millis
 		changed cf.Millis
 		shrunk  cf.Millis
 	}
@@ -148,10 +160,11 @@
 	}
 )
 
-// NewDecider returns the decider of a duty that begins at now.
-func NewDecider(terms Terms, now cf.Millis) *Decider {
+// NewDecider returns the decider of a duty that begins at now; follows says that another had
+// it before.
+func NewDecider(terms Terms, now cf.Millis, follows bool) *Decider {
 	return &Decider{
-		terms: terms, found: map[cf.EnginePool]int{}, raised: map[cf.EnginePool]cf.Millis{}, refused: map[cf.EnginePool]cf.Millis{},
+		terms: terms, follows: follows, found: map[cf.EnginePool]int{}, raised: map[cf.EnginePool]cf.Millis{}, refused: map[cf.EnginePool]cf.Millis{},
 		repeats: map[cf.EnginePool]repeat{}, prior: map[cf.EnginePool]int{}, lower: map[cf.EnginePool]int{},
 		began: now, changed: now - grownRest, shrunk: now,
 	}
@@ -225,12 +238,16 @@
 			d.raised[o.EnginePool] = now
 		}
 	}
+	if len(demand.Engines) > 0 && d.listed == 0 {
+		d.listed = max(now, 1)
+	}
 	for pool, n := range demand.Engines {
 		d.found[pool] = max(d.found[pool], n)
 	}
 	p.domains = p.allDomains()
 	d.course.note(now, demand.Open, p.serving())
-	n := needOf(demand, d.terms.GroupValue)
+	seen := needOf(demand, d.terms.GroupValue)
+	n := seen
 	recent := d.note(now, n)
 	if n.unsure {
 		d.unsure = now
@@ -239,17 +256,20 @@
 	p.withdraw(&why)
 	p.maximum(&why)
 	p.minimum(&why)
-	p.grow(d.steady(n), &why)
+	if float64(p.total()) >= severe*n.engines*p.unopened() {
+		n = d.steady(n)
+	}
+	p.grow(n, &why)
 	if why.Cause == "" {
 		p.shrink(recent, &why)
 	}
-	d.last = n
+	d.last = seen
 	return p.orders(), why
 }
 
 // steady is the need that two looks agree on.
 func (d *Decider) steady(n need) need {
-	if d.last.least < n.least {
+	if d.last.engines < n.engines {
 		return d.last
 	}
 	return n
--- a/core/cfscale/decider_test.go
+++ b/core/cfscale/decider_test.go
@@ -87,7 +87,7 @@
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			d := cfscale.NewDecider(c.terms, 0)
+			d := cfscale.NewDecider(c.terms, 0, false)
 			seen := asking(0, 0, 5, 5, 5)
 			kept := follow(d, 0, 1000, seen, cfscale.Kept{}, c.refuse)
 			kept = follow(d, 1000, 9_000, c.demand, kept, c.refuse)
@@ -102,8 +102,8 @@
 // before needed, or those that were there are counted anew.
 func TestSuccessorKeepsWhatIsWanted(t *testing.T) {
 	terms := cfscale.Terms{Service: "s", Max: 32, Boot: 4000, SpotPrice: 0.18, EnginePrice: 0.0055, GroupValue: 2}
-	kept := follow(cfscale.NewDecider(terms, 0), 0, 3000, asking(2, 7500, 5, 5, 5), cfscale.Kept{}, nil)
-	after := follow(cfscale.NewDecider(terms, 3000), 3000, 30_000, asking(0, 0, 5, 5, 0), kept, nil)
+	kept := follow(cfscale.NewDecider(terms, 0, false), 0, 3000, asking(2, 7500, 5, 5, 5), cfscale.Kept{}, nil)
+	after := follow(cfscale.NewDecider(terms, 3000, true), 3000, 30_000, asking(0, 0, 5, 5, 0), kept, nil)
 	if before, now := counts(kept), counts(after); len(before) == 0 || len(now) != len(before) || now[pool("c", true)] != before[pool("c", true)] {
 		t.Errorf("wanted %v, after the change %v", before, now)
 	}
--- a/core/cfscale/plan.go
+++ b/core/cfscale/plan.go
@@ -118,7 +118,15 @@
 // when a deployment starts.
 func (p *plan) counted(pool cf.EnginePool) bool {
 	_, ordered := p.wanted[pool]
-	return ordered || p.now-p.began >= listedWithin
+	return ordered || p.listed()
+}
+
+// listed says whether the list shows all engines that were there before.
+func (p *plan) listed() bool {
+	if p.Decider.listed == 0 {
+		return p.now-p.began >= noneWithin
+	}
+	return p.now-p.Decider.listed >= listedWithin
 }
 
 // gone says whether a failure domain had engines and shows none: more that are ordered
@@ -210,6 +218,9 @@
 
 // minimum orders what the configuration asks for at the least.
 func (p *plan) minimum(why *Why) {
+	if !p.listed() {
+		return
+	}
 	for _, d := range p.domains {
 		for p.count(p.pool(d, false))+p.count(p.pool(d, true)) < min(p.terms.Min, p.terms.Max) {
 			pool := p.pool(d, true)
@@ -229,25 +240,27 @@
 // took, or by the estimate where those show nothing.
 func (p *plan) tooFew(n need, engines int) bool {
 	switch {
-	case p.course.worst() >= late:
-		return float64(engines) < growSlack*float64(spread(n.engines, len(p.domains)))
 	case p.course.roomy(p.serving()):
 		return false
-	case p.now < p.reclaimed || len(p.course.ended) < roomyEnded:
-		return float64(engines) < n.engines // nothing shows how steps go with what is left
+	case float64(engines) < severe*n.engines*p.unopened():
+		return true
+	case p.course.worst() >= late:
+		return float64(engines) < growSlack*float64(spread(n.engines, len(p.domains)))
+	case p.follows && len(p.course.ended) < roomyEnded && p.now >= p.reclaimed:
+		return float64(engines) < n.least // the holder before had ordered what it saw to be needed
 	default:
-		return float64(engines) < n.least
+		return float64(engines) < n.engines
 	}
 }
 
 // grow orders as many as are missing, at once: while one more earns more than it costs, and
 // as many as leave the need where a failure domain is lost.
 func (p *plan) grow(n need, why *Why) {
-	spread := spread(n.engines, len(p.domains))
 	why.Target = p.total()
 	if !p.tooFew(n, why.Target) {
 		return
 	}
+	want := growMore * float64(spread(n.engines*p.unopened(), len(p.domains)))
 	cause := CauseSteps
 	if p.now < p.reclaimed {
 		cause = CauseReclaim
@@ -258,7 +271,7 @@
 			break
 		}
 		earns, costs := n.another(p.total()), p.price(pool)
-		if p.total() >= spread && earns < costs || n.another(0) < costs {
+		if float64(p.total()) >= want && earns < costs || n.another(0) < costs {
 			break
 		}
 		why.Cause, why.Earns, why.Costs = cause, earns, costs
@@ -267,6 +280,20 @@
 	why.Target = p.total()
 }
 
+// unopened is how many times as much the steps of all models need as those that are open:
+// where engines are far too few from the start, all trainers begin at about one time, and an
+// engine that is ordered for the last of them is there a step later.
+func (p *plan) unopened() float64 {
+	models := map[cf.ModelName]bool{}
+	for _, s := range p.demand.Open {
+		models[s.Model] = true
+	}
+	if len(p.course.ended) > 0 || len(models) == 0 || p.demand.Models < len(models) {
+		return 1
+	}
+	return float64(p.demand.Models) / float64(len(models))
+}
+
 // shrink gives some engines back: those that the steps of the last while did not need.
 func (p *plan) shrink(recent need, why *Why) {
 	if !p.course.roomy(p.serving()) || p.now-p.began < recentSteps || p.unsure > 0 && p.now-p.unsure < remembered || p.now-p.changed < grownRest || p.now-p.shrunk < shrinkRest || p.now < p.reclaimed || p.booting() > 0 {
--- a/core/cfscale/replay_test.go
+++ b/core/cfscale/replay_test.go
@@ -87,7 +87,7 @@
 		decider: cfscale.NewDecider(cfscale.Terms{
 			Service: "s", Min: 1, Max: 32, Boot: replayBoot, SpotPrice: 0.18, DomainPrices: map[cf.FailureDomain]float64{"a": 1, "b": 1.1, "c": 0.9},
 			EnginePrice: 0.0055, GroupValue: 2,
-		}, 0),
+		}, 0, false),
 	}
 	for _, d := range replayDomains {
 		for range engines {
@@ -205,7 +205,7 @@
 
 func (r *replay) demand() cfscale.Demand {
 	d := cfscale.Demand{Demand: cfrollout.Demand{
-		Service: "s", Slots: replaySlots, Pace: 52, Engines: map[cf.EnginePool]int{}, Reclaimed: map[cf.EnginePool]int{},
+		Service: "s", Models: 4, Slots: replaySlots, Pace: 52, Engines: map[cf.EnginePool]int{}, Reclaimed: map[cf.EnginePool]int{},
 	}}
 	for _, e := range r.engines {
 		switch {
@@ -224,7 +224,7 @@
 	}
 	for _, s := range r.steps {
 		o := cfscale.OpenStep{Age: r.now - s.at, Due: replayDue}
-		o.Batch = s.id
+		o.Batch, o.Model = s.id, cf.ModelName(fmt.Sprint(s.trainer))
 		o.Waiting, o.Running = len(s.waiting), len(running[s])
 		for _, left := range s.groups {
 			if left > 0 {
@@ -371,3 +371,14 @@
 		t.Errorf("%d firm engines, as before", firm)
 	}
 }
+
+// BenchmarkLook is a look at four open steps before 48 engines, each of which asks for more.
+func BenchmarkLook(b *testing.B) {
+	r := newReplay(16, 1, true)
+	r.play(3_000)
+	demand := r.demand()
+	b.ReportAllocs()
+	for b.Loop() {
+		r.decider.Look(r.now, demand, r.kept)
+	}
+}
--- a/io/cfautoscale/cfautoscale.go
+++ b/io/cfautoscale/cfautoscale.go
@@ -39,7 +39,9 @@
 type (
 	// Options are what the duty works with.
 	Options struct {
-		Act     cf.Act
+		Act cf.Act
+		// Follows says that another had the duty before.
+		Follows bool
 		Store   cf.Store
 		Scaling cf.Scaling
 		// MayAct says whether the term allows an order now; Ordered notes that one is
@@ -150,7 +152,7 @@
 	for service, t := range terms {
 		decider := d.deciders[service]
 		if decider == nil {
-			decider = cfscale.NewDecider(t, now)
+			decider = cfscale.NewDecider(t, now, d.Follows)
 			d.deciders[service] = decider
 		}
 		decider.SetTerms(t)
--- a/io/cfcoord/demand.go
+++ b/io/cfcoord/demand.go
@@ -15,6 +15,11 @@
 		return cfscale.Demand{}, false
 	}
 	d := cfscale.Demand{Demand: c.planner.Demand(service)}
+	// The platform counts engines too that have not told their weights yet.
+	clear(d.Engines)
+	for _, t := range c.Site.Usable(service) {
+		d.Engines[cf.EnginePool{Service: service, Domain: t.Domain, Spot: t.Spot}]++
+	}
 	wall := cf.Now()
 	for _, s := range d.Steps {
 		open := cfscale.OpenStep{StepDemand: s, Age: max(wall-s.Accepted, 0)}
--- a/io/cfnode/autoscale.go
+++ b/io/cfnode/autoscale.go
@@ -17,15 +17,16 @@
 	duty    atomic.Pointer[cfautoscale.Duty]
 }
 
-// begin begins the duty under the coordinator's term.
-func (a *autoscale) begin(c *cfcoord.Coordinator) {
+// begin begins the duty under the coordinator's term; follows says that another instance, or
+// this one before it started again, had it.
+func (a *autoscale) begin(c *cfcoord.Coordinator, follows bool) {
 	if a == nil {
 		return
 	}
 	n := a.node
 	term, _ := n.candidate.MayOrder()
 	d := cfautoscale.New(cfautoscale.Options{
-		Act: cf.Act{Holder: n.settings.Entry, Fence: term}, Store: n.adapter.Store, Scaling: n.adapter.Scaling,
+		Act: cf.Act{Holder: n.settings.Entry, Fence: term}, Follows: follows, Store: n.adapter.Store, Scaling: n.adapter.Scaling,
 		MayAct: func() bool {
 			now, ok := n.candidate.MayOrder()
 			return ok && now == term
--- a/io/cfnode/node.go
+++ b/io/cfnode/node.go
@@ -383,7 +383,7 @@
 	n.coord.Store(c)
 	n.announce()
 	n.usage.begin(entryIDs(members), left)
-	n.autoscale.begin(c)
+	n.autoscale.begin(c, before.Entry != "")
 	c.Start(func(ctx context.Context) map[cf.ItemID]cfrollout.Text { return n.gatherTexts(ctx, before, members) })
 }
 
--- a/systemtest/autoscale_test.go
+++ b/systemtest/autoscale_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -85,6 +86,17 @@
 			s.waitCoordinator(c.id)
 			s.control.SetFaults(standin.ControlFaults{})
 		}},
+		{"holder frozen", func(s *site) {
+			eventually(s.t, "an order", func() bool { return len(s.control.Orders()) > 0 })
+			c := s.coordinator()
+			c.signal(syscall.SIGSTOP)
+			s.waitCoordinator(c.id)
+			eventually(s.t, "an order of the successor", func() bool {
+				orders := s.control.Orders()
+				return orders[len(orders)-1].Holder != c.id
+			})
+			c.signal(syscall.SIGCONT)
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
