--- a/core/cfscale/plan.go
+++ b/core/cfscale/plan.go
@@ -117,8 +117,14 @@
 // fewer takes some away, and those that were there first are listed one after the other
 // when a deployment starts.
 func (p *plan) counted(pool cf.EnginePool) bool {
-	_, ordered := p.wanted[pool]
-	return ordered || p.listed()
+	if _, ordered := p.wanted[pool]; ordered {
+		return true
+	}
+	shown := false // any such engines: a failure domain without may be out of sight
+	for other, n := range p.demand.Engines {
+		shown = shown || other.Spot == pool.Spot && n > 0
+	}
+	return p.listed() && (p.demand.Engines[pool] > 0 || !shown)
 }
 
 // listed says whether the list shows all engines that were there before.
