Order no reserve while steps are in time, and only what earns its cost

Change: nothing is ordered while the last steps ended by 0.7 of their time. Otherwise the reserve is bought only where steps are late or nothing is known yet, and each engine beyond the need has to earn its cost, but at the start where there are less than half. Engines are given back down to 1.2 times what steps needed to end by 0.85 of their time, with the reserve.

--- a/core/cfscale/cfscale.go
+++ b/core/cfscale/cfscale.go
@@ -38,8 +38,8 @@
 	shrinkRest cf.Millis = 10_000
 	shrinkMost int       = 2
 	// shrinkSlack is by how much what is there must exceed what was needed, beside the reserve
-	// for a failure domain. With 1.2 a replay at 0.4 of the usual load lost 9 of 746 groups.
-	shrinkSlack = 1.4
+	// for a failure domain: a group that is late costs what an engine does in minutes.
+	shrinkSlack = 1.2
 	// startShare is the part of the need below which engines are ordered before steps have
 	// shown how many they need: the estimate is of the unlucky case.
 	startShare = 0.8
@@ -49,6 +49,9 @@
 	// growMore is by how much more is ordered than is missing: the need swings with each
 	// step, and each order is a call to the store and some to the API.
 	growMore = 1.1
+	// shownMore is the same where steps are in time and few are missing: half of the reserve
+	// for one of three failure domains.
+	shownMore = 1.25
 	// growSlack is how far what is there may fall short, where steps are late, before more
 	// is ordered: the need swings with each step.
 	growSlack = 0.92
--- a/core/cfscale/course.go
+++ b/core/cfscale/course.go
@@ -16,8 +16,8 @@
 	// inTime it ends in time, and engines may go; by prompt it does not hold its trainer up,
 	// which hands in the next only then: engines are ordered for that.
 	late   = 0.8
-	inTime = 0.75
-	prompt = 0.6
+	inTime = 0.85
+	prompt = 0.7
 	// leastWait is the least part of its time that a step is taken to have for its items to
 	// begin: beyond that it is late for other reasons than too few engines.
 	leastWait = 0.25
--- a/core/cfscale/plan.go
+++ b/core/cfscale/plan.go
@@ -242,42 +242,53 @@
 	}
 }
 
-// tooFew says whether open steps will come late with so many engines: by what recent ones
-// have shown, or by the estimate before.
-func (p *plan) tooFew(n need, shown bool, engines int) bool {
+// missing returns how many engines there should be where open steps will come late with so
+// many, by what recent ones have shown, or by the estimate before; zero where enough are there.
+// urgent says that steps can't be in time at all.
+func (p *plan) missing(n need, shown bool, engines int) (want float64, urgent bool) {
+	worst, reserve := p.course.worst(p.now), growMore*float64(spread(n.engines, len(p.domains)))
 	least := startShare * n.engines
 	switch {
-	case p.now < p.reclaimed || shown && p.course.worst(p.now) >= late:
-		least = growSlack * float64(spread(n.engines, len(p.domains)))
+	case shown && worst >= late:
+		least, want = growSlack*reserve/growMore, reserve
+	case p.now < p.reclaimed:
+		least, want = n.engines, shownMore*n.engines // what recent steps took says nothing of what is left
+	case shown && worst < prompt:
+		return 0, false
 	case shown:
-		least = n.engines
+		least, want = n.engines, shownMore*n.engines
 	case p.follows:
-		least = n.least // the holder before had ordered what it saw to be needed
+		least, want = n.least, shownMore*n.engines // the holder before had ordered what it saw to be needed
 	default:
-		least = max(least, severe*n.engines*p.unopened())
+		urgent = float64(engines) < severe*n.engines
+		want = reserve
 	}
-	return float64(engines) < least
+	if float64(engines) >= least {
+		return 0, false
+	}
+	return want, urgent
 }
 
-// grow orders as many as are missing, at once: while one more earns more than it costs, and
-// as many as leave the need where a failure domain is lost.
+// grow orders as many as are missing, at once, while one more earns more than it costs.
 func (p *plan) grow(n need, shown bool, why *Why) {
 	why.Target = p.total()
-	if !p.tooFew(n, shown, why.Target) {
-		return
-	}
-	want := growMore * float64(spread(n.engines*p.unopened(), len(p.domains)))
+	n.engines, n.earns = n.engines*p.unopened(), n.earns*p.unopened()
+	want, urgent := p.missing(n, shown, why.Target)
 	cause := CauseSteps
 	if p.now < p.reclaimed {
 		cause = CauseReclaim
 	}
-	for {
+	for float64(p.total()) < want {
 		pool, ok := p.cheapest()
 		if !ok {
 			break
 		}
-		earns, costs := n.another(p.total()), p.price(pool)
-		if float64(p.total()) >= want && earns < costs || n.another(0) < costs {
+		worth := p.total()
+		if urgent {
+			worth = 0 // the estimate grows with the first steps
+		}
+		earns, costs := n.another(worth), p.price(pool)
+		if earns < costs {
 			break
 		}
 		why.Cause, why.Earns, why.Costs = cause, earns, costs
