Bound what is held for callers that read slowly

Cause: a target's answer of up to 64 MB is read whole, a page of results is encoded whole, and callers' connections have no write deadline. An instance with 184 MB is killed when enough callers don't read what they asked for, and with it the requests of all others. A stream whose caller does not read holds its target up.

Change: core/cfhold decides how many bytes of answers may be held in all (a quarter of memory.limit_mb) and for each caller (a quarter of that, more while as much is left for another one), and whose connection is cut: a caller that has read nothing for 20 s, a stream's caller that blocks it for 0.4 s at a look, and, where others wait for room, the slowest. io/cfroom accounts for answers and ends connections; a target's answer is read as room is granted, and one without room within 2 s is a 502. Connections are looked at each 0.5 s; only those with a write under way cost a system call. A cut connection is reset. Pages are shortened to the room there is and have a reserve. policy.no_hold_bounds turns it off.

--- /dev/null
+++ b/core/cfhold/cfhold.go
@@ -0,0 +1,374 @@
+// Package cfhold decides what an instance may hold of answers that callers read slowly:
+// how many bytes in all and for each caller, and whose answer is cut off where they are not
+// enough. It has no sockets and no clock.
+//
+// The load it answers: callers that read a kilobyte a second, or nothing, beside others.
+// Each holds an answer of up to some megabytes in the memory of an instance that is killed
+// at 184 MB, and with it every other caller's request.
+//
+// Usage:
+//
+//	l := cfhold.New(cfhold.BoundsOf(memory), cfhold.Policy{})
+//	h := l.Open(caller, cfhold.Answer)
+//	verdict := l.Take(h, n, now)       // before n bytes are read
+//	l.Look(h, write, acknowledged, now) // while a write to the caller is under way
+//	for _, c := range l.Cuts(now) {}    // those to be cut off
+//	l.Close(h)
+package cfhold
+
+import (
+	"cmp"
+	"slices"
+
+	cf "currantford"
+)
+
+const (
+	// heldPart is the part of the process's memory that answers may take, as a divisor.
+	// Bodies of requests may take another quarter, and the process itself needs about 40
+	// MB: together they stay under the limit from which the collector works harder.
+	heldPart = 4
+	// callerPart is the part of it that one caller may always take, as a divisor. It may
+	// take more while as much is left for another caller.
+	callerPart = 4
+	// reservePart is what is kept beside it for pages of results, so that trainers can
+	// read while answers to plain requests take all the room.
+	reservePart = 8
+
+	// StallAfter is how long a caller may read nothing while bytes wait for it. What it
+	// reads shows only when its machine announces room again: 8 KB apart with usual
+	// segments, which at a kilobyte a second is every 8 s, and up to 95 KB apart on
+	// loopback. It needs not be shorter: where room is short, the slowest go first.
+	StallAfter cf.Millis = 20000
+	// StreamAfter is how long one write of a stream may wait for its caller. The
+	// connection's buffers are full then, with more than a whole text, and what waits
+	// is held up at the target. With LookEvery it ends within a second, before the stream
+	// counts as stalled at its target (1.2 s).
+	StreamAfter cf.Millis = 400
+	// SlowAfter is how long a write must have waited before its caller's pace is judged.
+	SlowAfter cf.Millis = 900
+	// LookEvery is how often connections with a write under way are looked at.
+	LookEvery cf.Millis = 500
+	// WaitMost is how long an answer may wait for room; targets cut off what is unread
+	// for longer. It leaves time for two looks, after which the slowest are cut.
+	WaitMost cf.Millis = 2000
+)
+
+// Kinds of holds.
+const (
+	// Answer is a target's answer, or an item's body.
+	Answer Kind = iota
+	// Page is a page of results; it may use the reserve.
+	Page
+	// Stream is an answer that is passed on as it arrives.
+	Stream
+)
+
+// Verdicts on a take.
+const (
+	// Granted: the bytes are held now.
+	Granted Verdict = iota
+	// Wait: others are in the way.
+	Wait
+	// Never: it is over the bound by itself.
+	Never
+)
+
+// Reasons of cuts.
+const (
+	// Stalled: the caller has read nothing for StallAfter.
+	Stalled Reason = "stalled"
+	// Slowest: others need the room, and this one would be in the way for longer than
+	// they can wait.
+	Slowest Reason = "slowest"
+	// SlowStream: the caller holds up a stream at its target.
+	SlowStream Reason = "slow_stream"
+)
+
+type (
+	// Caller is whose answers count together.
+	Caller string
+	// Kind is what is held.
+	Kind int
+	// Verdict says whether bytes may be held.
+	Verdict int
+	// Reason says why an answer is cut off.
+	Reason string
+
+	// Bounds limit what is held, in bytes. A Total of zero is no bound.
+	Bounds struct {
+		Total int64
+		// PerCaller is what one caller may take where no more than as much is left for
+		// others.
+		PerCaller int64
+		// Reserve is what pages may take beyond Total.
+		Reserve int64
+	}
+
+	// Policy turns the decision off, to measure what it brings.
+	Policy struct {
+		Off bool
+	}
+
+	// Hold is one answer, from before it is read until its caller has it.
+	Hold struct {
+		id     uint64
+		caller Caller
+		kind   Kind
+		bytes  int64
+		// wants is what waits for room, zero if nothing does.
+		wants int64
+		cut   bool
+
+		// write is the write to the caller that is under way, as numbered by its
+		// connection; blocked is when it was first seen, zero if none is.
+		write   uint64
+		blocked cf.Millis
+		// acked are the bytes that the caller's machine has acknowledged, first as of
+		// blocked; moved is when that changed last.
+		acked, first int64
+		looked       cf.Millis
+		moved        cf.Millis
+	}
+
+	// Cut is an answer that is to be cut off.
+	Cut struct {
+		Hold   *Hold
+		Reason Reason
+		Caller Caller
+		Bytes  int64
+		// Rate is how much its caller read, in bytes a second, in the time Blocked.
+		Rate    int64
+		Blocked cf.Millis
+	}
+
+	// Ledger is what an instance holds. It is not safe for concurrent use.
+	Ledger struct {
+		bounds  Bounds
+		policy  Policy
+		total   int64
+		last    uint64
+		callers map[Caller]int64
+		// blocked and waiting are those holds of which it is so; both are empty while
+		// callers read at a usual pace.
+		blocked, waiting map[*Hold]bool
+	}
+
+	// plan is what is held as it will be after some cuts.
+	plan struct {
+		l       *Ledger
+		total   int64
+		callers map[Caller]int64
+	}
+)
+
+// BoundsOf returns the bounds of a process with a memory limit in bytes, zero if it has none.
+func BoundsOf(memory int64) Bounds {
+	total := memory / heldPart
+	return Bounds{Total: total, PerCaller: total / callerPart, Reserve: total / reservePart}
+}
+
+// New returns a ledger that holds nothing.
+func New(b Bounds, p Policy) *Ledger {
+	return &Ledger{bounds: b, policy: p, callers: map[Caller]int64{}, blocked: map[*Hold]bool{}, waiting: map[*Hold]bool{}}
+}
+
+// Open begins an answer.
+func (l *Ledger) Open(c Caller, k Kind) *Hold {
+	l.last++
+	return &Hold{id: l.last, caller: c, kind: k}
+}
+
+// Held returns how many bytes are held.
+func (l *Ledger) Held() int64 { return l.total }
+
+// Refuses says whether a caller's next request is turned away: what it has not read yet is
+// over its part, and others need the room.
+func (l *Ledger) Refuses(c Caller) bool {
+	return l.bounded() && l.total >= l.bounds.Total-l.bounds.PerCaller && l.callers[c] >= l.bounds.PerCaller
+}
+
+// Take takes n more bytes for an answer. One that must wait counts as waiting until it is
+// granted or closed.
+func (l *Ledger) Take(h *Hold, n int64) Verdict {
+	_, v := l.TakeUpTo(h, n, n)
+	return v
+}
+
+// TakeUpTo takes between least and most bytes, as many as there is room for.
+func (l *Ledger) TakeUpTo(h *Hold, least, most int64) (int64, Verdict) {
+	now := plan{l, l.total, l.callers}
+	var n int64
+	switch {
+	case now.fits(h, most):
+		n = most
+	case h.bytes+least > l.limit(h):
+		l.GiveUp(h)
+		return 0, Never
+	case !now.fits(h, least):
+		h.wants = least
+		l.waiting[h] = true
+		return 0, Wait
+	default:
+		n = max(least, min(most, l.limit(h)-l.total, max(l.bounds.PerCaller-l.callers[h.caller], l.bounds.Total-l.bounds.PerCaller-l.total)))
+	}
+	l.GiveUp(h)
+	h.bytes += n
+	l.total += n
+	l.callers[h.caller] += n
+	return n, Granted
+}
+
+// GiveUp notes that an answer waits for room no longer.
+func (l *Ledger) GiveUp(h *Hold) {
+	h.wants = 0
+	delete(l.waiting, h)
+}
+
+// Close gives an answer's bytes back.
+func (l *Ledger) Close(h *Hold) {
+	l.GiveUp(h)
+	delete(l.blocked, h)
+	l.total -= h.bytes
+	if l.callers[h.caller] -= h.bytes; l.callers[h.caller] == 0 {
+		delete(l.callers, h.caller)
+	}
+	h.bytes = 0
+}
+
+// Look notes that a write to an answer's caller is under way, and how many bytes the caller's
+// machine has acknowledged on the connection.
+func (l *Ledger) Look(h *Hold, write uint64, acked int64, now cf.Millis) {
+	if h.blocked == 0 || h.write != write {
+		h.write, h.blocked, h.moved, h.first, h.acked = write, now, now, acked, acked
+	}
+	if acked != h.acked {
+		h.acked, h.moved = acked, now
+	}
+	h.looked = now
+	l.blocked[h] = true
+}
+
+// Rest notes that no write to an answer's caller is under way.
+func (l *Ledger) Rest(h *Hold) {
+	h.blocked = 0
+	delete(l.blocked, h)
+}
+
+// Cuts returns the answers to be cut off, each once. Their bytes count until they are closed.
+func (l *Ledger) Cuts(now cf.Millis) []Cut {
+	if l.policy.Off || len(l.blocked) == 0 {
+		return nil
+	}
+	var cuts []Cut
+	var slow []*Hold
+	after := plan{l, l.total, map[Caller]int64{}}
+	for c, n := range l.callers {
+		after.callers[c] = n
+	}
+	cut := func(h *Hold, r Reason) {
+		h.cut = true
+		after.free(h)
+		cuts = append(cuts, Cut{Hold: h, Reason: r, Caller: h.caller, Bytes: h.bytes, Rate: h.rate(), Blocked: now - h.blocked})
+	}
+	for _, h := range l.sorted(l.blocked) {
+		switch {
+		case now-h.looked > 2*LookEvery:
+			l.Rest(h) // its connection has ended
+		case h.cut:
+			after.free(h) // it ends at any moment
+		case h.kind == Stream && now-h.blocked >= StreamAfter:
+			cut(h, SlowStream)
+		case now-h.moved >= StallAfter:
+			cut(h, Stalled)
+		case h.inTheWay(now):
+			slow = append(slow, h)
+		}
+	}
+	if len(l.waiting) == 0 {
+		return cuts
+	}
+	slices.SortStableFunc(slow, l.before)
+	for _, w := range l.sorted(l.waiting) {
+		for !after.fits(w, w.wants) {
+			i := slices.IndexFunc(slow, func(h *Hold) bool { return !h.cut && after.helps(w, h) })
+			if i < 0 {
+				break
+			}
+			cut(slow[i], Slowest)
+		}
+		after.total += w.wants
+		after.callers[w.caller] += w.wants
+	}
+	return cuts
+}
+
+// before orders those that may be cut: callers over their part first, then by pace, and
+// of those that show none yet the one that has shown none for longest.
+func (l *Ledger) before(a, b *Hold) int {
+	over := func(h *Hold) int {
+		if l.callers[h.caller] > l.bounds.PerCaller {
+			return 0
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(over(a), over(b)), cmp.Compare(a.rate(), b.rate()), cmp.Compare(a.blocked, b.blocked))
+}
+
+// sorted returns holds by age.
+func (l *Ledger) sorted(holds map[*Hold]bool) []*Hold {
+	out := make([]*Hold, 0, len(holds))
+	for h := range holds {
+		out = append(out, h)
+	}
+	slices.SortFunc(out, func(a, b *Hold) int { return cmp.Compare(a.id, b.id) })
+	return out
+}
+
+func (l *Ledger) bounded() bool { return !l.policy.Off && l.bounds.Total > 0 }
+
+// limit returns what may be held in all with an answer of that kind.
+func (l *Ledger) limit(h *Hold) int64 {
+	if h.kind == Page {
+		return l.bounds.Total + l.bounds.Reserve
+	}
+	return l.bounds.Total
+}
+
+// inTheWay says whether an answer's caller will not have it within the time for which others
+// can wait.
+func (h *Hold) inTheWay(now cf.Millis) bool {
+	if now-h.blocked < SlowAfter || h.looked == h.blocked {
+		return false
+	}
+	return h.bytes-(h.acked-h.first) > h.rate()*int64(WaitMost)/1000
+}
+
+// rate returns the pace of an answer's caller in bytes a second.
+func (h *Hold) rate() int64 {
+	if h.looked <= h.blocked {
+		return 0
+	}
+	return (h.acked - h.first) * 1000 / int64(h.looked-h.blocked)
+}
+
+// fits says whether n more bytes may be taken for an answer.
+func (p *plan) fits(h *Hold, n int64) bool {
+	return !p.l.bounded() || p.total+n <= p.l.limit(h) && p.inPart(h, n)
+}
+
+// inPart says whether n more bytes are within the part of an answer's caller, or leave a part
+// for another one.
+func (p *plan) inPart(h *Hold, n int64) bool {
+	return p.callers[h.caller]+n <= p.l.bounds.PerCaller || p.total+n <= p.l.bounds.Total-p.l.bounds.PerCaller
+}
+
+// helps says whether a cut brings an answer that waits nearer to its room.
+func (p *plan) helps(w, h *Hold) bool {
+	return h.bytes > 0 && (p.total+w.wants > p.l.limit(w) || h.caller == w.caller)
+}
+
+func (p *plan) free(h *Hold) {
+	p.total -= h.bytes
+	p.callers[h.caller] -= h.bytes
+}
--- /dev/null
+++ b/core/cfhold/cfhold_test.go
@@ -0,0 +1,181 @@
+package cfhold_test
+
+import (
+	"fmt"
+	"testing"
+
+	cf "currantford"
+	"currantford/core/cfhold"
+)
+
+const (
+	memory = 184 << 20
+	tick   = 50 // ms
+	kernel = 256 << 10
+)
+
+type (
+	// answer is one on its way to a caller, in the replay.
+	answer struct {
+		hold    *cfhold.Hold
+		size    int64
+		rate    int64 // bytes a second
+		read    int64
+		since   cf.Millis
+		granted bool
+		slow    bool
+	}
+
+	outcome struct {
+		served, failed, slowCut, slowLeft int
+		most                              int64
+	}
+)
+
+// play replays an instance before which some callers read a kilobyte a second, each of an
+// answer of its own, and others 4 MB a second.
+func play(p cfhold.Policy, slowEvery cf.Millis, until cf.Millis) outcome {
+	l := cfhold.New(cfhold.BoundsOf(memory), p)
+	var under []*answer
+	var out outcome
+	for now := cf.Millis(0); now < until; now += tick {
+		if now%slowEvery == 0 {
+			h := l.Open(cfhold.Caller(fmt.Sprint("slow", now%7)), cfhold.Answer)
+			under = append(under, &answer{hold: h, size: 900 << 10, rate: 1 << 10, since: now, slow: true})
+		}
+		if now%100 == 0 {
+			under = append(under, &answer{hold: l.Open("other", cfhold.Answer), size: 300 << 10, rate: 4 << 20, since: now})
+		}
+		kept := under[:0]
+		for _, a := range under {
+			if a.step(l, now, &out) {
+				kept = append(kept, a)
+			}
+		}
+		under = kept
+		if now%cfhold.LookEvery == 0 {
+			under = look(l, under, now, &out)
+		}
+		out.most = max(out.most, l.Held())
+	}
+	out.slowLeft = len(under)
+	return out
+}
+
+// step goes on with an answer; false when it has ended.
+func (a *answer) step(l *cfhold.Ledger, now cf.Millis, out *outcome) bool {
+	if !a.granted {
+		if a.granted = l.Take(a.hold, a.size) == cfhold.Granted; !a.granted && now-a.since > cfhold.WaitMost {
+			l.Close(a.hold)
+			if !a.slow {
+				out.failed++
+			}
+			return false
+		}
+		return true
+	}
+	a.read += a.rate * tick / 1000
+	if a.read+kernel < a.size {
+		return true
+	}
+	l.Close(a.hold)
+	if !a.slow {
+		out.served++
+	}
+	return false
+}
+
+// look does what an instance does each LookEvery.
+func look(l *cfhold.Ledger, under []*answer, now cf.Millis, out *outcome) []*answer {
+	byHold := map[*cfhold.Hold]*answer{}
+	for _, a := range under {
+		byHold[a.hold] = a
+		if a.granted {
+			l.Look(a.hold, 1, a.read, now)
+		}
+	}
+	for _, c := range l.Cuts(now) {
+		if byHold[c.Hold].slow {
+			out.slowCut++
+		} else {
+			out.failed++
+		}
+		l.Close(c.Hold)
+		delete(byHold, c.Hold)
+	}
+	kept := under[:0]
+	for _, a := range under {
+		if byHold[a.hold] != nil {
+			kept = append(kept, a)
+		}
+	}
+	return kept
+}
+
+// Symptom: an instance is killed for its memory while callers read a kilobyte a second.
+// Load: five such callers a second, for a minute, beside others. Without the decision the
+// bound is passed.
+func TestSlowReadersLeaveRoomForOthers(t *testing.T) {
+	bounds := cfhold.BoundsOf(memory)
+	got := play(cfhold.Policy{}, 200, 60000)
+	t.Logf("%+v", got)
+	if got.failed > 0 || got.served < 590 || got.most > bounds.Total || got.slowCut == 0 {
+		t.Errorf("%+v; want all others served and at most %d bytes held", got, bounds.Total)
+	}
+	if off := play(cfhold.Policy{Off: true}, 200, 60000); off.most <= bounds.Total {
+		t.Errorf("without the decision %+v: the load does not call for it", off)
+	}
+}
+
+// Symptom guarded against: callers are cut off for their pace alone, while there is room.
+func TestSteadyReadersAreServedWhileThereIsRoom(t *testing.T) {
+	if got := play(cfhold.Policy{}, 2000, 60000); got.slowCut > 0 || got.failed > 0 || got.slowLeft < 30 {
+		t.Errorf("%+v; want none cut", got)
+	}
+}
+
+// Each decision by itself: who is cut, and what is granted.
+func TestDecisions(t *testing.T) {
+	const mb = 1 << 20
+	open := func(l *cfhold.Ledger, c cfhold.Caller, k cfhold.Kind, n int64) *cfhold.Hold {
+		h := l.Open(c, k)
+		if v := l.Take(h, n); v != cfhold.Granted {
+			t.Errorf("%d bytes: %v", n, v)
+		}
+		return h
+	}
+	// A caller that reads nothing is cut once, without any bound too.
+	l := cfhold.New(cfhold.Bounds{}, cfhold.Policy{})
+	h := open(l, "a", cfhold.Answer, 999*mb)
+	cuts := 0
+	for now := cf.Millis(0); now <= 2*cfhold.StallAfter; now += cfhold.LookEvery {
+		l.Look(h, 1, 5000, now)
+		cuts += len(l.Cuts(now))
+	}
+	if cuts != 1 {
+		t.Errorf("a caller that reads nothing was cut %d times", cuts)
+	}
+	// A write that has ended starts anew.
+	h = open(l, "a", cfhold.Stream, 0)
+	for now := cf.Millis(0); now < 5000; now += cfhold.LookEvery {
+		l.Look(h, uint64(now), 5000, now)
+		if len(l.Cuts(now)) > 0 {
+			t.Error("a stream whose writes end was cut")
+		}
+	}
+	// One caller leaves a part for others.
+	l = cfhold.New(cfhold.Bounds{Total: 16 * mb, PerCaller: 4 * mb, Reserve: 2 * mb}, cfhold.Policy{})
+	open(l, "a", cfhold.Answer, 12*mb)
+	if v := l.Take(l.Open("a", cfhold.Answer), 1*mb); v != cfhold.Wait || !l.Refuses("a") || l.Refuses("b") {
+		t.Errorf("a caller over its part: %v, refused %t", v, l.Refuses("a"))
+	}
+	open(l, "b", cfhold.Answer, 2*mb)
+	open(l, "c", cfhold.Answer, 2*mb)
+	// Pages have a reserve, and are shortened to it.
+	if n, v := l.TakeUpTo(l.Open("d", cfhold.Page), 1*mb, 3*mb); v != cfhold.Granted || n != 2*mb {
+		t.Errorf("a page got %d bytes, %v", n, v)
+	}
+	if v := l.Take(l.Open("d", cfhold.Answer), 17*mb); v != cfhold.Never {
+		t.Errorf("an answer over the bound: %v", v)
+	}
+}
--- a/ingress.go
+++ b/ingress.go
@@ -32,6 +32,9 @@
 		// ReserveBody takes room in memory for a body of n bytes, -1 if its
 		// length is not said, until release is called.
 		ReserveBody(n int64) (release func(), err error)
+		// OpenRoom begins the account of what an answer to a caller about a batch takes of
+		// the memory.
+		OpenRoom(ctx context.Context, who Credentials, id BatchID) Room
 		// TakesBatches says whether a request is the submission of a batch.
 		TakesBatches(host, path string) bool
 		// Authenticate says whether a request may go on that is not read yet. It
--- a/io/cfingress/forward.go
+++ b/io/cfingress/forward.go
@@ -17,6 +17,7 @@
 	"currantford/core/cfquarantine"
 	"currantford/core/cfsite"
 	"currantford/io/cflog"
+	"currantford/io/cfroom"
 )
 
 const (
@@ -57,6 +58,7 @@
 	// uninformed: it is not known here yet which requests are held.
 	uninformed bool
 	use        use
+	room       *cfroom.Room
 }
 
 // Forward answers a request by sending it to a target of its route.
@@ -85,6 +87,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.attempts.Left(cf.Uptime()).Duration())
 	defer cancel()
+	if f.room, ok = f.openRoom(ctx, w); !ok {
+		return
+	}
+	defer f.room.Close()
 	if route.Kind == cfsite.KindStream {
 		f.stream(ctx, w)
 		return
@@ -137,6 +143,9 @@
 		select {
 		case a := <-f.results:
 			f.pending--
+			if f.withoutRoom(w, a) {
+				return
+			}
 			if f.take(a) {
 				f.pass(w, a)
 				return
@@ -210,7 +219,7 @@
 func (f *forwarding) call(now cf.Millis) cf.TargetCall {
 	return cf.TargetCall{
 		ID: f.req.ID, Method: f.req.Method, Host: f.req.Host, Path: f.req.Path, Header: f.req.Header, Body: f.req.Body,
-		Timeout: f.attempts.Left(now), FreshConnection: !f.route.Idempotent(),
+		Timeout: f.attempts.Left(now), FreshConnection: !f.route.Idempotent(), Room: f.room,
 		Organisation: f.access.Organisation, Ranked: f.access.Ranked, Urgency: cfaccess.Urgency(f.access, cfaccess.Live),
 	}
 }
@@ -239,7 +248,7 @@
 	switch {
 	case a.err == nil && !a.answer.NotRun:
 		f.in.Guard.Answered(f.key, a.target, a.sent)
-	case a.err != nil && !a.left && !errors.Is(a.err, cf.ErrNotRun):
+	case a.err != nil && !a.left && !errors.Is(a.err, cf.ErrNotRun) && !errors.Is(a.err, cf.ErrNoRoom):
 		f.in.Guard.Lost(f.req.ID, f.key, a.target, a.answer.Heard)
 	default:
 		f.in.Guard.Dropped(f.key, a.target)
@@ -281,12 +290,13 @@
 	}
 	h.Set("Content-Length", strconv.Itoa(len(a.answer.Body)))
 	w.WriteHeader(a.answer.Status)
+	var err error
 	if f.req.Method != http.MethodHead {
-		_, _ = w.Write(a.answer.Body) // a caller that has gone is seen by the server
+		_, err = w.Write(a.answer.Body)
 	}
 	f.in.Log.Info("request_answered", zap.String("request_id", string(f.req.ID)), zap.String("target", string(a.target.ID)),
 		zap.Int("status", a.answer.Status), zap.Int64("took_ms", int64(cf.Uptime()-f.req.Received)))
-	f.in.count("forward", "answered", f.req)
+	f.in.count("forward", f.delivered(err), f.req)
 }
 
 // settle ends a request for which no attempt is under way or left.
--- a/io/cfingress/ingress.go
+++ b/io/cfingress/ingress.go
@@ -21,6 +21,7 @@
 	"currantford/core/cfmember"
 	"currantford/core/cfsite"
 	"currantford/io/cfguard"
+	"currantford/io/cfroom"
 )
 
 const (
@@ -66,6 +67,8 @@
 		// Count counts requests of an organisation that began to run at an Uptime; nil
 		// where nobody asks.
 		Count func(o cf.Organisation, began cf.Millis, requests int64)
+		// Rooms bounds what answers take of the memory; nil: nothing does.
+		Rooms *cfroom.Rooms
 		// ValueBytes is the store's limit for one object.
 		ValueBytes int64
 		// MemoryBytes is the process's memory limit, zero if there is none.
--- /dev/null
+++ b/io/cfingress/rooms.go
@@ -0,0 +1,83 @@
+package cfingress
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/core/cfaccess"
+	"currantford/core/cfbalance"
+	"currantford/core/cfhold"
+	"currantford/core/cfsite"
+	"currantford/io/cfroom"
+)
+
+// unreadRetry is when a caller should come back that has not read what it asked for before:
+// one that reads slowly is cut off within two seconds where others need the room.
+const unreadRetry cf.Millis = 2000
+
+// OpenRoom implements currantford.Ingress.
+func (in *Ingress) OpenRoom(ctx context.Context, who cf.Credentials, id cf.BatchID) cf.Room {
+	var access cf.Access
+	if config := in.Site.Config(); config != nil {
+		_, access = config.Directory.Judge(who.Keys, cfaccess.Use{}, in.belief().View)
+	}
+	return in.Rooms.Open(ctx, holderOf(access, who), cfhold.Page, string(id))
+}
+
+// holderOf says whose answers count together.
+func holderOf(access cf.Access, who cf.Credentials) cfhold.Caller {
+	if access.Organisation != "" {
+		return cfhold.Caller("o " + access.Organisation)
+	}
+	return cfhold.Caller("m " + who.Machine)
+}
+
+// openRoom opens the room of a request's answers. It returns false where the request is
+// refused, as its caller does not read what it asked for before.
+func (f *forwarding) openRoom(ctx context.Context, w http.ResponseWriter) (*cfroom.Room, bool) {
+	caller, kind := holderOf(f.access, f.req.Who), cfhold.Answer
+	if f.route.Kind == cfsite.KindStream {
+		kind = cfhold.Stream
+	}
+	if f.in.Rooms.Refuses(caller) {
+		f.refuse(w, unreadRetry, "earlier answers to this caller are not read")
+		return nil, false
+	}
+	return f.in.Rooms.Open(ctx, caller, kind, string(f.req.ID)), true
+}
+
+// withoutRoom ends a request whose answer could not be held. It has run, so it is not
+// refused; and it is not sent again, as another answer would be as large.
+func (f *forwarding) withoutRoom(w http.ResponseWriter, a attempt) bool {
+	if !errors.Is(a.err, cf.ErrNoRoom) {
+		return false
+	}
+	f.leave(a)
+	f.abandon(false)
+	f.fail(w, http.StatusBadGateway, cf.ErrNoRoom.Error())
+	return true
+}
+
+// leave ends an attempt for a reason that is not its target's.
+func (f *forwarding) leave(a attempt) {
+	f.use.ended(a.target.ID, cfbalance.Abandoned, a.answer.Wrote)
+	f.in.balancer.Done(a.target.ID, cfbalance.Abandoned, a.answer.Load, a.took, cf.Uptime())
+	f.in.Guard.Dropped(f.key, a.target)
+}
+
+// delivered notes that an answer was written to its caller, or why it was not.
+func (f *forwarding) delivered(err error) (outcome string) {
+	switch {
+	case err == nil:
+		return "answered"
+	case f.room.Cut():
+		f.in.Log.Warn("answer_cut_off", zap.String("request_id", string(f.req.ID)), zap.Int64("after_ms", int64(cf.Uptime()-f.req.Received)))
+		return "caller_slow"
+	default:
+		return "caller_gone"
+	}
+}
--- a/io/cfingress/stream.go
+++ b/io/cfingress/stream.go
@@ -24,6 +24,9 @@
 	started  bool
 	last     cf.EventID
 	watchdog *time.Timer
+	// failed: the caller takes no more; its connection has ended, or was ended as it
+	// read too slowly.
+	failed bool
 }
 
 func (s *streamSink) Start(a cf.TargetAnswer) error {
@@ -35,7 +38,7 @@
 		s.w.Header()[k] = v
 	}
 	s.w.WriteHeader(a.Status)
-	return s.flush.Flush()
+	return s.written(s.flush.Flush())
 }
 
 func (s *streamSink) Event(ev cf.StreamEvent) error {
@@ -47,9 +50,15 @@
 	}
 	s.last = ev.ID
 	if _, err := s.w.Write(ev.Raw); err != nil {
-		return err
+		return s.written(err)
 	}
-	return s.flush.Flush()
+	return s.written(s.flush.Flush())
+}
+
+// written notes how a write to the caller ended.
+func (s *streamSink) written(err error) error {
+	s.failed = s.failed || err != nil
+	return err
 }
 
 // stream forwards a request whose answer is a stream of events, and resumes
@@ -73,6 +82,13 @@
 			f.in.count("stream", "answered", f.req)
 			return
 		}
+		if sink.failed {
+			f.leave(a) // the fault is not its target's, and no other can go on
+			f.breakOff(sink)
+		}
+		if f.withoutRoom(w, a) {
+			return
+		}
 		if f.take(a) { // a refusal of the target's own, such as 400
 			if sink.started {
 				// Passed on now, it would stand among the events of a
@@ -121,7 +137,11 @@
 
 // breakOff closes the caller's connection in the midst of its answer.
 func (f *forwarding) breakOff(sink *streamSink) {
-	f.in.Log.Warn("stream_broken_off", zap.String("request_id", string(f.req.ID)), zap.Int64("events", int64(sink.last)))
-	f.in.count("stream", "broken_off", f.req)
+	f.in.Log.Warn("stream_broken_off", zap.String("request_id", string(f.req.ID)), zap.Int64("events", int64(sink.last)), zap.Bool("caller_slow", f.room.Cut()))
+	outcome := "broken_off"
+	if f.room.Cut() {
+		outcome = "caller_slow"
+	}
+	f.in.count("stream", outcome, f.req)
 	panic(http.ErrAbortHandler)
 }
--- a/io/cfnode/process.go
+++ b/io/cfnode/process.go
@@ -15,7 +15,9 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
+	"currantford/core/cfhold"
 	"currantford/io/cflog"
+	"currantford/io/cfroom"
 )
 
 const (
@@ -90,7 +92,7 @@
 		p.others = append(p.others, srv)
 	}
 	if s.Listen.Callers != "" {
-		srv, err := Serve(s.Listen.Callers, h.Callers, idle)
+		srv, err := listen(s.Listen.Callers, h.Callers, idle, node.ingress.Rooms)
 		if err != nil {
 			return nil, err
 		}
@@ -102,6 +104,13 @@
 	return p, nil
 }
 
+// newRooms returns what bounds the answers that a process holds.
+func newRooms(s Settings, reg prometheus.Registerer, log *zap.Logger) *cfroom.Rooms {
+	return cfroom.New(cfroom.Options{
+		MemoryBytes: s.Memory.LimitMB << 20, Policy: cfhold.Policy{Off: s.Policy.NoHoldBounds}, Metrics: cfroom.NewMetrics(reg), Log: log,
+	})
+}
+
 // metricsHandler serves the metrics at any path, and profiles at their usual one if they are
 // asked for: they tell what the process holds in memory.
 func metricsHandler(reg *prometheus.Registry, profiles bool) http.Handler {
--- a/io/cfnode/server.go
+++ b/io/cfnode/server.go
@@ -10,9 +10,12 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 
 	cf "currantford"
+	"currantford/core/cfhold"
 	"currantford/io/cflog"
+	"currantford/io/cfroom"
 )
 
 const (
@@ -39,7 +42,8 @@
 		http    *http.Server
 		ln      net.Listener
 		idle    func() cf.Millis
-		closing atomic.Bool // answers end their connections
+		rooms   *cfroom.Rooms // nil where slow readers are not looked at
+		closing atomic.Bool   // answers end their connections
 
 		mu    sync.Mutex
 		conns map[*conn]cf.Millis // since when idle, zero while busy
@@ -56,6 +60,9 @@
 		mu      sync.Mutex
 		busy    bool // bytes of a request have been read
 		closing bool // nothing more is read
+		// writes counts the beginnings and the ends of writes: odd while one is under way.
+		writes atomic.Uint64
+		reader *cfroom.Conn
 	}
 
 	// listener hands out connections as conn.
@@ -68,7 +75,51 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c}, nil
+	out := &conn{Conn: c}
+	out.reader = &cfroom.Conn{Delivery: out}
+	return out, nil
+}
+
+// Write implements net.Conn. A write that waits for the caller to read is found by Look, at
+// no cost to the others.
+func (c *conn) Write(b []byte) (int, error) {
+	c.writes.Add(1)
+	defer c.writes.Add(1)
+	return c.Conn.Write(b)
+}
+
+// Writing implements cfroom.Delivery.
+func (c *conn) Writing() (uint64, bool) {
+	n := c.writes.Load()
+	return n, n%2 == 1
+}
+
+// Acknowledged implements cfroom.Delivery.
+func (c *conn) Acknowledged() int64 {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return 0
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var acked int64
+	_ = raw.Control(func(fd uintptr) { // it fails where the connection has been closed
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			acked = int64(info.Bytes_acked)
+		}
+	})
+	return acked
+}
+
+// Cut implements cfroom.Delivery: the connection is reset, so that an answer without a
+// length does not look complete, and the system gives its buffers back at once.
+func (c *conn) Cut() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // it fails where the connection has been closed
+	}
+	_ = c.SetWriteDeadline(time.Unix(1, 0))
 }
 
 // Read implements net.Conn. Bytes that arrive after the connection was closed
@@ -112,12 +163,23 @@
 // Serve listens on addr. idle tells the longest that a connection may be
 // idle, zero when it is not known.
 func Serve(addr string, h http.Handler, idle func() cf.Millis) (*Server, error) {
+	return listen(addr, h, idle, nil)
+}
+
+// listen is Serve; where rooms are given it looks for callers that read slowly.
+func listen(addr string, h http.Handler, idle func() cf.Millis, rooms *cfroom.Rooms) (*Server, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s", addr)
 	}
-	s := &Server{ln: ln, idle: idle, conns: map[*conn]cf.Millis{}, stop: make(chan struct{})}
+	s := &Server{ln: ln, idle: idle, rooms: rooms, conns: map[*conn]cf.Millis{}, stop: make(chan struct{})}
 	s.http = &http.Server{Handler: cflog.Handler(s.ending(h)), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ConnState: s.track}
+	if rooms != nil {
+		s.http.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
+			return cfroom.WithConn(ctx, nc.(*conn).reader)
+		}
+		s.wg.Go(s.look)
+	}
 	s.wg.Go(func() { _ = s.http.Serve(listener{ln}) }) // ends with the listener
 	s.wg.Go(s.reap)
 	return s, nil
@@ -172,6 +234,29 @@
 	}
 }
 
+// look looks for callers that read slowly.
+func (s *Server) look() {
+	ticker := time.NewTicker(cfhold.LookEvery.Duration())
+	defer ticker.Stop()
+	var busy []*cfroom.Conn
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-ticker.C:
+		}
+		busy = busy[:0]
+		s.mu.Lock()
+		for c, since := range s.conns {
+			if since == 0 {
+				busy = append(busy, c.reader)
+			}
+		}
+		s.mu.Unlock()
+		s.rooms.Look(busy)
+	}
+}
+
 // closeWhere closes the connections that choose picks, if they are idle.
 func (s *Server) closeWhere(choose func(since cf.Millis) bool) {
 	s.mu.Lock()
--- a/io/cfnode/settings.go
+++ b/io/cfnode/settings.go
@@ -55,6 +55,8 @@
 		NoRunners bool `json:"no_runners"`
 		// NoQuarantine sends requests on that have crashed targets.
 		NoQuarantine bool `json:"no_quarantine"`
+		// NoHoldBounds holds answers without a bound, and waits for slow callers.
+		NoHoldBounds bool `json:"no_hold_bounds"`
 	}
 
 	// Listen holds the addresses to serve at, IP:PORT each. An empty one is
--- /dev/null
+++ b/io/cfroom/cfroom.go
@@ -0,0 +1,341 @@
+// Package cfroom carries out cfhold's decisions: it accounts for what answers take of the
+// process's memory, makes those that find no room wait, and ends the connections of callers
+// that read too slowly.
+//
+// Usage:
+//
+//	rooms := cfroom.New(cfroom.Options{MemoryBytes: limit, Metrics: cfroom.NewMetrics(reg), Log: log})
+//	ctx = cfroom.WithConn(ctx, conn)              // for each connection of a caller
+//	room := rooms.Open(ctx, caller, cfhold.Answer) // for each answer
+//	defer room.Close()
+//	rooms.Look(conns)                             // each cfhold.LookEvery
+package cfroom
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/core/cfhold"
+)
+
+// linesPerSecond bounds the log lines; each cut counts in the metrics.
+const linesPerSecond = 20
+
+type (
+	// Delivery is a caller's connection as bytes go out on it.
+	Delivery interface {
+		// Writing returns the number of the write that is under way, false if none is.
+		Writing() (write uint64, ok bool)
+		// Acknowledged returns how many bytes the caller's machine has acknowledged.
+		Acknowledged() int64
+		// Cut makes writes fail, and the connection end so that the caller sees it.
+		Cut()
+	}
+
+	// Conn is a caller's connection.
+	Conn struct {
+		Delivery
+		// room is that of the answer that is on its way, nil if none is.
+		room atomic.Pointer[Room]
+	}
+
+	// Options are what rooms work with.
+	Options struct {
+		// MemoryBytes is the process's memory limit, zero if there is none.
+		MemoryBytes int64
+		Policy      cfhold.Policy
+		Metrics     *Metrics
+		Log         *zap.Logger
+	}
+
+	// Metrics are the counters of rooms.
+	Metrics struct {
+		Held    prometheus.Gauge
+		Cut     *prometheus.CounterVec
+		Refused *prometheus.CounterVec
+	}
+
+	// Rooms is what a process holds of answers. It is safe for concurrent use; a nil one
+	// bounds nothing.
+	Rooms struct {
+		options Options
+		log     *zap.Logger
+
+		mu     sync.Mutex
+		ledger *cfhold.Ledger
+		// freed is closed when room may have come free, where waiters wait for it.
+		freed   chan struct{}
+		waiters int
+		// lines are the log lines of the second that began at linesAt.
+		lines   int
+		linesAt cf.Millis
+	}
+
+	// Room implements currantford.Room. A nil one has no bound.
+	Room struct {
+		rooms *Rooms
+		conn  *Conn
+		hold  *cfhold.Hold // of rooms.mu
+		// closed: nothing is taken any more.
+		closed bool
+		cut    atomic.Bool
+		// request is named in log lines.
+		request string
+	}
+
+	connKey struct{}
+)
+
+var _ cf.Room = (*Room)(nil)
+
+// NewMetrics registers the metrics of rooms.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		Held: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "currantford_held_bytes", Help: "Bytes of answers that are held until their callers have read them."}),
+		Cut: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "currantford_slow_callers_cut_total", Help: "Callers' connections ended because the caller read too slowly, by reason."}, []string{"reason"}),
+		Refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "currantford_held_refused_total", Help: "Answers and requests that found no room, by reason."}, []string{"reason"}),
+	}
+	reg.MustRegister(m.Held, m.Cut, m.Refused)
+	return m
+}
+
+// New returns rooms that hold nothing.
+func New(o Options) *Rooms {
+	return &Rooms{options: o, log: o.Log, ledger: cfhold.New(cfhold.BoundsOf(o.MemoryBytes), o.Policy), freed: make(chan struct{})}
+}
+
+// WithConn adds a caller's connection to the context of its requests.
+func WithConn(ctx context.Context, c *Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// Open begins an answer to a caller, on the connection of the context if it has one.
+func (r *Rooms) Open(ctx context.Context, caller cfhold.Caller, kind cfhold.Kind, request string) *Room {
+	if r == nil {
+		return nil
+	}
+	conn, _ := ctx.Value(connKey{}).(*Conn)
+	return r.open(conn, caller, kind, request)
+}
+
+func (r *Rooms) open(conn *Conn, caller cfhold.Caller, kind cfhold.Kind, request string) *Room {
+	room := &Room{rooms: r, conn: conn, request: request}
+	r.mu.Lock()
+	room.hold = r.ledger.Open(caller, kind)
+	r.mu.Unlock()
+	if conn != nil {
+		if before := conn.room.Swap(room); before != nil {
+			before.Close() // of a look between two answers
+		}
+	}
+	return room
+}
+
+// Refuses says whether a caller's next request is turned away.
+func (r *Rooms) Refuses(caller cfhold.Caller) bool {
+	if r == nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	refused := r.ledger.Refuses(caller)
+	if refused {
+		r.options.Metrics.Refused.WithLabelValues("caller_over_part").Inc()
+	}
+	return refused
+}
+
+// Look looks at callers' connections and ends those that cfhold chooses. It makes a system
+// call for each connection on which a write is under way.
+func (r *Rooms) Look(conns []*Conn) {
+	if r == nil || r.options.Policy.Off {
+		return
+	}
+	now := cf.Uptime()
+	for _, c := range conns {
+		r.look(c, now)
+	}
+	r.mu.Lock()
+	cuts := r.ledger.Cuts(now)
+	held := r.ledger.Held()
+	r.wake() // two attempts of one request may wait, of which the ledger knows one
+	lines := r.allowLines(len(cuts), now)
+	r.mu.Unlock()
+	if len(cuts) == 0 {
+		return
+	}
+	byHold := make(map[*cfhold.Hold]*Conn, len(conns))
+	for _, c := range conns {
+		if room := c.room.Load(); room != nil {
+			byHold[room.hold] = c
+		}
+	}
+	for i, cut := range cuts {
+		c := byHold[cut.Hold]
+		if c == nil {
+			continue // its answer has ended meanwhile
+		}
+		room := c.room.Load()
+		if room == nil || room.hold != cut.Hold {
+			continue
+		}
+		room.cut.Store(true)
+		c.Cut()
+		r.options.Metrics.Cut.WithLabelValues(string(cut.Reason)).Inc()
+		if i < lines {
+			r.log.Warn("slow_caller_cut", zap.String("request_id", room.request), zap.String("reason", string(cut.Reason)), zap.Int64("held_bytes", cut.Bytes),
+				zap.Int64("bytes_per_s", cut.Rate), zap.Int64("blocked_ms", int64(cut.Blocked)), zap.Int64("held_in_all", held))
+		}
+	}
+}
+
+func (r *Rooms) look(c *Conn, now cf.Millis) {
+	write, writing := c.Writing()
+	room := c.room.Load()
+	if !writing {
+		if room != nil {
+			r.mu.Lock()
+			r.ledger.Rest(room.hold)
+			r.mu.Unlock()
+		}
+		return
+	}
+	if room == nil {
+		// An answer that takes no room of its own, such as a refusal.
+		room = r.open(c, "", cfhold.Answer, "")
+	}
+	acked := c.Acknowledged()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !room.closed {
+		r.ledger.Look(room.hold, write, acked, now)
+	}
+}
+
+// allowLines returns how many of n log lines may be written now. r.mu is held.
+func (r *Rooms) allowLines(n int, now cf.Millis) int {
+	if now-r.linesAt >= 1000 {
+		r.lines, r.linesAt = 0, now
+	}
+	n = min(n, linesPerSecond-r.lines)
+	r.lines += n
+	return n
+}
+
+// Take implements currantford.Room.
+func (m *Room) Take(ctx context.Context, n int64) error {
+	_, err := m.TakeUpTo(ctx, n, n)
+	return err
+}
+
+// TakeUpTo implements currantford.Room.
+func (m *Room) TakeUpTo(ctx context.Context, least, most int64) (int64, error) {
+	if m == nil {
+		return most, nil
+	}
+	n, verdict, freed := m.try(least, most, 0)
+	if verdict == cfhold.Granted {
+		return n, nil
+	}
+	late := time.NewTimer(cfhold.WaitMost.Duration())
+	defer late.Stop()
+	for ; verdict != cfhold.Granted; n, verdict, freed = m.try(least, most, -1) {
+		if verdict == cfhold.Never {
+			return 0, m.noRoom("over_bound", least)
+		}
+		select {
+		case <-freed:
+			continue
+		case <-ctx.Done():
+		case <-late.C:
+		}
+		m.giveUp()
+		return 0, m.noRoom("waited", least)
+	}
+	return n, nil
+}
+
+// try takes bytes if it may; waiters is how many fewer wait by then.
+func (m *Room) try(least, most int64, waiters int) (int64, cfhold.Verdict, <-chan struct{}) {
+	r := m.rooms
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.waiters += waiters
+	if m.closed {
+		return 0, cfhold.Never, nil
+	}
+	n, v := r.ledger.TakeUpTo(m.hold, least, most)
+	switch v {
+	case cfhold.Granted:
+		r.options.Metrics.Held.Add(float64(n))
+	case cfhold.Wait:
+		r.waiters++
+	case cfhold.Never:
+	}
+	return n, v, r.freed
+}
+
+func (m *Room) giveUp() {
+	m.rooms.mu.Lock()
+	defer m.rooms.mu.Unlock()
+	m.rooms.waiters--
+	m.rooms.ledger.GiveUp(m.hold)
+}
+
+// wake lets those that wait for room try again. r.mu is held.
+func (r *Rooms) wake() {
+	if r.waiters > 0 {
+		close(r.freed)
+		r.freed = make(chan struct{})
+	}
+}
+
+func (m *Room) noRoom(reason string, n int64) error {
+	r := m.rooms
+	r.mu.Lock()
+	if m.closed {
+		r.mu.Unlock()
+		return eris.Wrap(cf.ErrNoRoom, "the request has ended")
+	}
+	held, lines := r.ledger.Held(), r.allowLines(1, cf.Uptime())
+	r.mu.Unlock()
+	r.options.Metrics.Refused.WithLabelValues(reason).Inc()
+	if lines > 0 {
+		r.log.Warn("answer_without_room", zap.String("request_id", m.request), zap.String("reason", reason), zap.Int64("bytes", n), zap.Int64("held_in_all", held))
+	}
+	return eris.Wrapf(cf.ErrNoRoom, "%d bytes, %s, %d held in all", n, reason, held)
+}
+
+// Cut says whether the caller's connection was ended because it read too slowly.
+func (m *Room) Cut() bool { return m != nil && m.cut.Load() }
+
+// Close implements currantford.Room.
+func (m *Room) Close() {
+	if m == nil {
+		return
+	}
+	if m.conn != nil {
+		m.conn.room.CompareAndSwap(m, nil)
+	}
+	r := m.rooms
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m.closed {
+		return
+	}
+	m.closed = true
+	before := r.ledger.Held()
+	r.ledger.Close(m.hold)
+	r.options.Metrics.Held.Sub(float64(before - r.ledger.Held()))
+	r.wake()
+}
--- a/target.go
+++ b/target.go
@@ -64,6 +64,9 @@
 		// FreshConnection forbids a kept connection: on one that the target
 		// is closing it is unknown whether the request was read.
 		FreshConnection bool
+		// Room is what the answer takes of the memory before it is read; without one it
+		// must be small.
+		Room Room
 	}
 
 	// TargetAnswer is a target's whole answer to a call.
@@ -162,7 +165,8 @@
 	// Targets sends work and orders to targets. Errors: ErrNotRun (the
 	// request surely did not reach a handler), ErrMaybeRan, ErrBadAnswer.
 	Targets interface {
-		// Send sends a request and returns the whole answer.
+		// Send sends a request and returns the whole answer, or an ErrNoRoom where it
+		// can't be held.
 		Send(ctx context.Context, t Target, call TargetCall) (TargetAnswer, error)
 		// Stream sends a request whose answer is a stream of events. The
 		// answer's body is only set when the status is not a success.
