Keep room for answers of usual size beside large ones that are read slowly

Cause: twenty callers a second that read 1 KB/s of 2 MB each, all of one machine, filled the room; each was cut 1 to 1.5 s after its write began, and others waited for that: 695 served in 25 s with waits up to 1.98 s, one failed. An answer larger than three quarters of the bound could not be held even with nothing else held.

Change: answers of more than 1/64 of the bound (0.7 MB on the smallest instances) leave a quarter of it free for the others. While answers wait for room, connections are looked at each 100 ms, and a pace is judged after 300 ms. An answer that is alone may take all the bound.

--- a/core/cfhold/cfhold.go
+++ b/core/cfhold/cfhold.go
@@ -31,6 +31,11 @@
 	// callerPart is the part of it that one caller may always take, as a divisor. It may
 	// take more while as much is left for another caller.
 	callerPart = 4
+	// largePart is what answers of more than a smallPart of it leave free for the others, as
+	// a divisor: callers that read slowly take more room the larger their answers are, and
+	// those of the usual size (up to 0.7 MB on the smallest instances) go on beside them.
+	largePart = 4
+	smallPart = 64
 	// reservePart is what is kept beside it for pages of results, so that trainers can
 	// read while answers to plain requests take all the room.
 	reservePart = 8
@@ -45,12 +50,16 @@
 	// is held up at the target. With LookEvery it ends within a second, before the stream
 	// counts as stalled at its target (1.2 s).
 	StreamAfter cf.Millis = 400
-	// SlowAfter is how long a write must have waited before its caller's pace is judged.
-	SlowAfter cf.Millis = 900
-	// LookEvery is how often connections with a write under way are looked at.
+	// SlowAfter is how long a write must have waited before its caller's pace is judged,
+	// where others wait for room: far over a round trip (16 ms), and so short that twenty
+	// slow answers of 2 MB a second take no more than the room of large ones.
+	SlowAfter cf.Millis = 300
+	// LookEvery is how often connections with a write under way are looked at, LookSoon
+	// the same while answers wait for room.
 	LookEvery cf.Millis = 500
+	LookSoon  cf.Millis = 100
 	// WaitMost is how long an answer may wait for room; targets cut off what is unread
-	// for longer. It leaves time for two looks, after which the slowest are cut.
+	// for longer. It leaves time to tell the slowest, and to cut them.
 	WaitMost cf.Millis = 2000
 )
 
@@ -101,6 +110,8 @@
 		// PerCaller is what one caller may take where no more than as much is left for
 		// others.
 		PerCaller int64
+		// Small is up to which size an answer may take the last Spare of Total.
+		Small, Spare int64
 		// Reserve is what pages may take beyond Total.
 		Reserve int64
 	}
@@ -165,7 +176,7 @@
 // BoundsOf returns the bounds of a process with a memory limit in bytes, zero if it has none.
 func BoundsOf(memory int64) Bounds {
 	total := memory / heldPart
-	return Bounds{Total: total, PerCaller: total / callerPart, Reserve: total / reservePart}
+	return Bounds{Total: total, PerCaller: total / callerPart, Small: total / smallPart, Spare: total / largePart, Reserve: total / reservePart}
 }
 
 // New returns a ledger that holds nothing.
@@ -202,7 +213,7 @@
 	switch {
 	case most == 0 || now.fits(h, most):
 		n = most
-	case h.bytes+least > l.limit(h):
+	case h.bytes+least > l.bounds.Total:
 		l.GiveUp(h)
 		return 0, Never
 	case !now.fits(h, least):
@@ -210,7 +221,7 @@
 		l.waiting[h] = true
 		return 0, Wait
 	default:
-		n = max(least, min(most, l.limit(h)-l.total, max(l.bounds.PerCaller-l.callers[h.caller], l.limit(h)-l.bounds.PerCaller-l.total)))
+		n = max(least, min(most, l.limit(h, least)-l.total, max(l.bounds.PerCaller-l.callers[h.caller], l.limit(h, least)-l.bounds.PerCaller-l.total)))
 	}
 	l.GiveUp(h)
 	h.bytes += n
@@ -327,12 +338,16 @@
 
 func (l *Ledger) bounded() bool { return !l.policy.Off && l.bounds.Total > 0 }
 
-// limit returns what may be held in all with an answer of that kind.
-func (l *Ledger) limit(h *Hold) int64 {
-	if h.kind == Page {
+// limit returns what may be held in all with n more bytes of an answer.
+func (l *Ledger) limit(h *Hold, n int64) int64 {
+	switch {
+	case h.kind == Page:
 		return l.bounds.Total + l.bounds.Reserve
+	case h.bytes+n > l.bounds.Small:
+		return l.bounds.Total - l.bounds.Spare
+	default:
+		return l.bounds.Total
 	}
-	return l.bounds.Total
 }
 
 // inTheWay says whether an answer's caller will not have it within the time for which others
@@ -352,20 +367,23 @@
 	return (h.acked - h.first) * 1000 / int64(h.looked-h.blocked)
 }
 
-// fits says whether n more bytes may be taken for an answer.
+// fits says whether n more bytes may be taken for an answer: by what is held in all, and by
+// the part of its caller, or as much is left for another one. One that is alone may take all.
 func (p *plan) fits(h *Hold, n int64) bool {
-	return !p.l.bounded() || p.total+n <= p.l.limit(h) && p.inPart(h, n)
-}
-
-// inPart says whether n more bytes are within the part of an answer's caller, or leave a part
-// for another one.
-func (p *plan) inPart(h *Hold, n int64) bool {
-	return p.callers[h.caller]+n <= p.l.bounds.PerCaller || p.total+n <= p.l.limit(h)-p.l.bounds.PerCaller
+	limit := p.l.limit(h, n)
+	switch {
+	case !p.l.bounded():
+		return true
+	case p.total == h.bytes:
+		return p.total+n <= p.l.bounds.Total
+	default:
+		return p.total+n <= limit && (p.callers[h.caller]+n <= p.l.bounds.PerCaller || p.total+n <= limit-p.l.bounds.PerCaller)
+	}
 }
 
 // helps says whether a cut brings an answer that waits nearer to its room.
 func (p *plan) helps(w, h *Hold) bool {
-	return h.bytes > 0 && (p.total+w.wants > p.l.limit(w) || h.caller == w.caller)
+	return h.bytes > 0 && (p.total+w.wants > p.l.limit(w, w.wants) || h.caller == w.caller)
 }
 
 func (p *plan) free(h *Hold) {
--- a/io/cfnode/server.go
+++ b/io/cfnode/server.go
@@ -254,14 +254,20 @@
 
 // look looks for callers that read slowly.
 func (s *Server) look() {
-	ticker := time.NewTicker(cfhold.LookEvery.Duration())
-	defer ticker.Stop()
 	var busy []*cfroom.Conn
+	var last cf.Millis
+	timer := time.NewTimer(cfhold.LookEvery.Duration())
+	defer timer.Stop()
 	for {
 		select {
 		case <-s.stop:
 			return
-		case <-ticker.C:
+		case <-s.rooms.Pressed():
+			if soon := last + cfhold.LookSoon - cf.Uptime(); soon > 0 {
+				timer.Reset(soon.Duration())
+				continue
+			}
+		case <-timer.C:
 		}
 		busy = busy[:0]
 		s.mu.Lock()
@@ -271,7 +277,8 @@
 			}
 		}
 		s.mu.Unlock()
-		s.rooms.Look(busy)
+		timer.Reset(s.rooms.Look(busy).Duration())
+		last = cf.Uptime()
 	}
 }
 
--- a/io/cfroom/cfroom.go
+++ b/io/cfroom/cfroom.go
@@ -8,7 +8,7 @@
 //	ctx = cfroom.WithConn(ctx, conn)              // for each connection of a caller
 //	room := rooms.Open(ctx, caller, cfhold.Answer) // for each answer
 //	defer room.Close()
-//	rooms.Look(conns)                             // each cfhold.LookEvery
+//	wait := rooms.Look(conns)                      // again after wait, or sooner by rooms.Pressed
 package cfroom
 
 import (
@@ -76,6 +76,8 @@
 		// freed is closed when room may have come free, where waiters wait for it.
 		freed   chan struct{}
 		waiters int
+		// pressed tells whoever looks that one has begun to wait.
+		pressed chan struct{}
 		// lines are the log lines of the second that began at linesAt.
 		lines   int
 		linesAt cf.Millis
@@ -126,7 +128,7 @@
 func New(o Options) *Rooms {
 	return &Rooms{
 		options: o, log: o.Log, ledger: cfhold.New(cfhold.BoundsOf(o.MemoryBytes), o.Policy),
-		blocked: map[*cfhold.Hold]*Room{}, freed: make(chan struct{}),
+		blocked: map[*cfhold.Hold]*Room{}, freed: make(chan struct{}), pressed: make(chan struct{}, 1),
 	}
 }
 
@@ -182,12 +184,12 @@
 	return refused
 }
 
+// Pressed receives when an answer has begun to wait for room.
+func (r *Rooms) Pressed() <-chan struct{} { return r.pressed }
+
 // Look looks at callers' connections and ends those that cfhold chooses. It makes a system
-// call for each connection on which a write is under way.
-func (r *Rooms) Look(conns []*Conn) {
-	if !r.On() {
-		return
-	}
+// call for each connection on which a write is under way. It returns when to look again.
+func (r *Rooms) Look(conns []*Conn) cf.Millis {
 	now := cf.Uptime()
 	for _, c := range conns {
 		r.look(c, now)
@@ -195,8 +197,13 @@
 	r.mu.Lock()
 	cuts := r.cuts(now)
 	r.wake() // two attempts of one request may wait, of which the ledger knows one
+	wait := cfhold.LookEvery
+	if r.waiters > 0 {
+		wait = cfhold.LookSoon
+	}
 	r.mu.Unlock()
 	r.cut(cuts)
+	return wait
 }
 
 // cuts decides whose connections end. r.mu is held.
@@ -316,6 +323,10 @@
 		return n, v, nil
 	}
 	r.waiters++
+	select {
+	case r.pressed <- struct{}{}:
+	default:
+	}
 	freed := r.freed
 	cuts := r.cuts(cf.Uptime()) // those that are known to be slow, without the next look
 	r.mu.Unlock()
