Wait longer for a silent caller while there is room; slow readers described

Cause: what a caller reads shows only when its machine announces room, 64 to 128 KB apart (loopback, usual buffers), so a caller that reads 1 KB a second steadily was cut after 20 s though nobody needed the room. A write of a stream that its caller held up for 1.2 s counted as a silent target, and a write that failed as its target's fault: the stream was sent to the next target.

Change: the stall time-out is 150 s up to a quarter of the bound and falls to 20 s at half of it (20 s too where there is no bound). A stream's watchdog leaves writes to the caller out; a failed write ends the stream and blames no target.

TestStreamWhoseCallerTakesNoMoreIsNotResumed: 2 sends without the change, 1 with it.

--- a/core/cfhold/cfhold.go
+++ b/core/cfhold/cfhold.go
@@ -40,11 +40,15 @@
 	// read while answers to plain requests take all the room.
 	reservePart = 8
 
-	// StallAfter is how long a caller may read nothing while bytes wait for it. What it
-	// reads shows only when its machine announces room again: 8 KB apart with usual
-	// segments, which at a kilobyte a second is every 8 s, and up to 95 KB apart on
-	// loopback. It needs not be shorter: where room is short, the slowest go first.
+	// StallAfter is how long a caller may read nothing while bytes wait for it, where half
+	// of the bound is taken or there is none. What a caller reads shows only when its
+	// machine announces room again, after 64 to 128 KB of a usual buffer: 20 s are a
+	// caller that reads less than 6 KB a second.
 	StallAfter cf.Millis = 20000
+	// stallMost is the same up to a quarter of the bound, and falls from there: while
+	// there is room waiting costs nobody anything, and at a kilobyte a second those 128 KB
+	// take 128 s.
+	stallMost cf.Millis = 150000
 	// StreamAfter is how long one write of a stream may wait for its caller. The
 	// connection's buffers are full then, with more than a whole text, and what waits
 	// is held up at the target. With LookEvery it ends within a second, before the stream
@@ -85,7 +89,7 @@
 
 // Reasons of cuts.
 const (
-	// Stalled: the caller has read nothing for StallAfter.
+	// Stalled: the caller has read nothing for StallAfter, or longer where there is room.
 	Stalled Reason = "stalled"
 	// Slowest: others need the room, and this one would be in the way for longer than
 	// they can wait.
@@ -290,7 +294,7 @@
 			after.free(h) // it ends at any moment
 		case h.kind == Stream && now-h.blocked >= StreamAfter:
 			cut(h, SlowStream)
-		case now-h.moved >= StallAfter:
+		case now-h.moved >= l.stallAfter():
 			cut(h, Stalled)
 		case h.inTheWay(now):
 			slow = append(slow, h)
@@ -314,6 +318,15 @@
 	return cuts
 }
 
+// stallAfter returns how long a caller may read nothing.
+func (l *Ledger) stallAfter() cf.Millis {
+	quarter := l.bounds.Total / 4
+	if l.total >= 2*quarter {
+		return StallAfter
+	}
+	return StallAfter + (stallMost-StallAfter)*cf.Millis(min(quarter, 2*quarter-l.total))/cf.Millis(quarter)
+}
+
 // before orders those that may be cut: callers over their part first, then by pace, and
 // of those that show none yet the one that has shown none for longest.
 func (l *Ledger) before(a, b *Hold) int {
--- a/io/cfingress/stream.go
+++ b/io/cfingress/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,6 +25,7 @@
 	started  bool
 	last     cf.EventID
 	watchdog *time.Timer
+	writing  atomic.Bool
 	// failed: the caller takes no more; its connection has ended, or was ended as it
 	// read too slowly.
 	failed bool
@@ -45,14 +47,17 @@
 	if ev.ID != s.last+1 {
 		return cf.ErrBadAnswer
 	}
+	s.last = ev.ID
+	s.writing.Store(true)
+	_, err := s.w.Write(ev.Raw)
+	if err == nil {
+		err = s.flush.Flush()
+	}
+	s.writing.Store(false)
 	if s.watchdog != nil {
 		s.watchdog.Reset(streamStall)
 	}
-	s.last = ev.ID
-	if _, err := s.w.Write(ev.Raw); err != nil {
-		return s.written(err)
-	}
-	return s.written(s.flush.Flush())
+	return s.written(err)
 }
 
 // written notes how a write to the caller ended.
@@ -106,7 +111,11 @@
 	ctx, cancel := context.WithCancel(outer)
 	defer cancel()
 	if f.route.Resumable {
-		sink.watchdog = time.AfterFunc(streamStall, cancel)
+		sink.watchdog = time.AfterFunc(streamStall, func() {
+			if !sink.writing.Load() { // else it is the caller that holds it up
+				cancel()
+			}
+		})
 		defer sink.watchdog.Stop()
 	}
 	call := f.call(now)
--- a/io/cfingress/stream_test.go
+++ b/io/cfingress/stream_test.go
@@ -1,8 +1,11 @@
 package cfingress_test
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/rotisserie/eris"
@@ -73,3 +76,31 @@
 		t.Errorf("broken %t, events %q, want them broken off after %q", broken, w.Body, want)
 	}
 }
+
+// deaf is an answer to a caller that takes no more than its beginning.
+type deaf struct{ *httptest.ResponseRecorder }
+
+func (deaf) Write([]byte) (int, error) { return 0, errors.New("deadline exceeded") }
+
+// Symptom: targets generate a stream again and again for a caller that does not take it, and
+// count as failing.
+// Cause: a write to the caller that failed was taken for a fault of the target.
+func TestStreamWhoseCallerTakesNoMoreIsNotResumed(t *testing.T) {
+	sends := 0
+	in := newIngress(t, targets{stream: func(_ cf.Target, _ cf.TargetCall, sink cf.StreamSink) (cf.TargetAnswer, error) {
+		sends++
+		answer, err := startStream(sink)
+		if err == nil {
+			err = events(sink, 1, 5)
+		}
+		return answer, err
+	}}, resumable, "a", "b")
+	defer func() {
+		if recover() == nil || sends != 1 {
+			t.Errorf("%d sends, want one, and the stream broken off", sends)
+		}
+	}()
+	in.Forward(context.Background(), &cf.Request{
+		ID: "r", Method: http.MethodPost, Host: host, Route: "/x/a", Path: "/x/a", Received: cf.Uptime(),
+	}, deaf{httptest.NewRecorder()})
+}
