Refuse an organisation's requests only while its answers wait for room

Cause: an organisation over its part was refused on arrival, so that nothing waited for room and nothing of it was cut: its other callers got 503 until the slow ones stalled out.

Change: it is refused only while answers of half of its part wait, for which the slowest are cut. A connection whose answer has ended meanwhile is not cut.

--- a/core/cfhold/cfhold.go
+++ b/core/cfhold/cfhold.go
@@ -198,9 +198,19 @@
 func (l *Ledger) Held() int64 { return l.total }
 
 // Refuses says whether a caller's next request is turned away: what it has not read yet is
-// over its part, and others need the room.
+// over its part, others need the room, and as much as half of its part waits already. What
+// waits has the slowest cut; a request beyond it would run for an answer that finds no room.
 func (l *Ledger) Refuses(c Caller) bool {
-	return l.bounded() && l.total >= l.bounds.Total-l.bounds.PerCaller && l.callers[c] >= l.bounds.PerCaller
+	if !l.bounded() || l.callers[c] < l.bounds.PerCaller || l.total < l.bounds.Total-l.bounds.Spare-l.bounds.PerCaller {
+		return false
+	}
+	wants := int64(0)
+	for h := range l.waiting {
+		if h.caller == c {
+			wants += h.wants
+		}
+	}
+	return wants >= l.bounds.PerCaller/2
 }
 
 // Take takes n more bytes for an answer. One that must wait counts as waiting until it is
--- a/io/cfroom/cfroom.go
+++ b/io/cfroom/cfroom.go
@@ -220,6 +220,9 @@
 // cut ends connections.
 func (r *Rooms) cut(cuts []ended) {
 	for _, c := range cuts {
+		if c.room.conn.room.Load() != c.room {
+			continue // its answer has ended meanwhile, and the next may be on its way
+		}
 		c.room.cut.Store(true)
 		c.room.conn.Cut()
 		r.options.Metrics.Cut.WithLabelValues(string(c.Reason)).Inc()
