Take a target's refusal without room for its text, and count no tiny answers

Cause: while answers took all room, a target's 503 that says "not run" waited for room and ended as a 502, though the request could have gone elsewhere or been refused truly.

The real-connection test waits until nothing is held.

--- a/core/cfhold/cfhold.go
+++ b/core/cfhold/cfhold.go
@@ -36,6 +36,9 @@
 	// those of the usual size (up to 0.7 MB on the smallest instances) go on beside them.
 	largePart = 4
 	smallPart = 64
+	// uncounted is up to which size an answer is held whatever else is: a refusal by a
+	// target, an error or an empty page must go on, and a connection takes more by itself.
+	uncounted = 4 << 10
 	// reservePart is what is kept beside it for pages of results, so that trainers can
 	// read while answers to plain requests take all the room.
 	reservePart = 8
@@ -225,7 +228,9 @@
 	now := plan{l, l.total, l.callers}
 	var n int64
 	switch {
-	case most == 0 || now.fits(h, most):
+	case most <= uncounted && h.bytes == 0:
+		return most, Granted
+	case now.fits(h, most):
 		n = most
 	case h.bytes+least > l.bounds.Total:
 		l.GiveUp(h)
--- a/core/cfhold/cfhold_test.go
+++ b/core/cfhold/cfhold_test.go
@@ -180,6 +180,7 @@
 	if n, v := l.TakeUpTo(l.Open("d", cfhold.Page), 1*mb, 3*mb); v != cfhold.Granted || n != 2*mb {
 		t.Errorf("a page got %d bytes, %v", n, v)
 	}
+	open(l, "d", cfhold.Answer, 4000) // a refusal goes on
 	if v := l.Take(l.Open("d", cfhold.Answer), 17*mb); v != cfhold.Never {
 		t.Errorf("an answer over the bound: %v", v)
 	}
--- a/io/cfnode/slow_test.go
+++ b/io/cfnode/slow_test.go
@@ -161,6 +161,11 @@
 	if bound := cfhold.BoundsOf(slowLimit).Total; most > float64(bound) || cut == 0 {
 		t.Errorf("%.0f bytes were held, want at most %d; %.0f cut off", most, bound, cut)
 	}
+	for deadline := time.Now().Add(5 * time.Second); testutil.ToFloat64(s.metrics.Held) > 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("bytes are held for callers that have gone")
+		}
+	}
 }
 
 // Symptom: a stream's target cuts it off, or is held up for seconds, as its caller does not
