Admission control for plain requests: paced sends, shares, refusal at once

Cause: in a flood (90 times the usual rate, 51 instances, three targets of which one is lost) targets' own queues hold requests longer than callers have, and no instance holds back, so half of what is answered is late.

Change: core/cfadmission paces each instance's sends to each target by the queue in the load header, divides its pace among organisations by priority and max-min shares, and refuses at once what can't be in time. Retries and hedges come out of a budget while a service is full. io/cfingress asks it before each send. policy.no_admission turns it off. Nothing is limited until a target says that requests wait, or refuses.

--- /dev/null
+++ b/core/cfadmission/admission.go
@@ -0,0 +1,517 @@
+// Package cfadmission decides when a plain request may be sent to a target that other
+// instances use too, how long it may wait for that, and which one goes first. It makes no
+// calls and has no clock of its own.
+//
+// The load it answers: fifty instances before three targets of six slots and a queue of 24,
+// and for some seconds ninety times the usual requests. The queues of the targets hold a
+// request longer than callers want to wait for its answer, so that half of what is answered
+// is late, and an instance that only counts what it has in flight can't hold back: its part
+// of a target is a quarter of one request. Each instance therefore paces its sends by the
+// queue that the targets show in their load header, divides its pace among organisations,
+// and refuses at once what can't be in time.
+//
+// Nothing is limited until a target says that requests wait, or refuses one.
+//
+// Usage:
+//
+//	c := cfadmission.New()
+//	t := c.Enter(ask, now)
+//	v := c.Poll(t, now) // again at v.Until, while v.State is Wait
+//	c.Sent(t, target, now) // or c.Leave(t)
+//	c.Done(service, target, end, now)
+package cfadmission
+
+import (
+	"math"
+	"sync"
+
+	cf "currantford"
+)
+
+type (
+	// Ask is a request that looks for a target.
+	Ask struct {
+		Service cf.ServiceName
+		Class   Class
+		// Candidates are the service's targets; the slice is not changed afterwards.
+		// Tried are those that get the request no more.
+		Candidates []cf.Target
+		Tried      map[cf.InstanceID]bool
+		// Instances is how many share the targets.
+		Instances int
+		// Objective is the time in which an answer is worth most, Spent what the caller had
+		// used of it before the request arrived here.
+		Objective, Spent cf.Millis
+		Arrived          cf.Millis
+		// Deadline is the Uptime by which it must be answered.
+		Deadline cf.Millis
+		// Again: the caller was told to come back, or a target has had the request already.
+		Again bool
+		// Must: it may have run, so that it can't be refused any more.
+		Must bool
+	}
+
+	// State is what a request is to do.
+	State int
+
+	// Verdict is what was decided, and what decided it.
+	Verdict struct {
+		State State
+		// Until is when to ask again, for State Wait.
+		Until  cf.Millis
+		Reason Reason
+		// Limited says that the limits act; Waiting is how many requests wait here.
+		Limited bool
+		Waiting int
+		// PerS is what this instance sends to the service per second, AskedPerS what the
+		// request's organisation asks for, and SharePerS what it is allowed of that, zero
+		// while it may have all.
+		PerS, AskedPerS, SharePerS float64
+	}
+
+	// Reason is why a request was refused.
+	Reason string
+
+	// Ticket is a request's place in the queue.
+	Ticket struct {
+		ask     Ask
+		service *service
+		share   *share
+		n       int64
+		queued  bool
+		evicted bool
+		// held is the limit whose token the ticket has, until it is sent or leaves.
+		held *limit
+	}
+
+	// Controller limits what an instance sends. It is safe for concurrent use.
+	Controller struct {
+		mu       sync.Mutex
+		services map[cf.ServiceName]*service
+		n        int64
+	}
+
+	service struct {
+		limits map[cf.InstanceID]*limit
+		// candidates are those of the last ask, ordered are their limits.
+		candidates []cf.Target
+		ordered    []*limit
+		instances  int
+		objective  cf.Millis
+		objectiveA cf.Millis // as of when
+		shares     *shares
+		queue      []*Ticket
+		budget     budget
+		// until is the latest end of a target's limit, pressed when a request was last kept back.
+		until, pressed cf.Millis
+	}
+)
+
+// States of a request.
+const (
+	Send State = iota
+	Wait
+	Refuse
+)
+
+// Reasons of a refusal.
+const (
+	// NoRoom: it can't be sent early enough to be in time.
+	NoRoom Reason = "the service is full"
+	// OverShare is the same for an organisation over its share.
+	OverShare Reason = "the service is full, and the organisation over its share"
+	// TooLate: its objective has passed already, and there is no room to spare.
+	TooLate Reason = "the service is full, and an answer would be late"
+	// QueueFull: too many requests wait.
+	QueueFull Reason = "the service and the queue before it are full"
+	// TargetsRefused: each target has refused it.
+	TargetsRefused Reason = "no target has room"
+	// NoBudget: a target did not run it, and it may not be sent to another.
+	NoBudget Reason = "the service is full, and the retry budget spent"
+)
+
+const (
+	// networkTime is what an answer needs beside the target's time, there and back.
+	networkTime cf.Millis = 15
+	// patiencePart is the part of the objective within which a caller hears of a refusal,
+	// less what the refusal itself takes.
+	patiencePart            = 4
+	refusalTime   cf.Millis = 3
+	mostWaiting             = 64
+	pressedSpan   cf.Millis = 500
+	forgetTarget  cf.Millis = 60000
+	objectiveSpan cf.Millis = 5000
+	unknownWork             = 6
+	leastPoll     cf.Millis = 2
+	againLevel              = 0.25
+	lateSpan                = 2
+)
+
+// need is the level of a target's bucket from which on requests of a tier are sent. Modest
+// organisations may borrow from the others' next sends: at a few sends a second for all, one
+// that waits for its turn behind a large organisation's burst is not in time any more.
+var need = [...]float64{modest: -2, entitled: 0, beyond: 1}
+
+// New returns a controller that knows nothing.
+func New() *Controller { return &Controller{services: map[cf.ServiceName]*service{}} }
+
+func (c *Controller) of(name cf.ServiceName) *service {
+	s := c.services[name]
+	if s == nil {
+		s = &service{limits: map[cf.InstanceID]*limit{}, shares: newShares(), instances: 1}
+		c.services[name] = s
+	}
+	return s
+}
+
+func (s *service) limit(id cf.InstanceID, slots int) *limit {
+	l := s.limits[id]
+	if l == nil {
+		l = &limit{slots: max(slots, 1), boost: 1}
+		s.limits[id] = l
+	}
+	return l
+}
+
+// take notes the targets and the objective of an ask.
+func (s *service) take(a Ask, now cf.Millis) {
+	if s.objective == 0 || a.Objective < s.objective || now-s.objectiveA > objectiveSpan {
+		s.objective = a.Objective
+	}
+	if a.Objective == s.objective {
+		s.objectiveA = now
+	}
+	s.instances = max(a.Instances, 1)
+	if len(a.Candidates) == len(s.candidates) && (len(a.Candidates) == 0 || &a.Candidates[0] == &s.candidates[0]) {
+		return
+	}
+	s.candidates, s.ordered = a.Candidates, make([]*limit, len(a.Candidates))
+	listed := make(map[cf.InstanceID]bool, len(a.Candidates))
+	for i, t := range a.Candidates {
+		s.ordered[i] = s.limit(t.ID, t.Slots)
+		listed[t.ID] = true
+	}
+	for id, l := range s.limits {
+		if !listed[id] && l.sent <= 0 && now-l.ownAt > forgetTarget {
+			delete(s.limits, id)
+		}
+	}
+}
+
+// Enter takes a request that looks for a target. Leave or Sent ends its ticket.
+func (c *Controller) Enter(a Ask, now cf.Millis) *Ticket {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.of(a.Service)
+	s.take(a, now)
+	c.n++
+	return &Ticket{ask: a, service: s, share: s.shares.ask(a.Class, now), n: c.n}
+}
+
+// Poll decides what a ticket's request is to do now.
+func (c *Controller) Poll(t *Ticket, now cf.Millis) Verdict {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := t.service
+	if t.held != nil {
+		return Verdict{State: Send, Limited: true}
+	}
+	if now >= s.until {
+		s.drop(t)
+		return Verdict{State: Send}
+	}
+	v := c.poll(t, now)
+	v.Limited, v.Waiting, v.AskedPerS = true, len(s.queue), t.share.asked*1000
+	if s.shares.contended && t.share.even {
+		v.SharePerS = t.share.level * 1000
+	}
+	if v.State != Wait {
+		s.drop(t)
+	}
+	if v.State != Send && !t.late(now) {
+		s.pressed = now
+	}
+	return v
+}
+
+// poll decides while the service is limited.
+func (c *Controller) poll(t *Ticket, now cf.Millis) Verdict {
+	s := t.service
+	var best *limit
+	total, soonest, wanted := 0.0, float64(cf.Millis(1)<<40), t.need(now)
+	candidates := 0
+	for i, l := range s.ordered {
+		if len(t.ask.Tried) > 0 && t.ask.Tried[s.candidates[i].ID] {
+			continue
+		}
+		candidates++
+		if l.gone(now) {
+			continue
+		}
+		if !l.limited(now) {
+			if now-l.heard <= heardSpan || l.work == 0 {
+				return Verdict{State: Send}
+			}
+			l.activate(s.objective, s.instances, now)
+			l.pace(s.objective, s.instances)
+		}
+		l.fill(now)
+		total += l.rate
+		if now < l.held || l.sent >= l.bound {
+			continue
+		}
+		if best == nil || l.level > best.level {
+			best = l
+		}
+		if l.rate > 0 {
+			soonest = min(soonest, (wanted-l.level)/l.rate)
+		}
+	}
+	switch {
+	case candidates == 0:
+		return Verdict{State: Refuse, Reason: TargetsRefused, PerS: total * 1000}
+	case total == 0:
+		return Verdict{State: Send} // all are lost: a try is better than a refusal
+	}
+	s.shares.divide(total, now)
+	ahead, blocked := s.ahead(t, best, now)
+	if best != nil && best.level >= wanted && !blocked && !t.evicted {
+		best.level--
+		t.held = best
+		return Verdict{State: Send, PerS: total * 1000}
+	}
+	at := now + max(cf.Millis(min(max(soonest, 0)+float64(ahead)/total, 1e9)), leastPoll)
+	last := t.last(now)
+	if t.evicted || at > last {
+		return Verdict{State: Refuse, Reason: t.reason(now), PerS: total * 1000}
+	}
+	if !t.queued {
+		s.push(t, now)
+	}
+	return Verdict{State: Wait, Until: min(at, last), PerS: total * 1000}
+}
+
+// late says that the request can't be answered within its objective any more.
+func (t *Ticket) late(now cf.Millis) bool {
+	return float64(t.ask.Arrived+t.ask.Objective-t.ask.Spent-networkTime-now) < t.service.quickest()
+}
+
+// spare says that requests which will be late take nobody's place: a target has a free slot
+// by its last word, or none that could be in time was kept back here for a while.
+func (s *service) spare(now cf.Millis) bool {
+	if now-s.pressed > lateSpan*s.objective {
+		return true
+	}
+	for _, l := range s.ordered {
+		if l.idle && now-l.heard <= heardSpan && !l.gone(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// quickest is the least time of an answer that is expected of a target.
+func (s *service) quickest() float64 {
+	least := 0.0
+	for _, l := range s.ordered {
+		if at := l.answerTime(); l.work > 0 && (least == 0 || at < least) {
+			least = at
+		}
+	}
+	return least
+}
+
+// last is the Uptime by which the request must be sent.
+func (t *Ticket) last(now cf.Millis) cf.Millis {
+	answer := cf.Millis(t.service.quickest())
+	if t.ask.Must {
+		return t.ask.Deadline - networkTime - answer
+	}
+	if t.late(now) {
+		return now
+	}
+	return min(t.ask.Arrived+t.ask.Objective/patiencePart-refusalTime, t.ask.Arrived+t.ask.Objective-t.ask.Spent-networkTime-answer)
+}
+
+// need is the level from which on the request is sent.
+func (t *Ticket) need(now cf.Millis) float64 {
+	n := need[t.service.shares.stand(t.share, now)]
+	switch {
+	case t.ask.Must:
+		return need[modest]
+	case t.late(now):
+		if !t.service.spare(now) {
+			return math.Inf(1)
+		}
+		return need[beyond]
+	case t.ask.Again:
+		return n - againLevel
+	}
+	return n
+}
+
+func (t *Ticket) reason(now cf.Millis) Reason {
+	switch {
+	case t.evicted:
+		return QueueFull
+	case t.late(now):
+		return TooLate
+	case t.service.shares.stand(t.share, now) == beyond:
+		return OverShare
+	}
+	return NoRoom
+}
+
+// before says whether t goes before u: by priority, then by how each organisation stands
+// against its share, then those that have come back, then by what each has been served.
+func (t *Ticket) before(u *Ticket, now cf.Millis) bool {
+	if t.ask.Must != u.ask.Must {
+		return t.ask.Must
+	}
+	if tl, ul := t.late(now), u.late(now); tl != ul {
+		return ul
+	}
+	if t.ask.Class.Priority != u.ask.Class.Priority {
+		return t.ask.Class.Priority < u.ask.Class.Priority
+	}
+	if ts, us := t.service.shares.stand(t.share, now), u.service.shares.stand(u.share, now); ts != us {
+		return ts < us
+	}
+	if t.ask.Again != u.ask.Again {
+		return t.ask.Again
+	}
+	if t.share != u.share {
+		t.share.decay(now)
+		u.share.decay(now)
+		if t.share.served != u.share.served {
+			return t.share.served < u.share.served
+		}
+	}
+	return t.n < u.n
+}
+
+// ahead counts the queue's requests that go before t; blocked says that one of them could go
+// now.
+func (s *service) ahead(t *Ticket, best *limit, now cf.Millis) (n int, blocked bool) {
+	for _, u := range s.queue {
+		if u == t || !u.before(t, now) {
+			continue
+		}
+		n++
+		blocked = blocked || best != nil && best.level >= u.need(now)
+	}
+	return n, blocked
+}
+
+// push queues a ticket; where too many wait the last of them is refused when it asks again.
+func (s *service) push(t *Ticket, now cf.Millis) {
+	t.queued = true
+	s.queue = append(s.queue, t)
+	if len(s.queue) <= mostWaiting {
+		return
+	}
+	worst := s.queue[0]
+	for _, u := range s.queue[1:] {
+		if worst.before(u, now) {
+			worst = u
+		}
+	}
+	worst.evicted = true
+	s.drop(worst)
+}
+
+func (s *service) drop(t *Ticket) {
+	if !t.queued {
+		return
+	}
+	t.queued = false
+	for i, u := range s.queue {
+		if u == t {
+			s.queue = append(s.queue[:i], s.queue[i+1:]...)
+			return
+		}
+	}
+}
+
+// Closed says whether a request that may be sent can't go to a target now.
+func (c *Controller) Closed(t *Ticket, id cf.InstanceID, now cf.Millis) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := t.service.limits[id]
+	switch {
+	case t.held == nil || l == nil || l == t.held:
+		return false
+	case l.gone(now) || now < l.held || l.sent >= l.bound && l.limited(now):
+		return true
+	}
+	return l.limited(now) && l.level < t.held.level+1-nearLevel
+}
+
+// nearLevel is how much less unused rate a target may have than the one with most, to be
+// chosen for its other merits.
+const nearLevel = 1.0
+
+// Sent ends a ticket: its request goes to a target.
+func (c *Controller) Sent(t *Ticket, id cf.InstanceID, now cf.Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := t.service
+	l := s.limit(id, 1)
+	if t.held != nil && t.held != l {
+		t.held.level++
+	}
+	if t.held != l && l.limited(now) {
+		l.fill(now)
+		l.level--
+	}
+	t.held = nil
+	s.drop(t)
+	l.started(now)
+	t.share.serve(now)
+	if !t.ask.Again {
+		s.budget.earn(now < s.until)
+	}
+}
+
+// Leave ends a ticket whose request is not sent.
+func (c *Controller) Leave(t *Ticket) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t.held != nil {
+		t.held.level++
+		t.held = nil
+	}
+	t.service.drop(t)
+}
+
+// Done takes the end of a send; acts says that the service's limits begin to act with it.
+func (c *Controller) Done(name cf.ServiceName, id cf.InstanceID, e End, now cf.Millis) (acts bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.of(name)
+	l := s.limit(id, 1)
+	l.ended(e, s.objective, s.instances, now-s.pressed <= pressedSpan, now)
+	acts = now >= s.until && now < l.until
+	s.until = max(s.until, l.until)
+	return acts
+}
+
+// Throughput returns what all instances together may send to a service per ms, and the mean
+// time of an answer; zero while nothing is limited.
+func (c *Controller) Throughput(name cf.ServiceName, now cf.Millis) (perMs, work float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.of(name)
+	if now >= s.until {
+		return 0, 0
+	}
+	n := 0.0
+	for _, l := range s.ordered {
+		if l.work > 0 && l.failures == 0 {
+			perMs += l.rate * float64(s.instances)
+			work += l.work
+			n++
+		}
+	}
+	return perMs, work / max(n, 1)
+}
--- /dev/null
+++ b/core/cfadmission/budget.go
@@ -0,0 +1,54 @@
+package cfadmission
+
+import cf "currantford"
+
+// budget is what an instance may send to a service beside first sends: a part of those.
+type budget struct {
+	left    float64
+	started bool
+}
+
+const (
+	// budgetPart is the part of first sends that may be sent once more, budgetFull the same
+	// while the service is full: then each further send displaces another request.
+	budgetPart, budgetFull = 0.2, 0.02
+	// mostBudget bounds what is saved up: the sends of an instance that a target takes with
+	// it when it is lost.
+	mostBudget = 10.0
+)
+
+// earn counts a first send.
+func (b *budget) earn(full bool) {
+	if !b.started {
+		b.left, b.started = mostBudget, true
+	}
+	part := budgetPart
+	if full {
+		part = budgetFull
+	}
+	b.left = min(b.left+part, mostBudget)
+}
+
+// spend takes one further send. A retry of a request that may have run is never refused, as
+// it can't be told to come back; what it takes is missing for the others.
+func (b *budget) spend(must bool) bool {
+	if b.left < 1 && !must {
+		return false
+	}
+	b.left = max(b.left-1, -mostBudget)
+	return true
+}
+
+// MayHedge takes a hedge from the retry budget of a service. While the service is not full
+// all are allowed.
+func (c *Controller) MayHedge(service cf.ServiceName, now cf.Millis) bool {
+	return c.MayRetry(service, false, now)
+}
+
+// MayRetry does the same for a retry; must says that the request can't be refused.
+func (c *Controller) MayRetry(service cf.ServiceName, must bool, now cf.Millis) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.of(service)
+	return s.budget.spend(must) || now >= s.until
+}
--- /dev/null
+++ b/core/cfadmission/replay_test.go
@@ -0,0 +1,365 @@
+package cfadmission_test
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+
+	cf "currantford"
+	"currantford/core/cfadmission"
+	"currantford/core/cfbalance"
+	"currantford/core/cfsite"
+)
+
+const (
+	objective cf.Millis = 150
+	deadline  cf.Millis = 800
+	// callerWay and targetWay are one way each, in ms; work is an answer's mean time.
+	callerWay, targetWay, work = 6.0, 1.0, 25.0
+	slots, room                = 6, 24
+	// unlisted is how long after its loss a target leaves the instance list.
+	unlisted = 2000.0
+)
+
+type (
+	event struct {
+		at float64
+		do func()
+	}
+	events []event
+
+	// phase is a span in which organisations send at a rate per second.
+	phase struct {
+		until float64
+		rate  func(org int) float64
+	}
+
+	// load is what is replayed.
+	load struct {
+		orgs, instances, targets int
+		phases                   []phase
+		lostAt                   float64 // when target 0 is lost, zero for never
+		silent                   bool    // its connections hang instead of being refused
+		noHeader                 bool
+		off                      bool // decision switched off
+		seed                     uint64
+		// near is how many of the instances the callers use, zero for all.
+		near int
+	}
+
+	// tally is what came of requests, by when the caller first asked.
+	tally struct {
+		asked, inTime, late, refused, failed int
+		slowest                              float64 // refusal, ms
+		took                                 float64 // of those in time, sum
+	}
+
+	target struct {
+		busy  int
+		queue []func()
+		dead  bool
+		lost  []func() // ends of the requests that it holds
+	}
+
+	instance struct {
+		admission *cfadmission.Controller
+		balancer  *cfbalance.Balancer
+		returns   *cfbalance.Returns
+	}
+
+	replay struct {
+		load
+		now       float64
+		events    events
+		random    *rand.Rand
+		servers   []*target
+		listed    []cf.Target
+		instances []*instance
+		byOrg     []tally
+		// byPhase is tallied by the phase of the first ask.
+		byPhase []tally
+	}
+
+	// call is one attempt of a caller at an instance.
+	call struct {
+		r          *replay
+		in         *instance
+		org, phase int
+		first      float64 // when the caller first asked
+		received   cf.Millis
+		again      bool
+		attempts   *cfbalance.Attempts
+		tried      map[cf.InstanceID]bool
+		pending    int
+		over       bool
+		hedged     bool
+	}
+)
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+func (r *replay) after(ms float64, do func()) { heap.Push(&r.events, event{r.now + ms, do}) }
+func (r *replay) clock() cf.Millis            { return cf.Millis(r.now) + 100000 }
+
+// play replays a load and returns its tallies by organisation and by phase.
+func play(l load) *replay {
+	r := &replay{load: l, random: rand.New(rand.NewPCG(l.seed, 9)), byOrg: make([]tally, l.orgs), byPhase: make([]tally, len(l.phases))}
+	for i := range l.targets {
+		r.servers = append(r.servers, &target{})
+		r.listed = append(r.listed, cf.Target{ID: cf.InstanceID(rune('a' + i)), Service: "s", Slots: slots})
+	}
+	for range l.instances {
+		r.instances = append(r.instances, &instance{cfadmission.New(), cfbalance.New(), cfbalance.NewReturns()})
+	}
+	begin := 0.0
+	for n, p := range l.phases {
+		for org := range l.orgs {
+			if rate := p.rate(org); rate > 0 {
+				for at := begin; ; {
+					if at += r.random.ExpFloat64() * 1000 / rate; at >= p.until {
+						break
+					}
+					heap.Push(&r.events, event{at, func() { r.ask(org, n) }})
+				}
+			}
+		}
+		begin = p.until
+	}
+	if l.lostAt > 0 {
+		heap.Push(&r.events, event{l.lostAt, r.lose})
+		heap.Push(&r.events, event{l.lostAt + unlisted, func() { r.listed = append([]cf.Target(nil), r.listed[1:]...) }})
+	}
+	for len(r.events) > 0 {
+		e := heap.Pop(&r.events).(event)
+		r.now = e.at
+		e.do()
+	}
+	return r
+}
+
+func (r *replay) lose() {
+	s := r.servers[0]
+	s.dead = true
+	if !r.silent {
+		for _, end := range s.lost {
+			r.after(targetWay, end)
+		}
+	}
+	s.lost, s.queue = nil, nil
+}
+
+func (r *replay) ask(org, phase int) {
+	r.byOrg[org].asked++
+	r.byPhase[phase].asked++
+	r.call(org, phase, r.now, false)
+}
+
+// call is a caller's attempt at an instance of its choice.
+func (r *replay) call(org, phase int, first float64, again bool) {
+	n := r.load.instances
+	if r.near > 0 {
+		n = r.near
+	}
+	in := r.instances[r.random.IntN(n)]
+	r.after(callerWay, func() {
+		left := deadline - cf.Millis(r.now-callerWay-first)
+		route := cfsite.Route{Kind: cfsite.KindIdempotent, MaxAttempts: 3, SLO: objective}
+		c := &call{r: r, in: in, org: org, phase: phase, first: first, again: again, received: r.clock(),
+			attempts: cfbalance.NewAttempts(route, r.clock()+left), tried: map[cf.InstanceID]bool{}}
+		c.look(false)
+	})
+}
+
+func (c *call) tally(f func(*tally)) {
+	f(&c.r.byOrg[c.org])
+	f(&c.r.byPhase[c.phase])
+}
+
+// look seeks a target, as io/cfingress does.
+func (c *call) look(hedge bool) {
+	r, now := c.r, c.r.clock()
+	if c.over || !c.attempts.MaySend(now) {
+		c.end()
+		return
+	}
+	if r.off {
+		c.choose(nil)
+		return
+	}
+	must := c.attempts.MayHaveRun()
+	if hedge && !c.in.admission.MayHedge("s", now) || !hedge && len(c.tried) > 0 && !c.in.admission.MayRetry("s", must, now) {
+		c.end()
+		return
+	}
+	t := c.in.admission.Enter(cfadmission.Ask{
+		Service: "s", Class: cfadmission.Class{Organisation: cf.Organisation(rune('A' + c.org))}, Candidates: r.listed, Tried: c.tried,
+		Instances: len(r.instances), Objective: objective, Spent: deadline - (c.attempts.Left(now) + now - c.received), Arrived: c.received,
+		Deadline: now + c.attempts.Left(now), Again: c.again || len(c.tried) > 0, Must: must,
+	}, now)
+	c.poll(t, hedge)
+}
+
+func (c *call) poll(t *cfadmission.Ticket, hedge bool) {
+	r, now := c.r, c.r.clock()
+	v := c.in.admission.Poll(t, now)
+	switch {
+	case v.State == cfadmission.Send:
+		c.choose(t)
+	case v.State == cfadmission.Wait && !hedge:
+		r.after(max(float64(v.Until-now), 0.5), func() { c.poll(t, hedge) })
+	default:
+		c.in.admission.Leave(t)
+		c.end()
+	}
+}
+
+func (c *call) choose(t *cfadmission.Ticket) {
+	r, now := c.r, c.r.clock()
+	avoid := map[cf.InstanceID]bool{}
+	for _, x := range r.listed {
+		if c.tried[x.ID] || t != nil && c.in.admission.Closed(t, x.ID, now) {
+			avoid[x.ID] = true
+		}
+	}
+	to, ok := c.in.balancer.Choose(r.listed, avoid, r.random.Float64(), now)
+	if !ok {
+		if t != nil {
+			c.in.admission.Leave(t)
+		}
+		c.end()
+		return
+	}
+	c.tried[to.ID] = true
+	c.attempts.Sent()
+	c.in.balancer.Sent(to.ID)
+	if t != nil {
+		c.in.admission.Sent(t, to.ID, now)
+	}
+	c.pending++
+	sent := now
+	r.after(targetWay, func() {
+		r.serve(r.servers[to.ID[0]-'a'], func(a cf.TargetAnswer, err error) {
+			r.after(targetWay, func() { c.take(to.ID, a, err, r.clock()-sent) })
+		})
+	})
+	if after, ok := c.attempts.HedgeAfter(); ok && !c.hedged && c.pending == 1 {
+		r.after(float64(after), func() {
+			if !c.over && c.pending == 1 && !c.hedged && c.attempts.MaySend(r.clock()) {
+				c.hedged = true
+				c.look(true)
+			}
+		})
+	}
+}
+
+// serve runs a request at a target.
+func (r *replay) serve(s *target, end func(cf.TargetAnswer, error)) {
+	answer := func(status int) cf.TargetAnswer {
+		a := cf.TargetAnswer{Status: status, NotRun: status == 503}
+		if !r.noHeader {
+			a.Load = &cf.TargetLoad{Running: s.busy, Waiting: len(s.queue), Slots: slots}
+		}
+		return a
+	}
+	switch {
+	case s.dead && r.silent:
+		return
+	case s.dead:
+		end(cf.TargetAnswer{}, cf.ErrNotRun)
+		return
+	case s.busy >= slots && len(s.queue) >= room:
+		end(answer(503), nil)
+		return
+	}
+	s.lost = append(s.lost, func() { end(cf.TargetAnswer{}, cf.ErrMaybeRan) })
+	at := len(s.lost) - 1
+	var run func()
+	run = func() {
+		s.busy++
+		const sigma = 0.5 // of the logarithm of work
+		r.after(work*math.Exp(sigma*r.random.NormFloat64()-sigma*sigma/2), func() {
+			if s.dead {
+				return
+			}
+			s.busy--
+			s.lost[at] = func() {}
+			if len(s.queue) > 0 {
+				next := s.queue[0]
+				s.queue = s.queue[1:]
+				next()
+			}
+			end(answer(200), nil)
+		})
+	}
+	if s.busy < slots {
+		run()
+	} else {
+		s.queue = append(s.queue, run)
+	}
+}
+
+// take is the end of a send at the instance.
+func (c *call) take(id cf.InstanceID, a cf.TargetAnswer, err error, took cf.Millis) {
+	now := c.r.clock()
+	c.pending--
+	outcome, good := c.attempts.Judge(a, err)
+	if c.over {
+		outcome = cfbalance.Abandoned
+	}
+	c.in.balancer.Done(id, outcome, a.Load, took, now)
+	if !c.r.off {
+		c.in.admission.Done("s", id, cfadmission.End{Outcome: cfadmission.OutcomeOf(outcome, err), Load: a.Load, Took: took}, now)
+	}
+	switch {
+	case c.over:
+	case good:
+		c.over = true
+		spent := c.r.now + callerWay - c.first
+		c.tally(func(t *tally) {
+			switch {
+			case spent <= float64(objective):
+				t.inTime++
+				t.took += spent
+			case spent <= float64(deadline):
+				t.late++
+			default:
+				t.failed++
+			}
+		})
+	case c.pending == 0:
+		c.look(false)
+	}
+}
+
+// end is a call for which nothing is under way or left.
+func (c *call) end() {
+	if c.over || c.pending > 0 {
+		return
+	}
+	c.over = true
+	r, now := c.r, c.r.clock()
+	if c.attempts.MayHaveRun() {
+		c.tally(func(t *tally) { t.failed++ })
+		return
+	}
+	c.tally(func(t *tally) { t.slowest = max(t.slowest, float64(now-c.received)) })
+	if c.again {
+		c.tally(func(t *tally) { t.refused++ })
+		return
+	}
+	tp := c.in.balancer.Throughput(r.listed, now)
+	if perMs, w := c.in.admission.Throughput("s", now); perMs > 0 {
+		tp = cfbalance.Throughput{PerMs: perMs, Work: w}
+	}
+	after := float64(c.in.returns.After("s", tp, len(r.instances), c.attempts.Left(now), now))
+	r.after(callerWay+min(after, float64(c.attempts.Left(now))/3), func() { r.call(c.org, c.phase, c.first, true) })
+}
--- /dev/null
+++ b/core/cfadmission/shares.go
@@ -0,0 +1,181 @@
+package cfadmission
+
+import (
+	"math"
+	"slices"
+
+	cf "currantford"
+)
+
+type (
+	// Class is whose request it is and how it is ranked, 0 first.
+	Class struct {
+		Organisation cf.Organisation
+		Priority     int
+	}
+
+	// share is what one class asks for and gets at this instance.
+	share struct {
+		class Class
+		// asked and served are recent rates per ms, as of at.
+		asked, served float64
+		at            cf.Millis
+		// even says that it asks for more than its share, of which level per ms is allowed;
+		// credit is what it has not used of that, as of credited.
+		even     bool
+		level    float64
+		credit   float64
+		credited cf.Millis
+	}
+
+	// shares divide an instance's part of a service among organisations: by priority, and
+	// among equals so that whoever asks for little gets all of it and the others get the
+	// same (max-min fairness).
+	shares struct {
+		classes map[Class]*share
+		sorted  []*share
+		at      cf.Millis
+		// contended says that together they ask for more than there is.
+		contended bool
+	}
+
+	// tier is how a request's organisation stands against its share.
+	tier int
+)
+
+const (
+	// modest organisations ask for less than their share.
+	modest tier = iota
+	// entitled ones ask for more, and this request is within their share.
+	entitled
+	// beyond is a request over its organisation's share.
+	beyond
+)
+
+const (
+	// shareSpan is the time constant of rates: one of 73 organisations is seen every few
+	// seconds at one of 51 instances.
+	shareSpan = 2000.0
+	// divideEvery spaces the divisions.
+	divideEvery cf.Millis = 200
+	// mostCredit bounds what a class may save up, in requests.
+	mostCredit = 1.5
+	// forgetShare drops a class that has asked for nothing.
+	forgetShare cf.Millis = 10000
+)
+
+func newShares() *shares { return &shares{classes: map[Class]*share{}} }
+
+func (s *shares) of(c Class, now cf.Millis) *share {
+	x := s.classes[c]
+	if x == nil {
+		x = &share{class: c, at: now, credit: mostCredit, credited: now}
+		s.classes[c] = x
+	}
+	return x
+}
+
+func (x *share) decay(now cf.Millis) {
+	if now > x.at {
+		f := math.Exp(-float64(now-x.at) / shareSpan)
+		x.asked, x.served, x.at = x.asked*f, x.served*f, now
+	}
+}
+
+// ask counts a request that arrives.
+func (s *shares) ask(c Class, now cf.Millis) *share {
+	x := s.of(c, now)
+	x.decay(now)
+	x.asked += 1 / shareSpan
+	return x
+}
+
+// serve counts a request that is sent.
+func (x *share) serve(now cf.Millis) {
+	x.decay(now)
+	x.served += 1 / shareSpan
+	if x.even {
+		x.save(now)
+		x.credit = max(x.credit-1, -1)
+	}
+}
+
+func (x *share) save(now cf.Millis) {
+	x.credit = min(x.credit+x.level*float64(now-x.credited), mostCredit)
+	x.credited = now
+}
+
+// stand returns how a class stands now.
+func (s *shares) stand(x *share, now cf.Millis) tier {
+	switch {
+	case !s.contended:
+		return entitled
+	case !x.even:
+		return modest
+	}
+	if x.save(now); x.credit >= 1 {
+		return entitled
+	}
+	return beyond
+}
+
+// divide sets the shares anew of what the instance may send per ms, if it is time.
+func (s *shares) divide(capacity float64, now cf.Millis) {
+	if s.at > 0 && now-s.at < divideEvery {
+		return
+	}
+	s.at = now
+	s.sorted = s.sorted[:0]
+	total := 0.0
+	for c, x := range s.classes {
+		if now-x.at > forgetShare {
+			delete(s.classes, c)
+			continue
+		}
+		x.decay(now)
+		total += x.asked
+		s.sorted = append(s.sorted, x)
+	}
+	s.contended = total > capacity
+	slices.SortFunc(s.sorted, func(a, b *share) int {
+		switch {
+		case a.class.Priority != b.class.Priority:
+			return a.class.Priority - b.class.Priority
+		case a.asked < b.asked:
+			return -1
+		case a.asked > b.asked:
+			return 1
+		}
+		return 0
+	})
+	for i := 0; i < len(s.sorted); {
+		n := i
+		for n < len(s.sorted) && s.sorted[n].class.Priority == s.sorted[i].class.Priority {
+			n++
+		}
+		capacity = fillLevel(s.sorted[i:n], max(capacity, 0), now)
+		i = n
+	}
+}
+
+// fillLevel divides a capacity among classes of one priority, sorted by what they ask for,
+// and returns what is left.
+func fillLevel(classes []*share, capacity float64, now cf.Millis) float64 {
+	for i, x := range classes {
+		even := capacity / float64(len(classes)-i)
+		if x.asked <= even {
+			x.even = false
+			capacity -= x.asked
+			continue
+		}
+		for _, y := range classes[i:] {
+			if !y.even {
+				y.even, y.credited = true, now
+			}
+			y.save(now)
+			y.level = even
+		}
+		return 0
+	}
+	return capacity
+}
--- a/io/cfingress/forward.go
+++ b/io/cfingress/forward.go
@@ -13,6 +13,7 @@
 
 	cf "currantford"
 	"currantford/core/cfaccess"
+	"currantford/core/cfadmission"
 	"currantford/core/cfbalance"
 	"currantford/core/cfquarantine"
 	"currantford/core/cfsite"
@@ -57,6 +58,10 @@
 	// uninformed: it is not known here yet which requests are held.
 	uninformed bool
 	use        use
+	// full are the targets that did not run the request.
+	full map[cf.InstanceID]bool
+	// refusal is why the request may not be sent, empty if it was not refused here.
+	refusal cfadmission.Verdict
 }
 
 // Forward answers a request by sending it to a target of its route.
@@ -80,7 +85,7 @@
 	f := &forwarding{
 		in: in, req: req, key: cfquarantine.KeyOf(req.Method, req.Host, req.Path, cfquarantine.CallerOf(access, req.Who), req.Body), access: access,
 		route: route, service: route.Pick(rand.Float64()), version: config.Version,
-		attempts: cfbalance.NewAttempts(route, deadline), tried: map[cf.InstanceID]bool{}, results: make(chan attempt, 8),
+		attempts: cfbalance.NewAttempts(route, deadline), tried: map[cf.InstanceID]bool{}, full: map[cf.InstanceID]bool{}, results: make(chan attempt, 8),
 		use: use{count: in.Count, of: access.Organisation},
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.attempts.Left(cf.Uptime()).Duration())
@@ -186,6 +191,14 @@
 		v = f.in.Guard.Judge(ctx, f.req.ID, f.key)
 	}
 	avoid := maps.Clone(f.tried)
+	var place place
+	if v.Pass || v.Elsewhere {
+		var ok bool
+		if place, ok = f.admit(ctx, wait, avoid); !ok {
+			return cf.Target{}, false
+		}
+		defer place.leave()
+	}
 	for v.Pass || v.Elsewhere {
 		now := cf.Uptime() // it may have waited
 		target, ok := f.in.balancer.Choose(f.in.Site.Usable(f.service), avoid, rand.Float64(), now)
@@ -196,6 +209,7 @@
 			f.tried[target.ID] = true
 			f.attempts.Sent()
 			f.in.balancer.Sent(target.ID)
+			place.sent(target.ID, now)
 			return target, true
 		}
 		avoid[target.ID] = true
@@ -222,8 +236,11 @@
 		f.last = &a
 	}
 	f.use.ended(a.target.ID, outcome, a.answer.Wrote)
+	if outcome == cfbalance.Full || outcome == cfbalance.Unreached {
+		f.full[a.target.ID] = true
+	}
 	now := cf.Uptime()
-	f.in.balancer.Done(a.target.ID, outcome, a.answer.Load, a.took, now)
+	f.done(a, outcome, now)
 	f.in.balancer.Kept(a.target.ID, now+a.answer.Kept)
 	f.follow(a)
 	if !good {
@@ -262,7 +279,7 @@
 				outcome = cfbalance.Full
 			}
 			f.use.ended(a.target.ID, outcome, a.answer.Wrote)
-			f.in.balancer.Done(a.target.ID, cfbalance.Abandoned, a.answer.Load, a.took, cf.Uptime())
+			f.done(a, cfbalance.Abandoned, cf.Uptime())
 			if a.err == nil || overdue {
 				f.follow(a)
 			} else {
@@ -297,7 +314,11 @@
 	case f.uninformed && !f.attempts.MayHaveRun():
 		f.refuse(w, uninformedRetry, "the instance has just started, and can't tell yet whether the request may run")
 	case !f.attempts.MayHaveRun():
-		f.refuse(w, f.comeBack(), "no target has room")
+		reason := "no target has room"
+		if f.refusal.Reason != "" {
+			reason = string(f.refusal.Reason)
+		}
+		f.refuse(w, f.comeBack(), reason)
 	case f.last != nil:
 		f.pass(w, *f.last)
 	default:
@@ -319,11 +340,11 @@
 // comeBack returns when the caller of a request that found no place should try
 // again.
 func (f *forwarding) comeBack() cf.Millis {
-	if len(f.tried) == 0 {
+	if len(f.tried) == 0 && f.refusal.Reason == "" {
 		return noTargetRetry
 	}
 	now := cf.Uptime()
-	throughput := f.in.balancer.Throughput(f.in.Site.Usable(f.service), now)
+	throughput := f.in.throughput(f.service, now)
 	return f.in.returns.After(f.service, throughput, len(f.in.Members.Live()), f.attempts.Left(now), now)
 }
 
@@ -331,6 +352,7 @@
 func (f *forwarding) refuse(w http.ResponseWriter, after cf.Millis, reason string) {
 	f.in.Log.Warn("request_refused", zap.String("request_id", string(f.req.ID)), zap.String("service", string(f.service)),
 		zap.String("reason", reason), zap.Int("tried", len(f.tried)), zap.Int64("retry_after_ms", int64(after)),
+		zap.String("organisation", string(f.access.Organisation)), zap.Int64("took_ms", int64(cf.Uptime()-f.req.Received)), zap.Inline(verdict(f.refusal)),
 		zap.Int64("config_version", int64(f.version)), zap.Int64("targets_revision", int64(f.in.Site.TargetsAt())))
 	answerRefusal(w, after, reason)
 	f.in.count("forward", "refused", f.req)
--- a/io/cfingress/ingress.go
+++ b/io/cfingress/ingress.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
+	"currantford/core/cfadmission"
 	"currantford/core/cfbalance"
 	"currantford/core/cfmember"
 	"currantford/core/cfsite"
@@ -66,6 +67,8 @@
 		// Count counts requests of an organisation that began to run at an Uptime; nil
 		// where nobody asks.
 		Count func(o cf.Organisation, began cf.Millis, requests int64)
+		// NoAdmission sends requests on without limits of this instance's own.
+		NoAdmission bool
 		// ValueBytes is the store's limit for one object.
 		ValueBytes int64
 		// MemoryBytes is the process's memory limit, zero if there is none.
@@ -77,10 +80,11 @@
 	// Ingress implements currantford.Ingress.
 	Ingress struct {
 		Options
-		balancer *cfbalance.Balancer
-		returns  *cfbalance.Returns
-		bodies   bodies
-		stopping atomic.Bool
+		balancer  *cfbalance.Balancer
+		returns   *cfbalance.Returns
+		admission *cfadmission.Controller
+		bodies    bodies
+		stopping  atomic.Bool
 	}
 
 	// Metrics are the ingress's counters.
@@ -88,6 +92,8 @@
 		Requests        *prometheus.CounterVec
 		Took            *prometheus.HistogramVec
 		Unauthenticated *prometheus.CounterVec
+		Admissions      *prometheus.CounterVec
+		AdmissionWait   prometheus.Histogram
 	}
 )
 
@@ -104,13 +110,18 @@
 		Unauthenticated: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "currantford_requests_not_identified_total", Help: "Callers' requests without a key that is in force, by what became of them and why."}, []string{"outcome", "reason"}),
 	}
-	reg.MustRegister(m.Requests, m.Took, m.Unauthenticated)
+	m.Admissions = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "currantford_admissions_total", Help: "Sends to targets that were limited, by what was decided."}, []string{"outcome"})
+	m.AdmissionWait = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "currantford_admission_wait_seconds", Help: "Time that requests waited for a send to a target that was limited.",
+		Buckets: prometheus.ExponentialBuckets(0.001, 2, 10)})
+	reg.MustRegister(m.Requests, m.Took, m.Unauthenticated, m.Admissions, m.AdmissionWait)
 	return m
 }
 
 // New returns an ingress.
 func New(o Options) *Ingress {
-	return &Ingress{Options: o, balancer: cfbalance.New(), returns: cfbalance.NewReturns(), bodies: bodies{most: o.MemoryBytes / bodyPart}}
+	return &Ingress{Options: o, balancer: cfbalance.New(), returns: cfbalance.NewReturns(), admission: cfadmission.New(), bodies: bodies{most: o.MemoryBytes / bodyPart}}
 }
 
 // Stop makes the instance not ready: callers are sent elsewhere, and those
--- a/io/cfnode/node.go
+++ b/io/cfnode/node.go
@@ -160,7 +160,7 @@
 	}
 	n.ingress = cfingress.New(cfingress.Options{
 		Store: a.Store, Targets: a.Targets, Site: n.site, Coordinator: reader{n}, Members: n, Guard: n.guard,
-		Believes: n.belief, Count: n.usage.count,
+		Believes: n.belief, Count: n.usage.count, NoAdmission: s.Policy.NoAdmission,
 		ValueBytes: s.Store.ValueBytes, MemoryBytes: s.Memory.LimitMB << 20,
 		Metrics: cfingress.NewMetrics(reg), Log: log,
 	})
--- a/io/cfnode/settings.go
+++ b/io/cfnode/settings.go
@@ -55,6 +55,8 @@
 		NoRunners bool `json:"no_runners"`
 		// NoQuarantine sends requests on that have crashed targets.
 		NoQuarantine bool `json:"no_quarantine"`
+		// NoAdmission sends plain requests on until targets refuse them.
+		NoAdmission bool `json:"no_admission"`
 	}
 
 	// Listen holds the addresses to serve at, IP:PORT each. An empty one is
