Admission: pooled answer times, additive rise, a queue's expected end, retries that wait

An instance has a few answers a minute of each target, so a single short answer, or one that queued while the queue grew, set its idea of the work, and with it a rate and an aim of three times what is right. Rates that rose in proportion did not come to equal parts.

Change: times of answers are those of the service's targets together, with a prior of a sixth of the objective; the base starts at an equal share where the queue is long, rises by the same for all per second and falls in proportion; a target's refusals bound the aimed queue; a long queue that was not heard of is expected to get shorter; requests that may have run wait for a target that is not crowded instead of spending their attempts on full ones; a lost target frees no places until it has answered.

--- a/core/cfadmission/admission.go
+++ b/core/cfadmission/admission.go
@@ -93,6 +93,7 @@
 
 	service struct {
 		limits map[cf.InstanceID]*limit
+		times  times
 		// candidates are those of the last ask, ordered are their limits.
 		candidates []cf.Target
 		ordered    []*limit
@@ -134,17 +135,34 @@
 	// networkTime is what an answer needs beside the target's time, there and back.
 	networkTime cf.Millis = 15
 	// patiencePart is the part of the objective within which a caller hears of a refusal,
-	// less what the refusal itself takes.
-	patiencePart            = 4
-	refusalTime   cf.Millis = 3
-	mostWaiting             = 64
-	pressedSpan   cf.Millis = 500
-	forgetTarget  cf.Millis = 60000
+	// less refusalTime, which the refusal itself takes.
+	patiencePart           = 4
+	refusalTime  cf.Millis = 3
+	// mostWaiting bounds the queue. At a refusal within 37 ms it is only reached from some
+	// two thousand requests per second on.
+	mostWaiting = 64
+	// leastPoll spaces the looks of a waiting request.
+	leastPoll cf.Millis = 2
+	// mustPoll spaces the looks of one that can't be refused, and waits for a target that
+	// is less full.
+	mustPoll cf.Millis = 10
+	// pressedSpan is how long a request that was kept back shows that this instance has
+	// more to send than it may.
+	pressedSpan cf.Millis = 500
+	// lateSpan is for how many objectives nothing that could be in time may have been kept
+	// back here, and lateLevel what unused rate must be left, before one that will be late
+	// is sent: in a flood of twice what there is, an instance keeps back a dozen a second.
+	lateSpan  = 2
+	lateLevel = 0.9
+	// againLevel lets callers that have come back go a little before new ones.
+	againLevel = 0.25
+	// nearLevel is how much less unused rate a target may have than the one with most, to
+	// be chosen for its other merits.
+	nearLevel = 1.0
+	// objectiveSpan is how long the shortest objective of a service's requests counts.
 	objectiveSpan cf.Millis = 5000
-	unknownWork             = 6
-	leastPoll     cf.Millis = 2
-	againLevel              = 0.25
-	lateSpan                = 2
+	// forgetTarget drops a target that is not listed any more.
+	forgetTarget cf.Millis = 60000
 )
 
 // need is the level of a target's bucket from which on requests of a tier are sent. Modest
@@ -167,7 +185,7 @@
 func (s *service) limit(id cf.InstanceID, slots int) *limit {
 	l := s.limits[id]
 	if l == nil {
-		l = &limit{slots: max(slots, 1), boost: 1}
+		l = &limit{slots: max(slots, 1), boost: 1, times: &s.times}
 		s.limits[id] = l
 	}
 	return l
@@ -178,6 +196,10 @@
 	if s.objective == 0 || a.Objective < s.objective || now-s.objectiveA > objectiveSpan {
 		s.objective = a.Objective
 	}
+	if s.times.answers == 0 {
+		s.times.work = float64(a.Objective) / unknownWork
+		s.times.spread = s.times.work / 2
+	}
 	if a.Objective == s.objective {
 		s.objectiveA = now
 	}
@@ -249,7 +271,7 @@
 			continue
 		}
 		if !l.limited(now) {
-			if now-l.heard <= heardSpan || l.work == 0 {
+			if now-l.heard <= heardSpan {
 				return Verdict{State: Send}
 			}
 			l.activate(s.objective, s.instances, now)
@@ -257,7 +279,7 @@
 		}
 		l.fill(now)
 		total += l.rate
-		if now < l.held || l.sent >= l.bound {
+		if now < l.held || l.sent >= l.bound || t.ask.Must && l.crowded(s.objective, now) {
 			continue
 		}
 		if best == nil || l.level > best.level {
@@ -282,6 +304,12 @@
 	}
 	at := now + max(cf.Millis(min(max(soonest, 0)+float64(ahead)/total, 1e9)), leastPoll)
 	last := t.last(now)
+	if t.ask.Must {
+		if now >= last {
+			return Verdict{State: Send} // a try is better than a failure
+		}
+		at = min(at, now+mustPoll, last)
+	}
 	if t.evicted || at > last {
 		return Verdict{State: Refuse, Reason: t.reason(now), PerS: total * 1000}
 	}
@@ -293,7 +321,7 @@
 
 // late says that the request can't be answered within its objective any more.
 func (t *Ticket) late(now cf.Millis) bool {
-	return float64(t.ask.Arrived+t.ask.Objective-t.ask.Spent-networkTime-now) < t.service.quickest()
+	return float64(t.ask.Arrived+t.ask.Objective-t.ask.Spent-networkTime-now) < t.service.quickest(now)
 }
 
 // spare says that requests which will be late take nobody's place: a target has a free slot
@@ -311,10 +339,10 @@
 }
 
 // quickest is the least time of an answer that is expected of a target.
-func (s *service) quickest() float64 {
+func (s *service) quickest(now cf.Millis) float64 {
 	least := 0.0
 	for _, l := range s.ordered {
-		if at := l.answerTime(); l.work > 0 && (least == 0 || at < least) {
+		if at := l.answerTime(s.objective, now); !l.gone(now) && (least == 0 || at < least) {
 			least = at
 		}
 	}
@@ -323,7 +351,7 @@
 
 // last is the Uptime by which the request must be sent.
 func (t *Ticket) last(now cf.Millis) cf.Millis {
-	answer := cf.Millis(t.service.quickest())
+	answer := cf.Millis(t.service.quickest(now))
 	if t.ask.Must {
 		return t.ask.Deadline - networkTime - answer
 	}
@@ -338,12 +366,12 @@
 	n := need[t.service.shares.stand(t.share, now)]
 	switch {
 	case t.ask.Must:
-		return need[modest]
+		return need[entitled] - againLevel
 	case t.late(now):
 		if !t.service.spare(now) {
 			return math.Inf(1)
 		}
-		return need[beyond]
+		return need[beyond] + lateLevel
 	case t.ask.Again:
 		return n - againLevel
 	}
@@ -447,10 +475,6 @@
 	return l.limited(now) && l.level < t.held.level+1-nearLevel
 }
 
-// nearLevel is how much less unused rate a target may have than the one with most, to be
-// chosen for its other merits.
-const nearLevel = 1.0
-
 // Sent ends a ticket: its request goes to a target.
 func (c *Controller) Sent(t *Ticket, id cf.InstanceID, now cf.Millis) {
 	c.mu.Lock()
@@ -505,13 +529,10 @@
 	if now >= s.until {
 		return 0, 0
 	}
-	n := 0.0
 	for _, l := range s.ordered {
-		if l.work > 0 && l.failures == 0 {
+		if l.failures == 0 {
 			perMs += l.rate * float64(s.instances)
-			work += l.work
-			n++
 		}
 	}
-	return perMs, work / max(n, 1)
+	return perMs, s.times.work
 }
--- a/core/cfadmission/limit.go
+++ b/core/cfadmission/limit.go
@@ -19,16 +19,24 @@
 		Took cf.Millis
 	}
 
+	// times are what a service's answers take without queueing: smoothed, with the mean
+	// deviation, both in ms, by so many answers. They are those of all its targets, since an
+	// instance has a few answers a minute of each; a target that is slower shows it by its
+	// queue.
+	times struct {
+		work, spread float64
+		answers      int
+	}
+
 	// limit is the concurrency limit of one target at this instance. With many instances
 	// before few targets it is below one request in flight, so it is kept as a rate of
 	// starts: by Little's law the two differ by the time of an answer.
 	limit struct {
 		slots int
 		sent  int // requests of this instance in flight
-		// work is the smoothed time of an answer that did not queue, spread its mean
-		// deviation, both in ms; quiet says that they come from such answers alone.
-		work, spread float64
-		quiet        bool
+		*times
+		// room is how many requests waited when the target refused one, zero if it has not.
+		room float64
 		// waiting is how many requests wait at the target by its last word, at heard.
 		waiting float64
 		heard   cf.Millis
@@ -43,6 +51,9 @@
 		// follow, bound the most in flight at once.
 		boost, rate float64
 		bound       int
+		moved       cf.Millis // when the boost was last moved
+		// ample is when the queue was last at half of its aim or more.
+		ample cf.Millis
 		// level is the token bucket of starts, as of filled.
 		level  float64
 		filled cf.Millis
@@ -68,9 +79,17 @@
 	// limitSpan is how long a limit acts after a target has last said that requests wait,
 	// or has refused: an instance of fifty hears of each target a few times a second.
 	limitSpan cf.Millis = 3000
+	// fullPart is the part of the aimed queue from which on a target counts as full: a few
+	// requests wait now and then where there is room for all.
+	fullPart = 0.33
 	// heardSpan is how long a target's word that nothing waits there counts while others
 	// of its service are full.
 	heardSpan cf.Millis = 500
+	// crowdedSpan is how long a word of a long queue keeps off a request that can't afford
+	// to be refused; a full queue of 24 is worked off in 100 ms.
+	crowdedSpan cf.Millis = 100
+	// shorterSpan is the time constant with which a long queue is expected to get shorter.
+	shorterSpan = 100.0
 	// refusedSpan keeps requests off a target that has just refused one; a place frees
 	// within a few milliseconds.
 	refusedSpan cf.Millis = 50
@@ -79,16 +98,26 @@
 	lostMost cf.Millis = 2400
 	// smooth is the weight of the newest time in the smoothed one.
 	smooth = 0.1
+	// unknownWork is the part of the objective that work is taken for before any answer, with
+	// the weight of priorAnswers.
+	unknownWork  = 6
+	priorAnswers = 3
 	// ownSpan is the time constant of the rate of own starts.
 	ownSpan = 1000.0
 	// gain is how far a rate leaves its base for a queue that is wrong by its whole aim.
 	// Words of the load are 100 to 200 ms old with 50 instances: at twice this gain the
 	// queue swings between empty and full.
 	gain, gainAbove = 0.15, 0.25
-	// rise and fall move the base with each answer. It falls fast towards an equal share and
-	// slowly below, since a queue that is too long shows everyone's excess.
-	rise, fall, fallBelow = 0.05, 0.1, 0.05
-	leastBoost, mostBoost = 0.25, 32.0
+	// rise, fall and fallBelow move the base, in parts of an equal share per second, or of
+	// the base itself. It rises by the same for all and falls in proportion, so that equal
+	// instances come to equal parts; towards an equal share it falls faster than below it,
+	// since a queue that is too long shows everyone's excess. climb is added to the rise of
+	// an instance that has more than an equal share already.
+	rise, climb, fall, fallBelow = 0.25, 0.6, 0.5, 0.25
+	// movedMost bounds the span that one answer stands for.
+	movedMost             cf.Millis = 250
+	climbAfter            cf.Millis = 600
+	leastBoost, mostBoost           = 0.25, 32.0
 	// mostLevel is how much unused rate is kept, in requests.
 	mostLevel = 2.0
 	// inflightSlack is by how much the requests in flight may exceed their mean.
@@ -102,18 +131,32 @@
 // a time tries it, until it has answered.
 func (l *limit) gone(now cf.Millis) bool { return now < l.lost || l.failures > 0 && l.sent > 0 }
 
-// aim is how many requests should wait at the target: a third of what the objective leaves
-// beside the work, since what the instances see of the queue is wrong by as much, and work
-// varies by another third.
+// aim is how many requests should wait at the target: as many as take half of what the
+// objective leaves beside the work and the network. The other half is for the wait here, and
+// for words of the load that are 200 ms old with 50 instances.
 func (l *limit) aim(objective cf.Millis) float64 {
 	left := float64(objective) - float64(networkTime) - l.work - l.spread
-	return max(float64(l.slots)*left/3/max(l.work, 1), 1)
+	aim := float64(l.slots) * left / 2 / max(l.work, 1)
+	if l.room > 0 {
+		aim = min(aim, l.room/2)
+	}
+	return max(aim, 1)
+}
+
+// crowded says that the target is likely to refuse: its queue is over twice the aim by its
+// word of a moment ago.
+func (l *limit) crowded(objective, now cf.Millis) bool {
+	return now < l.held || now-l.heard < crowdedSpan && l.off(objective) < -1
 }
 
-// answerTime is when an answer is expected that a caller gets in time: the queue by the last
-// word, the work, and its spread.
-func (l *limit) answerTime() float64 {
-	return l.work*(1+l.waiting/float64(l.slots)) + 2*l.spread
+// answerTime is within what time an answer is expected: the queue, the work, and its spread.
+// A queue that was too long when it was last heard of gets shorter, as all hold back.
+func (l *limit) answerTime(objective, now cf.Millis) float64 {
+	waiting := l.waiting
+	if aim := l.aim(objective); waiting > aim {
+		waiting = aim + (waiting-aim)*math.Exp(-float64(now-l.heard)/shorterSpan)
+	}
+	return l.work*(1+waiting/float64(l.slots)) + 2*l.spread
 }
 
 // off is by which part of its aim the queue is too short (above zero) or too long.
@@ -146,16 +189,15 @@
 	}
 }
 
-// activate begins to limit: from what this instance sends now, so that one which many callers
-// use is not cut to an equal share while the target has room.
+// activate begins to limit: from an equal share, or from what this instance sends now, the
+// more so the shorter the queue is. So one that many callers use is not cut while the target
+// has room, and a flood doesn't set its own limit.
 func (l *limit) activate(objective cf.Millis, instances int, now cf.Millis) {
-	if l.work == 0 {
-		l.work = float64(objective) / unknownWork
-	}
 	own := l.own * math.Exp(-float64(now-l.ownAt)/ownSpan)
-	l.boost = min(max(own/l.share(instances), 1), mostBoost)
-	l.level, l.filled = min(l.off(objective), 1), now
-	l.until = now + limitSpan
+	off := l.off(objective)
+	l.boost = 1 + min(max(own/l.share(instances)-1, 0), mostBoost)*min(max(off, 0), 1)
+	l.level, l.filled = min(off, 1), now
+	l.until, l.ample = now+limitSpan, now
 }
 
 // started counts a send.
@@ -172,10 +214,10 @@
 	acted := l.limited(now)
 	switch e.Outcome {
 	case Refused:
-		if e.Load != nil {
+		l.waiting = max(l.waiting, 2*l.aim(objective))
+		if e.Load != nil && e.Load.Waiting > 0 {
 			l.waiting = float64(e.Load.Waiting)
-		} else if l.work > 0 {
-			l.waiting = max(l.waiting, 2*l.aim(objective))
+			l.room = l.waiting
 		}
 		l.heard, l.idle, l.held = now, false, now+refusedSpan
 	case Lost:
@@ -189,7 +231,7 @@
 		l.failures, l.lost = 0, 0
 		l.learn(e, now)
 	}
-	if l.waiting >= 1 || e.Outcome == Refused {
+	if l.waiting >= max(l.aim(objective)*fullPart, 1) || e.Outcome == Refused {
 		if !acted {
 			l.activate(objective, instances, now)
 			acted = true
@@ -197,54 +239,59 @@
 		l.until = now + limitSpan
 	}
 	if acted {
-		l.follow(objective, pressed)
+		l.follow(objective, pressed, now)
 		l.pace(objective, instances)
 	}
 }
 
 // learn takes an answer's time and load.
 func (l *limit) learn(e End, now cf.Millis) {
-	took := float64(max(e.Took, 1))
+	took, before := float64(max(e.Took, 1)), l.waiting
 	if e.Load != nil {
 		l.waiting, l.heard = float64(max(e.Load.Waiting, 0)), now
 		l.idle = e.Load.Waiting <= 0 && e.Load.Running < l.slots
 		if e.Load.Slots > 0 {
 			l.slots = e.Load.Slots
 		}
-	} else if l.limited(now) && l.quiet {
+	} else if l.limited(now) {
 		// Without a header the queue is read from what answers take beyond their work.
 		seen := max(took/l.work-1, 0) * float64(l.slots)
 		l.waiting += 2 * smooth * (seen - l.waiting)
 		l.heard = now
 	}
-	idle := e.Load == nil && !l.limited(now) || e.Load != nil && e.Load.Waiting <= 0
+	by := max(smooth, 1/float64(l.answers+priorAnswers))
 	switch {
-	case idle && !l.quiet:
-		l.work, l.spread, l.quiet = took, took/2, true
-	case idle:
-		l.spread += smooth * (math.Abs(took-l.work) - l.spread)
-		l.work += smooth * (took - l.work)
-	case !l.quiet:
-		// Queueing is taken out as far as the header shows it.
-		took /= 1 + l.waiting/float64(l.slots)
-		if l.work == 0 {
-			l.work = took
-		}
-		l.work += smooth * (took - l.work)
-		l.spread = l.work / 2
+	case e.Load != nil && e.Load.Waiting > 0:
+		// Queueing is taken out as far as the headers show it, which is after it: while a
+		// queue grows that is too much.
+		took /= 1 + min(l.waiting, before)/float64(l.slots)
+		by = min(by, smooth/2)
+	case e.Load == nil && l.limited(now):
+		return
 	}
+	l.answers++
+	l.spread += by * (math.Abs(took-l.work) - l.spread)
+	l.work += by * (took - l.work)
 }
 
 // follow moves the base by the queue that the target has shown.
-func (l *limit) follow(objective cf.Millis, pressed bool) {
-	off := l.off(objective)
+func (l *limit) follow(objective cf.Millis, pressed bool, now cf.Millis) {
+	off, span := l.off(objective), float64(min(now-l.moved, movedMost))/1000
+	l.moved = now
 	switch {
 	case off < 0 && l.boost > 1:
-		l.boost = max(l.boost*(1+fall*off), 1)
+		l.boost = max(l.boost*(1+fall*off*span), 1)
 	case off < 0:
-		l.boost = max(l.boost*(1+fallBelow*off), leastBoost)
+		l.boost = max(l.boost*(1+fallBelow*off*span), leastBoost)
 	case pressed:
-		l.boost = min(l.boost+rise*off, mostBoost)
+		up := rise
+		if now-l.ample >= climbAfter {
+			up += climb * l.boost
+		}
+		l.boost = min(l.boost+up*off*span, mostBoost)
+	}
+	if off < 0.5 {
+		l.ample = now
 	}
 }
 
--- a/core/cfbalance/returns.go
+++ b/core/cfbalance/returns.go
@@ -65,7 +65,8 @@
 }
 
 // Throughput returns how the candidates free places; targets that have failed
-// lately or have not answered yet count for nothing.
+// lately or have not answered yet count for nothing. One that has failed frees no
+// place until it has answered again.
 func (b *Balancer) Throughput(candidates []cf.Target, now cf.Millis) Throughput {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -78,7 +79,9 @@
 		}
 		known++
 		t.Work += s.work
-		t.PerMs += float64(max(c.Slots, 1)) / s.work
+		if s.failures == 0 {
+			t.PerMs += float64(max(c.Slots, 1)) / s.work
+		}
 	}
 	if known > 0 {
 		t.Work /= float64(known)
--- a/core/cfbalance/returns_test.go
+++ b/core/cfbalance/returns_test.go
@@ -97,3 +97,17 @@
 		t.Errorf("throughput %+v, want 100 ms and 0.08 a ms", got)
 	}
 }
+
+// A lost target's part of the throughput was given to callers again 300 ms after each loss.
+func TestThroughputLeavesLostTargetsOut(t *testing.T) {
+	b := cfbalance.New()
+	for _, x := range targets(2) {
+		b.Sent(x.ID)
+		b.Done(x.ID, cfbalance.Answered, nil, 100, 0)
+	}
+	b.Sent("a")
+	b.Done("a", cfbalance.Failed, nil, 5, 10)
+	if got := b.Throughput(targets(2), 1000); got.PerMs != 4.0/100 {
+		t.Errorf("throughput %+v with one of two targets lost, want 0.04 a ms", got)
+	}
+}
