--- a/core/cfadmission/admission.go
+++ b/core/cfadmission/admission.go
@@ -94,6 +94,8 @@
 	service struct {
 		limits map[cf.InstanceID]*limit
 		times  times
+		// quickest is the least time in ms in which a target should answer, by the last look.
+		quickest float64
 		// candidates are those of the last ask, ordered are their limits.
 		candidates []cf.Target
 		ordered    []*limit
@@ -141,6 +143,8 @@
 	// mostWaiting bounds the queue. At a refusal within 37 ms it is only reached from some
 	// two thousand requests per second on.
 	mostWaiting = 64
+	// mostWait bounds an estimate of a wait that is never reached, in ms.
+	mostWait = 1e6
 	// leastPoll spaces the looks of a waiting request.
 	leastPoll cf.Millis = 2
 	// mustPoll spaces the looks of one that can't be refused, and waits for a target that
@@ -242,7 +246,7 @@
 		s.drop(t)
 		return Verdict{State: Send}
 	}
-	v := c.poll(t, now)
+	v := s.poll(t, now)
 	v.Limited, v.Waiting, v.AskedPerS = true, len(s.queue), t.share.asked*1000
 	if s.shares.contended && t.share.even {
 		v.SharePerS = t.share.level * 1000
@@ -256,53 +260,87 @@
 	return v
 }
 
-// poll decides while the service is limited.
-func (c *Controller) poll(t *Ticket, now cf.Millis) Verdict {
-	s := t.service
-	var best *limit
-	total, soonest, wanted := 0.0, float64(cf.Millis(1)<<40), t.need(now)
-	candidates := 0
+// look is what one pass over a service's targets shows.
+type look struct {
+	// best is the target with most unused rate that may get the request, nil for none; open
+	// says that one is not limited.
+	best *limit
+	open bool
+	// candidates counts those that the request has not been to; total is the rate of all
+	// that are there.
+	candidates int
+	total      float64
+}
+
+// look passes over the targets, and notes the least time in which one should answer.
+func (s *service) look(t *Ticket, now cf.Millis) look {
+	var k look
+	quickest := math.Inf(1)
 	for i, l := range s.ordered {
-		if len(t.ask.Tried) > 0 && t.ask.Tried[s.candidates[i].ID] {
-			continue
+		tried := len(t.ask.Tried) > 0 && t.ask.Tried[s.candidates[i].ID]
+		if !tried {
+			k.candidates++
 		}
-		candidates++
 		if l.gone(now) {
 			continue
 		}
 		if !l.limited(now) {
 			if now-l.heard <= heardSpan {
-				return Verdict{State: Send}
+				k.open = k.open || !tried
+				continue
 			}
 			l.activate(s.objective, s.instances, now)
 			l.pace(s.objective, s.instances)
 		}
 		l.fill(now)
-		total += l.rate
-		if now < l.held || l.sent >= l.bound || t.ask.Must && l.crowded(s.objective, now) {
+		k.total += l.rate
+		quickest = min(quickest, l.answerTime(now))
+		if tried || now < l.held || l.sent >= l.bound || t.ask.Must && l.crowded(s.objective, now) {
 			continue
 		}
-		if best == nil || l.level > best.level {
-			best = l
+		if k.best == nil || l.level > k.best.level {
+			k.best = l
 		}
-		if l.rate > 0 {
-			soonest = min(soonest, (wanted-l.level)/l.rate)
+	}
+	if s.quickest = 0; k.total > 0 {
+		s.quickest = quickest
+	}
+	return k
+}
+
+// soonest returns in how many ms a target's unused rate comes to a level.
+func (s *service) soonest(t *Ticket, level float64, now cf.Millis) float64 {
+	soonest := math.Inf(1)
+	for i, l := range s.ordered {
+		if len(t.ask.Tried) > 0 && t.ask.Tried[s.candidates[i].ID] || l.gone(now) || l.sent >= l.bound || l.rate <= 0 {
+			continue
 		}
+		soonest = min(soonest, max((level-l.level)/l.rate, float64(l.held-now), 0))
 	}
+	return soonest
+}
+
+// poll decides while the service is limited.
+func (s *service) poll(t *Ticket, now cf.Millis) Verdict {
+	k := s.look(t, now)
+	perS := k.total * 1000
 	switch {
-	case candidates == 0:
-		return Verdict{State: Refuse, Reason: TargetsRefused, PerS: total * 1000}
-	case total == 0:
+	case k.open:
+		return Verdict{State: Send}
+	case k.candidates == 0:
+		return Verdict{State: Refuse, Reason: TargetsRefused, PerS: perS}
+	case k.total == 0:
 		return Verdict{State: Send} // all are lost: a try is better than a refusal
 	}
-	s.shares.divide(total, now)
-	ahead, blocked := s.ahead(t, best, now)
-	if best != nil && best.level >= wanted && !blocked && !t.evicted {
-		best.level--
-		t.held = best
-		return Verdict{State: Send, PerS: total * 1000}
+	s.shares.divide(k.total, now)
+	wanted := t.need(now)
+	ahead, blocked := s.ahead(t, k.best, now)
+	if k.best != nil && k.best.level >= wanted && !blocked && !t.evicted {
+		k.best.level--
+		t.held = k.best
+		return Verdict{State: Send, PerS: perS}
 	}
-	at := now + max(cf.Millis(min(max(soonest, 0)+float64(ahead)/total, 1e9)), leastPoll)
+	at := now + max(cf.Millis(min(s.soonest(t, wanted, now)+float64(ahead)/k.total, mostWait)), leastPoll)
 	last := t.last(now)
 	if t.ask.Must {
 		if now >= last {
@@ -311,154 +349,12 @@
 		at = min(at, now+mustPoll, last)
 	}
 	if t.evicted || at > last {
-		return Verdict{State: Refuse, Reason: t.reason(now), PerS: total * 1000}
+		return Verdict{State: Refuse, Reason: t.reason(now), PerS: perS}
 	}
 	if !t.queued {
 		s.push(t, now)
 	}
-	return Verdict{State: Wait, Until: min(at, last), PerS: total * 1000}
-}
-
-// late says that the request can't be answered within its objective any more.
-func (t *Ticket) late(now cf.Millis) bool {
-	return float64(t.ask.Arrived+t.ask.Objective-t.ask.Spent-networkTime-now) < t.service.quickest(now)
-}
-
-// spare says that requests which will be late take nobody's place: a target has a free slot
-// by its last word, or none that could be in time was kept back here for a while.
-func (s *service) spare(now cf.Millis) bool {
-	if now-s.pressed > lateSpan*s.objective {
-		return true
-	}
-	for _, l := range s.ordered {
-		if l.idle && now-l.heard <= heardSpan && !l.gone(now) {
-			return true
-		}
-	}
-	return false
-}
-
-// quickest is the least time of an answer that is expected of a target.
-func (s *service) quickest(now cf.Millis) float64 {
-	least := 0.0
-	for _, l := range s.ordered {
-		if at := l.answerTime(s.objective, now); !l.gone(now) && (least == 0 || at < least) {
-			least = at
-		}
-	}
-	return least
-}
-
-// last is the Uptime by which the request must be sent.
-func (t *Ticket) last(now cf.Millis) cf.Millis {
-	answer := cf.Millis(t.service.quickest(now))
-	if t.ask.Must {
-		return t.ask.Deadline - networkTime - answer
-	}
-	if t.late(now) {
-		return now
-	}
-	return min(t.ask.Arrived+t.ask.Objective/patiencePart-refusalTime, t.ask.Arrived+t.ask.Objective-t.ask.Spent-networkTime-answer)
-}
-
-// need is the level from which on the request is sent.
-func (t *Ticket) need(now cf.Millis) float64 {
-	n := need[t.service.shares.stand(t.share, now)]
-	switch {
-	case t.ask.Must:
-		return need[entitled] - againLevel
-	case t.late(now):
-		if !t.service.spare(now) {
-			return math.Inf(1)
-		}
-		return need[beyond] + lateLevel
-	case t.ask.Again:
-		return n - againLevel
-	}
-	return n
-}
-
-func (t *Ticket) reason(now cf.Millis) Reason {
-	switch {
-	case t.evicted:
-		return QueueFull
-	case t.late(now):
-		return TooLate
-	case t.service.shares.stand(t.share, now) == beyond:
-		return OverShare
-	}
-	return NoRoom
-}
-
-// before says whether t goes before u: by priority, then by how each organisation stands
-// against its share, then those that have come back, then by what each has been served.
-func (t *Ticket) before(u *Ticket, now cf.Millis) bool {
-	if t.ask.Must != u.ask.Must {
-		return t.ask.Must
-	}
-	if tl, ul := t.late(now), u.late(now); tl != ul {
-		return ul
-	}
-	if t.ask.Class.Priority != u.ask.Class.Priority {
-		return t.ask.Class.Priority < u.ask.Class.Priority
-	}
-	if ts, us := t.service.shares.stand(t.share, now), u.service.shares.stand(u.share, now); ts != us {
-		return ts < us
-	}
-	if t.ask.Again != u.ask.Again {
-		return t.ask.Again
-	}
-	if t.share != u.share {
-		t.share.decay(now)
-		u.share.decay(now)
-		if t.share.served != u.share.served {
-			return t.share.served < u.share.served
-		}
-	}
-	return t.n < u.n
-}
-
-// ahead counts the queue's requests that go before t; blocked says that one of them could go
-// now.
-func (s *service) ahead(t *Ticket, best *limit, now cf.Millis) (n int, blocked bool) {
-	for _, u := range s.queue {
-		if u == t || !u.before(t, now) {
-			continue
-		}
-		n++
-		blocked = blocked || best != nil && best.level >= u.need(now)
-	}
-	return n, blocked
-}
-
-// push queues a ticket; where too many wait the last of them is refused when it asks again.
-func (s *service) push(t *Ticket, now cf.Millis) {
-	t.queued = true
-	s.queue = append(s.queue, t)
-	if len(s.queue) <= mostWaiting {
-		return
-	}
-	worst := s.queue[0]
-	for _, u := range s.queue[1:] {
-		if worst.before(u, now) {
-			worst = u
-		}
-	}
-	worst.evicted = true
-	s.drop(worst)
-}
-
-func (s *service) drop(t *Ticket) {
-	if !t.queued {
-		return
-	}
-	t.queued = false
-	for i, u := range s.queue {
-		if u == t {
-			s.queue = append(s.queue[:i], s.queue[i+1:]...)
-			return
-		}
-	}
+	return Verdict{State: Wait, Until: min(at, last), PerS: perS}
 }
 
 // Closed says whether a request that may be sent can't go to a target now.
--- a/core/cfadmission/admission_test.go
+++ b/core/cfadmission/admission_test.go
@@ -1,9 +1,11 @@
 package cfadmission_test
 
 import (
+	"fmt"
 	"testing"
 
 	cf "currantford"
+	"currantford/core/cfadmission"
 )
 
 // usual is the rate of an organisation per second: three large ones have half of 12.
@@ -117,3 +119,36 @@
 		t.Errorf("%d of %d in time, mean %.1f ms; %.1f without the decision", on.inTime, on.asked, a, b)
 	}
 }
+
+// BenchmarkPoll measures the decision on a request while the service is limited.
+func BenchmarkPoll(b *testing.B) {
+	for _, orgs := range []int{1, 100, 1000} {
+		b.Run(fmt.Sprintf("targets_64_organisations_%d", orgs), func(b *testing.B) {
+			c := cfadmission.New()
+			candidates := make([]cf.Target, 64)
+			for i := range candidates {
+				candidates[i] = cf.Target{ID: cf.InstanceID(fmt.Sprintf("t%02d", i)), Slots: 6}
+			}
+			classes := make([]cfadmission.Class, orgs)
+			for i := range classes {
+				classes[i].Organisation = cf.Organisation(fmt.Sprintf("o%03d", i))
+			}
+			a := cfadmission.Ask{Service: "s", Candidates: candidates, Instances: 50, Objective: objective, Arrived: 1000, Deadline: 1800}
+			now := cf.Millis(1000)
+			for n := 0; b.Loop(); n++ {
+				if n%100 == 0 {
+					now++
+				}
+				a.Class, a.Arrived = classes[n%orgs], now
+				t := c.Enter(a, now)
+				if c.Poll(t, now).State == cfadmission.Send {
+					id := candidates[n%64].ID
+					c.Sent(t, id, now)
+					c.Done("s", id, cfadmission.End{Load: &cf.TargetLoad{Running: 6, Waiting: 20, Slots: 6}, Took: 100}, now)
+				} else {
+					c.Leave(t)
+				}
+			}
+		})
+	}
+}
--- a/core/cfadmission/limit.go
+++ b/core/cfadmission/limit.go
@@ -51,6 +51,7 @@
 		// follow, bound the most in flight at once.
 		boost, rate float64
 		bound       int
+		aimed       float64   // the aim, as of then
 		moved       cf.Millis // when the boost was last moved
 		// ample is when the queue was last at half of its aim or more.
 		ample cf.Millis
@@ -88,7 +89,7 @@
 	// crowdedSpan is how long a word of a long queue keeps off a request that can't afford
 	// to be refused; a full queue of 24 is worked off in 100 ms.
 	crowdedSpan cf.Millis = 100
-	// shorterSpan is the time constant with which a long queue is expected to get shorter.
+	// shorterSpan is after what time a long queue is expected to be half as long.
 	shorterSpan = 100.0
 	// refusedSpan keeps requests off a target that has just refused one; a place frees
 	// within a few milliseconds.
@@ -151,10 +152,10 @@
 
 // answerTime is within what time an answer is expected: the queue, the work, and its spread.
 // A queue that was too long when it was last heard of gets shorter, as all hold back.
-func (l *limit) answerTime(objective, now cf.Millis) float64 {
+func (l *limit) answerTime(now cf.Millis) float64 {
 	waiting := l.waiting
-	if aim := l.aim(objective); waiting > aim {
-		waiting = aim + (waiting-aim)*math.Exp(-float64(now-l.heard)/shorterSpan)
+	if waiting > l.aimed {
+		waiting = l.aimed + (waiting-l.aimed)/(1+float64(now-l.heard)/shorterSpan)
 	}
 	return l.work*(1+waiting/float64(l.slots)) + 2*l.spread
 }
@@ -168,6 +169,7 @@
 // pace sets the rate and what follows from it. share is the part of an instance of the
 // target's throughput where all take the same.
 func (l *limit) pace(objective cf.Millis, instances int) {
+	l.aimed = l.aim(objective)
 	off, by := l.off(objective), gain
 	if off < 0 {
 		by = gainAbove
--- /dev/null
+++ b/core/cfadmission/queue.go
@@ -0,0 +1,138 @@
+package cfadmission
+
+import (
+	"math"
+
+	cf "currantford"
+)
+
+// late says that the request can't be answered within its objective any more.
+func (t *Ticket) late(now cf.Millis) bool {
+	return float64(t.ask.Arrived+t.ask.Objective-t.ask.Spent-networkTime-now) < t.service.quickest
+}
+
+// spare says that requests which will be late take nobody's place: a target has a free slot
+// by its last word, or none that could be in time was kept back here for a while.
+func (s *service) spare(now cf.Millis) bool {
+	if now-s.pressed > lateSpan*s.objective {
+		return true
+	}
+	for _, l := range s.ordered {
+		if l.idle && now-l.heard <= heardSpan && !l.gone(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// last is the Uptime by which the request must be sent.
+func (t *Ticket) last(now cf.Millis) cf.Millis {
+	answer := cf.Millis(t.service.quickest)
+	if t.ask.Must {
+		return t.ask.Deadline - networkTime - answer
+	}
+	if t.late(now) {
+		return now
+	}
+	return min(t.ask.Arrived+t.ask.Objective/patiencePart-refusalTime, t.ask.Arrived+t.ask.Objective-t.ask.Spent-networkTime-answer)
+}
+
+// need is the level from which on the request is sent.
+func (t *Ticket) need(now cf.Millis) float64 {
+	n := need[t.service.shares.stand(t.share, now)]
+	switch {
+	case t.ask.Must:
+		return need[entitled] - againLevel
+	case t.late(now):
+		if !t.service.spare(now) {
+			return math.Inf(1)
+		}
+		return need[beyond] + lateLevel
+	case t.ask.Again:
+		return n - againLevel
+	}
+	return n
+}
+
+func (t *Ticket) reason(now cf.Millis) Reason {
+	switch {
+	case t.evicted:
+		return QueueFull
+	case t.late(now):
+		return TooLate
+	case t.service.shares.stand(t.share, now) == beyond:
+		return OverShare
+	}
+	return NoRoom
+}
+
+// before says whether t goes before u: by priority, then by how each organisation stands
+// against its share, then those that have come back, then by what each has been served.
+func (t *Ticket) before(u *Ticket, now cf.Millis) bool {
+	if t.ask.Must != u.ask.Must {
+		return t.ask.Must
+	}
+	if tl, ul := t.late(now), u.late(now); tl != ul {
+		return ul
+	}
+	if t.ask.Class.Priority != u.ask.Class.Priority {
+		return t.ask.Class.Priority < u.ask.Class.Priority
+	}
+	if ts, us := t.service.shares.stand(t.share, now), u.service.shares.stand(u.share, now); ts != us {
+		return ts < us
+	}
+	if t.ask.Again != u.ask.Again {
+		return t.ask.Again
+	}
+	if t.share != u.share {
+		t.share.decay(now)
+		u.share.decay(now)
+		if t.share.served != u.share.served {
+			return t.share.served < u.share.served
+		}
+	}
+	return t.n < u.n
+}
+
+// ahead counts the queue's requests that go before t; blocked says that one of them could go
+// now.
+func (s *service) ahead(t *Ticket, best *limit, now cf.Millis) (n int, blocked bool) {
+	for _, u := range s.queue {
+		if u == t || !u.before(t, now) {
+			continue
+		}
+		n++
+		blocked = blocked || best != nil && best.level >= u.need(now)
+	}
+	return n, blocked
+}
+
+// push queues a ticket; where too many wait the last of them is refused when it asks again.
+func (s *service) push(t *Ticket, now cf.Millis) {
+	t.queued = true
+	s.queue = append(s.queue, t)
+	if len(s.queue) <= mostWaiting {
+		return
+	}
+	worst := s.queue[0]
+	for _, u := range s.queue[1:] {
+		if worst.before(u, now) {
+			worst = u
+		}
+	}
+	worst.evicted = true
+	s.drop(worst)
+}
+
+func (s *service) drop(t *Ticket) {
+	if !t.queued {
+		return
+	}
+	t.queued = false
+	for i, u := range s.queue {
+		if u == t {
+			s.queue = append(s.queue[:i], s.queue[i+1:]...)
+			return
+		}
+	}
+}
