--- a/core/cfadmission/budget.go
+++ b/core/cfadmission/budget.go
@@ -12,6 +12,9 @@
 	// budgetPart is the part of first sends that may be sent once more, budgetFull the same
 	// while the service is full: then each further send displaces another request.
 	budgetPart, budgetFull = 0.2, 0.02
+	// fullBudget bounds what is left while the service is full: as many as an instance of
+	// fifty has in flight at one target.
+	fullBudget = 2.0
 	// mostBudget bounds what is saved up: the sends of an instance that a target takes with
 	// it when it is lost.
 	mostBudget = 10.0
@@ -22,11 +25,11 @@
 	if !b.started {
 		b.left, b.started = mostBudget, true
 	}
-	part := budgetPart
+	part, most := budgetPart, mostBudget
 	if full {
-		part = budgetFull
+		part, most = budgetFull, fullBudget
 	}
-	b.left = min(b.left+part, mostBudget)
+	b.left = min(b.left+part, most)
 }
 
 // spend takes one further send. A retry of a request that may have run is never refused, as
