Admission: less idle room in a flood, late requests where a slot is free

Bases fell by half a second's worth for each swing of a queue, and late requests were refused when a flood had just ended and slots were free.

Change: a base falls more slowly and climbs faster where others leave their parts; a late request may take a send that is left over where a target has just said that a slot is free.

Tests of core/cfadmission, io/cfingress and io/cfnode pass.

--- a/core/cfadmission/admission.go
+++ b/core/cfadmission/admission.go
@@ -154,10 +154,13 @@
 	// more to send than it may.
 	pressedSpan cf.Millis = 500
 	// lateSpan is for how many objectives nothing that could be in time may have been kept
-	// back here, and lateLevel what unused rate must be left, before one that will be late
-	// is sent: in a flood of twice what there is, an instance keeps back a dozen a second.
+	// back here, and lateLevel what more than usual must be left over, before a request is
+	// sent that will be late: in a flood of twice what there is, an instance keeps back a
+	// dozen a second.
 	lateSpan  = 2
 	lateLevel = 0.9
+	// idleSpan is how long a target's word that it has a free slot counts for those.
+	idleSpan cf.Millis = 100
 	// againLevel lets callers that have come back go a little before new ones.
 	againLevel = 0.25
 	// nearLevel is how much less unused rate a target may have than the one with most, to
--- a/core/cfadmission/limit.go
+++ b/core/cfadmission/limit.go
@@ -113,8 +113,9 @@
 	// the base itself. It rises by the same for all and falls in proportion, so that equal
 	// instances come to equal parts; towards an equal share it falls faster than below it,
 	// since a queue that is too long shows everyone's excess. climb is added to the rise of
-	// an instance that has more than an equal share already.
-	rise, climb, fall, fallBelow = 0.25, 0.6, 0.5, 0.25
+	// an instance in proportion to what it has, once the queue has been short for climbAfter:
+	// then the others don't use theirs.
+	rise, climb, fall, fallBelow = 0.25, 1.0, 0.3, 0.15
 	// movedMost bounds the span that one answer stands for.
 	movedMost             cf.Millis = 250
 	climbAfter            cf.Millis = 600
--- a/core/cfadmission/queue.go
+++ b/core/cfadmission/queue.go
@@ -11,18 +11,19 @@
 	return float64(t.ask.Arrived+t.ask.Objective-t.ask.Spent-networkTime-now) < t.service.quickest
 }
 
-// spare says that requests which will be late take nobody's place: a target has a free slot
-// by its last word, or none that could be in time was kept back here for a while.
-func (s *service) spare(now cf.Millis) bool {
-	if now-s.pressed > lateSpan*s.objective {
-		return true
-	}
+// lateNeed is the level from which on a request is sent that will be late: it takes nobody's
+// place where a target has a free slot by its last word, or where sends are left over and
+// nothing that could be in time was kept back here for a while.
+func (s *service) lateNeed(now cf.Millis) float64 {
 	for _, l := range s.ordered {
-		if l.idle && now-l.heard <= heardSpan && !l.gone(now) {
-			return true
+		if l.idle && now-l.heard <= idleSpan && !l.gone(now) {
+			return need[beyond]
 		}
 	}
-	return false
+	if now-s.pressed > lateSpan*s.objective {
+		return need[beyond] + lateLevel
+	}
+	return math.Inf(1)
 }
 
 // last is the Uptime by which the request must be sent.
@@ -44,10 +45,7 @@
 	case t.ask.Must:
 		return need[entitled] - againLevel
 	case t.late(now):
-		if !t.service.spare(now) {
-			return math.Inf(1)
-		}
-		return need[beyond] + lateLevel
+		return t.service.lateNeed(now)
 	case t.ask.Again:
 		return n - againLevel
 	}
