Admission: late requests only where a slot is free, no target that would be late

A request that will be late was sent where nothing else had been kept back for 300 ms, whatever the targets' queues, and a request that could be in time went to a target whose queue made it late.

Change: a late request is sent only where a target has a free slot by its last word, or to find out where none was heard of. A request goes only to targets that should answer it in time. The replay has the second deployment's targets, which turn slow.

--- a/core/cfadmission/admission.go
+++ b/core/cfadmission/admission.go
@@ -278,7 +278,8 @@
 // look passes over the targets, and notes the least time in which one should answer.
 func (s *service) look(t *Ticket, now cf.Millis) look {
 	var k look
-	quickest := math.Inf(1)
+	var late *limit // the same where an answer would be late
+	quickest, left := math.Inf(1), t.left(now)
 	for i, l := range s.ordered {
 		tried := len(t.ask.Tried) > 0 && t.ask.Tried[s.candidates[i].ID]
 		if !tried {
@@ -297,20 +298,34 @@
 		}
 		l.fill(now)
 		k.total += l.rate
-		quickest = min(quickest, l.answerTime(now))
+		answer := l.answerTime(now)
+		quickest = min(quickest, answer)
 		if tried || now < l.held || l.sent >= l.bound || t.ask.Must && l.crowded(s.objective, now) {
 			continue
 		}
-		if k.best == nil || l.level > k.best.level {
-			k.best = l
+		if answer > left {
+			late = higher(late, l)
+			continue
 		}
+		k.best = higher(k.best, l)
 	}
 	if s.quickest = 0; k.total > 0 {
 		s.quickest = quickest
 	}
+	if t.ask.Must || t.late(now) {
+		k.best = higher(late, k.best)
+	}
 	return k
 }
 
+// higher returns which of two limits has more unused rate; either may be nil.
+func higher(a, b *limit) *limit {
+	if a == nil || b != nil && b.level > a.level {
+		return b
+	}
+	return a
+}
+
 // soonest returns in how many ms a target's unused rate comes to a level.
 func (s *service) soonest(t *Ticket, level float64, now cf.Millis) float64 {
 	soonest := math.Inf(1)
@@ -370,6 +385,8 @@
 		return false
 	case l.gone(now) || now < l.held || l.sent >= l.bound && l.limited(now):
 		return true
+	case !t.ask.Must && !t.late(now) && l.answerTime(now) > t.left(now):
+		return true
 	}
 	return l.limited(now) && l.level < t.held.level+1-nearLevel
 }
--- a/core/cfadmission/queue.go
+++ b/core/cfadmission/queue.go
@@ -7,20 +7,25 @@
 )
 
 // late says that the request can't be answered within its objective any more.
-func (t *Ticket) late(now cf.Millis) bool {
-	return float64(t.ask.Arrived+t.ask.Objective-t.ask.Spent-networkTime-now) < t.service.quickest
+func (t *Ticket) late(now cf.Millis) bool { return t.left(now) < t.service.quickest }
+
+// left is what a target's answer may take to be in time, in ms.
+func (t *Ticket) left(now cf.Millis) float64 {
+	return float64(t.ask.Arrived + t.ask.Objective - t.ask.Spent - networkTime - now)
 }
 
 // lateNeed is the level from which on a request is sent that will be late: it takes nobody's
-// place where a target has a free slot by its last word, or where sends are left over and
-// nothing that could be in time was kept back here for a while.
+// place where a target has a free slot by its last word. Where no target has been heard of,
+// and nothing that could be in time was kept back here for a while, it finds out.
 func (s *service) lateNeed(now cf.Millis) float64 {
+	heard := cf.Millis(0)
 	for _, l := range s.ordered {
 		if l.idle && now-l.heard <= idleSpan && !l.gone(now) {
 			return need[beyond]
 		}
+		heard = max(heard, l.heard)
 	}
-	if now-s.pressed > lateSpan*s.objective {
+	if now-max(s.pressed, heard) > lateSpan*s.objective {
 		return need[beyond] + lateLevel
 	}
 	return math.Inf(1)
--- a/core/cfadmission/replay_test.go
+++ b/core/cfadmission/replay_test.go
@@ -13,10 +13,9 @@
 
 const (
 	objective cf.Millis = 150
-	deadline  cf.Millis = 800
-	// callerWay and targetWay are one way each, in ms; work is an answer's mean time.
-	callerWay, targetWay, work = 6.0, 1.0, 25.0
-	slots, room                = 6, 24
+	// callerWay and targetWay are one way each, in ms.
+	callerWay, targetWay = 6.0, 1.0
+	slots, room          = 6, 24
 	// tailPart of the answers take tailTimes as long.
 	tailPart, tailTimes = 0.01, 5.0
 	// unlisted is how long after its loss a target leaves the instance list.
@@ -39,6 +38,8 @@
 	// load is what is replayed.
 	load struct {
 		orgs, instances, targets int
+		work                     float64   // mean time of an answer, ms
+		deadline                 cf.Millis // what callers wait
 		phases                   []phase
 		lostAt                   float64 // when target 0 is lost, zero for never
 		silent                   bool    // its connections hang instead of being refused
@@ -47,6 +48,8 @@
 		seed                     uint64
 		// near is how many of the instances the callers use, zero for all.
 		near int
+		// shared machines are 2.5 times as slow for 15% of the time, redrawn each 600 ms.
+		shared bool
 		// ranks is how many priorities the organisations are spread over, zero for one.
 		ranks int
 	}
@@ -60,6 +63,7 @@
 
 	target struct {
 		busy  int
+		slow  float64 // times the usual work
 		queue []func()
 		dead  bool
 		lost  []func() // ends of the requests that it holds
@@ -119,7 +123,7 @@
 func play(l load) *replay {
 	r := &replay{load: l, random: rand.New(rand.NewPCG(l.seed, 9)), byOrg: make([]tally, l.orgs), byPhase: make([]tally, len(l.phases))}
 	for i := range l.targets {
-		r.servers = append(r.servers, &target{})
+		r.servers = append(r.servers, &target{slow: 1})
 		r.listed = append(r.listed, cf.Target{ID: cf.InstanceID(rune('a' + i)), Service: "s", Slots: slots})
 	}
 	for range l.instances {
@@ -143,6 +147,9 @@
 		heap.Push(&r.events, event{l.lostAt, r.lose})
 		heap.Push(&r.events, event{l.lostAt + unlisted, func() { r.listed = append([]cf.Target(nil), r.listed[1:]...) }})
 	}
+	if l.shared {
+		heap.Push(&r.events, event{0, r.redraw})
+	}
 	for len(r.events) > 0 {
 		e := heap.Pop(&r.events).(event)
 		r.now = e.at
@@ -151,6 +158,17 @@
 	return r
 }
 
+func (r *replay) redraw() {
+	for _, s := range r.servers {
+		if s.slow = 1; r.random.Float64() < 0.15 {
+			s.slow = 2.5
+		}
+	}
+	if r.now < r.phases[len(r.phases)-1].until {
+		r.after(600, r.redraw)
+	}
+}
+
 func (r *replay) lose() {
 	s := r.servers[0]
 	s.dead = true
@@ -178,7 +196,7 @@
 	at := r.random.IntN(n + n/3)
 	in := r.instances[at%n]
 	r.after(callerWay, func() {
-		left := deadline - cf.Millis(r.now-callerWay-first)
+		left := r.deadline - cf.Millis(r.now-callerWay-first)
 		route := cfsite.Route{Kind: cfsite.KindIdempotent, MaxAttempts: 3, SLO: objective}
 		c := &call{r: r, in: in, org: org, phase: phase, first: first, again: again, received: r.clock(),
 			attempts: cfbalance.NewAttempts(route, r.clock()+left), tried: map[cf.InstanceID]bool{}, full: map[cf.InstanceID]bool{}}
@@ -214,7 +232,7 @@
 	}
 	t := c.in.admission.Enter(cfadmission.Ask{
 		Service: "s", Class: cfadmission.Class{Organisation: cf.Organisation(rune('A' + c.org)), Priority: c.org % max(r.ranks, 1)}, Candidates: r.listed, Tried: c.tried,
-		Instances: len(r.instances), Objective: objective, Spent: deadline - (c.attempts.Left(now) + now - c.received), Arrived: c.received,
+		Instances: len(r.instances), Objective: objective, Spent: r.deadline - (c.attempts.Left(now) + now - c.received), Arrived: c.received,
 		Deadline: now + c.attempts.Left(now), Again: c.again || len(c.tried) > 0, Must: must,
 	}, now)
 	c.poll(t, hedge)
@@ -297,7 +315,7 @@
 	run := func() {
 		s.busy++
 		const sigma = 0.5 // of the logarithm of work
-		took := work / (1 + (tailTimes-1)*tailPart) * math.Exp(sigma*r.random.NormFloat64()-sigma*sigma/2)
+		took := s.slow * r.work / (1 + (tailTimes-1)*tailPart) * math.Exp(sigma*r.random.NormFloat64()-sigma*sigma/2)
 		if r.random.Float64() < tailPart {
 			took *= tailTimes
 		}
@@ -347,7 +365,7 @@
 			case spent <= float64(objective):
 				t.inTime++
 				t.took += spent
-			case spent <= float64(deadline):
+			case spent <= float64(c.r.deadline):
 				t.late++
 			default:
 				t.failed++
