Admission: a caller that leaves while its request waits counts as gone

Cause: the end of a wait was taken for the end of the targets, and the request counted as refused, or as failed with 502, for a caller that had left.

Change: a wait that the caller's leaving ends is an expired request.

--- a/io/cfingress/forward.go
+++ b/io/cfingress/forward.go
@@ -132,6 +132,9 @@
 func (f *forwarding) whole(ctx context.Context, w http.ResponseWriter) {
 	for {
 		if f.pending == 0 && !f.send(ctx, true) {
+			if errors.Is(ctx.Err(), context.Canceled) {
+				f.expire(ctx, w) // it left while it waited
+			}
 			f.settle(w)
 			return
 		}
--- a/io/cfingress/queue_test.go
+++ b/io/cfingress/queue_test.go
@@ -1,6 +1,7 @@
 package cfingress_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -167,3 +168,27 @@
 		t.Errorf("status %d, want 200", w.Code)
 	}
 }
+
+// Symptom: a request whose caller has left while it waited counts as refused.
+// Sequence: the only target refuses; the request waits for it; the caller leaves.
+// Cause: the end of a wait was taken for a refusal, whatever had ended it.
+func TestCallerThatLeavesTheQueueIsNotRefused(t *testing.T) {
+	ctx, leave := context.WithCancel(context.Background())
+	lost := false
+	to := targets{send: func(cf.Target, cf.TargetCall) (cf.TargetAnswer, error) {
+		if !lost {
+			lost = true
+			return cf.TargetAnswer{}, eris.Wrap(cf.ErrMaybeRan, "connection lost")
+		}
+		time.AfterFunc(10*time.Millisecond, leave)
+		return cf.TargetAnswer{Status: http.StatusServiceUnavailable, NotRun: true}, nil
+	}}
+	in := newIngress(t, to, cfsite.Route{Kind: cfsite.KindIdempotent, MaxAttempts: 4, Timeout: 2000, SLO: 1000}, "a", "b")
+	w := httptest.NewRecorder()
+	defer func() {
+		if recover() == nil {
+			t.Errorf("status %d for a caller that has left", w.Code)
+		}
+	}()
+	in.Forward(ctx, &cf.Request{ID: "r", Method: http.MethodPost, Host: host, Route: "/x/a", Path: "/x/a", Received: cf.Uptime()}, w)
+}
