Admission: who has come back is told by the other requests' deadlines

Cause: what a caller had used of its time was taken from the route's timeout. Where callers give themselves less than the route, every request counted as having come back, and as late while its service is full.

Change: cfadmission.Callers compares with the longest deadline that the route's requests bore in the last 15 s. The rule by which targets that did not run a request are tried once more moves to core/cfadmission, where the replay uses it too.

--- a/core/cfadmission/admission_test.go
+++ b/core/cfadmission/admission_test.go
@@ -143,6 +143,17 @@
 	}
 }
 
+// Where callers give themselves less time than the route does, all of them counted as having
+// come back, and too late.
+func TestCallersThatComeBackAreToldByOthers(t *testing.T) {
+	c := cfadmission.NewCallers()
+	for i, want := range []struct{ deadline, spent, at cf.Millis }{{800, 0, 0}, {800, 0, 10}, {540, 260, 20}, {0, 0, 30}, {500, 0, 40000}} {
+		if got := c.Spent("r", want.deadline, want.at); got != want.spent {
+			t.Errorf("request %d: %d ms spent, want %d", i, got, want.spent)
+		}
+	}
+}
+
 // BenchmarkPoll measures the decision on a request while the service is limited.
 func BenchmarkPoll(b *testing.B) {
 	for _, orgs := range []int{1, 100, 1000} {
--- /dev/null
+++ b/core/cfadmission/callers.go
@@ -0,0 +1,69 @@
+package cfadmission
+
+import (
+	"sync"
+
+	cf "currantford"
+)
+
+type (
+	// Callers tells from the deadlines that requests bear what their callers have used of
+	// their time before: one that has been refused and comes back bears what it still has.
+	// The most that a route's requests bore lately is what a caller has that has just begun.
+	// One that gives itself less time than others looks like one that has come back. It is
+	// safe for concurrent use.
+	Callers struct {
+		mu     sync.Mutex
+		routes map[string]*bearing
+	}
+
+	// bearing is the longest deadline of a route's requests in a span and in the one before.
+	bearing struct {
+		last, before cf.Millis
+		since        cf.Millis
+	}
+)
+
+// bearingSpan is how long a deadline counts, at least: at usual load an instance of fifty has
+// a request of a route every few seconds.
+const bearingSpan cf.Millis = 15000
+
+// NewCallers returns one that has seen no request.
+func NewCallers() *Callers { return &Callers{routes: map[string]*bearing{}} }
+
+// Spent returns what a caller had used before a request on a route with a deadline, zero if
+// it bears none.
+func (c *Callers) Spent(route string, deadline, now cf.Millis) cf.Millis {
+	if deadline <= 0 {
+		return 0
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b := c.routes[route]
+	if b == nil {
+		b = &bearing{since: now}
+		c.routes[route] = b
+	}
+	if now-b.since >= 2*bearingSpan {
+		b.last = 0
+	}
+	if now-b.since >= bearingSpan {
+		b.before, b.last, b.since = b.last, 0, now
+	}
+	b.last = max(b.last, deadline)
+	return max(b.last, b.before) - deadline
+}
+
+// Readmit lets a request that may have run, and so can't be refused, go once more to the
+// targets that did not run it, if it has been to all others.
+func Readmit(candidates []cf.Target, tried, notRun map[cf.InstanceID]bool) {
+	for _, t := range candidates {
+		if !tried[t.ID] {
+			return
+		}
+	}
+	for id := range notRun {
+		delete(tried, id)
+	}
+	clear(notRun)
+}
--- a/core/cfadmission/replay_test.go
+++ b/core/cfadmission/replay_test.go
@@ -220,10 +220,8 @@
 		return
 	}
 	must := c.attempts.MayHaveRun()
-	if must && !hedge && len(c.tried) >= len(r.listed) {
-		for id := range c.full {
-			delete(c.tried, id)
-		}
+	if must && !hedge {
+		cfadmission.Readmit(r.listed, c.tried, c.full)
 	}
 	if hedge && !c.in.admission.MayHedge("s", now) || !hedge && len(c.tried) > 0 && !c.in.admission.MayRetry("s", must, now) {
 		c.end()
--- a/io/cfingress/forward.go
+++ b/io/cfingress/forward.go
@@ -60,6 +60,8 @@
 	use        use
 	// full are the targets that did not run the request.
 	full map[cf.InstanceID]bool
+	// spent is what the caller had used of its time before the request came here.
+	spent cf.Millis
 	// refusal is why the request may not be sent, empty if it was not refused here.
 	refusal cfadmission.Verdict
 }
@@ -86,7 +88,7 @@
 		in: in, req: req, key: cfquarantine.KeyOf(req.Method, req.Host, req.Path, cfquarantine.CallerOf(access, req.Who), req.Body), access: access,
 		route: route, service: route.Pick(rand.Float64()), version: config.Version,
 		attempts: cfbalance.NewAttempts(route, deadline), tried: map[cf.InstanceID]bool{}, full: map[cf.InstanceID]bool{}, results: make(chan attempt, 8),
-		use: use{count: in.Count, of: access.Organisation},
+		use: use{count: in.Count, of: access.Organisation}, spent: in.callers.Spent(route.Name, req.Deadline, req.Received),
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.attempts.Left(cf.Uptime()).Duration())
 	defer cancel()
--- a/io/cfingress/ingress.go
+++ b/io/cfingress/ingress.go
@@ -83,6 +83,7 @@
 		balancer  *cfbalance.Balancer
 		returns   *cfbalance.Returns
 		admission *cfadmission.Controller
+		callers   *cfadmission.Callers
 		bodies    bodies
 		stopping  atomic.Bool
 	}
@@ -121,7 +122,7 @@
 
 // New returns an ingress.
 func New(o Options) *Ingress {
-	return &Ingress{Options: o, balancer: cfbalance.New(), returns: cfbalance.NewReturns(), admission: cfadmission.New(), bodies: bodies{most: o.MemoryBytes / bodyPart}}
+	return &Ingress{Options: o, balancer: cfbalance.New(), returns: cfbalance.NewReturns(), admission: cfadmission.New(), callers: cfadmission.NewCallers(), bodies: bodies{most: o.MemoryBytes / bodyPart}}
 }
 
 // Stop makes the instance not ready: callers are sent elsewhere, and those
--- a/io/cfingress/queue.go
+++ b/io/cfingress/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -67,12 +68,14 @@
 		return place{}, false
 	}
 	if must && wait {
-		f.readmit(candidates, avoid)
+		cfadmission.Readmit(candidates, f.tried, f.full)
+		clear(avoid)
+		maps.Copy(avoid, f.tried)
 	}
 	p := place{in: f.in, ticket: f.in.admission.Enter(cfadmission.Ask{
 		Service: f.service, Class: cfadmission.Class{Organisation: f.access.Organisation, Priority: f.access.Priority},
-		Candidates: candidates, Tried: avoid, Instances: len(f.in.Members.Live()), Objective: objective, Spent: f.spent(),
-		Arrived: f.req.Received, Deadline: now + f.attempts.Left(now), Again: again || f.spent() > 0, Must: must && wait,
+		Candidates: candidates, Tried: avoid, Instances: len(f.in.Members.Live()), Objective: objective, Spent: f.spent,
+		Arrived: f.req.Received, Deadline: now + f.attempts.Left(now), Again: again || f.spent > 0, Must: must && wait,
 	}, now)}
 	for began := now; ; now = cf.Uptime() {
 		v := f.in.admission.Poll(p.ticket, now)
@@ -96,31 +99,6 @@
 	}
 }
 
-// readmit lets a request that may have run, and so can't be refused, go once more to targets
-// that did not run it, where no other is left.
-func (f *forwarding) readmit(candidates []cf.Target, avoid map[cf.InstanceID]bool) {
-	for _, t := range candidates {
-		if !avoid[t.ID] {
-			return
-		}
-	}
-	for id := range f.full {
-		delete(f.tried, id)
-		delete(avoid, id)
-	}
-	clear(f.full)
-}
-
-// spent returns what the caller had used of its time before the request came here: what is
-// left of it is less than the route gives. One that has only just come is not told apart from
-// one that gives itself less time.
-func (f *forwarding) spent() cf.Millis {
-	if f.req.Deadline <= 0 || f.route.Timeout <= 0 {
-		return 0
-	}
-	return max(f.route.Timeout-f.req.Deadline, 0)
-}
-
 func (f *forwarding) admitted(v cfadmission.Verdict, waited cf.Millis) {
 	f.refusal = cfadmission.Verdict{}
 	if !v.Limited {
