Admission: 421 is no full target, and the retry budget is there from the start

Cause: TestAddressReuseRunsNothing and TestHeldRequestWhileTheStoreIsAway of ./systemtest failed on: a target whose address has been taken over answers 421, which counted as a full service; and an instance whose callers give themselves less time than the route had no retry budget, since only requests of new callers earned it. So requests were refused beside an idle target.

Change: only 503 and 429 say that a target is full; 421 counts as lost. The budget begins full, and each first send here earns it, whoever has come back.

--- a/core/cfadmission/admission.go
+++ b/core/cfadmission/admission.go
@@ -45,8 +45,8 @@
 		Arrived          cf.Millis
 		// Deadline is the Uptime by which it must be answered.
 		Deadline cf.Millis
-		// Again: the caller was told to come back, or a target has had the request already.
-		Again bool
+		// Again: the caller was told to come back. Retry: a target has had the request already.
+		Again, Retry bool
 		// Must: it may have run, so that it can't be refused any more.
 		Must bool
 	}
@@ -186,7 +186,7 @@
 func (c *Controller) of(name cf.ServiceName) *service {
 	s := c.services[name]
 	if s == nil {
-		s = &service{limits: map[cf.InstanceID]*limit{}, shares: newShares(), instances: 1}
+		s = &service{limits: map[cf.InstanceID]*limit{}, shares: newShares(), instances: 1, budget: budget{left: mostBudget}}
 		c.services[name] = s
 	}
 	return s
@@ -416,7 +416,7 @@
 	s.drop(t)
 	l.started(now)
 	t.share.serve(now)
-	if !t.ask.Again {
+	if !t.ask.Retry {
 		s.budget.earn(now < s.until)
 	}
 }
--- a/core/cfadmission/budget.go
+++ b/core/cfadmission/budget.go
@@ -3,10 +3,7 @@
 import cf "currantford"
 
 // budget is what an instance may send to a service beside first sends: a part of those.
-type budget struct {
-	left    float64
-	started bool
-}
+type budget struct{ left float64 }
 
 const (
 	// budgetPart is the part of first sends that may be sent once more, budgetFull the same
@@ -22,9 +19,6 @@
 
 // earn counts a first send.
 func (b *budget) earn(full bool) {
-	if !b.started {
-		b.left, b.started = mostBudget, true
-	}
 	part, most := budgetPart, mostBudget
 	if full {
 		part, most = budgetFull, fullBudget
--- a/core/cfadmission/limit.go
+++ b/core/cfadmission/limit.go
@@ -129,6 +129,8 @@
 	leastBoost, mostBoost           = 0.25, 32.0
 	// mostLevel is how much unused rate is kept, in requests.
 	mostLevel = 2.0
+	// HTTP statuses of targets that did not run a request.
+	statusMisdirected, statusTooMany, statusFull = 421, 429, 503
 	// inflightSlack is by how much the requests in flight may exceed their mean.
 	inflightSlack = 1.5
 )
@@ -309,15 +311,18 @@
 	}
 }
 
-// OutcomeOf returns the outcome of a send as cfbalance has judged it.
-func OutcomeOf(o cfbalance.Outcome, err error) Outcome {
+// OutcomeOf returns the outcome of a send that cfbalance has judged. Only 503 and 429 say that
+// a target is full; one that answers 421 is not the one that was meant, so that is lost.
+func OutcomeOf(o cfbalance.Outcome, status int, err error) Outcome {
 	switch {
 	case o == cfbalance.Abandoned:
 		return Abandoned
-	case o == cfbalance.Full:
-		return Refused
-	case err != nil:
+	case err != nil, status == statusMisdirected:
 		return Lost
+	case o == cfbalance.Full && (status == statusFull || status == statusTooMany):
+		return Refused
+	case o == cfbalance.Full:
+		return Abandoned
 	}
 	return Answered
 }
--- a/core/cfadmission/queue.go
+++ b/core/cfadmission/queue.go
@@ -51,7 +51,7 @@
 		return need[entitled] - againLevel
 	case t.late(now):
 		return t.service.lateNeed(now)
-	case t.ask.Again:
+	case t.ask.Again || t.ask.Retry:
 		return n - againLevel
 	}
 	return n
@@ -84,8 +84,8 @@
 	if ts, us := t.service.shares.stand(t.share, now), u.service.shares.stand(u.share, now); ts != us {
 		return ts < us
 	}
-	if t.ask.Again != u.ask.Again {
-		return t.ask.Again
+	if ta, ua := t.ask.Again || t.ask.Retry, u.ask.Again || u.ask.Retry; ta != ua {
+		return ta
 	}
 	if t.share != u.share {
 		t.share.decay(now)
--- a/core/cfadmission/replay_test.go
+++ b/core/cfadmission/replay_test.go
@@ -230,7 +230,7 @@
 	t := c.in.admission.Enter(cfadmission.Ask{
 		Service: "s", Class: cfadmission.Class{Organisation: cf.Organisation(rune('A' + c.org))}, Candidates: r.listed, Tried: c.tried,
 		Instances: len(r.instances), Objective: objective, Spent: r.deadline - (c.attempts.Left(now) + now - c.received), Arrived: c.received,
-		Deadline: now + c.attempts.Left(now), Again: c.again || len(c.tried) > 0, Must: must,
+		Deadline: now + c.attempts.Left(now), Again: c.again, Retry: len(c.tried) > 0, Must: must,
 	}, now)
 	c.poll(t, hedge)
 }
@@ -347,7 +347,7 @@
 	}
 	c.in.balancer.Done(id, outcome, a.Load, took, now)
 	if !c.r.off {
-		c.in.admission.Done("s", id, cfadmission.End{Outcome: cfadmission.OutcomeOf(outcome, err), Load: a.Load, Took: took}, now)
+		c.in.admission.Done("s", id, cfadmission.End{Outcome: cfadmission.OutcomeOf(outcome, a.Status, err), Load: a.Load, Took: took}, now)
 	}
 	if outcome == cfbalance.Full || outcome == cfbalance.Unreached {
 		c.full[id] = true
--- a/io/cfingress/queue.go
+++ b/io/cfingress/queue.go
@@ -62,8 +62,8 @@
 	if f.in.NoAdmission || objective <= 0 || len(candidates) == 0 {
 		return place{}, true
 	}
-	now, must, again := cf.Uptime(), f.attempts.MayHaveRun(), len(f.tried) > 0
-	if again && !f.in.admission.MayRetry(f.service, must && wait, now) {
+	now, must, retry := cf.Uptime(), f.attempts.MayHaveRun(), len(f.tried) > 0
+	if retry && !f.in.admission.MayRetry(f.service, must && wait, now) {
 		f.refused(cfadmission.Verdict{Reason: cfadmission.NoBudget}, wait)
 		return place{}, false
 	}
@@ -75,7 +75,7 @@
 	p := place{in: f.in, ticket: f.in.admission.Enter(cfadmission.Ask{
 		Service: f.service, Class: cfadmission.Class{Organisation: f.access.Organisation, Priority: f.access.Priority},
 		Candidates: candidates, Tried: avoid, Instances: len(f.in.Members.Live()), Objective: objective, Spent: f.spent,
-		Arrived: f.req.Received, Deadline: now + f.attempts.Left(now), Again: again || f.spent > 0, Must: must && wait,
+		Arrived: f.req.Received, Deadline: now + f.attempts.Left(now), Again: f.spent > 0, Retry: retry, Must: must && wait,
 	}, now)}
 	for began := now; ; now = cf.Uptime() {
 		v := f.in.admission.Poll(p.ticket, now)
@@ -143,7 +143,7 @@
 	if f.in.NoAdmission || f.objective() <= 0 {
 		return
 	}
-	end := cfadmission.End{Outcome: cfadmission.OutcomeOf(outcome, a.err), Load: a.answer.Load, Took: a.took}
+	end := cfadmission.End{Outcome: cfadmission.OutcomeOf(outcome, a.answer.Status, a.err), Load: a.answer.Load, Took: a.took}
 	if f.in.admission.Done(f.service, a.target.ID, end, now) {
 		waiting := -1
 		if a.answer.Load != nil {
--- a/io/cfingress/queue_test.go
+++ b/io/cfingress/queue_test.go
@@ -192,3 +192,22 @@
 	}()
 	in.Forward(ctx, &cf.Request{ID: "r", Method: http.MethodPost, Host: host, Route: "/x/a", Path: "/x/a", Received: cf.Uptime()}, w)
 }
+
+// Symptom: requests are refused as their service is full, which has one idle target.
+// Sequence: another target's address answers 421, as another process is there.
+// Cause: each answer "not run" was taken for a full target, and the other was not tried, as
+// callers that give themselves less time than the route had no retry budget.
+func TestTargetThatIsAnotherIsNotFull(t *testing.T) {
+	to := targets{send: func(x cf.Target, _ cf.TargetCall) (cf.TargetAnswer, error) {
+		if x.ID == "a" {
+			return cf.TargetAnswer{Status: http.StatusMisdirectedRequest, NotRun: true}, nil
+		}
+		return cf.TargetAnswer{Status: http.StatusOK, Header: http.Header{}}, nil
+	}}
+	in := newIngress(t, to, cfsite.Route{Kind: cfsite.KindOnce, MaxAttempts: 2, Timeout: 2000, SLO: 150}, "a", "b")
+	for range 10 {
+		if w, _ := ask(in, cf.Request{ID: "r", Deadline: 1500}); w.Code != http.StatusOK {
+			t.Fatalf("status %d", w.Code)
+		}
+	}
+}
