Admission: priorities differ in the unused rate that they need

Small organisations of all priorities borrowed alike, and callers that came back counted as further requests of their organisation, which put urgent ones over their share.

Change: each lower priority needs a bucket that is fuller by 1.2 sends; requests of a priority for which nothing is left come last; an organisation asks by its new requests alone.

--- a/core/cfadmission/admission.go
+++ b/core/cfadmission/admission.go
@@ -162,6 +162,8 @@
 	lateLevel = 0.9
 	// idleSpan is how long a target's word that it has a free slot counts for those.
 	idleSpan cf.Millis = 50
+	// rankLevel is by how much the level of each further priority is higher, mostNeed bounds it.
+	rankLevel, mostNeed = 1.2, 1.9
 	// againLevel lets callers that have come back go a little before new ones.
 	againLevel = 0.25
 	// unheardLevel is the unused rate at a target that has not said how full it is.
@@ -178,7 +180,7 @@
 // need is the level of a target's bucket from which on requests of a tier are sent. Modest
 // organisations may borrow from the others' next sends: at a few sends a second for all, one
 // that waits for its turn behind a large organisation's burst is not in time any more.
-var need = [...]float64{modest: -3, entitled: 0, beyond: 1}
+var need = [...]float64{modest: -3, entitled: 0, beyond: 1, last: 1.6}
 
 // New returns a controller that knows nothing.
 func New() *Controller { return &Controller{services: map[cf.ServiceName]*service{}} }
@@ -241,7 +243,11 @@
 	s := c.of(a.Service)
 	s.take(a, now)
 	c.n++
-	return &Ticket{ask: a, service: s, share: s.shares.ask(a.Class, now), n: c.n}
+	x := s.shares.of(a.Class, now)
+	if !a.Again && !a.Retry {
+		x.ask(now)
+	}
+	return &Ticket{ask: a, service: s, share: x, n: c.n}
 }
 
 // Poll decides what a ticket's request is to do now.
--- a/core/cfadmission/queue.go
+++ b/core/cfadmission/queue.go
@@ -45,7 +45,7 @@
 
 // need is the level from which on the request is sent.
 func (t *Ticket) need(now cf.Millis) float64 {
-	n := need[t.service.shares.stand(t.share, now)]
+	n := min(need[t.service.shares.stand(t.share, now)]+rankLevel*float64(t.share.rank), mostNeed)
 	switch {
 	case t.ask.Must:
 		return need[entitled] - againLevel
--- a/core/cfadmission/shares.go
+++ b/core/cfadmission/shares.go
@@ -23,6 +23,7 @@
 		// even says that it asks for more than its share, of which level per ms is allowed;
 		// credit is what it has not used of that, as of credited.
 		even     bool
+		rank     int // among the priorities that are there
 		level    float64
 		credit   float64
 		credited cf.Millis
@@ -50,6 +51,8 @@
 	entitled
 	// beyond is a request over its organisation's share.
 	beyond
+	// last is one of a priority for which the more urgent ones leave nothing.
+	last
 )
 
 const (
@@ -82,12 +85,11 @@
 	}
 }
 
-// ask counts a request that arrives.
-func (s *shares) ask(c Class, now cf.Millis) *share {
-	x := s.of(c, now)
+// ask counts a request that arrives for the first time: one that comes back would make its
+// organisation ask for more than it does.
+func (x *share) ask(now cf.Millis) {
 	x.decay(now)
 	x.asked += 1 / shareSpan
-	return x
 }
 
 // serve counts a request that is sent.
@@ -116,6 +118,9 @@
 	if x.save(now); x.credit >= 1 {
 		return entitled
 	}
+	if x.level <= 0 {
+		return last
+	}
 	return beyond
 }
 
@@ -148,9 +153,10 @@
 		}
 		return 0
 	})
-	for i := 0; i < len(s.sorted); {
+	for i, rank := 0, 0; i < len(s.sorted); rank++ {
 		n := i
 		for n < len(s.sorted) && s.sorted[n].class.Priority == s.sorted[i].class.Priority {
+			s.sorted[n].rank = rank
 			n++
 		}
 		capacity = fillLevel(s.sorted[i:n], max(capacity, 0), now)
