--- /dev/null
+++ b/core/cfadmission/admission_test.go
@@ -0,0 +1,201 @@
+package cfadmission_test
+
+import (
+	"fmt"
+	"testing"
+
+	cf "currantford"
+	"currantford/core/cfadmission"
+)
+
+// usual is the rate of an organisation per second: three large ones have half of 12.
+func usual(org int) float64 {
+	if org < 3 {
+		return 2
+	}
+	return 6.0 / 70
+}
+
+func times(n float64) func(org int) float64 { return func(org int) float64 { return n * usual(org) } }
+
+// flood is ninety times the usual rate for eight seconds, with one of three targets lost half
+// a second after its start, and the usual rate before and after.
+func flood(seed uint64) load {
+	return load{
+		orgs: 73, instances: 50, targets: 3, work: 25, deadline: 800, lostAt: 10500, seed: seed,
+		phases: []phase{{10000, usual}, {18000, times(90)}, {20000, usual}, {26000, usual}},
+	}
+}
+
+func sum(ts []tally) (all tally) {
+	for _, t := range ts {
+		all.asked += t.asked
+		all.inTime += t.inTime
+		all.late += t.late
+		all.failed += t.failed
+		all.slowest = max(all.slowest, t.slowest)
+		all.took += t.took
+	}
+	return all
+}
+
+// Load: the flood. Without the decision half of what is answered is late. An instance that
+// goes on to hold requests back afterwards would show in their times.
+func TestFloodIsAnsweredInTime(t *testing.T) {
+	for seed := range uint64(3) {
+		l := flood(seed)
+		r := play(l)
+		on, before, after := sum(r.byPhase), r.byPhase[0], r.byPhase[3]
+		l.off = true
+		off := sum(play(l).byPhase)
+		t.Logf("seed %d: on %+v, off %+v", seed, on, off)
+		if on.inTime < 3700 {
+			t.Errorf("seed %d: %d answered in time", seed, on.inTime)
+		}
+		if served := on.inTime + on.late; on.late*20 > served {
+			t.Errorf("seed %d: %d of %d answered late", seed, on.late, served)
+		}
+		if cf.Millis(on.slowest) > objective/4 {
+			t.Errorf("seed %d: a refusal took %.0f ms", seed, on.slowest)
+		}
+		if off.inTime > 3700 {
+			t.Errorf("seed %d: %d answered in time without the decision: this is not its load", seed, off.inTime)
+		}
+		if b, a := before.took/float64(before.inTime), after.took/float64(after.inTime); after.inTime*20 < after.asked*19 || a > b*1.25 {
+			t.Errorf("seed %d: %d of %d in time after the flood, in %.1f ms, before in %.1f", seed, after.inTime, after.asked, a, b)
+		}
+	}
+}
+
+// Load: the flood on the second deployment, whose callers have no organisations and whose
+// targets are 2.5 times as slow for 15% of the time. An instance that holds to a rate of
+// before fills the queue of a target that has turned slow.
+func TestFloodBeforeTargetsThatTurnSlow(t *testing.T) {
+	l := flood(4)
+	l.orgs, l.instances, l.work, l.deadline, l.shared = 1, 30, 21, 1500, true
+	l.phases = []phase{{10000, func(int) float64 { return 12 }}, {18000, func(int) float64 { return 1080 }}, {24000, func(int) float64 { return 12 }}}
+	on := sum(play(l).byPhase)
+	l.off = true
+	off := sum(play(l).byPhase)
+	t.Logf("on %+v, off %+v", on, off)
+	if on.inTime < 3700 || off.inTime > 3700 || on.late*3 > off.late {
+		t.Errorf("%d in time and %d late, %d and %d without the decision", on.inTime, on.late, off.inTime, off.late)
+	}
+}
+
+// Load: the flood, of organisations of three priorities. With one rank for all each has the
+// same part.
+func TestFloodServesTheUrgentFirst(t *testing.T) {
+	l := flood(5)
+	l.ranks = 3
+	r := play(l)
+	var parts [3]float64
+	for rank := range parts {
+		var of []tally
+		for org := rank; org < l.orgs; org += l.ranks {
+			of = append(of, r.byOrg[org])
+		}
+		x := sum(of)
+		parts[rank] = float64(x.inTime) / float64(x.asked)
+	}
+	t.Logf("in time by priority %.2f", parts)
+	if parts[0] < 0.7 || parts[1] < parts[2]*1.3 {
+		t.Errorf("in time by priority %.2f", parts)
+	}
+}
+
+// Load: one organisation of 73 asks for ten times its usual part, where usually 0.6 of the
+// slots are used. Without shares it displaces everybody.
+func TestBurstLeavesTheOthersTheirPart(t *testing.T) {
+	l := load{orgs: 73, instances: 50, targets: 3, work: 25, deadline: 800, phases: []phase{{10000, times(36)}, {18000, func(org int) float64 {
+		if org == 0 {
+			return 360 * usual(org)
+		}
+		return 36 * usual(org)
+	}}, {20000, times(36)}}}
+	others := func(r *replay) float64 {
+		o := sum(r.byOrg[1:])
+		return float64(o.inTime) / float64(o.asked)
+	}
+	on := others(play(l))
+	l.off = true
+	off := others(play(l))
+	t.Logf("others in time %.3f, without the decision %.3f", on, off)
+	if on < 0.95 || off >= 0.95 {
+		t.Errorf("others in time %.3f, without the decision %.3f", on, off)
+	}
+}
+
+// Load: the flood before targets that send no load header, with a target that vanishes
+// without a word, and with all callers at ten of the instances. A limit that rests on the
+// header, on refused connections, or on equal instances fails here.
+func TestFloodOfOtherKinds(t *testing.T) {
+	for name, change := range map[string]func(*load){
+		"no header": func(l *load) { l.noHeader = true },
+		"silent":    func(l *load) { l.silent = true },
+		"uneven":    func(l *load) { l.near = 10 },
+	} {
+		l := flood(2)
+		change(&l)
+		on := sum(play(l).byPhase)
+		l.off = true
+		if off := sum(play(l).byPhase); on.inTime < off.inTime*3/2 {
+			t.Errorf("%s: %d answered in time, %d without the decision", name, on.inTime, off.inTime)
+		}
+	}
+}
+
+// Load: two thirds of what the targets can do. No request waits that needn't.
+func TestNoEffectBelowSaturation(t *testing.T) {
+	l := load{orgs: 73, instances: 50, targets: 3, work: 25, deadline: 800, phases: []phase{{10000, times(20)}, {20000, times(36)}}}
+	on := sum(play(l).byPhase)
+	l.off = true
+	off := sum(play(l).byPhase)
+	if a, b := on.took/float64(on.inTime), off.took/float64(off.inTime); a > b*1.03 || on.inTime*1000 < on.asked*997 {
+		t.Errorf("%d of %d in time, mean %.1f ms; %.1f without the decision", on.inTime, on.asked, a, b)
+	}
+}
+
+// Where callers give themselves less time than the route does, all of them counted as having
+// come back, and too late.
+func TestCallersThatComeBackAreToldByOthers(t *testing.T) {
+	c := cfadmission.NewCallers()
+	for i, want := range []struct{ deadline, spent, at cf.Millis }{{800, 0, 0}, {800, 0, 10}, {540, 260, 20}, {0, 0, 30}, {500, 0, 40000}} {
+		if got := c.Spent("r", want.deadline, want.at); got != want.spent {
+			t.Errorf("request %d: %d ms spent, want %d", i, got, want.spent)
+		}
+	}
+}
+
+// BenchmarkPoll measures the decision on a request while the service is limited.
+func BenchmarkPoll(b *testing.B) {
+	for _, orgs := range []int{1, 100, 1000} {
+		b.Run(fmt.Sprintf("targets_64_organisations_%d", orgs), func(b *testing.B) {
+			c := cfadmission.New()
+			candidates := make([]cf.Target, 64)
+			for i := range candidates {
+				candidates[i] = cf.Target{ID: cf.InstanceID(fmt.Sprintf("t%02d", i)), Slots: 6}
+			}
+			classes := make([]cfadmission.Class, orgs)
+			for i := range classes {
+				classes[i].Organisation = cf.Organisation(fmt.Sprintf("o%03d", i))
+			}
+			a := cfadmission.Ask{Service: "s", Candidates: candidates, Instances: 50, Objective: objective, Arrived: 1000, Deadline: 1800}
+			now := cf.Millis(1000)
+			for n := 0; b.Loop(); n++ {
+				if n%100 == 0 {
+					now++
+				}
+				a.Class, a.Arrived = classes[n%orgs], now
+				t := c.Enter(a, now)
+				if c.Poll(t, now).State == cfadmission.Send {
+					id := candidates[n%64].ID
+					c.Sent(t, id, now)
+					c.Done("s", id, cfadmission.End{Load: &cf.TargetLoad{Running: 6, Waiting: 20, Slots: 6}, Took: 100}, now)
+				} else {
+					c.Leave(t)
+				}
+			}
+		})
+	}
+}
--- a/io/cfnode/settings.go
+++ b/io/cfnode/settings.go
@@ -61,6 +61,8 @@
 		NoAutoscale bool `json:"no_autoscale"`
 		// NoHoldBounds holds answers without a bound, and waits for slow callers.
 		NoHoldBounds bool `json:"no_hold_bounds"`
+		// NoAdmission sends plain requests on until targets refuse them.
+		NoAdmission bool `json:"no_admission"`
 	}
 
 	// Listen holds the addresses to serve at, IP:PORT each. An empty one is
