Admission: a target that has turned slow is paced by what its last answers took

Change: each target has a factor on its service's work, from its last answers, that counts from 1.5 times on.

--- a/core/cfadmission/admission.go
+++ b/core/cfadmission/admission.go
@@ -197,7 +197,7 @@
 func (s *service) limit(id cf.InstanceID, slots int) *limit {
 	l := s.limits[id]
 	if l == nil {
-		l = &limit{slots: max(slots, 1), boost: 1, times: &s.times}
+		l = &limit{slots: max(slots, 1), boost: 1, slow: 1, times: &s.times}
 		s.limits[id] = l
 	}
 	return l
--- a/core/cfadmission/limit.go
+++ b/core/cfadmission/limit.go
@@ -40,6 +40,8 @@
 		*times
 		// room is how many requests waited when the target refused one, zero if it has not.
 		room float64
+		// slow is how many times as long this target's answers took lately as its service's.
+		slow float64
 		// waiting is how many requests wait at the target by its last word, at heard.
 		waiting float64
 		heard   cf.Millis
@@ -82,7 +84,7 @@
 )
 
 const (
-	// aimPart divides the time that the objective leaves for queues. At 1.6 1% more are
+	// aimPart divides the time that the objective leaves for queues. At 1.6 0.3% more are
 	// answered in all, and 4.3% of them late instead of 3.7%.
 	aimPart = 2.0
 	// limitSpan is how long a limit acts after a target has last said that requests wait,
@@ -110,6 +112,10 @@
 	// the weight of priorAnswers.
 	unknownWork  = 6
 	priorAnswers = 3
+	// smoothSlow is the same weight for how slow a target is: a slow period lasts some hundred
+	// milliseconds. Up to slowFrom that is the spread of work; slowMost bounds what one long
+	// answer may say.
+	smoothSlow, slowFrom, slowMost = 0.4, 1.5, 3.0
 	// ownSpan is the time constant of the rate of own starts.
 	ownSpan = 1000.0
 	// gain is how far a rate leaves its base for a queue that is wrong by its whole aim.
@@ -146,14 +152,23 @@
 // work, its spread and the network is divided by aimPart: the rest is for the wait here, and
 // for words of the load that are 200 ms old with 50 instances.
 func (l *limit) aim(objective cf.Millis) float64 {
-	left := float64(objective) - float64(networkTime) - l.work - l.spread
-	aim := float64(l.slots) * left / aimPart / max(l.work, 1)
+	work := max(l.work*l.slower(), 1)
+	left := float64(objective) - float64(networkTime) - work - l.spread
+	aim := float64(l.slots) * left / aimPart / work
 	if l.room > 0 {
 		aim = min(aim, l.room/2)
 	}
 	return max(aim, 1)
 }
 
+// slower is by how much the target counts as slower than its service.
+func (l *limit) slower() float64 {
+	if l.slow < slowFrom {
+		return 1
+	}
+	return l.slow
+}
+
 // crowded says that the target may refuse: by its last word, and the time since, its queue is
 // over half more than the aim.
 func (l *limit) crowded(objective, now cf.Millis) bool {
@@ -180,15 +195,16 @@
 // target's throughput where all take the same.
 func (l *limit) pace(objective cf.Millis, instances int) {
 	aim := l.aim(objective)
-	l.answer = l.work*(1+min(l.waiting, aim)/float64(l.slots)) + l.spread
-	l.excess = l.work * (l.waiting - aim) / float64(l.slots)
+	work := l.work * l.slower()
+	l.answer = work*(1+min(l.waiting, aim)/float64(l.slots)) + l.spread
+	l.excess = work * (l.waiting - aim) / float64(l.slots)
 	l.rate = l.share(instances) * l.boost * (1 + gain*l.off(objective))
 	inFlight := l.rate * l.work * (1 + aim/float64(l.slots))
 	l.bound = max(2, int(math.Ceil(inFlight*inflightSlack)))
 }
 
 func (l *limit) share(instances int) float64 {
-	return float64(l.slots) / max(l.work, 1) / float64(max(instances, 1))
+	return float64(l.slots) / max(l.work*l.slower(), 1) / float64(max(instances, 1))
 }
 
 // fill adds what the rate has brought.
@@ -202,7 +218,7 @@
 // begin takes a target that is listed, after it was not or with another start: what was known
 // of it is of before.
 func (l *limit) begin(born cf.Millis) {
-	*l = limit{slots: l.slots, sent: l.sent, born: born, times: l.times, boost: 1, own: l.own, ownAt: l.ownAt}
+	*l = limit{slots: l.slots, sent: l.sent, born: born, times: l.times, boost: 1, slow: 1, own: l.own, ownAt: l.ownAt}
 }
 
 // activate begins to limit: from an equal share, or from what this instance sends now, the
@@ -285,6 +301,10 @@
 	case e.Load == nil && l.limited(now):
 		return
 	}
+	l.slow += smoothSlow * (min(took/max(l.work, 1), slowMost) - l.slow)
+	if l.slower() > 1 {
+		by = min(by, smooth/5) // it may last, or be the service's
+	}
 	l.answers++
 	l.spread += by * (math.Abs(took-l.work) - l.spread)
 	l.work += by * (took - l.work)
