Admission: the queue at which a target refused counts while its limit acts

Cause: a target that refuses with a short queue, for a cause of its own, bounded the aimed queue at half of that until it was listed anew.

Change: what it refused at is forgotten once the limit has ceased to act.

--- a/core/cfadmission/admission.go
+++ b/core/cfadmission/admission.go
@@ -97,15 +97,15 @@
 		// quickest is the least time in ms in which a target should answer, by the last look.
 		quickest float64
 		// candidates are those of the last ask, ordered are their limits.
-		candidates []cf.Target
-		ordered    []*limit
-		lists      int // counts changes of the candidates
-		instances  int
-		objective  cf.Millis
-		objectiveA cf.Millis // as of when
-		shares     *shares
-		queue      []*Ticket
-		budget     budget
+		candidates  []cf.Target
+		ordered     []*limit
+		lists       int // counts changes of the candidates
+		instances   int
+		objective   cf.Millis
+		objectiveAt cf.Millis // as of when
+		shares      *shares
+		queue       []*Ticket
+		budget      budget
 		// until is the latest end of a target's limit, pressed when a request was last kept back.
 		until, pressed cf.Millis
 	}
@@ -205,7 +205,7 @@
 
 // take notes the targets and the objective of an ask.
 func (s *service) take(a Ask, now cf.Millis) {
-	if s.objective == 0 || a.Objective < s.objective || now-s.objectiveA > objectiveSpan {
+	if s.objective == 0 || a.Objective < s.objective || now-s.objectiveAt > objectiveSpan {
 		s.objective = a.Objective
 	}
 	if s.times.answers == 0 {
@@ -213,7 +213,7 @@
 		s.times.spread = s.times.work / 2
 	}
 	if a.Objective == s.objective {
-		s.objectiveA = now
+		s.objectiveAt = now
 	}
 	s.instances = max(a.Instances, 1)
 	if len(a.Candidates) == len(s.candidates) && (len(a.Candidates) == 0 || &a.Candidates[0] == &s.candidates[0]) {
--- a/core/cfadmission/limit.go
+++ b/core/cfadmission/limit.go
@@ -244,6 +244,9 @@
 	l.sent--
 	l.fill(now)
 	acted := l.limited(now)
+	if !acted {
+		l.room = 0 // a refusal of before may have had another cause
+	}
 	switch e.Outcome {
 	case Refused:
 		l.waiting = max(l.waiting, 2*l.aim(objective))
