Refuse steps that are hopeless on arrival; weights of shares; log and count groups

Cause: a step of which not one group can be whole by its due time took slots from the steps after it and was worth nothing. Which groups were put off, and why, was not to be seen.

The coordinator says hopeless only if its takeover is done and its duty is two seconds old, the step is neither announced, known, over nor asked for within two seconds, and its quickest group would take twice the time left with all engines of the model. Every doubt means acceptance. policy.share_weights weighs models' shares. groups_selected, step_hopeless and batch_refused are logged, currantford_step_groups counts open groups by class. Switch: no_refusals.

--- /dev/null
+++ b/core/cfrollout/refusal.go
@@ -0,0 +1,102 @@
+package cfrollout
+
+import (
+	"math"
+
+	cf "currantford"
+	"currantford/core/cfbatch"
+)
+
+const (
+	// hopelessBy is how many times too late the quickest group of a step must be expected
+	// to be: lengths are known within a factor of 1.6, and a step that fits must never be
+	// refused.
+	hopelessBy = 2
+	// retryLeast and retryMost bound when the submitter of a hopeless step should come back.
+	retryLeast cf.Millis = 2500
+	retryMost  cf.Millis = 10_000
+)
+
+// Hope is what is expected of a step that is not accepted yet.
+type Hope struct {
+	// Hopeless: not one of its groups could be whole by its due time, even with all of its
+	// model's engines.
+	Hopeless bool
+	// Quickest is when the first of its groups could be whole, Left the time until it is
+	// due, and Retry when to come back.
+	Quickest, Left, Retry cf.Millis
+}
+
+// Expect returns what is expected of a step. Where lengths or paces are not known it is not
+// hopeless.
+//
+// The load it answers: a step whose shortest group takes longer than the step has, such as
+// one of very long texts, or one that comes when most engines are lost. It would take slots
+// from the steps after it and be worth nothing.
+func (p *Planner) Expect(sub cf.Submission, terms Terms, now cf.Millis) Hope {
+	if p.limits.AllGroups || terms.Due == 0 || !p.lengths.started || len(sub.Items) == 0 {
+		return Hope{}
+	}
+	o := &open{batch: cfbatch.New(sub), terms: terms}
+	for _, it := range sub.Items {
+		if p.carry[it.ID] != nil || p.orphans[it.ID] != nil {
+			return Hope{} // it goes on with texts of the step before
+		}
+		o.waiting = append(o.waiting, &Work{Batch: o.batch, Item: it, Terms: terms})
+	}
+	rate, pace := p.capacity(o)
+	if rate == 0 {
+		return Hope{}
+	}
+	quickest := math.Inf(1)
+	for _, g := range p.stepNeed(o, pace).groups {
+		quickest = min(quickest, max(g.work/(rate*pace), g.longest))
+	}
+	left := float64(terms.Due - now)
+	h := Hope{Hopeless: quickest > hopelessBy*max(left, 0), Quickest: cf.Millis(quickest), Left: terms.Due - now}
+	if h.Hopeless {
+		h.Retry = min(max(p.openFor(o), retryLeast), retryMost)
+	}
+	return h
+}
+
+// openFor is how long the open steps of a batch's model are expected to take: after that
+// its engines are free, and may be others.
+func (p *Planner) openFor(o *open) cf.Millis {
+	most := 0.0
+	for _, x := range p.batches {
+		if x.batch.Sub.Model == o.batch.Sub.Model && x.rankedAt > 0 {
+			most = max(most, x.selected.whole)
+		}
+	}
+	return cf.Millis(most)
+}
+
+// Selection is what was decided for the groups of an open step.
+type Selection struct {
+	Batch cf.BatchID
+	// Beyond: groups are put off so that others are whole in time.
+	Beyond bool
+	// Whole is how long all that the trainer waits for takes from the last ranking on, Left
+	// the time until it is due.
+	Whole, Left cf.Millis
+	// InTime, Late and Last are groups that are waited for, by when they can be whole: by
+	// the due time, soon after it, or later. Spare ones are not waited for.
+	InTime, Late, Last, Spare int
+}
+
+// Selections returns what was decided for the open steps whose groups are ranked.
+func (p *Planner) Selections(now cf.Millis) []Selection {
+	var out []Selection
+	for id, o := range p.batches {
+		if o.rankedAt == 0 {
+			continue
+		}
+		n := o.selected.counts
+		out = append(out, Selection{
+			Batch: id, Beyond: o.selected.beyond, Whole: cf.Millis(o.selected.whole), Left: o.terms.Due - now,
+			InTime: n[groupInTime], Late: n[groupLate], Last: n[groupLast], Spare: n[groupSpare],
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/core/cfrollout/refusal_test.go
@@ -0,0 +1,44 @@
+package cfrollout_test
+
+import (
+	"testing"
+
+	cf "currantford"
+	"currantford/core/cfrollout"
+)
+
+// Guards against steps that are refused though a group fits, or though they go on with
+// texts of the step before, and against hopeless ones that are accepted.
+func TestOnlyHopelessStepsAreRefused(t *testing.T) {
+	p := slowSite(t) // engines take some 40 ms for an event, one of them 160
+	began := hinted("began", 20)
+	p.AddBatch(began, terms)
+	works := p.Place(4000)
+	generate(t, works[0], 4010, 4400, 40)
+	p.EndBatch("began")
+	p.Finished(works[0], cfrollout.OutcomeStopped, 4400)
+	for _, c := range []struct {
+		name     string
+		sub      cf.Submission
+		due      cf.Millis
+		hopeless bool
+	}{
+		{"20 events in 10 s", hinted("a", 20, 20).Sub, 15_000, false},
+		{"20 events in 0.8 s", hinted("b", 20, 20).Sub, 5800, false},
+		{"20 events in 0.1 s", hinted("c", 20, 20).Sub, 5100, true},
+		{"one short text of several", hinted("d", 20, 20, 1).Sub, 5100, false},
+		{"past its due time", hinted("e", 20).Sub, 4000, true},
+		{"without a due time", hinted("f", 20).Sub, 0, false},
+		{"with a text of the step before", began.Sub, 5100, false},
+	} {
+		due := terms
+		due.Due, due.Span = c.due, 7500
+		h := p.Expect(c.sub, due, 5000)
+		if h.Hopeless != c.hopeless || h.Hopeless && h.Retry < 2000 {
+			t.Errorf("%s: %+v", c.name, h)
+		}
+	}
+	if h := cfrollout.New(cfrollout.DefaultLimits).Expect(hinted("g", 20).Sub, cfrollout.Terms{Service: service, Due: 1}, 5000); h.Hopeless {
+		t.Error("hopeless without any text that is known")
+	}
+}
--- a/core/cfrollout/shares.go
+++ b/core/cfrollout/shares.go
@@ -16,7 +16,7 @@
 	// idleAfter is how long after its last step a model's need fades, to idleNeed of it: trainers
 	// hand in a step every few seconds, and a coordinator that takes over finds none for one.
 	idleAfter cf.Millis = 15_000
-	idleNeed            = 0.1
+	idleNeed  float64   = 0.1
 )
 
 type (
--- a/io/cfcoord/coordinator.go
+++ b/io/cfcoord/coordinator.go
@@ -137,6 +137,10 @@
 		pace atomic.Uint64
 		// refused are held requests whose refusal was logged; the map is bounded.
 		refused map[cf.RequestID]bool
+		// asked is when instances asked last whether a step may be accepted, began when the
+		// duty began, or when that was forgotten.
+		asked map[cf.BatchID]cf.Millis
+		began cf.Millis
 	}
 
 	// finishedText is a complete text of a batch.
@@ -167,6 +171,8 @@
 		measured int
 		stalest  cf.WeightVersion
 		served   bool
+		// selection is what was logged last of its groups.
+		selection selectionLog
 	}
 )
 
@@ -187,11 +193,12 @@
 		finished: map[cf.ItemID]finishedText{},
 		rewards:  newRewards(o.Policy),
 		named:    named{}, history: newHistory(), prepared: newPrepared(),
-		refused: map[cf.RequestID]bool{},
+		refused: map[cf.RequestID]bool{}, asked: map[cf.BatchID]cf.Millis{}, began: cf.Uptime(),
 	}
 	c.orders = newOrders(o, c.reported)
 	limits.Admit = c.admit
 	c.planner = cfrollout.New(limits)
+	c.planner.SetWeights(o.Policy.ShareWeights)
 	return c
 }
 
@@ -263,6 +270,7 @@
 func (c *Coordinator) loop() {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	defer c.Metrics.Groups.Reset()
 	for {
 		select {
 		case <-c.ctx.Done():
@@ -291,6 +299,7 @@
 	for _, w := range c.planner.Place(now) {
 		c.startRun(w)
 	}
+	c.noteSelections(now)
 	if term, ok := c.Duty.MayOrder(); ok {
 		for _, s := range c.planner.Swaps(now) {
 			c.startSwap(s, term)
--- a/io/cfcoord/metrics.go
+++ b/io/cfcoord/metrics.go
@@ -15,6 +15,8 @@
 	StepWait      *prometheus.HistogramVec
 	StaleVersions *prometheus.HistogramVec
 	StaleSeconds  *prometheus.HistogramVec
+	// Groups are the open groups of steps by what was decided of them.
+	Groups *prometheus.GaugeVec
 }
 
 // NewMetrics registers the coordinator's metrics.
@@ -43,7 +45,9 @@
 		StaleSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "currantford_sample_staleness_seconds", Help: "Time since a sample's oldest weights were superseded, when it is listed.",
 			Buckets: prometheus.ExponentialBuckets(0.25, 2, 12)}, []string{"model"}),
+		Groups: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "currantford_step_groups", Help: "Open groups of steps with a due time, by when they are expected to be whole."}, []string{"class"}),
 	}
-	reg.MustRegister(m.Runs, m.Orders, m.Chunks, m.ItemRun, m.Rewards, m.RewardTook, m.StepWait, m.StaleVersions, m.StaleSeconds)
+	reg.MustRegister(m.Runs, m.Orders, m.Chunks, m.ItemRun, m.Rewards, m.RewardTook, m.StepWait, m.StaleVersions, m.StaleSeconds, m.Groups)
 	return m
 }
--- a/io/cfcoord/policy.go
+++ b/io/cfcoord/policy.go
@@ -1,6 +1,10 @@
 package cfcoord
 
-// Policy turns decisions off, to measure what they bring.
+import (
+	cf "currantford"
+)
+
+// Policy turns decisions off, to measure what they bring, and weighs trainers.
 type Policy struct {
 	// KeepSlowRuns leaves runs on engines that have turned slow.
 	KeepSlowRuns bool `json:"keep_slow_runs"`
@@ -26,6 +30,11 @@
 	LeastLeft bool `json:"least_left"`
 	// LoadUnderRuns lets an engine load weights while it runs what a trainer waits for.
 	LoadUnderRuns bool `json:"load_under_runs"`
+	// NoRefusals accepts steps of which no group could be whole in time.
+	NoRefusals bool `json:"no_refusals"`
+	// ShareWeights are what models' shares of the engines count for against their work; 1
+	// where not given.
+	ShareWeights map[cf.ModelName]float64 `json:"share_weights"`
 	// ListByAge lists results by their age, whatever the deadline.
 	ListByAge bool `json:"list_by_age"`
 }
--- /dev/null
+++ b/io/cfcoord/refusal.go
@@ -0,0 +1,95 @@
+package cfcoord
+
+import (
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/core/cfrollout"
+	"currantford/io/cflog"
+)
+
+const (
+	// refusalRest is how long after a question whether a step may be accepted another one
+	// of the same step is answered with yes, and how long a coordinator answers so after
+	// its start: an instance that had no answer in time writes the batch, within 1.5 s.
+	refusalRest cf.Millis = 2000
+	// askedMost bounds the questions that are remembered.
+	askedMost = 1000
+	// selectionRest is the least time between two log lines on a step's groups.
+	selectionRest cf.Millis = 1000
+)
+
+// selectionLog is what was logged last of a step's groups.
+type selectionLog struct {
+	beyond bool
+	at     cf.Millis
+}
+
+// Hopeless says whether a step that is about to be accepted should be refused, and when to
+// come back. It keeps nothing of the step but when it was asked.
+func (c *Coordinator) Hopeless(sub cf.Submission) (after cf.Millis, hopeless bool) {
+	config := c.Site.Config()
+	if config == nil || c.Policy.NoRefusals {
+		return 0, false
+	}
+	terms, ok := termsOf(config, &sub)
+	if !ok {
+		return 0, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := cf.Uptime()
+	if c.askedBefore(sub.ID, now) || !c.Duty.Valid() || !c.takeover.done || now-c.began < refusalRest || c.announced(sub.ID) {
+		return 0, false
+	}
+	h := c.planner.Expect(sub, terms, now)
+	if !h.Hopeless {
+		return 0, false
+	}
+	c.Log.Info("step_hopeless", cflog.Batch(sub.ID), zap.String("model", string(sub.Model)), zap.Int("items", len(sub.Items)),
+		zap.Int64("quickest_group_ms", int64(h.Quickest)), zap.Int64("left_ms", int64(h.Left)), zap.Int64("retry_ms", int64(h.Retry)))
+	return h.Retry, true
+}
+
+// askedBefore notes a question of a step, and says whether there was one shortly before.
+// c.mu is held.
+func (c *Coordinator) askedBefore(id cf.BatchID, now cf.Millis) bool {
+	if len(c.asked) >= askedMost {
+		clear(c.asked)
+		c.began = now // what was forgotten counts as asked
+	}
+	at, known := c.asked[id]
+	c.asked[id] = now
+	return known && now-at < refusalRest
+}
+
+// announced says whether an instance has said that it is about to accept a batch, or the
+// batch is known. c.mu is held.
+func (c *Coordinator) announced(id cf.BatchID) bool {
+	if _, known := c.prepared.batches[id]; known {
+		return true
+	}
+	if _, known := c.prepared.accepted[id]; known {
+		return true
+	}
+	return c.batches[id] != nil || c.readings[id] != nil || c.history.over[id]
+}
+
+// noteSelections logs what is decided of steps' groups when it changes, and counts them.
+// c.mu is held.
+func (c *Coordinator) noteSelections(now cf.Millis) {
+	var sum cfrollout.Selection
+	for _, s := range c.planner.Selections(now) {
+		sum.InTime, sum.Late, sum.Last, sum.Spare = sum.InTime+s.InTime, sum.Late+s.Late, sum.Last+s.Last, sum.Spare+s.Spare
+		st := c.batches[s.Batch]
+		if st == nil || st.selection.beyond == s.Beyond || now-st.selection.at < selectionRest && st.selection.at > 0 {
+			continue
+		}
+		st.selection = selectionLog{s.Beyond, now}
+		c.Log.Info("groups_selected", cflog.Batch(s.Batch), zap.Bool("beyond_capacity", s.Beyond), zap.Int64("whole_in_ms", int64(s.Whole)),
+			zap.Int64("left_ms", int64(s.Left)), zap.Int("in_time", s.InTime), zap.Int("late", s.Late), zap.Int("last", s.Last), zap.Int("spare", s.Spare))
+	}
+	for class, n := range map[string]int{"in_time": sum.InTime, "late": sum.Late, "last": sum.Last, "spare": sum.Spare} {
+		c.Metrics.Groups.WithLabelValues(class).Set(float64(n))
+	}
+}
--- /dev/null
+++ b/io/cfcoord/refusal_test.go
@@ -0,0 +1,62 @@
+package cfcoord
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/core/cfbatch"
+	"currantford/core/cfrollout"
+	"currantford/testbed/cfstandin"
+)
+
+// Guards against a refusal that is not true: of a step that an instance may be writing, or
+// by a coordinator that does not know what was announced to the one before.
+func TestRefusalNeedsTheCoordinatorsKnowledge(t *testing.T) {
+	site := engineSite(t)
+	config := *site.Config()
+	config.Routes[0].ResultsSLO = 100
+	if _, err := site.ApplyConfig(cfstandin.Record("main", 2, config)); err != nil {
+		t.Fatal(err)
+	}
+	c := New(Options{Store: cfstandin.NewMemStore(), Targets: &countingTargets{}, Site: site, Codec: cfstandin.Codec{}, Duty: held{}, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop()})
+	c.refreshEngines(&config, true)
+	long := func(id cf.BatchID) cf.Submission {
+		return cf.Submission{ID: id, Host: "h", Path: "/", Model: "m", MinVersion: 1, TargetGroups: 1, Accepted: cf.Now(), Items: []cf.Item{{ID: cf.ItemID(id), LengthHint: 100}}}
+	}
+	c.planner.AddBatch(cfbatch.New(long("before")), cfrollout.Terms{Service: "s"})
+	for _, w := range c.planner.Place(0) {
+		for n := range cf.EventID(100) {
+			w.Progress.Note(cf.Millis(40 * n))
+			if err := w.Text.Append(cf.StreamEvent{ID: n + 1}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		c.planner.Moves(4000)
+		c.planner.Finished(w, cfrollout.OutcomeDone, 4000)
+	}
+	n := 0
+	check := func(name string, want bool, prepare func(id cf.BatchID)) {
+		t.Helper()
+		n++
+		id := cf.BatchID(fmt.Sprint("s", n))
+		prepare(id)
+		if _, hopeless := c.Hopeless(long(id)); hopeless != want {
+			t.Errorf("%s: refused %v", name, hopeless)
+		}
+	}
+	nothing := func(cf.BatchID) {}
+	c.began = cf.Uptime() - refusalRest
+	check("before the takeover is done", false, nothing)
+	c.takeover.done = true
+	check("a hopeless step", true, nothing)
+	check("asked shortly before", false, func(id cf.BatchID) { c.Hopeless(long(id)) })
+	check("announced", false, func(id cf.BatchID) { c.Prepare(long(id)) })
+	check("known", false, func(id cf.BatchID) { c.batches[id] = &state{} })
+	check("ended", false, func(id cf.BatchID) { c.history.noteOver(id) })
+	c.began = cf.Uptime()
+	check("just after the start", false, nothing)
+}
--- a/io/cfingress/batches.go
+++ b/io/cfingress/batches.go
@@ -46,6 +46,12 @@
 	started := cf.Uptime()
 	ctx, cancel := context.WithTimeout(ctx, submitBudget)
 	defer cancel()
+	if refusal := in.hopeless(ctx, sub, route.ResultsSLO); refusal != nil {
+		in.Log.Info("batch_refused", cflog.Batch(sub.ID), zap.Int("items", len(sub.Items)), zap.Int64("after_ms", int64(refusal.After)),
+			zap.String("reason", refusal.Reason), zap.Int64("took_ms", int64(cf.Uptime()-started)))
+		in.countBatch("submit", "refused", started)
+		return refusal
+	}
 	// Its way to the coordinator takes as long as the write: begun beside it,
 	// the batch is there when it is accepted.
 	in.Coordinator.Prepare(sub)
--- a/io/cfingress/ingress.go
+++ b/io/cfingress/ingress.go
@@ -46,6 +46,12 @@
 		Changed(id cf.BatchID, ended bool)
 	}
 
+	// Hope asks the coordinator whether not one group of a step that is about to be accepted
+	// could be whole in time, and when to come back.
+	Hope interface {
+		Hopeless(ctx context.Context, sub cf.Submission) (after cf.Millis, hopeless bool)
+	}
+
 	// Members shows the instances that take callers.
 	Members interface {
 		Live() []cfmember.Entry
@@ -57,7 +63,9 @@
 		Targets     cf.Targets
 		Site        *cfsite.Site
 		Coordinator Coordinator
-		Members     Members
+		// Hope may be nil: no step is refused as hopeless.
+		Hope    Hope
+		Members Members
 		// Guard decides which requests may be sent, and learns how they ended.
 		Guard *cfguard.Guard
 		// Believes tells how far this instance can rely on its configuration; nil: it
