--- a/core/cfscale/plan.go
+++ b/core/cfscale/plan.go
@@ -260,8 +260,9 @@
 	case p.follows:
 		least, want = n.least, shownMore*n.engines // the holder before had ordered what it saw to be needed
 	default:
-		urgent = float64(engines) < severe*n.engines
-		want = reserve
+		all := p.unopened()
+		urgent = float64(engines) < severe*n.engines*all
+		least, want = max(least, severe*n.engines*all), reserve*all
 	}
 	if float64(engines) >= least {
 		return 0, false
@@ -272,7 +273,6 @@
 // grow orders as many as are missing, at once, while one more earns more than it costs.
 func (p *plan) grow(n need, shown bool, why *Why) {
 	why.Target = p.total()
-	n.engines, n.earns = n.engines*p.unopened(), n.earns*p.unopened()
 	want, urgent := p.missing(n, shown, why.Target)
 	cause := CauseSteps
 	if p.now < p.reclaimed {
