--- a/io/cfnode/autoscale.go
+++ b/io/cfnode/autoscale.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	cf "currantford"
 	"currantford/core/cfscale"
 	"currantford/io/cfautoscale"
@@ -17,6 +19,14 @@
 	duty    atomic.Pointer[cfautoscale.Duty]
 }
 
+// newAutoscale returns nil where no engines are to be ordered.
+func newAutoscale(n *Node, reg prometheus.Registerer) *autoscale {
+	if n.adapter.Scaling == nil || !n.settings.autoscales() {
+		return nil
+	}
+	return &autoscale{node: n, metrics: cfautoscale.NewMetrics(reg)}
+}
+
 // begin begins the duty under the coordinator's term; follows says that another instance, or
 // this one before it started again, had it.
 func (a *autoscale) begin(c *cfcoord.Coordinator, follows bool) {
--- a/io/cfnode/node.go
+++ b/io/cfnode/node.go
@@ -34,7 +34,6 @@
 	"currantford/core/cfrollout"
 	"currantford/core/cfsite"
 	"currantford/core/cfusage"
-	"currantford/io/cfautoscale"
 	"currantford/io/cfcoord"
 	"currantford/io/cfguard"
 	"currantford/io/cfingress"
@@ -149,9 +148,7 @@
 		n.usage = newUsage(n, cfmeter.NewMetrics(reg))
 		n.peerSrv.Handle(opUsage, decoded(n.usage.serve))
 	}
-	if a.Scaling != nil && s.autoscales() {
-		n.autoscale = &autoscale{node: n, metrics: cfautoscale.NewMetrics(reg)}
-	}
+	n.autoscale = newAutoscale(n, reg)
 	n.guard = cfguard.New(cfguard.Options{
 		Self: s.Entry, Targets: a.Targets, Site: n.site, Share: n.quarantine.share, Witness: n.quarantine.witness, Off: s.Policy.NoQuarantine,
 		Metrics: cfguard.NewMetrics(reg), Log: log,
@@ -387,14 +384,6 @@
 	c.Start(func(ctx context.Context) map[cf.ItemID]cfrollout.Text { return n.gatherTexts(ctx, before, members) })
 }
 
-func entryIDs(entries []cfmember.Entry) []cf.EntryID {
-	ids := make([]cf.EntryID, len(entries))
-	for i, e := range entries {
-		ids[i] = e.ID
-	}
-	return ids
-}
-
 // dutyState returns how many engines may load weights at once, as the coordinator here
 // has learned, the address of the instance that has copies of its texts, and what it has
 // heard of use.
--- a/io/cfnode/usage.go
+++ b/io/cfnode/usage.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
+	"currantford/core/cfmember"
 	"currantford/core/cfusage"
 	"currantford/io/cflog"
 	"currantford/io/cfmeter"
@@ -251,3 +252,11 @@
 		_ = d.Close()
 	}
 }
+
+func entryIDs(entries []cfmember.Entry) []cf.EntryID {
+	ids := make([]cf.EntryID, len(entries))
+	for i, e := range entries {
+		ids[i] = e.ID
+	}
+	return ids
+}
