--- a/target.go
+++ b/target.go
@@ -40,6 +40,11 @@
 		Running int
 		Waiting int
 		Slots   int
+		// Pace is how long work takes there at the moment, in percent of what is
+		// usual; zero where the target does not say.
+		Pace int
+		// At is the Uptime at which the target's word arrived.
+		At Millis
 	}
 
 	// TargetCall is one request as it is sent to one target.
