cfrollout: move runs by how long engines were observed to stay slow

Cause: engines that share their machines are 2.5 times as slow for 15% of the time, in periods of some 600 ms. A smoothed pace shows such a period when half of it is over, a moved run stayed 800 ms wherever it came to, and long texts began at slow engines. Transient slowness was also taken for the engine's own pace.

Change: core/cfslow learns from the events of runs each engine's lasting pace, whether it is in a period of slowness, how long periods last by their age, and what a move costs. Planner.Moves moves a long run when that saves more than it costs, and choose places by it. Before eight periods were observed, and with policy.no_slow_periods, all is decided as before.

--- a/core/cfrollout/engines.go
+++ b/core/cfrollout/engines.go
@@ -5,6 +5,7 @@
 	"sort"
 
 	cf "currantford"
+	"currantford/core/cfslow"
 )
 
 // SetEngines takes all targets that are up, and the models of each service. Targets of
@@ -165,6 +166,7 @@
 	clear(e.versions)
 	p.setLoading(e, 0)
 	e.loadBegan, e.pace, e.usual, e.avoid, e.rest, e.failed, e.kept = 0, 0, 0, 0, 0, 0, nil
+	e.state = cfslow.State{}
 }
 
 // hold records that an engine has a version. Versions of one start of an
--- a/core/cfrollout/pace.go
+++ b/core/cfrollout/pace.go
@@ -50,6 +50,7 @@
 	last   atomic.Int64
 	events atomic.Int64
 	gap    atomic.Int64 // smoothed time between events, in microseconds
+	latest atomic.Int64 // time between the last two, in microseconds
 	// seen is the time until which all events are known, zero where each is
 	// noted as it comes.
 	seen atomic.Int64
@@ -59,6 +60,7 @@
 func (p *Progress) Note(now cf.Millis) {
 	if !p.first.CompareAndSwap(0, int64(now)) {
 		gap := float64(int64(now)-p.last.Load()) * 1000
+		p.latest.Store(int64(gap))
 		if old := float64(p.gap.Load()); p.events.Load() > 1 {
 			gap = old + gapWeight*(gap-old)
 		}
@@ -79,6 +81,7 @@
 	p.last.Store(0)
 	p.events.Store(0)
 	p.gap.Store(0)
+	p.latest.Store(0)
 }
 
 // pace returns the milliseconds that an event takes, as seen at now: a run
@@ -101,17 +104,28 @@
 // observe updates the engines' pace from their runs.
 func (p *Planner) observe(now cf.Millis) {
 	sum, count := map[*Engine]float64{}, map[*Engine]float64{}
+	shown := p.shownNow(now)
 	p.eachRunning(func(w *Work) {
 		e := p.at(w)
 		if e == nil {
 			return
 		}
+		shown.take(w, e)
 		if pace, ok := w.Progress.pace(now); ok {
 			sum[e] += pace
 			count[e]++
 		}
 	})
+	p.notePeriods(shown)
+	byPeriods := p.byPeriods(now)
 	for e, n := range count {
+		if byPeriods && e.state.Usual() > 0 {
+			e.pace = e.state.Usual()
+			if !e.state.Slow(now) {
+				p.slots.note(e, sum[e]/n, now)
+			}
+			continue
+		}
 		pace := sum[e] / n
 		p.slots.note(e, pace, now)
 		alone := pace / p.slots.factor(e.Running)
@@ -196,13 +210,17 @@
 	var out []*Work
 	for _, o := range p.sorted() {
 		var moves []*Work
-		if len(o.waiting) > 0 {
+		switch {
+		case p.byPeriods(now):
+			moves = p.periodMoves(o, typical, now)
+		case len(o.waiting) > 0:
 			moves = p.urgentMoves(o, now)
-		} else {
+		default:
 			moves = p.movesToRoom(o, typical, now)
 		}
 		for _, w := range moves {
 			w.moving, w.Avoid, w.avoidUntil = true, w.Engine, now+moveRest
+			w.movedAt = now
 			w.moves++
 		}
 		out = append(out, moves...)
@@ -288,8 +306,10 @@
 	return q
 }
 
-// slow says whether an engine is much slower than its share.
-func (p *Planner) slow(q queue, e *Engine) bool { return q.pace > 0 && p.full(e) > slowPace*q.pace }
+// slow says whether an engine is much slower than its share, for good or for now.
+func (p *Planner) slow(q queue, e *Engine) bool {
+	return q.pace > 0 && (p.full(e) > slowPace*q.pace || p.byPeriods(p.now) && e.state.Slow(p.now))
+}
 
 // wait is how long the nth in line waits for a slot at a usual engine, in ms.
 func (q queue) wait(n int) float64 {
@@ -341,6 +361,7 @@
 	planner *Planner
 	engines []*Engine
 	typical float64
+	left    float64 // events of the runs that look for an engine
 	taken   map[cf.InstanceID]int
 	best    *Engine
 	pace    float64
@@ -362,7 +383,7 @@
 		if e.Running+f.taken[e.ID] >= e.Slots || now < e.avoid || e.loading > 0 || e.Draining {
 			continue
 		}
-		if x := f.planner.expected(e, f.typical); f.best == nil || x < f.pace {
+		if x := f.planner.expected(e, f.typical) + f.planner.delay(e, f.left, now)/max(f.left, 1); f.best == nil || x < f.pace {
 			f.best, f.pace = e, x
 		}
 	}
--- a/core/cfrollout/place.go
+++ b/core/cfrollout/place.go
@@ -140,8 +140,8 @@
 // an item to its end is taken only if no other has a slot.
 func (p *Planner) choose(engines []*Engine, w *Work, typical float64, now cf.Millis) *Engine {
 	var best, roomiest, emptiest *Engine
-	bestPace := math.Inf(1)
-	long := p.Long(w)
+	bestPace, bestDelay := math.Inf(1), math.Inf(1)
+	long, left := p.Long(w), p.left(w)
 	fitting := p.fitting[:0]
 	for _, e := range engines {
 		switch {
@@ -153,7 +153,8 @@
 			}
 			continue
 		}
-		pace := p.expected(e, typical)
+		delay := p.delay(e, left, now)
+		pace := p.expected(e, typical) + delay/max(left, 1)
 		if !long && e.groups[w.Item.Group] > 0 {
 			pace *= p.limits.Affinity
 		}
@@ -163,7 +164,8 @@
 		if pace < bestPace {
 			best, bestPace = e, pace
 		}
-		fitting = append(fitting, pacedEngine{e, pace})
+		bestDelay = min(bestDelay, delay)
+		fitting = append(fitting, pacedEngine{e, pace, delay})
 	}
 	p.fitting = fitting
 	if best == nil {
@@ -173,7 +175,7 @@
 		return best
 	}
 	for _, f := range fitting {
-		if f.pace > bestPace*evenPace {
+		if f.pace > bestPace*evenPace || f.delay > bestDelay+evenDelay {
 			continue
 		}
 		if emptiest == nil || f.engine.used < emptiest.used || f.engine.used == emptiest.used && f.engine.warm(now) && !emptiest.warm(now) {
@@ -203,16 +205,25 @@
 	}
 }
 
-// pacedEngine is an engine with what an event would take there.
+// pacedEngine is an engine with what an event would take there, and how much longer a run
+// because the engine is slow for a while, or may be.
 type pacedEngine struct {
 	engine *Engine
 	pace   float64
+	delay  float64
 }
 
+// evenDelay is how much longer than at the quietest engine a long text may be expected to take
+// at one that holds less, in ms: a third of what an engine costs that was not seen of late.
+const evenDelay = 20
+
 // betterWait says whether an item that is nth in line ends sooner if it waits for
 // a usual engine than if it starts at a slow one. Long texts do, and a step is
 // worth nothing before its last.
 func (p *Planner) betterWait(q queue, w *Work, slow *Engine, nth int) bool {
+	if p.byPeriods(p.now) && p.full(slow) <= slowPace*q.pace { // it is slow for now
+		return p.Long(w) && p.periods.Delay(&slow.state, p.left(w)*q.pace, p.now) > q.wait(nth)
+	}
 	return p.left(w)*(p.full(slow)-q.pace) > q.wait(nth)
 }
 
--- a/core/cfrollout/planner.go
+++ b/core/cfrollout/planner.go
@@ -27,6 +27,7 @@
 	cf "currantford"
 	"currantford/core/cfbatch"
 	"currantford/core/cfpeak"
+	"currantford/core/cfslow"
 )
 
 type (
@@ -52,9 +53,10 @@
 		// Admit says whether an item may be sent to an engine now, and if not,
 		// whether it may to another; nil lets all.
 		Admit func(w *Work, engine cf.Target) (ok, elsewhere bool)
-		// LongOnSlow and SwapWhenIdle turn decisions off, to measure them.
-		LongOnSlow   bool
-		SwapWhenIdle bool
+		// LongOnSlow, SwapWhenIdle and NoSlowPeriods turn decisions off, to measure them.
+		LongOnSlow    bool
+		SwapWhenIdle  bool
+		NoSlowPeriods bool
 	}
 
 	// Terms is what a batch's route asks for.
@@ -97,6 +99,8 @@
 		// usual is its mean pace as of usualAt, usualRuns the mean of its runs.
 		usual, usualRuns float64
 		usualAt          cf.Millis
+		// state is what its events show of periods of slowness.
+		state cfslow.State
 		// kept are until when connections to it are kept that nobody uses, the first to
 		// end first.
 		kept []cf.Millis
@@ -149,6 +153,10 @@
 		// counts how often it was.
 		moving bool
 		moves  int
+		// movedAt is when it was last decided to move it, until its first event
+		// elsewhere.
+		movedAt cf.Millis
+		moved   Moved
 		// Avoid is an engine that the run was moved away from.
 		Avoid      cf.InstanceID
 		avoidUntil cf.Millis
@@ -205,6 +213,10 @@
 		lengths lengths
 		slots   slotCost
 		memory  memory
+		// periods is what was observed of engines that are slow for a while, moveCost
+		// what it costs to move a run.
+		periods  cfslow.Periods
+		moveCost cfslow.Cost
 		// fitting is the room for the engines of a choice.
 		fitting []pacedEngine
 	}
--- a/core/cfrollout/slots.go
+++ b/core/cfrollout/slots.go
@@ -9,7 +9,7 @@
 	// on its engine until engines have shown it; kinds of engines differ tenfold.
 	// slotLeast and slotMost bound what is learned.
 	slotPrior = 0.02
-	slotLeast = 0.01
+	slotLeast = 0.003
 	slotMost  = 0.05
 	// slotWeight is the weight of the prior, in squared runs; a step of an
 	// engine with 12 slots shows several times as much.
--- a/io/cfcoord/coordinator.go
+++ b/io/cfcoord/coordinator.go
@@ -137,6 +137,8 @@
 		pace atomic.Uint64
 		// refused are held requests whose refusal was logged; the map is bounded.
 		refused map[cf.RequestID]bool
+		// slowPeriods says that the planner goes by the slow periods that it observed.
+		slowPeriods bool
 	}
 
 	// finishedText is a complete text of a batch.
@@ -179,6 +181,7 @@
 	}
 	limits.Learned = o.Loads
 	limits.LongOnSlow, limits.SwapWhenIdle = o.Policy.LongOnSlow, o.Policy.SwapWhenIdle
+	limits.NoSlowPeriods = o.Policy.NoSlowPeriods
 	c := &Coordinator{
 		Options: o, ctx: ctx, cancel: cancel, kick: make(chan struct{}, 1),
 		batches: map[cf.BatchID]*state{}, readings: map[cf.BatchID]*reading{}, readSlots: make(chan struct{}, readsAtOnce),
@@ -303,6 +306,7 @@
 		for _, w := range c.planner.Moves(now) {
 			c.move(w)
 		}
+		c.noteSlowPeriods(now)
 	}
 	for _, t := range c.planner.Unknown(now) {
 		c.checkReport(t)
--- a/io/cfcoord/metrics.go
+++ b/io/cfcoord/metrics.go
@@ -8,6 +8,11 @@
 	Orders  *prometheus.CounterVec
 	Chunks  *prometheus.CounterVec
 	ItemRun prometheus.Histogram
+	// Moves counts runs that were moved. SlowPeriod and SlowShare are how long engines stay
+	// slow and how often they are, zero while that is not known.
+	Moves      *prometheus.CounterVec
+	SlowPeriod prometheus.Gauge
+	SlowShare  prometheus.Gauge
 	// Rewards and RewardTook count and time single tries.
 	Rewards    *prometheus.CounterVec
 	RewardTook prometheus.Histogram
@@ -29,6 +34,12 @@
 		ItemRun: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "currantford_item_run_seconds", Help: "Time of one item's run at an engine.",
 			Buckets: prometheus.ExponentialBuckets(0.05, 2, 9)}),
+		Moves: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "currantford_item_moves_total", Help: "Runs of batch items moved to another engine, by reason."}, []string{"reason"}),
+		SlowPeriod: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "currantford_engine_slow_period_seconds", Help: "Mean time for which an engine stays slow, as observed; zero while not known."}),
+		SlowShare: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "currantford_engine_slow_share", Help: "Part of the time for which engines are slow, as observed; zero while not known."}),
 		Rewards: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "currantford_reward_calls_total", Help: "Tries of reward calls by outcome."}, []string{"outcome"}),
 		RewardTook: prometheus.NewHistogram(prometheus.HistogramOpts{
@@ -44,6 +55,6 @@
 			Name: "currantford_sample_staleness_seconds", Help: "Time since a sample's oldest weights were superseded, when it is listed.",
 			Buckets: prometheus.ExponentialBuckets(0.25, 2, 12)}, []string{"model"}),
 	}
-	reg.MustRegister(m.Runs, m.Orders, m.Chunks, m.ItemRun, m.Rewards, m.RewardTook, m.StepWait, m.StaleVersions, m.StaleSeconds)
+	reg.MustRegister(m.Runs, m.Orders, m.Chunks, m.ItemRun, m.Moves, m.SlowPeriod, m.SlowShare, m.Rewards, m.RewardTook, m.StepWait, m.StaleVersions, m.StaleSeconds)
 	return m
 }
--- /dev/null
+++ b/io/cfcoord/moves.go
@@ -0,0 +1,40 @@
+package cfcoord
+
+import (
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/core/cfrollout"
+	"currantford/io/cflog"
+)
+
+// move stops a run; the planner then starts it at another engine, after the
+// last event that it made.
+func (c *Coordinator) move(w *cfrollout.Work) {
+	why := w.Moved()
+	reason := "slower"
+	if why.Period {
+		reason = "slow_period"
+	}
+	c.Metrics.Moves.WithLabelValues(reason).Inc()
+	c.Log.Info("item_moved", zap.String("request_id", string(w.Item.ID.Request())), cflog.Batch(w.Batch.Sub.ID),
+		zap.String("target", string(w.Engine)), zap.Int64("ran_ms", int64(cf.Uptime()-w.Started)), zap.String("reason", reason),
+		zap.Float64("saves_ms", why.Saves), zap.Float64("cost_ms", why.Cost), zap.Float64("slow_left_ms", why.SlowLeft))
+	if cancel := c.runs[w]; cancel != nil {
+		cancel()
+	}
+}
+
+// noteSlowPeriods shows what was observed of slow periods, and logs when decisions begin and
+// cease to go by them. c.mu is held.
+func (c *Coordinator) noteSlowPeriods(now cf.Millis) {
+	s := c.planner.SlowPeriods(now)
+	c.Metrics.SlowPeriod.Set(s.Mean / 1000)
+	c.Metrics.SlowShare.Set(s.Share)
+	if s.Known == c.slowPeriods {
+		return
+	}
+	c.slowPeriods = s.Known
+	c.Log.Info("slow_periods", zap.Bool("known", s.Known), zap.Float64("mean_ms", s.Mean), zap.Float64("share", s.Share),
+		zap.Float64("slowdown", s.Slowdown), zap.Float64("move_cost_ms", s.MoveCost))
+}
--- a/io/cfcoord/policy.go
+++ b/io/cfcoord/policy.go
@@ -4,6 +4,9 @@
 type Policy struct {
 	// KeepSlowRuns leaves runs on engines that have turned slow.
 	KeepSlowRuns bool `json:"keep_slow_runs"`
+	// NoSlowPeriods moves runs by smoothed paces alone, however long engines were
+	// observed to stay slow.
+	NoSlowPeriods bool `json:"no_slow_periods"`
 	// LongOnSlow starts long texts at slow engines too.
 	LongOnSlow bool `json:"long_on_slow"`
 	// SwapWhenIdle loads weights only when nothing waits that an engine
--- a/io/cfcoord/runs.go
+++ b/io/cfcoord/runs.go
@@ -66,16 +66,6 @@
 	})
 }
 
-// move stops a run; the planner then starts it at another engine, after the
-// last event that it made.
-func (c *Coordinator) move(w *cfrollout.Work) {
-	c.Log.Info("item_moved", zap.String("request_id", string(w.Item.ID.Request())), cflog.Batch(w.Batch.Sub.ID),
-		zap.String("target", string(w.Engine)), zap.Int64("ran_ms", int64(cf.Uptime()-w.Started)))
-	if cancel := c.runs[w]; cancel != nil {
-		cancel()
-	}
-}
-
 // runEnd is how a run ended.
 type runEnd struct {
 	outcome cfrollout.Outcome
