cfbalance: choose targets by the pace that they say they have

Cause: targets share their machines with other workloads and are 2.5 times as slow for some 600 ms at a time. The smoothed time of answers shows such a period when it is over, and keeps requests off the target after it.

Change: the time of an answer is divided by the pace that came with it, and the score takes this usual time at the pace last said, which fades within about 600 ms. Targets that say no pace are scored as before. policy.ignore_pace switches it off.

--- a/core/cfbalance/balance.go
+++ b/core/cfbalance/balance.go
@@ -17,6 +17,7 @@
 package cfbalance
 
 import (
+	"math"
 	"sync"
 
 	cf "currantford"
@@ -29,6 +30,10 @@
 	// Balancer holds what an instance has learned of the targets from
 	// their answers. It is safe for concurrent use.
 	Balancer struct {
+		// IgnorePace leaves out what targets say of their pace, to measure what it brings.
+		// It is set before the first call.
+		IgnorePace bool
+
 		mu    sync.Mutex
 		state map[cf.InstanceID]*state
 	}
@@ -41,7 +46,10 @@
 		failures int
 		took     float64 // smoothed time of an answer, ms
 		work     float64 // the same of answers that had not to queue
-		seen     cf.Millis
+		// usual is the same of answers at the target's usual pace, zero where it does not
+		// say its pace.
+		usual float64
+		seen  cf.Millis
 		// warm is until when a connection is kept.
 		warm cf.Millis
 	}
@@ -69,6 +77,11 @@
 	avoidFull   cf.Millis = 50
 	avoidFailed cf.Millis = 300
 	avoidMost   cf.Millis = 2400
+	// usualPace is the pace of a machine that is as fast as usual, in percent. paceFade is
+	// over how long what a target said of it ceases to tell anything: machines' states are
+	// redrawn about so often.
+	usualPace           = 100
+	paceFade  cf.Millis = 600
 	// smooth is the weight of the newest time in the smoothed one.
 	smooth = 0.2
 	// coldCost is what a new connection adds to a request's time, in ms: two round
@@ -158,7 +171,10 @@
 		queue = max(queue, float64(s.load.Running+s.load.Waiting))
 	}
 	took := usual
-	if s.took > 0 {
+	switch {
+	case s.usual > 0:
+		took = max(s.usual*s.pace(now), 1)
+	case s.took > 0:
 		took = max(s.took, 1)
 	}
 	score := (1 + queue/float64(max(t.Slots, 1))) * took
@@ -171,6 +187,22 @@
 	return score
 }
 
+// pace is how many times longer than usual work is expected to take at a target now, by what
+// it said last.
+//
+// The load it answers: targets share their machines with other workloads, and each is 2.5 times
+// as slow for some 600 ms at a time. A smoothed time of answers shows that when it is over.
+func (s *state) pace(now cf.Millis) float64 {
+	if s.load.Pace <= 0 {
+		return 1
+	}
+	said := s.load.At
+	if said == 0 {
+		said = s.loadAt
+	}
+	return 1 + (float64(s.load.Pace)/usualPace-1)*math.Exp(-float64(max(now-said, 0))/float64(paceFade))
+}
+
 // Sent records that a request goes to a target.
 func (b *Balancer) Sent(id cf.InstanceID) {
 	b.mu.Lock()
@@ -187,6 +219,9 @@
 	s.seen = now
 	if load != nil {
 		s.load, s.loadAt = *load, now
+		if b.IgnorePace {
+			s.load.Pace = 0
+		}
 	}
 	switch o {
 	case Answered:
@@ -195,6 +230,7 @@
 			s.took = float64(took)
 		}
 		s.took += smooth * (float64(took) - s.took)
+		s.noteUsual(float64(took), load != nil, now)
 		if load == nil || load.Waiting == 0 {
 			if s.work == 0 {
 				s.work = float64(took)
@@ -209,10 +245,28 @@
 	case Abandoned:
 		// Slower than what we waited for, at least.
 		s.took = max(s.took, float64(took))
+		if s.usual > 0 {
+			s.usual = max(s.usual, float64(took)/max(s.pace(now), 1))
+		}
 	}
 	b.prune(now)
 }
 
+// noteUsual takes the time of an answer, and whether it said the target's load. One that does
+// not leaves the usual time as it is while what was said before may hold.
+func (s *state) noteUsual(took float64, said bool, now cf.Millis) {
+	switch {
+	case s.load.Pace <= 0 || !said && now-s.loadAt > loadFresh:
+		s.usual = 0
+	case said:
+		took /= s.pace(now)
+		if s.usual == 0 {
+			s.usual = took
+		}
+		s.usual += smooth * (took - s.usual)
+	}
+}
+
 // Kept records that a connection to a target is kept until then.
 func (b *Balancer) Kept(id cf.InstanceID, until cf.Millis) {
 	b.mu.Lock()
--- a/io/cfingress/ingress.go
+++ b/io/cfingress/ingress.go
@@ -70,8 +70,10 @@
 		ValueBytes int64
 		// MemoryBytes is the process's memory limit, zero if there is none.
 		MemoryBytes int64
-		Metrics     *Metrics
-		Log         *zap.Logger
+		// IgnorePace leaves out what targets say of their pace.
+		IgnorePace bool
+		Metrics    *Metrics
+		Log        *zap.Logger
 	}
 
 	// Ingress implements currantford.Ingress.
@@ -110,7 +112,9 @@
 
 // New returns an ingress.
 func New(o Options) *Ingress {
-	return &Ingress{Options: o, balancer: cfbalance.New(), returns: cfbalance.NewReturns(), bodies: bodies{most: o.MemoryBytes / bodyPart}}
+	in := &Ingress{Options: o, balancer: cfbalance.New(), returns: cfbalance.NewReturns(), bodies: bodies{most: o.MemoryBytes / bodyPart}}
+	in.balancer.IgnorePace = o.IgnorePace
+	return in
 }
 
 // Stop makes the instance not ready: callers are sent elsewhere, and those
--- a/io/cfnode/node.go
+++ b/io/cfnode/node.go
@@ -162,7 +162,7 @@
 		Store: a.Store, Targets: a.Targets, Site: n.site, Coordinator: reader{n}, Members: n, Guard: n.guard,
 		Believes: n.belief, Count: n.usage.count,
 		ValueBytes: s.Store.ValueBytes, MemoryBytes: s.Memory.LimitMB << 20,
-		Metrics: cfingress.NewMetrics(reg), Log: log,
+		IgnorePace: s.Policy.IgnorePace, Metrics: cfingress.NewMetrics(reg), Log: log,
 	})
 	n.peerSrv.Handle(opFeed, decoded(n.serveFeed))
 	n.peerSrv.Handle(opResults, atCoordinator(n, n.serveResults))
--- a/io/cfnode/settings.go
+++ b/io/cfnode/settings.go
@@ -55,6 +55,8 @@
 		NoRunners bool `json:"no_runners"`
 		// NoQuarantine sends requests on that have crashed targets.
 		NoQuarantine bool `json:"no_quarantine"`
+		// IgnorePace chooses targets by past answers alone, whatever pace they say they have.
+		IgnorePace bool `json:"ignore_pace"`
 	}
 
 	// Listen holds the addresses to serve at, IP:PORT each. An empty one is
