cfrollout: moves know their destination, and lasting paces are medians

Some moved again after 100 ms, on the first events of a new start.

Change: the lasting pace is a median that rises and falls alike, as the events show it with the engine's runs, without the learned cost of a run. What engines show beside a period teaches neither that cost nor the pace by which items are placed. If most engines look slow, no period goes on. Thresholds widen with the error seen. The coordinator looks every 10 ms whether its process was stopped; events around a pause show nothing. A run stays 300 ms, must show the slowness itself, and moves only to a quiet engine that holds the newest version, with a slot that is kept for it.

The real programs were not run here.

--- a/core/cfrollout/export_test.go
+++ b/core/cfrollout/export_test.go
@@ -19,3 +19,6 @@
 		p.Kept(&Work{engine: e, born: e.Born}, until)
 	}
 }
+
+// Last returns when the latest event was noted.
+func (p *Progress) Last() cf.Millis { return cf.Millis(p.last.Load()) }
--- a/core/cfrollout/pace.go
+++ b/core/cfrollout/pace.go
@@ -119,12 +119,8 @@
 	p.notePeriods(shown)
 	byPeriods := p.byPeriods(now)
 	for e, n := range count {
-		if byPeriods && e.state.Usual() > 0 {
-			e.pace = e.state.Usual()
-			if !e.state.Slow(now) {
-				p.slots.note(e, sum[e]/n, now)
-			}
-			continue
+		if byPeriods && !e.state.Quiet(quietFor, now) && e.pace > 0 {
+			continue // it shows a period, not the engine or what its runs cost
 		}
 		pace := sum[e] / n
 		p.slots.note(e, pace, now)
@@ -205,6 +201,7 @@
 func (p *Planner) Moves(now cf.Millis) []*Work {
 	p.now = now
 	p.observe(now)
+	p.giveLateSlotsUp(now)
 	p.takeSizes()
 	typical := p.typical()
 	var out []*Work
@@ -212,7 +209,7 @@
 		var moves []*Work
 		switch {
 		case p.byPeriods(now):
-			moves = p.periodMoves(o, typical, now)
+			moves = p.periodMoves(o, now)
 		case len(o.waiting) > 0:
 			moves = p.urgentMoves(o, now)
 		default:
@@ -380,7 +377,7 @@
 	}
 	f.best, f.found = nil, true
 	for _, e := range f.engines {
-		if e.Running+f.taken[e.ID] >= e.Slots || now < e.avoid || e.loading > 0 || e.Draining {
+		if e.Running+e.reserved+f.taken[e.ID] >= e.Slots || now < e.avoid || e.loading > 0 || e.Draining {
 			continue
 		}
 		if x := f.planner.expected(e, f.typical) + f.planner.delay(e, f.left, now)/max(f.left, 1); f.best == nil || x < f.pace {
--- a/core/cfrollout/periods.go
+++ b/core/cfrollout/periods.go
@@ -1,28 +1,46 @@
 package cfrollout
 
 import (
+	"slices"
+
 	cf "currantford"
 	"currantford/core/cfslow"
 )
 
 const (
-	// periodStay is how long a run stays at an engine at least, so that the engine's pace
-	// shows while it is there: within 50 to 100 ms where several runs have events.
-	periodStay cf.Millis = 100
+	// periodStay is how long a run stays at an engine at least: its first events there come
+	// late, after its text was read, or in a burst, and tell nothing.
+	periodStay cf.Millis = 300
+	// ownEvents and ownSlower are how many events a run must have had from an engine, and how
+	// many times slower than the engine's lasting pace they must be, for it to leave: the
+	// engine's pace is that of all its runs.
+	ownEvents = 3
+	ownSlower = 1.25
 	// periodGain is the least that a move must save, in ms, and periodGainMore what is
-	// added for each move of that run before: estimates of what is left of a period are
-	// within some 100 ms.
-	periodGain     = 50.0
+	// added for each move of that run before: what is left of a period is known within some
+	// 100 ms, and a connection is paid for.
+	periodGain     = 100.0
 	periodGainMore = 20.0
 	// periodMovesMost bounds the moves of one run: the longest text of a step meets two or
 	// three periods, and one more for each engine that was slow as well.
-	periodMovesMost = 8
+	periodMovesMost = 6
 	// periodPart is the least part of the longest text's rest that a run must have left to
 	// be moved: others end long before their step. A fifth saved a fifth of the moves of a
 	// replay and cost the step 15 ms; half of it cost 90 ms.
 	periodPart = 0.2
-	// suspectFrom is from how many engines on their slowness may be a delay here.
+	// reserved is how long a slot is kept for a run that moves to it. Its stop takes some ten
+	// ms, and up to half a second where the instance that holds its stream is slow.
+	reserved cf.Millis = 600
+	// lastingFactor is how many times slower for good an engine must be that a run leaves while
+	// it is quiet: full engines are up to 1.25 times slower than empty ones.
+	lastingFactor = 1.4
+	// stallRest is how long after a stall events may still be read late.
+	stallRest cf.Millis = 5
+	// suspectFrom is from how many engines on it is their reference, or a delay here, that
+	// makes most of them look slow.
 	suspectFrom = 4
+	// quietFor is how long an engine is quiet before its smoothed pace is free of a period.
+	quietFor cf.Millis = 500
 )
 
 type (
@@ -31,6 +49,8 @@
 		// Period says that its engine had turned slow for a while; else the other engine
 		// is faster for good.
 		Period bool
+		// To is the engine that keeps a slot for it.
+		To cf.InstanceID
 		// Saves is what the move was expected to save, Cost what one costs as observed,
 		// and SlowLeft how much longer its engine was expected to be slow, in ms.
 		Saves, Cost, SlowLeft float64
@@ -55,8 +75,8 @@
 	}
 
 	enginePace struct {
-		sum, runs float64
-		at        cf.Millis
+		paces []float64
+		at    cf.Millis
 	}
 )
 
@@ -69,7 +89,7 @@
 // is more, and as of when.
 func (p *Progress) latestPace(now cf.Millis) (pace float64, at cf.Millis, ok bool) {
 	gap := float64(p.latest.Load()) / 1000
-	if p.events.Load() < 2 {
+	if p.events.Load() < ownEvents {
 		return 0, 0, false
 	}
 	if seen := cf.Millis(p.seen.Load()); seen > 0 {
@@ -88,6 +108,18 @@
 	return max(now-last, 0)
 }
 
+// Stalled records that the process did nothing until an Uptime: the events of its own streams
+// came late, and those after it in bursts.
+func (p *Planner) Stalled(until cf.Millis) { p.stalledUntil = until }
+
+// stalled says whether the process was stalled within what a run's latest pace is made of.
+func (p *Planner) stalled(r *Progress) bool {
+	if p.stalledUntil == 0 || r.seen.Load() > 0 { // its host knows when events came
+		return false
+	}
+	return cf.Millis(r.last.Load()-r.latest.Load()/1000) <= p.stalledUntil+stallRest
+}
+
 func (p *Planner) shownNow(now cf.Millis) *shownNow {
 	return &shownNow{now: now, planner: p, engines: map[*Engine]*enginePace{}}
 }
@@ -99,11 +131,11 @@
 		w.movedAt = 0
 	}
 	if e.loading > 0 {
-		e.state.Forget(&s.planner.periods, s.now)
+		e.state.Forget(&s.planner.periods)
 		return
 	}
 	pace, at, ok := w.Progress.latestPace(s.now)
-	if !ok {
+	if !ok || s.planner.stalled(&w.Progress) {
 		return
 	}
 	x := s.engines[e]
@@ -111,25 +143,45 @@
 		x = &enginePace{}
 		s.engines[e] = x
 	}
-	x.sum += pace
-	x.runs++
+	x.paces = append(x.paces, pace)
 	x.at = max(x.at, at)
 }
 
-// notePeriods takes the paces of a moment. If most engines look slow, it is more likely that
-// their events came late here, and no period begins.
+// notePeriods takes the paces of a moment, of each engine the median of its runs'. If most
+// engines look slow, it is more likely that their events came late here, or that their lasting
+// paces are wrong: no period goes on.
 func (p *Planner) notePeriods(s *shownNow) {
+	usual := p.usualNow()
 	slow := 0
 	for e, x := range s.engines {
-		x.sum /= x.runs * p.slots.factor(e.Running)
-		if e.state.Shows(x.sum) {
+		slices.Sort(x.paces)
+		if pace := x.paces[len(x.paces)/2]; e.state.Shows(pace) || e.state.Slow(s.now) {
 			slow++
 		}
 	}
 	suspect := len(s.engines) >= suspectFrom && 2*slow > len(s.engines)
 	for e, x := range s.engines {
-		e.state.Note(&p.periods, x.sum, x.at, suspect)
+		e.state.Note(&p.periods, x.paces[len(x.paces)/2], usual, x.at)
+		if suspect {
+			e.state.Forget(&p.periods)
+		}
+	}
+}
+
+// usualNow is the lasting pace of a usual engine that has run something lately, zero if none
+// has.
+func (p *Planner) usualNow() float64 {
+	var paces []float64
+	for _, e := range p.busy {
+		if usual := e.state.Usual(); usual > 0 {
+			paces = append(paces, usual)
+		}
+	}
+	if len(paces) == 0 {
+		return 0
 	}
+	slices.Sort(paces)
+	return paces[(len(paces)-1)/2]
 }
 
 // delay is how much longer the events that are left are expected to take at an engine because
@@ -142,55 +194,49 @@
 }
 
 // periodMoves returns the runs that end sooner elsewhere, by how long engines were observed to
-// stay slow. The load it answers: each engine is 2.5 times slower for 15% of the time, in
-// periods of some 600 ms, and a group counts when its longest text is complete.
-func (p *Planner) periodMoves(o *open, typical float64, now cf.Millis) []*Work {
-	room := &fastest{planner: p, engines: p.share(o), typical: typical, taken: map[cf.InstanceID]int{}}
-	q := p.queueOf(o)
-	most := len(o.running)
-	if len(o.waiting) > 0 {
-		most = max(q.slots/slotsPerMove, 1)
-	}
+// stay slow, each with a slot that is kept for it. The load it answers: each engine is 2.5 times
+// slower for 15% of the time, in periods of some 600 ms, and a group counts when its longest text
+// is complete.
+func (p *Planner) periodMoves(o *open, now cf.Millis) []*Work {
 	longest := 0.0
 	for _, w := range o.running {
 		longest = max(longest, p.left(w))
 	}
 	var out []*Work
 	for _, w := range o.running {
-		if p.left(w) < periodPart*longest {
+		e := p.at(w)
+		if e == nil || w.moving || w.moves >= periodMovesMost || now-w.Started < periodStay || !p.Long(w) || p.left(w) < periodPart*longest {
 			continue
 		}
-		if len(out) >= most {
-			break
-		}
-		e := p.at(w)
-		if e == nil || w.moving || w.moves >= periodMovesMost || now-w.Started < periodStay || e.state.Usual() == 0 || !p.Long(w) {
+		own, _, shown := w.Progress.latestPace(now)
+		slow := e.state.Slow(now)
+		if !shown || slow && own < ownSlower*e.state.Usual() || !slow && now-w.Started < moveRest {
 			continue
 		}
-		if !e.state.Slow(now) && now-w.Started < moveRest {
+		to := p.destination(o, w, now)
+		if to == nil {
 			continue
 		}
-		to, best := p.elsewhere(o, room, w, q, now)
-		if to.Pace == 0 {
+		// What more runs cost is learned within some percent, of which a long text would make
+		// half a second: only a lasting pace that is clearly lower counts.
+		pace, least := e.state.Usual(), periodGain+periodGainMore*float64(w.moves)
+		if usual := to.state.Usual(); usual > 0 && lastingFactor*usual < pace {
+			pace = usual
+		} else if !slow {
 			continue
 		}
-		run := cfslow.Run{Left: p.left(w), Factor: p.slots.factor(e.Running), Under: w.Progress.under(now)}
-		saved := p.periods.Saves(run, &e.state, to, p.moveCost.Ms(), now)
-		least := periodGain + periodGainMore*float64(w.moves)
-		if !e.state.Slow(now) { // it is slower for good, or not at all
-			if e.pace*run.Factor < moveFactor*to.Pace {
-				continue
-			}
+		if !slow {
 			least = w.moveGain()
 		}
+		run := cfslow.Run{Left: p.left(w), Under: w.Progress.under(now)}
+		place := cfslow.Place{Pace: pace, Delay: p.delay(to, run.Left, now)}
+		saved := p.periods.Saves(run, &e.state, place, p.moveCost.Ms(), now)
 		if saved < least {
 			continue
 		}
-		if best != nil {
-			room.take(best)
-		}
-		w.moved = Moved{Period: e.state.Slow(now), Saves: saved, Cost: p.moveCost.Ms()}
-		if w.moved.Period {
+		p.reserve(w, to, now)
+		w.moved = Moved{Period: slow, To: to.ID, Saves: saved, Cost: p.moveCost.Ms()}
+		if slow {
 			w.moved.SlowLeft = p.periods.Left(now - e.state.Since())
 		}
 		out = append(out, w)
@@ -198,18 +244,59 @@
 	return out
 }
 
-// elsewhere returns what a run meets that leaves its engine: a slot at the fastest engine with
-// room, or while items wait the next that frees.
-func (p *Planner) elsewhere(o *open, room *fastest, w *Work, q queue, now cf.Millis) (cfslow.Place, *Engine) {
-	room.left = p.left(w)
-	best, pace := room.find(now)
-	if best != nil && best != p.at(w) && best.takes(w, now) && p.fits(best, w) && !best.state.Slow(now) {
-		return cfslow.Place{Pace: pace}, best
+// destination returns the engine of a run's share with a free slot that is least likely to be
+// slow and has least to hold; nil if none is quiet, or those that are may load weights soon.
+func (p *Planner) destination(o *open, w *Work, now cf.Millis) *Engine {
+	var best *Engine
+	bestDelay, left := 0.0, p.left(w)
+	for _, e := range p.share(o) {
+		if e == w.engine || !e.takes(w, now) || e.state.Slow(now) || e.versions[e.Share] < p.Named(e.Share) || !p.fits(e, w) {
+			continue
+		}
+		delay := p.delay(e, left, now)
+		if best == nil || delay < bestDelay-evenDelay || delay < bestDelay+evenDelay && e.used < best.used {
+			best, bestDelay = e, delay
+		}
+	}
+	return best
+}
+
+// reserve keeps a slot for a run that moves.
+func (p *Planner) reserve(w *Work, e *Engine, now cf.Millis) {
+	p.giveSlotUp(w)
+	w.to, w.toUntil = e, now+reserved
+	e.reserved++
+	p.reservations = append(p.reservations, w)
+}
+
+// giveSlotUp gives the slot up that is kept for a run.
+func (p *Planner) giveSlotUp(w *Work) {
+	if w.to == nil {
+		return
+	}
+	w.to.reserved--
+	w.to = nil
+	p.reservations = slices.DeleteFunc(p.reservations, func(x *Work) bool { return x == w })
+}
+
+// giveLateSlotsUp gives the slots up whose runs have not come.
+func (p *Planner) giveLateSlotsUp(now cf.Millis) {
+	for _, w := range slices.Clone(p.reservations) {
+		if now >= w.toUntil {
+			p.giveSlotUp(w)
+		}
 	}
-	if len(o.waiting) == 0 || q.pace == 0 {
-		return cfslow.Place{}, nil
+}
+
+// reservedFor returns the engine that keeps a slot for a run, and gives the slot up; nil if it
+// keeps none, or has turned slow or cannot take the run any more.
+func (p *Planner) reservedFor(w *Work, now cf.Millis) *Engine {
+	e := w.to
+	p.giveSlotUp(w)
+	if e == nil || p.engines[e.ID] != e || !e.takes(w, now) || e.state.Slow(now) {
+		return nil
 	}
-	return cfslow.Place{Pace: q.pace, Wait: q.wait(1), Delay: p.periods.Share() * p.periods.Mean() / 2}, nil
+	return e
 }
 
 // Moved returns why the run was moved last.
--- a/core/cfrollout/place.go
+++ b/core/cfrollout/place.go
@@ -139,6 +139,11 @@
 // texts of a step must not meet in one memory. An engine whose memory would not hold
 // an item to its end is taken only if no other has a slot.
 func (p *Planner) choose(engines []*Engine, w *Work, typical float64, now cf.Millis) *Engine {
+	if w.to != nil {
+		if e := p.reservedFor(w, now); e != nil {
+			return e
+		}
+	}
 	var best, roomiest, emptiest *Engine
 	bestPace, bestDelay := math.Inf(1), math.Inf(1)
 	long, left := p.Long(w), p.left(w)
@@ -232,7 +237,7 @@
 	if e.ID == w.Avoid && now < w.avoidUntil {
 		return false
 	}
-	return e.Running < e.Slots && now >= e.avoid && e.loading == 0 && e.serves(w)
+	return e.Running+e.reserved < e.Slots && now >= e.avoid && e.loading == 0 && e.serves(w)
 }
 
 // serves says whether an engine is of the item's share and its weights fit.
--- a/core/cfrollout/planner.go
+++ b/core/cfrollout/planner.go
@@ -99,6 +99,8 @@
 		// usual is its mean pace as of usualAt, usualRuns the mean of its runs.
 		usual, usualRuns float64
 		usualAt          cf.Millis
+		// reserved are its slots that are kept for runs that move to it.
+		reserved int
 		// state is what its events show of periods of slowness.
 		state cfslow.State
 		// kept are until when connections to it are kept that nobody uses, the first to
@@ -157,6 +159,9 @@
 		// elsewhere.
 		movedAt cf.Millis
 		moved   Moved
+		// to is the engine that keeps a slot for it until toUntil.
+		to      *Engine
+		toUntil cf.Millis
 		// Avoid is an engine that the run was moved away from.
 		Avoid      cf.InstanceID
 		avoidUntil cf.Millis
@@ -217,6 +222,9 @@
 		// what it costs to move a run.
 		periods  cfslow.Periods
 		moveCost cfslow.Cost
+		// stalledUntil is when the process was last found to have done nothing for a while.
+		stalledUntil cf.Millis
+		reservations []*Work
 		// fitting is the room for the engines of a choice.
 		fitting []pacedEngine
 	}
--- a/core/cfrollout/uneven_test.go
+++ b/core/cfrollout/uneven_test.go
@@ -18,21 +18,25 @@
 // that are slow for a while, and four trainers with a step every 4 s.
 type unevenWorld struct {
 	unevenSettings
-	p        *cfrollout.Planner
-	random   *rand.Rand
-	now      cf.Millis
-	targets  []cf.Target
-	slow     map[cf.InstanceID]bool
-	redraw   map[cf.InstanceID]cf.Millis
-	runs     map[*cfrollout.Work]*unevenRun
-	open     map[cf.BatchID]*unevenStep
-	done     []cf.Millis // when 90% of a step's groups were whole
-	whole    []cf.Millis // when each group was
-	moves    int
-	starts   int
-	slowRuns int // starts of long texts at engines that were slow
-	long     int
-	lengths  map[cf.ItemID]int
+	p              *cfrollout.Planner
+	random         *rand.Rand
+	now            cf.Millis
+	targets        []cf.Target
+	slow           map[cf.InstanceID]bool
+	redraw         map[cf.InstanceID]cf.Millis
+	runs           map[*cfrollout.Work]*unevenRun
+	open           map[cf.BatchID]*unevenStep
+	done           []cf.Millis // when 90% of a step's groups were whole
+	whole          []cf.Millis // when each group was
+	moves          int
+	starts         int
+	slowRuns       int // starts of long texts at engines that were slow
+	long           int
+	lengths        map[cf.ItemID]int
+	loading        map[cf.InstanceID]unevenLoad
+	steps          map[cf.ModelName]int
+	stalled, stall cf.Millis
+	jitter         *rand.Rand
 }
 
 type unevenSettings struct {
@@ -41,6 +45,11 @@
 	off    bool // moves by smoothed paces
 	never  bool // no moves at all
 	gather cf.Millis
+	stalls cf.Millis // the observer now and then reads nothing for up to so long
+	lag    cf.Millis
+	deaf   bool
+	loads  bool
+	noise  cf.Millis
 }
 
 type unevenRun struct {
@@ -52,6 +61,12 @@
 	stop   cf.Millis
 }
 
+type unevenLoad struct {
+	model   cf.ModelName
+	version cf.WeightVersion
+	at      cf.Millis
+}
+
 type unevenStep struct {
 	batch *cfbatch.Batch
 	at    cf.Millis
@@ -68,7 +83,7 @@
 )
 
 func newUneven(s unevenSettings) *unevenWorld {
-	w := &unevenWorld{unevenSettings: s, random: rand.New(rand.NewPCG(s.seed, 7)), slow: map[cf.InstanceID]bool{}, redraw: map[cf.InstanceID]cf.Millis{}, runs: map[*cfrollout.Work]*unevenRun{}, open: map[cf.BatchID]*unevenStep{}, lengths: map[cf.ItemID]int{}}
+	w := &unevenWorld{unevenSettings: s, random: rand.New(rand.NewPCG(s.seed, 7)), slow: map[cf.InstanceID]bool{}, redraw: map[cf.InstanceID]cf.Millis{}, runs: map[*cfrollout.Work]*unevenRun{}, open: map[cf.BatchID]*unevenStep{}, lengths: map[cf.ItemID]int{}, loading: map[cf.InstanceID]unevenLoad{}, steps: map[cf.ModelName]int{}, jitter: rand.New(rand.NewPCG(s.seed, 8))}
 	limits := cfrollout.DefaultLimits
 	limits.NoSlowPeriods = s.off
 	w.p = cfrollout.New(limits)
@@ -87,7 +102,13 @@
 
 // submit hands in a step: 8 to 12 groups of 8 or 16, a text in ten five times as long.
 func (w *unevenWorld) submit(m cf.ModelName, n int) {
-	sub := cf.Submission{ID: cf.BatchID(fmt.Sprint(m, n)), Model: m, MinVersion: 1, Accepted: w.now}
+	w.steps[m]++
+	version := cf.WeightVersion(w.steps[m])
+	if !w.loads {
+		version = 1
+	}
+	w.p.SetVersion(m, version)
+	sub := cf.Submission{ID: cf.BatchID(fmt.Sprint(m, n)), Model: m, MinVersion: max(version-1, 1), Accepted: w.now}
 	st := &unevenStep{at: w.now, left: map[cf.GroupID]int{}}
 	for g := range 8 + w.random.IntN(5) {
 		group := cf.GroupID(fmt.Sprint(sub.ID, "-", g))
@@ -120,7 +141,19 @@
 		}
 		w.machines()
 		w.generate()
-		w.look()
+		if w.stalls > 0 && w.now > w.stalled && w.jitter.IntN(40) == 0 {
+			w.stalled = w.now + cf.Millis(w.jitter.IntN(int(w.stalls)))
+			if d := w.stalled - w.now; d > 15 && !w.deaf {
+				w.stall = w.stalled
+			}
+		}
+		if w.now >= w.stalled && w.stall > 0 {
+			w.p.Stalled(w.now)
+			w.stall = 0
+		}
+		if w.now >= w.stalled && (w.lag == 0 || w.now%w.lag == 0) {
+			w.look()
+		}
 	}
 }
 
@@ -145,7 +178,7 @@
 		if w.slow[r.engine] {
 			speed = 1 / 2.5
 		}
-		if w.now < r.ready {
+		if w.now < r.ready || w.loading[r.engine].at > w.now {
 			continue
 		}
 		r.work += speed * float64(unevenTick)
@@ -154,10 +187,19 @@
 			r.made = append(r.made, w.now+unevenTick-cf.Millis(r.work/speed))
 		}
 		// A host hands on what it has gathered, and how far it has seen.
+		if w.now < w.stalled {
+			continue
+		}
 		if w.gather == 0 || w.now%w.gather == 0 || int(run.Text.Last)+len(r.made) >= w.lengths[run.Item.ID] {
 			for _, at := range r.made {
+				if w.stalls > 0 && w.gather == 0 {
+					at = w.now // it is read now
+				}
+				if w.noise > 0 {
+					at = max(at+cf.Millis(w.jitter.IntN(int(w.noise))), run.Progress.Last())
+				}
 				if int(run.Text.Last) < w.lengths[run.Item.ID] {
-					_ = run.Text.Append(cf.StreamEvent{ID: run.Text.Last + 1, Data: "x", Version: 1})
+					_ = run.Text.Append(cf.StreamEvent{ID: run.Text.Last + 1, Data: "x", Version: run.Version})
 					run.Progress.Note(at)
 				}
 			}
@@ -210,6 +252,16 @@
 			}
 		}
 	}
+	for _, s := range w.p.Swaps(w.now) {
+		w.loading[s.Target.ID] = unevenLoad{s.Model, s.Version, w.now + 900}
+	}
+	for id, l := range w.loading {
+		if w.now >= l.at {
+			delete(w.loading, id)
+			w.p.SwapDone(id, l.model, l.version)
+			w.p.SwapTook(id, w.now)
+		}
+	}
 	if w.never {
 		return
 	}
@@ -274,27 +326,25 @@
 
 // Symptom: a step waits for its longest text, which met two or three periods of a slow
 // machine. Guards against moves that come when such a period is half over, land at engines
-// that are slow as well, or cost more than the rest of the period: without the decision the
-// steps lose a quarter more to slow machines.
+// that are slow as well, wait for a slot, or cost more than the rest of the period; and
+// against events that are read late or in bursts, pauses and loads that are taken for slow
+// periods. The decision switched off loses more.
 func TestStepsLoseLessToSlowPeriods(t *testing.T) {
 	const seeds = 4
-	even := replay(unevenSettings{even: true}, seeds)
-	never := replay(unevenSettings{never: true}, seeds)
-	for _, gather := range []cf.Millis{0, 100} {
-		before := replay(unevenSettings{gather: gather, off: true}, seeds)
-		now := replay(unevenSettings{gather: gather}, seeds)
-		for _, r := range []struct {
-			name string
-			unevenResult
-		}{{"even engines", even}, {"no moves", never}, {"moves by smoothed paces", before}, {"moves by slow periods", now}} {
-			t.Logf("%-24s events gathered %d ms: 90%% of the groups whole after %.0f ms, steps by 7.5 s %.3f, by 8.2 s %.3f; groups by 8.2 s %.3f; moves %d, long texts begun at slow engines %d of %d",
-				r.name, gather, mean(r.done), within(r.done, 7500), within(r.done, 8200), within(r.whole, 8200), r.moves, r.slow, r.long)
+	for _, s := range []unevenSettings{{}, {loads: true, noise: 15, stalls: 60, lag: 20}} {
+		even, never, before := s, s, s
+		even.even, even.never, never.never, before.off = true, true, true, true
+		results := []unevenResult{replay(even, seeds), replay(never, seeds), replay(before, seeds), replay(s, seeds)}
+		for i, r := range results {
+			t.Logf("%-24s loads %5t: 90%% of the groups whole after %.0f ms, steps by 7.5 s %.3f, by 8.2 s %.3f; groups by 8.2 s %.3f; moves %d, long texts begun at slow engines %d of %d",
+				[]string{"even engines", "no moves", "moves by smoothed paces", "moves by slow periods"}[i], s.loads, mean(r.done), within(r.done, 7500), within(r.done, 8200), within(r.whole, 8200), r.moves, r.slow, r.long)
 		}
-		if lost, lostBefore := mean(now.done)-mean(even.done), mean(before.done)-mean(even.done); lost > 0.85*lostBefore {
-			t.Errorf("events gathered %d ms: a step loses %.0f ms to slow machines, %.0f ms without the decision", gather, lost, lostBefore)
+		lost := func(i int) float64 { return mean(results[i].done) - mean(results[0].done) }
+		if lost(3) > 0.92*lost(2) || lost(3) > 0.92*lost(1) {
+			t.Errorf("a step loses %.0f ms to slow machines, %.0f ms without the decision, %.0f ms without moves", lost(3), lost(2), lost(1))
 		}
-		if now.moves > before.moves {
-			t.Errorf("%d moves, %d without the decision", now.moves, before.moves)
+		if 4*results[3].moves > 3*results[2].moves {
+			t.Errorf("%d moves, %d without the decision", results[3].moves, results[2].moves)
 		}
 	}
 }
--- a/core/cfslow/cfslow.go
+++ b/core/cfslow/cfslow.go
@@ -41,6 +41,9 @@
 	// decisions go by them: one or two may be a delay in the observer.
 	knownPeriods           = 8
 	knownSpan    cf.Millis = 30000
+	// longEnough is how long a period must last to count towards them: leaving a shorter one
+	// costs more than it saves, and events that come late look like it.
+	longEnough cf.Millis = 150
 	// slowdownPrior is how much slower engines are taken to be in a period, until
 	// some have shown it; slowdownWeight is the weight of the newest that has.
 	slowdownPrior  = 2.0
@@ -71,7 +74,7 @@
 		return false
 	}
 	if now != p.knownAt {
-		p.knownAt, p.known = now, p.Recent(now) >= knownPeriods
+		p.knownAt, p.known = now, p.Recent(now) >= knownPeriods && p.Mean() >= float64(longEnough)
 	}
 	return p.known
 }
@@ -94,6 +97,8 @@
 	p.ends++
 	if whole && last < int(ages) {
 		p.ended[last]++
+	}
+	if whole && last < int(ages) && span >= longEnough {
 		p.recent = p.Recent(now) + 1
 		p.recentAt = now
 	}
--- a/core/cfslow/saves.go
+++ b/core/cfslow/saves.go
@@ -17,8 +17,6 @@
 	Run struct {
 		// Left is how many events it has to make yet.
 		Left float64
-		// Factor is how much slower an event is there than alone.
-		Factor float64
 		// Under is how long the event under way has taken.
 		Under cf.Millis
 	}
@@ -54,7 +52,7 @@
 // the slow pace until the period ends and then at the lasting one, against all of it
 // elsewhere, after the cost of the move and with the event under way lost.
 func (p *Periods) Saves(run Run, s *State, to Place, cost float64, now cf.Millis) float64 {
-	usual := s.usual * run.Factor
+	usual := s.usual
 	stay := 0.0
 	if left := run.Left; s.Slow(now) {
 		slow := usual * max(s.ratio, 1)
--- a/core/cfslow/state.go
+++ b/core/cfslow/state.go
@@ -1,19 +1,33 @@
 package cfslow
 
-import cf "currantford"
+import (
+	"math"
+
+	cf "currantford"
+)
 
 const (
 	// slowFrom and quietBelow are how many times its lasting pace an engine takes when a
-	// period of slowness begins and ends. Events show the paces of 1 and 2.5 times with
-	// an error of some 10%; those made half in a period lie between.
+	// period of slowness begins and ends. Events show the paces of 1 and 2.5 times; those
+	// made half in a period lie between.
 	slowFrom   = 1.4
 	quietBelow = 1.25
 	// lost is after how long without an event the state of an engine is not known.
 	lost cf.Millis = 400
-	// riseOver and fallOver are over how long the lasting pace follows a quiet engine's: a
-	// lower one shows that it was not quiet before.
-	riseOver = 2000.0
-	fallOver = 300.0
+	// usualRate is by what part of itself the lasting pace follows what is seen in a second,
+	// usualRateSlow the same within a period, and usualNear the most of the difference at
+	// once. It goes up and down alike, however far what is seen lies off: it is a median, and
+	// events that are read late and then in bursts do not move it.
+	usualRate     = 0.3
+	usualRateSlow = 0.1
+	usualNear     = 0.3
+	// noiseOver is over how many ms the error of what a quiet engine shows is smoothed.
+	// noiseSlow and noiseQuiet widen slowFrom and quietBelow to so many times that error,
+	// noiseMost bounds it.
+	noiseOver  = 1500.0
+	noiseSlow  = 4.0
+	noiseQuiet = 2.0
+	noiseMost  = 0.25
 	// ratioWeight is the weight of the newest pace in how much slower a period is.
 	ratioWeight = 0.3
 )
@@ -22,85 +36,99 @@
 // that has shown nothing.
 type State struct {
 	usual float64 // the lasting pace
-	ratio float64 // of both, smoothed over a period
+	ratio float64 // how much slower it is in the period under way
+	noise float64 // the mean error of the pace of a quiet engine, as a part of it
 	slow  bool
 	since cf.Millis // when the period began
+	quiet cf.Millis // when the last one ended
 	seen  cf.Millis
 }
 
 // Usual returns an engine's lasting pace, zero where it has not shown.
 func (s *State) Usual() float64 { return s.usual }
 
-// Seen returns when the engine's pace showed last.
-func (s *State) Seen() cf.Millis { return s.seen }
-
 // Slow says whether the engine is in a period of slowness.
-func (s *State) Slow(now cf.Millis) bool {
-	return s.slow && now-s.seen <= lost
+func (s *State) Slow(now cf.Millis) bool { return s.slow && now-s.seen <= lost }
+
+// Quiet says whether the engine was seen quiet just now, and has been for a span.
+func (s *State) Quiet(span, now cf.Millis) bool {
+	return !s.slow && s.usual > 0 && now-s.seen <= lost && now-s.quiet >= span
 }
 
 // Since returns when the period of slowness began that the engine is in.
 func (s *State) Since() cf.Millis { return s.since }
 
-// Note takes the pace of an engine's events as they show it at seen, in ms per event with one
-// run. suspect says that the observer may have been late: no period begins then.
-func (s *State) Note(p *Periods, pace float64, seen cf.Millis, suspect bool) {
+// Shows says whether a pace would begin a period of slowness.
+func (s *State) Shows(pace float64) bool {
+	return s.usual > 0 && pace > s.usual*max(slowFrom, 1+noiseSlow*min(s.noise, noiseMost))
+}
+
+// Note takes the pace of an engine's events as they show it at seen, in ms per event. usual is
+// that of engines like it, for one that has shown nothing yet, zero if that is not known.
+func (s *State) Note(p *Periods, pace, usual float64, seen cf.Millis) {
 	if s.usual == 0 {
-		s.usual, s.seen = pace, seen
+		s.usual, s.seen, s.quiet = pace, seen, seen
+		if usual > 0 {
+			s.usual = min(pace, slowFrom*usual)
+		}
 		return
 	}
 	passed := seen - s.seen
-	if passed <= 0 {
+	if passed <= 0 || pace <= 0 {
 		return
 	}
 	s.seen = seen
-	if passed > lost && s.slow {
-		p.end(seen-passed-s.since, false, seen)
-		s.slow = false
+	if passed > lost {
+		s.lose(p, seen-passed)
+		passed = 0
 	}
 	ratio := pace / s.usual
 	switch {
-	case s.slow && ratio < quietBelow:
-		s.slow = false
+	case s.slow && ratio < max(quietBelow, 1+noiseQuiet*min(s.noise, noiseMost)):
+		s.slow, s.quiet = false, seen
 		p.end(seen-s.since, true, seen)
 	case s.slow && seen-s.since > age*ages:
 		p.end(seen-s.since, false, seen)
-		s.slow, s.usual = false, pace
+		s.slow, s.quiet, s.usual = false, seen, pace // that is what it is like
 	case s.slow:
 		s.ratio += ratioWeight * (ratio - s.ratio)
+		s.follow(pace, usualRateSlow, passed)
 		if seen-s.since > age {
 			p.noteSlowdown(s.ratio)
 		}
-	case ratio > slowFrom && !suspect:
+	case s.Shows(pace):
 		s.slow, s.ratio = true, ratio
 		s.since = seen - cf.Millis(min(pace, float64(passed))) // it began within an event
 		p.begun = p.begun*keep + 1
 		p.quiet *= keep
-	case ratio <= slowFrom:
-		over := riseOver
-		if pace < s.usual {
-			over = fallOver
-		}
-		s.usual += min(float64(passed)/over, 1) * (pace - s.usual)
-		p.quiet += float64(min(passed, lost))
+	default:
+		s.follow(pace, usualRate, passed)
+		s.noise += min(float64(passed)/noiseOver, 1) * (math.Abs(ratio-1) - s.noise)
+		p.quiet += float64(passed)
 	}
 }
 
-// Forget drops a period that is under way, and what is known of the engine's pace now: it
-// does something else for a while.
-func (s *State) Forget(p *Periods, now cf.Millis) {
+// follow moves the lasting pace towards one that was seen.
+func (s *State) follow(pace, rate float64, passed cf.Millis) {
+	most := rate * s.usual * float64(passed) / 1000
+	s.usual += min(max(usualNear*(pace-s.usual), -most), most)
+}
+
+// lose ends a period that was lost sight of at a moment.
+func (s *State) lose(p *Periods, at cf.Millis) {
 	if s.slow {
-		p.end(max(s.seen-s.since, 0), false, now)
+		s.slow, s.quiet = false, at
+		p.end(max(at-s.since, 0), false, at)
 	}
-	s.slow = false
 }
 
+// Forget drops a period that is under way: what the engine shows is not its pace, as it loads
+// weights, or as most others look slow too.
+func (s *State) Forget(p *Periods) { s.lose(p, s.seen) }
+
 func (p *Periods) noteSlowdown(ratio float64) {
 	if p.slowdown == 0 {
 		p.slowdown = ratio
 	}
 	p.slowdown += slowdownWeight * (ratio - p.slowdown)
 }
-
-// Shows says whether a pace would begin a period of slowness, or is of one.
-func (s *State) Shows(pace float64) bool { return s.usual > 0 && pace > slowFrom*s.usual }
--- a/io/cfcoord/coordinator.go
+++ b/io/cfcoord/coordinator.go
@@ -139,6 +139,8 @@
 		refused map[cf.RequestID]bool
 		// slowPeriods says that the planner goes by the slow periods that it observed.
 		slowPeriods bool
+		// active says that items run or wait.
+		active atomic.Bool
 	}
 
 	// finishedText is a complete text of a batch.
@@ -207,6 +209,7 @@
 // batches, and nothing is run before both are done.
 func (c *Coordinator) Start(gather func(context.Context) map[cf.ItemID]cfrollout.Text) {
 	c.wg.Go(c.loop)
+	c.wg.Go(c.watchStalls)
 	c.wg.Go(func() { c.adopt(gather(c.ctx)) })
 	if !c.Policy.NoTextCopies {
 		c.wg.Go(c.mirror)
@@ -319,7 +322,8 @@
 			c.startChunk(st)
 		}
 	}
-	if c.planner.Busy() || c.rewards.planner.Len() > 0 {
+	c.active.Store(c.planner.Busy())
+	if c.active.Load() || c.rewards.planner.Len() > 0 {
 		return tick
 	}
 	return idleTick
--- a/io/cfcoord/metrics.go
+++ b/io/cfcoord/metrics.go
@@ -13,6 +13,8 @@
 	Moves      *prometheus.CounterVec
 	SlowPeriod prometheus.Gauge
 	SlowShare  prometheus.Gauge
+	// Stalls counts pauses in which the process did nothing.
+	Stalls prometheus.Counter
 	// Rewards and RewardTook count and time single tries.
 	Rewards    *prometheus.CounterVec
 	RewardTook prometheus.Histogram
@@ -40,6 +42,8 @@
 			Name: "currantford_engine_slow_period_seconds", Help: "Mean time for which an engine stays slow, as observed; zero while not known."}),
 		SlowShare: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "currantford_engine_slow_share", Help: "Part of the time for which engines are slow, as observed; zero while not known."}),
+		Stalls: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "currantford_coordinator_stalls_total", Help: "Pauses of 15 ms and more in which the coordinator's process did nothing."}),
 		Rewards: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "currantford_reward_calls_total", Help: "Tries of reward calls by outcome."}, []string{"outcome"}),
 		RewardTook: prometheus.NewHistogram(prometheus.HistogramOpts{
@@ -55,6 +59,6 @@
 			Name: "currantford_sample_staleness_seconds", Help: "Time since a sample's oldest weights were superseded, when it is listed.",
 			Buckets: prometheus.ExponentialBuckets(0.25, 2, 12)}, []string{"model"}),
 	}
-	reg.MustRegister(m.Runs, m.Orders, m.Chunks, m.ItemRun, m.Moves, m.SlowPeriod, m.SlowShare, m.Rewards, m.RewardTook, m.StepWait, m.StaleVersions, m.StaleSeconds)
+	reg.MustRegister(m.Runs, m.Orders, m.Chunks, m.ItemRun, m.Moves, m.SlowPeriod, m.SlowShare, m.Stalls, m.Rewards, m.RewardTook, m.StepWait, m.StaleVersions, m.StaleSeconds)
 	return m
 }
