cfrollout: a long text finds a quiet engine where one is free

Lasting paces of 9 and 12 ms were left from first events that came in a burst, paces of 80 and 250 ms from engines that had loaded weights.

Change: the best pace is that of the engines which are quiet, if there are any. A lasting pace starts within 1.4 times that of others and stays above 0.6 of it; an engine's pace stays within what its lasting pace allows. Events around a load show nothing. A long text does not wait while all engines of its share are slow.

--- a/core/cfrollout/pace.go
+++ b/core/cfrollout/pace.go
@@ -119,8 +119,11 @@
 	p.notePeriods(shown)
 	byPeriods := p.byPeriods(now)
 	for e, n := range count {
-		if byPeriods && !e.state.Quiet(quietFor, now) && e.pace > 0 {
-			continue // it shows a period, not the engine or what its runs cost
+		if usual := e.state.Usual(); byPeriods && e.pace > 0 && usual > 0 {
+			e.pace = min(max(e.pace, usual/lastingFactor), usual)
+			if !e.state.Quiet(quietFor, now) {
+				continue // it shows a period or a load, not the engine or what its runs cost
+			}
 		}
 		pace := sum[e] / n
 		p.slots.note(e, pace, now)
--- a/core/cfrollout/periods.go
+++ b/core/cfrollout/periods.go
@@ -117,9 +117,12 @@
 	if p.stalledUntil == 0 || r.seen.Load() > 0 { // its host knows when events came
 		return false
 	}
-	return cf.Millis(r.last.Load()-r.latest.Load()/1000) <= p.stalledUntil+stallRest
+	return r.before() <= p.stalledUntil+stallRest
 }
 
+// before is when the event before the latest was noted.
+func (p *Progress) before() cf.Millis { return cf.Millis(p.last.Load() - p.latest.Load()/1000) }
+
 func (p *Planner) shownNow(now cf.Millis) *shownNow {
 	return &shownNow{now: now, planner: p, engines: map[*Engine]*enginePace{}}
 }
@@ -131,11 +134,12 @@
 		w.movedAt = 0
 	}
 	if e.loading > 0 {
-		e.state.Forget(&s.planner.periods)
+		e.state.Forget(&s.planner.periods, s.now)
+		e.loadSeen = s.now
 		return
 	}
 	pace, at, ok := w.Progress.latestPace(s.now)
-	if !ok || s.planner.stalled(&w.Progress) {
+	if !ok || s.planner.stalled(&w.Progress) || w.Progress.before() <= e.loadSeen && e.loadSeen > 0 {
 		return
 	}
 	x := s.engines[e]
@@ -163,7 +167,7 @@
 	for e, x := range s.engines {
 		e.state.Note(&p.periods, x.paces[len(x.paces)/2], usual, x.at)
 		if suspect {
-			e.state.Forget(&p.periods)
+			e.state.Forget(&p.periods, s.now)
 		}
 	}
 }
@@ -234,11 +238,11 @@
 		if saved < least {
 			continue
 		}
-		p.reserve(w, to, now)
 		w.moved = Moved{Period: slow, To: to.ID, Saves: saved, Cost: p.moveCost.Ms()}
 		if slow {
 			w.moved.SlowLeft = p.periods.Left(now - e.state.Since())
 		}
+		p.reserve(w, to, now)
 		out = append(out, w)
 	}
 	return out
--- a/core/cfrollout/place.go
+++ b/core/cfrollout/place.go
@@ -179,8 +179,15 @@
 	if !long {
 		return best
 	}
+	// The best pace is that of the engines which are quiet, if there are any.
+	quiet := math.Inf(1)
 	for _, f := range fitting {
-		if f.pace > bestPace*evenPace || f.delay > bestDelay+evenDelay {
+		if f.delay <= bestDelay+evenDelay {
+			quiet = min(quiet, f.pace)
+		}
+	}
+	for _, f := range fitting {
+		if f.pace > quiet*evenPace || f.delay > bestDelay+evenDelay {
 			continue
 		}
 		if emptiest == nil || f.engine.used < emptiest.used || f.engine.used == emptiest.used && f.engine.warm(now) && !emptiest.warm(now) {
@@ -227,7 +234,7 @@
 // worth nothing before its last.
 func (p *Planner) betterWait(q queue, w *Work, slow *Engine, nth int) bool {
 	if p.byPeriods(p.now) && p.full(slow) <= slowPace*q.pace { // it is slow for now
-		return p.Long(w) && p.periods.Delay(&slow.state, p.left(w)*q.pace, p.now) > q.wait(nth)
+		return q.slots > 0 && p.Long(w) && p.periods.Delay(&slow.state, p.left(w)*q.pace, p.now) > q.wait(nth)
 	}
 	return p.left(w)*(p.full(slow)-q.pace) > q.wait(nth)
 }
--- a/core/cfrollout/planner.go
+++ b/core/cfrollout/planner.go
@@ -101,6 +101,8 @@
 		usualAt          cf.Millis
 		// reserved are its slots that are kept for runs that move to it.
 		reserved int
+		// loadSeen is when it was last seen loading under a run.
+		loadSeen cf.Millis
 		// state is what its events show of periods of slowness.
 		state cfslow.State
 		// kept are until when connections to it are kept that nobody uses, the first to
--- a/core/cfslow/saves.go
+++ b/core/cfslow/saves.go
@@ -9,7 +9,7 @@
 	costPrior  = 80
 	costWeight = 0.1
 	costLeast  = 30
-	costMost   = 1000
+	costMost   = 300
 )
 
 type (
--- a/core/cfslow/state.go
+++ b/core/cfslow/state.go
@@ -21,6 +21,8 @@
 	usualRate     = 0.3
 	usualRateSlow = 0.1
 	usualNear     = 0.3
+	// leastUsual is the least part of the usual lasting pace that an engine's is.
+	leastUsual = 0.6
 	// noiseOver is over how many ms the error of what a quiet engine shows is smoothed.
 	// noiseSlow and noiseQuiet widen slowFrom and quietBelow to so many times that error,
 	// noiseMost bounds it.
@@ -69,10 +71,12 @@
 	if s.usual == 0 {
 		s.usual, s.seen, s.quiet = pace, seen, seen
 		if usual > 0 {
-			s.usual = min(pace, slowFrom*usual)
+			s.usual = min(max(pace, usual/slowFrom), slowFrom*usual)
 		}
 		return
 	}
+	// No engine is so much faster than others like it: its first events came in a burst.
+	s.usual = max(s.usual, leastUsual*usual)
 	passed := seen - s.seen
 	if passed <= 0 || pace <= 0 {
 		return
@@ -122,9 +126,12 @@
 	}
 }
 
-// Forget drops a period that is under way: what the engine shows is not its pace, as it loads
-// weights, or as most others look slow too.
-func (s *State) Forget(p *Periods) { s.lose(p, s.seen) }
+// Forget drops a period that is under way: what the engine shows at now is not its pace, as it
+// loads weights, or as most others look slow too.
+func (s *State) Forget(p *Periods, now cf.Millis) {
+	s.lose(p, s.seen)
+	s.quiet = now
+}
 
 func (p *Periods) noteSlowdown(ratio float64) {
 	if p.slowdown == 0 {
