--- a/core/cfrollout/export_test.go
+++ b/core/cfrollout/export_test.go
@@ -22,3 +22,8 @@
 
 // Last returns when the latest event was noted.
 func (p *Progress) Last() cf.Millis { return cf.Millis(p.last.Load()) }
+
+// KeepSlot keeps a slot of an engine for a run.
+func (p *Planner) KeepSlot(w *Work, id cf.InstanceID, now cf.Millis) {
+	p.reserve(w, p.engines[id], now)
+}
--- a/core/cfslow/cfslow.go
+++ b/core/cfslow/cfslow.go
@@ -48,8 +48,8 @@
 	// some have shown it; slowdownWeight is the weight of the newest that has.
 	slowdownPrior  = 2.0
 	slowdownWeight = 0.02
-	// quietPrior is how long engines are taken to be quiet between two periods, in ms,
-	// until that has shown.
+	// quietPrior is for how long engines are taken to have been seen quiet before any was,
+	// in ms.
 	quietPrior = 5000
 )
 
@@ -61,7 +61,7 @@
 	recentAt       cf.Millis
 	known          bool // what Known returned at knownAt
 	knownAt        cf.Millis
-	quiet, begun   float64 // ms of quiet engines, and periods that began in them
+	quiet, begun   float64 // ms for which engines were seen quiet, and periods that began
 	slowdown       float64
 	left           [ages + 1]float64 // what Left returns, by age
 	ends, leftOf   int               // how many ended, and for how many left holds
@@ -87,6 +87,8 @@
 // end takes a period that lasted for a span; unless whole, it was lost sight of then.
 func (p *Periods) end(span cf.Millis, whole bool, now cf.Millis) {
 	last := int(span / age)
+	p.quiet *= keep
+	p.begun *= keep
 	for i := range p.reached {
 		p.reached[i] *= keep
 		p.ended[i] *= keep
@@ -137,11 +139,12 @@
 	return p.slowdown
 }
 
-// Share returns the part of the time that engines are slow.
-func (p *Periods) Share() float64 {
-	between := (p.quiet + quietPrior) / (p.begun + 1)
-	return p.Mean() / (p.Mean() + between)
-}
+// Share returns the part of the time that engines are slow. It goes by how often periods
+// begin: runs leave slow engines, so that those are seen for less than they are slow.
+func (p *Periods) Share() float64 { return p.Mean() / (p.Mean() + p.between()) }
+
+// between returns how long an engine is quiet between two periods, in ms.
+func (p *Periods) between() float64 { return (p.quiet + quietPrior) / (p.begun + 1) }
 
 // Delay returns how much longer, in ms, a run at an engine takes than at its lasting pace
 // because of the period that the engine is in, or may have come into since it was last
@@ -155,8 +158,7 @@
 	unseen := 1.0
 	if s.usual > 0 {
 		// The state is one of two, and forgets what it was within the mean of both.
-		between := (p.quiet + quietPrior) / (p.begun + 1)
-		unseen = 1 - math.Exp(-float64(max(now-s.seen, 0))*(1/between+1/mean))
+		unseen = 1 - math.Exp(-float64(max(now-s.seen, 0))*(1/p.between()+1/mean))
 	}
 	return p.Share() * unseen * min(mean*lost, most*(p.Slowdown()-1))
 }
--- a/core/cfslow/state.go
+++ b/core/cfslow/state.go
@@ -103,8 +103,7 @@
 	case s.Shows(pace):
 		s.slow, s.ratio = true, ratio
 		s.since = seen - cf.Millis(min(pace, float64(passed))) // it began within an event
-		p.begun = p.begun*keep + 1
-		p.quiet *= keep
+		p.begun++
 	default:
 		s.follow(pace, usualRate, passed)
 		s.noise += min(float64(passed)/noiseOver, 1) * (math.Abs(ratio-1) - s.noise)
@@ -127,10 +126,12 @@
 }
 
 // Forget drops a period that is under way: what the engine shows at now is not its pace, as it
-// loads weights, or as most others look slow too.
+// loads weights, or as most others look slow too. It counts as none.
 func (s *State) Forget(p *Periods, now cf.Millis) {
-	s.lose(p, s.seen)
-	s.quiet = now
+	if s.slow {
+		p.begun = max(p.begun-1, 0)
+	}
+	s.slow, s.quiet = false, now
 }
 
 func (p *Periods) noteSlowdown(ratio float64) {
