cfcoord: metrics of slow periods end with the duty

Cause: the gauges of an instance that has given the duty away kept the last values. The replay had settings that no test used.

Change: the loop sets them to zero as it ends. The replay loses its unused settings.

--- a/core/cfrollout/uneven_test.go
+++ b/core/cfrollout/uneven_test.go
@@ -29,7 +29,6 @@
 	done           []cf.Millis // when 90% of a step's groups were whole
 	whole          []cf.Millis // when each group was
 	moves          int
-	starts         int
 	slowRuns       int // starts of long texts at engines that were slow
 	long           int
 	lengths        map[cf.ItemID]int
@@ -42,12 +41,10 @@
 type unevenSettings struct {
 	seed   uint64
 	even   bool
-	off    bool // moves by smoothed paces
-	never  bool // no moves at all
-	gather cf.Millis
+	off    bool      // moves by smoothed paces
+	never  bool      // no moves at all
 	stalls cf.Millis // the observer now and then reads nothing for up to so long
 	lag    cf.Millis
-	deaf   bool
 	loads  bool
 	noise  cf.Millis
 }
@@ -143,7 +140,7 @@
 		w.generate()
 		if w.stalls > 0 && w.now > w.stalled && w.jitter.IntN(40) == 0 {
 			w.stalled = w.now + cf.Millis(w.jitter.IntN(int(w.stalls)))
-			if d := w.stalled - w.now; d > 15 && !w.deaf {
+			if d := w.stalled - w.now; d > 15 {
 				w.stall = w.stalled
 			}
 		}
@@ -186,28 +183,22 @@
 			r.work -= event
 			r.made = append(r.made, w.now+unevenTick-cf.Millis(r.work/speed))
 		}
-		// A host hands on what it has gathered, and how far it has seen.
 		if w.now < w.stalled {
 			continue
 		}
-		if w.gather == 0 || w.now%w.gather == 0 || int(run.Text.Last)+len(r.made) >= w.lengths[run.Item.ID] {
-			for _, at := range r.made {
-				if w.stalls > 0 && w.gather == 0 {
-					at = w.now // it is read now
-				}
-				if w.noise > 0 {
-					at = max(at+cf.Millis(w.jitter.IntN(int(w.noise))), run.Progress.Last())
-				}
-				if int(run.Text.Last) < w.lengths[run.Item.ID] {
-					_ = run.Text.Append(cf.StreamEvent{ID: run.Text.Last + 1, Data: "x", Version: run.Version})
-					run.Progress.Note(at)
-				}
+		for _, at := range r.made {
+			if w.stalls > 0 {
+				at = w.now // it is read now
 			}
-			r.made = r.made[:0]
-			if w.gather > 0 {
-				run.Progress.Seen(w.now)
+			if w.noise > 0 {
+				at = max(at+cf.Millis(w.jitter.IntN(int(w.noise))), run.Progress.Last())
+			}
+			if int(run.Text.Last) < w.lengths[run.Item.ID] {
+				_ = run.Text.Append(cf.StreamEvent{ID: run.Text.Last + 1, Data: "x", Version: run.Version})
+				run.Progress.Note(at)
 			}
 		}
+		r.made = r.made[:0]
 		switch {
 		case int(run.Text.Last) >= w.lengths[run.Item.ID]:
 			delete(w.runs, run)
@@ -243,7 +234,6 @@
 
 func (w *unevenWorld) look() {
 	for _, run := range w.p.Place(w.now) {
-		w.starts++
 		w.runs[run] = &unevenRun{w: run, engine: run.Engine, ready: w.now + unevenReread}
 		if w.p.Long(run) {
 			w.long++
@@ -301,8 +291,8 @@
 }
 
 type unevenResult struct {
-	done, whole               []cf.Millis
-	moves, starts, slow, long int
+	done, whole       []cf.Millis
+	moves, slow, long int
 }
 
 // replay plays 40 s of several seeds, each on its own.
@@ -318,7 +308,7 @@
 	r := unevenResult{}
 	for _, w := range worlds {
 		r.done, r.whole = append(r.done, w.done...), append(r.whole, w.whole...)
-		r.moves, r.starts, r.slow, r.long = r.moves+w.moves, r.starts+w.starts, r.slow+w.slowRuns, r.long+w.long
+		r.moves, r.slow, r.long = r.moves+w.moves, r.slow+w.slowRuns, r.long+w.long
 	}
 	slices.Sort(r.done)
 	return r
--- a/io/cfcoord/coordinator.go
+++ b/io/cfcoord/coordinator.go
@@ -268,6 +268,7 @@
 func (c *Coordinator) loop() {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	defer c.forgetSlowPeriods()
 	for {
 		select {
 		case <-c.ctx.Done():
--- a/io/cfcoord/moves.go
+++ b/io/cfcoord/moves.go
@@ -38,3 +38,10 @@
 	c.Log.Info("slow_periods", zap.Bool("known", s.Known), zap.Float64("mean_ms", s.Mean), zap.Float64("share", s.Share),
 		zap.Float64("slowdown", s.Slowdown), zap.Float64("move_cost_ms", s.MoveCost))
 }
+
+// forgetSlowPeriods ends what is shown of slow periods: this instance observes no engines any
+// more.
+func (c *Coordinator) forgetSlowPeriods() {
+	c.Metrics.SlowPeriod.Set(0)
+	c.Metrics.SlowShare.Set(0)
+}
