Merge the moves of runs off engines that are slow for a while

Cause: engines that share their machines are 2.5 times as slow for some hundred milliseconds at a time; moves waited 800 ms, knew no destination, and the cost of a slot was learned from slow spells.

--- /dev/null
+++ b/core/cfrollout/periods.go
@@ -0,0 +1,315 @@
+package cfrollout
+
+import (
+	"slices"
+
+	cf "currantford"
+	"currantford/core/cfslow"
+)
+
+const (
+	// periodStay is how long a run stays at an engine at least: its first events there come
+	// late, after its text was read, or in a burst, and tell nothing.
+	periodStay cf.Millis = 300
+	// ownEvents and ownSlower are how many events a run must have had from an engine, and how
+	// many times slower than the engine's lasting pace they must be, for it to leave: the
+	// engine's pace is that of all its runs.
+	ownEvents = 3
+	ownSlower = 1.25
+	// periodGain is the least that a move must save, in ms, and periodGainMore what is
+	// added for each move of that run before: what is left of a period is known within some
+	// 100 ms, and a connection is paid for.
+	periodGain     = 100.0
+	periodGainMore = 20.0
+	// periodMovesMost bounds the moves of one run: the longest text of a step meets two or
+	// three periods, and one more for each engine that was slow as well.
+	periodMovesMost = 6
+	// periodPart is the least part of the longest text's rest that a run must have left to
+	// be moved: others end long before their step. A fifth saved a fifth of the moves of a
+	// replay and cost the step 15 ms; half of it cost 90 ms.
+	periodPart = 0.2
+	// reserved is how long a slot is kept for a run that moves to it. Its stop takes some ten
+	// ms, and up to half a second where the instance that holds its stream is slow.
+	reserved cf.Millis = 600
+	// lastingFactor is how many times slower for good an engine must be that a run leaves while
+	// it is quiet: full engines are up to 1.25 times slower than empty ones.
+	lastingFactor = 1.4
+	// stallRest is how long after a stall events may still be read late.
+	stallRest cf.Millis = 5
+	// suspectFrom is from how many engines on it is their reference, or a delay here, that
+	// makes most of them look slow.
+	suspectFrom = 4
+	// quietFor is how long an engine is quiet before its smoothed pace is free of a period.
+	quietFor cf.Millis = 500
+)
+
+type (
+	// Moved is why a run was last moved, for logs and metrics.
+	Moved struct {
+		// Period says that its engine had turned slow for a while; else the other engine
+		// is faster for good.
+		Period bool
+		// To is the engine that keeps a slot for it.
+		To cf.InstanceID
+		// Saves is what the move was expected to save, Cost what one costs as observed,
+		// and SlowLeft how much longer its engine was expected to be slow, in ms.
+		Saves, Cost, SlowLeft float64
+	}
+
+	// SlowPeriods is what was observed of the periods in which engines are slow.
+	SlowPeriods struct {
+		// Known says that decisions go by them.
+		Known bool
+		// Mean is how long one lasts, in ms, Share the part of the time that engines are
+		// slow, and Slowdown how many times slower they are.
+		Mean, Share, Slowdown float64
+		// MoveCost is what a move of a run costs, in ms.
+		MoveCost float64
+	}
+
+	// shownNow is what the events of the engines' runs show at a moment.
+	shownNow struct {
+		now     cf.Millis
+		planner *Planner
+		engines map[*Engine]*enginePace
+	}
+
+	enginePace struct {
+		paces []float64
+		at    cf.Millis
+	}
+)
+
+// byPeriods says whether periods of slowness were observed, and count.
+func (p *Planner) byPeriods(now cf.Millis) bool {
+	return !p.limits.NoSlowPeriods && p.periods.Known(now)
+}
+
+// latestPace returns what the latest event took, or what the one under way has taken if that
+// is more, and as of when.
+func (p *Progress) latestPace(now cf.Millis) (pace float64, at cf.Millis, ok bool) {
+	gap := float64(p.latest.Load()) / 1000
+	if p.events.Load() < ownEvents {
+		return 0, 0, false
+	}
+	if seen := cf.Millis(p.seen.Load()); seen > 0 {
+		now = min(now, seen)
+	}
+	last := cf.Millis(p.last.Load())
+	return max(gap, float64(now-last)), max(now, last), true
+}
+
+// under is how long the event under way has taken.
+func (p *Progress) under(now cf.Millis) cf.Millis {
+	last := cf.Millis(p.last.Load())
+	if last == 0 {
+		return 0
+	}
+	return max(now-last, 0)
+}
+
+// Stalled records that the process did nothing until an Uptime: the events of its own streams
+// came late, and those after it in bursts.
+func (p *Planner) Stalled(until cf.Millis) { p.stalledUntil = until }
+
+// stalled says whether the process was stalled within what a run's latest pace is made of.
+func (p *Planner) stalled(r *Progress) bool {
+	if p.stalledUntil == 0 || r.seen.Load() > 0 { // its host knows when events came
+		return false
+	}
+	return r.before() <= p.stalledUntil+stallRest
+}
+
+// before is when the event before the latest was noted.
+func (p *Progress) before() cf.Millis { return cf.Millis(p.last.Load() - p.latest.Load()/1000) }
+
+func (p *Planner) shownNow(now cf.Millis) *shownNow {
+	return &shownNow{now: now, planner: p, engines: map[*Engine]*enginePace{}}
+}
+
+// take takes what a run shows of its engine.
+func (s *shownNow) take(w *Work, e *Engine) {
+	if first := cf.Millis(w.Progress.first.Load()); w.movedAt > 0 && w.Started >= w.movedAt && first > 0 {
+		s.planner.moveCost.Note(float64(first-w.movedAt) - s.planner.expected(e, s.planner.typical()))
+		w.movedAt = 0
+	}
+	if e.loading > 0 {
+		e.state.Forget(&s.planner.periods, s.now)
+		e.loadSeen = s.now
+		return
+	}
+	pace, at, ok := w.Progress.latestPace(s.now)
+	if !ok || s.planner.stalled(&w.Progress) || w.Progress.before() <= e.loadSeen && e.loadSeen > 0 {
+		return
+	}
+	x := s.engines[e]
+	if x == nil {
+		x = &enginePace{}
+		s.engines[e] = x
+	}
+	x.paces = append(x.paces, pace)
+	x.at = max(x.at, at)
+}
+
+// notePeriods takes the paces of a moment, of each engine the median of its runs'. If most
+// engines look slow, it is more likely that their events came late here, or that their lasting
+// paces are wrong: no period goes on.
+func (p *Planner) notePeriods(s *shownNow) {
+	usual := p.usualNow()
+	slow := 0
+	for e, x := range s.engines {
+		slices.Sort(x.paces)
+		if pace := x.paces[len(x.paces)/2]; e.state.Shows(pace) || e.state.Slow(s.now) {
+			slow++
+		}
+	}
+	suspect := len(s.engines) >= suspectFrom && 2*slow > len(s.engines)
+	for e, x := range s.engines {
+		e.state.Note(&p.periods, x.paces[len(x.paces)/2], usual, x.at)
+		if suspect {
+			e.state.Forget(&p.periods, s.now)
+		}
+	}
+}
+
+// usualNow is the lasting pace of a usual engine that has run something lately, zero if none
+// has.
+func (p *Planner) usualNow() float64 {
+	var paces []float64
+	for _, e := range p.busy {
+		if usual := e.state.Usual(); usual > 0 {
+			paces = append(paces, usual)
+		}
+	}
+	if len(paces) == 0 {
+		return 0
+	}
+	slices.Sort(paces)
+	return paces[(len(paces)-1)/2]
+}
+
+// delay is how much longer the events that are left are expected to take at an engine because
+// it is slow for a while, or may be, in ms.
+func (p *Planner) delay(e *Engine, left float64, now cf.Millis) float64 {
+	if !p.byPeriods(now) {
+		return 0
+	}
+	return p.periods.Delay(&e.state, left*max(e.pace, 1), now)
+}
+
+// periodMoves returns the runs that end sooner elsewhere, by how long engines were observed to
+// stay slow, each with a slot that is kept for it. The load it answers: each engine is 2.5 times
+// slower for 15% of the time, in periods of some 600 ms, and a group counts when its longest text
+// is complete.
+func (p *Planner) periodMoves(o *open, now cf.Millis) []*Work {
+	longest := 0.0
+	for _, w := range o.running {
+		longest = max(longest, p.left(w))
+	}
+	var out []*Work
+	for _, w := range o.running {
+		e := p.at(w)
+		if e == nil || w.moving || w.moves >= periodMovesMost || now-w.Started < periodStay || !p.Long(w) || p.left(w) < periodPart*longest {
+			continue
+		}
+		own, _, shown := w.Progress.latestPace(now)
+		slow := e.state.Slow(now)
+		if !shown || slow && own < ownSlower*e.state.Usual() || !slow && now-w.Started < moveRest {
+			continue
+		}
+		to := p.destination(o, w, now)
+		if to == nil {
+			continue
+		}
+		// What more runs cost is learned within some percent, of which a long text would make
+		// half a second: only a lasting pace that is clearly lower counts.
+		pace, least := e.state.Usual(), periodGain+periodGainMore*float64(w.moves)
+		if usual := to.state.Usual(); usual > 0 && lastingFactor*usual < pace {
+			pace = usual
+		} else if !slow {
+			continue
+		}
+		if !slow {
+			least = w.moveGain()
+		}
+		run := cfslow.Run{Left: p.left(w), Under: w.Progress.under(now)}
+		place := cfslow.Place{Pace: pace, Delay: p.delay(to, run.Left, now)}
+		saved := p.periods.Saves(run, &e.state, place, p.moveCost.Ms(), now)
+		if saved < least {
+			continue
+		}
+		w.moved = Moved{Period: slow, To: to.ID, Saves: saved, Cost: p.moveCost.Ms()}
+		if slow {
+			w.moved.SlowLeft = p.periods.Left(now - e.state.Since())
+		}
+		p.reserve(w, to, now)
+		out = append(out, w)
+	}
+	return out
+}
+
+// destination returns the engine of a run's share with a free slot that is least likely to be
+// slow and has least to hold; nil if none is quiet, or those that are may load weights soon.
+func (p *Planner) destination(o *open, w *Work, now cf.Millis) *Engine {
+	var best *Engine
+	bestDelay, left := 0.0, p.left(w)
+	for _, e := range p.share(o) {
+		if e == w.engine || !e.takes(w, now) || e.state.Slow(now) || e.versions[e.Share] < p.Named(e.Share) || !p.fits(e, w) {
+			continue
+		}
+		delay := p.delay(e, left, now)
+		if best == nil || delay < bestDelay-evenDelay || delay < bestDelay+evenDelay && e.used < best.used {
+			best, bestDelay = e, delay
+		}
+	}
+	return best
+}
+
+// reserve keeps a slot for a run that moves.
+func (p *Planner) reserve(w *Work, e *Engine, now cf.Millis) {
+	p.giveSlotUp(w)
+	w.to, w.toUntil = e, now+reserved
+	e.reserved++
+	p.reservations = append(p.reservations, w)
+}
+
+// giveSlotUp gives the slot up that is kept for a run.
+func (p *Planner) giveSlotUp(w *Work) {
+	if w.to == nil {
+		return
+	}
+	w.to.reserved--
+	w.to = nil
+	p.reservations = slices.DeleteFunc(p.reservations, func(x *Work) bool { return x == w })
+}
+
+// giveLateSlotsUp gives the slots up whose runs have not come.
+func (p *Planner) giveLateSlotsUp(now cf.Millis) {
+	for _, w := range slices.Clone(p.reservations) {
+		if now >= w.toUntil {
+			p.giveSlotUp(w)
+		}
+	}
+}
+
+// reservedFor returns the engine that keeps a slot for a run, and gives the slot up; nil if it
+// keeps none, or has turned slow or cannot take the run any more.
+func (p *Planner) reservedFor(w *Work, now cf.Millis) *Engine {
+	e := w.to
+	p.giveSlotUp(w)
+	if e == nil || p.engines[e.ID] != e || !e.takes(w, now) || e.state.Slow(now) {
+		return nil
+	}
+	return e
+}
+
+// Moved returns why the run was moved last.
+func (w *Work) Moved() Moved { return w.moved }
+
+// SlowPeriods returns what was observed of slow periods.
+func (p *Planner) SlowPeriods(now cf.Millis) SlowPeriods {
+	if !p.byPeriods(now) {
+		return SlowPeriods{}
+	}
+	return SlowPeriods{true, p.periods.Mean(), p.periods.Share(), p.periods.Slowdown(), p.moveCost.Ms()}
+}
--- a/core/cfrollout/place.go
+++ b/core/cfrollout/place.go
@@ -148,9 +148,14 @@
 // texts of a step must not meet in one memory. An engine whose memory would not hold
 // an item to its end is taken only if no other has a slot.
 func (p *Planner) choose(engines []*Engine, w *Work, typical float64, now cf.Millis) *Engine {
+	if w.to != nil {
+		if e := p.reservedFor(w, now); e != nil {
+			return e
+		}
+	}
 	var best, roomiest, emptiest *Engine
-	bestPace := math.Inf(1)
-	long := p.Long(w)
+	bestPace, bestDelay := math.Inf(1), math.Inf(1)
+	long, left := p.Long(w), p.left(w)
 	fitting := p.fitting[:0]
 	for _, e := range engines {
 		switch {
@@ -162,7 +167,8 @@
 			}
 			continue
 		}
-		pace := p.expected(e, typical)
+		delay := p.delay(e, left, now)
+		pace := p.expected(e, typical) + delay/max(left, 1)
 		if !long && e.groups[w.Item.Group] > 0 {
 			pace *= p.limits.Affinity
 		}
@@ -172,7 +178,8 @@
 		if pace < bestPace {
 			best, bestPace = e, pace
 		}
-		fitting = append(fitting, pacedEngine{e, pace})
+		bestDelay = min(bestDelay, delay)
+		fitting = append(fitting, pacedEngine{e, pace, delay})
 	}
 	p.fitting = fitting
 	if best == nil {
@@ -181,8 +188,15 @@
 	if !long {
 		return best
 	}
+	// The best pace is that of the engines which are quiet, if there are any.
+	quiet := math.Inf(1)
+	for _, f := range fitting {
+		if f.delay <= bestDelay+evenDelay {
+			quiet = min(quiet, f.pace)
+		}
+	}
 	for _, f := range fitting {
-		if f.pace > bestPace*evenPace {
+		if f.pace > quiet*evenPace || f.delay > bestDelay+evenDelay {
 			continue
 		}
 		if emptiest == nil || f.engine.used < emptiest.used || f.engine.used == emptiest.used && f.engine.warm(now) && !emptiest.warm(now) {
@@ -212,16 +226,25 @@
 	}
 }
 
-// pacedEngine is an engine with what an event would take there.
+// pacedEngine is an engine with what an event would take there, and how much longer a run
+// because the engine is slow for a while, or may be.
 type pacedEngine struct {
 	engine *Engine
 	pace   float64
+	delay  float64
 }
 
+// evenDelay is how much longer than at the quietest engine a long text may be expected to take
+// at one that holds less, in ms: a third of what an engine costs that was not seen of late.
+const evenDelay = 20
+
 // betterWait says whether an item that is nth in line ends sooner if it waits for
 // a usual engine than if it starts at a slow one. Long texts do, and a step is
 // worth nothing before its last.
 func (p *Planner) betterWait(q queue, w *Work, slow *Engine, nth int) bool {
+	if p.byPeriods(p.now) && p.full(slow) <= slowPace*q.pace { // it is slow for now
+		return q.slots > 0 && p.Long(w) && p.periods.Delay(&slow.state, p.left(w)*q.pace, p.now) > q.wait(nth)
+	}
 	return p.left(w)*(p.full(slow)-q.pace) > q.wait(nth)
 }
 
@@ -230,7 +253,7 @@
 	if e.ID == w.Avoid && now < w.avoidUntil {
 		return false
 	}
-	return e.Running < e.Slots && now >= e.avoid && e.loading == 0 && e.serves(w)
+	return e.Running+e.reserved < e.Slots && now >= e.avoid && e.loading == 0 && e.serves(w)
 }
 
 // serves says whether an engine is of the item's share and its weights fit.
--- a/core/cfrollout/planner.go
+++ b/core/cfrollout/planner.go
@@ -27,6 +27,7 @@
 	cf "currantford"
 	"currantford/core/cfbatch"
 	"currantford/core/cfpeak"
+	"currantford/core/cfslow"
 )
 
 type (
@@ -52,12 +53,13 @@
 		// Admit says whether an item may be sent to an engine now, and if not,
 		// whether it may to another; nil lets all.
 		Admit func(w *Work, engine cf.Target) (ok, elsewhere bool)
-		// LongOnSlow, SwapWhenIdle and AllGroups turn decisions off, to measure them, and
-		// LoadUnderRuns that engines wait with loads for runs that a trainer waits for.
-		// LeastLeft puts groups off as soon as a step can't be whole in time.
+		// LongOnSlow, SwapWhenIdle, AllGroups and NoSlowPeriods turn decisions off, to
+		// measure them, and LoadUnderRuns that engines wait with loads for runs that a
+		// trainer waits for. LeastLeft puts groups off as soon as a step can't be whole in time.
 		LongOnSlow    bool
 		SwapWhenIdle  bool
 		AllGroups     bool
+		NoSlowPeriods bool
 		LoadUnderRuns bool
 		LeastLeft     bool
 	}
@@ -106,6 +108,12 @@
 		// usual is its mean pace as of usualAt, usualRuns the mean of its runs.
 		usual, usualRuns float64
 		usualAt          cf.Millis
+		// reserved are its slots that are kept for runs that move to it.
+		reserved int
+		// loadSeen is when it was last seen loading under a run.
+		loadSeen cf.Millis
+		// state is what its events show of periods of slowness.
+		state cfslow.State
 		// kept are until when connections to it are kept that nobody uses, the first to
 		// end first.
 		kept []cf.Millis
@@ -158,6 +166,13 @@
 		// counts how often it was.
 		moving bool
 		moves  int
+		// movedAt is when it was last decided to move it, until its first event
+		// elsewhere.
+		movedAt cf.Millis
+		moved   Moved
+		// to is the engine that keeps a slot for it until toUntil.
+		to      *Engine
+		toUntil cf.Millis
 		// Avoid is an engine that the run was moved away from.
 		Avoid      cf.InstanceID
 		avoidUntil cf.Millis
@@ -224,6 +239,13 @@
 		guesses guesses
 		slots   slotCost
 		memory  memory
+		// periods is what was observed of engines that are slow for a while, moveCost
+		// what it costs to move a run.
+		periods  cfslow.Periods
+		moveCost cfslow.Cost
+		// stalledUntil is when the process was last found to have done nothing for a while.
+		stalledUntil cf.Millis
+		reservations []*Work
 		// fitting is the room for the engines of a choice.
 		fitting []pacedEngine
 	}
--- a/io/cfcoord/coordinator.go
+++ b/io/cfcoord/coordinator.go
@@ -141,6 +141,10 @@
 		// duty began, or when that was forgotten.
 		asked map[cf.BatchID]cf.Millis
 		began cf.Millis
+		// slowPeriods says that the planner goes by the slow periods that it observed.
+		slowPeriods bool
+		// active says that items run or wait.
+		active atomic.Bool
 	}
 
 	// finishedText is a complete text of a batch.
@@ -186,6 +190,7 @@
 	limits.Learned = o.Loads
 	limits.LongOnSlow, limits.SwapWhenIdle = o.Policy.LongOnSlow, o.Policy.SwapWhenIdle
 	limits.AllGroups, limits.LeastLeft, limits.LoadUnderRuns = o.Policy.AllGroups, o.Policy.LeastLeft, o.Policy.LoadUnderRuns
+	limits.NoSlowPeriods = o.Policy.NoSlowPeriods
 	c := &Coordinator{
 		Options: o, ctx: ctx, cancel: cancel, kick: make(chan struct{}, 1),
 		batches: map[cf.BatchID]*state{}, readings: map[cf.BatchID]*reading{}, readSlots: make(chan struct{}, readsAtOnce),
@@ -212,6 +217,7 @@
 // batches, and nothing is run before both are done.
 func (c *Coordinator) Start(gather func(context.Context) map[cf.ItemID]cfrollout.Text) {
 	c.wg.Go(c.loop)
+	c.wg.Go(c.watchStalls)
 	c.wg.Go(func() { c.adopt(gather(c.ctx)) })
 	if !c.Policy.NoTextCopies {
 		c.wg.Go(c.mirror)
@@ -271,6 +277,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	defer c.Metrics.Groups.Reset()
+	defer c.forgetSlowPeriods()
 	for {
 		select {
 		case <-c.ctx.Done():
@@ -313,6 +320,7 @@
 		for _, w := range c.planner.Moves(now) {
 			c.move(w)
 		}
+		c.noteSlowPeriods(now)
 	}
 	for _, t := range c.planner.Unknown(now) {
 		c.checkReport(t)
@@ -325,7 +333,8 @@
 			c.startChunk(st)
 		}
 	}
-	if c.planner.Busy() || c.rewards.planner.Len() > 0 {
+	c.active.Store(c.planner.Busy())
+	if c.active.Load() || c.rewards.planner.Len() > 0 {
 		return tick
 	}
 	return idleTick
--- a/io/cfnode/settings.go
+++ b/io/cfnode/settings.go
@@ -63,6 +63,8 @@
 		NoHoldBounds bool `json:"no_hold_bounds"`
 		// NoAdmission sends plain requests on until targets refuse them.
 		NoAdmission bool `json:"no_admission"`
+		// IgnorePace chooses targets by past answers alone, whatever pace they say they have.
+		IgnorePace bool `json:"ignore_pace"`
 	}
 
 	// Listen holds the addresses to serve at, IP:PORT each. An empty one is
