cfingress: break off begun streams without room, and spare targets of callers that leave

A resumed stream whose second target's answer found no room ended with the error's text among its events and looked complete. A caller that left between two events was charged to its target, which the balancer then avoided.

--- a/io/cfingress/stream.go
+++ b/io/cfingress/stream.go
@@ -91,6 +91,14 @@
 			f.leave(a) // the fault is not its target's, and no other can go on
 			f.breakOff(sink)
 		}
+		if a.left && a.err != nil {
+			f.leave(a) // the caller went between two events, which is no fault of its target
+			f.breakOff(sink)
+		}
+		if sink.started && errors.Is(a.err, cf.ErrNoRoom) {
+			f.leave(a) // an error written now would stand among the events
+			f.breakOff(sink)
+		}
 		if f.withoutRoom(w, a) {
 			return
 		}
--- a/io/cfingress/stream_test.go
+++ b/io/cfingress/stream_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	cf "currantford"
 	"currantford/core/cfsite"
@@ -104,3 +106,53 @@
 		ID: "r", Method: http.MethodPost, Host: host, Route: "/x/a", Path: "/x/a", Received: cf.Uptime(),
 	}, deaf{httptest.NewRecorder()})
 }
+
+// Guards against a resumed stream that looks complete, with an error's text among its
+// events, after the answer of its second target found no room.
+func TestResumedStreamWithoutRoomIsBrokenOff(t *testing.T) {
+	to := targets{stream: func(_ cf.Target, call cf.TargetCall, sink cf.StreamSink) (cf.TargetAnswer, error) {
+		if call.ResumeAfter > 0 {
+			return cf.TargetAnswer{Status: http.StatusNotFound, Header: http.Header{}}, eris.Wrap(cf.ErrNoRoom, "an answer of 64 MB")
+		}
+		answer, err := startStream(sink)
+		if err == nil {
+			err = events(sink, 1, 2)
+		}
+		if err == nil {
+			err = eris.Wrap(cf.ErrBadAnswer, "broken off")
+		}
+		return answer, err
+	}}
+	in := newIngress(t, to, resumable, "a", "b")
+	w, broken := ask(in, cf.Request{ID: "r"})
+	if want := "id: 1\n\nid: 2\n\n"; !broken || w.Body.String() != want {
+		t.Errorf("broken %t, events %q, want them broken off after %q", broken, w.Body, want)
+	}
+}
+
+// Guards against a target that counts as failing because callers leave their streams
+// between two events.
+func TestCallerThatLeavesAStreamIsNoFaultOfItsTarget(t *testing.T) {
+	ctx, leave := context.WithCancel(t.Context())
+	in := newIngress(t, targets{stream: func(_ cf.Target, _ cf.TargetCall, sink cf.StreamSink) (cf.TargetAnswer, error) {
+		answer, err := startStream(sink)
+		if err == nil {
+			err = events(sink, 1, 2)
+		}
+		leave()
+		return answer, errors.Join(err, eris.Wrap(cf.ErrBadAnswer, "context canceled"))
+	}}, resumable, "a", "b")
+	core, logged := observer.New(zap.WarnLevel)
+	in.Log = zap.New(core)
+	defer func() {
+		if recover() == nil {
+			t.Error("the stream was not broken off")
+		}
+		if n := logged.FilterMessage("attempt_failed").Len(); n > 0 {
+			t.Errorf("%d attempts were charged to their target", n)
+		}
+	}()
+	in.Forward(ctx, &cf.Request{
+		ID: "r", Method: http.MethodPost, Host: host, Route: "/x/a", Path: "/x/a", Received: cf.Uptime(),
+	}, httptest.NewRecorder())
+}
