--- a/io/cfingress/forward.go
+++ b/io/cfingress/forward.go
@@ -311,7 +311,9 @@
 	for k, v := range a.answer.Header {
 		h[k] = v
 	}
-	h.Set("Content-Length", strconv.Itoa(len(a.answer.Body)))
+	if f.req.Method != http.MethodHead { // else it is the target's
+		h.Set("Content-Length", strconv.Itoa(len(a.answer.Body)))
+	}
 	w.WriteHeader(a.answer.Status)
 	var err error
 	if f.req.Method != http.MethodHead {
--- a/io/cfingress/forward_test.go
+++ b/io/cfingress/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/rotisserie/eris"
@@ -24,3 +25,15 @@
 		t.Errorf("status %d, want 502: only a request that has not run may be refused", w.Code)
 	}
 }
+
+// Guards against answers to HEAD with the length of their empty body in place of the target's.
+func TestAnswerToHeadKeepsItsLength(t *testing.T) {
+	in := newIngress(t, targets{send: func(cf.Target, cf.TargetCall) (cf.TargetAnswer, error) {
+		return cf.TargetAnswer{Status: http.StatusOK, Header: http.Header{"Content-Length": {"42"}}}, nil
+	}}, cfsite.Route{Kind: cfsite.KindIdempotent, MaxAttempts: 3, Timeout: 1000}, "a")
+	w := httptest.NewRecorder()
+	in.Forward(t.Context(), &cf.Request{ID: "r", Method: http.MethodHead, Host: host, Route: "/x/a", Path: "/x/a", Received: cf.Uptime()}, w)
+	if got := w.Header().Get("Content-Length"); w.Code != http.StatusOK || got != "42" {
+		t.Errorf("status %d, length %q, want 200 and 42", w.Code, got)
+	}
+}
