cfroom: keep a request's room open under a look, and correct the gauge

A look that found no room could replace, and close, the one that the next request had just opened. currantford_held_bytes grew by takes of up to 4 KB, which are granted without being held.

--- a/io/cfroom/cfroom.go
+++ b/io/cfroom/cfroom.go
@@ -146,7 +146,13 @@
 		return nil
 	}
 	conn, _ := ctx.Value(connKey{}).(*Conn)
-	return r.open(conn, caller, kind, request)
+	room := r.open(conn, caller, kind, request)
+	if conn != nil {
+		if before := conn.room.Swap(room); before != nil {
+			before.Close() // of a look between two answers
+		}
+	}
+	return room
 }
 
 func (r *Rooms) open(conn *Conn, caller cfhold.Caller, kind cfhold.Kind, request string) *Room {
@@ -154,11 +160,6 @@
 	r.mu.Lock()
 	room.hold = r.ledger.Open(caller, kind)
 	r.mu.Unlock()
-	if conn != nil {
-		if before := conn.room.Swap(room); before != nil {
-			before.Close() // of a look between two answers
-		}
-	}
 	return room
 }
 
@@ -248,6 +249,10 @@
 	if room == nil {
 		// An answer that takes no room of its own, such as a refusal.
 		room = r.open(c, "", cfhold.Answer, "")
+		if !c.room.CompareAndSwap(nil, room) {
+			room.Close() // the next request has opened its own, which the next look finds
+			return
+		}
 		if c.ended.Load() {
 			room.Close()
 		}
@@ -321,8 +326,8 @@
 	}
 	n, v := r.ledger.TakeUpTo(m.hold, least, most)
 	if v != cfhold.Wait {
+		r.options.Metrics.Held.Set(float64(r.ledger.Held())) // small takes are granted without being held
 		r.mu.Unlock()
-		r.options.Metrics.Held.Add(float64(n))
 		return n, v, nil
 	}
 	r.waiters++
@@ -386,9 +391,8 @@
 		return
 	}
 	m.closed = true
-	before := r.ledger.Held()
 	r.rest(m)
 	r.ledger.Close(m.hold)
-	r.options.Metrics.Held.Sub(float64(before - r.ledger.Held()))
+	r.options.Metrics.Held.Set(float64(r.ledger.Held()))
 	r.wake()
 }
--- a/io/cfroom/cfroom_test.go
+++ b/io/cfroom/cfroom_test.go
@@ -54,6 +54,65 @@
 	}
 }
 
+// writing is a connection on which a write is always under way.
+type writing struct{}
+
+func (writing) Writing() (uint64, bool) { return 1, true }
+func (writing) Acknowledged() int64     { return 0 }
+func (writing) Cut()                    {}
+
+// Guards against a look that closes the room which a request's handler has just opened.
+func TestLookLeavesTheRoomOfARequestOpen(t *testing.T) {
+	rooms, _ := newRooms()
+	conn := &cfroom.Conn{Delivery: writing{}}
+	ctx := cfroom.WithConn(t.Context(), conn)
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				rooms.Look([]*cfroom.Conn{conn})
+			}
+		}
+	}()
+	closed := 0
+	for range 50000 {
+		room := rooms.Open(ctx, "a", cfhold.Answer, "r")
+		for range 4 {
+			if err := room.Take(ctx, 1); err != nil {
+				closed++
+				break
+			}
+		}
+		room.Close()
+	}
+	close(stop)
+	<-stopped
+	if closed > 0 {
+		t.Errorf("%d live rooms were closed", closed)
+	}
+}
+
+// Guards against a gauge that grows by small takes, which are granted without being held.
+func TestGaugeShowsWhatIsHeld(t *testing.T) {
+	rooms, metrics := newRooms()
+	small, large := rooms.Open(t.Context(), "a", cfhold.Answer, "r"), rooms.Open(t.Context(), "a", cfhold.Answer, "s")
+	if err := errors.Join(small.Take(t.Context(), 1<<10), large.Take(t.Context(), 1<<20)); err != nil {
+		t.Fatal(err)
+	}
+	if held := testutil.ToFloat64(metrics.Held); held != 1<<20 {
+		t.Errorf("%.0f bytes shown, want %d", held, 1<<20)
+	}
+	small.Close()
+	large.Close()
+	if held := testutil.ToFloat64(metrics.Held); held != 0 {
+		t.Errorf("%.0f bytes shown after all were closed", held)
+	}
+}
+
 // What an answer at usual load pays.
 func BenchmarkAnswer(b *testing.B) {
 	rooms, _ := newRooms()
