--- a/io/cfnode/server.go
+++ b/io/cfnode/server.go
@@ -65,7 +65,7 @@
 		net.Conn
 		mu      sync.Mutex
 		busy    bool // bytes of a request have been read
-		closing bool // nothing more is read
+		closing bool // nothing more is read: the connection is idle for too long, or cut
 		// writes counts the beginnings and the ends of writes: odd while one is under way.
 		writes atomic.Uint64
 		reader *cfroom.Conn
@@ -120,8 +120,12 @@
 }
 
 // Cut implements cfroom.Delivery: the connection is reset, so that an answer without a
-// length does not look complete, and the system gives its buffers back at once.
+// length does not look complete, and the system gives its buffers back at once. One whose
+// answer ends meanwhile takes no further request: the write deadline stays set.
 func (c *conn) Cut() {
+	c.mu.Lock()
+	c.closing = true
+	c.mu.Unlock()
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // it fails where the connection has been closed
 	}
--- a/io/cfnode/server_test.go
+++ b/io/cfnode/server_test.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -87,3 +89,16 @@
 		}
 	}
 }
+
+// Guards against a connection that takes a further request after it was cut: its write
+// deadline would break off that request's answer.
+func TestConnectionThatWasCutTakesNoFurtherRequest(t *testing.T) {
+	ours, theirs := net.Pipe()
+	defer func() { _ = theirs.Close() }()
+	c := &conn{Conn: ours, busy: true}
+	c.Cut()
+	c.rest() // the answer had been written whole
+	if _, err := c.Write([]byte("x")); !errors.Is(err, io.ErrClosedPipe) {
+		t.Errorf("the connection was not closed: %v", err)
+	}
+}
