cfroom: only the first waiter looks for slow callers by itself

Each room that came free woke all waiters, and each of them sorted all holds under the lock. Where more than one waits, the next look decides.

--- a/io/cfroom/cfroom.go
+++ b/io/cfroom/cfroom.go
@@ -336,7 +336,12 @@
 	default:
 	}
 	freed := r.freed
-	cuts := r.cuts(cf.Uptime()) // those that are known to be slow, without the next look
+	var cuts []ended
+	if r.waiters == 1 {
+		// Those that are known to be slow, without the next look. Where more wait, it is
+		// left to the look: each would sort all holds again whenever room comes free.
+		cuts = r.cuts(cf.Uptime())
+	}
 	r.mu.Unlock()
 	r.cut(cuts)
 	return 0, v, freed
