--- a/io/cfingress/forward.go
+++ b/io/cfingress/forward.go
@@ -60,6 +60,8 @@
 	uninformed bool
 	use        use
 	room       *cfroom.Room
+	// noRoom: an answer could not be held. Nothing more is sent, as another would be as large.
+	noRoom bool
 	// full are the targets that did not run the request.
 	full map[cf.InstanceID]bool
 	// spent is what the caller had used of its time before the request came here.
@@ -139,6 +141,10 @@
 // that an answer cut short can be asked for again at another target.
 func (f *forwarding) whole(ctx context.Context, w http.ResponseWriter) {
 	for {
+		if f.pending == 0 && f.noRoom {
+			f.failNoRoom(w)
+			return
+		}
 		if f.pending == 0 && !f.send(ctx, true) {
 			if errors.Is(ctx.Err(), context.Canceled) {
 				f.expire(ctx, w) // it left while it waited
@@ -147,14 +153,16 @@
 			return
 		}
 		var hedge <-chan time.Time
-		if after, ok := f.attempts.HedgeAfter(); ok && f.pending == 1 {
+		if after, ok := f.attempts.HedgeAfter(); ok && f.pending == 1 && !f.noRoom {
 			hedge = time.After(after.Duration())
 		}
 		select {
 		case a := <-f.results:
 			f.pending--
-			if f.withoutRoom(w, a) {
-				return
+			if a.foundNoRoom() {
+				f.leave(a)
+				f.noRoom = true
+				continue // a hedged attempt may still answer
 			}
 			if f.take(a) {
 				f.pass(w, a)
@@ -270,7 +278,7 @@
 	switch {
 	case a.err == nil && !a.answer.NotRun:
 		f.in.Guard.Answered(f.key, a.target, a.sent)
-	case a.err != nil && !a.left && !errors.Is(a.err, cf.ErrNotRun) && !errors.Is(a.err, cf.ErrNoRoom):
+	case a.err != nil && !a.left && !errors.Is(a.err, cf.ErrNotRun) && !a.foundNoRoom():
 		f.in.Guard.Lost(f.req.ID, f.key, a.target, a.answer.Heard)
 	default:
 		f.in.Guard.Dropped(f.key, a.target)
--- a/io/cfingress/forward_test.go
+++ b/io/cfingress/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"github.com/rotisserie/eris"
@@ -37,3 +38,49 @@
 		t.Errorf("status %d, length %q, want 200 and 42", w.Code, got)
 	}
 }
+
+// hedged is a route whose requests are soon sent to a second target as well.
+var hedged = cfsite.Route{Kind: cfsite.KindIdempotent, MaxAttempts: 3, Timeout: 5000, SLO: 20}
+
+// Guards against a request that fails as one of its hedged attempts found no room, though the
+// other answers.
+func TestHedgedAttemptAnswersBesideOneWithoutRoom(t *testing.T) {
+	// marker is when the first attempt claims to have been sent: the use of the request is
+	// counted by it once that attempt has ended.
+	const marker cf.Millis = 1
+	var sends atomic.Int64
+	second, firstEnded := make(chan struct{}), make(chan struct{})
+	in := newIngress(t, targets{send: func(cf.Target, cf.TargetCall) (cf.TargetAnswer, error) {
+		if sends.Add(1) == 1 {
+			<-second
+			return cf.TargetAnswer{Wrote: marker}, eris.Wrap(cf.ErrNoRoom, "waited")
+		}
+		close(second)
+		<-firstEnded
+		return cf.TargetAnswer{Status: http.StatusOK, Header: http.Header{}}, nil
+	}}, hedged, "a", "b", "c")
+	in.Count = func(_ cf.Organisation, began cf.Millis, requests int64) {
+		if began == marker && requests > 0 {
+			close(firstEnded)
+		}
+	}
+	if w, _ := ask(in, cf.Request{ID: "r"}); w.Code != http.StatusOK {
+		t.Errorf("status %d, want the second attempt's 200", w.Code)
+	}
+}
+
+// Guards against a further send of a request none of whose hedged attempts found room.
+func TestRequestWithoutRoomIsNotSentAgain(t *testing.T) {
+	var sends atomic.Int64
+	second := make(chan struct{})
+	in := newIngress(t, targets{send: func(cf.Target, cf.TargetCall) (cf.TargetAnswer, error) {
+		if sends.Add(1) == 2 {
+			close(second)
+		}
+		<-second
+		return cf.TargetAnswer{}, eris.Wrap(cf.ErrNoRoom, "waited")
+	}}, hedged, "a", "b", "c")
+	if w, _ := ask(in, cf.Request{ID: "r"}); w.Code != http.StatusBadGateway || sends.Load() != 2 {
+		t.Errorf("status %d after %d sends, want 502 after 2", w.Code, sends.Load())
+	}
+}
--- a/io/cfingress/rooms.go
+++ b/io/cfingress/rooms.go
@@ -51,16 +51,12 @@
 	return f.in.Rooms.Open(ctx, caller, kind, string(f.req.ID)), true
 }
 
-// withoutRoom ends a request whose answer could not be held. It has run, so it is not
-// refused; and it is not sent again, as another answer would be as large.
-func (f *forwarding) withoutRoom(w http.ResponseWriter, a attempt) bool {
-	if !errors.Is(a.err, cf.ErrNoRoom) {
-		return false
-	}
-	f.leave(a)
-	f.abandon(false)
+// foundNoRoom says whether the answer could not be held.
+func (a attempt) foundNoRoom() bool { return errors.Is(a.err, cf.ErrNoRoom) }
+
+// failNoRoom ends a request whose answer could not be held. It has run, so it is not refused.
+func (f *forwarding) failNoRoom(w http.ResponseWriter) {
 	f.fail(w, http.StatusBadGateway, cf.ErrNoRoom.Error())
-	return true
 }
 
 // leave ends an attempt for a reason that is not its target's.
--- a/io/cfingress/stream.go
+++ b/io/cfingress/stream.go
@@ -95,11 +95,12 @@
 			f.leave(a) // the caller went between two events, which is no fault of its target
 			f.breakOff(sink)
 		}
-		if sink.started && errors.Is(a.err, cf.ErrNoRoom) {
-			f.leave(a) // an error written now would stand among the events
-			f.breakOff(sink)
-		}
-		if f.withoutRoom(w, a) {
+		if a.foundNoRoom() {
+			f.leave(a)
+			if sink.started {
+				f.breakOff(sink) // an error written now would stand among the events
+			}
+			f.failNoRoom(w)
 			return
 		}
 		if f.take(a) { // a refusal of the target's own, such as 400
