--- a/core/cfhold/cfhold.go
+++ b/core/cfhold/cfhold.go
@@ -84,7 +84,7 @@
 const (
 	// Granted: the bytes are held now.
 	Granted Verdict = iota
-	// Wait: others are in the way.
+	// Wait: there is no room at present.
 	Wait
 	// Never: it is over the bound by itself.
 	Never
@@ -311,7 +311,7 @@
 			cut(h, SlowStream)
 		case now-h.moved >= l.stallAfter():
 			cut(h, Stalled)
-		case h.inTheWay(now):
+		case h.blocksWaiters(now):
 			slow = append(slow, h)
 		}
 	}
@@ -321,7 +321,7 @@
 	slices.SortStableFunc(slow, l.before)
 	for _, w := range l.sorted(l.waiting) {
 		for !after.fits(w, w.wants) {
-			i := slices.IndexFunc(slow, func(h *Hold) bool { return !h.cut && after.helps(w, h) })
+			i := slices.IndexFunc(slow, func(h *Hold) bool { return !h.cut && after.freesRoomFor(w, h) })
 			if i < 0 {
 				break
 			}
@@ -378,9 +378,9 @@
 	}
 }
 
-// inTheWay says whether an answer's caller will not have it within the time for which others
+// blocksWaiters says whether an answer's caller will not have it within the time for which others
 // can wait.
-func (h *Hold) inTheWay(now cf.Millis) bool {
+func (h *Hold) blocksWaiters(now cf.Millis) bool {
 	if now-h.blocked < SlowAfter || h.looked == h.blocked {
 		return false
 	}
@@ -409,8 +409,8 @@
 	}
 }
 
-// helps says whether a cut brings an answer that waits nearer to its room.
-func (p *plan) helps(w, h *Hold) bool {
+// freesRoomFor says whether a cut brings an answer that waits nearer to its room.
+func (p *plan) freesRoomFor(w, h *Hold) bool {
 	return h.bytes > 0 && (p.total+w.wants > p.l.limit(w, w.wants) || h.caller == w.caller)
 }
 
--- a/io/cfroom/cfroom.go
+++ b/io/cfroom/cfroom.go
@@ -97,8 +97,8 @@
 		request string
 	}
 
-	// ended is a connection that is to end, and what was held by then.
-	ended struct {
+	// pendingCut is a connection that is to end, and what was held by then.
+	pendingCut struct {
 		cfhold.Cut
 		room   *Room
 		held   int64
@@ -208,18 +208,18 @@
 }
 
 // cuts decides whose connections end. r.mu is held.
-func (r *Rooms) cuts(now cf.Millis) []ended {
-	var out []ended
+func (r *Rooms) cuts(now cf.Millis) []pendingCut {
+	var out []pendingCut
 	for _, c := range r.ledger.Cuts(now) {
 		if room := r.blocked[c.Hold]; room != nil {
-			out = append(out, ended{c, room, r.ledger.Held(), r.allowLine(now)})
+			out = append(out, pendingCut{c, room, r.ledger.Held(), r.allowLine(now)})
 		}
 	}
 	return out
 }
 
 // cut ends connections.
-func (r *Rooms) cut(cuts []ended) {
+func (r *Rooms) cut(cuts []pendingCut) {
 	for _, c := range cuts {
 		if c.room.conn.room.Load() != c.room {
 			continue // its answer has ended meanwhile, and the next may be on its way
@@ -336,7 +336,7 @@
 	default:
 	}
 	freed := r.freed
-	var cuts []ended
+	var cuts []pendingCut
 	if r.waiters == 1 {
 		// Those that are known to be slow, without the next look. Where more wait, it is
 		// left to the look: each would sort all holds again whenever room comes free.
