--- a/io/cfingress/forward_test.go
+++ b/io/cfingress/forward_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"github.com/rotisserie/eris"
@@ -24,3 +26,61 @@
 		t.Errorf("status %d, want 502: only a request that has not run may be refused", w.Code)
 	}
 }
+
+// Guards against answers to HEAD with the length of their empty body in place of the target's.
+func TestAnswerToHeadKeepsItsLength(t *testing.T) {
+	in := newIngress(t, targets{send: func(cf.Target, cf.TargetCall) (cf.TargetAnswer, error) {
+		return cf.TargetAnswer{Status: http.StatusOK, Header: http.Header{"Content-Length": {"42"}}}, nil
+	}}, cfsite.Route{Kind: cfsite.KindIdempotent, MaxAttempts: 3, Timeout: 1000}, "a")
+	w := httptest.NewRecorder()
+	in.Forward(t.Context(), &cf.Request{ID: "r", Method: http.MethodHead, Host: host, Route: "/x/a", Path: "/x/a", Received: cf.Uptime()}, w)
+	if got := w.Header().Get("Content-Length"); w.Code != http.StatusOK || got != "42" {
+		t.Errorf("status %d, length %q, want 200 and 42", w.Code, got)
+	}
+}
+
+// hedged is a route whose requests are soon sent to a second target as well.
+var hedged = cfsite.Route{Kind: cfsite.KindIdempotent, MaxAttempts: 3, Timeout: 5000, SLO: 20}
+
+// Guards against a request that fails as one of its hedged attempts found no room, though the
+// other answers.
+func TestHedgedAttemptAnswersBesideOneWithoutRoom(t *testing.T) {
+	// marker is when the first attempt claims to have been sent: the use of the request is
+	// counted by it once that attempt has ended.
+	const marker cf.Millis = 1
+	var sends atomic.Int64
+	second, firstEnded := make(chan struct{}), make(chan struct{})
+	in := newIngress(t, targets{send: func(cf.Target, cf.TargetCall) (cf.TargetAnswer, error) {
+		if sends.Add(1) == 1 {
+			<-second
+			return cf.TargetAnswer{Wrote: marker}, eris.Wrap(cf.ErrNoRoom, "waited")
+		}
+		close(second)
+		<-firstEnded
+		return cf.TargetAnswer{Status: http.StatusOK, Header: http.Header{}}, nil
+	}}, hedged, "a", "b", "c")
+	in.Count = func(_ cf.Organisation, began cf.Millis, requests int64) {
+		if began == marker && requests > 0 {
+			close(firstEnded)
+		}
+	}
+	if w, _ := ask(in, cf.Request{ID: "r"}); w.Code != http.StatusOK {
+		t.Errorf("status %d, want the second attempt's 200", w.Code)
+	}
+}
+
+// Guards against a further send of a request none of whose hedged attempts found room.
+func TestRequestWithoutRoomIsNotSentAgain(t *testing.T) {
+	var sends atomic.Int64
+	second := make(chan struct{})
+	in := newIngress(t, targets{send: func(cf.Target, cf.TargetCall) (cf.TargetAnswer, error) {
+		if sends.Add(1) == 2 {
+			close(second)
+		}
+		<-second
+		return cf.TargetAnswer{}, eris.Wrap(cf.ErrNoRoom, "waited")
+	}}, hedged, "a", "b", "c")
+	if w, _ := ask(in, cf.Request{ID: "r"}); w.Code != http.StatusBadGateway || sends.Load() != 2 {
+		t.Errorf("status %d after %d sends, want 502 after 2", w.Code, sends.Load())
+	}
+}
--- a/io/cfingress/stream.go
+++ b/io/cfingress/stream.go
@@ -91,7 +91,16 @@
 			f.leave(a) // the fault is not its target's, and no other can go on
 			f.breakOff(sink)
 		}
-		if f.withoutRoom(w, a) {
+		if a.left && a.err != nil {
+			f.leave(a) // the caller went between two events, which is no fault of its target
+			f.breakOff(sink)
+		}
+		if a.foundNoRoom() {
+			f.leave(a)
+			if sink.started {
+				f.breakOff(sink) // an error written now would stand among the events
+			}
+			f.failNoRoom(w)
 			return
 		}
 		if f.take(a) { // a refusal of the target's own, such as 400
--- a/io/cfroom/cfroom.go
+++ b/io/cfroom/cfroom.go
@@ -97,8 +97,8 @@
 		request string
 	}
 
-	// ended is a connection that is to end, and what was held by then.
-	ended struct {
+	// pendingCut is a connection that is to end, and what was held by then.
+	pendingCut struct {
 		cfhold.Cut
 		room   *Room
 		held   int64
@@ -146,7 +146,13 @@
 		return nil
 	}
 	conn, _ := ctx.Value(connKey{}).(*Conn)
-	return r.open(conn, caller, kind, request)
+	room := r.open(conn, caller, kind, request)
+	if conn != nil {
+		if before := conn.room.Swap(room); before != nil {
+			before.Close() // of a look between two answers
+		}
+	}
+	return room
 }
 
 func (r *Rooms) open(conn *Conn, caller cfhold.Caller, kind cfhold.Kind, request string) *Room {
@@ -154,11 +160,6 @@
 	r.mu.Lock()
 	room.hold = r.ledger.Open(caller, kind)
 	r.mu.Unlock()
-	if conn != nil {
-		if before := conn.room.Swap(room); before != nil {
-			before.Close() // of a look between two answers
-		}
-	}
 	return room
 }
 
@@ -207,18 +208,18 @@
 }
 
 // cuts decides whose connections end. r.mu is held.
-func (r *Rooms) cuts(now cf.Millis) []ended {
-	var out []ended
+func (r *Rooms) cuts(now cf.Millis) []pendingCut {
+	var out []pendingCut
 	for _, c := range r.ledger.Cuts(now) {
 		if room := r.blocked[c.Hold]; room != nil {
-			out = append(out, ended{c, room, r.ledger.Held(), r.allowLine(now)})
+			out = append(out, pendingCut{c, room, r.ledger.Held(), r.allowLine(now)})
 		}
 	}
 	return out
 }
 
 // cut ends connections.
-func (r *Rooms) cut(cuts []ended) {
+func (r *Rooms) cut(cuts []pendingCut) {
 	for _, c := range cuts {
 		if c.room.conn.room.Load() != c.room {
 			continue // its answer has ended meanwhile, and the next may be on its way
@@ -248,6 +249,10 @@
 	if room == nil {
 		// An answer that takes no room of its own, such as a refusal.
 		room = r.open(c, "", cfhold.Answer, "")
+		if !c.room.CompareAndSwap(nil, room) {
+			room.Close() // the next request has opened its own, which the next look finds
+			return
+		}
 		if c.ended.Load() {
 			room.Close()
 		}
@@ -321,8 +326,8 @@
 	}
 	n, v := r.ledger.TakeUpTo(m.hold, least, most)
 	if v != cfhold.Wait {
+		r.options.Metrics.Held.Set(float64(r.ledger.Held())) // small takes are granted without being held
 		r.mu.Unlock()
-		r.options.Metrics.Held.Add(float64(n))
 		return n, v, nil
 	}
 	r.waiters++
@@ -331,7 +336,12 @@
 	default:
 	}
 	freed := r.freed
-	cuts := r.cuts(cf.Uptime()) // those that are known to be slow, without the next look
+	var cuts []pendingCut
+	if r.waiters == 1 {
+		// Those that are known to be slow, without the next look. Where more wait, it is
+		// left to the look: each would sort all holds again whenever room comes free.
+		cuts = r.cuts(cf.Uptime())
+	}
 	r.mu.Unlock()
 	r.cut(cuts)
 	return 0, v, freed
@@ -386,9 +396,8 @@
 		return
 	}
 	m.closed = true
-	before := r.ledger.Held()
 	r.rest(m)
 	r.ledger.Close(m.hold)
-	r.options.Metrics.Held.Sub(float64(before - r.ledger.Held()))
+	r.options.Metrics.Held.Set(float64(r.ledger.Held()))
 	r.wake()
 }
