cfingress: an attempt given up here ends at the limits too

Cause: leave told the balancer only, so that an answer without room counted as in flight at its target for good, and the target was closed whenever limits act. Test: TestAnswerWithoutRoomIsNotInFlight, 503 without the fix.

--- a/io/cfingress/queue_test.go
+++ b/io/cfingress/queue_test.go
@@ -201,3 +201,27 @@
 		}
 	}
 }
+
+// Guards against answers without room that count as in flight at their target for good: once
+// its limit acts, such a target is sent nothing more.
+func TestAnswerWithoutRoomIsNotInFlight(t *testing.T) {
+	noRoom := true
+	to := targets{send: func(cf.Target, cf.TargetCall) (cf.TargetAnswer, error) {
+		if noRoom {
+			return cf.TargetAnswer{}, eris.Wrap(cf.ErrNoRoom, "answer too large")
+		}
+		return cf.TargetAnswer{Status: http.StatusOK, Header: http.Header{}, Load: &cf.TargetLoad{Running: 4, Waiting: 12, Slots: 4}}, nil
+	}}
+	in := newIngress(t, to, cfsite.Route{Kind: cfsite.KindIdempotent, MaxAttempts: 1, Timeout: 8000, SLO: 4000}, "a")
+	for range 100 {
+		if w, _ := ask(in, cf.Request{ID: "r"}); w.Code != http.StatusBadGateway {
+			t.Fatalf("status %d for an answer without room", w.Code)
+		}
+	}
+	noRoom = false
+	for n := range 2 { // limits act from the first answer on
+		if w, _ := ask(in, cf.Request{ID: "r"}); w.Code != http.StatusOK {
+			t.Errorf("request %d: status %d", n, w.Code)
+		}
+	}
+}
--- a/io/cfingress/rooms.go
+++ b/io/cfingress/rooms.go
@@ -66,7 +66,7 @@
 // leave ends an attempt for a reason that is not its target's.
 func (f *forwarding) leave(a attempt) {
 	f.use.ended(a.target.ID, cfbalance.Abandoned, a.answer.Wrote)
-	f.in.balancer.Done(a.target.ID, cfbalance.Abandoned, a.answer.Load, a.took, cf.Uptime())
+	f.done(a, cfbalance.Abandoned, cf.Uptime())
 	f.in.Guard.Dropped(f.key, a.target)
 }
 
