--- a/core/cfadmission/admission.go
+++ b/core/cfadmission/admission.go
@@ -45,10 +45,13 @@
 		Arrived          cf.Millis
 		// Deadline is the Uptime by which it must be answered.
 		Deadline cf.Millis
-		// Again: the caller was told to come back. Retry: a target has had the request already.
+		// Again: the caller was told to come back. Retry: a target has had the request already,
+		// so that sending it, as a retry or a hedge, spends from the retry budget.
 		Again, Retry bool
 		// Must: it may have run, so that it can't be refused any more.
 		Must bool
+		// NoWait: it is refused where it would have to wait, as a hedge is.
+		NoWait bool
 	}
 
 	// State is what a request is to do.
@@ -197,7 +200,7 @@
 func (s *service) limit(id cf.InstanceID, slots int) *limit {
 	l := s.limits[id]
 	if l == nil {
-		l = &limit{slots: max(slots, 1), boost: 1, slow: 1, times: &s.times}
+		l = &limit{id: id, slots: max(slots, 1), boost: 1, slow: 1, times: &s.times}
 		s.limits[id] = l
 	}
 	return l
@@ -223,6 +226,9 @@
 	s.lists++
 	for i, t := range a.Candidates {
 		l := s.limit(t.ID, t.Slots)
+		if t.Slots > 0 {
+			l.slots = t.Slots // a send to a target that is not listed creates its limit without them
+		}
 		if l.list != s.lists-1 || l.born != t.Born {
 			l.begin(t.Born)
 		}
@@ -270,7 +276,7 @@
 	if v.State != Wait {
 		s.drop(t)
 	}
-	if v.State != Send && !t.late(now) {
+	if v.State != Send && !t.late(now) && !t.ask.NoWait {
 		s.pressed = now
 	}
 	return v
@@ -307,6 +313,7 @@
 				continue
 			}
 			l.activate(s.objective, s.instances, now)
+			l.until = min(l.until, s.until) // only a sign of fullness prolongs the limits
 			l.pace(s.objective, s.instances)
 			l.level = min(l.level, unheardLevel) // as all instances find it at once
 		}
@@ -383,6 +390,9 @@
 	if t.evicted || at > last {
 		return Verdict{State: Refuse, Reason: t.reason(now), PerS: perS}
 	}
+	if t.ask.NoWait {
+		return Verdict{State: Refuse, Reason: NoRoom, PerS: perS}
+	}
 	if !t.queued {
 		s.push(t, now)
 	}
@@ -422,7 +432,9 @@
 	s.drop(t)
 	l.started(now)
 	t.share.serve(now)
-	if !t.ask.Retry {
+	if t.ask.Retry {
+		s.budget.spend(t.ask.Must || now < s.until)
+	} else {
 		s.budget.earn(now < s.until)
 	}
 }
--- a/core/cfadmission/budget.go
+++ b/core/cfadmission/budget.go
@@ -26,26 +26,29 @@
 	b.left = min(b.left+part, most)
 }
 
-// spend takes one further send. A retry of a request that may have run is never refused, as
-// it can't be told to come back; what it takes is missing for the others.
-func (b *budget) spend(must bool) bool {
-	if b.left < 1 && !must {
-		return false
+// allows says whether one further send may be tried. A retry of a request that may have run is
+// never refused, as it can't be told to come back; what it takes is missing for the others.
+func (b *budget) allows(must bool) bool { return must || b.left >= 1 }
+
+// spend takes one further send. Requests that wait may have been allowed for the same unit, so
+// that owed ones go below zero; others take nothing where nothing is left.
+func (b *budget) spend(owed bool) {
+	if owed || b.left >= 1 {
+		b.left = max(b.left-1, -mostBudget)
 	}
-	b.left = max(b.left-1, -mostBudget)
-	return true
 }
 
-// MayHedge takes a hedge from the retry budget of a service. While the service is not full
-// all are allowed.
+// MayHedge says whether the retry budget of a service allows a hedge. While the service is not
+// full all are allowed.
 func (c *Controller) MayHedge(service cf.ServiceName, now cf.Millis) bool {
 	return c.MayRetry(service, false, now)
 }
 
-// MayRetry does the same for a retry; must says that the request can't be refused.
+// MayRetry does the same for a retry; must says that the request can't be refused. Sent spends
+// from the budget.
 func (c *Controller) MayRetry(service cf.ServiceName, must bool, now cf.Millis) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.of(service)
-	return s.budget.spend(must) || now >= s.until
+	return s.budget.allows(must) || now >= s.until
 }
--- a/core/cfadmission/limit.go
+++ b/core/cfadmission/limit.go
@@ -17,6 +17,8 @@
 		// Load is the target's load header, nil where there was none.
 		Load *cf.TargetLoad
 		Took cf.Millis
+		// Status is the HTTP status of the answer, zero where there was none.
+		Status int
 	}
 
 	// times are what a service's answers take without queueing: smoothed, with the mean
@@ -32,6 +34,7 @@
 	// before few targets it is below one request in flight, so it is kept as a rate of
 	// starts: by Little's law the two differ by the time of an answer.
 	limit struct {
+		id    cf.InstanceID
 		slots int
 		sent  int // requests of this instance in flight
 		// list is the service's list in which the target was last, born its start by then.
@@ -137,6 +140,8 @@
 	mostLevel = 2.0
 	// HTTP statuses of targets that did not run a request.
 	statusMisdirected, statusTooMany, statusFull = 421, 429, 503
+	// statusFailed is the least HTTP status of a target's own failures.
+	statusFailed = 500
 	// inflightSlack is by how much the requests in flight may exceed their mean.
 	inflightSlack = 1.5
 )
@@ -218,7 +223,7 @@
 // begin takes a target that is listed, after it was not or with another start: what was known
 // of it is of before.
 func (l *limit) begin(born cf.Millis) {
-	*l = limit{slots: l.slots, sent: l.sent, born: born, times: l.times, boost: 1, slow: 1, own: l.own, ownAt: l.ownAt}
+	*l = limit{id: l.id, slots: l.slots, sent: l.sent, born: born, times: l.times, boost: 1, slow: 1, own: l.own, ownAt: l.ownAt}
 }
 
 // activate begins to limit: from an equal share, or from what this instance sends now, the
@@ -279,7 +284,8 @@
 	}
 }
 
-// learn takes an answer's time and load.
+// learn takes an answer's load, and its time unless it is a failure: one that fails at once
+// says nothing of how long work takes.
 func (l *limit) learn(e End, now cf.Millis) {
 	took, before := float64(max(e.Took-targetTime, 1)), l.waiting
 	if e.Load != nil {
@@ -288,12 +294,15 @@
 		if e.Load.Slots > 0 {
 			l.slots = e.Load.Slots
 		}
-	} else if l.limited(now) {
+	} else if l.limited(now) && e.Status < statusFailed {
 		// Without a header the queue is read from what answers take beyond their work.
 		seen := max(took/l.work-1, 0) * float64(l.slots)
 		l.waiting += 2 * smooth * (seen - l.waiting)
 		l.heard = now
 	}
+	if e.Status >= statusFailed {
+		return
+	}
 	by := max(smooth, 1/float64(l.answers+priorAnswers))
 	switch {
 	case e.Load != nil && e.Load.Waiting > 0:
--- /dev/null
+++ b/core/cfadmission/limits_test.go
@@ -0,0 +1,198 @@
+package cfadmission_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	cf "currantford"
+	"currantford/core/cfadmission"
+)
+
+// listOf returns targets of six slots.
+func listOf(ids ...cf.InstanceID) (list []cf.Target) {
+	for _, id := range ids {
+		list = append(list, cf.Target{ID: id, Service: "s", Slots: slots})
+	}
+	return list
+}
+
+// request returns a request of an instance alone that has just arrived.
+func request(list []cf.Target, now cf.Millis) cfadmission.Ask {
+	return cfadmission.Ask{Service: "s", Candidates: list, Instances: 1, Objective: 1000, Arrived: now, Deadline: now + 2000}
+}
+
+// refuse lets a target refuse a request, so that limits act.
+func refuse(c *cfadmission.Controller, list []cf.Target, id cf.InstanceID, now cf.Millis) {
+	c.Sent(c.Enter(request(list, now), now), id, now)
+	c.Done("s", id, cfadmission.End{Outcome: cfadmission.Refused}, now)
+}
+
+// refuseWith does the same at target a, at which few requests wait.
+func refuseWith(c *cfadmission.Controller, list []cf.Target, now cf.Millis) {
+	c.Sent(c.Enter(request(list, now), now), "a", now)
+	c.Done("s", "a", cfadmission.End{Outcome: cfadmission.Refused, Load: &cf.TargetLoad{Running: slots, Waiting: 5, Slots: slots}}, now)
+}
+
+// hedge returns a request that is sent only where it need not wait.
+func hedge(list []cf.Target, now cf.Millis) cfadmission.Ask {
+	a := request(list, now)
+	a.Retry, a.NoWait = true, true
+	return a
+}
+
+// Guards against limits that prolong themselves: a target not heard of was limited for longer
+// than its service, and its next answer prolonged the limits of the service.
+func TestLimitsEndWhenTargetsAreIdle(t *testing.T) {
+	c, list := cfadmission.New(), listOf("a", "b", "c", "d", "e", "f")
+	for now := cf.Millis(1000); now < 3000; now += 100 {
+		refuse(c, list, list[now/100%6].ID, now)
+	}
+	random, limited := rand.New(rand.NewPCG(1, 2)), cf.Millis(0)
+	for n := range cf.Millis(300) {
+		now := 3000 + 200*n
+		ticket := c.Enter(request(list, now), now)
+		v := c.Poll(ticket, now)
+		if v.Limited {
+			limited = now
+		}
+		if v.State != cfadmission.Send {
+			c.Leave(ticket)
+			continue
+		}
+		id := list[random.IntN(len(list))].ID
+		c.Sent(ticket, id, now)
+		c.Done("s", id, cfadmission.End{Load: &cf.TargetLoad{Running: 1, Slots: slots}, Took: 25}, now+25)
+	}
+	if limited > 10000 {
+		t.Errorf("limits act at %d ms, the last sign of fullness was at 2900 ms", limited)
+	}
+}
+
+// Guards against a waiting retry that keeps others from the target that has failed it.
+func TestRetryDoesNotBlockTargetItHasTried(t *testing.T) {
+	c, list := cfadmission.New(), listOf("a", "b")
+	refuse(c, list, "b", 1000)
+	c.Poll(c.Enter(request(list, 1000), 1000), 1000) // begins to fill the bucket of a
+	refuse(c, list, "b", 2000)
+	retry := request(list, 2000)
+	retry.Retry, retry.Tried = true, map[cf.InstanceID]bool{"a": true}
+	if v := c.Poll(c.Enter(retry, 2000), 2000); v.State != cfadmission.Wait {
+		t.Fatalf("the retry is not one that waits: %+v", v)
+	}
+	if v := c.Poll(c.Enter(request(list, 2000), 2000), 2000); v.State != cfadmission.Send {
+		t.Errorf("another request: %+v", v)
+	}
+}
+
+// Guards against a request that may have run, and waits for a crowded target's queue to
+// shorten, keeping others from that target.
+func TestRequestThatMayHaveRunDoesNotBlockCrowdedTarget(t *testing.T) {
+	c, list := cfadmission.New(), listOf("a")
+	c.Sent(c.Enter(request(list, 1000), 1000), "a", 1000)
+	c.Done("s", "a", cfadmission.End{Load: &cf.TargetLoad{Running: slots, Waiting: 23, Slots: slots}, Took: 168}, 1000)
+	must := request(list, 1035)
+	must.Must = true
+	if v := c.Poll(c.Enter(must, 1035), 1035); v.State != cfadmission.Wait {
+		t.Fatalf("the request that may have run is not one that waits: %+v", v)
+	}
+	if v := c.Poll(c.Enter(request(list, 1035), 1035), 1035); v.State != cfadmission.Send {
+		t.Errorf("another request: %+v", v)
+	}
+}
+
+// Guards against a retry budget that is spent on sends which don't happen.
+func TestOnlySendsSpendRetryBudget(t *testing.T) {
+	c, list := cfadmission.New(), listOf("a", "b")
+	refuse(c, list, "a", 1000)
+	retry := request(list, 1000)
+	retry.Retry, retry.Tried = true, map[cf.InstanceID]bool{"a": true}
+	for n := range 30 {
+		if !c.MayRetry("s", false, 1000) {
+			t.Fatalf("refused after %d retries that were not sent", n)
+		}
+		c.Leave(c.Enter(retry, 1000))
+	}
+	for range 30 {
+		c.Sent(c.Enter(retry, 1000), "b", 1000)
+	}
+	if c.MayRetry("s", false, 1000) {
+		t.Error("allowed after 30 retries that were sent")
+	}
+}
+
+// Guards against a hedge that takes a place in the queue, or that of a request which waits.
+func TestHedgeDoesNotEnterTheQueue(t *testing.T) {
+	c, list := cfadmission.New(), listOf("a")
+	refuseWith(c, list, 1000)
+	var waiting []*cfadmission.Ticket
+	for range 3 {
+		ticket := c.Enter(request(list, 1000), 1000)
+		if v := c.Poll(ticket, 1000); v.State != cfadmission.Wait {
+			t.Fatalf("a request that is to wait: %+v", v)
+		}
+		waiting = append(waiting, ticket)
+	}
+	if v := c.Poll(c.Enter(hedge(list, 1000), 1000), 1000); v.State != cfadmission.Refuse || v.Reason != cfadmission.NoRoom || v.Waiting != len(waiting) {
+		t.Errorf("%+v with %d waiting", v, len(waiting))
+	}
+	for n, ticket := range waiting {
+		if v := c.Poll(ticket, 1000); v.State != cfadmission.Wait {
+			t.Errorf("waiting request %d: %+v", n, v)
+		}
+	}
+}
+
+// Guards against a refused hedge counting as a request kept back, which raises the rate.
+func TestRefusedHedgeDoesNotRaiseTheRate(t *testing.T) {
+	perMs := func(hedges bool) float64 {
+		c, list := cfadmission.New(), listOf("a")
+		refuseWith(c, list, 1000)
+		c.Poll(c.Enter(request(list, 1000), 1000), 1000)
+		c.Sent(c.Enter(request(list, 2000), 2000), "a", 2000)
+		if refuseWith(c, list, 2000); hedges {
+			c.Poll(c.Enter(hedge(list, 2000), 2000), 2000)
+		}
+		c.Done("s", "a", cfadmission.End{Load: &cf.TargetLoad{Slots: slots}, Took: 100}, 2100)
+		perMs, _ := c.Throughput("s", 2100)
+		return perMs
+	}
+	if with, without := perMs(true), perMs(false); with != without {
+		t.Errorf("%.5f requests per ms, %.5f without the hedge", with, without)
+	}
+}
+
+// Guards against failures that come at once being learned as work, which raises the rate.
+func TestFailuresAreNotLearnedAsWork(t *testing.T) {
+	c, list := cfadmission.New(), listOf("a")
+	answer := func(status int, took cf.Millis) {
+		c.Sent(c.Enter(request(list, 1000), 1000), "a", 1000)
+		c.Done("s", "a", cfadmission.End{Status: status, Load: &cf.TargetLoad{Running: 1, Slots: slots}, Took: took}, 1000)
+	}
+	for range 50 {
+		answer(200, 50)
+	}
+	refuse(c, list, "a", 1000)
+	_, before := c.Throughput("s", 1000)
+	for range 50 {
+		answer(500, 1)
+	}
+	if _, after := c.Throughput("s", 1000); after != before {
+		t.Errorf("work of %.1f ms, %.1f before the failures", after, before)
+	}
+}
+
+// Guards against a target that is sent to before it is listed keeping one slot.
+func TestListTellsSlotsOfTargetSeenBefore(t *testing.T) {
+	perMs := func(seen bool) float64 {
+		c, list := cfadmission.New(), listOf("a")
+		if seen {
+			refuse(c, nil, "a", 1000)
+		}
+		refuse(c, list, "a", 10000)
+		perMs, _ := c.Throughput("s", 10000)
+		return perMs
+	}
+	if seen, unseen := perMs(true), perMs(false); seen < unseen/2 {
+		t.Errorf("%.4f requests per ms, %.4f where the target was listed first", seen, unseen)
+	}
+}
--- a/core/cfadmission/queue.go
+++ b/core/cfadmission/queue.go
@@ -98,18 +98,24 @@
 }
 
 // ahead counts the queue's requests that go before t; blocked says that one of them could go
-// now.
+// to best now.
 func (s *service) ahead(t *Ticket, best *limit, now cf.Millis) (n int, blocked bool) {
 	for _, u := range s.queue {
 		if u == t || !u.before(t, now) {
 			continue
 		}
 		n++
-		blocked = blocked || best != nil && best.level >= u.need(now)
+		blocked = blocked || best != nil && best.level >= u.need(now) && u.mayUse(best, now)
 	}
 	return n, blocked
 }
 
+// mayUse says whether the request may go to a target as far as that depends on the request:
+// one that can't be refused isn't sent to a target that may refuse it.
+func (t *Ticket) mayUse(l *limit, now cf.Millis) bool {
+	return !t.ask.Tried[l.id] && (!t.ask.Must || !l.crowded(t.service.objective, now))
+}
+
 // push queues a ticket; where too many wait the last of them is refused when it asks again.
 func (s *service) push(t *Ticket, now cf.Millis) {
 	t.queued = true
--- a/core/cfadmission/replay_test.go
+++ b/core/cfadmission/replay_test.go
@@ -231,7 +231,7 @@
 	t := c.in.admission.Enter(cfadmission.Ask{
 		Service: "s", Class: cfadmission.Class{Organisation: cf.Organisation(rune('A' + c.org)), Priority: c.org % max(r.ranks, 1)}, Candidates: r.listed, Tried: c.tried,
 		Instances: len(r.instances), Objective: objective, Spent: r.deadline - (c.attempts.Left(now) + now - c.received), Arrived: c.received,
-		Deadline: now + c.attempts.Left(now), Again: c.again, Retry: len(c.tried) > 0, Must: must,
+		Deadline: now + c.attempts.Left(now), Again: c.again, Retry: len(c.tried) > 0, Must: must, NoWait: hedge,
 	}, now)
 	c.poll(t, hedge)
 }
@@ -348,7 +348,7 @@
 	}
 	c.in.balancer.Done(id, outcome, a.Load, took, now)
 	if !c.r.off {
-		c.in.admission.Done("s", id, cfadmission.End{Outcome: cfadmission.OutcomeOf(outcome, a.Status, err), Load: a.Load, Took: took}, now)
+		c.in.admission.Done("s", id, cfadmission.End{Outcome: cfadmission.OutcomeOf(outcome, a.Status, err), Load: a.Load, Took: took, Status: a.Status}, now)
 	}
 	if outcome == cfbalance.Full || outcome == cfbalance.Unreached {
 		c.full[id] = true
--- a/io/cfingress/queue.go
+++ b/io/cfingress/queue.go
@@ -75,7 +75,7 @@
 	p := place{in: f.in, ticket: f.in.admission.Enter(cfadmission.Ask{
 		Service: f.service, Class: cfadmission.Class{Organisation: f.access.Organisation, Priority: f.access.Priority},
 		Candidates: candidates, Tried: avoid, Instances: len(f.in.Members.Live()), Objective: objective, Spent: f.spent,
-		Arrived: f.req.Received, Deadline: now + f.attempts.Left(now), Again: f.spent > 0, Retry: retry, Must: must && wait,
+		Arrived: f.req.Received, Deadline: now + f.attempts.Left(now), Again: f.spent > 0, Retry: retry, Must: must && wait, NoWait: !wait,
 	}, now)}
 	for began := now; ; now = cf.Uptime() {
 		v := f.in.admission.Poll(p.ticket, now)
@@ -92,7 +92,7 @@
 			f.refused(v, wait)
 			p.leave()
 			return place{}, false
-		case !wait || !cf.Sleep(ctx, (v.Until-now).Duration()):
+		case !cf.Sleep(ctx, (v.Until - now).Duration()):
 			p.leave()
 			return place{}, false
 		}
@@ -143,7 +143,7 @@
 	if f.in.NoAdmission || f.objective() <= 0 {
 		return
 	}
-	end := cfadmission.End{Outcome: cfadmission.OutcomeOf(outcome, a.answer.Status, a.err), Load: a.answer.Load, Took: a.took}
+	end := cfadmission.End{Outcome: cfadmission.OutcomeOf(outcome, a.answer.Status, a.err), Load: a.answer.Load, Took: a.took, Status: a.answer.Status}
 	if f.in.admission.Done(f.service, a.target.ID, end, now) {
 		waiting := -1
 		if a.answer.Load != nil {
