--- a/core/cfadmission/admission.go
+++ b/core/cfadmission/admission.go
@@ -48,8 +48,8 @@
 		// Again: the caller was told to come back. Retry: a target has had the request already,
 		// so that sending it, as a retry or a hedge, spends from the retry budget.
 		Again, Retry bool
-		// Must: it may have run, so that it can't be refused any more.
-		Must bool
+		// MayHaveRun: it may have run, so that it can't be refused any more.
+		MayHaveRun bool
 		// NoWait: it is refused where it would have to wait, as a hedge is.
 		NoWait bool
 	}
@@ -109,8 +109,8 @@
 		shares      *shares
 		queue       []*Ticket
 		budget      budget
-		// until is the latest end of a target's limit, pressed when a request was last kept back.
-		until, pressed cf.Millis
+		// until is the latest end of a target's limit, heldBackAt when a request was last kept back.
+		until, heldBackAt cf.Millis
 	}
 )
 
@@ -140,30 +140,30 @@
 const (
 	// networkTime is what an answer needs beside the target's time, there and back.
 	networkTime cf.Millis = 15
-	// patiencePart is the part of the objective within which a caller hears of a refusal,
+	// refusalPart is the part of the objective within which a caller hears of a refusal,
 	// less refusalTime, which a target's refusal after a wait takes.
-	patiencePart           = 4
-	refusalTime  cf.Millis = 9
-	// mostWaiting bounds the queue. At a refusal within 37 ms it is only reached from some
+	refusalPart           = 4
+	refusalTime cf.Millis = 9
+	// maxQueued bounds the queue. At a refusal within 37 ms it is only reached from some
 	// two thousand requests per second on.
-	mostWaiting = 64
+	maxQueued = 64
 	// mostWait bounds an estimate of a wait that is never reached, in ms.
 	mostWait = 1e6
-	// leastPoll spaces the looks of a waiting request.
-	leastPoll cf.Millis = 2
+	// minPoll spaces the looks of a waiting request.
+	minPoll cf.Millis = 2
 	// mustPoll spaces the looks of one that can't be refused, and waits for a target that
 	// is less full.
 	mustPoll cf.Millis = 10
-	// pressedSpan is how long a request that was kept back shows that this instance has
+	// heldBackSpan is how long a request that was kept back shows that this instance has
 	// more to send than it may.
-	pressedSpan cf.Millis = 500
+	heldBackSpan cf.Millis = 500
 	// lateSpan is for how many objectives nothing that could be in time may have been kept
 	// back here, and lateLevel what more than usual must be left over, before a request is
 	// sent that will be late: in a flood of twice what there is, an instance keeps back a
 	// dozen a second.
 	lateSpan  = 2
 	lateLevel = 0.9
-	// idleSpan is how long a target's word that it has a free slot counts for those.
+	// idleSpan is how long a target's load report of a free slot counts for those.
 	idleSpan cf.Millis = 50
 	// rankLevel is by how much the level of each further priority is higher, mostNeed bounds it.
 	rankLevel, mostNeed = 1.2, 1.9
@@ -180,10 +180,10 @@
 	forgetTarget cf.Millis = 60000
 )
 
-// need is the level of a target's bucket from which on requests of a tier are sent. Modest
-// organisations may borrow from the others' next sends: at a few sends a second for all, one
+// need is the level of a target's bucket from which on requests of a tier are sent. Organisations
+// under their share may borrow from the others' next sends: at a few sends a second for all, one
 // that waits for its turn behind a large organisation's burst is not in time any more.
-var need = [...]float64{modest: -3, entitled: 0, beyond: 1, last: 1.6}
+var need = [...]float64{underShare: -3, withinShare: 0, overShare: 1, noShare: 1.6}
 
 // New returns a controller that knows nothing.
 func New() *Controller { return &Controller{services: map[cf.ServiceName]*service{}} }
@@ -200,7 +200,7 @@
 func (s *service) limit(id cf.InstanceID, slots int) *limit {
 	l := s.limits[id]
 	if l == nil {
-		l = &limit{id: id, slots: max(slots, 1), boost: 1, slow: 1, times: &s.times}
+		l = &limit{id: id, slots: max(slots, 1), shareFactor: 1, slow: 1, times: &s.times}
 		s.limits[id] = l
 	}
 	return l
@@ -277,7 +277,7 @@
 		s.drop(t)
 	}
 	if v.State != Send && !t.late(now) && !t.ask.NoWait {
-		s.pressed = now
+		s.heldBackAt = now
 	}
 	return v
 }
@@ -304,24 +304,24 @@
 		if !tried {
 			k.candidates++
 		}
-		if l.gone(now) {
+		if l.unavailable(now) {
 			continue
 		}
 		if !l.limited(now) {
-			if now-l.heard <= heardSpan {
+			if now-l.reportedAt <= reportFresh {
 				k.open = k.open || !tried
 				continue
 			}
 			l.activate(s.objective, s.instances, now)
 			l.until = min(l.until, s.until) // only a sign of fullness prolongs the limits
 			l.pace(s.objective, s.instances)
-			l.level = min(l.level, unheardLevel) // as all instances find it at once
+			l.tokens = min(l.tokens, unheardLevel) // as all instances find it at once
 		}
 		l.fill(now)
 		k.total += l.rate
 		answer := l.answerTime(now)
 		quickest = min(quickest, answer)
-		if tried || now < l.held || l.sent >= l.bound || t.ask.Must && l.crowded(s.objective, now) {
+		if tried || now < l.held || l.sent >= l.bound || t.ask.MayHaveRun && l.nearFull(s.objective, now) {
 			continue
 		}
 		if answer > left {
@@ -333,7 +333,7 @@
 	if s.quickest = 0; k.total > 0 {
 		s.quickest = quickest
 	}
-	if t.ask.Must || t.late(now) {
+	if t.ask.MayHaveRun || t.late(now) {
 		k.best = higher(late, k.best)
 	}
 	return k
@@ -341,7 +341,7 @@
 
 // higher returns which of two limits has more unused rate; either may be nil.
 func higher(a, b *limit) *limit {
-	if a == nil || b != nil && b.level > a.level {
+	if a == nil || b != nil && b.tokens > a.tokens {
 		return b
 	}
 	return a
@@ -351,10 +351,10 @@
 func (s *service) soonest(t *Ticket, level float64, now cf.Millis) float64 {
 	soonest := math.Inf(1)
 	for i, l := range s.ordered {
-		if len(t.ask.Tried) > 0 && t.ask.Tried[s.candidates[i].ID] || l.gone(now) || l.sent >= l.bound || l.rate <= 0 {
+		if len(t.ask.Tried) > 0 && t.ask.Tried[s.candidates[i].ID] || l.unavailable(now) || l.sent >= l.bound || l.rate <= 0 {
 			continue
 		}
-		soonest = min(soonest, max((level-l.level)/l.rate, float64(l.held-now), 0))
+		soonest = min(soonest, max((level-l.tokens)/l.rate, float64(l.held-now), 0))
 	}
 	return soonest
 }
@@ -374,14 +374,14 @@
 	s.shares.divide(k.total, now)
 	wanted := t.need(now)
 	ahead, blocked := s.ahead(t, k.best, now)
-	if k.best != nil && k.best.level >= wanted && !blocked && !t.evicted {
-		k.best.level--
+	if k.best != nil && k.best.tokens >= wanted && !blocked && !t.evicted {
+		k.best.tokens--
 		t.held = k.best
 		return Verdict{State: Send, PerS: perS}
 	}
-	at := now + max(cf.Millis(min(s.soonest(t, wanted, now)+float64(ahead)/k.total, mostWait)), leastPoll)
+	at := now + max(cf.Millis(min(s.soonest(t, wanted, now)+float64(ahead)/k.total, mostWait)), minPoll)
 	last := t.last(now)
-	if t.ask.Must {
+	if t.ask.MayHaveRun {
 		if now >= last {
 			return Verdict{State: Send} // a try is better than a failure
 		}
@@ -407,12 +407,12 @@
 	switch {
 	case t.held == nil || l == nil || l == t.held:
 		return false
-	case l.gone(now) || now < l.held || l.sent >= l.bound && l.limited(now):
+	case l.unavailable(now) || now < l.held || l.sent >= l.bound && l.limited(now):
 		return true
-	case !t.ask.Must && !t.late(now) && l.answerTime(now) > t.left(now):
+	case !t.ask.MayHaveRun && !t.late(now) && l.answerTime(now) > t.left(now):
 		return true
 	}
-	return l.limited(now) && l.level < t.held.level+1-nearLevel
+	return l.limited(now) && l.tokens < t.held.tokens+1-nearLevel
 }
 
 // Sent ends a ticket: its request goes to a target.
@@ -422,18 +422,18 @@
 	s := t.service
 	l := s.limit(id, 1)
 	if t.held != nil && t.held != l {
-		t.held.level++
+		t.held.tokens++
 	}
 	if t.held != l && l.limited(now) {
 		l.fill(now)
-		l.level--
+		l.tokens--
 	}
 	t.held = nil
 	s.drop(t)
 	l.started(now)
 	t.share.serve(now)
 	if t.ask.Retry {
-		s.budget.spend(t.ask.Must || now < s.until)
+		s.budget.spend(t.ask.MayHaveRun || now < s.until)
 	} else {
 		s.budget.earn(now < s.until)
 	}
@@ -444,7 +444,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if t.held != nil {
-		t.held.level++
+		t.held.tokens++
 		t.held = nil
 	}
 	t.service.drop(t)
@@ -456,7 +456,7 @@
 	defer c.mu.Unlock()
 	s := c.of(name)
 	l := s.limit(id, 1)
-	l.ended(e, s.objective, s.instances, now-s.pressed <= pressedSpan, now)
+	l.ended(e, s.objective, s.instances, now-s.heldBackAt <= heldBackSpan, now)
 	acts = now >= s.until && now < l.until
 	s.until = max(s.until, l.until)
 	return acts
--- a/core/cfadmission/limit.go
+++ b/core/cfadmission/limit.go
@@ -45,28 +45,28 @@
 		room float64
 		// slow is how many times as long this target's answers took lately as its service's.
 		slow float64
-		// waiting is how many requests wait at the target by its last word, at heard.
-		waiting float64
-		heard   cf.Millis
-		// idle says that a slot was free there, by the same word.
+		// waiting is how many requests wait at the target by its last load report, at reportedAt.
+		waiting    float64
+		reportedAt cf.Millis
+		// idle says that a slot was free there, by the same report.
 		idle bool
 		// until is when the limit ceases to act; held forbids sends for a moment.
 		until, held cf.Millis
 		// failures counts losses since the last answer; lost is until when it gets nothing.
 		failures int
 		lost     cf.Millis
-		// boost is what this instance takes of an equal share, rate the starts per ms that
+		// shareFactor is what this instance takes of an equal share, rate the starts per ms that
 		// follow, bound the most in flight at once.
-		boost, rate float64
-		bound       int
+		shareFactor, rate float64
+		bound             int
 		// answer is the time of an answer with the aimed queue at most, excess what the rest
 		// of the queue adds, both in ms.
 		answer, excess float64
-		moved          cf.Millis // when the boost was last moved
+		moved          cf.Millis // when shareFactor was last moved
 		// ample is when the queue was last at half of its aim or more.
 		ample cf.Millis
-		// level is the token bucket of starts, as of filled.
-		level  float64
+		// tokens is the level of the token bucket of starts, as of filled.
+		tokens float64
 		filled cf.Millis
 		// own is the recent rate of starts of this instance, as of ownAt.
 		own   float64
@@ -96,9 +96,9 @@
 	// fullPart is the part of the aimed queue from which on a target counts as full: a few
 	// requests wait now and then where there is room for all.
 	fullPart = 0.33
-	// heardSpan is how long a target's word that nothing waits there counts while others
+	// reportFresh is how long a target's load report that nothing waits there counts while others
 	// of its service are full.
-	heardSpan cf.Millis = 500
+	reportFresh cf.Millis = 500
 	// shorterSpan is after what time a long queue is expected to be half as long.
 	shorterSpan = 100.0
 	// refusedSpan keeps requests off a target that has just refused one; a place frees
@@ -122,7 +122,7 @@
 	// ownSpan is the time constant of the rate of own starts.
 	ownSpan = 1000.0
 	// gain is how far a rate leaves its base for a queue that is wrong by its whole aim.
-	// Words of the load are 100 to 200 ms old with 50 instances, which bounds it: from 0.4 on
+	// Load reports are 100 to 200 ms old with 50 instances, which bounds it: from 0.4 on
 	// fewer are in time.
 	gain = 0.3
 	// rise, fall and fallBelow move the base, in parts of an equal share per second, or of
@@ -133,9 +133,9 @@
 	// then the others don't use theirs.
 	rise, climb, fall, fallBelow = 0.3, 0.7, 0.3, 0.15
 	// movedMost bounds the span that one answer stands for.
-	movedMost             cf.Millis = 250
-	climbAfter            cf.Millis = 400
-	leastBoost, mostBoost           = 0.25, 32.0
+	movedMost                      cf.Millis = 250
+	climbAfter                     cf.Millis = 400
+	minShareFactor, maxShareFactor           = 0.25, 32.0
 	// mostLevel is how much unused rate is kept, in requests.
 	mostLevel = 2.0
 	// HTTP statuses of targets that did not run a request.
@@ -149,13 +149,13 @@
 // limited says whether the limit acts.
 func (l *limit) limited(now cf.Millis) bool { return now < l.until }
 
-// gone says whether the target gets nothing since it was lost. Afterwards one request at
+// unavailable says whether the target gets nothing since it was lost. Afterwards one request at
 // a time tries it, until it has answered.
-func (l *limit) gone(now cf.Millis) bool { return now < l.lost || l.failures > 0 && l.sent > 0 }
+func (l *limit) unavailable(now cf.Millis) bool { return now < l.lost || l.failures > 0 && l.sent > 0 }
 
 // aim is how many requests should wait at the target. What the objective leaves beside the
 // work, its spread and the network is divided by aimPart: the rest is for the wait here, and
-// for words of the load that are 200 ms old with 50 instances.
+// for load reports that are 200 ms old with 50 instances.
 func (l *limit) aim(objective cf.Millis) float64 {
 	work := max(l.work*l.slower(), 1)
 	left := float64(objective) - float64(networkTime) - work - l.spread
@@ -174,11 +174,11 @@
 	return l.slow
 }
 
-// crowded says that the target may refuse: by its last word, and the time since, its queue is
+// nearFull says that the target may refuse: by its last load report, and the time since, its queue is
 // over half more than the aim.
-func (l *limit) crowded(objective, now cf.Millis) bool {
+func (l *limit) nearFull(objective, now cf.Millis) bool {
 	aim := l.aim(objective)
-	return now < l.held || (l.waiting-aim)/(1+float64(now-l.heard)/shorterSpan) > aim/2
+	return now < l.held || (l.waiting-aim)/(1+float64(now-l.reportedAt)/shorterSpan) > aim/2
 }
 
 // answerTime is within what time an answer is expected: the queue, the work, and its spread.
@@ -187,7 +187,7 @@
 	if l.excess <= 0 {
 		return l.answer
 	}
-	return l.answer + l.excess/(1+float64(now-l.heard)/shorterSpan)
+	return l.answer + l.excess/(1+float64(now-l.reportedAt)/shorterSpan)
 }
 
 // off is by which part of its aim the queue is too short (above zero) or too long.
@@ -203,7 +203,7 @@
 	work := l.work * l.slower()
 	l.answer = work*(1+min(l.waiting, aim)/float64(l.slots)) + l.spread
 	l.excess = work * (l.waiting - aim) / float64(l.slots)
-	l.rate = l.share(instances) * l.boost * (1 + gain*l.off(objective))
+	l.rate = l.share(instances) * l.shareFactor * (1 + gain*l.off(objective))
 	inFlight := l.rate * l.work * (1 + aim/float64(l.slots))
 	l.bound = max(2, int(math.Ceil(inFlight*inflightSlack)))
 }
@@ -215,7 +215,7 @@
 // fill adds what the rate has brought.
 func (l *limit) fill(now cf.Millis) {
 	if now > l.filled {
-		l.level = min(l.level+l.rate*float64(now-l.filled), mostLevel)
+		l.tokens = min(l.tokens+l.rate*float64(now-l.filled), mostLevel)
 		l.filled = now
 	}
 }
@@ -223,7 +223,7 @@
 // begin takes a target that is listed, after it was not or with another start: what was known
 // of it is of before.
 func (l *limit) begin(born cf.Millis) {
-	*l = limit{id: l.id, slots: l.slots, sent: l.sent, born: born, times: l.times, boost: 1, slow: 1, own: l.own, ownAt: l.ownAt}
+	*l = limit{id: l.id, slots: l.slots, sent: l.sent, born: born, times: l.times, shareFactor: 1, slow: 1, own: l.own, ownAt: l.ownAt}
 }
 
 // activate begins to limit: from an equal share, or from what this instance sends now, the
@@ -232,8 +232,8 @@
 func (l *limit) activate(objective cf.Millis, instances int, now cf.Millis) {
 	own := l.own * math.Exp(-float64(now-l.ownAt)/ownSpan)
 	off := l.off(objective)
-	l.boost = 1 + min(max(own/l.share(instances)-1, 0), mostBoost)*min(max(off, 0), 1)
-	l.level, l.filled = min(off, 1), now
+	l.shareFactor = 1 + min(max(own/l.share(instances)-1, 0), maxShareFactor)*min(max(off, 0), 1)
+	l.tokens, l.filled = min(off, 1), now
 	l.until, l.ample = now+limitSpan, now
 }
 
@@ -244,8 +244,8 @@
 	l.ownAt = now
 }
 
-// ended takes the end of a send. pressed says that requests were kept back here lately.
-func (l *limit) ended(e End, objective cf.Millis, instances int, pressed bool, now cf.Millis) {
+// ended takes the end of a send. heldBack says that requests were kept back here lately.
+func (l *limit) ended(e End, objective cf.Millis, instances int, heldBack bool, now cf.Millis) {
 	l.sent--
 	l.fill(now)
 	acted := l.limited(now)
@@ -259,11 +259,11 @@
 			l.waiting = float64(e.Load.Waiting)
 			l.room = l.waiting
 		}
-		l.heard, l.idle, l.held = now, false, now+refusedSpan
+		l.reportedAt, l.idle, l.held = now, false, now+refusedSpan
 	case Lost:
 		l.lost = now + lostSpan.Doubled(l.failures, lostMost)
 		l.failures++
-		l.level = min(l.level, 0)
+		l.tokens = min(l.tokens, 0)
 		return
 	case Abandoned:
 		return
@@ -279,7 +279,7 @@
 		l.until = now + limitSpan
 	}
 	if acted {
-		l.follow(objective, pressed, now)
+		l.follow(objective, heldBack, now)
 		l.pace(objective, instances)
 	}
 }
@@ -289,7 +289,7 @@
 func (l *limit) learn(e End, now cf.Millis) {
 	took, before := float64(max(e.Took-targetTime, 1)), l.waiting
 	if e.Load != nil {
-		l.waiting, l.heard = float64(max(e.Load.Waiting, 0)), now
+		l.waiting, l.reportedAt = float64(max(e.Load.Waiting, 0)), now
 		l.idle = e.Load.Waiting <= 0 && e.Load.Running < l.slots
 		if e.Load.Slots > 0 {
 			l.slots = e.Load.Slots
@@ -298,7 +298,7 @@
 		// Without a header the queue is read from what answers take beyond their work.
 		seen := max(took/l.work-1, 0) * float64(l.slots)
 		l.waiting += 2 * smooth * (seen - l.waiting)
-		l.heard = now
+		l.reportedAt = now
 	}
 	if e.Status >= statusFailed {
 		return
@@ -323,20 +323,20 @@
 }
 
 // follow moves the base by the queue that the target has shown.
-func (l *limit) follow(objective cf.Millis, pressed bool, now cf.Millis) {
+func (l *limit) follow(objective cf.Millis, heldBack bool, now cf.Millis) {
 	off, span := l.off(objective), float64(min(now-l.moved, movedMost))/1000
 	l.moved = now
 	switch {
-	case off < 0 && l.boost > 1:
-		l.boost = max(l.boost*(1+fall*off*span), 1)
+	case off < 0 && l.shareFactor > 1:
+		l.shareFactor = max(l.shareFactor*(1+fall*off*span), 1)
 	case off < 0:
-		l.boost = max(l.boost*(1+fallBelow*off*span), leastBoost)
-	case pressed:
+		l.shareFactor = max(l.shareFactor*(1+fallBelow*off*span), minShareFactor)
+	case heldBack:
 		up := rise
 		if now-l.ample >= climbAfter {
-			up += climb * l.boost
+			up += climb * l.shareFactor
 		}
-		l.boost = min(l.boost+up*off*span, mostBoost)
+		l.shareFactor = min(l.shareFactor+up*off*span, maxShareFactor)
 	}
 	if off < 0.5 {
 		l.ample = now
--- a/core/cfadmission/limits_test.go
+++ b/core/cfadmission/limits_test.go
@@ -91,7 +91,7 @@
 	c.Sent(c.Enter(request(list, 1000), 1000), "a", 1000)
 	c.Done("s", "a", cfadmission.End{Load: &cf.TargetLoad{Running: slots, Waiting: 23, Slots: slots}, Took: 168}, 1000)
 	must := request(list, 1035)
-	must.Must = true
+	must.MayHaveRun = true
 	if v := c.Poll(c.Enter(must, 1035), 1035); v.State != cfadmission.Wait {
 		t.Fatalf("the request that may have run is not one that waits: %+v", v)
 	}
--- a/core/cfadmission/queue.go
+++ b/core/cfadmission/queue.go
@@ -15,18 +15,18 @@
 }
 
 // lateNeed is the level from which on a request is sent that will be late: it takes nobody's
-// place where a target has a free slot by its last word. Where no target has been heard of,
+// place where a target has a free slot by its last load report. Where no target has reported,
 // and nothing that could be in time was kept back here for a while, it finds out.
 func (s *service) lateNeed(now cf.Millis) float64 {
-	heard := cf.Millis(0)
+	reported := cf.Millis(0)
 	for _, l := range s.ordered {
-		if l.idle && now-l.heard <= idleSpan && !l.gone(now) {
-			return need[beyond]
+		if l.idle && now-l.reportedAt <= idleSpan && !l.unavailable(now) {
+			return need[overShare]
 		}
-		heard = max(heard, l.heard)
+		reported = max(reported, l.reportedAt)
 	}
-	if now-max(s.pressed, heard) > lateSpan*s.objective {
-		return need[beyond] + lateLevel
+	if now-max(s.heldBackAt, reported) > lateSpan*s.objective {
+		return need[overShare] + lateLevel
 	}
 	return math.Inf(1)
 }
@@ -34,21 +34,21 @@
 // last is the Uptime by which the request must be sent.
 func (t *Ticket) last(now cf.Millis) cf.Millis {
 	answer := cf.Millis(t.service.quickest)
-	if t.ask.Must {
+	if t.ask.MayHaveRun {
 		return t.ask.Deadline - networkTime - answer
 	}
 	if t.late(now) {
 		return now
 	}
-	return min(t.ask.Arrived+t.ask.Objective/patiencePart-refusalTime, t.ask.Arrived+t.ask.Objective-t.ask.Spent-networkTime-answer)
+	return min(t.ask.Arrived+t.ask.Objective/refusalPart-refusalTime, t.ask.Arrived+t.ask.Objective-t.ask.Spent-networkTime-answer)
 }
 
 // need is the level from which on the request is sent.
 func (t *Ticket) need(now cf.Millis) float64 {
 	n := min(need[t.service.shares.stand(t.share, now)]+rankLevel*float64(t.share.rank), mostNeed)
 	switch {
-	case t.ask.Must:
-		return need[entitled] - againLevel
+	case t.ask.MayHaveRun:
+		return need[withinShare] - againLevel
 	case t.late(now):
 		return t.service.lateNeed(now)
 	case t.ask.Again || t.ask.Retry:
@@ -63,7 +63,7 @@
 		return QueueFull
 	case t.late(now):
 		return TooLate
-	case t.service.shares.stand(t.share, now) == beyond:
+	case t.service.shares.stand(t.share, now) == overShare:
 		return OverShare
 	}
 	return NoRoom
@@ -72,8 +72,8 @@
 // before says whether t goes before u: by priority, then by how each organisation stands
 // against its share, then those that have come back, then by what each has been served.
 func (t *Ticket) before(u *Ticket, now cf.Millis) bool {
-	if t.ask.Must != u.ask.Must {
-		return t.ask.Must
+	if t.ask.MayHaveRun != u.ask.MayHaveRun {
+		return t.ask.MayHaveRun
 	}
 	if tl, ul := t.late(now), u.late(now); tl != ul {
 		return ul
@@ -105,7 +105,7 @@
 			continue
 		}
 		n++
-		blocked = blocked || best != nil && best.level >= u.need(now) && u.mayUse(best, now)
+		blocked = blocked || best != nil && best.tokens >= u.need(now) && u.mayUse(best, now)
 	}
 	return n, blocked
 }
@@ -113,14 +113,14 @@
 // mayUse says whether the request may go to a target as far as that depends on the request:
 // one that can't be refused isn't sent to a target that may refuse it.
 func (t *Ticket) mayUse(l *limit, now cf.Millis) bool {
-	return !t.ask.Tried[l.id] && (!t.ask.Must || !l.crowded(t.service.objective, now))
+	return !t.ask.Tried[l.id] && (!t.ask.MayHaveRun || !l.nearFull(t.service.objective, now))
 }
 
 // push queues a ticket; where too many wait the last of them is refused when it asks again.
 func (s *service) push(t *Ticket, now cf.Millis) {
 	t.queued = true
 	s.queue = append(s.queue, t)
-	if len(s.queue) <= mostWaiting {
+	if len(s.queue) <= maxQueued {
 		return
 	}
 	worst := s.queue[0]
--- a/core/cfadmission/replay_test.go
+++ b/core/cfadmission/replay_test.go
@@ -231,7 +231,7 @@
 	t := c.in.admission.Enter(cfadmission.Ask{
 		Service: "s", Class: cfadmission.Class{Organisation: cf.Organisation(rune('A' + c.org)), Priority: c.org % max(r.ranks, 1)}, Candidates: r.listed, Tried: c.tried,
 		Instances: len(r.instances), Objective: objective, Spent: r.deadline - (c.attempts.Left(now) + now - c.received), Arrived: c.received,
-		Deadline: now + c.attempts.Left(now), Again: c.again, Retry: len(c.tried) > 0, Must: must, NoWait: hedge,
+		Deadline: now + c.attempts.Left(now), Again: c.again, Retry: len(c.tried) > 0, MayHaveRun: must, NoWait: hedge,
 	}, now)
 	c.poll(t, hedge)
 }
--- a/core/cfadmission/shares.go
+++ b/core/cfadmission/shares.go
@@ -45,14 +45,14 @@
 )
 
 const (
-	// modest organisations ask for less than their share.
-	modest tier = iota
-	// entitled ones ask for more, and this request is within their share.
-	entitled
-	// beyond is a request over its organisation's share.
-	beyond
-	// last is one of a priority for which the more urgent ones leave nothing.
-	last
+	// underShare: the organisation asks for less than its share.
+	underShare tier = iota
+	// withinShare: it asks for more, and this request is within its share.
+	withinShare
+	// overShare: this request is over the organisation's share.
+	overShare
+	// noShare: the more urgent priorities leave nothing for this one.
+	noShare
 )
 
 const (
@@ -111,17 +111,17 @@
 func (s *shares) stand(x *share, now cf.Millis) tier {
 	switch {
 	case !s.contended:
-		return entitled
+		return withinShare
 	case !x.even:
-		return modest
+		return underShare
 	}
 	if x.save(now); x.credit >= 1 {
-		return entitled
+		return withinShare
 	}
 	if x.level <= 0 {
-		return last
+		return noShare
 	}
-	return beyond
+	return overShare
 }
 
 // divide sets the shares anew of what the instance may send per ms, if it is time.
--- a/io/cfingress/queue.go
+++ b/io/cfingress/queue.go
@@ -75,7 +75,7 @@
 	p := place{in: f.in, ticket: f.in.admission.Enter(cfadmission.Ask{
 		Service: f.service, Class: cfadmission.Class{Organisation: f.access.Organisation, Priority: f.access.Priority},
 		Candidates: candidates, Tried: avoid, Instances: len(f.in.Members.Live()), Objective: objective, Spent: f.spent,
-		Arrived: f.req.Received, Deadline: now + f.attempts.Left(now), Again: f.spent > 0, Retry: retry, Must: must && wait, NoWait: !wait,
+		Arrived: f.req.Received, Deadline: now + f.attempts.Left(now), Again: f.spent > 0, Retry: retry, MayHaveRun: must && wait, NoWait: !wait,
 	}, now)}
 	for began := now; ; now = cf.Uptime() {
 		v := f.in.admission.Poll(p.ticket, now)
