--- a/io/cfingress/rooms.go
+++ b/io/cfingress/rooms.go
@@ -62,7 +62,7 @@
 // leave ends an attempt for a reason that is not its target's.
 func (f *forwarding) leave(a attempt) {
 	f.use.ended(a.target.ID, cfbalance.Abandoned, a.answer.Wrote)
-	f.in.balancer.Done(a.target.ID, cfbalance.Abandoned, a.answer.Load, a.took, cf.Uptime())
+	f.done(a, cfbalance.Abandoned, cf.Uptime())
 	f.in.Guard.Dropped(f.key, a.target)
 }
 
