--- a/core/cfscale/cfscale.go
+++ b/core/cfscale/cfscale.go
@@ -246,6 +246,9 @@
 		if _, followed := d.raised[o.EnginePool]; !followed {
 			d.raised[o.EnginePool] = now
 		}
+		if demand.Engines[o.EnginePool] >= o.Count {
+			delete(d.prior, o.EnginePool) // all have come: a later refusal is not of the raise
+		}
 	}
 	if len(demand.Engines) > 0 && d.listed == 0 {
 		d.listed = max(now, 1)
--- a/core/cfscale/decider_test.go
+++ b/core/cfscale/decider_test.go
@@ -106,3 +106,33 @@
 		t.Errorf("wanted %v, after the change %v", before, now)
 	}
 }
+
+// Symptom: a refused repeat of an order gives back the engines that are in service.
+func TestRefusedRepeatKeepsEnginesInService(t *testing.T) {
+	terms := cfscale.Terms{Service: "s", Max: 32, Boot: 4000, SpotPrice: 0.18, EnginePrice: 0.0055, GroupValue: 2}
+	for _, all := range []bool{true, false} { // whether all ordered engines came before one was missing
+		d := cfscale.NewDecider(terms, 0, false)
+		kept := follow(d, 0, 9000, asking(2, 7500, 5, 5, 5), cfscale.Kept{}, nil)
+		raised := pool("a", true)
+		ordered := counts(kept)[raised]
+		if ordered < 2 {
+			t.Fatalf("ordered %d", ordered)
+		}
+		demand := asking(0, 0, 5, 5, 5)
+		for p, n := range counts(kept) {
+			demand.Engines[p] = n
+		}
+		if all {
+			kept = follow(d, 9000, 20_000, demand, kept, nil)
+		}
+		demand.Engines[raised] = ordered - 1
+		if missing := d.Missing(20_000, demand, kept); len(missing) != 1 || missing[0] != raised {
+			t.Fatalf("missing %v", missing)
+		}
+		d.Refused(raised, 20_000)
+		kept = follow(d, 20_000, 20_500, demand, kept, nil)
+		if n := counts(kept)[raised]; n != ordered-1 {
+			t.Errorf("all came %v: %d are wanted after the refusal, %d are in service", all, n, ordered-1)
+		}
+	}
+}
--- a/core/cfscale/plan.go
+++ b/core/cfscale/plan.go
@@ -197,9 +197,7 @@
 		}
 	}
 	for pool, n := range p.lower {
-		if n == asServing {
-			n = p.demand.Engines[pool]
-		}
+		n = max(n, p.demand.Engines[pool]) // engines in service are not given back by a refusal
 		if n < p.kept[pool] {
 			p.wanted[pool] = n
 			why.Cause = CauseNone
