cfscale: write again after a write without an answer

A late write could take effect after the read that followed it, while the holder saw nothing to write, and the store differed from what was ordered. The exploration allows three changes of what is wanted, which finds it.

--- a/core/cfscale/explore_test.go
+++ b/core/cfscale/explore_test.go
@@ -12,7 +12,7 @@
 
 const (
 	exploreFaults  = 3
-	exploreChanges = 2
+	exploreChanges = 3
 	exploreSteps   = 20
 	// exploreTick is longer than an order without an answer may take effect.
 	exploreTick = lateMost + retryMost
@@ -27,6 +27,7 @@
 	trusts             // a successor takes what it reads for ordered
 	unclaimed          // a successor does not write its term
 	unconfirmed        // an order that had no answer is forgotten once another is taken
+	unsettled          // a write that had no answer is forgotten once the store is read
 )
 
 type (
@@ -177,6 +178,8 @@
 				n.keeper.Given(n.kept.Orders[0], n.now)
 			case unclaimed:
 				n.keeper.kept.Term = n.keeper.term
+			case unsettled:
+				n.keeper.unsettled = false
 			}
 			return nil
 		})
@@ -184,12 +187,12 @@
 		l := lateWrite{step.Rev, step.Kept}
 		doubt := func(n *world) {
 			if n.keeper.InDoubt(); fault == believes {
-				n.keeper.Found(step.Kept, step.Rev+1)
+				n.keeper.Written(step.Kept, step.Rev+1)
 			}
 		}
 		add(func(n *world) error {
 			if n.write(l) {
-				n.keeper.Found(step.Kept, n.rev)
+				n.keeper.Written(step.Kept, n.rev)
 			} else {
 				n.keeper.InDoubt()
 			}
@@ -260,7 +263,7 @@
 		t.Error("no run came to rest")
 	}
 	t.Logf("%d states, %d at rest", states, settled)
-	for name, fault := range map[string]seeded{"believes": believes, "trusts": trusts, "unclaimed": unclaimed, "unconfirmed": unconfirmed} {
+	for name, fault := range map[string]seeded{"believes": believes, "trusts": trusts, "unclaimed": unclaimed, "unconfirmed": unconfirmed, "unsettled": unsettled} {
 		if states, _, err := explore(fault); err == nil {
 			t.Errorf("%s: not found in %d states", name, states)
 		} else {
--- a/core/cfscale/keeper.go
+++ b/core/cfscale/keeper.go
@@ -64,6 +64,8 @@
 		known bool
 		kept  Kept
 		rev   cf.Revision
+		// unsettled: a write without an answer may take effect yet, until another has one.
+		unsettled bool
 		// given are the counts that the platform has taken from this holder.
 		given map[cf.EnginePool]int
 		again map[cf.EnginePool]pause
@@ -97,7 +99,7 @@
 		return Step{Kind: Read}
 	}
 	next := k.kept.with(wanted.Orders)
-	if len(next) > 0 && k.kept.Term != k.term || !slices.Equal(next, k.kept.Orders) {
+	if k.unsettled || len(next) > 0 && k.kept.Term != k.term || !slices.Equal(next, k.kept.Orders) {
 		return Step{Kind: Keep, Kept: Kept{Term: k.term, Orders: next, Found: wanted.Found}, Rev: k.rev}
 	}
 	for _, o := range k.kept.Orders {
@@ -132,7 +134,7 @@
 	return out
 }
 
-// Found takes what was read, or written with an answer.
+// Found takes what was read.
 func (k *Keeper) Found(kept Kept, rev cf.Revision) {
 	for _, o := range kept.Orders {
 		if !slices.Contains(k.kept.Orders, o) {
@@ -142,12 +144,19 @@
 	k.known, k.kept, k.rev = true, kept, rev
 }
 
+// Written takes what was written with an answer. The new revision makes every write before it
+// fail.
+func (k *Keeper) Written(kept Kept, rev cf.Revision) {
+	k.unsettled = false
+	k.Found(kept, rev)
+}
+
 // FoundNone notes that nothing lies in the store yet.
 func (k *Keeper) FoundNone() { k.Found(Kept{}, 0) }
 
 // InDoubt notes that a write had no answer, or met another: what lies in the store is to
-// be read.
-func (k *Keeper) InDoubt() { k.known = false }
+// be read, and written once more: the write may take effect after the read.
+func (k *Keeper) InDoubt() { k.known, k.unsettled = false, true }
 
 // Given notes that the platform has taken an order.
 func (k *Keeper) Given(o cf.EngineOrder, now cf.Millis) {
--- a/io/cfautoscale/cfautoscale.go
+++ b/io/cfautoscale/cfautoscale.go
@@ -237,7 +237,7 @@
 		d.Log.Warn("engines_wanted_in_doubt", cflog.Error(err))
 		return false
 	}
-	d.keeper.Found(step.Kept, r.Rev)
+	d.keeper.Written(step.Kept, r.Rev)
 	d.Log.Info("engines_wanted_kept", zap.Int64("term", int64(d.Act.Fence)), zap.Int64("revision", int64(r.Rev)), zap.Any("orders", step.Kept.Orders))
 	return true
 }
