cfscale: repeat a new holder's first orders

A lost holder's order may take effect up to 6 s late, after its successor's, as the handover is 3 s. What is ordered in the first 6 s of a term is given once more after them. The exploration loses holders whose orders are under way.

--- a/core/cfscale/explore_test.go
+++ b/core/cfscale/explore_test.go
@@ -27,12 +27,13 @@
 	trusts             // a successor takes what it reads for ordered
 	unclaimed          // a successor does not write its term
 	unconfirmed        // an order that had no answer is forgotten once another is taken
+	succeeds           // a successor does not expect a late order of the holder before
 	unsettled          // a write that had no answer is forgotten once the store is read
 )
 
 type (
 	// world is a store, the platform, and the holder of the lease. A holder before gives no
-	// orders any more, but a write of its may take effect yet.
+	// orders any more, but a write or an order of its may take effect yet.
 	world struct {
 		rev     cf.Revision
 		kept    *Kept
@@ -157,14 +158,18 @@
 	}
 	if len(w.orders) == 0 {
 		add(func(n *world) error { n.now += exploreTick; return nil })
-		// The holder is lost and another takes over, after the time in which an order of
-		// the one before may take effect.
-		faulty(func(n *world) error {
-			n.keeper = *NewKeeper(n.keeper.term + 1)
-			n.wants, n.now = 0, n.now+exploreTick
-			return nil
-		})
 	}
+	// The holder is lost and another takes over. An order of the one before may be under way.
+	faulty(func(n *world) error {
+		if len(n.orders) == 0 {
+			n.now += exploreTick
+		}
+		n.keeper, n.wants = *NewKeeper(n.keeper.term+1, n.now), 0
+		if fault == succeeds {
+			n.keeper.settled = n.now
+		}
+		return nil
+	})
 	switch step := w.step(); step.Kind {
 	case Read:
 		add(func(n *world) error {
@@ -217,7 +222,7 @@
 }
 
 func explore(fault seeded) (states, settled int, err error) {
-	start := &world{has: -1, ever: map[int]bool{}, keeper: *NewKeeper(1)}
+	start := &world{has: -1, ever: map[int]bool{}, keeper: *NewKeeper(1, 0)}
 	seen := map[string]bool{start.key(): true}
 	level := []*world{start}
 	for range exploreSteps {
@@ -263,7 +268,7 @@
 		t.Error("no run came to rest")
 	}
 	t.Logf("%d states, %d at rest", states, settled)
-	for name, fault := range map[string]seeded{"believes": believes, "trusts": trusts, "unclaimed": unclaimed, "unconfirmed": unconfirmed, "unsettled": unsettled} {
+	for name, fault := range map[string]seeded{"believes": believes, "trusts": trusts, "unclaimed": unclaimed, "unconfirmed": unconfirmed, "unsettled": unsettled, "succeeds": succeeds} {
 		if states, _, err := explore(fault); err == nil {
 			t.Errorf("%s: not found in %d states", name, states)
 		} else {
--- a/core/cfscale/keeper.go
+++ b/core/cfscale/keeper.go
@@ -60,6 +60,9 @@
 	// safe for concurrent use.
 	Keeper struct {
 		term cf.Revision
+		// settled is from when on no order of a holder before may take effect: the handover
+		// is shorter than lateMost.
+		settled cf.Millis
 		// known says that kept, at rev, is what lies in the store.
 		known bool
 		kept  Kept
@@ -84,9 +87,9 @@
 	}
 )
 
-// NewKeeper returns the keeper of a duty that begins under a term.
-func NewKeeper(term cf.Revision) *Keeper {
-	return &Keeper{term: term, given: map[cf.EnginePool]int{}, again: map[cf.EnginePool]pause{}, doubts: map[cf.EnginePool]doubt{}}
+// NewKeeper returns the keeper of a duty that begins at now under a term.
+func NewKeeper(term cf.Revision, now cf.Millis) *Keeper {
+	return &Keeper{term: term, settled: now + lateMost, given: map[cf.EnginePool]int{}, again: map[cf.EnginePool]pause{}, doubts: map[cf.EnginePool]doubt{}}
 }
 
 // Kept returns what lies in the store, false while that is not known.
@@ -158,8 +161,13 @@
 // be read, and written once more: the write may take effect after the read.
 func (k *Keeper) InDoubt() { k.known, k.unsettled = false, true }
 
-// Given notes that the platform has taken an order.
+// Given notes that the platform has taken an order. One of a holder before may take effect
+// after it until settled, so it is given once more then.
 func (k *Keeper) Given(o cf.EngineOrder, now cf.Millis) {
+	_, given := k.given[o.EnginePool]
+	if _, doubted := k.doubts[o.EnginePool]; !given && !doubted && now < k.settled {
+		k.doubts[o.EnginePool] = doubt{severalCounts, k.settled}
+	}
 	k.given[o.EnginePool] = o.Count
 	delete(k.again, o.EnginePool)
 	if now >= k.doubts[o.EnginePool].until {
@@ -170,7 +178,8 @@
 // InDoubtGiven notes that an order had no answer: it may have been taken, or may be yet.
 func (k *Keeper) InDoubtGiven(o cf.EngineOrder, now cf.Millis) {
 	d := doubt{o.Count, now + lateMost}
-	if before, doubted := k.doubts[o.EnginePool]; doubted && before.count != o.Count && now < before.until {
+	before, doubted := k.doubts[o.EnginePool]
+	if now < k.settled || doubted && before.count != o.Count && now < before.until {
 		d.count = severalCounts
 	}
 	k.doubts[o.EnginePool] = d
--- a/io/cfautoscale/cfautoscale.go
+++ b/io/cfautoscale/cfautoscale.go
@@ -100,7 +100,7 @@
 func New(o Options) *Duty {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Duty{
-		Options: o, ctx: ctx, cancel: cancel, keeper: cfscale.NewKeeper(o.Act.Fence), deciders: map[cf.ServiceName]*cfscale.Decider{},
+		Options: o, ctx: ctx, cancel: cancel, keeper: cfscale.NewKeeper(o.Act.Fence, cf.Uptime()), deciders: map[cf.ServiceName]*cfscale.Decider{},
 		why: map[cf.ServiceName]cfscale.Why{},
 	}
 }
