cfautoscale: clear gauges and repeat no warning at each look

The gauges of an ended duty are zero, as only the holder reports them. While the store is unavailable a warning is logged when it begins and each 10 s.

--- a/io/cfautoscale/cfautoscale.go
+++ b/io/cfautoscale/cfautoscale.go
@@ -34,6 +34,15 @@
 	// orderTimeout bounds an order. It is less than the time between two holders' orders;
 	// one without an answer is given again, the same.
 	orderTimeout = 1500 * time.Millisecond
+	// warnEvery is the least time between two equal warnings: the duty looks twice a second
+	// while the store is unavailable.
+	warnEvery cf.Millis = 10_000
+)
+
+// Warnings.
+const (
+	warnNotRead = "engines_wanted_not_read"
+	warnInDoubt = "engines_wanted_in_doubt"
 )
 
 type (
@@ -69,6 +78,8 @@
 		deciders map[cf.ServiceName]*cfscale.Decider
 		// why is what last changed the orders of a service.
 		why map[cf.ServiceName]cfscale.Why
+		// warned is when each warning was last logged, without those whose cause has ended.
+		warned map[string]cf.Millis
 	}
 
 	// Metrics are the duty's counters.
@@ -96,12 +107,19 @@
 	return m
 }
 
+// clear sets the gauges to zero: only the holder reports them.
+func (m *Metrics) clear() {
+	m.Wanted.Set(0)
+	m.Serving.Set(0)
+	m.Needed.Set(0)
+}
+
 // New returns a duty that has not started.
 func New(o Options) *Duty {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Duty{
 		Options: o, ctx: ctx, cancel: cancel, keeper: cfscale.NewKeeper(o.Act.Fence, cf.Uptime()), deciders: map[cf.ServiceName]*cfscale.Decider{},
-		why: map[cf.ServiceName]cfscale.Why{},
+		why: map[cf.ServiceName]cfscale.Why{}, warned: map[string]cf.Millis{},
 	}
 }
 
@@ -116,6 +134,7 @@
 }
 
 func (d *Duty) loop() {
+	defer d.Metrics.clear()
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
@@ -214,15 +233,26 @@
 	case errors.Is(err, cf.ErrNotFound):
 		d.keeper.FoundNone()
 	case err != nil:
-		d.Log.Warn("engines_wanted_not_read", cflog.Error(err))
+		d.warn(warnNotRead, err)
 		return false
 	default:
 		d.keeper.Found(kept, r.Rev)
 		d.Log.Info("engines_wanted_read", zap.Int64("term", int64(d.Act.Fence)), zap.Int64("revision", int64(r.Rev)), zap.Any("orders", kept.Orders))
 	}
+	delete(d.warned, warnNotRead)
 	return true
 }
 
+// warn logs a warning when its cause begins, and each warnEvery while it lasts.
+func (d *Duty) warn(event string, err error) {
+	now := cf.Uptime()
+	if last, warned := d.warned[event]; warned && now-last < warnEvery {
+		return
+	}
+	d.warned[event] = now
+	d.Log.Warn(event, cflog.Error(err))
+}
+
 // keep writes what is wanted.
 func (d *Duty) keep(step cfscale.Step) bool {
 	var r cf.Record
@@ -234,9 +264,10 @@
 	}
 	if err != nil || r.Rev == 0 {
 		d.keeper.InDoubt()
-		d.Log.Warn("engines_wanted_in_doubt", cflog.Error(err))
+		d.warn(warnInDoubt, err)
 		return false
 	}
+	delete(d.warned, warnInDoubt)
 	d.keeper.Written(step.Kept, r.Rev)
 	d.Log.Info("engines_wanted_kept", zap.Int64("term", int64(d.Act.Fence)), zap.Int64("revision", int64(r.Rev)), zap.Any("orders", step.Kept.Orders))
 	return true
--- a/io/cfautoscale/cfautoscale_test.go
+++ b/io/cfautoscale/cfautoscale_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	cf "currantford"
 	"currantford/core/cfrollout"
@@ -14,10 +15,17 @@
 	"currantford/testbed/cfstandin"
 )
 
-// awayStore refuses writes while it is away.
+// awayStore refuses writes while it is away, and reads while it is unread.
 type awayStore struct {
 	*cfstandin.MemStore
-	away bool
+	away, unread bool
+}
+
+func (s *awayStore) Get(ctx context.Context, kind, name string) (cf.Record, error) {
+	if s.unread {
+		return cf.Record{}, cf.ErrUnavailable
+	}
+	return s.MemStore.Get(ctx, kind, name)
 }
 
 func (s *awayStore) Create(ctx context.Context, kind, name string, spec any) (cf.Record, error) {
@@ -73,3 +81,63 @@
 		t.Errorf("ordered %v, kept %v", a.orders, kept.Orders)
 	}
 }
+
+// Symptom: an instance that lost the duty still reports engines, beside the new holder.
+func TestGaugesEndWithTheDuty(t *testing.T) {
+	may, scales := true, true
+	d := duty(cfstandin.NewMemStore(), &api{}, &may, &scales)
+	reg := prometheus.NewRegistry()
+	d.Metrics = NewMetrics(reg)
+	total := func() (sum float64) {
+		families, err := reg.Gather()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, f := range families {
+			for _, m := range f.GetMetric() {
+				sum += m.GetGauge().GetValue()
+			}
+		}
+		return sum
+	}
+	d.look()
+	if total() == 0 {
+		t.Fatal("the holder reports nothing")
+	}
+	d.Start()
+	if err := d.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if sum := total(); sum != 0 {
+		t.Errorf("the gauges add up to %v after the end", sum)
+	}
+}
+
+// Symptom: while the store is unavailable each look logs the same warning.
+func TestUnavailableStoreIsLoggedOnce(t *testing.T) {
+	store, may, scales := &awayStore{MemStore: cfstandin.NewMemStore()}, true, true
+	d := duty(store, &api{}, &may, &scales)
+	core, logs := observer.New(zap.WarnLevel)
+	d.Log = zap.New(core)
+	for _, c := range []struct {
+		event string
+		set   func(bool)
+	}{
+		{"engines_wanted_not_read", func(on bool) { store.unread = on }},
+		{"engines_wanted_in_doubt", func(on bool) { store.away = on }},
+	} {
+		for outage := range 2 {
+			c.set(true)
+			for range 4 {
+				// Forgets what was read, so that each look reads and writes.
+				store.MemStore, d.keeper = cfstandin.NewMemStore(), cfscale.NewKeeper(3, 0)
+				d.look()
+			}
+			c.set(false)
+			d.look()
+			if n := logs.FilterMessage(c.event).Len(); n != outage+1 {
+				t.Errorf("%s: logged %d times in %d outages", c.event, n, outage+1)
+			}
+		}
+	}
+}
