--- a/core/cfscale/cfscale.go
+++ b/core/cfscale/cfscale.go
@@ -66,8 +66,8 @@
 	// noneWithin is how long after the duty's begin none is there if none was seen.
 	listedWithin cf.Millis = 4_000
 	noneWithin   cf.Millis = 15_000
-	// asServing stands for as many of a pool as are in service.
-	asServing = -1
+	// countInService stands for as many of a pool as are in service.
+	countInService = -1
 	// repeatMost is the longest pause between repeats of an order whose engines are
 	// missing.
 	repeatMost cf.Millis = 60_000
@@ -135,7 +135,7 @@
 		// follows: a holder before has seen how steps go, and ordered what they needed.
 		follows bool
 		needs   []pastNeed
-		course  course
+		history stepHistory
 		// last is the need at the look before.
 		last need
 		// found is the most engines seen of each pool: nobody here ordered them.
@@ -225,7 +225,7 @@
 	if n, raised := d.prior[p]; raised {
 		d.lower[p] = n
 	} else if p.Spot {
-		d.lower[p] = asServing // a holder before has raised it
+		d.lower[p] = countInService // a holder before has raised it
 	}
 }
 
@@ -257,21 +257,21 @@
 		d.found[pool] = max(d.found[pool], n)
 	}
 	p.domains = p.allDomains()
-	d.course.note(now, demand.Open, p.serving())
+	d.history.note(now, demand.Open, p.serving())
 	seen := needOf(demand, d.terms.GroupValue)
 	n := seen
 	recent := d.note(now, n)
 	if n.unsure {
 		d.unsure = now
 	}
-	why := Why{Need: n.engines, Recent: recent.engines, Serving: p.serving(), Booting: p.booting(), Worst: d.course.worst(now)}
+	why := Why{Need: n.engines, Recent: recent.engines, Serving: p.serving(), Booting: p.booting(), Worst: d.history.worst(now)}
 	p.withdraw(&why)
 	p.maximum(&why)
 	p.minimum(&why)
 	if float64(p.total()) >= severe*n.engines*p.unopened() {
 		n = d.steady(n)
 	}
-	shown, ok := d.course.prompt(now)
+	shown, ok := d.history.prompt(now)
 	if ok {
 		n.engines = min(shown, recent.engines)
 		why.Shown = shown
--- a/core/cfscale/explore_test.go
+++ b/core/cfscale/explore_test.go
@@ -59,7 +59,7 @@
 func (w *world) clone() *world {
 	c := *w
 	c.ever, c.writes, c.orders = maps.Clone(w.ever), slices.Clone(w.writes), slices.Clone(w.orders)
-	c.keeper.given, c.keeper.again, c.keeper.doubts = maps.Clone(w.keeper.given), maps.Clone(w.keeper.again), maps.Clone(w.keeper.doubts)
+	c.keeper.given, c.keeper.again, c.keeper.pending = maps.Clone(w.keeper.given), maps.Clone(w.keeper.again), maps.Clone(w.keeper.pending)
 	return &c
 }
 
@@ -110,7 +110,7 @@
 	if len(w.writes)+len(w.orders) > 0 || w.kept == nil || w.step().Kind != Wait {
 		return nil
 	}
-	if w.now < max(w.keeper.again[explorePool].until, w.keeper.doubts[explorePool].until) {
+	if w.now < max(w.keeper.again[explorePool].until, w.keeper.pending[explorePool].until) {
 		return nil
 	}
 	kept := w.kept.Orders[0].Count
@@ -210,7 +210,7 @@
 		doubt := func(n *world) {
 			n.keeper.InDoubtGiven(step.Order, n.now)
 			if fault == unconfirmed {
-				clear(n.keeper.doubts)
+				clear(n.keeper.pending)
 			}
 		}
 		add(func(n *world) error { n.keeper.Given(step.Order, n.now); return n.order(step.Order.Count) })
--- a/core/cfscale/keeper.go
+++ b/core/cfscale/keeper.go
@@ -72,12 +72,13 @@
 		// given are the counts that the platform has taken from this holder.
 		given map[cf.EnginePool]int
 		again map[cf.EnginePool]pause
-		// doubts are the last orders without an answer, and until when they may take effect.
-		doubts map[cf.EnginePool]doubt
+		// pending are orders that may take effect yet, and until when: the last without an
+		// answer, and those of a holder before.
+		pending map[cf.EnginePool]pendingOrder
 	}
 
-	doubt struct {
-		// count is that of the orders, severalCounts where they differ.
+	pendingOrder struct {
+		// count is that of the orders, severalCounts where they differ or are not known.
 		count int
 		until cf.Millis
 	}
@@ -89,7 +90,7 @@
 
 // NewKeeper returns the keeper of a duty that begins at now under a term.
 func NewKeeper(term cf.Revision, now cf.Millis) *Keeper {
-	return &Keeper{term: term, settled: now + lateMost, given: map[cf.EnginePool]int{}, again: map[cf.EnginePool]pause{}, doubts: map[cf.EnginePool]doubt{}}
+	return &Keeper{term: term, settled: now + lateMost, given: map[cf.EnginePool]int{}, again: map[cf.EnginePool]pause{}, pending: map[cf.EnginePool]pendingOrder{}}
 }
 
 // Kept returns what lies in the store, false while that is not known.
@@ -122,8 +123,8 @@
 	if count, given := k.given[o.EnginePool]; !given || count != o.Count {
 		return true
 	}
-	d, doubted := k.doubts[o.EnginePool]
-	return doubted && d.count != o.Count && now >= d.until
+	d, pending := k.pending[o.EnginePool]
+	return pending && d.count != o.Count && now >= d.until
 }
 
 // with returns the orders with others in the place of those of the same pools.
@@ -165,24 +166,24 @@
 // after it until settled, so it is given once more then.
 func (k *Keeper) Given(o cf.EngineOrder, now cf.Millis) {
 	_, given := k.given[o.EnginePool]
-	if _, doubted := k.doubts[o.EnginePool]; !given && !doubted && now < k.settled {
-		k.doubts[o.EnginePool] = doubt{severalCounts, k.settled}
+	if _, pending := k.pending[o.EnginePool]; !given && !pending && now < k.settled {
+		k.pending[o.EnginePool] = pendingOrder{severalCounts, k.settled}
 	}
 	k.given[o.EnginePool] = o.Count
 	delete(k.again, o.EnginePool)
-	if now >= k.doubts[o.EnginePool].until {
-		delete(k.doubts, o.EnginePool)
+	if now >= k.pending[o.EnginePool].until {
+		delete(k.pending, o.EnginePool)
 	}
 }
 
 // InDoubtGiven notes that an order had no answer: it may have been taken, or may be yet.
 func (k *Keeper) InDoubtGiven(o cf.EngineOrder, now cf.Millis) {
-	d := doubt{o.Count, now + lateMost}
-	before, doubted := k.doubts[o.EnginePool]
-	if now < k.settled || doubted && before.count != o.Count && now < before.until {
+	d := pendingOrder{o.Count, now + lateMost}
+	before, pending := k.pending[o.EnginePool]
+	if now < k.settled || pending && before.count != o.Count && now < before.until {
 		d.count = severalCounts
 	}
-	k.doubts[o.EnginePool] = d
+	k.pending[o.EnginePool] = d
 	delete(k.given, o.EnginePool)
 	k.NotGiven(o, now)
 }
--- a/core/cfscale/plan.go
+++ b/core/cfscale/plan.go
@@ -135,9 +135,9 @@
 	return p.now-p.Decider.listed >= listedWithin
 }
 
-// gone says whether a failure domain had engines and shows none: more that are ordered
+// domainLost says whether a failure domain had engines and shows none: more that are ordered
 // there would not be seen either.
-func (p *plan) gone(d cf.FailureDomain) bool {
+func (p *plan) domainLost(d cf.FailureDomain) bool {
 	had := false
 	for _, spot := range []bool{false, true} {
 		pool := p.pool(d, spot)
@@ -155,7 +155,7 @@
 	if p.now < p.refused[pool] || p.short(pool) || pool.Spot && p.terms.SpotPrice <= 0 {
 		return false
 	}
-	if p.gone(pool.Domain) || !pool.Spot && !p.counted(pool) {
+	if p.domainLost(pool.Domain) || !pool.Spot && !p.counted(pool) {
 		return false
 	}
 	return p.count(p.pool(pool.Domain, false))+p.count(p.pool(pool.Domain, true)) < p.terms.Max
@@ -169,7 +169,7 @@
 	for _, d := range p.domains {
 		for _, spot := range []bool{true, false} {
 			pool := p.pool(d, spot)
-			if p.mayAdd(pool) && (!found || p.rather(pool, best)) {
+			if p.mayAdd(pool) && (!found || p.preferred(pool, best)) {
 				best, found = pool, true
 			}
 		}
@@ -177,7 +177,8 @@
 	return best, found
 }
 
-func (p *plan) rather(a, b cf.EnginePool) bool {
+// preferred says whether a is to be ordered before b.
+func (p *plan) preferred(a, b cf.EnginePool) bool {
 	if p.now < p.reclaimed && a.Spot != b.Spot {
 		return b.Spot
 	}
@@ -244,7 +245,7 @@
 // many, by what recent ones have shown, or by the estimate before; zero where enough are there.
 // urgent says that steps can't be in time at all.
 func (p *plan) missing(n need, shown bool, engines int) (want float64, urgent bool) {
-	worst, reserve := p.course.worst(p.now), growMore*float64(spread(n.engines, len(p.domains)))
+	worst, reserve := p.history.worst(p.now), growMore*float64(spread(n.engines, len(p.domains)))
 	least := startShare * n.engines
 	switch {
 	case shown && worst >= late:
@@ -303,7 +304,7 @@
 	for _, s := range p.demand.Open {
 		models[s.Model] = true
 	}
-	if len(p.course.ended) > 0 || len(models) == 0 || p.demand.Models < len(models) {
+	if len(p.history.ended) > 0 || len(models) == 0 || p.demand.Models < len(models) {
 		return 1
 	}
 	return float64(p.demand.Models) / float64(len(models))
@@ -311,15 +312,15 @@
 
 // shrink gives some engines back: those that the steps of the last while did not need.
 func (p *plan) shrink(recent need, why *Why) {
-	needed, shown := p.course.inTime()
+	needed, shown := p.history.inTime()
 	rests := p.now-p.began < recentSteps || p.now-p.changed < grownRest || p.now-p.shrunk < shrinkRest || p.now < p.reclaimed
-	if rests || !shown || p.course.worst(p.now) >= late || p.unsure > 0 && p.now-p.unsure < remembered || p.booting() > 0 {
+	if rests || !shown || p.history.worst(p.now) >= late || p.unsure > 0 && p.now-p.unsure < remembered || p.booting() > 0 {
 		return
 	}
 	recent.engines = min(recent.engines, needed)
 	keep := int(math.Ceil(shrinkSlack * float64(spread(recent.engines, len(p.domains)))))
 	for range shrinkMost * len(p.domains) {
-		pool, ok := p.dearest(recent)
+		pool, ok := p.mostExpensive(recent)
 		if !ok || p.total()-1 < keep {
 			return
 		}
@@ -332,10 +333,10 @@
 	}
 }
 
-// dearest returns the pool to give an engine back from: the failure domain that has the
-// most, of which none went by this look, and its dearer kind. Firm ones stay for half of
+// mostExpensive returns the pool to give an engine back from: the failure domain that has the
+// most, of which none went by this look, and its more expensive kind. Firm ones stay for half of
 // what was needed: what is reclaimed may be so in two failure domains one after the other.
-func (p *plan) dearest(recent need) (cf.EnginePool, bool) {
+func (p *plan) mostExpensive(recent need) (cf.EnginePool, bool) {
 	firm := 0
 	for _, d := range p.domains {
 		firm += p.count(p.pool(d, false))
--- a/core/cfscale/course.go
+++ b/core/cfscale/stephistory.go
@@ -26,9 +26,9 @@
 )
 
 type (
-	// course follows how steps go. The time of a step is until its last item has begun, which
+	// stepHistory follows how steps go. The time of a step is until its last item has begun, which
 	// shrinks with more engines, and from then on, which its longest texts take on any.
-	course struct {
+	stepHistory struct {
 		open  map[cf.BatchID]*openCourse
 		ended []endedCourse
 	}
@@ -52,7 +52,7 @@
 )
 
 // note takes the open steps of a look; one that is not among them any more has ended.
-func (c *course) note(now cf.Millis, steps []OpenStep, engines int) {
+func (c *stepHistory) note(now cf.Millis, steps []OpenStep, engines int) {
 	before := c.open
 	c.open = map[cf.BatchID]*openCourse{}
 	for _, s := range steps {
@@ -88,7 +88,7 @@
 
 // worst returns the longest that a recent step took, or an open one has taken, as a part of
 // the time in which it was due.
-func (c *course) worst(now cf.Millis) float64 {
+func (c *stepHistory) worst(now cf.Millis) float64 {
 	worst := 0.0
 	for _, e := range c.ended {
 		if now-e.at <= recentSteps {
@@ -103,7 +103,7 @@
 
 // prompt returns how many engines recent steps needed to end promptly, open ones with them,
 // false if too few have ended to show it.
-func (c *course) prompt(now cf.Millis) (float64, bool) {
+func (c *stepHistory) prompt(now cf.Millis) (float64, bool) {
 	needed, steps := 0.0, 0
 	for _, e := range c.ended {
 		if now-e.at <= recentSteps {
@@ -120,7 +120,7 @@
 
 // inTime returns how many engines the steps that are remembered needed to end in time, false
 // if too few have ended to show it.
-func (c *course) inTime() (float64, bool) {
+func (c *stepHistory) inTime() (float64, bool) {
 	needed := 0.0
 	for _, e := range c.ended {
 		needed = max(needed, e.inTime)
--- a/io/cfautoscale/cfautoscale.go
+++ b/io/cfautoscale/cfautoscale.go
@@ -41,8 +41,8 @@
 
 // Warnings.
 const (
-	warnNotRead = "engines_wanted_not_read"
-	warnInDoubt = "engines_wanted_in_doubt"
+	warnNotRead     = "engines_wanted_not_read"
+	warnUnconfirmed = "engines_wanted_unconfirmed"
 )
 
 type (
@@ -264,10 +264,10 @@
 	}
 	if err != nil || r.Rev == 0 {
 		d.keeper.InDoubt()
-		d.warn(warnInDoubt, err)
+		d.warn(warnUnconfirmed, err)
 		return false
 	}
-	delete(d.warned, warnInDoubt)
+	delete(d.warned, warnUnconfirmed)
 	d.keeper.Written(step.Kept, r.Rev)
 	d.Log.Info("engines_wanted_kept", zap.Int64("term", int64(d.Act.Fence)), zap.Int64("revision", int64(r.Rev)), zap.Any("orders", step.Kept.Orders))
 	return true
--- a/io/cfautoscale/cfautoscale_test.go
+++ b/io/cfautoscale/cfautoscale_test.go
@@ -124,7 +124,7 @@
 		set   func(bool)
 	}{
 		{"engines_wanted_not_read", func(on bool) { store.unread = on }},
-		{"engines_wanted_in_doubt", func(on bool) { store.away = on }},
+		{"engines_wanted_unconfirmed", func(on bool) { store.away = on }},
 	} {
 		for outage := range 2 {
 			c.set(true)
