--- a/core/cfscale/explore_test.go
+++ b/core/cfscale/explore_test.go
@@ -12,7 +12,7 @@
 
 const (
 	exploreFaults  = 3
-	exploreChanges = 2
+	exploreChanges = 3
 	exploreSteps   = 20
 	// exploreTick is longer than an order without an answer may take effect.
 	exploreTick = lateMost + retryMost
@@ -27,11 +27,13 @@
 	trusts             // a successor takes what it reads for ordered
 	unclaimed          // a successor does not write its term
 	unconfirmed        // an order that had no answer is forgotten once another is taken
+	succeeds           // a successor does not expect a late order of the holder before
+	unsettled          // a write that had no answer is forgotten once the store is read
 )
 
 type (
 	// world is a store, the platform, and the holder of the lease. A holder before gives no
-	// orders any more, but a write of its may take effect yet.
+	// orders any more, but a write or an order of its may take effect yet.
 	world struct {
 		rev     cf.Revision
 		kept    *Kept
@@ -57,7 +59,7 @@
 func (w *world) clone() *world {
 	c := *w
 	c.ever, c.writes, c.orders = maps.Clone(w.ever), slices.Clone(w.writes), slices.Clone(w.orders)
-	c.keeper.given, c.keeper.again, c.keeper.doubts = maps.Clone(w.keeper.given), maps.Clone(w.keeper.again), maps.Clone(w.keeper.doubts)
+	c.keeper.given, c.keeper.again, c.keeper.pending = maps.Clone(w.keeper.given), maps.Clone(w.keeper.again), maps.Clone(w.keeper.pending)
 	return &c
 }
 
@@ -108,7 +110,7 @@
 	if len(w.writes)+len(w.orders) > 0 || w.kept == nil || w.step().Kind != Wait {
 		return nil
 	}
-	if w.now < max(w.keeper.again[explorePool].until, w.keeper.doubts[explorePool].until) {
+	if w.now < max(w.keeper.again[explorePool].until, w.keeper.pending[explorePool].until) {
 		return nil
 	}
 	kept := w.kept.Orders[0].Count
@@ -156,14 +158,18 @@
 	}
 	if len(w.orders) == 0 {
 		add(func(n *world) error { n.now += exploreTick; return nil })
-		// The holder is lost and another takes over, after the time in which an order of
-		// the one before may take effect.
-		faulty(func(n *world) error {
-			n.keeper = *NewKeeper(n.keeper.term + 1)
-			n.wants, n.now = 0, n.now+exploreTick
-			return nil
-		})
 	}
+	// The holder is lost and another takes over. An order of the one before may be under way.
+	faulty(func(n *world) error {
+		if len(n.orders) == 0 {
+			n.now += exploreTick
+		}
+		n.keeper, n.wants = *NewKeeper(n.keeper.term+1, n.now), 0
+		if fault == succeeds {
+			n.keeper.settled = n.now
+		}
+		return nil
+	})
 	switch step := w.step(); step.Kind {
 	case Read:
 		add(func(n *world) error {
@@ -177,6 +183,8 @@
 				n.keeper.Given(n.kept.Orders[0], n.now)
 			case unclaimed:
 				n.keeper.kept.Term = n.keeper.term
+			case unsettled:
+				n.keeper.unsettled = false
 			}
 			return nil
 		})
@@ -184,12 +192,12 @@
 		l := lateWrite{step.Rev, step.Kept}
 		doubt := func(n *world) {
 			if n.keeper.InDoubt(); fault == believes {
-				n.keeper.Found(step.Kept, step.Rev+1)
+				n.keeper.Written(step.Kept, step.Rev+1)
 			}
 		}
 		add(func(n *world) error {
 			if n.write(l) {
-				n.keeper.Found(step.Kept, n.rev)
+				n.keeper.Written(step.Kept, n.rev)
 			} else {
 				n.keeper.InDoubt()
 			}
@@ -202,7 +210,7 @@
 		doubt := func(n *world) {
 			n.keeper.InDoubtGiven(step.Order, n.now)
 			if fault == unconfirmed {
-				clear(n.keeper.doubts)
+				clear(n.keeper.pending)
 			}
 		}
 		add(func(n *world) error { n.keeper.Given(step.Order, n.now); return n.order(step.Order.Count) })
@@ -214,7 +222,7 @@
 }
 
 func explore(fault seeded) (states, settled int, err error) {
-	start := &world{has: -1, ever: map[int]bool{}, keeper: *NewKeeper(1)}
+	start := &world{has: -1, ever: map[int]bool{}, keeper: *NewKeeper(1, 0)}
 	seen := map[string]bool{start.key(): true}
 	level := []*world{start}
 	for range exploreSteps {
@@ -260,7 +268,7 @@
 		t.Error("no run came to rest")
 	}
 	t.Logf("%d states, %d at rest", states, settled)
-	for name, fault := range map[string]seeded{"believes": believes, "trusts": trusts, "unclaimed": unclaimed, "unconfirmed": unconfirmed} {
+	for name, fault := range map[string]seeded{"believes": believes, "trusts": trusts, "unclaimed": unclaimed, "unconfirmed": unconfirmed, "unsettled": unsettled, "succeeds": succeeds} {
 		if states, _, err := explore(fault); err == nil {
 			t.Errorf("%s: not found in %d states", name, states)
 		} else {
--- a/core/cfscale/keeper.go
+++ b/core/cfscale/keeper.go
@@ -60,19 +60,25 @@
 	// safe for concurrent use.
 	Keeper struct {
 		term cf.Revision
+		// settled is from when on no order of a holder before may take effect: the handover
+		// is shorter than lateMost.
+		settled cf.Millis
 		// known says that kept, at rev, is what lies in the store.
 		known bool
 		kept  Kept
 		rev   cf.Revision
+		// unsettled: a write without an answer may take effect yet, until another has one.
+		unsettled bool
 		// given are the counts that the platform has taken from this holder.
 		given map[cf.EnginePool]int
 		again map[cf.EnginePool]pause
-		// doubts are the last orders without an answer, and until when they may take effect.
-		doubts map[cf.EnginePool]doubt
+		// pending are orders that may take effect yet, and until when: the last without an
+		// answer, and those of a holder before.
+		pending map[cf.EnginePool]pendingOrder
 	}
 
-	doubt struct {
-		// count is that of the orders, severalCounts where they differ.
+	pendingOrder struct {
+		// count is that of the orders, severalCounts where they differ or are not known.
 		count int
 		until cf.Millis
 	}
@@ -82,9 +88,9 @@
 	}
 )
 
-// NewKeeper returns the keeper of a duty that begins under a term.
-func NewKeeper(term cf.Revision) *Keeper {
-	return &Keeper{term: term, given: map[cf.EnginePool]int{}, again: map[cf.EnginePool]pause{}, doubts: map[cf.EnginePool]doubt{}}
+// NewKeeper returns the keeper of a duty that begins at now under a term.
+func NewKeeper(term cf.Revision, now cf.Millis) *Keeper {
+	return &Keeper{term: term, settled: now + lateMost, given: map[cf.EnginePool]int{}, again: map[cf.EnginePool]pause{}, pending: map[cf.EnginePool]pendingOrder{}}
 }
 
 // Kept returns what lies in the store, false while that is not known.
@@ -97,7 +103,7 @@
 		return Step{Kind: Read}
 	}
 	next := k.kept.with(wanted.Orders)
-	if len(next) > 0 && k.kept.Term != k.term || !slices.Equal(next, k.kept.Orders) {
+	if k.unsettled || len(next) > 0 && k.kept.Term != k.term || !slices.Equal(next, k.kept.Orders) {
 		return Step{Kind: Keep, Kept: Kept{Term: k.term, Orders: next, Found: wanted.Found}, Rev: k.rev}
 	}
 	for _, o := range k.kept.Orders {
@@ -117,8 +123,8 @@
 	if count, given := k.given[o.EnginePool]; !given || count != o.Count {
 		return true
 	}
-	d, doubted := k.doubts[o.EnginePool]
-	return doubted && d.count != o.Count && now >= d.until
+	d, pending := k.pending[o.EnginePool]
+	return pending && d.count != o.Count && now >= d.until
 }
 
 // with returns the orders with others in the place of those of the same pools.
@@ -132,7 +138,7 @@
 	return out
 }
 
-// Found takes what was read, or written with an answer.
+// Found takes what was read.
 func (k *Keeper) Found(kept Kept, rev cf.Revision) {
 	for _, o := range kept.Orders {
 		if !slices.Contains(k.kept.Orders, o) {
@@ -142,29 +148,42 @@
 	k.known, k.kept, k.rev = true, kept, rev
 }
 
+// Written takes what was written with an answer. The new revision makes every write before it
+// fail.
+func (k *Keeper) Written(kept Kept, rev cf.Revision) {
+	k.unsettled = false
+	k.Found(kept, rev)
+}
+
 // FoundNone notes that nothing lies in the store yet.
 func (k *Keeper) FoundNone() { k.Found(Kept{}, 0) }
 
 // InDoubt notes that a write had no answer, or met another: what lies in the store is to
-// be read.
-func (k *Keeper) InDoubt() { k.known = false }
+// be read, and written once more: the write may take effect after the read.
+func (k *Keeper) InDoubt() { k.known, k.unsettled = false, true }
 
-// Given notes that the platform has taken an order.
+// Given notes that the platform has taken an order. One of a holder before may take effect
+// after it until settled, so it is given once more then.
 func (k *Keeper) Given(o cf.EngineOrder, now cf.Millis) {
+	_, given := k.given[o.EnginePool]
+	if _, pending := k.pending[o.EnginePool]; !given && !pending && now < k.settled {
+		k.pending[o.EnginePool] = pendingOrder{severalCounts, k.settled}
+	}
 	k.given[o.EnginePool] = o.Count
 	delete(k.again, o.EnginePool)
-	if now >= k.doubts[o.EnginePool].until {
-		delete(k.doubts, o.EnginePool)
+	if now >= k.pending[o.EnginePool].until {
+		delete(k.pending, o.EnginePool)
 	}
 }
 
 // InDoubtGiven notes that an order had no answer: it may have been taken, or may be yet.
 func (k *Keeper) InDoubtGiven(o cf.EngineOrder, now cf.Millis) {
-	d := doubt{o.Count, now + lateMost}
-	if before, doubted := k.doubts[o.EnginePool]; doubted && before.count != o.Count && now < before.until {
+	d := pendingOrder{o.Count, now + lateMost}
+	before, pending := k.pending[o.EnginePool]
+	if now < k.settled || pending && before.count != o.Count && now < before.until {
 		d.count = severalCounts
 	}
-	k.doubts[o.EnginePool] = d
+	k.pending[o.EnginePool] = d
 	delete(k.given, o.EnginePool)
 	k.NotGiven(o, now)
 }
