cfrollout: fix shares, guesses and selection of steps without terms

Shares of services without due times follow the latest step again, as before smoothing and guessed lengths. Classes of guesses are those of the hint, not relative to its drifting mean. A step without target groups waits for all of its groups. A group whose place an optional one takes goes last if it is carried, and is not waited for otherwise. A step that is being accepted has its whole span left, whatever the clock of the accepting machine says.

--- a/core/cfrollout/engines.go
+++ b/core/cfrollout/engines.go
@@ -198,14 +198,16 @@
 		}
 		shares = append(shares, share{id: id, model: e.Share, moveCost: cost})
 	}
+	timed := p.timed(models)
 	if len(shares) < len(models) {
 		p.scarce = true
 		models = p.turns(service, models)[:len(shares)]
 	}
-	if p.keepsShares(shares, models) {
+	need := p.needOf(models, timed)
+	if timed && keepsShares(shares, models, need) {
 		return
 	}
-	for id, m := range assign(shares, models, p.needOf(models)) {
+	for id, m := range assign(shares, models, need) {
 		p.setShare(p.engines[id], m)
 	}
 }
--- a/core/cfrollout/goodput.go
+++ b/core/cfrollout/goodput.go
@@ -140,7 +140,8 @@
 			}
 		}
 		end := n.fill(groupLate, n.fill(groupInTime, n.before, n.most), n.late)
-		n.fill(groupLast, end, math.Inf(1))
+		end = n.fill(groupLast, end, math.Inf(1))
+		n.settle(end)
 	}
 	for _, g := range n.groups {
 		s.counts[g.class]++
@@ -174,6 +175,21 @@
 	return before
 }
 
+// settle gives a place to the groups whose place an optional one has taken, after the slot
+// time of all that were filled: the submitter still waits for those that are carried, and for
+// no other.
+func (n *stepNeed) settle(end float64) {
+	for i := range n.groups {
+		switch g := &n.groups[i]; {
+		case g.class != groupLast || g.whole > 0:
+		case g.carried:
+			g.whole = max(end/n.slots, g.longest)
+		default:
+			g.class = groupSpare
+		}
+	}
+}
+
 // rankGroups orders the waiting items of a batch by the groups that are selected.
 // before is the slot time of the batches that go first. It returns that with this batch's.
 func (p *Planner) rankGroups(o *open, before float64, now cf.Millis) float64 {
@@ -260,7 +276,11 @@
 	for _, w := range o.running {
 		add(w)
 	}
-	n.want = max(o.batch.Sub.TargetGroups-(o.batch.Groups()-len(n.groups)), 0)
+	target := o.batch.Sub.TargetGroups
+	if target == 0 { // not given: all groups are waited for
+		target = o.batch.Groups()
+	}
+	n.want = max(target-(o.batch.Groups()-len(n.groups)), 0)
 	return n
 }
 
--- a/core/cfrollout/guesses.go
+++ b/core/cfrollout/guesses.go
@@ -9,8 +9,10 @@
 const (
 	// guessSteps is how many classes a doubling of a guess is divided into.
 	guessSteps = 2
-	// guessClasses is how many there are, of which the middle one has the mean guess.
-	guessClasses = 21
+	// guessClasses is how many there are: guesses of up to a million tokens. They do not
+	// depend on the mean guess, which drifts for some hundred texts: a class would first be
+	// filled with shorter texts than those that use it later.
+	guessClasses = 41
 	// guessMemory is what is kept of a class at each text of it, guessPrior the weight of
 	// the mean ratio of lengths to guesses in texts of a class.
 	guessMemory = 0.99
@@ -29,18 +31,18 @@
 }
 
 // class returns the class of a guess; false where there is none.
-func (g *guesses) class(it cf.Item, l *lengths) (int, bool) {
-	if it.LengthHint <= 0 || l.hint <= 0 {
+func (g *guesses) class(it cf.Item) (int, bool) {
+	if it.LengthHint <= 0 {
 		return 0, false
 	}
-	c := guessClasses/2 + int(math.Round(guessSteps*math.Log2(float64(it.LengthHint)/l.hint)))
-	return min(max(c, 0), guessClasses-1), true
+	c := int(math.Round(guessSteps * math.Log2(float64(it.LengthHint))))
+	return min(c, guessClasses-1), true
 }
 
 // note takes a text that is complete.
-func (g *guesses) note(w *Work, l *lengths) {
+func (g *guesses) note(w *Work) {
 	g.texts++
-	if i, ok := g.class(w.Item, l); ok {
+	if i, ok := g.class(w.Item); ok {
 		c := &g.classes[i]
 		c.events, c.texts = guessMemory*c.events+float64(w.Text.Last), guessMemory*c.texts+1
 		g.total++
@@ -50,7 +52,7 @@
 // of returns the events that an item is expected to have.
 func (g *guesses) of(it cf.Item, l *lengths) float64 {
 	events := l.of(it)
-	i, ok := g.class(it, l)
+	i, ok := g.class(it)
 	if !ok {
 		return events
 	}
--- a/core/cfrollout/place.go
+++ b/core/cfrollout/place.go
@@ -292,7 +292,7 @@
 	case OutcomeDone:
 		w.Text.Complete = true
 		p.lengths.note(w)
-		p.guesses.note(w, &p.lengths)
+		p.guesses.note(w)
 		p.longest = max(float64(w.Text.Last), p.longest*longestMemory)
 	case OutcomeFailed:
 		w.Failures++
--- a/core/cfrollout/planner.go
+++ b/core/cfrollout/planner.go
@@ -332,7 +332,7 @@
 		o.waiting = append(o.waiting, w)
 	}
 	order(o.waiting)
-	p.noteWork(b.Sub.Model, stepWork{tokens, hints, p.now})
+	p.noteWork(b.Sub.Model, stepWork{tokens: tokens, hints: hints, latest: tokens, timed: terms.Due > 0, at: p.now})
 	p.noteOpen(b.Sub.Model, b.ListedCount())
 	p.single[b.Sub.Model] = terms.SingleVersion
 	p.divide()
@@ -351,6 +351,10 @@
 		return
 	}
 	o.terms = terms
+	if work, known := p.need[o.batch.Sub.Model]; known {
+		work.timed = terms.Due > 0
+		p.need[o.batch.Sub.Model] = work
+	}
 	p.single[o.batch.Sub.Model] = terms.SingleVersion
 	for _, w := range o.waiting {
 		w.Terms = terms
--- a/core/cfrollout/refusal.go
+++ b/core/cfrollout/refusal.go
@@ -52,8 +52,10 @@
 	for _, g := range p.stepNeed(o, pace).groups {
 		quickest = min(quickest, max(g.work/(rate*pace), g.longest))
 	}
-	left := float64(terms.Due - now)
-	h := Hope{Hopeless: quickest > hopelessBy*max(left, 0), Quickest: cf.Millis(quickest), Left: terms.Due - now}
+	// The due time is taken from the accepting machine's wall clock, which may be behind: a
+	// step that is just being accepted has all of its time left.
+	left := max(terms.Due-now, terms.Span)
+	h := Hope{Hopeless: quickest > hopelessBy*float64(max(left, 0)), Quickest: cf.Millis(quickest), Left: left}
 	if h.Hopeless {
 		h.Retry = min(max(p.openFor(o), retryLeast), retryMost)
 	}
--- a/core/cfrollout/shares.go
+++ b/core/cfrollout/shares.go
@@ -35,9 +35,12 @@
 
 	// stepWork is the work of a step, in tokens of its items at the most and as their
 	// submitter guesses the lengths, zero where it does not.
-	// at is when it was open last.
+	// Both are means of the model's steps, latest is the tokens of the latest one, timed
+	// that it has a due time, and at when it was open last.
 	stepWork struct {
 		tokens, hints float64
+		latest        float64
+		timed         bool
 		at            cf.Millis
 	}
 )
@@ -66,9 +69,19 @@
 	return false
 }
 
+// timed says whether the latest step of any of these models has a due time. Without due
+// times shares follow the latest steps at once.
+func (p *Planner) timed(models []cf.ModelName) bool {
+	for _, m := range models {
+		if p.need[m].timed {
+			return true
+		}
+	}
+	return false
+}
+
 // keepsShares says whether the division is near enough to what the models need.
-func (p *Planner) keepsShares(engines []share, models []cf.ModelName) bool {
-	need := p.needOf(models)
+func keepsShares(engines []share, models []cf.ModelName, need Need) bool {
 	have, total := map[cf.ModelName]int{}, 0.0
 	for _, e := range engines {
 		have[e.model]++
@@ -87,10 +100,11 @@
 	return n == len(engines)
 }
 
-// needOf returns the models' needs: by the guessed lengths of their texts where all tell
-// them, since the tokens of an item are a bound and not its length, else by the bounds.
-func (p *Planner) needOf(models []cf.ModelName) Need {
-	hinted := true
+// needOf returns the models' needs. For timed steps these are the guessed lengths of their
+// texts where all tell them, since the tokens of an item are a bound and not its length, else
+// the bounds, as means of their steps. For others they are the bounds of the latest step.
+func (p *Planner) needOf(models []cf.ModelName, timed bool) Need {
+	hinted := timed
 	for _, m := range models {
 		if w, known := p.need[m]; known && w.hints == 0 {
 			hinted = false
@@ -102,7 +116,9 @@
 		if !known {
 			continue
 		}
-		if p.now-w.at > idleAfter && !p.isOpen(m) {
+		if !timed {
+			w.tokens = w.latest
+		} else if p.now-w.at > idleAfter && !p.isOpen(m) {
 			w.tokens, w.hints = idleNeed*w.tokens, idleNeed*w.hints
 		}
 		out[m] = w.tokens
--- a/core/cfrollout/shares_test.go
+++ b/core/cfrollout/shares_test.go
@@ -69,3 +69,42 @@
 		t.Errorf("steps done: %v, want c's and two or more of a and b each", done)
 	}
 }
+
+// Guards against shares of services without due times that lag behind the latest step, or
+// follow guessed lengths: there they are divided by the tokens of the latest steps.
+func TestSharesWithoutDueTimesFollowTheLatestStep(t *testing.T) {
+	p := cfrollout.New(cfrollout.DefaultLimits)
+	targets := fleet(12, cf.ModelState{Name: "a", Version: 1}, cf.ModelState{Name: "b", Version: 1})
+	p.SetEngines(targets, models("a", "b"))
+	count := func() (a int) {
+		for _, m := range shares(p, targets) {
+			if m == "a" {
+				a++
+			}
+		}
+		return a
+	}
+	add := func(id cf.BatchID, m cf.ModelName, groups int, hint cf.Tokens) {
+		b := step(id, m, 1, groups, 1)
+		for i := range b.Sub.Items {
+			b.Sub.Items[i].LengthHint = hint
+		}
+		p.AddBatch(b, terms)
+	}
+	add("a1", "a", 10, 50)
+	add("b1", "b", 10, 10)
+	if n := count(); n != 6 {
+		t.Errorf("model a has %d of 12 engines with half of the tokens", n)
+	}
+	p.EndBatch("a1")
+	add("a2", "a", 50, 50)
+	if n := count(); n != 10 {
+		t.Errorf("model a has %d of 12 engines with five sixths of the tokens", n)
+	}
+	p.EndBatch("a2")
+	p.Place(60_000)
+	p.ChangeEngines(targets[:1], nil)
+	if n := count(); n != 10 {
+		t.Errorf("model a has %d of 12 engines a minute after its step", n)
+	}
+}
