Rename what refuses steps to infeasible, feasibility and estimate

Plain renames in code, logs and pages, and of the slots kept for runs that move: releaseSlot, releaseExpiredSlots, reservationTimeout, minRunTime. The operation between instances and its field are now called infeasible too: between instances of both versions steps are accepted, as without an answer. The field asked of the coordinator is now checks.

--- a/core/cfrollout/export_test.go
+++ b/core/cfrollout/export_test.go
@@ -57,7 +57,7 @@
 // UndoMoves lets runs that were to move stay, so that the next look finds the same.
 func (p *Planner) UndoMoves(works []*Work) {
 	for _, w := range works {
-		p.giveSlotUp(w)
+		p.releaseSlot(w)
 		w.moving, w.moves, w.Avoid = false, 0, ""
 	}
 }
--- a/core/cfrollout/goodput.go
+++ b/core/cfrollout/goodput.go
@@ -45,8 +45,8 @@
 	groupLate
 	// groupLast: waited for, and whole later than is of use.
 	groupLast
-	// groupSpare: not waited for.
-	groupSpare
+	// groupOptional: not waited for.
+	groupOptional
 )
 
 // groupNeed is what a group of a step still needs.
@@ -81,7 +81,7 @@
 	// whole is how long all that the submitter waits for takes, from now, in ms.
 	whole float64
 	// counts are the groups of each class, work the slot time of those waited for.
-	counts [groupSpare + 1]int
+	counts [groupOptional + 1]int
 	work   float64
 }
 
@@ -116,7 +116,7 @@
 		g := &n.groups[i]
 		switch {
 		case !g.carried && free == 0:
-			g.class = groupSpare
+			g.class = groupOptional
 			continue
 		case !g.carried:
 			free--
@@ -183,7 +183,7 @@
 		case g.carried:
 			g.whole = max(end/n.slots, g.longest)
 		default:
-			g.class = groupSpare
+			g.class = groupOptional
 		}
 	}
 }
@@ -223,7 +223,7 @@
 		w.class = classes[w.Item.Group]
 	}
 	for _, w := range o.waiting {
-		if w.class = classes[w.Item.Group]; w.class != groupSpare {
+		if w.class = classes[w.Item.Group]; w.class != groupOptional {
 			o.wanted++
 		}
 		w.startBy = 0
@@ -340,7 +340,7 @@
 			continue
 		}
 		for _, w := range o.running {
-			if w.class == groupSpare {
+			if w.class == groupOptional {
 				continue
 			}
 			if p.boundedLeft(w)*o.pace+load > o.selected.whole-float64(p.now-o.rankedAt) {
--- a/core/cfrollout/pace.go
+++ b/core/cfrollout/pace.go
@@ -121,7 +121,7 @@
 	for e, n := range count {
 		if usual := e.state.Usual(); byPeriods && e.pace > 0 && usual > 0 {
 			e.pace = min(max(e.pace, usual/lastingFactor), usual)
-			if !e.state.Quiet(quietFor, now) {
+			if !e.state.Quiet(minNormalTime, now) {
 				continue // it shows a period or a load, not the engine or what its runs cost
 			}
 		}
@@ -204,7 +204,7 @@
 func (p *Planner) Moves(now cf.Millis) []*Work {
 	p.now = now
 	p.observe(now)
-	p.giveLateSlotsUp(now)
+	p.releaseExpiredSlots(now)
 	p.takeSizes()
 	typical := p.typical()
 	var out []*Work
--- a/core/cfrollout/periods.go
+++ b/core/cfrollout/periods.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// periodStay is how long a run stays at an engine at least: its first events there come
-	// late, after its text was read, or in a burst, and tell nothing.
-	periodStay cf.Millis = 300
+	// minRunTime is the least time between the start of a run and a move of it: its first
+	// events come late, after its text was read, or in a burst, and tell nothing.
+	minRunTime cf.Millis = 300
 	// ownEvents and ownSlower are how many events a run must have had from an engine, and how
 	// many times slower than the engine's lasting pace they must be, for it to leave: the
 	// engine's pace is that of all its runs.
@@ -30,19 +30,20 @@
 	// be moved: others end long before their step. A fifth saved a fifth of the moves of a
 	// replay and cost the step 15 ms; half of it cost 90 ms.
 	periodPart = 0.2
-	// reserved is how long a slot is kept for a run that moves to it. Its stop takes some ten
-	// ms, and up to half a second where the instance that holds its stream is slow.
-	reserved cf.Millis = 600
+	// reservationTimeout is how long a slot is kept for a run that moves to it. Its stop
+	// takes some ten ms, and up to half a second where the instance that holds its stream is slow.
+	reservationTimeout cf.Millis = 600
 	// lastingFactor is how many times slower for good an engine must be that a run leaves while
-	// it is quiet: full engines are up to 1.25 times slower than empty ones.
+	// it is not in a slow period: full engines are up to 1.25 times slower than empty ones.
 	lastingFactor = 1.4
 	// stallRest is how long after a stall events may still be read late.
 	stallRest cf.Millis = 5
 	// suspectFrom is from how many engines on it is their reference, or a delay here, that
 	// makes most of them look slow.
 	suspectFrom = 4
-	// quietFor is how long an engine is quiet before its smoothed pace is free of a period.
-	quietFor cf.Millis = 500
+	// minNormalTime is how long an engine must not be slow until its smoothed pace is free
+	// of a period.
+	minNormalTime cf.Millis = 500
 )
 
 type (
@@ -213,7 +214,7 @@
 	listed := false
 	for _, w := range o.running {
 		e := p.at(w)
-		if e == nil || w.moving || w.moves >= periodMovesMost || now-w.Started < periodStay || !p.Long(w) || p.left(w) < periodPart*longest {
+		if e == nil || w.moving || w.moves >= periodMovesMost || now-w.Started < minRunTime || !p.Long(w) || p.left(w) < periodPart*longest {
 			continue
 		}
 		own, _, shown := w.Progress.latestPace(now)
@@ -297,14 +298,14 @@
 
 // reserve keeps a slot for a run that moves.
 func (p *Planner) reserve(w *Work, e *Engine, now cf.Millis) {
-	p.giveSlotUp(w)
-	w.to, w.toUntil = e, now+reserved
+	p.releaseSlot(w)
+	w.to, w.toUntil = e, now+reservationTimeout
 	e.reserved++
 	p.reservations = append(p.reservations, w)
 }
 
-// giveSlotUp gives the slot up that is kept for a run.
-func (p *Planner) giveSlotUp(w *Work) {
+// releaseSlot releases the slot that is kept for a run.
+func (p *Planner) releaseSlot(w *Work) {
 	if w.to == nil {
 		return
 	}
@@ -313,20 +314,20 @@
 	p.reservations = slices.DeleteFunc(p.reservations, func(x *Work) bool { return x == w })
 }
 
-// giveLateSlotsUp gives the slots up whose runs have not come.
-func (p *Planner) giveLateSlotsUp(now cf.Millis) {
+// releaseExpiredSlots releases the slots whose runs have not come in time.
+func (p *Planner) releaseExpiredSlots(now cf.Millis) {
 	for _, w := range slices.Clone(p.reservations) {
 		if now >= w.toUntil {
-			p.giveSlotUp(w)
+			p.releaseSlot(w)
 		}
 	}
 }
 
-// reservedFor returns the engine that keeps a slot for a run, and gives the slot up; nil if it
+// reservedFor returns the engine that keeps a slot for a run, and releases the slot; nil if it
 // keeps none, or has turned slow or cannot take the run any more.
 func (p *Planner) reservedFor(w *Work, now cf.Millis) *Engine {
 	e := w.to
-	p.giveSlotUp(w)
+	p.releaseSlot(w)
 	if e == nil || p.engines[e.ID] != e || !e.takes(w, now) || e.state.Slow(now) {
 		return nil
 	}
--- a/core/cfrollout/place.go
+++ b/core/cfrollout/place.go
@@ -70,7 +70,7 @@
 				continue
 			}
 			p.start(o, w, e, now)
-			if o.wanted > 0 && w.class != groupSpare {
+			if o.wanted > 0 && w.class != groupOptional {
 				o.wanted--
 			}
 			out = append(out, w)
--- a/core/cfrollout/refusal.go
+++ b/core/cfrollout/refusal.go
@@ -8,45 +8,45 @@
 )
 
 const (
-	// hopelessBy is how many times too late the quickest group of a step must be expected
+	// infeasibleFactor is how many times too late the quickest group of a step must be expected
 	// to be: lengths are known within a factor of 1.6, and a step that fits must never be
 	// refused.
-	hopelessBy = 2
-	// retryLeast and retryMost bound when the submitter of a hopeless step should come back.
+	infeasibleFactor = 2
+	// retryLeast and retryMost bound when the submitter of a infeasible step should come back.
 	retryLeast cf.Millis = 2500
 	retryMost  cf.Millis = 10_000
 )
 
-// Hope is what is expected of a step that is not accepted yet.
-type Hope struct {
-	// Hopeless: not one of its groups could be whole by its due time, even with all of its
+// Estimate is what is expected of a step that is not accepted yet.
+type Estimate struct {
+	// Infeasible: not one of its groups could be whole by its due time, even with all of its
 	// model's engines.
-	Hopeless bool
+	Infeasible bool
 	// Quickest is when the first of its groups could be whole, Left the time until it is
 	// due, and Retry when to come back.
 	Quickest, Left, Retry cf.Millis
 }
 
-// Expect returns what is expected of a step. Where lengths or paces are not known it is not
-// hopeless.
+// EstimateStep returns what is expected of a step. Where lengths or paces are not known it is
+// not infeasible.
 //
 // The load it answers: a step whose shortest group takes longer than the step has, such as
 // one of very long texts, or one that comes when most engines are lost. It would take slots
 // from the steps after it and be worth nothing.
-func (p *Planner) Expect(sub cf.Submission, terms Terms, now cf.Millis) Hope {
+func (p *Planner) EstimateStep(sub cf.Submission, terms Terms, now cf.Millis) Estimate {
 	if p.limits.AllGroups || terms.Due == 0 || !p.lengths.started || len(sub.Items) == 0 {
-		return Hope{}
+		return Estimate{}
 	}
 	o := &open{batch: cfbatch.New(sub), terms: terms}
 	for _, it := range sub.Items {
 		if p.carry[it.ID] != nil || p.orphans[it.ID] != nil {
-			return Hope{} // it goes on with texts of the step before
+			return Estimate{} // it goes on with texts of the step before
 		}
 		o.waiting = append(o.waiting, &Work{Batch: o.batch, Item: it, Terms: terms})
 	}
 	rate, pace := p.capacity(o)
 	if rate == 0 {
-		return Hope{}
+		return Estimate{}
 	}
 	quickest := math.Inf(1)
 	for _, g := range p.stepNeed(o, pace).groups {
@@ -55,11 +55,11 @@
 	// The due time is taken from the accepting machine's wall clock, which may be behind: a
 	// step that is just being accepted has all of its time left.
 	left := max(terms.Due-now, terms.Span)
-	h := Hope{Hopeless: quickest > hopelessBy*float64(max(left, 0)), Quickest: cf.Millis(quickest), Left: left}
-	if h.Hopeless {
-		h.Retry = min(max(p.openFor(o), retryLeast), retryMost)
+	est := Estimate{Infeasible: quickest > infeasibleFactor*float64(max(left, 0)), Quickest: cf.Millis(quickest), Left: left}
+	if est.Infeasible {
+		est.Retry = min(max(p.openFor(o), retryLeast), retryMost)
 	}
-	return h
+	return est
 }
 
 // openFor is how long the open steps of a batch's model are expected to take: after that
@@ -97,7 +97,7 @@
 		n := o.selected.counts
 		out = append(out, Selection{
 			Batch: id, Beyond: o.selected.beyond, Whole: cf.Millis(o.selected.whole), Left: o.terms.Due - now,
-			InTime: n[groupInTime], Late: n[groupLate], Last: n[groupLast], Spare: n[groupSpare],
+			InTime: n[groupInTime], Late: n[groupLate], Last: n[groupLast], Spare: n[groupOptional],
 		})
 	}
 	return out
--- a/core/cfrollout/refusal_test.go
+++ b/core/cfrollout/refusal_test.go
@@ -8,8 +8,8 @@
 )
 
 // Guards against steps that are refused though a group fits, or though they go on with
-// texts of the step before, and against hopeless ones that are accepted.
-func TestOnlyHopelessStepsAreRefused(t *testing.T) {
+// texts of the step before, and against infeasible ones that are accepted.
+func TestOnlyInfeasibleStepsAreRefused(t *testing.T) {
 	p := slowSite(t) // engines take some 40 ms for an event, one of them 160
 	began := hinted("began", 20)
 	p.AddBatch(began, terms)
@@ -18,11 +18,11 @@
 	p.EndBatch("began")
 	p.Finished(works[0], cfrollout.OutcomeStopped, 4400)
 	for _, c := range []struct {
-		name     string
-		sub      cf.Submission
-		due      cf.Millis
-		span     cf.Millis
-		hopeless bool
+		name       string
+		sub        cf.Submission
+		due        cf.Millis
+		span       cf.Millis
+		infeasible bool
 	}{
 		{"20 events in 10 s", hinted("a", 20, 20).Sub, 15_000, 10_000, false},
 		{"20 events in 0.8 s", hinted("b", 20, 20).Sub, 5800, 800, false},
@@ -35,12 +35,12 @@
 	} {
 		due := terms
 		due.Due, due.Span = c.due, c.span
-		h := p.Expect(c.sub, due, 5000)
-		if h.Hopeless != c.hopeless || h.Hopeless && h.Retry < 2000 {
+		h := p.EstimateStep(c.sub, due, 5000)
+		if h.Infeasible != c.infeasible || h.Infeasible && h.Retry < 2000 {
 			t.Errorf("%s: %+v", c.name, h)
 		}
 	}
-	if h := cfrollout.New(cfrollout.DefaultLimits).Expect(hinted("g", 20).Sub, cfrollout.Terms{Service: service, Due: 1}, 5000); h.Hopeless {
-		t.Error("hopeless without any text that is known")
+	if h := cfrollout.New(cfrollout.DefaultLimits).EstimateStep(hinted("g", 20).Sub, cfrollout.Terms{Service: service, Due: 1}, 5000); h.Infeasible {
+		t.Error("infeasible without any text that is known")
 	}
 }
--- a/core/cfrollout/selection_test.go
+++ b/core/cfrollout/selection_test.go
@@ -54,7 +54,7 @@
 	}
 	for _, g := range n.groups {
 		switch {
-		case g.id == "long" && g.class != groupSpare:
+		case g.id == "long" && g.class != groupOptional:
 			t.Errorf("replaced group has class %d", g.class)
 		case g.id == "carried" && (g.class != groupLast || g.whole < 2000):
 			t.Errorf("carried group has class %d and is whole in %.0f ms", g.class, g.whole)
--- a/io/cfcoord/coordinator.go
+++ b/io/cfcoord/coordinator.go
@@ -137,10 +137,10 @@
 		pace atomic.Uint64
 		// refused are held requests whose refusal was logged; the map is bounded.
 		refused map[cf.RequestID]bool
-		// asked is when instances asked last whether a step may be accepted, began when the
+		// checks is when instances asked last whether a step may be accepted, began when the
 		// duty began, or when that was forgotten.
-		asked map[cf.BatchID]cf.Millis
-		began cf.Millis
+		checks map[cf.BatchID]cf.Millis
+		began  cf.Millis
 		// slowPeriods says that the planner goes by the slow periods that it observed.
 		slowPeriods bool
 		// active says that items run or wait.
@@ -198,7 +198,7 @@
 		finished: map[cf.ItemID]finishedText{},
 		rewards:  newRewards(o.Policy),
 		named:    named{}, history: newHistory(), prepared: newPrepared(),
-		refused: map[cf.RequestID]bool{}, asked: map[cf.BatchID]cf.Millis{}, began: cf.Uptime(),
+		refused: map[cf.RequestID]bool{}, checks: map[cf.BatchID]cf.Millis{}, began: cf.Uptime(),
 	}
 	c.orders = newOrders(o, c.reported)
 	limits.Admit = c.admit
--- a/io/cfcoord/refusal.go
+++ b/io/cfcoord/refusal.go
@@ -9,12 +9,12 @@
 )
 
 const (
-	// refusalRest is how long after a question whether a step may be accepted another one
+	// refusalRest is how long after a check whether a step may be accepted another one
 	// of the same step is answered with yes, and how long a coordinator answers so after
 	// its start: an instance that had no answer in time writes the batch, within 1.5 s.
 	refusalRest cf.Millis = 2000
-	// askedMost bounds the questions that are remembered.
-	askedMost = 1000
+	// maxChecks bounds the checks that are remembered.
+	maxChecks = 1000
 	// selectionRest is the least time between two log lines on a step's groups.
 	selectionRest cf.Millis = 1000
 )
@@ -25,9 +25,9 @@
 	at     cf.Millis
 }
 
-// Hopeless says whether a step that is about to be accepted should be refused, and when to
-// come back. It keeps nothing of the step but when it was asked.
-func (c *Coordinator) Hopeless(sub cf.Submission) (after cf.Millis, hopeless bool) {
+// Infeasible says whether a step that is about to be accepted should be refused, and when to
+// come back. It keeps nothing of the step but when it was checked.
+func (c *Coordinator) Infeasible(sub cf.Submission) (retryAfter cf.Millis, infeasible bool) {
 	config := c.Site.Config()
 	if config == nil || c.Policy.NoRefusals {
 		return 0, false
@@ -39,27 +39,27 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := cf.Uptime()
-	if c.askedBefore(sub.ID, now) || !c.Duty.Valid() || !c.takeover.done || now-c.began < refusalRest || c.announced(sub.ID) {
+	if c.checkedRecently(sub.ID, now) || !c.Duty.Valid() || !c.takeover.done || now-c.began < refusalRest || c.announced(sub.ID) {
 		return 0, false
 	}
-	h := c.planner.Expect(sub, terms, now)
-	if !h.Hopeless {
+	est := c.planner.EstimateStep(sub, terms, now)
+	if !est.Infeasible {
 		return 0, false
 	}
-	c.Log.Info("step_hopeless", cflog.Batch(sub.ID), zap.String("model", string(sub.Model)), zap.Int("items", len(sub.Items)),
-		zap.Int64("quickest_group_ms", int64(h.Quickest)), zap.Int64("left_ms", int64(h.Left)), zap.Int64("retry_ms", int64(h.Retry)))
-	return h.Retry, true
+	c.Log.Info("step_infeasible", cflog.Batch(sub.ID), zap.String("model", string(sub.Model)), zap.Int("items", len(sub.Items)),
+		zap.Int64("quickest_group_ms", int64(est.Quickest)), zap.Int64("left_ms", int64(est.Left)), zap.Int64("retry_ms", int64(est.Retry)))
+	return est.Retry, true
 }
 
-// askedBefore notes a question of a step, and says whether there was one shortly before.
+// checkedRecently notes a check of a step, and says whether there was one shortly before.
 // c.mu is held.
-func (c *Coordinator) askedBefore(id cf.BatchID, now cf.Millis) bool {
-	if len(c.asked) >= askedMost {
-		clear(c.asked)
-		c.began = now // what was forgotten counts as asked
+func (c *Coordinator) checkedRecently(id cf.BatchID, now cf.Millis) bool {
+	if len(c.checks) >= maxChecks {
+		clear(c.checks)
+		c.began = now // what was forgotten counts as checked
 	}
-	at, known := c.asked[id]
-	c.asked[id] = now
+	at, known := c.checks[id]
+	c.checks[id] = now
 	return known && now-at < refusalRest
 }
 
--- a/io/cfcoord/refusal_test.go
+++ b/io/cfcoord/refusal_test.go
@@ -44,16 +44,16 @@
 		n++
 		id := cf.BatchID(fmt.Sprint("s", n))
 		prepare(id)
-		if _, hopeless := c.Hopeless(long(id)); hopeless != want {
-			t.Errorf("%s: refused %v", name, hopeless)
+		if _, infeasible := c.Infeasible(long(id)); infeasible != want {
+			t.Errorf("%s: refused %v", name, infeasible)
 		}
 	}
 	nothing := func(cf.BatchID) {}
 	c.began = cf.Uptime() - refusalRest
 	check("before the takeover is done", false, nothing)
 	c.takeover.done = true
-	check("a hopeless step", true, nothing)
-	check("asked shortly before", false, func(id cf.BatchID) { c.Hopeless(long(id)) })
+	check("an infeasible step", true, nothing)
+	check("asked shortly before", false, func(id cf.BatchID) { c.Infeasible(long(id)) })
 	check("announced", false, func(id cf.BatchID) { c.Prepare(long(id)) })
 	check("known", false, func(id cf.BatchID) { c.batches[id] = &state{} })
 	check("ended", false, func(id cf.BatchID) { c.history.noteOver(id) })
--- a/io/cfingress/batches.go
+++ b/io/cfingress/batches.go
@@ -46,7 +46,7 @@
 	started := cf.Uptime()
 	ctx, cancel := context.WithTimeout(ctx, submitBudget)
 	defer cancel()
-	if refusal := in.hopeless(ctx, sub, route.ResultsSLO); refusal != nil {
+	if refusal := in.infeasible(ctx, sub, route.ResultsSLO); refusal != nil {
 		in.Log.Info("batch_refused", cflog.Batch(sub.ID), zap.Int("items", len(sub.Items)), zap.Int64("after_ms", int64(refusal.After)),
 			zap.String("reason", refusal.Reason), zap.Int64("took_ms", int64(cf.Uptime()-started)))
 		in.countBatch("submit", "refused", started)
--- a/io/cfingress/ingress.go
+++ b/io/cfingress/ingress.go
@@ -48,10 +48,10 @@
 		Changed(id cf.BatchID, ended bool)
 	}
 
-	// Hope asks the coordinator whether not one group of a step that is about to be accepted
+	// Feasibility asks the coordinator whether not one group of a step that is about to be accepted
 	// could be whole in time, and when to come back.
-	Hope interface {
-		Hopeless(ctx context.Context, sub cf.Submission) (after cf.Millis, hopeless bool)
+	Feasibility interface {
+		Infeasible(ctx context.Context, sub cf.Submission) (retryAfter cf.Millis, infeasible bool)
 	}
 
 	// Members shows the instances that take callers.
@@ -65,9 +65,9 @@
 		Targets     cf.Targets
 		Site        *cfsite.Site
 		Coordinator Coordinator
-		// Hope may be nil: no step is refused as hopeless.
-		Hope    Hope
-		Members Members
+		// Feasibility may be nil: no step is refused as infeasible.
+		Feasibility Feasibility
+		Members     Members
 		// Guard decides which requests may be sent, and learns how they ended.
 		Guard *cfguard.Guard
 		// Believes tells how far this instance can rely on its configuration; nil: it
--- a/io/cfingress/refusal.go
+++ b/io/cfingress/refusal.go
@@ -12,33 +12,33 @@
 )
 
 const (
-	// hopeBudget is how long the coordinator may take to say that a step is hopeless, and
-	// hopeRead how long the store may take to say that it does not have it.
-	hopeBudget = 100 * time.Millisecond
-	hopeRead   = 400 * time.Millisecond
+	// checkTimeout is how long the coordinator may take to say that a step is infeasible, and
+	// storeReadTimeout how long the store may take to say that it does not have it.
+	checkTimeout     = 100 * time.Millisecond
+	storeReadTimeout = 400 * time.Millisecond
 )
 
-// hopeless returns a refusal of a step of which not one group could be whole in time, as the
+// infeasible returns a refusal of a step of which not one group could be whole in time, as the
 // coordinator says. Without its answer, or where the store has the batch or does not say
 // that it has not, the step is accepted.
-func (in *Ingress) hopeless(ctx context.Context, sub cf.Submission, slo cf.Millis) *cf.Refusal {
-	if slo <= 0 || in.Hope == nil {
+func (in *Ingress) infeasible(ctx context.Context, sub cf.Submission, slo cf.Millis) *cf.Refusal {
+	if slo <= 0 || in.Feasibility == nil {
 		return nil
 	}
-	asked, cancel := context.WithTimeout(ctx, hopeBudget)
-	after, hopeless := in.Hope.Hopeless(asked, withoutBodies(sub))
-	late := asked.Err() != nil
+	check, cancel := context.WithTimeout(ctx, checkTimeout)
+	retryAfter, infeasible := in.Feasibility.Infeasible(check, withoutBodies(sub))
+	late := check.Err() != nil
 	cancel()
-	if !hopeless || late {
+	if !infeasible || late {
 		return nil
 	}
-	read, cancel := context.WithTimeout(ctx, hopeRead)
+	read, cancel := context.WithTimeout(ctx, storeReadTimeout)
 	defer cancel()
 	if _, err := in.Store.Get(read, cf.KindBatch, string(sub.ID)); !errors.Is(err, cf.ErrNotFound) {
 		in.Log.Info("step_not_refused", cflog.Batch(sub.ID), zap.Bool("in_store", err == nil), cflog.Error(err))
 		return nil
 	}
-	return &cf.Refusal{After: after, Reason: "no group of the step could be whole in time"}
+	return &cf.Refusal{After: retryAfter, Reason: "no group of the step could be whole in time"}
 }
 
 // withoutBodies returns what the coordinator must know of a step to say what is to be
--- a/io/cfingress/refusal_test.go
+++ b/io/cfingress/refusal_test.go
@@ -19,15 +19,15 @@
 	// unheard takes no word of batches, as a coordinator that can't be reached.
 	unheard struct{ cfingress.Coordinator }
 
-	// hope says that each step is hopeless, at once or after the time for it.
-	hope struct{ late bool }
+	// infeasible says that no step can be whole in time, at once or after the time for it.
+	infeasible struct{ late bool }
 )
 
 func (unheard) Prepare(cf.Submission)          {}
 func (unheard) Accepted(cf.BatchID, cf.Millis) {}
 func (unheard) Changed(cf.BatchID, bool)       {}
-func (h hope) Hopeless(ctx context.Context, sub cf.Submission) (cf.Millis, bool) {
-	if h.late {
+func (f infeasible) Infeasible(ctx context.Context, sub cf.Submission) (cf.Millis, bool) {
+	if f.late {
 		<-ctx.Done()
 	}
 	return 3000, true
@@ -35,7 +35,7 @@
 
 // Guards against refused steps that the store keeps, and against refusals where the store
 // has the step or the coordinator's answer comes late.
-func TestHopelessStepIsRefusedOnlyBeforeItIsWritten(t *testing.T) {
+func TestInfeasibleStepIsRefusedOnlyBeforeItIsWritten(t *testing.T) {
 	for _, c := range []struct {
 		name          string
 		late, written bool
@@ -48,7 +48,7 @@
 			t.Fatal(err)
 		}
 		in := cfingress.New(cfingress.Options{
-			Store: store, Members: members{}, Site: site, Coordinator: unheard{}, Hope: hope{c.late}, ValueBytes: 1 << 20,
+			Store: store, Members: members{}, Site: site, Coordinator: unheard{}, Feasibility: infeasible{c.late}, ValueBytes: 1 << 20,
 			Metrics: cfingress.NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
 		})
 		ctx := context.Background()
--- a/io/cfnode/node.go
+++ b/io/cfnode/node.go
@@ -164,7 +164,7 @@
 		patience: n.leaves, outranked: n.outranked, better: n.betterHolder, state: n.dutyState,
 	}
 	n.ingress = cfingress.New(cfingress.Options{
-		Store: a.Store, Targets: a.Targets, Site: n.site, Coordinator: reader{n}, Members: n, Guard: n.guard, Hope: n.refusals(),
+		Store: a.Store, Targets: a.Targets, Site: n.site, Coordinator: reader{n}, Members: n, Guard: n.guard, Feasibility: n.refusals(),
 		Believes: n.belief, Count: n.usage.count, Rooms: newRooms(s, reg, log), NoAdmission: s.Policy.NoAdmission,
 		ValueBytes: s.Store.ValueBytes, MemoryBytes: s.Memory.LimitMB << 20,
 		IgnorePace: s.Policy.IgnorePace, Metrics: cfingress.NewMetrics(reg), Log: log,
--- a/io/cfnode/refusal.go
+++ b/io/cfnode/refusal.go
@@ -8,42 +8,42 @@
 	"currantford/io/cfingress"
 )
 
-const opHopeless = "hopeless"
+const opInfeasible = "infeasible"
 
 type (
-	hopelessCall struct {
+	infeasibleCall struct {
 		Batch cf.Submission `cbor:"batch"`
 	}
 
-	hopelessAnswer struct {
-		Hopeless bool      `cbor:"hopeless"`
-		After    cf.Millis `cbor:"after"`
+	infeasibleAnswer struct {
+		Infeasible bool      `cbor:"infeasible"`
+		RetryAfter cf.Millis `cbor:"after"`
 	}
 )
 
-// refusals answers other instances that ask whether a step is hopeless, and returns who is
+// refusals answers other instances that ask whether a step is infeasible, and returns who is
 // asked here; nil where none is refused.
-func (n *Node) refusals() cfingress.Hope {
-	n.peerSrv.Handle(opHopeless, atCoordinator(n, n.serveHopeless))
+func (n *Node) refusals() cfingress.Feasibility {
+	n.peerSrv.Handle(opInfeasible, atCoordinator(n, n.serveInfeasible))
 	if n.settings.Policy.NoRefusals || n.settings.Policy.AllGroups {
 		return nil
 	}
 	return reader{n}
 }
 
-// Hopeless implements cfingress.Hope.
-func (r reader) Hopeless(ctx context.Context, sub cf.Submission) (cf.Millis, bool) {
+// Infeasible implements cfingress.Feasibility.
+func (r reader) Infeasible(ctx context.Context, sub cf.Submission) (cf.Millis, bool) {
 	if c := r.n.coord.Load(); c != nil {
-		return c.Hopeless(sub)
+		return c.Infeasible(sub)
 	}
-	var a hopelessAnswer
-	if err := r.n.ask(ctx, opHopeless, tellTimeout, hopelessCall{sub}, &a); err != nil {
+	var a infeasibleAnswer
+	if err := r.n.ask(ctx, opInfeasible, tellTimeout, infeasibleCall{sub}, &a); err != nil {
 		return 0, false // the step is accepted as without the question
 	}
-	return a.After, a.Hopeless
+	return a.RetryAfter, a.Infeasible
 }
 
-func (n *Node) serveHopeless(_ context.Context, c *cfcoord.Coordinator, call hopelessCall) (any, error) {
-	after, hopeless := c.Hopeless(call.Batch)
-	return hopelessAnswer{hopeless, after}, nil
+func (n *Node) serveInfeasible(_ context.Context, c *cfcoord.Coordinator, call infeasibleCall) (any, error) {
+	retryAfter, infeasible := c.Infeasible(call.Batch)
+	return infeasibleAnswer{infeasible, retryAfter}, nil
 }
