--- a/core/cfrollout/planner.go
+++ b/core/cfrollout/planner.go
@@ -425,53 +425,6 @@
 	return stop
 }
 
-// carryMost bounds the texts kept for a later step.
-const carryMost = 2000
-
-// Keep stores the text of an item that is not listed for a later batch with the
-// item.
-func (p *Planner) Keep(w *Work) {
-	if w.Text.Last == 0 {
-		return
-	}
-	if len(p.carry) >= carryMost {
-		clear(p.carry)
-	}
-	p.carry[w.Item.ID] = w
-}
-
-// Texts returns what has been generated of items that are not listed. It is
-// called when no item runs any more.
-func (p *Planner) Texts() map[cf.ItemID]Text {
-	out := map[cf.ItemID]Text{}
-	add := func(w *Work) {
-		if w.Text.Last > 0 {
-			out[w.Item.ID] = w.Text
-		}
-	}
-	for _, w := range p.carry {
-		add(w)
-	}
-	for _, o := range p.batches {
-		for _, w := range o.waiting {
-			add(w)
-		}
-	}
-	p.eachRunning(add)
-	return out
-}
-
-// Adopt takes the texts of a planner before, for batches added from now on; of
-// each the longer one is kept.
-func (p *Planner) Adopt(texts map[cf.ItemID]Text) {
-	for id, t := range texts {
-		if old := p.carry[id]; !t.FromStart() || old != nil && old.Text.Last >= t.Last {
-			continue
-		}
-		p.carry[id] = &Work{Item: cf.Item{ID: id}, Text: t.Clone()}
-	}
-}
-
 // Busy says whether any work waits or runs.
 func (p *Planner) Busy() bool {
 	for _, o := range p.batches {
