--- a/core/cfrollout/goodput.go
+++ b/core/cfrollout/goodput.go
@@ -19,18 +19,17 @@
 	// selectFrom is by how much a step must be expected to end after its due time, as a
 	// part of the time that it was given, until some of its groups are put off for others.
 	// Before, all that its trainer waits for is worked on, longest texts first: the step
-	// ends some 0.5 s sooner, and the next begins. Replayed at 1.5 to 3 times the usual
-	// lengths, 0, 0.08 and 0.17 are worth the same within some 5%, and at just the capacity
-	// 0.17 has a seventh fewer groups in time than 0.08.
+	// ends some 0.5 s sooner, and the next begins. At twice as much, a seventh fewer groups
+	// are in time at just the capacity.
 	selectFrom = 0.08
 	// longestMemory is what is kept of the longest text at each one that ends.
 	longestMemory = 0.9995
 	// longestFrom is from how many texts on the longest one bounds others: those of a step
 	// that end first are its shortest.
 	longestFrom = 60
-	// trust is the part of the time left that is filled with selected groups: what a step has
-	// left is known within some 10%, and its last slots are not all full.
-	trust = 0.9
+	// fillFactor is the part of the time left that is filled with selected groups: what a step
+	// has left is known within some 10%, and its last slots are not all full.
+	fillFactor = 0.9
 	// usualLoad is what a load of weights is taken to last until one has shown it, in ms.
 	usualLoad = 1000
 )
@@ -162,7 +161,7 @@
 	}
 	for i := range n.groups {
 		g := &n.groups[i]
-		if g.class < groupLast || class == groupLast && g.class != class || chosen >= n.want || g.longest > until && !n.first(*g) || (before+g.work)/n.slots > trust*until {
+		if g.class < groupLast || class == groupLast && g.class != class || chosen >= n.want || g.longest > until && !n.first(*g) || (before+g.work)/n.slots > fillFactor*until {
 			continue
 		}
 		g.class = class
