--- a/core/cfrollout/pace.go
+++ b/core/cfrollout/pace.go
@@ -104,13 +104,13 @@
 // observe updates the engines' pace from their runs.
 func (p *Planner) observe(now cf.Millis) {
 	sum, count := map[*Engine]float64{}, map[*Engine]float64{}
-	shown := p.shownNow(now)
+	shown := p.newPaceSamples(now)
 	p.eachRunning(func(w *Work) {
 		e := p.at(w)
 		if e == nil {
 			return
 		}
-		shown.take(w, e)
+		shown.add(w, e)
 		if pace, ok := w.Progress.pace(now); ok {
 			sum[e] += pace
 			count[e]++
--- a/core/cfrollout/periods.go
+++ b/core/cfrollout/periods.go
@@ -70,8 +70,8 @@
 		MoveCost float64
 	}
 
-	// shownNow is what the events of the engines' runs show at a moment.
-	shownNow struct {
+	// paceSamples is what the events of the engines' runs show at a moment.
+	paceSamples struct {
 		now     cf.Millis
 		planner *Planner
 		engines map[*Engine]*enginePace
@@ -126,12 +126,12 @@
 // before is when the event before the latest was noted.
 func (p *Progress) before() cf.Millis { return cf.Millis(p.last.Load() - p.latest.Load()/1000) }
 
-func (p *Planner) shownNow(now cf.Millis) *shownNow {
-	return &shownNow{now: now, planner: p, engines: map[*Engine]*enginePace{}}
+func (p *Planner) newPaceSamples(now cf.Millis) *paceSamples {
+	return &paceSamples{now: now, planner: p, engines: map[*Engine]*enginePace{}}
 }
 
-// take takes what a run shows of its engine.
-func (s *shownNow) take(w *Work, e *Engine) {
+// add adds what a run shows of its engine.
+func (s *paceSamples) add(w *Work, e *Engine) {
 	if first := cf.Millis(w.Progress.first.Load()); w.movedAt > 0 && w.Started >= w.movedAt && first > 0 {
 		s.planner.moveCost.Note(float64(first-w.movedAt) - s.planner.expected(e, s.planner.typical()))
 		w.movedAt = 0
@@ -157,7 +157,7 @@
 // notePeriods takes the paces of a moment, of each engine the median of its runs'. If most
 // engines look slow, it is more likely that their events came late here, or that their lasting
 // paces are wrong: no period goes on.
-func (p *Planner) notePeriods(s *shownNow) {
+func (p *Planner) notePeriods(s *paceSamples) {
 	usual := p.usualNow()
 	slow := 0
 	for e, x := range s.engines {
--- a/core/cfrollout/refusal.go
+++ b/core/cfrollout/refusal.go
@@ -12,7 +12,7 @@
 	// to be: lengths are known within a factor of 1.6, and a step that fits must never be
 	// refused.
 	infeasibleFactor = 2
-	// retryLeast and retryMost bound when the submitter of a infeasible step should come back.
+	// retryLeast and retryMost bound when the submitter of an infeasible step should come back.
 	retryLeast cf.Millis = 2500
 	retryMost  cf.Millis = 10_000
 )
