cfrollout: a test asks for the stated part of the bound, and is listed as failing

Cause: the bounds of TestGroupsInTimeAgainstABound at 1 to 3 times the capacity are those that are reached, 0.78 to 0.8, not the 0.9 that is asked. Change: TestGroupsInTimeReachTheStatedPart asks for 0.9 at each load. The other test stays as it was, as a guard against falling back.

--- a/core/cfrollout/goodput_test.go
+++ b/core/cfrollout/goodput_test.go
@@ -37,32 +37,49 @@
 	return sum, each
 }
 
+// partInTime returns the groups in time at a load, a multiple of the capacity, as a part of a
+// bound that knows the true lengths, fills all slots from the first moment on and loads no
+// weights.
+func partInTime(load float64) float64 {
+	inTime, best := 0, 0
+	for seed := range uint64(2) {
+		n := int(math.Round(38 * load))
+		o := overloaded(seed)
+		o.Engines.Count = 4
+		o.Trainers = []cfreplay.Trainer{{Model: "a", Events: 14, Longest: 98, Least: n, Most: n, Size: 8, Want: 0.9, Every: 4000, Train: 750}}
+		r := cfreplay.New(o)
+		r.Run(20_000) // lengths are not known before
+		before := r.Outcomes()[0]
+		r.Run(20_000 + replayed)
+		inTime += r.Outcomes()[0].InTime - before.InTime
+		best += r.Outcomes()[0].Best - before.Best
+	}
+	return float64(inTime) / float64(best)
+}
+
 // Guards against steps beyond capacity that end late in nearly all groups: at 1.5 times
-// and more, work on all groups at once has none in time. The bound knows the true
-// lengths, fills all slots from the first moment on and loads no weights; the least parts
-// of it are a little under those measured.
+// and more, work on all groups at once has none in time. The stated part is asked by
+// TestGroupsInTimeReachTheStatedPart; this one keeps what is reached.
 func TestGroupsInTimeAgainstABound(t *testing.T) {
 	for _, c := range []struct{ load, least float64 }{{0.8, 0.95}, {1, 0.8}, {1.5, 0.8}, {2, 0.78}, {3, 0.78}} {
-		inTime, best := 0, 0
-		for seed := range uint64(2) {
-			n := int(math.Round(38 * c.load))
-			o := overloaded(seed)
-			o.Engines.Count = 4
-			o.Trainers = []cfreplay.Trainer{{Model: "a", Events: 14, Longest: 98, Least: n, Most: n, Size: 8, Want: 0.9, Every: 4000, Train: 750}}
-			r := cfreplay.New(o)
-			r.Run(20_000) // lengths are not known before
-			before := r.Outcomes()[0]
-			r.Run(20_000 + replayed)
-			inTime += r.Outcomes()[0].InTime - before.InTime
-			best += r.Outcomes()[0].Best - before.Best
-		}
-		t.Logf("at %.1f times the capacity %.3f of the bound is in time", c.load, float64(inTime)/float64(best))
-		if part := float64(inTime) / float64(best); part < c.least {
+		part := partInTime(c.load)
+		t.Logf("at %.1f times the capacity %.3f of the bound is in time", c.load, part)
+		if part < c.least {
 			t.Errorf("at %.1f times the capacity %.3f of the bound is in time, want %.2f", c.load, part, c.least)
 		}
 	}
 }
 
+// Guards against a selection that leaves more than a tenth of what is possible undone, at
+// any load.
+func TestGroupsInTimeReachTheStatedPart(t *testing.T) {
+	for _, load := range []float64{0.8, 1, 1.5, 2, 3} {
+		if part := partInTime(load); part < 0.9 {
+			t.Errorf("at %.1f times the capacity %.3f of the bound is in time, want 0.9", load, part)
+		}
+	}
+}
+
 // Guards against a closed loop of trainers in which each step ends at the trainers'
 // time-out, and against one trainer that pays for the others.
 func TestTrainersGoOnBeyondCapacity(t *testing.T) {
