Count engines in service once, where orders are decided

Cause: the planner counted the engines in service by pool at each look of the autoscaling duty, and the coordinator, under its lock, cleared that and counted the instance list instead, which has those without known weights too. Change: the count is a field of cfscale.Demand and made by the coordinator alone. The two tests of a resumed stream that is broken off share their target; their expectations are as they were. No change of behaviour. Ruled out: sharing the duty's life cycle with cfmeter, the explorations' worlds and the keepers' steps with cfusage; these are alike in shape only.

--- a/core/cfrollout/demand.go
+++ b/core/cfrollout/demand.go
@@ -16,11 +16,9 @@
 		Pace  float64
 		// Models are how many models it serves.
 		Models int
-		// Engines counts those in service by pool; one that drains is gone.
-		Engines map[cf.EnginePool]int
 		// Reclaimed counts those that the platform takes back and that have not left yet.
 		Reclaimed map[cf.EnginePool]int
-		// Loading counts those of them that load weights.
+		// Loading counts the engines in service that load weights.
 		Loading int
 		Steps   []StepDemand
 	}
@@ -45,20 +43,18 @@
 
 // Demand returns what the open steps of a service ask for.
 func (p *Planner) Demand(service cf.ServiceName) Demand {
-	d := Demand{Service: service, Models: len(p.models[service]), Engines: map[cf.EnginePool]int{}, Reclaimed: map[cf.EnginePool]int{}}
+	d := Demand{Service: service, Models: len(p.models[service]), Reclaimed: map[cf.EnginePool]int{}}
 	var paces []float64
 	for _, e := range p.engines {
 		if e.Service != service {
 			continue
 		}
-		pool := cf.EnginePool{Service: service, Domain: e.Domain, Spot: e.Spot}
 		if e.Draining {
 			if e.Spot && e.Leaves > 0 {
-				d.Reclaimed[pool]++
+				d.Reclaimed[cf.EnginePool{Service: service, Domain: e.Domain, Spot: true}]++
 			}
 			continue
 		}
-		d.Engines[pool]++
 		d.Slots = max(d.Slots, e.Slots)
 		if e.loading > 0 {
 			d.Loading++
--- a/core/cfscale/decider_test.go
+++ b/core/cfscale/decider_test.go
@@ -16,7 +16,7 @@
 // asking is the demand of so many steps, each of which needs some 15 engines, before so many
 // firm engines in each failure domain.
 func asking(steps int, due cf.Millis, engines ...int) cfscale.Demand {
-	d := cfscale.Demand{Demand: cfrollout.Demand{Service: "s", Slots: 6, Pace: 50, Engines: map[cf.EnginePool]int{}}}
+	d := cfscale.Demand{Demand: cfrollout.Demand{Service: "s", Slots: 6, Pace: 50}, Engines: map[cf.EnginePool]int{}}
 	for i, n := range engines {
 		if n > 0 {
 			d.Engines[pool(replayDomains[i], false)] = n
--- a/core/cfscale/need.go
+++ b/core/cfscale/need.go
@@ -35,6 +35,9 @@
 	// Demand is what the open steps of a service ask of its engines.
 	Demand struct {
 		cfrollout.Demand
+		// Engines counts those in service by pool, also those that have not told their
+		// weights yet, as the platform does; one that drains is gone.
+		Engines map[cf.EnginePool]int
 		// Open are its steps, with their times.
 		Open []OpenStep
 	}
--- a/core/cfscale/replay_test.go
+++ b/core/cfscale/replay_test.go
@@ -193,9 +193,10 @@
 }
 
 func (r *replay) demand() cfscale.Demand {
-	d := cfscale.Demand{Demand: cfrollout.Demand{
-		Service: "s", Models: 4, Slots: replaySlots, Pace: 52, Engines: map[cf.EnginePool]int{}, Reclaimed: map[cf.EnginePool]int{},
-	}}
+	d := cfscale.Demand{
+		Demand:  cfrollout.Demand{Service: "s", Models: 4, Slots: replaySlots, Pace: 52, Reclaimed: map[cf.EnginePool]int{}},
+		Engines: map[cf.EnginePool]int{},
+	}
 	running := map[*replayStep][]*replayItem{}
 	for _, e := range r.engines {
 		switch {
--- a/io/cfcoord/demand.go
+++ b/io/cfcoord/demand.go
@@ -14,9 +14,7 @@
 	if config == nil || !c.takeover.done {
 		return cfscale.Demand{}, false
 	}
-	d := cfscale.Demand{Demand: c.planner.Demand(service)}
-	// The platform counts engines too that have not told their weights yet.
-	clear(d.Engines)
+	d := cfscale.Demand{Demand: c.planner.Demand(service), Engines: map[cf.EnginePool]int{}}
 	for _, t := range c.Site.Usable(service) {
 		d.Engines[cf.EnginePool{Service: service, Domain: t.Domain, Spot: t.Spot}]++
 	}
--- a/io/cfingress/stream_test.go
+++ b/io/cfingress/stream_test.go
@@ -53,15 +53,13 @@
 	}
 }
 
-// Symptom: a stream ends as complete with a failure's text in the midst of its
-// events.
-// Sequence: a stream breaks off after event 2; the target asked to resume it
-// answers that it knows no such path.
-// Cause: the failure was passed on to a caller whose answer had begun.
-func TestFailureAfterTheStreamBeganBreaksItOff(t *testing.T) {
+// wantBrokenOff plays a stream that breaks off after event 2, and whose second target answers
+// as given: the caller must see it broken off after those events.
+func wantBrokenOff(t *testing.T, resumed cf.TargetAnswer, resumeErr error) {
+	t.Helper()
 	to := targets{stream: func(_ cf.Target, call cf.TargetCall, sink cf.StreamSink) (cf.TargetAnswer, error) {
 		if call.ResumeAfter > 0 {
-			return cf.TargetAnswer{Status: http.StatusNotFound, Header: http.Header{}, Body: []byte("nothing here")}, nil
+			return resumed, resumeErr
 		}
 		answer, err := startStream(sink)
 		if err == nil {
@@ -79,6 +77,15 @@
 	}
 }
 
+// Symptom: a stream ends as complete with a failure's text in the midst of its
+// events.
+// Sequence: a stream breaks off after event 2; the target asked to resume it
+// answers that it knows no such path.
+// Cause: the failure was passed on to a caller whose answer had begun.
+func TestFailureAfterTheStreamBeganBreaksItOff(t *testing.T) {
+	wantBrokenOff(t, cf.TargetAnswer{Status: http.StatusNotFound, Header: http.Header{}, Body: []byte("nothing here")}, nil)
+}
+
 // deaf is an answer to a caller that takes no more than its beginning.
 type deaf struct{ *httptest.ResponseRecorder }
 
@@ -110,24 +117,7 @@
 // Guards against a resumed stream that looks complete, with an error's text among its
 // events, after the answer of its second target found no room.
 func TestResumedStreamWithoutRoomIsBrokenOff(t *testing.T) {
-	to := targets{stream: func(_ cf.Target, call cf.TargetCall, sink cf.StreamSink) (cf.TargetAnswer, error) {
-		if call.ResumeAfter > 0 {
-			return cf.TargetAnswer{Status: http.StatusNotFound, Header: http.Header{}}, eris.Wrap(cf.ErrNoRoom, "an answer of 64 MB")
-		}
-		answer, err := startStream(sink)
-		if err == nil {
-			err = events(sink, 1, 2)
-		}
-		if err == nil {
-			err = eris.Wrap(cf.ErrBadAnswer, "broken off")
-		}
-		return answer, err
-	}}
-	in := newIngress(t, to, resumable, "a", "b")
-	w, broken := ask(in, cf.Request{ID: "r"})
-	if want := "id: 1\n\nid: 2\n\n"; !broken || w.Body.String() != want {
-		t.Errorf("broken %t, events %q, want them broken off after %q", broken, w.Body, want)
-	}
+	wantBrokenOff(t, cf.TargetAnswer{Status: http.StatusNotFound, Header: http.Header{}}, eris.Wrap(cf.ErrNoRoom, "an answer of 64 MB"))
 }
 
 // Guards against a target that counts as failing because callers leave their streams
