systemtest: each test process has a loopback address of its own

What was seen: of four processes of the system tests at once (five tests each, three times, nothing else on the machine), three failed: "no coordinator in 40s" twice, "no entry-0 ready", "no entries that know of each other".

Cause: every test process hands out ports from 21001 on at 127.0.0.1. It tries a port and closes it before an entry listens there, and an entry that was killed leaves its port free until it is started again, so two processes give the same port to entries of different sites. Evidence: "bind: address already in use" in the logs of all four failures, and a test then speaks to the entry of another site, which answers for its own one.

Change: a test process listens at 127.0.1.N, port 21000, for as long as it lives, and its entries and links have the other ports of that address. Links before targets that crash get such a port too: one of the system's own range could be taken by an outgoing connection while the target is down.

--- a/systemtest/proxy_test.go
+++ b/systemtest/proxy_test.go
@@ -36,11 +36,10 @@
 // newProxy starts a link to a server; a test's end closes it.
 func newProxy(t *testing.T, server string) *proxy {
 	t.Helper()
-	p := &proxy{address: "127.0.0.1:0", server: server, healed: make(chan struct{}), conns: map[*net.TCPConn]bool{}}
+	p := &proxy{address: freeAddr(t), server: server, healed: make(chan struct{}), conns: map[*net.TCPConn]bool{}}
 	if err := p.listen(); err != nil {
 		t.Fatal(err)
 	}
-	p.address = p.ln.Addr().String()
 	t.Cleanup(func() {
 		p.power(false)
 		p.mu.Lock()
@@ -84,7 +83,7 @@
 	p.mu.Unlock()
 	switch {
 	case on && ln == nil && !closed:
-		_ = p.listen() // another process may have taken the port: the target stays gone
+		_ = p.listen() // the port is the proxy's own
 	case !on && ln != nil:
 		_ = ln.Close()
 		p.mu.Lock()
--- a/systemtest/site_test.go
+++ b/systemtest/site_test.go
@@ -17,6 +17,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -174,10 +175,28 @@
 
 const firstPort = 21000
 
+// ownHost returns a loopback address that no other test process uses while this one lives:
+// it listens there, on a port that is given to nobody. Entries of two test processes would
+// otherwise listen on each other's ports, and instances that are down be taken for others.
+var ownHost = sync.OnceValue(func() string {
+	for n := 1; n < 255; n++ {
+		host := fmt.Sprintf("127.0.1.%d", n)
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", host, firstPort))
+		if err == nil {
+			claim = l
+			return host
+		}
+	}
+	return "127.0.0.1"
+})
+
+// claim keeps ownHost: a listener that nothing refers to is closed by the garbage collector.
+var claim net.Listener
+
 func freeAddr(t *testing.T) string {
 	t.Helper()
 	for range 1000 {
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1))
+		addr := fmt.Sprintf("%s:%d", ownHost(), firstPort+nextPort.Add(1))
 		if listens(addr) {
 			return addr
 		}
