cfcoord: a step waits for the end of the one whose items it asks for

What callers saw: groups that a trainer asks for again in its next step were generated and scored anew, though their texts were complete (TestCompleteTextsAreCarriedToTheNextStep: "item b1-1-3 reached engines 2 times", all eight items).

Cause, from the log of a failing run (4 processes of the system tests at once):

897.156 batch_end_taken b1 the store has taken the end 898.023 batch_accepted b2 901.597 batch_opened b2 ready=0 906.460 batch_ended b1 by the watch of batches

An instance's word of an acceptance opens a step at once, while an end is known only when the watch brings it. Where the watch is some milliseconds late the step begins before the texts of the one before are handed on. While runs of it are under way, the same item runs at two engines.

Change: a step that holds items of an open one waits for its end, and the store is asked for it at once; if the store says that it has not ended both go on, and after a second without an answer the step begins (cfbatch.Succession). The same fault elsewhere: the text of a run that is stopped with its step was kept only once the run had ended; it is kept at once now.

--- a/core/cfrollout/planner.go
+++ b/core/cfrollout/planner.go
@@ -418,6 +418,7 @@
 		// The next step asks for newer weights than this one did.
 		if w.Oldest <= o.batch.Sub.MinVersion {
 			stop = append(stop, w)
+			p.keepStopped(w)
 			continue
 		}
 		p.orphans[w.Item.ID] = w
--- a/core/cfrollout/planner_test.go
+++ b/core/cfrollout/planner_test.go
@@ -282,6 +282,27 @@
 	}
 }
 
+// Guards against: a text generated anew because its run, which was stopped with its batch, has
+// not ended when the next batch asks for it.
+func TestStoppedRunIsGoneOnWithAtOnce(t *testing.T) {
+	p := cfrollout.New(cfrollout.DefaultLimits)
+	p.SetEngines(fleet(1, cf.ModelState{Name: "a", Version: 1}), models("a"))
+	b := step("s", "a", 1, 1, 1)
+	p.AddBatch(b, terms)
+	w := p.Place(0)[0]
+	generate(t, w, 0, 400, 40)
+	if stopped := p.EndBatch("s"); len(stopped) != 1 {
+		t.Fatalf("%d runs stopped, want 1", len(stopped))
+	}
+	sub := b.Sub
+	sub.ID = "t"
+	p.AddBatch(cfbatch.New(sub), terms)
+	if again := p.Place(410); len(again) != 1 || again[0].Text.Last != 11 {
+		t.Errorf("the text does not go on: %+v", again)
+	}
+	p.Finished(w, cfrollout.OutcomeStopped, 500)
+}
+
 // Text made by weights that are too old for the next step is thrown away.
 func TestStaleTextIsNotReused(t *testing.T) {
 	p := cfrollout.New(cfrollout.DefaultLimits)
--- a/core/cfrollout/text.go
+++ b/core/cfrollout/text.go
@@ -90,6 +90,15 @@
 	p.carry[w.Item.ID] = w
 }
 
+// keepStopped keeps what a run has made so far that is being stopped: a later batch may ask
+// for its item before the run's end is known.
+func (p *Planner) keepStopped(w *Work) {
+	w.Mu.Lock()
+	text := w.Text.Clone()
+	w.Mu.Unlock()
+	p.Keep(&Work{Batch: w.Batch, Item: w.Item, Text: text})
+}
+
 // Texts returns what has been generated of items that are not listed. It is
 // called when no item runs any more.
 func (p *Planner) Texts() map[cf.ItemID]Text {
--- a/io/cfcoord/batches.go
+++ b/io/cfcoord/batches.go
@@ -185,6 +185,43 @@
 	}
 }
 
+// mayBegin says whether a batch may begin now, or waits for the end of another that holds
+// items of it. c.mu is held.
+func (c *Coordinator) mayBegin(st *state) bool {
+	var holders []cf.BatchID
+	for id, other := range c.batches {
+		if other != st && other.added && !other.batch.Ended && other.batch.Sub.Model == st.batch.Sub.Model && st.batch.Shares(other.batch) {
+			holders = append(holders, id)
+		}
+	}
+	begin, ask := st.succession.Next(holders, cf.Uptime())
+	for _, id := range ask {
+		c.Log.Info("batch_waits_for_end", cflog.Batch(st.batch.Sub.ID), zap.String("of", string(id)))
+		c.wg.Go(func() { c.checkEnd(st, id) })
+	}
+	return begin
+}
+
+// checkEnd asks the store whether a batch has ended that another one waits for.
+func (c *Coordinator) checkEnd(st *state, id cf.BatchID) {
+	for {
+		r, err := c.Store.Get(c.ctx, cf.KindBatch, string(id))
+		if err == nil {
+			err = c.takeBatch(r)
+		}
+		c.mu.Lock()
+		over := st.added || st.batch.Ended
+		if err == nil && !cfbatch.Ended(r) {
+			st.succession.Open(id)
+		}
+		c.mu.Unlock()
+		c.Kick()
+		if err == nil || over || !c.pause(readRetry) {
+			return
+		}
+	}
+}
+
 // endBatch stops what an ended batch has under way. c.mu is held.
 func (c *Coordinator) endBatch(st *state) {
 	if st.batch.Ended {
--- a/io/cfcoord/coordinator.go
+++ b/io/cfcoord/coordinator.go
@@ -166,6 +166,8 @@
 		pending cfbatch.Pending
 		changed chan struct{} // closed when a result was listed
 		added   bool          // the planner has it
+		// succession is what it waits for before the planner has it.
+		succession cfbatch.Succession
 		// inherited: a coordinator before may have a chunk of it under way.
 		inherited bool
 		loadedAt  cf.Millis
@@ -448,6 +450,9 @@
 	if !ok {
 		return // its route is not there, now or yet
 	}
+	if !c.mayBegin(st) {
+		return
+	}
 	st.added = true
 	c.noteDeadline(st, terms)
 	for _, it := range sub.Items {
