cfguard: a target that still takes connections is asked twice

What callers saw: a request that crashes targets crashed a fourth one before it was held (TestCrashingItemsAreHeld: "4 targets crashed under "crash item", want 3").

Cause: a target that gave no answer is checked by one new connection, at once. One whose process is ending may still take it: its sockets are not closed all at once, and a child process that it has just started holds the listener until it has replaced its program. The check took it for alive, so its crash counted only when the instance list showed it as gone, 0.4 s later, and one more send passed meanwhile.

Change: a target that took the connection is asked again 100 ms later before it counts as alive; sends that wait for the check wait so much longer.

TestTargetThatIsEnding- IsNotTakenForAlive fails without the change ("0 strikes").

--- a/io/cfguard/guard.go
+++ b/io/cfguard/guard.go
@@ -34,6 +34,10 @@
 	// then at another instance; the longest round trip between failure domains takes
 	// 16 ms.
 	checkTimeout = 300 * time.Millisecond
+	// endingFor is how long a target may still take connections after those that it had have
+	// ended: the sockets of a process are not closed all at once, and one that it has just
+	// started holds its listener until it has replaced its program.
+	endingFor = 100 * time.Millisecond
 	// sweepEvery is how often Sweep looks through what is known.
 	sweepEvery cf.Millis = 500
 )
@@ -205,6 +209,9 @@
 	for g.ctx.Err() == nil {
 		asked := cf.Uptime()
 		loss, err := g.lossOf(target)
+		if loss == "" && cf.Sleep(g.ctx, endingFor) {
+			loss, err = g.lossOf(target)
+		}
 		if g.ctx.Err() != nil {
 			return
 		}
--- a/io/cfguard/guard_test.go
+++ b/io/cfguard/guard_test.go
@@ -21,6 +21,8 @@
 		mu     sync.Mutex
 		reach  error
 		checks int
+		// ending is how many connections the target takes before reach holds.
+		ending int
 	}
 
 	// listed shows targets as the instance list does.
@@ -31,6 +33,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.checks++
+	if t.checks <= t.ending {
+		return nil
+	}
 	return t.reach
 }
 
@@ -111,6 +116,29 @@
 	return len(g.checking) > 0
 }
 
+// Guards against: a fourth target crashed by a request, because the check of the one before was
+// made while its process was ending and still took connections.
+func TestTargetThatIsEndingIsNotTakenForAlive(t *testing.T) {
+	g := New(Options{
+		Self: "e", Targets: &targets{reach: cf.ErrNoProcess, ending: 1}, Site: listed{"t": {ID: "t"}}, Share: func([]cfquarantine.Strike) {},
+		Witness: func(context.Context, cf.Target) bool { return false },
+		Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
+	})
+	defer g.Close()
+	g.Inform("store", nil)
+	key := cfquarantine.KeyOf("POST", "h", "/", "caller", []byte("x"))
+	g.Admit(key, cf.Target{ID: "t"})
+	g.Lost("r", key, cf.Target{ID: "t"}, true)
+	for deadline := time.Now().Add(20 * time.Second); g.busy(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the check does not end")
+		}
+	}
+	if strikes := g.Table.Foremost(0, 8, cf.Uptime()); len(strikes) != 1 {
+		t.Errorf("%d strikes of a target that has ended", len(strikes))
+	}
+}
+
 // Many requests that one target loses at once cost it one check.
 func TestLossesOfOneMomentShareACheck(t *testing.T) {
 	to := &targets{reach: cf.ErrNoProcess}
