systemtest: a target that crashes refuses connections before its connections end

A process that another test starts holds the listener that a link has closed until it has replaced its program, so a target that had crashed could still be connected to. The link now waits until its address refuses connections, as that of a process that has ended.

--- a/systemtest/proxy_test.go
+++ b/systemtest/proxy_test.go
@@ -86,6 +86,7 @@
 		_ = p.listen() // the port is the proxy's own
 	case !on && ln != nil:
 		_ = ln.Close()
+		p.awaitRefusal()
 		p.mu.Lock()
 		p.ln = nil
 		for c := range p.conns {
@@ -95,6 +96,19 @@
 	}
 }
 
+// awaitRefusal waits until the address takes no connections. A process that another test
+// starts holds the listener that was closed until it has replaced its program, and a target
+// would seem to outlive its connections meanwhile.
+func (p *proxy) awaitRefusal() {
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		c, err := net.Dial("tcp", p.address)
+		if err != nil {
+			return
+		}
+		_ = c.Close()
+	}
+}
+
 // set replaces the faults.
 func (p *proxy) set(f linkFaults) {
 	p.mu.Lock()
