cfnode: a new coordinator drops adopted instances whose addresses refuse connections

What callers saw: the directory names an instance that ended seconds ago (TestDirectoryForgetsTheDeadWhenTheDutyReturns: "the dead instance is named again", once, beside load).

Cause: a coordinator that takes over adopts the list that it was told, and counts all in it as just heard of, as each needs time to report. One that had not heard that an instance was dropped lists it anew for 1.5 s and tells the others; one that takes over from it adopts it once more. In the listed test the second coordinator is frozen at most 20 ms after it has dropped the dead one, so the first one may not know, and whether the second hears the first one's list depends on the time between two signals, which is long on a busy machine.

Evidence: the same sequence with the first coordinator frozen while the dead one is dropped, and 700 ms between the two signals, fails each time: named until 7.6 s after its end.

Change: a new coordinator asks all instances for texts, and tells its neighbours that it has the duty. Where an address refuses these calls and the instance has not reported since it was adopted, it is dropped at once. No call is added.

--- a/core/cfmember/membership.go
+++ b/core/cfmember/membership.go
@@ -146,6 +146,13 @@
 	return m.table.Vouched(e.ID, *g, now)
 }
 
+// Refused takes the word that no process takes connections at an address for instances.
+func (m *Membership) Refused(peers string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.Refused(peers)
+}
+
 // Asked takes the report of an instance that asks this one, as its hub.
 func (m *Membership) Asked(e Entry, now cf.Millis) {
 	m.mu.Lock()
--- a/core/cfmember/table.go
+++ b/core/cfmember/table.go
@@ -53,6 +53,8 @@
 		// report here.
 		said cf.Millis
 		by   cf.EntryID
+		// adopted: it has not reported since it was adopted.
+		adopted bool
 	}
 
 	// Group is what a hub tells of the instances that ask it. Entries are left out where
@@ -78,7 +80,7 @@
 	if known && e.Age < old.entry.Age {
 		t.restarts++
 	}
-	t.heard[e.ID] = heard{e, now, now, by}
+	t.heard[e.ID] = heard{entry: e, at: now, said: now, by: by}
 	if !known || !sameButAge(old.entry, e) {
 		t.stale = 0
 	}
@@ -92,7 +94,7 @@
 	case g.Sum == known.Sum:
 		for _, e := range known.Entries {
 			if h, alive := t.heard[e.ID]; alive {
-				h.at = max(h.at, now)
+				h.at, h.adopted = max(h.at, now), false
 				t.heard[e.ID] = h
 			} else {
 				t.note(e, hub, now)
@@ -130,6 +132,21 @@
 func (t *Table) Adopt(entries []Entry, now cf.Millis) {
 	for _, e := range entries {
 		t.Heard(e, now)
+		h := t.heard[e.ID]
+		h.adopted = true
+		t.heard[e.ID] = h
+	}
+}
+
+// Refused takes the word that no process takes connections at an address for instances. One
+// that was adopted and has not reported since has ended before: without that it would be
+// listed for as long as one that has just reported, and anew by each coordinator.
+func (t *Table) Refused(peers string) {
+	for id, h := range t.heard {
+		if h.adopted && h.entry.Peers == peers {
+			delete(t.heard, id)
+			t.stale = 0
+		}
 	}
 }
 
--- a/core/cfmember/table_test.go
+++ b/core/cfmember/table_test.go
@@ -36,6 +36,21 @@
 	}
 }
 
+// Guards against: callers sent to an instance that has ended, by a coordinator that adopted it
+// from a list of before.
+func TestAdoptedInstanceThatHasEndedDropsOut(t *testing.T) {
+	var table cfmember.Table
+	table.Heard(cfmember.Entry{ID: "a", Peers: "1", Ready: true}, 0)
+	table.Adopt([]cfmember.Entry{{ID: "a", Peers: "1", Ready: true}, {ID: "b", Peers: "2", Ready: true}, {ID: "c", Peers: "3", Ready: true}}, 1000)
+	table.Heard(cfmember.Entry{ID: "c", Peers: "3", Ready: true}, 1010)
+	for _, peers := range []string{"2", "3", "4"} {
+		table.Refused(peers)
+	}
+	if live := table.Live(1020); len(live) != 2 || live[0].ID != "a" || live[1].ID != "c" {
+		t.Errorf("live: %v, want those that were not refused, or have reported since", live)
+	}
+}
+
 func TestNearestFirst(t *testing.T) {
 	entries := []cfmember.Entry{{Addr: "1", Domain: "x"}, {Addr: "2", Domain: "y"}, {Addr: "3", Domain: "y"}}
 	got := cfmember.Nearest(entries, "y", 2)
--- a/io/cfnode/announce.go
+++ b/io/cfnode/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -69,11 +70,20 @@
 			var ok bool
 			if err := n.peers.Call(ctx, e.Peers, opHolder, m, &ok); err != nil {
 				n.log.Info("holder_not_told", zap.String("entry", string(e.ID)), cflog.Error(err))
+				n.noteRefused(e.Peers, err)
 			}
 		})
 	}
 }
 
+// noteRefused takes an instance whose address refuses connections from the list that a new
+// coordinator has adopted.
+func (n *Node) noteRefused(peers string, err error) {
+	if errors.Is(err, cf.ErrNoProcess) {
+		n.members.Refused(peers)
+	}
+}
+
 // serveAskHolder tells another instance what this one knows.
 func (n *Node) serveAskHolder(context.Context, struct{}) (any, error) {
 	holder, rev := n.candidate.holder()
--- a/io/cfnode/texts.go
+++ b/io/cfnode/texts.go
@@ -201,7 +201,8 @@
 	for addr := range addrs {
 		wg.Go(func() {
 			var a textsAnswer
-			if n.peers.Call(ctx, addr, opTexts, call, &a) != nil {
+			if err := n.peers.Call(ctx, addr, opTexts, call, &a); err != nil {
+				n.noteRefused(addr, err)
 				return // a cache that is not reached is a cache miss
 			}
 			mu.Lock()
--- a/systemtest/recovery_test.go
+++ b/systemtest/recovery_test.go
@@ -170,6 +170,17 @@
 	}
 }
 
+// named returns the addresses that an instance names to callers.
+func named(e *entry) string {
+	resp, err := http.Get("http://" + e.names + "/currantford/resolve?zone=domain-a")
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	raw, _ := io.ReadAll(resp.Body)
+	return string(raw)
+}
+
 // Symptom: callers are sent to a machine that has been off for seconds.
 // Sequence: an instance is lost; the coordinator's duty moves to another one and
 // back.
@@ -178,15 +189,6 @@
 func TestDirectoryForgetsTheDeadWhenTheDutyReturns(t *testing.T) {
 	t.Parallel()
 	s := startSite(t, options{entries: 3, engines: 1})
-	named := func(e *entry) string {
-		resp, err := http.Get("http://" + e.names + "/currantford/resolve?zone=domain-a")
-		if err != nil {
-			return ""
-		}
-		defer resp.Body.Close()
-		raw, _ := io.ReadAll(resp.Body)
-		return string(raw)
-	}
 	var others []*entry
 	first := s.coordinator()
 	for _, e := range s.entries {
@@ -218,6 +220,35 @@
 	first.signal(syscall.SIGCONT)
 }
 
+// Guards against: an instance that has ended named again by a coordinator that was frozen when
+// it was dropped, and by the next one, which adopts that one's list.
+func TestFrozenSuccessorForgetsTheDead(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 3, engines: 1})
+	next := s.coordinator()
+	var others []*entry
+	for _, e := range s.entries {
+		if e != next {
+			others = append(others, e)
+		}
+	}
+	frozen, dead := others[0], others[1]
+	eventually(t, "all named", func() bool { return strings.Contains(named(frozen), dead.callers) })
+	frozen.signal(syscall.SIGSTOP)
+	dead.kill()
+	eventually(t, "the dead dropped", func() bool { return !strings.Contains(named(next), dead.callers) })
+	next.signal(syscall.SIGSTOP)
+	frozen.signal(syscall.SIGCONT)
+	s.waitCoordinator(next.id)
+	next.signal(syscall.SIGCONT)
+	time.Sleep(700 * time.Millisecond) // the list is told
+	for _, e := range []*entry{frozen, next} {
+		if strings.Contains(named(e), dead.callers) {
+			t.Errorf("%s names the dead instance again", e.id)
+		}
+	}
+}
+
 // An engine whose entry lapses and comes back while its runs are under way ends the
 // coordinator's process.
 func TestEnginesThatLapseWithRunsUnderWay(t *testing.T) {
