cfingress: a read of a batch asks a store that does not answer once more

What callers saw: a read of a batch that does not exist is answered 503, "come back in 500 ms", where the store is sound (TestRefusedBatchNeverRuns: 503, want 404, once, beside load).

Cause: a batch that the coordinator does not have is looked up in the store, by one call that waits 250 ms at the least. One late answer ends the read, and the call is not relayed either for up to two seconds after an outage.

Evidence: the listed test with a store that answers the read after 300 ms fails each time ("store: context deadline exceeded"), with 200 ms never; the store was away before and is sound again, as in the test. On a busy machine the store of the tests, which runs in the test process, answers that late.

Change: a call without an answer is made once more, by then with twice the patience, 900 ms in all; a store that is known to be away is not asked again. A store that stays slower than that gives 503 as before, which is true.

--- a/io/cfingress/batches.go
+++ b/io/cfingress/batches.go
@@ -22,6 +22,9 @@
 	submitRefusals = 3
 	// endBudget is the same for the end of a batch.
 	endBudget = 2 * time.Second
+	// readBudget bounds the reads of a batch at the store: readers wait 1.5 s longer than
+	// they allow, and the coordinator was asked before.
+	readBudget = 900 * time.Millisecond
 	// storeRetry is the pause between tries.
 	storeRetry = 120 * time.Millisecond
 	// storeBack is when a caller should come back after the store refused:
@@ -138,19 +141,30 @@
 	return b.Page(after), nil
 }
 
-// readStore reads a batch from the store, with its results or without.
+// readStore reads a batch from the store, with its results or without. A store that does not
+// answer is asked once more: one late answer is no reason to send the reader away. One that
+// turns calls away is not.
 func (in *Ingress) readStore(ctx context.Context, id cf.BatchID, results bool) (*cfbatch.Batch, error) {
-	object, err := in.Store.Get(ctx, cf.KindBatch, string(id))
-	if err != nil {
-		return nil, unsure(err)
+	ctx, cancel := context.WithTimeout(ctx, readBudget)
+	defer cancel()
+	b, err := in.fetch(ctx, id, results)
+	if errors.Is(err, cf.ErrUnavailable) && ctx.Err() == nil {
+		b, err = in.fetch(ctx, id, results)
 	}
-	b, err := cfbatch.Fetch(ctx, in.Store, object, results)
 	if err != nil {
 		return nil, unsure(err)
 	}
 	return b, nil
 }
 
+func (in *Ingress) fetch(ctx context.Context, id cf.BatchID, results bool) (*cfbatch.Batch, error) {
+	object, err := in.Store.Get(ctx, cf.KindBatch, string(id))
+	if err != nil {
+		return nil, err
+	}
+	return cfbatch.Fetch(ctx, in.Store, object, results)
+}
+
 // unsure turns a failed read into a refusal: a read changes nothing, and only
 // the store's own word may say that a batch does not exist.
 func unsure(err error) error {
