cfmember: an instance that has just started takes late calls for a busy coordinator

Cause, from the instances' logs (8 processes of it and 16 busy loops; timers of the processes were late by 10 to 150 ms): an instance hears a first word right after its start, the next call runs out of time (750 ms) as the coordinator answers a start of all, and 1.5 s after the word it lists all targets itself: it does not know of the hubs yet, for which it would wait 3 s. Once it follows the coordinator again it keeps the targets that nobody tells it of, and nothing keeps them current.

Change: in the time of its first three calls an instance leaves the store as one behind a hub does, and targets that others do not tell of are dropped once it has left the store, unless it had the duty meanwhile.

Two other causes are left: the lease is not read within 300 ms of a start, and a coordinator's successor that comes late; both stay listed. The rows of TestWhoListsTheTargets are as they were, with two more.

--- a/core/cfmember/word.go
+++ b/core/cfmember/word.go
@@ -37,6 +37,10 @@
 	// view yet, or that a hub is to be asked: where all start at once it lists the targets
 	// for all.
 	startUnsure cf.Millis = 3000
+	// startCalls is for how long an instance that has heard a first word takes calls without an
+	// answer for those of a coordinator that is busy with a start of all: three calls. It may
+	// not know of hubs yet.
+	startCalls = 3 * (CallWait + CallGrace)
 )
 
 // Word is what an instance has heard of how things stand, and when, zero if never.
@@ -74,7 +78,7 @@
 		return 0
 	case AnswerShared(w.Unsure, now) && AnswerShared(w.Away, now):
 		return leaveAlive
-	case w.Behind || w.Hubs:
+	case w.Behind || w.Hubs || now-w.Started < startCalls:
 		return leaveHubs
 	default:
 		return leaveSilent
--- a/core/cfmember/word_test.go
+++ b/core/cfmember/word_test.go
@@ -42,6 +42,8 @@
 		{"started, it has none for long", Word{Started: now - 3000, Unsure: now - 500, Named: true, Scout: true}, true},
 		{"started, told to ask a hub", Word{Started: now - 2900, Named: true, Behind: true}, false},
 		{"started, the second call is late", Word{Started: now - 2900, Heard: now - 1400, Named: true, Scout: true}, false},
+		{"started, the second and the third call are late", Word{Started: now - 2200, Heard: now - 2100, Named: true, Scout: true}, false},
+		{"started, three calls do not get through", Word{Started: now - 2250, Heard: now - 2100, Named: true, Scout: true}, true},
 		{"started, the second call does not get through", Word{Started: now - 2900, Heard: now - 1500, Named: true, Scout: true}, true},
 	} {
 		if got := c.word.Alone(now); got != c.want {
--- a/core/cfsite/relay.go
+++ b/core/cfsite/relay.go
@@ -201,6 +201,24 @@
 	return t
 }
 
+// DropUntold drops the targets of services that others do not tell of, for an instance that has
+// watched the store for a while and is told from now on: nothing would keep them current. It
+// returns how many.
+func (s *Site) DropUntold() (dropped int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, e := range s.targets {
+		if !s.relay.tells(e.target.Service) {
+			s.remove(id)
+			dropped++
+		}
+	}
+	if dropped > 0 {
+		s.notify()
+	}
+	return dropped
+}
+
 // TakeNews takes news of an instance that watches the store, or has them from one that
 // does, unless they are older than the view. It returns false if the view then differs
 // from the sender's, which must send all of it.
--- a/core/cfsite/relay_test.go
+++ b/core/cfsite/relay_test.go
@@ -215,3 +215,25 @@
 		t.Errorf("after more changes than are remembered: whole %t, %d targets", d.Whole, len(d.Targets))
 	}
 }
+
+// Guards against: targets that an instance holds and nobody keeps current, after it has watched
+// the store for a while.
+func TestTargetsThatNobodyTellsAreDropped(t *testing.T) {
+	s := cfsite.New(cfstandin.Codec{})
+	config := cfsite.Config{Version: 1, Routes: []cfsite.Route{
+		{Host: "h", Prefix: "/log/", Kind: cfsite.KindIdempotent, Split: []cfsite.Share{{Service: "log", Weight: 1}}},
+		{Host: "h", Prefix: "/step/", Kind: cfsite.KindBatch, Split: []cfsite.Share{{Service: "engines", Weight: 1}}},
+	}}
+	if _, err := s.ApplyConfig(cfstandin.Record("main", 1, config)); err != nil {
+		t.Fatal(err)
+	}
+	s.ReplaceTargets([]cf.Target{{ID: "l", Service: "log"}, {ID: "e1", Service: "engines"}, {ID: "e2", Service: "engines"}}, 5, 0)
+	sum := s.Sum()
+	if n := s.DropUntold(); n != 2 || len(s.Targets()) != 1 || s.Sum() != sum {
+		t.Errorf("%d dropped, %d left, sum %x, before %x", n, len(s.Targets()), s.Sum(), sum)
+	}
+	s.ReplaceTargets([]cf.Target{{ID: "l", Service: "log"}, {ID: "e1", Service: "engines"}}, 5, 0)
+	if len(s.Targets()) != 2 {
+		t.Errorf("%d targets after they were listed again", len(s.Targets()))
+	}
+}
--- a/io/cfnode/node.go
+++ b/io/cfnode/node.go
@@ -130,6 +130,9 @@
 		config, targets *cfwatch.Watcher
 		cancel          context.CancelFunc
 		wg              cflog.Group
+		// led: this instance had the duty meanwhile. What it knows of engines then decides
+		// how losses of its runs are judged, and is kept.
+		led bool
 	}
 )
 
@@ -445,6 +448,11 @@
 			n.logWatch("store_left", now)
 			n.watching.Store(nil)
 			w.close()
+			if !w.led {
+				n.site.DropUntold()
+			}
+		case w != nil && n.coord.Load() != nil:
+			w.led = true
 		}
 		n.watchBelief(now)
 		n.quarantine.tick(now)
