cfnode: the test of a large configuration begins once the duty lies where it stays

What was seen: TestChangeOfALargeConfigurationReachesAllInTime, "the configuration was read from the store 1 times", 2 of 50 runs beside nine more processes of it and 20 busy loops.

Cause, from the instances' logs of a failing run (seconds):

A weak instance that took a free duty gives it away when it has been idle for 2 s, and the new coordinator reads the configuration when it begins to watch the store. On a busy machine the strong instances start late, and the handover falls among the changes that the test counts reads for. No instance turns to the store for want of news, which is what the test guards against: the read is the new coordinator's own, and allowed.

Change: the test waits until a strong instance has the duty before it counts. The bound stays at no read at all.

--- a/io/cfnode/config_test.go
+++ b/io/cfnode/config_test.go
@@ -115,6 +115,22 @@
 	return bytes
 }
 
+// awaitStrongHolder waits until the coordinator's duty lies where it stays, and all follow it.
+func (f *testFleet) awaitStrongHolder() {
+	f.t.Helper()
+	for deadline := time.Now().Add(60 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		for _, n := range f.nodes {
+			if n.coord.Load() != nil && cfmember.Strong(n.self().Capacity, n.Live()) {
+				f.settled("a strong coordinator", fleetLogs)
+				return
+			}
+		}
+		if time.Now().After(deadline) {
+			f.t.Fatal("no strong instance has the duty")
+		}
+	}
+}
+
 // toldMost is what an instance may be told of a changed route, in bytes: control may use as
 // much in a second, and there are changes nearly each second.
 const toldMost = 3 << 10
@@ -129,6 +145,7 @@
 	routes := manyRoutes(140)
 	f.configure(fleetConfig(2, routes...), func() {})
 	f.settled("a large configuration", fleetLogs)
+	f.awaitStrongHolder() // a new coordinator reads the configuration, and a weak one is replaced
 	lists, told := f.store.configs.Load(), f.told()
 	for i := range 3 {
 		routes = slices.Clone(routes)
