cfingress: reads of a batch at the store have no time limit of their own

The change that makes a read without an answer once more bounded both tries to 900 ms, which large batches on a slow store can take at the first. Only a read that has failed within 600 ms is made again now; one that goes on is left alone, as before.

--- a/io/cfingress/batches.go
+++ b/io/cfingress/batches.go
@@ -22,9 +22,9 @@
 	submitRefusals = 3
 	// endBudget is the same for the end of a batch.
 	endBudget = 2 * time.Second
-	// readBudget bounds the reads of a batch at the store: readers wait 1.5 s longer than
-	// they allow, and the coordinator was asked before.
-	readBudget = 900 * time.Millisecond
+	// readAgain is how soon a read of a batch at the store must have failed to be made once
+	// more: readers wait 1.5 s longer than they allow, and the coordinator was asked before.
+	readAgain cf.Millis = 600
 	// storeRetry is the pause between tries.
 	storeRetry = 120 * time.Millisecond
 	// storeBack is when a caller should come back after the store refused:
@@ -145,10 +145,9 @@
 // answer is asked once more: one late answer is no reason to send the reader away. One that
 // turns calls away is not.
 func (in *Ingress) readStore(ctx context.Context, id cf.BatchID, results bool) (*cfbatch.Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, readBudget)
-	defer cancel()
+	started := cf.Uptime()
 	b, err := in.fetch(ctx, id, results)
-	if errors.Is(err, cf.ErrUnavailable) && ctx.Err() == nil {
+	if errors.Is(err, cf.ErrUnavailable) && cf.Uptime()-started < readAgain {
 		b, err = in.fetch(ctx, id, results)
 	}
 	if err != nil {
