--- a/io/cfguard/guard_test.go
+++ b/io/cfguard/guard_test.go
@@ -124,7 +124,7 @@
 		Witness: func(context.Context, cf.Target) bool { return false },
 		Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
 	})
-	defer g.Close()
+	t.Cleanup(func() { _ = g.Close() })
 	g.Inform("store", nil)
 	key := cfquarantine.KeyOf("POST", "h", "/", "caller", []byte("x"))
 	g.Admit(key, cf.Target{ID: "t"})
