systemtest: an item's runs are compared in the order in which they began

Cause: the test takes the runs of an item engine by engine. The log of the failing run shows an item that ran at engine 0 (events 1 to 4), engine 2 (5 to 8) and engine 0 again (9 to 11), each resumed where the one before had broken off; sorted by engine the last two stand in the wrong order. An item returns to its first engine where that engine's penalty has passed, which takes 1.5 s, so only a slow play shows it.

Change: runs are sorted by the time at which they began. The checks are as they were, and hold for what they mean: the order of the runs.

--- a/systemtest/checks_test.go
+++ b/systemtest/checks_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -128,7 +129,7 @@
 	s.store.Put("versions", model, map[string]any{"model": model, "version": version})
 }
 
-// runs returns the runs at all engines by item.
+// runs returns the runs at all engines by item, in their order.
 func (s *site) runs() map[string][]standin.Run {
 	out := map[string][]standin.Run{}
 	for _, e := range s.engines {
@@ -136,6 +137,9 @@
 			out[r.ID] = append(out[r.ID], r)
 		}
 	}
+	for _, runs := range out {
+		slices.SortFunc(runs, func(a, b standin.Run) int { return a.At.Compare(b.At) })
+	}
 	return out
 }
 
