cflog: lines of a burst are written in pieces that a pipe takes whole

Lines that wait were written up to 32 KB at a time; a collector that takes less at once loses the rest of the write, and a pipe takes no more than 4,096 bytes as a whole.

Writes are now whole lines of up to 4,096 bytes together.

--- a/io/cflog/async.go
+++ b/io/cflog/async.go
@@ -7,13 +7,17 @@
 	"time"
 )
 
-// queueLines bounds the lines that wait to be written, about 1 MB. A reader
-// that stops reading must not stop the process: further lines are counted and
-// dropped.
-const queueLines = 4096
-
-// flushTick is how often a flush looks whether all is written.
-const flushTick = 5 * time.Millisecond
+const (
+	// queueLines bounds the lines that wait to be written, about 1 MB. A reader
+	// that stops reading must not stop the process: further lines are counted and
+	// dropped.
+	queueLines = 4096
+	// writeBytes bounds one write of several lines. POSIX lets a pipe take 4,096 bytes
+	// (PIPE_BUF) as a whole; collectors cut larger writes apart.
+	writeBytes = 4096
+	// flushTick is how often a flush looks whether all is written.
+	flushTick = 5 * time.Millisecond
+)
 
 // Async writes lines in the background and never blocks its callers. Close
 // writes what waits.
@@ -66,16 +70,25 @@
 	return nil
 }
 
-// run writes lines, several in one call where several wait.
+// run writes whole lines, several in one call where several wait.
 func (a *Async) run() {
 	var buf []byte
+	var lines int64
+	write := func() {
+		if lines > 0 {
+			_, _ = a.out.Write(buf) // there is nowhere else to report it
+		}
+		a.waiting.Add(-lines)
+		buf, lines = buf[:0], 0
+	}
 	for line := range a.lines {
-		buf = append(buf[:0], line...)
-		n := int64(1)
-		for ; len(a.lines) > 0 && len(buf) < 32<<10; n++ {
-			buf = append(buf, <-a.lines...)
+		if len(buf)+len(line) > writeBytes {
+			write()
+		}
+		buf, lines = append(buf, line...), lines+1
+		if len(a.lines) == 0 {
+			write()
 		}
-		_, _ = a.out.Write(buf) // there is nowhere else to report it
-		a.waiting.Add(-n)
 	}
+	write()
 }
