cfrollout: items that wait although there is room are reported with the reason

Of one item the logs show when it was given to an engine and how that run ended, and nothing in between: whether the planner had no engine for it, none with the weights, only slow or avoided ones, or may not send it, could not be told, nor whether a run that was ordered has begun.

The planner now says so of items that have been at no engine for 2 s, at 2, 4 and 8 s, where others of the batch have begun and under half of the slots of the service are taken (16 lines a second at most); a run without an event does not count as being at an engine. The coordinator logs item_waits and counts them in currantford_items_waiting by reason. duty_begun says when a takeover is over, and batch_opened how long ago the batch was accepted and whether it was inherited.

Test: TestItemsThatWaitAreReportedWithTheirReason.

--- a/core/cfrollout/place.go
+++ b/core/cfrollout/place.go
@@ -54,6 +54,10 @@
 		rest := o.waiting[:0]
 		for _, w := range o.waiting {
 			w.restart(engines)
+			w.refused = false
+			if w.idle == 0 {
+				w.idle = now
+			}
 			var e *Engine
 			if fresh := w.Text.Last == 0 && w.Avoid == ""; !fresh || !full {
 				e = p.choose(engines, w, typical, now)
@@ -64,6 +68,7 @@
 			}
 			if e != nil {
 				e = p.admitted(engines, w, e, typical, now)
+				w.refused = e == nil
 			}
 			if e == nil {
 				rest = append(rest, w)
@@ -137,7 +142,7 @@
 		e.groups = map[cf.GroupID]int{}
 	}
 	e.groups[w.Item.Group]++
-	o.running[w.Item.ID] = w
+	o.running[w.Item.ID], o.begun = w, true
 }
 
 // choose returns the engine on which w would run fastest, preferring one that
@@ -279,6 +284,9 @@
 func (p *Planner) Finished(w *Work, outcome Outcome, now cf.Millis) (list bool) {
 	p.runEnded(w, outcome, now)
 	w.Engine, w.engine, w.from = "", nil, w.Text.Last
+	if w.Progress.events.Load() > 0 {
+		w.idle, w.reported = now, 0
+	}
 	o := p.batches[w.Batch.Sub.ID]
 	if o != nil {
 		delete(o.running, w.Item.ID)
--- a/core/cfrollout/planner.go
+++ b/core/cfrollout/planner.go
@@ -182,6 +182,11 @@
 		again   bool
 		class   groupClass
 		startBy float64
+		// idle is since when it has been at no engine, zero if that was not looked at; runs
+		// without an event do not count. reported is after what time that was last reported,
+		// refused that no engine may be sent it, as of the last look.
+		idle, reported cf.Millis
+		refused        bool
 	}
 
 	// Swap asks for a weight order.
@@ -256,9 +261,11 @@
 	}
 
 	open struct {
-		batch   *cfbatch.Batch
-		terms   Terms
-		paused  bool
+		batch  *cfbatch.Batch
+		terms  Terms
+		paused bool
+		// begun: an item of it has run, or is listed.
+		begun   bool
 		waiting []*Work
 		running map[cf.ItemID]*Work
 		// selected is the last selection of its groups, at rankedAt, and wanted how many of
@@ -304,7 +311,7 @@
 		p.noteOpen(b.Sub.Model, len(b.Sub.Items)) // the next step will be like it
 		return nil
 	}
-	o := &open{batch: b, terms: terms, running: map[cf.ItemID]*Work{}}
+	o := &open{batch: b, terms: terms, begun: b.ListedCount() > 0, running: map[cf.ItemID]*Work{}}
 	p.batches[b.Sub.ID] = o
 	var ready []*Work
 	tokens, hints := 0.0, 0.0
@@ -375,7 +382,7 @@
 	}
 	delete(p.orphans, it.ID)
 	w.Batch, w.Terms = o.batch, o.terms
-	o.running[it.ID] = w
+	o.running[it.ID], o.begun = w, true
 	return true
 }
 
--- /dev/null
+++ b/core/cfrollout/waiting.go
@@ -0,0 +1,151 @@
+package cfrollout
+
+import (
+	cf "currantford"
+)
+
+const (
+	// waitingFrom is how long an item may be at no engine, while others of its batch have
+	// begun and there is room, until it is reported. Each further report of it comes after
+	// twice that time.
+	waitingFrom cf.Millis = 2000
+	// waitingMost bounds the items that are reported at a time.
+	waitingMost = 16
+	// waitingRoom is the part of a service's slots below which items need not wait.
+	waitingRoom = 0.5
+)
+
+// WaitReason says what keeps an item from running.
+type WaitReason string
+
+// Reasons, in the order in which they are looked for.
+const (
+	// WaitSilent: it was given to an engine, from which no event has come.
+	WaitSilent WaitReason = "run_silent"
+	// WaitRoute: its batch has no route.
+	WaitRoute WaitReason = "no_route"
+	// WaitEngines: its model has no engine that stays.
+	WaitEngines WaitReason = "no_engines"
+	// WaitWeights: none of them holds weights that it may run on.
+	WaitWeights WaitReason = "no_weights"
+	// WaitLoading: all that do are loading others.
+	WaitLoading WaitReason = "loading"
+	// WaitAvoided: new items are kept off the others for a while.
+	WaitAvoided WaitReason = "engines_avoided"
+	// WaitSlots: all slots of the others are taken.
+	WaitSlots WaitReason = "no_slots"
+	// WaitRefused: it may be sent to none of them.
+	WaitRefused WaitReason = "refused"
+	// WaitSlow: they are slow, and others are expected to end it sooner.
+	WaitSlow WaitReason = "slow_engines"
+)
+
+type (
+	// WaitingItem is an item that has been at no engine for long.
+	WaitingItem struct {
+		Work   *Work
+		Reason WaitReason
+		Waited cf.Millis
+	}
+
+	// Waiting is what waits although there is room.
+	Waiting struct {
+		// Items are those to report now, Counts all of them by reason.
+		Items  []WaitingItem
+		Counts map[WaitReason]int
+	}
+)
+
+// WaitingItems returns the items that wait for long although others of their batches have
+// begun and the engines of their service have room. It is called once a second.
+func (p *Planner) WaitingItems(now cf.Millis) Waiting {
+	out := Waiting{Counts: map[WaitReason]int{}}
+	room := map[cf.ServiceName]bool{}
+	for _, o := range p.batches {
+		if !o.begun {
+			continue
+		}
+		s := o.terms.Service
+		if _, known := room[s]; !known {
+			room[s] = p.hasRoom(s)
+		}
+		if !room[s] {
+			continue
+		}
+		for _, w := range o.running {
+			if w.Progress.events.Load() == 0 {
+				out.add(w, WaitSilent, now)
+			}
+		}
+		for _, w := range o.waiting {
+			if w.idle > 0 && now-w.idle >= waitingFrom {
+				out.add(w, p.whyWaiting(o, w, now), now)
+			}
+		}
+	}
+	return out
+}
+
+// add takes an item that has waited, if it has for long enough.
+func (x *Waiting) add(w *Work, reason WaitReason, now cf.Millis) {
+	waited := now - w.idle
+	if w.idle == 0 || waited < waitingFrom {
+		return
+	}
+	x.Counts[reason]++
+	if waited < 2*w.reported || len(x.Items) == waitingMost {
+		return
+	}
+	w.reported = waited
+	x.Items = append(x.Items, WaitingItem{w, reason, waited})
+}
+
+// hasRoom says whether a service's engines have items in less than a part of their slots.
+func (p *Planner) hasRoom(s cf.ServiceName) bool {
+	f := p.fleets[s]
+	if f == nil {
+		return false
+	}
+	slots, running := 0, 0
+	for _, e := range f.usable {
+		slots += e.Slots
+		running += e.Running
+	}
+	return float64(running) < waitingRoom*float64(slots)
+}
+
+// whyWaiting returns what keeps an item from running.
+func (p *Planner) whyWaiting(o *open, w *Work, now cf.Millis) WaitReason {
+	if o.paused {
+		return WaitRoute
+	}
+	reason := WaitEngines
+	for _, e := range p.share(o) {
+		switch {
+		case e.Draining:
+		case !e.serves(w):
+			reason = later(reason, WaitWeights)
+		case e.loading > 0:
+			reason = later(reason, WaitLoading)
+		case now < e.avoid || e.ID == w.Avoid && now < w.avoidUntil:
+			reason = later(reason, WaitAvoided)
+		case !e.hasSlot():
+			reason = later(reason, WaitSlots)
+		case w.refused:
+			return WaitRefused
+		default:
+			return WaitSlow
+		}
+	}
+	return reason
+}
+
+// waitOrder ranks reasons by how near an engine is to taking an item.
+var waitOrder = map[WaitReason]int{WaitEngines: 0, WaitWeights: 1, WaitLoading: 2, WaitAvoided: 3, WaitSlots: 4}
+
+func later(a, b WaitReason) WaitReason {
+	if waitOrder[b] > waitOrder[a] {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/core/cfrollout/waiting_test.go
@@ -0,0 +1,80 @@
+package cfrollout_test
+
+import (
+	"testing"
+
+	cf "currantford"
+	"currantford/core/cfrollout"
+)
+
+// Each way in which an item waits although there is room has its reason, and a report comes
+// after 2 s, 4 s and 8 s.
+func TestItemsThatWaitAreReportedWithTheirReason(t *testing.T) {
+	held := cf.ModelState{Name: "m", Version: 1}
+	// relist lists the engines again, changed.
+	relist := func(change func(t *cf.Target)) func(*cfrollout.Planner, []cf.Target, *bool) {
+		return func(p *cfrollout.Planner, targets []cf.Target, _ *bool) {
+			for i := range targets {
+				change(&targets[i])
+			}
+			p.SetEngines(targets, models("m"))
+		}
+	}
+	plays := map[cfrollout.WaitReason]func(p *cfrollout.Planner, targets []cf.Target, sent *bool){
+		cfrollout.WaitSilent:  func(*cfrollout.Planner, []cf.Target, *bool) {},
+		cfrollout.WaitRoute:   func(p *cfrollout.Planner, _ []cf.Target, _ *bool) { p.SetTerms("b", cfrollout.Terms{}, false) },
+		cfrollout.WaitRefused: func(_ *cfrollout.Planner, _ []cf.Target, sent *bool) { *sent = false },
+		cfrollout.WaitEngines: func(p *cfrollout.Planner, targets []cf.Target, _ *bool) {
+			other := fleet(4, cf.ModelState{Name: "other", Version: 1})
+			for i := range other {
+				other[i].ID += "-new"
+			}
+			p.SetEngines(other, models("other"))
+		},
+		cfrollout.WaitWeights: relist(func(t *cf.Target) { t.Born, t.Models = t.Born+1000, []cf.ModelState{{Name: "m"}} }),
+	}
+	for reason, play := range plays {
+		t.Run(string(reason), func(t *testing.T) {
+			sent, limits := true, cfrollout.DefaultLimits
+			limits.Admit = func(*cfrollout.Work, cf.Target) (bool, bool) { return sent, false }
+			p := cfrollout.New(limits)
+			targets := fleet(4, held)
+			for i := range targets {
+				targets[i].Born = 1
+			}
+			p.SetEngines(targets, models("m"))
+			p.AddBatch(step("b", "m", 1, 1, 4), terms)
+			begun := p.Place(1000)
+			if len(begun) != 4 {
+				t.Fatalf("%d items begin", len(begun))
+			}
+			for _, w := range begun[1:] {
+				p.Finished(w, cfrollout.OutcomeDone, 1500)
+			}
+			if reason != cfrollout.WaitSilent {
+				begun[0].Progress.Note(1400)
+				p.Finished(begun[0], cfrollout.OutcomeStopped, 1500)
+			}
+			play(p, targets, &sent)
+			var at []cf.Millis
+			for now := cf.Millis(2000); now <= 14_000; now += 1000 {
+				if reason != cfrollout.WaitSilent {
+					p.Place(now)
+				}
+				x := p.WaitingItems(now)
+				if now >= 4000 && x.Counts[reason] != 1 {
+					t.Errorf("at %d: %v", now, x.Counts)
+				}
+				for _, item := range x.Items {
+					if item.Reason != reason {
+						t.Errorf("at %d: %s", now, item.Reason)
+					}
+					at = append(at, now)
+				}
+			}
+			if len(at) != 3 {
+				t.Errorf("reported at %v", at)
+			}
+		})
+	}
+}
--- a/io/cfcoord/batches.go
+++ b/io/cfcoord/batches.go
@@ -120,8 +120,12 @@
 		reading = reading || rd.inherited
 	}
 	open := c.openInherited()
-	if c.takeover.next(reading, len(open) > 0) == takeoverReads {
+	switch c.takeover.next(reading, len(open) > 0) {
+	case takeoverReads:
 		c.wg.Go(func() { c.adoptStored(open) })
+	case takeoverDone:
+		c.noteBegun()
+	case takeoverWaits:
 	}
 }
 
--- a/io/cfcoord/coordinator.go
+++ b/io/cfcoord/coordinator.go
@@ -141,6 +141,8 @@
 		// duty began, or when that was forgotten.
 		checks map[cf.BatchID]cf.Millis
 		began  cf.Millis
+		// started is when the duty began, waitingAt when it was looked for items that wait.
+		started, waitingAt cf.Millis
 		// slowPeriods says that the planner goes by the slow periods that it observed.
 		slowPeriods bool
 		// active says that items run or wait.
@@ -200,7 +202,7 @@
 		finished: map[cf.ItemID]finishedText{},
 		rewards:  newRewards(o.Policy),
 		named:    named{}, history: newHistory(), prepared: newPrepared(),
-		refused: map[cf.RequestID]bool{}, checks: map[cf.BatchID]cf.Millis{}, began: cf.Uptime(),
+		refused: map[cf.RequestID]bool{}, checks: map[cf.BatchID]cf.Millis{}, began: cf.Uptime(), started: cf.Uptime(),
 	}
 	c.orders = newOrders(o, c.reported)
 	limits.Admit = c.admit
@@ -279,6 +281,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	defer c.Metrics.Groups.Reset()
+	defer c.Metrics.Waiting.Reset()
 	defer c.forgetSlowPeriods()
 	for {
 		select {
@@ -309,6 +312,7 @@
 		c.startRun(w)
 	}
 	c.noteSelections(now)
+	c.noteWaiting(now)
 	if term, ok := c.Duty.MayOrder(); ok {
 		for _, s := range c.planner.Swaps(now) {
 			c.startSwap(s, term)
@@ -463,7 +467,8 @@
 	ready := c.planner.AddBatch(st.batch, terms)
 	c.Log.Info("batch_opened", cflog.Batch(sub.ID), zap.String("model", string(sub.Model)),
 		zap.Int64("step", sub.Step), zap.Int64("min_version", int64(sub.MinVersion)), zap.Int("items", len(sub.Items)),
-		zap.Int("ready", len(ready)), zap.Int64("config_version", int64(config.Version)))
+		zap.Int("ready", len(ready)), zap.Int64("config_version", int64(config.Version)), zap.Int64("accepted_ago_ms", int64(cf.Now()-sub.Accepted)),
+		zap.Bool("inherited", st.inherited))
 	for _, w := range ready {
 		c.complete(w, cf.Uptime())
 	}
--- a/io/cfcoord/metrics.go
+++ b/io/cfcoord/metrics.go
@@ -24,6 +24,8 @@
 	StaleSeconds  *prometheus.HistogramVec
 	// Groups are the open groups of steps by what was decided of them.
 	Groups *prometheus.GaugeVec
+	// Waiting are the items that wait for long although there is room, by reason.
+	Waiting *prometheus.GaugeVec
 }
 
 // NewMetrics registers the coordinator's metrics.
@@ -62,7 +64,9 @@
 			Buckets: prometheus.ExponentialBuckets(0.25, 2, 12)}, []string{"model"}),
 		Groups: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "currantford_step_groups", Help: "Open groups of steps with a due time, by when they are expected to be whole."}, []string{"class"}),
+		Waiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "currantford_items_waiting", Help: "Items at no engine for 2 s and more, though others of their batches have begun and engines have room, by reason."}, []string{"reason"}),
 	}
-	reg.MustRegister(m.Runs, m.Orders, m.Chunks, m.ItemRun, m.Moves, m.SlowPeriod, m.SlowShare, m.Stalls, m.Rewards, m.RewardTook, m.StepWait, m.StaleVersions, m.StaleSeconds, m.Groups)
+	reg.MustRegister(m.Runs, m.Orders, m.Chunks, m.ItemRun, m.Moves, m.SlowPeriod, m.SlowShare, m.Stalls, m.Rewards, m.RewardTook, m.StepWait, m.StaleVersions, m.StaleSeconds, m.Groups, m.Waiting)
 	return m
 }
--- /dev/null
+++ b/io/cfcoord/waiting.go
@@ -0,0 +1,38 @@
+package cfcoord
+
+import (
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/io/cflog"
+)
+
+// waitingEvery spaces the looks for items that wait although there is room.
+const waitingEvery cf.Millis = 1000
+
+// noteWaiting logs items that have been at no engine for long although there is room, with
+// what keeps them, and counts them. c.mu is held.
+func (c *Coordinator) noteWaiting(now cf.Millis) {
+	if now-c.waitingAt < waitingEvery {
+		return
+	}
+	c.waitingAt = now
+	waiting := c.planner.WaitingItems(now)
+	c.Metrics.Waiting.Reset()
+	for reason, n := range waiting.Counts {
+		c.Metrics.Waiting.WithLabelValues(string(reason)).Set(float64(n))
+	}
+	for _, x := range waiting.Items {
+		w := x.Work
+		c.Log.Warn("item_waits", zap.String("request_id", string(w.Item.ID.Request())), cflog.Batch(w.Batch.Sub.ID),
+			zap.String("group_id", string(w.Item.Group)), zap.String("reason", string(x.Reason)), zap.Int64("waited_ms", int64(x.Waited)),
+			zap.String("target", string(w.Engine)), zap.Int64("events", int64(w.Text.Last)), zap.Int64("min_version", int64(w.Batch.Sub.MinVersion)))
+	}
+}
+
+// noteBegun logs that the duty begins to run items, and what it took to learn of the one
+// before. c.mu is held.
+func (c *Coordinator) noteBegun() {
+	c.Log.Info("duty_begun", zap.Int("batches", len(c.batches)), zap.Int("inherited", len(c.openInherited())),
+		zap.Int64("took_ms", int64(cf.Uptime()-c.started)))
+}
