cfnode: each end of a request without its answer leaves a line that names it

LOST can be a process that ended, a caller that left, a connection that this instance closed, or an answer that did not get through; the logs could not tell them apart. A body that broke off ended in an abort without any line; an answer whose write failed was logged as request_answered, and one small enough for the server's buffers failed after that line, unseen; bytes dropped as they crossed the close of an idle connection left no trace.

TestAnswerThatCannotBeWrittenIsLogged asks for the lines.

--- a/io/cfingress/forward.go
+++ b/io/cfingress/forward.go
@@ -327,9 +327,10 @@
 	if f.req.Method != http.MethodHead {
 		_, err = w.Write(a.answer.Body)
 	}
+	outcome := f.delivered(err)
 	f.in.Log.Info("request_answered", zap.String("request_id", string(f.req.ID)), zap.String("target", string(a.target.ID)),
-		zap.Int("status", a.answer.Status), zap.Int64("took_ms", int64(cf.Uptime()-f.req.Received)))
-	f.in.count("forward", f.delivered(err), f.req)
+		zap.Int("status", a.answer.Status), zap.String("outcome", outcome), zap.Int64("took_ms", int64(cf.Uptime()-f.req.Received)))
+	f.in.count("forward", outcome, f.req)
 }
 
 // settle ends a request for which no attempt is under way or left.
--- /dev/null
+++ b/io/cfnode/kept_test.go
@@ -0,0 +1,136 @@
+package cfnode
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/core/cfhold"
+)
+
+// Guards against a kept connection that is closed under a request which has been read, where
+// idle limits change and requests come in all shapes.
+func TestIdleLimitsCloseNoConnectionUnderARequest(t *testing.T) {
+	var handled, answered atomic.Int64
+	large := strings.Repeat("x", 64<<10)
+	srv, err := Serve("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handled.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/large" {
+			_, _ = io.WriteString(w, large)
+			return
+		}
+		_, _ = io.WriteString(w, "ok")
+	}), func() cf.Millis { return 0 })
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for ctx.Err() == nil {
+			srv.closeWhere(func(since cf.Millis) bool { return since > 0 && rand.IntN(8) == 0 })
+			time.Sleep(100 * time.Microsecond)
+		}
+	})
+	for range 32 {
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				answered.Add(askOften(ctx, srv.ln.Addr().String()))
+			}
+		})
+	}
+	wg.Wait()
+	stop, cancelStop := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancelStop()
+	if err := srv.Shutdown(stop); err != nil {
+		t.Error(err)
+	}
+	t.Logf("%d requests", handled.Load())
+	if lost := handled.Load() - answered.Load(); lost != 0 {
+		t.Errorf("%d of %d requests reached the handler and got no whole answer", lost, handled.Load())
+	}
+}
+
+// shapes are requests as callers send them, each part by itself.
+var shapes = [][]string{
+	{"GET / HTTP/1.1\r\nHost: x\r\n\r\n"},
+	{"GET /large HTTP/1.1\r\nHost: x\r\n\r\n"},
+	{"G", "ET / HTTP/1.1\r\nHost: x\r\n\r\n"},
+	{"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n", "he", "llo"},
+	{"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nhello\r\n", "0\r\n\r\n"},
+}
+
+// askOften sends requests on one connection until it ends; it returns how many got their
+// whole answer.
+func askOften(ctx context.Context, addr string) int64 {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = conn.Close() }()
+	r := bufio.NewReader(conn)
+	for n := int64(0); ; n++ {
+		if ctx.Err() != nil {
+			return n
+		}
+		for _, part := range shapes[rand.IntN(len(shapes))] {
+			if _, err := fmt.Fprint(conn, part); err != nil {
+				return n
+			}
+		}
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			return n
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if err != nil {
+			return n
+		}
+		if rand.IntN(4) == 0 {
+			time.Sleep(time.Duration(rand.IntN(400)) * time.Microsecond)
+		}
+	}
+}
+
+// Guards against requests that end without an answer and without a line that names them.
+func TestAnswerThatCannotBeWrittenIsLogged(t *testing.T) {
+	s := newSlowSite(t, cfhold.Policy{}, sized)
+	conn := s.send(t, "/x/8000000")
+	if _, err := conn.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.Close() // with bytes unread: a reset
+	body, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = fmt.Fprint(body, "POST /x/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\nCurrantford-Request-Id: r\r\n\r\nhalf")
+	_ = body.Close()
+	for _, line := range []string{"answer_not_written", "request_answered", "body_not_read"} {
+		deadline := time.Now().Add(10 * time.Second)
+		for s.logs.FilterMessage(line).FilterField(zap.String("request_id", "r")).Len() == 0 && time.Now().Before(deadline) {
+			time.Sleep(5 * time.Millisecond)
+		}
+		if found := s.logs.FilterMessage(line).FilterField(zap.String("request_id", "r")).Len(); found != 1 {
+			t.Errorf("%d lines %s, want one", found, line)
+		}
+	}
+	if s.logs.FilterField(zap.String("outcome", "caller_gone")).Len() != 1 {
+		t.Error("the request's own line says that it was answered")
+	}
+}
--- a/io/cfnode/process.go
+++ b/io/cfnode/process.go
@@ -92,7 +92,7 @@
 		p.others = append(p.others, srv)
 	}
 	if s.Listen.Callers != "" {
-		srv, err := listen(s.Listen.Callers, h.Callers, idle, node.ingress.Rooms)
+		srv, err := listen(s.Listen.Callers, h.Callers, idle, node.ingress.Rooms, log)
 		if err != nil {
 			return nil, err
 		}
--- a/io/cfnode/server.go
+++ b/io/cfnode/server.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
 	cf "currantford"
@@ -69,10 +70,14 @@
 		// writes counts the beginnings and the ends of writes: odd while one is under way.
 		writes atomic.Uint64
 		reader *cfroom.Conn
+		log    *zap.Logger
 	}
 
 	// listener hands out connections as conn.
-	listener struct{ net.Listener }
+	listener struct {
+		net.Listener
+		log *zap.Logger
+	}
 )
 
 // Accept implements net.Listener.
@@ -81,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &conn{Conn: c}
+	out := &conn{Conn: c, log: l.log}
 	out.reader = &cfroom.Conn{Delivery: out}
 	return out, nil
 }
@@ -91,7 +96,14 @@
 func (c *conn) Write(b []byte) (int, error) {
 	c.writes.Add(1)
 	defer c.writes.Add(1)
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.mu.Lock()
+		closing := c.closing
+		c.mu.Unlock()
+		c.log.Info("answer_not_written", zap.String("request_id", c.reader.Request()), zap.Bool("closing", closing), cflog.Error(err))
+	}
+	return n, err
 }
 
 // Writing implements cfroom.Delivery.
@@ -140,6 +152,7 @@
 	defer c.mu.Unlock()
 	if n > 0 {
 		if c.closing && !c.busy {
+			c.log.Info("request_crossed_close", zap.Int("bytes", n))
 			return 0, io.EOF
 		}
 		c.busy = true
@@ -173,11 +186,12 @@
 // Serve listens on addr. idle tells the longest that a connection may be
 // idle, zero when it is not known.
 func Serve(addr string, h http.Handler, idle func() cf.Millis) (*Server, error) {
-	return listen(addr, h, idle, nil)
+	return listen(addr, h, idle, nil, zap.NewNop())
 }
 
-// listen is Serve; where rooms bound what is held it looks for callers that read slowly.
-func listen(addr string, h http.Handler, idle func() cf.Millis, rooms *cfroom.Rooms) (*Server, error) {
+// listen is Serve; where rooms bound what is held it looks for callers that read slowly. log
+// gets a line for each answer that could not be written.
+func listen(addr string, h http.Handler, idle func() cf.Millis, rooms *cfroom.Rooms, log *zap.Logger) (*Server, error) {
 	var config net.ListenConfig
 	if rooms.On() {
 		config.Control = bufferAnswers
@@ -194,7 +208,7 @@
 		}
 		s.wg.Go(s.look)
 	}
-	s.wg.Go(func() { _ = s.http.Serve(listener{ln}) }) // ends with the listener
+	s.wg.Go(func() { _ = s.http.Serve(listener{ln, log}) }) // ends with the listener
 	s.wg.Go(s.reap)
 	return s, nil
 }
@@ -227,6 +241,7 @@
 		s.conns[c] = cf.Uptime()
 	case http.StateActive:
 		s.conns[c] = 0
+		c.reader.Begun()
 	default: // closed, or taken over by another protocol
 		delete(s.conns, c)
 		c.reader.Ended()
--- a/io/cfnode/server_test.go
+++ b/io/cfnode/server_test.go
@@ -13,7 +13,10 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	cf "currantford"
+	"currantford/io/cfroom"
 )
 
 // Symptom: around a planned stop a request is passed on to a target, and its
@@ -95,7 +98,7 @@
 func TestConnectionThatWasCutTakesNoFurtherRequest(t *testing.T) {
 	ours, theirs := net.Pipe()
 	defer func() { _ = theirs.Close() }()
-	c := &conn{Conn: ours, busy: true}
+	c := &conn{Conn: ours, busy: true, reader: &cfroom.Conn{}, log: zap.NewNop()}
 	c.Cut()
 	c.rest() // the answer had been written whole
 	if _, err := c.Write([]byte("x")); !errors.Is(err, io.ErrClosedPipe) {
--- a/io/cfnode/slow_test.go
+++ b/io/cfnode/slow_test.go
@@ -18,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	cf "currantford"
 	"currantford/core/cfhold"
@@ -39,6 +40,9 @@
 	slowSite struct {
 		addr    string
 		metrics *cfroom.Metrics
+		srv     *Server
+		stopped bool
+		logs    *observer.ObservedLogs
 	}
 )
 
@@ -69,23 +73,28 @@
 	}
 	targets := platform.NewTargets(4, prometheus.NewRegistry())
 	t.Cleanup(func() { _ = targets.Close() })
-	s := &slowSite{metrics: cfroom.NewMetrics(prometheus.NewRegistry())}
+	core, logs := observer.New(zap.InfoLevel)
+	log := zap.New(core)
+	s := &slowSite{logs: logs, metrics: cfroom.NewMetrics(prometheus.NewRegistry())}
 	in := cfingress.New(cfingress.Options{
-		Members: alone{}, Targets: targets, Site: site, Metrics: cfingress.NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
-		Rooms: cfroom.New(cfroom.Options{MemoryBytes: slowLimit, Policy: policy, Metrics: s.metrics, Log: zap.NewNop()}),
+		Members: alone{}, Targets: targets, Site: site, Metrics: cfingress.NewMetrics(prometheus.NewRegistry()), Log: log,
+		Rooms: cfroom.New(cfroom.Options{MemoryBytes: slowLimit, Policy: policy, Metrics: s.metrics, Log: log}),
 	})
-	srv, err := listen("127.0.0.1:0", platform.NewCallers(in, zap.NewNop()), func() cf.Millis { return 0 }, in.Rooms)
+	srv, err := listen("127.0.0.1:0", platform.NewCallers(in, log), func() cf.Millis { return 0 }, in.Rooms, log)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
+		if s.stopped {
+			return
+		}
 		if err := srv.Shutdown(ctx); err != nil {
 			t.Error(err)
 		}
 	})
-	s.addr = srv.ln.Addr().String()
+	s.srv, s.addr = srv, srv.ln.Addr().String()
 	return s
 }
 
--- a/io/cfroom/cfroom.go
+++ b/io/cfroom/cfroom.go
@@ -45,6 +45,8 @@
 		// room is that of the answer that is on its way, nil if none is.
 		room  atomic.Pointer[Room]
 		ended atomic.Bool
+		// request is that of the last room, until the next request begins.
+		request atomic.Pointer[string]
 	}
 
 	// Options are what rooms work with.
@@ -148,6 +150,7 @@
 	conn, _ := ctx.Value(connKey{}).(*Conn)
 	room := r.open(conn, caller, kind, request)
 	if conn != nil {
+		conn.request.Store(&request)
 		if before := conn.room.Swap(room); before != nil {
 			before.Close() // of a look between two answers
 		}
@@ -163,6 +166,18 @@
 	return room
 }
 
+// Begun notes that the next request begins.
+func (c *Conn) Begun() { c.request.Store(nil) }
+
+// Request names the request that is answered on the connection, empty if it has opened no
+// room.
+func (c *Conn) Request() string {
+	if request := c.request.Load(); request != nil {
+		return *request
+	}
+	return ""
+}
+
 // Ended notes that the connection has ended.
 func (c *Conn) Ended() {
 	c.ended.Store(true)
