cfnode: the end of a stop answers the requests that are still under way

Callers saw: a request that was sent late in a planned stop and whose target was still at work when the grace ran out had its connection closed without an answer; the log said caller_gone of it, as the closing of the connections looks the same to its handler.

Nothing told these that the instance ends, though each still could give its caller the final answer.

What has been sent is answered 504, what still waits 503, batch reads as where the coordinator is silent; what has no answer even then is closed as before (requests_cut_off). A stream that has begun is broken off, so that it does not look complete.

--- a/currantford.go
+++ b/currantford.go
@@ -81,6 +81,8 @@
 	// process there has ended. A process that hangs, or a link that is cut, does
 	// not look like this.
 	ErrNoProcess = errors.New("no process at the address")
+	// ErrStopping is the cause of a context that ends as the instance does.
+	ErrStopping = errors.New("the instance is stopping")
 	// ErrInvalid: a settings or intent document failed validation.
 	ErrInvalid = errors.New("invalid document")
 )
--- a/io/cfingress/forward.go
+++ b/io/cfingress/forward.go
@@ -27,6 +27,8 @@
 	noTargetRetry cf.Millis = 1000
 	// uninformedRetry is the same while it is not known yet which requests are held.
 	uninformedRetry cf.Millis = 200
+	// stoppingRetry is the same for an instance that stops: others take the request.
+	stoppingRetry cf.Millis = 50
 )
 
 // attempt is what came of one send.
@@ -146,10 +148,14 @@
 			return
 		}
 		if f.pending == 0 && !f.send(ctx, true) {
-			if errors.Is(ctx.Err(), context.Canceled) {
-				f.expire(ctx, w) // it left while it waited
+			switch { // while it waited
+			case callerLeft(ctx):
+				f.expire(ctx, w)
+			case errors.Is(context.Cause(ctx), cf.ErrStopping) && !f.attempts.MayHaveRun():
+				f.refuse(w, stoppingRetry, cf.ErrStopping.Error())
+			default:
+				f.settle(w)
 			}
-			f.settle(w)
 			return
 		}
 		var hedge <-chan time.Time
@@ -353,15 +359,30 @@
 	}
 }
 
+// callerLeft says that a request's context has ended because its caller has gone. That of an
+// instance which stops ends as well, and is answered.
+func callerLeft(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), cf.ErrStopping)
+}
+
 // expire ends a request whose time is up or whose caller has gone.
 func (f *forwarding) expire(ctx context.Context, w http.ResponseWriter) {
-	f.abandon(!errors.Is(ctx.Err(), context.Canceled))
-	if errors.Is(ctx.Err(), context.Canceled) {
+	f.abandon(errors.Is(ctx.Err(), context.DeadlineExceeded))
+	if callerLeft(ctx) {
 		f.in.Log.Info("caller_gone", zap.String("request_id", string(f.req.ID)), zap.Int64("after_ms", int64(cf.Uptime()-f.req.Received)))
 		f.in.count("forward", "caller_gone", f.req)
 		panic(http.ErrAbortHandler)
 	}
-	f.fail(w, http.StatusGatewayTimeout, "no answer in time")
+	f.failLate(ctx, w)
+}
+
+// failLate ends a request that has run out of time, its own or the instance's.
+func (f *forwarding) failLate(ctx context.Context, w http.ResponseWriter) {
+	reason := "no answer in time"
+	if errors.Is(context.Cause(ctx), cf.ErrStopping) {
+		reason = cf.ErrStopping.Error()
+	}
+	f.fail(w, http.StatusGatewayTimeout, reason)
 }
 
 // comeBack returns when the caller of a request that found no place should try
--- a/io/cfingress/stream.go
+++ b/io/cfingress/stream.go
@@ -93,7 +93,8 @@
 		}
 		if a.left && a.err != nil {
 			f.leave(a) // the caller went between two events, which is no fault of its target
-			f.breakOff(sink)
+			f.endStream(ctx, w, sink)
+			return
 		}
 		if a.foundNoRoom() {
 			f.leave(a)
@@ -143,11 +144,11 @@
 // endStream ends a stream that no target completes. One that has begun is
 // broken off, so that it does not look complete.
 func (f *forwarding) endStream(ctx context.Context, w http.ResponseWriter, sink *streamSink) {
-	if sink.started || errors.Is(ctx.Err(), context.Canceled) {
+	if sink.started || callerLeft(ctx) {
 		f.breakOff(sink)
 	}
 	if ctx.Err() != nil {
-		f.fail(w, http.StatusGatewayTimeout, "no answer in time")
+		f.failLate(ctx, w)
 		return
 	}
 	f.settle(w)
--- a/io/cfnode/kept_test.go
+++ b/io/cfnode/kept_test.go
@@ -134,3 +134,35 @@
 		t.Error("the request's own line says that it was answered")
 	}
 }
+
+// Guards against requests that a stop passes on to their targets and then cuts off: what is
+// still under way at its end is answered, too.
+func TestEndOfAStopAnswersWhatIsUnderWay(t *testing.T) {
+	reached := make(chan struct{}, 2)
+	s := newSlowSite(t, cfhold.Policy{}, func(_ http.ResponseWriter, r *http.Request) {
+		reached <- struct{}{}
+		<-r.Context().Done()
+	})
+	conns := []net.Conn{s.send(t, "/x/whole"), s.send(t, "/s/stream")}
+	for range conns {
+		<-reached
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	s.stopped = true
+	if err := s.srv.Shutdown(ctx); err == nil {
+		t.Error("the stop does not tell that requests were under way")
+	}
+	for _, conn := range conns {
+		status := 0
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err == nil {
+			status = resp.StatusCode
+			_ = resp.Body.Close()
+		}
+		_ = conn.Close()
+		if status != http.StatusGatewayTimeout {
+			t.Errorf("status %d, %v; want 504", status, err)
+		}
+	}
+}
--- a/io/cfnode/server.go
+++ b/io/cfnode/server.go
@@ -38,6 +38,9 @@
 	// and with it what is out of cfhold's sight: 0.2 MB of a connection, 3.8 MB without it.
 	// At the longest round trip of 16 ms it lets 16 MB a second pass.
 	sendBuffer = 256 << 10
+	// answerTime is how long before the end of a stop the requests that are still under way
+	// are told, and answered.
+	answerTime = 200 * time.Millisecond
 	// stopTick is how often a stop looks whether the connections have ended.
 	stopTick = 10 * time.Millisecond
 )
@@ -51,6 +54,8 @@
 		idle    func() cf.Millis
 		rooms   *cfroom.Rooms // nil where slow readers are not looked at
 		closing atomic.Bool   // answers end their connections
+		// end cancels all requests.
+		end context.CancelCauseFunc
 
 		mu    sync.Mutex
 		conns map[*conn]cf.Millis // since when idle, zero while busy
@@ -200,8 +205,12 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s", addr)
 	}
-	s := &Server{ln: ln, idle: idle, rooms: rooms, conns: map[*conn]cf.Millis{}, stop: make(chan struct{})}
-	s.http = &http.Server{Handler: cflog.Handler(s.ending(h)), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ConnState: s.track}
+	ctx, end := context.WithCancelCause(context.Background())
+	s := &Server{ln: ln, idle: idle, rooms: rooms, end: end, conns: map[*conn]cf.Millis{}, stop: make(chan struct{})}
+	s.http = &http.Server{
+		Handler: cflog.Handler(s.ending(h)), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ConnState: s.track,
+		BaseContext: func(net.Listener) context.Context { return ctx },
+	}
 	if rooms.On() {
 		s.http.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
 			return cfroom.WithConn(ctx, nc.(*conn).reader)
@@ -320,25 +329,43 @@
 func (s *Server) windDown() { s.closing.Store(true) }
 
 // Shutdown stops listening, closes what is idle, and waits for the requests
-// that have been read to be answered, until ctx ends.
+// that have been read to be answered. Those that are still under way shortly
+// before ctx ends are cancelled with ErrStopping, for their handlers to answer.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.windDown()
 	_ = s.ln.Close()
+	patience := ctx
+	if end, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		patience, cancel = context.WithDeadline(ctx, end.Add(-min(answerTime, time.Until(end)/2)))
+		defer cancel()
+	}
 	var err error
-	for err == nil {
+	if !s.drain(patience) {
+		err = eris.Errorf("%d connections were still in use", s.open())
+		s.end(cf.ErrStopping)
+		s.drain(ctx)
+	}
+	_ = s.http.Close()
+	s.end(nil)
+	close(s.stop)
+	s.wg.Wait()
+	return err
+}
+
+// drain closes what is idle until no connection is left; it returns false where ctx ends
+// before.
+func (s *Server) drain(ctx context.Context) bool {
+	for {
 		// Also those that were accepted at the last moment.
 		s.closeWhere(func(cf.Millis) bool { return true })
 		if s.open() == 0 {
-			break
+			return true
 		}
 		if !cf.Sleep(ctx, stopTick) {
-			err = eris.Wrapf(ctx.Err(), "%d connections are still in use", s.open())
+			return false
 		}
 	}
-	_ = s.http.Close()
-	close(s.stop)
-	s.wg.Wait()
-	return err
 }
 
 func (s *Server) open() int {
