cfnode: signals are caught before anything else

Callers saw: an instance that had just started ended by itself, and with it the connections that it had already taken, as its settings were reloaded.

Cause: SIGHUP was caught only once the process served. Until then, over the reading of its settings, the binding of its addresses and the start of its work, it has its default effect, which is to end the process. A reload that comes just after a restart meets that span, which is long on a weak machine.

Signals are caught first of all, and acted on once the process serves.

TestPlannedWorkEndsNoConnectionUnderARequest is new beside it: kept connections under a storm of configurations (one each 0.15 s, with other idle and header limits, timeouts and routes), reloads, and two overlapping stops and a third.

--- a/io/cfnode/process.go
+++ b/io/cfnode/process.go
@@ -124,11 +124,16 @@
 	return mux
 }
 
-// Run serves until a signal asks it to stop, then stops as planned.
-func (p *Process) Run(reload func() error) {
+// Signals returns those that a process acts on. It is called first of all: until then each
+// of them ends the process, SIGHUP too.
+func Signals() <-chan os.Signal {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	return signals
+}
+
+// Run serves until a signal asks it to stop, then stops as planned.
+func (p *Process) Run(signals <-chan os.Signal, reload func() error) {
 	for sig := range signals {
 		if sig != syscall.SIGHUP {
 			p.log.Info("stopping", zap.String("signal", sig.String()))
@@ -178,10 +183,7 @@
 }
 
 // WaitForStop returns when a signal asks the process to stop.
-func WaitForStop(log *zap.Logger) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func WaitForStop(signals <-chan os.Signal, log *zap.Logger) {
 	for sig := range signals {
 		if sig == syscall.SIGHUP {
 			log.Info("reloaded")
--- a/nodecommands/commands.go
+++ b/nodecommands/commands.go
@@ -97,6 +97,7 @@
 
 // Execute implements flags.Commander.
 func (c *entryCommand) Execute([]string) error {
+	signals := cfnode.Signals()
 	s, err := cfnode.ReadSettings(c.Settings)
 	if err != nil {
 		return err
@@ -127,7 +128,7 @@
 		log.Error("not_started", cflog.Error(err))
 		return err
 	}
-	p.Run(func() error {
+	p.Run(signals, func() error {
 		_, err := cfnode.ReadSettings(c.Settings)
 		return err
 	})
@@ -136,6 +137,7 @@
 
 // Execute implements flags.Commander.
 func (c *standbyCommand) Execute([]string) error {
+	signals := cfnode.Signals()
 	s, err := cfnode.ReadSettings(c.Settings)
 	if err != nil {
 		return err
@@ -144,7 +146,7 @@
 	defer func() { _ = out.Close() }()
 	cflog.ReportPanics(log, out, func() string { return "standby" })
 	log.Info("started", zap.String("failure_domain", string(s.Domain)))
-	cfnode.WaitForStop(log)
+	cfnode.WaitForStop(signals, log)
 	log.Info("stopped")
 	return nil
 }
--- /dev/null
+++ b/systemtest/kept_test.go
@@ -0,0 +1,193 @@
+package systemtest
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// lossSlack is how soon after a request's last byte its connection may still end without an
+// answer, if the request was not passed on.
+const lossSlack = 200 * time.Millisecond
+
+type (
+	// unanswered is a request whose connection ended without its whole answer.
+	unanswered struct {
+		id    string
+		after time.Duration // since its last byte was sent
+		err   error
+	}
+
+	// keptCallers send requests on kept connections, and collect those without an answer.
+	keptCallers struct {
+		mu       sync.Mutex
+		answered map[int]int // by status
+		without  []unanswered
+	}
+)
+
+// run sends requests to an instance until stop is closed, or the instance takes no connection.
+func (k *keptCallers) run(e *entry, name, path string, pause func() time.Duration, stop <-chan struct{}) {
+	for n := 0; ; {
+		conn, err := net.DialTimeout("tcp", e.callers, time.Second)
+		if err != nil {
+			return
+		}
+		r := bufio.NewReader(conn)
+		for open := true; open; n++ {
+			select {
+			case <-stop:
+				_ = conn.Close()
+				return
+			case <-time.After(pause()):
+			}
+			open = k.ask(conn, r, fmt.Sprintf("%s-%d", name, n), path)
+		}
+		_ = conn.Close()
+	}
+}
+
+// ask sends one request; it returns whether the connection may be used for another.
+func (k *keptCallers) ask(conn net.Conn, r *bufio.Reader, id, path string) bool {
+	_, err := fmt.Fprintf(conn, "POST %sa HTTP/1.1\r\nHost: %s\r\nCurrantford-Request-Id: %s\r\nCurrantford-Deadline-Ms: 1500\r\nContent-Length: 2\r\n\r\nab", path, host, id)
+	sent := time.Now()
+	if err != nil {
+		return false // it was not sent whole
+	}
+	resp, err := http.ReadResponse(r, nil)
+	if err == nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err != nil {
+		k.without = append(k.without, unanswered{id, time.Since(sent), err})
+		return false
+	}
+	k.answered[resp.StatusCode]++
+	return !resp.Close
+}
+
+// check fails the test for each request that was lost.
+func (k *keptCallers) check(s *site) {
+	s.t.Helper()
+	s.t.Logf("answers by status: %v; connections that ended under a request: %d", k.answered, len(k.without))
+	for _, u := range k.without {
+		switch {
+		case ran(s.plains, u.id) > 0:
+			s.t.Errorf("%s was passed on and got no answer, after %s: %v", u.id, u.after, u.err)
+		case u.after > lossSlack:
+			s.t.Errorf("%s got no answer, after %s: %v", u.id, u.after, u.err)
+		}
+	}
+}
+
+// storm puts configurations, each with other limits, timeouts and routes, until stop is closed.
+func (s *site) storm(every time.Duration, stop <-chan struct{}) {
+	for version := 2; ; version++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(every):
+		}
+		c := map[string]any{}
+		raw, _ := json.Marshal(s.config)
+		_ = json.Unmarshal(raw, &c)
+		routes := c["routes"].([]any)
+		limits := c["limits"].(map[string]any)
+		limits["idle-timeout-ms"] = []int{300, 15000}[version%2]
+		limits["header-timeout-ms"] = []int{3000, 500}[version/2%2]
+		limits["max-body-bytes"] = []int{1 << 20, 64 << 10}[version/3%2]
+		for _, r := range routes {
+			if r := r.(map[string]any); r["service"] == plain {
+				r["timeout-ms"] = []int{2000, 700}[version/2%2]
+			}
+		}
+		if version%5 == 0 {
+			c["routes"] = routes[:len(routes)-1] // without the bids
+		}
+		c["version"] = version
+		s.store.Put("config", "main", c)
+	}
+}
+
+// Guards against kept connections that end under a request around configurations in quick
+// succession, reloads, and stops one after the other and at the same time.
+func TestPlannedWorkEndsNoConnectionUnderARequest(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 4, engines: 1, plains: 4, event: 10 * time.Millisecond})
+	callers := &keptCallers{answered: map[int]int{}}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() { s.storm(150*time.Millisecond, stop) })
+	pauses := []func() time.Duration{
+		func() time.Duration { return time.Duration(rand.IntN(10)) * time.Millisecond },
+		func() time.Duration { return 240 * time.Millisecond },                                 // most of the short limit
+		func() time.Duration { return time.Duration(2000+rand.IntN(1500)) * time.Millisecond }, // about when idle connections are closed
+	}
+	for i := range 96 {
+		wg.Go(func() {
+			callers.run(s.entries[i%4], fmt.Sprintf("r%d", i), []string{plainPrefix, "/bids/"}[i/4%2], pauses[i/8%3], stop)
+		})
+	}
+	for i := range 60 {
+		time.Sleep(150 * time.Millisecond)
+		switch i {
+		case 14, 20: // the second stop begins beside the first
+			s.entries[i/20].signal(syscall.SIGTERM)
+		case 50:
+			s.entries[2].signal(syscall.SIGTERM)
+		default:
+			s.entries[3].signal(syscall.SIGHUP)
+		}
+	}
+	for _, e := range s.entries[:3] {
+		<-e.done
+	}
+	close(stop)
+	wg.Wait()
+	callers.check(s)
+}
+
+// Guards against a reload that ends a process which has just started.
+func TestReloadDuringAStart(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, options{entries: 2, engines: 1})
+	e := s.entries[1]
+	e.kill()
+	settings, err := os.ReadFile(e.settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The start waits for its settings until they are written.
+	if err := errors.Join(os.Remove(e.settings), syscall.Mkfifo(e.settings, 0o600)); err != nil {
+		t.Fatal(err)
+	}
+	e.start()
+	pipe, err := os.OpenFile(e.settings, os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.signal(syscall.SIGHUP)
+	time.Sleep(100 * time.Millisecond)
+	if err := errors.Join(os.Remove(e.settings), os.WriteFile(e.settings, settings, 0o600)); err != nil {
+		t.Fatal(err)
+	}
+	_, err = pipe.Write(settings)
+	if err = errors.Join(err, pipe.Close()); err != nil {
+		t.Fatal(err)
+	}
+	e.waitReady()
+	eventually(t, "reload", func() bool { return e.logged("reloaded", "msg") != "" })
+}
