--- a/systemtest/kept_test.go
+++ b/systemtest/kept_test.go
@@ -36,8 +36,9 @@
 	}
 )
 
-// run sends requests to an instance until stop is closed, or the instance takes no connection.
-func (k *keptCallers) run(e *entry, name, path string, pause func() time.Duration, stop <-chan struct{}) {
+// run sends requests, of which call is the first line and what it needs of a head, to an
+// instance until stop is closed, or the instance takes no connection.
+func (k *keptCallers) run(e *entry, name, call string, pause func() time.Duration, stop <-chan struct{}) {
 	for n := 0; ; {
 		conn, err := net.DialTimeout("tcp", e.callers, time.Second)
 		if err != nil {
@@ -51,15 +52,15 @@
 				return
 			case <-time.After(pause()):
 			}
-			open = k.ask(conn, r, fmt.Sprintf("%s-%d", name, n), path)
+			open = k.ask(conn, r, fmt.Sprintf("%s-%d", name, n), call)
 		}
 		_ = conn.Close()
 	}
 }
 
 // ask sends one request; it returns whether the connection may be used for another.
-func (k *keptCallers) ask(conn net.Conn, r *bufio.Reader, id, path string) bool {
-	_, err := fmt.Fprintf(conn, "POST %sa HTTP/1.1\r\nHost: %s\r\nCurrantford-Request-Id: %s\r\nCurrantford-Deadline-Ms: 1500\r\nContent-Length: 2\r\n\r\nab", path, host, id)
+func (k *keptCallers) ask(conn net.Conn, r *bufio.Reader, id, call string) bool {
+	_, err := fmt.Fprintf(conn, "%s\r\nHost: %s\r\nCurrantford-Request-Id: %s\r\nCurrantford-Deadline-Ms: 1500\r\nContent-Length: 2\r\n\r\nab", call, host, id)
 	sent := time.Now()
 	if err != nil {
 		return false // it was not sent whole
@@ -131,6 +132,12 @@
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	wg.Go(func() { s.storm(150*time.Millisecond, stop) })
+	b := step("b1", "m0", 2, 4, 400)
+	s.accept(b)
+	calls := []string{
+		"POST " + plainPrefix + "a HTTP/1.1", "POST /bids/a HTTP/1.1",
+		"GET /currantford/lots/b1?after=8 HTTP/1.1\r\nCurrantford-Wait-Ms: 700", // nothing is there: it waits
+	}
 	pauses := []func() time.Duration{
 		func() time.Duration { return time.Duration(rand.IntN(10)) * time.Millisecond },
 		func() time.Duration { return 240 * time.Millisecond },                                 // most of the short limit
@@ -138,7 +145,7 @@
 	}
 	for i := range 96 {
 		wg.Go(func() {
-			callers.run(s.entries[i%4], fmt.Sprintf("r%d", i), []string{plainPrefix, "/bids/"}[i/4%2], pauses[i/8%3], stop)
+			callers.run(s.entries[i%4], fmt.Sprintf("r%d", i), calls[i/4%3], pauses[i/12%3], stop)
 		})
 	}
 	for i := range 60 {
