--- a/io/cfnode/server.go
+++ b/io/cfnode/server.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
 	cf "currantford"
@@ -37,6 +38,9 @@
 	// and with it what is out of cfhold's sight: 0.2 MB of a connection, 3.8 MB without it.
 	// At the longest round trip of 16 ms it lets 16 MB a second pass.
 	sendBuffer = 256 << 10
+	// answerTime is how long before the end of a stop the requests that are still under way
+	// are told, and answered.
+	answerTime = 200 * time.Millisecond
 	// stopTick is how often a stop looks whether the connections have ended.
 	stopTick = 10 * time.Millisecond
 )
@@ -50,6 +54,8 @@
 		idle    func() cf.Millis
 		rooms   *cfroom.Rooms // nil where slow readers are not looked at
 		closing atomic.Bool   // answers end their connections
+		// end cancels all requests.
+		end context.CancelCauseFunc
 
 		mu    sync.Mutex
 		conns map[*conn]cf.Millis // since when idle, zero while busy
@@ -69,10 +75,14 @@
 		// writes counts the beginnings and the ends of writes: odd while one is under way.
 		writes atomic.Uint64
 		reader *cfroom.Conn
+		log    *zap.Logger
 	}
 
 	// listener hands out connections as conn.
-	listener struct{ net.Listener }
+	listener struct {
+		net.Listener
+		log *zap.Logger
+	}
 )
 
 // Accept implements net.Listener.
@@ -81,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &conn{Conn: c}
+	out := &conn{Conn: c, log: l.log}
 	out.reader = &cfroom.Conn{Delivery: out}
 	return out, nil
 }
@@ -91,7 +101,14 @@
 func (c *conn) Write(b []byte) (int, error) {
 	c.writes.Add(1)
 	defer c.writes.Add(1)
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.mu.Lock()
+		closing := c.closing
+		c.mu.Unlock()
+		c.log.Info("answer_not_written", zap.String("request_id", c.reader.Request()), zap.Bool("closing", closing), cflog.Error(err))
+	}
+	return n, err
 }
 
 // Writing implements cfroom.Delivery.
@@ -140,6 +157,7 @@
 	defer c.mu.Unlock()
 	if n > 0 {
 		if c.closing && !c.busy {
+			c.log.Info("request_crossed_close", zap.Int("bytes", n))
 			return 0, io.EOF
 		}
 		c.busy = true
@@ -173,11 +191,12 @@
 // Serve listens on addr. idle tells the longest that a connection may be
 // idle, zero when it is not known.
 func Serve(addr string, h http.Handler, idle func() cf.Millis) (*Server, error) {
-	return listen(addr, h, idle, nil)
+	return listen(addr, h, idle, nil, zap.NewNop())
 }
 
-// listen is Serve; where rooms bound what is held it looks for callers that read slowly.
-func listen(addr string, h http.Handler, idle func() cf.Millis, rooms *cfroom.Rooms) (*Server, error) {
+// listen is Serve; where rooms bound what is held it looks for callers that read slowly. log
+// gets a line for each answer that could not be written.
+func listen(addr string, h http.Handler, idle func() cf.Millis, rooms *cfroom.Rooms, log *zap.Logger) (*Server, error) {
 	var config net.ListenConfig
 	if rooms.On() {
 		config.Control = bufferAnswers
@@ -186,15 +205,19 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s", addr)
 	}
-	s := &Server{ln: ln, idle: idle, rooms: rooms, conns: map[*conn]cf.Millis{}, stop: make(chan struct{})}
-	s.http = &http.Server{Handler: cflog.Handler(s.ending(h)), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ConnState: s.track}
+	ctx, end := context.WithCancelCause(context.Background())
+	s := &Server{ln: ln, idle: idle, rooms: rooms, end: end, conns: map[*conn]cf.Millis{}, stop: make(chan struct{})}
+	s.http = &http.Server{
+		Handler: cflog.Handler(s.ending(h)), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ConnState: s.track,
+		BaseContext: func(net.Listener) context.Context { return ctx },
+	}
 	if rooms.On() {
 		s.http.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
 			return cfroom.WithConn(ctx, nc.(*conn).reader)
 		}
 		s.wg.Go(s.look)
 	}
-	s.wg.Go(func() { _ = s.http.Serve(listener{ln}) }) // ends with the listener
+	s.wg.Go(func() { _ = s.http.Serve(listener{ln, log}) }) // ends with the listener
 	s.wg.Go(s.reap)
 	return s, nil
 }
@@ -227,6 +250,7 @@
 		s.conns[c] = cf.Uptime()
 	case http.StateActive:
 		s.conns[c] = 0
+		c.reader.Begun()
 	default: // closed, or taken over by another protocol
 		delete(s.conns, c)
 		c.reader.Ended()
@@ -305,25 +329,43 @@
 func (s *Server) windDown() { s.closing.Store(true) }
 
 // Shutdown stops listening, closes what is idle, and waits for the requests
-// that have been read to be answered, until ctx ends.
+// that have been read to be answered. Those that are still under way shortly
+// before ctx ends are cancelled with ErrStopping, for their handlers to answer.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.windDown()
 	_ = s.ln.Close()
+	patience := ctx
+	if end, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		patience, cancel = context.WithDeadline(ctx, end.Add(-min(answerTime, time.Until(end)/2)))
+		defer cancel()
+	}
 	var err error
-	for err == nil {
+	if !s.drain(patience) {
+		err = eris.Errorf("%d connections were still in use", s.open())
+		s.end(cf.ErrStopping)
+		s.drain(ctx)
+	}
+	_ = s.http.Close()
+	s.end(nil)
+	close(s.stop)
+	s.wg.Wait()
+	return err
+}
+
+// drain closes what is idle until no connection is left; it returns false where ctx ends
+// before.
+func (s *Server) drain(ctx context.Context) bool {
+	for {
 		// Also those that were accepted at the last moment.
 		s.closeWhere(func(cf.Millis) bool { return true })
 		if s.open() == 0 {
-			break
+			return true
 		}
 		if !cf.Sleep(ctx, stopTick) {
-			err = eris.Wrapf(ctx.Err(), "%d connections are still in use", s.open())
+			return false
 		}
 	}
-	_ = s.http.Close()
-	close(s.stop)
-	s.wg.Wait()
-	return err
 }
 
 func (s *Server) open() int {
