--- a/core/cfrollout/waiting.go
+++ b/core/cfrollout/waiting.go
@@ -9,6 +9,9 @@
 	// begun and there is room, until it is reported. Each further report of it comes after
 	// twice that time.
 	waitingFrom cf.Millis = 2000
+	// silentFrom is how long a run may be without an event until it counts as waiting: first
+	// events take some 100 ms.
+	silentFrom cf.Millis = 1000
 	// waitingMost bounds the items that are reported at a time.
 	waitingMost = 16
 	// waitingRoom is the part of a service's slots below which items need not wait.
@@ -73,7 +76,7 @@
 			continue
 		}
 		for _, w := range o.running {
-			if w.Progress.events.Load() == 0 {
+			if w.Progress.events.Load() == 0 && now-w.Started >= silentFrom {
 				out.add(w, WaitSilent, now)
 			}
 		}
