cfnode: an instance turned away by the store asks others that reach it

What callers saw: while the store turns away the coordinator and most others, the duty moves within 4 s, its runs are stopped and begin again where no copy was made, and instances that are turned away answer 503 to batches and their ends.

Cause: a call that the store refuses is passed on to two instances, the same two each time. Only an instance that did not answer was left out of the next try; one that the store turns away as well answers at once, and was asked again. With 35% turned away this holds for one in eight of them for as long as the fault lasts, the coordinator among them.

Change: an instance that relayed nothing is asked after the others for 2 s.

Evidence: TestRelaysGoOnToInstancesThatReachTheStore before: "b is not asked in 5 tries".

--- a/io/cfnode/relay.go
+++ b/io/cfnode/relay.go
@@ -1,8 +1,10 @@
 package cfnode
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 
@@ -24,7 +26,7 @@
 	relayRest     cf.Millis = 250
 	relayRestMost cf.Millis = 2000
 	// relayAvoid keeps calls off an instance that did not answer one: each try
-	// would wait for it again.
+	// would wait for it again. One that relayed nothing otherwise is asked after the others.
 	relayAvoid cf.Millis = 2000
 	// relayQuiet is the span without relayed calls after which the next one
 	// is worth a log line.
@@ -41,8 +43,9 @@
 	// that nobody could relay.
 	rest     cf.Millis
 	failures int
-	// avoid are instances that did not answer, with until when.
-	avoid map[string]cf.Millis
+	// avoid are instances that did not answer, last those that relayed nothing though
+	// they did, or were not reached, both with until when.
+	avoid, last map[string]cf.Millis
 }
 
 // relay passes a call to the store through another instance. The store may turn
@@ -77,9 +80,8 @@
 			}
 			return nil
 		}
-		if !errors.Is(err, cf.ErrRefused) && !errors.Is(err, cf.ErrNotRun) {
-			failure = err // it may have been carried out there
-			n.relays.silent(addr, cf.Uptime())
+		if n.relays.vain(addr, err, cf.Uptime()) {
+			failure = err
 		}
 	}
 	n.relays.failed(now)
@@ -104,31 +106,33 @@
 		}
 	}
 	var paths []string
-	add := func(addr string) {
-		if addr != "" && !slices.Contains(paths, addr) && !n.relays.avoided(addr, now) {
-			paths = append(paths, addr)
-		}
-	}
-	add(n.relays.last())
 	if holder, _ := n.candidate.holder(); holder.Entry != n.settings.Entry {
-		add(holder.Addr)
+		paths = append(paths, holder.Addr)
 	}
-	for _, addr := range append(near, far...) {
-		add(addr)
-	}
-	return paths[:min(len(paths), relayMost)]
+	return n.relays.choose(slices.Concat(paths, near, far), now)
 }
 
-func (r *relays) resting(now cf.Millis) bool {
+// choose returns the instances to ask for one call, of those that may be, best first. Those
+// that are turned away as well come after the others, which may reach the store.
+func (r *relays) choose(addrs []string, now cf.Millis) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return now < r.rest
+	var paths []string
+	for _, addr := range append([]string{r.via}, addrs...) {
+		if addr != "" && !slices.Contains(paths, addr) && now >= r.avoid[addr] {
+			paths = append(paths, addr)
+		}
+	}
+	slices.SortStableFunc(paths, func(a, b string) int {
+		return cmp.Compare(max(r.last[a], now), max(r.last[b], now))
+	})
+	return paths[:min(len(paths), relayMost)]
 }
 
-func (r *relays) last() string {
+func (r *relays) resting(now cf.Millis) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.via
+	return now < r.rest
 }
 
 // worked notes a relayed call; it returns true for the first one in a while.
@@ -140,25 +144,23 @@
 	return first
 }
 
-// silent notes that an instance did not answer.
-func (r *relays) silent(addr string, now cf.Millis) {
+// vain notes that an instance did not relay a call; it returns whether the call may have been
+// carried out there.
+func (r *relays) vain(addr string, err error, now cf.Millis) (doubt bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.avoid == nil {
-		r.avoid = map[string]cf.Millis{}
+		r.avoid, r.last = map[string]cf.Millis{}, map[string]cf.Millis{}
 	}
-	for a, until := range r.avoid {
-		if now >= until {
-			delete(r.avoid, a)
-		}
+	over := func(_ string, until cf.Millis) bool { return now >= until }
+	maps.DeleteFunc(r.avoid, over)
+	maps.DeleteFunc(r.last, over)
+	if doubt = !errors.Is(err, cf.ErrRefused) && !errors.Is(err, cf.ErrNotRun); doubt {
+		r.avoid[addr] = now + relayAvoid
+	} else {
+		r.last[addr] = now + relayAvoid
 	}
-	r.avoid[addr] = now + relayAvoid
-}
-
-func (r *relays) avoided(addr string, now cf.Millis) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return now < r.avoid[addr]
+	return doubt
 }
 
 func (r *relays) failed(now cf.Millis) {
--- /dev/null
+++ b/io/cfnode/relay_test.go
@@ -0,0 +1,42 @@
+package cfnode
+
+import (
+	"slices"
+	"testing"
+
+	cf "currantford"
+)
+
+// Guards against: an instance that the store turns away, and that asks the same two others
+// over and over which are turned away as well.
+func TestRelaysGoOnToInstancesThatReachTheStore(t *testing.T) {
+	all := []string{"holder", "a", "b", "c", "d"}
+	for _, sound := range all {
+		var r relays
+		now, tries := cf.Millis(10_000), 0
+		for served := false; !served; tries++ {
+			if tries == len(all) {
+				t.Fatalf("%s is not asked in %d tries", sound, tries)
+			}
+			for _, addr := range r.choose(all, now) {
+				if served = addr == sound; served {
+					r.worked(addr, now)
+					break
+				}
+				r.vain(addr, cf.ErrRefused, now)
+			}
+			if !served {
+				r.failed(now)
+				for r.resting(now) {
+					now += 50
+				}
+			}
+		}
+		if paths := r.choose(all, now); !slices.Contains(paths, sound) || paths[0] != sound {
+			t.Errorf("the next call asks %v, not %s", paths, sound)
+		}
+		if took := now - 10_000; took > relayAvoid {
+			t.Errorf("%s was asked after %d ms", sound, took)
+		}
+	}
+}
--- a/systemtest/site_test.go
+++ b/systemtest/site_test.go
@@ -72,6 +72,8 @@
 		// links puts a proxy before each target and, for each entry, before
 		// the store.
 		links bool
+		// gates puts a gate before the store for each entry.
+		gates bool
 		// crashes lets targets crash, each behind a proxy that then refuses
 		// connections; they are down for so long. keepIDs lets them start again
 		// under their ids.
@@ -109,6 +111,7 @@
 
 		valueBytes int
 		links      bool
+		gates      bool
 		policy     map[string]any
 		bounds     map[string]any
 		usage      float64
@@ -131,6 +134,8 @@
 		logPath  string
 		// storeLink leads to the store, where asked for.
 		storeLink *proxy
+		// storeGate turns it away from the store, where asked for.
+		storeGate *standin.Gate
 		cmd       *exec.Cmd
 		done      chan struct{}
 	}
@@ -233,7 +238,7 @@
 	if o.valueBytes == 0 {
 		o.valueBytes = 1 << 20
 	}
-	s := &site{t: t, store: standin.NewStore(), valueBytes: o.valueBytes, links: o.links, policy: o.policy, bounds: o.bounds, usage: o.usage, autoscale: o.autoscale, cores: o.cores, linkMbps: o.linkMbps, hubsFrom: o.hubsFrom}
+	s := &site{t: t, store: standin.NewStore(), valueBytes: o.valueBytes, links: o.links, gates: o.gates, policy: o.policy, bounds: o.bounds, usage: o.usage, autoscale: o.autoscale, cores: o.cores, linkMbps: o.linkMbps, hubsFrom: o.hubsFrom}
 	s.addr = listen(t, s.store)
 	if o.usage > 0 || o.autoscale {
 		s.control = standin.NewControl(3 * time.Second)
@@ -296,6 +301,10 @@
 		e.storeLink = newProxy(s.t, s.addr)
 		store = e.storeLink.addr()
 	}
+	if s.gates {
+		e.storeGate = standin.NewGate(s.store)
+		store = listen(s.t, e.storeGate)
+	}
 	dir := s.t.TempDir()
 	e.settings, e.logPath = filepath.Join(dir, "settings.json"), filepath.Join(dir, "log")
 	machine := map[string]any{}
