cfrollout: a text of one version goes on at a slow engine if no other may take it

What trainers see: on a route for samples of one version a step's item stands at no engine until the step's time is over, while engines are idle.

Cause: its run ends early after others of the share have loaded the next version. It may go on only where its version is left. If that engine is slow, the item waits for a usual one, and those of the new version count as its queue. The slow engine does not load, as the item waits that it may run, and the text is not dropped, as an engine holds its version: nothing ends the wait.

Change: such an item's queue is that of the engines that may take it.

--- a/core/cfrollout/pace.go
+++ b/core/cfrollout/pace.go
@@ -282,11 +282,23 @@
 
 // queueOf returns how a batch's items are served.
 func (p *Planner) queueOf(o *open) queue {
-	var paces []float64
-	engines := p.share(o)
-	serving := func(e *Engine) bool {
+	return p.queueAt(p.share(o), func(e *Engine) bool {
 		return !e.Draining && e.versions[e.Share] >= o.batch.Sub.MinVersion
+	})
+}
+
+// queueFor returns how an item is served: one of a route for samples of one version may go
+// on with its text at engines of that version alone.
+func (p *Planner) queueFor(q queue, o *open, w *Work) queue {
+	if !w.Terms.SingleVersion || len(w.Text.Versions) == 0 {
+		return q
 	}
+	return p.queueAt(p.share(o), func(e *Engine) bool { return e.serves(w) })
+}
+
+// queueAt returns how those of some engines serve that do.
+func (p *Planner) queueAt(engines []*Engine, serving func(*Engine) bool) queue {
+	var paces []float64
 	for _, e := range engines {
 		if e.pace > 0 && serving(e) {
 			paces = append(paces, p.full(e))
--- a/core/cfrollout/place.go
+++ b/core/cfrollout/place.go
@@ -63,8 +63,10 @@
 				e = p.choose(engines, w, typical, now)
 				full = full || fresh && e == nil
 			}
-			if e != nil && !p.limits.LongOnSlow && p.slow(q, e) && p.betterWait(q, w, e, len(rest)+1) {
-				e = nil
+			if e != nil && !p.limits.LongOnSlow {
+				if q := p.queueFor(q, o, w); p.slow(q, e) && p.betterWait(q, w, e, len(rest)+1) {
+					e = nil
+				}
 			}
 			if e != nil {
 				e = p.admitted(engines, w, e, typical, now)
--- a/core/cfrollout/single_test.go
+++ b/core/cfrollout/single_test.go
@@ -55,3 +55,30 @@
 		}
 	}
 }
+
+// Guards against: an item that waits for ever, as the only engine that holds the weights of
+// its text is slow and the others, which may not go on with it, are counted as its queue.
+func TestTextOfOneVersionGoesOnAtASlowEngine(t *testing.T) {
+	p := slowSite(t)
+	p.AddBatch(hinted("s", 100), singleTerms)
+	w := p.Place(5000)[0]
+	if w.Engine == "e03" {
+		t.Fatal("it begins at the slow engine")
+	}
+	generate(t, w, 5010, 5400, 40)
+	p.Finished(w, cfrollout.OutcomeBroken, 5450)
+	p.SetVersion("a", 2)
+	for _, id := range []cf.InstanceID{"e00", "e01", "e02"} {
+		p.SwapDone(id, "a", 2)
+	}
+	for now := cf.Millis(5500); now < 15_500; now += 50 {
+		if placed := p.Place(now); len(placed) == 1 {
+			t.Logf("goes on at %s after %d ms", placed[0].Engine, now-5450)
+			return
+		}
+		for _, s := range p.Swaps(now) {
+			p.SwapDone(s.Target.ID, s.Model, s.Version)
+		}
+	}
+	t.Errorf("at no engine for 10 s: %v", p.WaitingItems(15_500).Counts)
+}
