cfcoord: results that the coordinator before lists are seen in batches that came since

What a reader would see: a position that was read has no result for up to 2.5 s.

Cause: for 10 s after a takeover an empty page is not given before the chunks in the store were read again, but only for batches that were there before. An instance that has not heard of the successor tells the coordinator before of a batch that it accepts; one that can't renew its lease goes on for up to 15 s and does not know that it was replaced until it is called or reaches the store. Both then run the batch and list it. A read at the store shows what the one before has listed; the successor, which began the batch as one of its own, answers with no result until its own next chunk meets that one.

What a takeover waits for is as it was.

Evidence: TestResultsOfABatchThatTwoCoordinatorsBeganAreSeen before: "no result at position 0, where the store has one", both for a batch of which this coordinator was told and for one that the watch brought.

--- a/io/cfcoord/batches.go
+++ b/io/cfcoord/batches.go
@@ -72,13 +72,22 @@
 		if c.takeover.listed && c.openPrepared(id, acceptedIn(r)) {
 			return nil
 		}
-		rd := &reading{inherited: !c.takeover.listed}
+		rd := &reading{inherited: !c.takeover.listed, shared: !c.takeover.listed || c.mayBeShared()}
 		c.readings[id] = rd
 		c.wg.Go(func() { c.load(r, rd) })
 	}
 	return nil
 }
 
+// beforeGoesOn is how long a coordinator that was replaced may go on.
+const beforeGoesOn cf.Millis = 15_000
+
+// mayBeShared says whether the coordinator before may begin a batch that comes now as well: it
+// may have been told of the batch, and not yet of its successor.
+func (c *Coordinator) mayBeShared() bool {
+	return c.Succeeds && cf.Uptime()-c.started < beforeGoesOn
+}
+
 // load reads a batch and begins to keep it.
 func (c *Coordinator) load(r cf.Record, rd *reading) {
 	select {
@@ -86,7 +95,7 @@
 	case <-c.ctx.Done():
 		return
 	}
-	st, err := c.readBatch(r, rd.inherited)
+	st, err := c.readBatch(r, rd.inherited, rd.shared)
 	<-c.readSlots
 	if c.ctx.Err() != nil {
 		return
@@ -131,12 +140,12 @@
 
 // readBatch reads a batch, with its results where an earlier coordinator may have
 // worked on it; a batch that was created since has none.
-func (c *Coordinator) readBatch(r cf.Record, inherited bool) (*state, error) {
+func (c *Coordinator) readBatch(r cf.Record, inherited, shared bool) (*state, error) {
 	for {
-		b, err := cfbatch.Fetch(c.ctx, c.Store, r, inherited)
+		b, err := cfbatch.Fetch(c.ctx, c.Store, r, shared)
 		if err == nil {
 			return &state{
-				batch: b, changed: make(chan struct{}), inherited: inherited, loadedAt: cf.Uptime(), measured: b.ListedCount(),
+				batch: b, changed: make(chan struct{}), inherited: inherited, shared: shared, loadedAt: cf.Uptime(), measured: b.ListedCount(),
 			}, nil
 		}
 		if errors.Is(err, cf.ErrInvalid) {
--- a/io/cfcoord/coordinator.go
+++ b/io/cfcoord/coordinator.go
@@ -96,6 +96,8 @@
 		// Loads is how many engines may load weights at once, as the coordinator
 		// before has learned; zero if it has not.
 		Loads int
+		// Succeeds says that another coordinator may have been there before.
+		Succeeds bool
 		// Pages is what the link may carry of pages of results; nil is no bound.
 		Pages   *LinkBudget
 		Metrics *Metrics
@@ -158,8 +160,8 @@
 	// reading is a batch that is being read from the store, with what has
 	// become of it meanwhile.
 	reading struct {
-		ended, removed bool
-		inherited      bool
+		ended, removed    bool
+		inherited, shared bool
 	}
 
 	// state is a batch with what waits to be listed.
@@ -170,8 +172,9 @@
 		added   bool          // the planner has it
 		// succession is what it waits for before the planner has it.
 		succession cfbatch.Succession
-		// inherited: a coordinator before may have a chunk of it under way.
-		inherited bool
+		// inherited: it was there before this duty. shared: a coordinator before may have a
+		// chunk of it under way.
+		inherited, shared bool
 		loadedAt  cf.Millis
 		rereadAt  cf.Millis // when its chunks were last read again
 		// measured counts the listed results whose staleness was measured,
--- a/io/cfcoord/prepared.go
+++ b/io/cfcoord/prepared.go
@@ -99,7 +99,7 @@
 	if !ok {
 		return false
 	}
-	c.batches[id] = &state{batch: cfbatch.New(sub), changed: make(chan struct{}), loadedAt: cf.Uptime()}
+	c.batches[id] = &state{batch: cfbatch.New(sub), changed: make(chan struct{}), loadedAt: cf.Uptime(), shared: c.mayBeShared()}
 	c.Kick()
 	return true
 }
--- a/io/cfcoord/reads.go
+++ b/io/cfcoord/reads.go
@@ -26,7 +26,7 @@
 // that this one does not know, where a reader is about to be told that there
 // are none. c.mu is held.
 func (c *Coordinator) mayLack(st *state, after int, now cf.Millis) bool {
-	return st.inherited && !st.batch.Complete() && len(st.batch.Page(after).Results) == 0 &&
+	return st.shared && !st.batch.Complete() && len(st.batch.Page(after).Results) == 0 &&
 		now-st.loadedAt < inheritedFor && now-st.rereadAt >= inheritedEvery
 }
 
--- a/io/cfcoord/reads_test.go
+++ b/io/cfcoord/reads_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -23,7 +24,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	st, err := c.readBatch(object, inherited)
+	st, err := c.readBatch(object, inherited, inherited)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -78,3 +79,46 @@
 		t.Errorf("%d results wait to be listed a second time", n)
 	}
 }
+
+// Guards against: a reader that is told of no result though another has read it at the store,
+// of a batch which the coordinator before was told of after this one's first list.
+func TestResultsOfABatchThatTwoCoordinatorsBeganAreSeen(t *testing.T) {
+	ctx := context.Background()
+	store := cfstandin.NewMemStore()
+	c := startDutyAfter(t, store, &countingTargets{}, true)
+	eventually := func(what string, f func() bool) {
+		t.Helper()
+		for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+			c.mu.Lock()
+			ok := f()
+			c.mu.Unlock()
+			if ok {
+				return
+			}
+			if time.Now().After(deadline) {
+				t.Fatalf("no %s", what)
+			}
+		}
+	}
+	eventually("duty", func() bool { return c.takeover.done })
+	sub := cf.Submission{ID: "b", Host: "h", Path: "/", Model: "m", MinVersion: 1, Items: []cf.Item{{ID: "1"}, {ID: "2"}}, Accepted: cf.Now()}
+	for _, told := range []bool{false, true} {
+		if told {
+			sub.ID = "c"
+			c.Prepare(sub)
+		}
+		if err := cfbatch.Create(ctx, store, sub, 1<<20); err != nil {
+			t.Fatal(err)
+		}
+		eventually("batch", func() bool { return c.batches[sub.ID] != nil })
+		listed := cfbatch.Chunk{Results: []cf.Result{{ID: "1", State: cf.ItemDone, Output: "x"}}}
+		if _, err := store.Create(ctx, cf.KindResults(sub.ID), "000000", listed); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(inheritedEvery.Duration())
+		page, err := c.Results(ctx, sub.ID, 0, 0)
+		if err == nil && len(page.Results) == 0 {
+			t.Errorf("told=%v: no result at position 0, where the store has one", told)
+		}
+	}
+}
--- a/io/cfcoord/takeover_test.go
+++ b/io/cfcoord/takeover_test.go
@@ -61,9 +61,16 @@
 
 // startDuty begins the duty of a coordinator on a store with one engine.
 func startDuty(t *testing.T, store cf.Store, targets cf.Targets) *Coordinator {
+	t.Helper()
+	return startDutyAfter(t, store, targets, false)
+}
+
+// startDutyAfter is the same; succeeds says that another coordinator was there before.
+func startDutyAfter(t *testing.T, store cf.Store, targets cf.Targets, succeeds bool) *Coordinator {
 	t.Helper()
 	c := New(Options{
-		Store: store, Targets: targets, Site: engineSite(t), Codec: cfstandin.Codec{}, Duty: held{}, Policy: Policy{NoTextCopies: true},
+		Succeeds: succeeds,
+		Store:    store, Targets: targets, Site: engineSite(t), Codec: cfstandin.Codec{}, Duty: held{}, Policy: Policy{NoTextCopies: true},
 		KeepResults: 120_000, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
 	})
 	c.Start(noTexts)
--- a/io/cfnode/node.go
+++ b/io/cfnode/node.go
@@ -378,7 +378,7 @@
 	c := cfcoord.New(cfcoord.Options{
 		Self: n.settings.Entry, Store: n.adapter.Store, Targets: n.adapter.Targets, Streams: pool, Site: n.site, Codec: n.adapter.Codec, Guard: n.guard,
 		Duty: n.candidate, KeepResults: cf.Millis(n.settings.Bounds.KeepResultsS * 1000), Neighbour: neighbour{n}, Metrics: n.metrics, Log: n.log,
-		Pages: n.pages, Loads: before.Loads, Policy: n.settings.Policy.Policy,
+		Pages: n.pages, Loads: before.Loads, Succeeds: before.Entry != "", Policy: n.settings.Policy.Policy,
 	})
 	n.coord.Store(c)
 	n.announce()
