--- /dev/null
+++ b/core/cfrollout/leaving_test.go
@@ -0,0 +1,177 @@
+package cfrollout_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	cf "currantford"
+	"currantford/core/cfrollout"
+)
+
+// leavingPlay is a fleet of which engines leave while steps are under way.
+type leavingPlay struct {
+	t       *testing.T
+	p       *cfrollout.Planner
+	models  map[cf.ServiceName][]cf.ModelName
+	targets []cf.Target
+	now     cf.Millis
+	runs    map[*cfrollout.Work]bool
+	loads   map[cf.InstanceID]cfrollout.Swap
+	loaded  map[cf.InstanceID]cf.Millis
+	// idle is since when which item has been at no engine.
+	idle    map[cf.ItemID]cf.Millis
+	longest cf.Millis
+}
+
+const (
+	leavingTick  cf.Millis = 50
+	leavingLoad  cf.Millis = 900
+	leavingEvent cf.Millis = 100
+)
+
+func newLeavingPlay(t *testing.T, engines int, names []cf.ModelName) *leavingPlay {
+	var held []cf.ModelState
+	for _, m := range names {
+		held = append(held, cf.ModelState{Name: m, Version: 1})
+	}
+	x := &leavingPlay{
+		t: t, p: cfrollout.New(cfrollout.DefaultLimits), models: models(names...), targets: fleet(engines, held...),
+		runs: map[*cfrollout.Work]bool{}, loads: map[cf.InstanceID]cfrollout.Swap{}, loaded: map[cf.InstanceID]cf.Millis{},
+		idle: map[cf.ItemID]cf.Millis{},
+	}
+	for i := range x.targets {
+		x.targets[i].Slots, x.targets[i].Domain = 6, cf.FailureDomain(fmt.Sprint(i%6))
+	}
+	x.p.SetEngines(x.targets, x.models)
+	return x
+}
+
+// leave takes engines away: at once, or draining first.
+func (x *leavingPlay) leave(draining bool, which func(cf.Target) bool) {
+	for i := range x.targets {
+		x.targets[i].Draining = x.targets[i].Draining || draining && which(x.targets[i])
+	}
+	if !draining {
+		x.targets = slices.DeleteFunc(x.targets, which)
+	}
+	x.p.SetEngines(x.targets, x.models)
+	for w := range x.runs {
+		if !draining && !slices.ContainsFunc(x.targets, func(t cf.Target) bool { return t.ID == w.Engine }) {
+			delete(x.runs, w)
+			x.p.Finished(w, cfrollout.OutcomeBroken, x.now)
+			x.idle[w.Item.ID] = x.now
+		}
+	}
+}
+
+// open hands a step in, and names a version.
+func (x *leavingPlay) open(id cf.BatchID, m cf.ModelName, least cf.WeightVersion, items int) {
+	b := step(id, m, least, items, 1)
+	x.p.AddBatch(b, terms)
+	for _, it := range b.Sub.Items {
+		x.idle[it.ID] = x.now
+	}
+}
+
+// tick plays a moment; texts have ten to forty events.
+func (x *leavingPlay) tick(random *rand.Rand) {
+	x.now += leavingTick
+	for _, w := range x.p.Place(x.now) {
+		x.runs[w] = true
+		x.longest = max(x.longest, x.now-x.idle[w.Item.ID])
+		delete(x.idle, w.Item.ID)
+	}
+	for _, at := range x.idle {
+		x.longest = max(x.longest, x.now-at)
+	}
+	for _, s := range x.p.Swaps(x.now) {
+		x.loads[s.Target.ID], x.loaded[s.Target.ID] = s, x.now+leavingLoad
+	}
+	for id, s := range x.loads {
+		if x.now < x.loaded[id] {
+			continue
+		}
+		delete(x.loads, id)
+		x.p.SwapTook(id, x.now)
+		x.p.SwapDone(id, s.Model, s.Version)
+		for i := range x.targets {
+			if x.targets[i].ID == id {
+				for j, m := range x.targets[i].Models {
+					if m.Name == s.Model {
+						x.targets[i].Models = slices.Clone(x.targets[i].Models)
+						x.targets[i].Models[j].Version = s.Version
+					}
+				}
+			}
+		}
+	}
+	for _, w := range x.p.Moves(x.now) {
+		delete(x.runs, w)
+		x.p.Finished(w, cfrollout.OutcomeStopped, x.now)
+		x.idle[w.Item.ID] = x.now
+	}
+	for w := range x.runs {
+		if x.now%leavingEvent == 0 {
+			generate(x.t, w, x.now, x.now, leavingEvent)
+		}
+		if w.Text.Last >= 10 && random.IntN(100) == 0 || w.Text.Last >= 40 {
+			delete(x.runs, w)
+			if !x.p.Finished(w, cfrollout.OutcomeDone, x.now) {
+				x.t.Errorf("%s is not listed", w.Item.ID)
+			}
+		}
+	}
+}
+
+// Guards against: items that stand at no engine for 5 s, though thousands are idle, after the
+// engines of their model's share have left, or all that hold the weights which they need.
+func TestItemsFindEnginesWhenTheirsLeave(t *testing.T) {
+	names := []cf.ModelName{"a", "b", "c", "d", "e", "f"}
+	ways := map[string]func(x *leavingPlay) func(cf.Target) bool{
+		"share": func(x *leavingPlay) func(cf.Target) bool {
+			of := shares(x.p, x.targets)
+			return func(t cf.Target) bool { return of[t.ID] == "a" }
+		},
+		"weights": func(x *leavingPlay) func(cf.Target) bool {
+			return func(t cf.Target) bool { return t.Models[0].Version >= 2 }
+		},
+		"shares": func(x *leavingPlay) func(cf.Target) bool {
+			of := shares(x.p, x.targets)
+			return func(t cf.Target) bool { return of[t.ID] == "a" || of[t.ID] == "b" || of[t.ID] == "c" }
+		},
+		"some": func(*leavingPlay) func(cf.Target) bool {
+			n := 0
+			return func(cf.Target) bool { n++; return n%50 == 0 }
+		},
+	}
+	for name, way := range ways {
+		for _, draining := range []bool{false, true} {
+			for seed := range uint64(3) {
+				random := rand.New(rand.NewPCG(seed, 7))
+				x := newLeavingPlay(t, 1200, names)
+				at := cf.Millis(random.IntN(60)) * leavingTick
+				for x.now < 16_000 {
+					if k := cf.WeightVersion(x.now / 4000); x.now%4000 == 0 && k < 2 {
+						for _, m := range names {
+							x.p.SetVersion(m, k+1)
+							x.open(cf.BatchID(fmt.Sprint(m, k)), m, k+1, 40)
+						}
+					}
+					if x.now == 5000+at {
+						x.leave(draining, way(x))
+					}
+					if x.now == 7000+at && draining {
+						x.leave(false, func(t cf.Target) bool { return t.Draining })
+					}
+					x.tick(random)
+				}
+				if n := x.p.Waiting(); n > 0 || x.longest >= 5000 {
+					t.Errorf("%s, draining=%v, seed %d: %d items wait, one for %d ms", name, draining, seed, n, x.longest)
+				}
+				t.Logf("%s, draining=%v, seed %d: %d ms at no engine at most", name, draining, seed, x.longest)
+			}
+		}
+	}
+}
