Failing tests: an item is never placed again after a burst of crashes

The replay of the planner learns crashes: waves in which a part of the engines ends with all runs, a quarantine that judges items, items that end their engines, and how long an item is at no engine while the engines are less than half full.

--- a/io/cfcoord/guard_test.go
+++ b/io/cfcoord/guard_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -103,3 +104,39 @@
 		})
 	}
 }
+
+// unluckyTargets end under their first three runs, and then serve.
+type unluckyTargets struct {
+	countingTargets
+	runs, done atomic.Int64
+}
+
+func (u *unluckyTargets) Stream(_ context.Context, _ cf.Target, _ cf.TargetCall, sink cf.StreamSink) (cf.TargetAnswer, error) {
+	if u.runs.Add(1) <= 3 {
+		return cf.TargetAnswer{Heard: true}, fmt.Errorf("EOF: %w", cf.ErrMaybeRan)
+	}
+	if err := sink.Event(cf.StreamEvent{ID: 1, Data: "x", Version: 1}); err != nil {
+		return cf.TargetAnswer{}, err
+	}
+	u.done.Add(1)
+	return cf.TargetAnswer{Status: http.StatusOK, Heard: true}, nil
+}
+
+func (u *unluckyTargets) Reach(context.Context, cf.Target) error {
+	if u.done.Load() > 0 {
+		return nil
+	}
+	return cf.ErrNoProcess
+}
+
+// Guards against: an item that is never placed again after three of its engines crashed.
+func TestItemIsOwedAfterCrashes(t *testing.T) {
+	targets := &unluckyTargets{}
+	guard, _ := itemWithGuard(t, targets)
+	guard.Inform("store", nil)
+	for deadline := time.Now().Add(20 * time.Second); targets.done.Load() == 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d runs, none of them to its end", targets.runs.Load())
+		}
+	}
+}
--- /dev/null
+++ b/testbed/cfreplay/crashes.go
@@ -0,0 +1,179 @@
+package cfreplay
+
+import (
+	"slices"
+
+	cf "currantford"
+	"currantford/core/cfquarantine"
+	"currantford/core/cfrollout"
+)
+
+const (
+	host = "h"
+	// crashAfter is how long an engine runs an item that ends it.
+	crashAfter cf.Millis = 80
+	// sweepEvery is how often the quarantine forgets what is over.
+	sweepEvery cf.Millis = 500
+)
+
+type (
+	// Wave is a moment at which a part of the engines end, with all that they run. They
+	// are back under their ids after Down.
+	Wave struct {
+		At    cf.Millis
+		Share float64
+		Down  cf.Millis
+	}
+
+	// Crashes are the ends of engines that a replay plays.
+	Crashes struct {
+		Waves []Wave
+		// Quarantine judges the items; nil lets all pass.
+		Quarantine *cfquarantine.Table
+		// Guilty says whether an item ends each engine that runs it; the engine is back
+		// after GuiltyDown.
+		Guilty     func(cf.Item) bool
+		GuiltyDown cf.Millis
+		// EqualGroups: the items of a group have one body.
+		EqualGroups bool
+	}
+
+	// Crash is an end of an engine under a guilty item.
+	Crash struct {
+		At   cf.Millis
+		Item cf.ItemID
+		// Beside counts the other runs that were lost with it.
+		Beside int
+	}
+
+	// idle is how long an item has been at no engine since its last run there, while the
+	// engines were less than half full.
+	idle struct {
+		batch cf.BatchID
+		item  cf.ItemID
+	}
+)
+
+// Key returns the quarantine's key of an item.
+func (r *Replay) Key(b cf.BatchID, it cf.Item) cfquarantine.Key {
+	if it.Body = []byte(it.ID); r.options.Crashes.EqualGroups {
+		it.Body = []byte(it.Group)
+	}
+	return cfquarantine.KeyOfItem(&cf.Submission{ID: b, Host: host}, it)
+}
+
+// Unplaced returns the longest time that an item which was not done has been at no engine while
+// the engines were less than half full.
+func (r *Replay) Unplaced() cf.Millis { return r.unplaced }
+
+// GuiltyCrashes returns the ends of engines under guilty items.
+func (r *Replay) GuiltyCrashes() []Crash { return r.guilty }
+
+// admit asks the quarantine whether an item may be sent to an engine.
+func (r *Replay) admit(w *cfrollout.Work, engine cf.Target) (ok, elsewhere bool) {
+	v := r.options.Crashes.Quarantine.Admit(r.Key(w.Batch.Sub.ID, w.Item), cfquarantine.IncarnationOf(engine), r.now)
+	return v.Pass, v.Elsewhere
+}
+
+// follow tells the quarantine how a run ended at an engine; lost says that the engine ended.
+func (r *Replay) followRun(w *cfrollout.Work, at cf.Target, outcome cfrollout.Outcome, lost bool) {
+	q := r.options.Crashes.Quarantine
+	if q == nil {
+		return
+	}
+	key, inc := r.Key(w.Batch.Sub.ID, w.Item), cfquarantine.IncarnationOf(at)
+	switch {
+	case outcome == cfrollout.OutcomeDone:
+		q.Answered(key, inc, w.Started, r.now)
+	case lost:
+		q.Lost(key, inc, true, r.now)
+	default:
+		q.Dropped(key, inc)
+	}
+}
+
+// playCrashes ends the engines whose time has come, and brings back those that were down.
+func (r *Replay) playCrashes() {
+	c := &r.options.Crashes
+	for _, wave := range c.Waves {
+		if wave.At != r.now {
+			continue
+		}
+		for _, i := range r.random.Perm(len(r.engines))[:int(wave.Share*float64(len(r.engines))+0.5)] {
+			r.crash(r.engines[i], wave.Down)
+		}
+	}
+	for _, e := range r.engines {
+		if e.back > 0 && r.now >= e.back {
+			e.back = 0
+			before := cfquarantine.IncarnationOf(e.target)
+			e.target.Born = r.now
+			r.listEngines()
+			for m, v := range e.held {
+				r.planner.SwapDone(e.target.ID, m, v)
+			}
+			if c.Quarantine != nil {
+				c.Quarantine.Replaced(before, r.now)
+			}
+		}
+		if c.Guilty == nil || e.back > 0 {
+			continue
+		}
+		for _, w := range sorted(e.runs) {
+			if c.Guilty(w.Item) && r.now-w.Started >= crashAfter {
+				r.guilty = append(r.guilty, Crash{r.now, w.Item.ID, len(e.runs) - 1})
+				r.crash(e, c.GuiltyDown)
+				break
+			}
+		}
+	}
+	if c.Quarantine != nil && r.now%sweepEvery == 0 {
+		c.Quarantine.Sweep(true, r.now)
+	}
+}
+
+// crash ends an engine and its runs. It is listed until it is back.
+func (r *Replay) crash(e *engine, down cf.Millis) {
+	if e.back > 0 {
+		return
+	}
+	e.back, e.loading = r.now+down, ""
+	for _, w := range sorted(e.runs) {
+		r.endAt(e, w, cfrollout.OutcomeBroken, true)
+	}
+	if q := r.options.Crashes.Quarantine; q != nil {
+		q.Checked(cfquarantine.IncarnationOf(e.target), r.now, cfquarantine.LossRefused, r.now)
+	}
+}
+
+// noteIdle adds to the times of the items that are at no engine.
+func (r *Replay) noteIdle() {
+	running, slots := 0, 0
+	at := map[cf.ItemID]bool{}
+	for _, e := range r.engines {
+		for w := range e.runs {
+			at[w.Item.ID] = true
+		}
+		if e.back == 0 {
+			running, slots = running+len(e.runs), slots+e.target.Slots
+		}
+	}
+	seen := map[idle]cf.Millis{}
+	for _, t := range r.trainers {
+		if t.batch == nil {
+			continue
+		}
+		for _, it := range t.batch.Sub.Items {
+			done := t.batch.Listed(it.ID) || slices.ContainsFunc(t.pending, func(p cf.Result) bool { return p.ID == it.ID })
+			if done || at[it.ID] {
+				continue
+			}
+			k := idle{t.batch.Sub.ID, it.ID}
+			if seen[k] = r.idle[k]; 2*running < slots {
+				seen[k] += lookEvery
+			}
+			r.unplaced = max(r.unplaced, seen[k])
+		}
+	}
+	r.idle = seen
+}
--- a/testbed/cfreplay/replay.go
+++ b/testbed/cfreplay/replay.go
@@ -1,7 +1,8 @@
 // Package cfreplay plays trainers before model engines against a planner of
 // cfrollout, without a network and with a clock of its own: minutes of a load take
 // a second. It stands for engines, trainers and coordinator at once; what it leaves
-// out are failures of streams, the store, and the time that calls take.
+// out are failures of streams other than crashes of engines, the store, and the time that calls
+// take.
 //
 // Usage:
 //
@@ -53,6 +54,7 @@
 		Trainers []Trainer
 		// Weights are the weights of trainers' shares, 1 where not given.
 		Weights map[cf.ModelName]float64
+		Crashes Crashes
 	}
 
 	// Replay is a load under way. It is not safe for concurrent use.
@@ -63,6 +65,9 @@
 		engines  []*engine
 		trainers []*trainer
 		now      cf.Millis
+		guilty   []Crash
+		idle     map[idle]cf.Millis
+		unplaced cf.Millis
 	}
 
 	engine struct {
@@ -73,6 +78,7 @@
 		left    float64 // ms of the load
 		slow    float64
 		runs    map[*cfrollout.Work]*run
+		back    cf.Millis // when it is up again, zero while it is
 	}
 
 	// run is how far a text is, in events.
@@ -81,7 +87,11 @@
 
 // New returns a replay at its beginning.
 func New(o Options) *Replay {
-	r := &Replay{options: o, planner: cfrollout.New(o.Limits), random: rand.New(rand.NewPCG(o.Seed, 7))}
+	r := &Replay{options: o, random: rand.New(rand.NewPCG(o.Seed, 7)), idle: map[idle]cf.Millis{}}
+	if o.Crashes.Quarantine != nil {
+		o.Limits.Admit = r.admit
+	}
+	r.planner = cfrollout.New(o.Limits)
 	r.planner.SetWeights(o.Weights)
 	var held []cf.ModelState
 	for _, t := range o.Trainers {
@@ -91,7 +101,7 @@
 	for i := range o.Engines.Count {
 		e := &engine{held: map[cf.ModelName]cf.WeightVersion{}, runs: map[*cfrollout.Work]*run{}, slow: 1}
 		e.target = cf.Target{
-			ID: cf.InstanceID(fmt.Sprintf("e%03d", i)), Service: service, Slots: o.Engines.Slots, Models: held,
+			ID: cf.InstanceID(fmt.Sprintf("e%03d", i)), Service: service, Slots: o.Engines.Slots, Models: held, Born: 1,
 			Domain: cf.FailureDomain(fmt.Sprint("d", i%max(o.Engines.Domains, 1))),
 		}
 		for _, t := range o.Trainers {
@@ -125,8 +135,10 @@
 		for _, e := range r.engines {
 			r.generate(e)
 		}
+		r.playCrashes()
 		if r.now%lookEvery == 0 {
 			r.look()
+			r.noteIdle()
 		}
 	}
 }
@@ -211,10 +223,19 @@
 		at[e.target.ID] = e
 	}
 	for _, w := range r.planner.Place(r.now) {
-		at[w.Engine].runs[w] = &run{done: float64(w.Text.Last), length: r.lengthOf(w)}
+		e := at[w.Engine]
+		if e.back > 0 {
+			r.endAt(e, w, cfrollout.OutcomeBroken, false) // nothing takes its connection
+			continue
+		}
+		e.runs[w] = &run{done: float64(w.Text.Last), length: r.lengthOf(w)}
 	}
 	for _, s := range r.planner.Swaps(r.now) {
 		e := at[s.Target.ID]
+		if e.back > 0 {
+			r.planner.SwapFailed(e.target.ID, r.now)
+			continue
+		}
 		e.loading, e.version, e.left = s.Model, s.Version, float64(r.options.Engines.Load)*(1+r.options.Engines.LoadSpread*r.random.Float64())
 	}
 	for _, w := range r.planner.Moves(r.now) {
@@ -234,8 +255,22 @@
 // end ends a run.
 func (r *Replay) end(w *cfrollout.Work, outcome cfrollout.Outcome) {
 	for _, e := range r.engines {
-		delete(e.runs, w)
+		if e.runs[w] != nil {
+			r.endAt(e, w, outcome, false)
+			return
+		}
 	}
+	r.finished(w, outcome)
+}
+
+// endAt ends a run at an engine; lost says that the engine ended.
+func (r *Replay) endAt(e *engine, w *cfrollout.Work, outcome cfrollout.Outcome, lost bool) {
+	delete(e.runs, w)
+	r.followRun(w, e.target, outcome, lost)
+	r.finished(w, outcome)
+}
+
+func (r *Replay) finished(w *cfrollout.Work, outcome cfrollout.Outcome) {
 	if !r.planner.Finished(w, outcome, r.now) {
 		return
 	}
@@ -246,6 +281,9 @@
 
 // generate lets an engine work for a tick.
 func (r *Replay) generate(e *engine) {
+	if e.back > 0 {
+		return
+	}
 	if e.loading != "" {
 		if e.left -= float64(tick) / r.loadFactor(); e.left <= 0 {
 			e.held[e.loading] = e.version
