Items and reward calls under which engines crashed are tried again, apart

Cause: work that was handed in for later was judged as a caller's single request is: after three crashes it was held for 10 minutes and more, while an item has some 12 s. Three more rules let items wait without an end in sight: two suspects with two strikes never met at an engine, so nine engines ran nine of them at a time; equal items waited for one another's end; and a pause was counted from the eighth strike at the latest, as later ones were dropped.

Change: owed work is judged by AdmitOwed. From three crashes on it pauses for 1 s after the last, twice as long after each further one, 4 s at most (work at no engine for 5 s counts as lost), and is then tried at an engine that is set apart: with three others at most, then one, then none; nothing else is started there while it runs, and it is free as soon as the run is not under way, which each look finds anew. At most a quarter of a share's engines are set apart; beyond that an item goes where there is room. Others of its content go on once one has run for a second. All follows from the strikes, which a successor knows. Callers' single requests are judged as before, by the same strikes.

Each pause has a line, request_paused, with its strikes; item_placed says how many runs the engine may have with the item.

--- a/core/cfquarantine/evidence.go
+++ b/core/cfquarantine/evidence.go
@@ -132,10 +132,10 @@
 	}
 	if len(s.strikes) >= strikesMost {
 		i := slices.IndexFunc(s.strikes, func(x strike) bool { return x.Standing == Void || x.doubt >= reached })
-		if i < 0 {
-			return false // it is held for a day already
+		if i < 0 && st.at <= s.strikes[0].at {
+			return false
 		}
-		t.forget(s, i)
+		t.forget(s, max(i, 0)) // the latest decide how long it pauses
 	}
 	at, _ := slices.BinarySearchFunc(s.strikes, st.at, func(x strike, at cf.Millis) int {
 		if x.at <= at {
--- /dev/null
+++ b/core/cfquarantine/owed.go
@@ -0,0 +1,98 @@
+package cfquarantine
+
+import (
+	cf "currantford"
+)
+
+const (
+	// pauseFirst is the pause of owed work after its last crash, once there are
+	// crashesMost. Each further crash doubles it, up to pauseMost: work that is at no
+	// target for 5 s counts as lost, and a check, a look and a placement take their part.
+	pauseFirst cf.Millis = 1000
+	pauseMost  cf.Millis = 4000
+	// companyFirst is how many runs a target may have with owed work after crashesMost
+	// crashes. Each further crash halves it, so that what keeps crashing its targets is
+	// alone after a few tries.
+	companyFirst = 4
+	// outlives is how long a send must have been under way for others of its content to
+	// be sent beside it. A request that crashes its targets does so within some 100 ms.
+	outlives cf.Millis = 1000
+	// apartFor is how long after a crash owed work avoids targets at which other strong
+	// suspects run.
+	apartFor cf.Millis = 1000
+)
+
+// AdmitOwed judges work that was handed in for later, as the items of batches and their
+// reward calls are. It is not held: after crashesMost crashes it pauses, and is then tried
+// again at a target that it has to itself or with a few others; apart says that the target
+// is such a one, or that there is none. Work that passes counts as under way there until
+// Answered, Lost or Dropped.
+//
+// The load it answers: several targets end in a burst, each with all that it runs, and some
+// sound items meet them all. To hold these as a caller's request is held would lose them.
+func (t *Table) AdmitOwed(k Key, target Incarnation, apart bool, now cf.Millis) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := t.judgeOwed(k, now)
+	switch {
+	case !v.Pass:
+		return v
+	case v.Most > 0 && !apart:
+		v.Pass = false
+		return v
+	case v.Most == 0 && now-t.lastAt(k.Content) < apartFor && t.meets(k, target):
+		return Verdict{Elsewhere: true}
+	}
+	t.begin(k, target, now)
+	return v
+}
+
+// judgeOwed is AdmitOwed for any target. What it says follows from the strikes alone, so that
+// another instance which knows them goes on with the pause. t.mu is held.
+func (t *Table) judgeOwed(k Key, now cf.Millis) Verdict {
+	if !t.informed {
+		return Verdict{Uninformed: true}
+	}
+	s := t.suspects[k.Content]
+	if s == nil {
+		return Verdict{Pass: true}
+	}
+	served := t.good.knows(k, now) || s.servedFor(k.Caller)
+	crashes, last := s.crashes(k.Caller, served, false)
+	if crashes >= crashesMost {
+		if until := last + pauseFor(crashes); now < until {
+			return Verdict{Until: until, Strikes: s.against(k.Caller, now)}
+		}
+		tried := t.unproved(k.Content, now) == 0
+		return Verdict{Pass: tried, Wait: !tried, Most: companyFor(crashes)}
+	}
+	if crashes == 0 || served || t.unproved(k.Content, now) < crashesMost-crashes {
+		return Verdict{Pass: true}
+	}
+	return Verdict{Wait: true}
+}
+
+// unproved counts the sends of a content under way that may yet crash their targets, zero
+// where one has lasted. t.mu is held.
+func (t *Table) unproved(d Digest, now cf.Millis) int {
+	n := 0
+	for _, at := range t.underWay[d] {
+		if now-at.latest >= outlives {
+			return 0
+		}
+		n += at.n
+	}
+	return n
+}
+
+// lastAt returns when the last strike against a content was. t.mu is held.
+func (t *Table) lastAt(d Digest) cf.Millis {
+	if s := t.suspects[d]; s != nil {
+		return s.lastAt()
+	}
+	return 0
+}
+
+func pauseFor(crashes int) cf.Millis { return pauseFirst.Doubled(crashes-crashesMost, pauseMost) }
+
+func companyFor(crashes int) int { return max(companyFirst>>(crashes-crashesMost), 1) }
--- a/core/cfquarantine/table.go
+++ b/core/cfquarantine/table.go
@@ -25,6 +25,10 @@
 // is cut: a strike until the target answers anyone. Begun or queued: a sender can't tell;
 // both count, and the queued ones are run to their end elsewhere.
 //
+// Owed. Work that was handed in for later, as the items of batches and their reward calls are,
+// is not held. It is tried again after a pause of a few seconds, with few others or none at
+// its target, until it is done or its batch is over.
+//
 // At a start. An instance that has just started knows nothing, and any request may be one
 // that the others hold: it sends none before it has taken what they hold.
 //
@@ -34,6 +38,7 @@
 //	table.Merge(heldByOthers, now)
 //	table.Inform()
 //	v := table.Admit(key, target, now)
+//	v = table.AdmitOwed(key, target, apart, now) // for items and reward calls
 //	if v.Pass { ... send; then one of: }
 //	news := table.Answered(key, target, sentAt, now)
 //	table.Lost(key, target, now); news = table.Checked(target, checkedAt, loss)
@@ -92,8 +97,11 @@
 		Elsewhere bool
 		// Uninformed: it is not known yet what other instances hold.
 		Uninformed bool
-		// Until is when a held request may come back, zero if it is not held.
+		// Until is when a held request may come back, or owed work is tried again; zero if
+		// neither holds.
 		Until cf.Millis
+		// Most is how many runs the target of owed work may have with it, zero for no bound.
+		Most int
 		// Strikes are the evidence against it.
 		Strikes []Strike
 	}
@@ -105,8 +113,8 @@
 		// informed: what other instances hold has been taken.
 		informed bool
 		suspects map[Digest]*suspect
-		// underWay counts the sends without an end, by content and target.
-		underWay map[Digest]map[Incarnation]int
+		// underWay are the sends without an end, by content and target.
+		underWay map[Digest]map[Incarnation]sends
 		// struck counts the strikes at each target that are not void.
 		struck  map[Incarnation]int
 		good    good
@@ -114,6 +122,12 @@
 		changed chan struct{}
 	}
 
+	// sends are those of a content to a target that have no end yet.
+	sends struct {
+		n      int
+		latest cf.Millis // when the latest of them began
+	}
+
 	// suspect is a content with strikes against it.
 	suspect struct {
 		strikes []strike
@@ -139,7 +153,7 @@
 // until Inform: any request may be one that the others hold.
 func NewStarting(self cf.EntryID) *Table {
 	return &Table{
-		self: self, suspects: map[Digest]*suspect{}, underWay: map[Digest]map[Incarnation]int{}, struck: map[Incarnation]int{}, changed: make(chan struct{}),
+		self: self, suspects: map[Digest]*suspect{}, underWay: map[Digest]map[Incarnation]sends{}, struck: map[Incarnation]int{}, changed: make(chan struct{}),
 	}
 }
 
@@ -189,14 +203,21 @@
 		v = Verdict{Elsewhere: true}
 	}
 	if v.Pass {
-		if t.underWay[k.Content] == nil {
-			t.underWay[k.Content] = map[Incarnation]int{}
-		}
-		t.underWay[k.Content][target]++
+		t.begin(k, target, now)
 	}
 	return v
 }
 
+// begin counts a send as under way. t.mu is held.
+func (t *Table) begin(k Key, target Incarnation, now cf.Millis) {
+	at := t.underWay[k.Content]
+	if at == nil {
+		at = map[Incarnation]sends{}
+		t.underWay[k.Content] = at
+	}
+	at[target] = sends{at[target].n + 1, now}
+}
+
 // judge is Judge with t.mu held. As long as it is not known whether a suspect crashes
 // targets, no more of it are under way than may crash one each.
 func (t *Table) judge(k Key, now cf.Millis) Verdict {
@@ -212,8 +233,8 @@
 	crashes, _ := s.crashes(k.Caller, served, false)
 	until := last + t.holdHere(k.Content, proofs)
 	under := 0
-	for _, n := range t.underWay[k.Content] {
-		under += n
+	for _, at := range t.underWay[k.Content] {
+		under += at.n
 	}
 	switch {
 	case proofs >= crashesMost && now < until:
@@ -237,7 +258,7 @@
 		return false
 	}
 	for other := range t.suspects {
-		if other != k.Content && t.underWay[other][target] > 0 && t.strong(other) {
+		if other != k.Content && t.underWay[other][target].n > 0 && t.strong(other) {
 			return true
 		}
 	}
@@ -327,7 +348,10 @@
 // ended takes a send from those under way. t.mu is held.
 func (t *Table) ended(k Key, target Incarnation) {
 	if at := t.underWay[k.Content]; at != nil {
-		if at[target]--; at[target] <= 0 {
+		if left := at[target]; left.n > 1 {
+			left.n--
+			at[target] = left
+		} else {
 			delete(at, target)
 		}
 		if len(at) == 0 {
--- /dev/null
+++ b/core/cfrollout/apart_test.go
@@ -0,0 +1,115 @@
+package cfrollout_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	cf "currantford"
+	"currantford/core/cfrollout"
+)
+
+// suspecting returns a planner whose items pass only at engines that are set apart, if suspect
+// says so.
+func suspecting(engines int, suspect func(cf.ItemID) bool) (*cfrollout.Planner, []cf.Target) {
+	limits := cfrollout.DefaultLimits
+	limits.Admit = func(w *cfrollout.Work, _ cf.Target, apart bool) cfrollout.Admission {
+		if !suspect(w.Item.ID) {
+			return cfrollout.Admission{Pass: true}
+		}
+		return cfrollout.Admission{Pass: apart, Most: 1}
+	}
+	p := cfrollout.New(limits)
+	targets := fleet(engines, cf.ModelState{Name: "a", Version: 1})
+	for i := range targets {
+		targets[i].Born = 1
+	}
+	p.SetEngines(targets, models("a"))
+	return p, targets
+}
+
+// Guards against: an engine that takes nothing more after the run for which it was set apart.
+func TestEngineIsSetApartForOneRun(t *testing.T) {
+	ended := func(o cfrollout.Outcome) func(*cfrollout.Planner, *cfrollout.Work, []cf.Target) {
+		return func(p *cfrollout.Planner, w *cfrollout.Work, _ []cf.Target) { p.Finished(w, o, 100) }
+	}
+	for name, end := range map[string]func(*cfrollout.Planner, *cfrollout.Work, []cf.Target){
+		"done": ended(cfrollout.OutcomeDone), "failed": ended(cfrollout.OutcomeFailed), "never": ended(cfrollout.OutcomeNever),
+		"not run": ended(cfrollout.OutcomeNotRun), "broken": ended(cfrollout.OutcomeBroken), "stopped": ended(cfrollout.OutcomeStopped),
+		"batch ended": func(p *cfrollout.Planner, w *cfrollout.Work, _ []cf.Target) {
+			p.EndBatch("s")
+			p.Finished(w, cfrollout.OutcomeStopped, 100)
+		},
+		"engine gone and back": func(p *cfrollout.Planner, w *cfrollout.Work, targets []cf.Target) {
+			p.SetEngines(nil, models("a"))
+			p.Finished(w, cfrollout.OutcomeBroken, 100)
+			p.SetEngines(targets, models("a"))
+		},
+		"engine started again": func(p *cfrollout.Planner, w *cfrollout.Work, targets []cf.Target) {
+			for i := range targets {
+				targets[i].Born = 2
+			}
+			p.SetEngines(targets, models("a"))
+			p.Finished(w, cfrollout.OutcomeBroken, 100)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			suspected := true
+			p, targets := suspecting(2, func(id cf.ItemID) bool { return suspected && id == "s-0-0" })
+			p.AddBatch(step("s", "a", 1, 1, 1), terms)
+			w := p.Place(0)[0]
+			if w.Apart() != 1 {
+				t.Fatalf("the suspect may have %d runs beside it, want none", w.Apart())
+			}
+			p.AddBatch(step("t", "a", 1, 2, 4), terms)
+			if others := p.Place(10); len(others) != targets[0].Slots {
+				t.Fatalf("%d others placed, want as many as the other engine has slots", len(others))
+			}
+			suspected = false
+			end(p, w, targets)
+			placed := 0
+			for _, o := range p.Place(5000) { // penalties are over
+				if o.Engine == w.Engine || o != w {
+					placed++
+				}
+			}
+			if placed < 3 {
+				t.Errorf("%d items placed, want the engine to take what waits", placed)
+			}
+		})
+	}
+}
+
+// Guards against: suspects that take all engines from other items, or that wait while there is
+// room.
+func TestSuspectsTakeAQuarterOfTheEngines(t *testing.T) {
+	for _, engines := range []int{1, 2, 3, 4, 9, 40} {
+		t.Run(fmt.Sprint(engines, " engines"), func(t *testing.T) {
+			p, targets := suspecting(engines, func(id cf.ItemID) bool { return strings.HasPrefix(string(id), "s-") })
+			p.AddBatch(step("s", "a", 1, engines, 2), terms)
+			apart := map[cf.InstanceID]int{}
+			placed := p.Place(0)
+			if len(placed) != 2*engines {
+				t.Errorf("%d of %d suspects placed in empty engines", len(placed), 2*engines)
+			}
+			for _, w := range placed {
+				if w.Apart() > 0 {
+					apart[w.Engine]++
+				}
+			}
+			most := max(engines/4, min(engines-1, 1))
+			if len(apart) != most {
+				t.Errorf("%d engines are set apart, want %d", len(apart), most)
+			}
+			for _, w := range placed {
+				if apart[w.Engine] > 1 || apart[w.Engine] > 0 && w.Apart() == 0 {
+					t.Errorf("%s runs beside another at %s", w.Item.ID, w.Engine)
+				}
+			}
+			p.AddBatch(step("t", "a", 1, engines, 4), terms)
+			if n, room := len(p.Place(10)), (engines-most)*targets[0].Slots-(2*engines-most); n != room {
+				t.Errorf("%d others placed, want %d", n, room)
+			}
+		})
+	}
+}
--- a/core/cfrollout/crash_test.go
+++ b/core/cfrollout/crash_test.go
@@ -51,3 +51,39 @@
 		}
 	}
 }
+
+// An item that ends each engine which runs it costs the engines that the pauses allow, whichever
+// step it belongs to; all other items are done in time.
+func TestItemThatEndsItsEnginesIsTriedApart(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			o := bursts(seed)
+			o.Crashes.Waves = nil
+			o.Crashes.GuiltyDown = 3000
+			o.Crashes.Guilty = func(it cf.Item) bool { return it.ID == "a-3-04-02" }
+			r := cfreplay.New(o)
+			r.Run(60_000)
+			crashes := r.GuiltyCrashes()
+			// Three at once, and then after pauses of 1, 2, 4 and 4 s until its step is given up.
+			if n := len(crashes); n < 6 || n > 7 {
+				t.Errorf("%d engines ended under it, want 6 or 7", n)
+			}
+			for i := 3; i < len(crashes); i++ {
+				pause, most := []cf.Millis{1000, 2000, 4000}[min(i-3, 2)], []int{4, 2, 1}[min(i-3, 2)]
+				if waited := crashes[i].At - crashes[i-1].At; waited < pause {
+					t.Errorf("end %d comes %d ms after the one before, want %d at least", i+1, waited, pause)
+				}
+				if crashes[i].Beside >= most {
+					t.Errorf("end %d takes %d other runs with it, want fewer than %d", i+1, crashes[i].Beside, most)
+				}
+			}
+			if n := r.Unplaced(); n >= unplacedMost {
+				t.Errorf("an item was at no engine for %d ms while there was room, want less than %d", n, unplacedMost)
+			}
+			if got := r.Outcomes()[0]; got.InTime < got.Owed-1 {
+				t.Errorf("%d of %d groups in time, want all but its own", got.InTime, got.Owed)
+			}
+		})
+	}
+}
--- a/core/cfrollout/memory.go
+++ b/core/cfrollout/memory.go
@@ -117,16 +117,18 @@
 	}
 }
 
-// takeSizes makes what the engines hold that of the runs that they have now.
+// takeSizes makes what the engines hold, and which of them are set apart, that of the runs that
+// they have now.
 func (p *Planner) takeSizes() {
 	for id, e := range p.busy {
-		if e.used = 0; e.Running == 0 {
+		if e.used, e.most = 0, 0; e.Running == 0 {
 			delete(p.busy, id)
 		}
 	}
 	p.eachRunning(func(w *Work) {
 		if w.engine != nil {
 			w.engine.used += p.size(w)
+			w.noteApart()
 		}
 	})
 }
--- a/core/cfrollout/pace.go
+++ b/core/cfrollout/pace.go
@@ -379,7 +379,7 @@
 	}
 	f.best, f.found = nil, true
 	for _, e := range f.engines {
-		if e.Running+e.reserved+f.taken[e.ID] >= e.Slots || now < e.avoid || e.loading > 0 || e.Draining {
+		if e.most > 0 || e.Running+e.reserved+f.taken[e.ID] >= e.Slots || now < e.avoid || e.loading > 0 || e.Draining {
 			continue
 		}
 		if x := f.planner.expected(e, f.typical); f.best == nil || x < f.pace {
--- a/core/cfrollout/place.go
+++ b/core/cfrollout/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 
 	cf "currantford"
 )
@@ -62,8 +61,8 @@
 			if e != nil && !p.limits.LongOnSlow && p.slow(q, e) && p.betterWait(q, w, e, len(rest)+1) {
 				e = nil
 			}
-			if e != nil {
-				e = p.admitted(engines, w, e, typical, now)
+			if e != nil || w.most > 0 {
+				e = p.admitted(engines, q, w, e, typical, now)
 			}
 			if e == nil {
 				rest = append(rest, w)
@@ -81,28 +80,6 @@
 	return out
 }
 
-// admitted returns the engine to which an item may be sent: e, the one that was chosen,
-// or another where it may not meet what runs there; nil if it may be sent to none.
-func (p *Planner) admitted(engines []*Engine, w *Work, e *Engine, typical float64, now cf.Millis) *Engine {
-	if p.limits.Admit == nil {
-		return e
-	}
-	ok, elsewhere := p.limits.Admit(w, e.Target)
-	if ok {
-		return e
-	}
-	for rest := engines; elsewhere; {
-		rest = slices.DeleteFunc(slices.Clone(rest), func(o *Engine) bool { return o == e })
-		if e = p.choose(rest, w, typical, now); e == nil {
-			return nil
-		}
-		if ok, elsewhere = p.limits.Admit(w, e.Target); ok {
-			return e
-		}
-	}
-	return nil
-}
-
 // restart drops a text that no engine can go on with: on a route for samples of
 // one version, the engines have all loaded another since. It would wait for
 // ever.
@@ -137,6 +114,7 @@
 		e.groups = map[cf.GroupID]int{}
 	}
 	e.groups[w.Item.Group]++
+	w.noteApart()
 	o.running[w.Item.ID] = w
 }
 
@@ -249,15 +227,22 @@
 }
 
 // takes says whether an engine can start an item now.
-func (e *Engine) takes(w *Work, now cf.Millis) bool {
+func (e *Engine) takes(w *Work, now cf.Millis) bool { return e.hasSlot() && e.open(w, now) }
+
+// open says whether an engine can start an item now, if it has room.
+func (e *Engine) open(w *Work, now cf.Millis) bool {
 	if e.ID == w.Avoid && now < w.avoidUntil {
 		return false
 	}
-	return e.hasSlot() && now >= e.avoid && e.loading == 0 && e.serves(w)
+	return now >= e.avoid && e.loading == 0 && e.serves(w)
 }
 
-// hasSlot says whether an engine has a slot that is neither taken nor kept for a run.
-func (e *Engine) hasSlot() bool { return e.Running+e.reserved < e.Slots }
+// hasSlot says whether an engine has a slot that is neither taken nor kept for a run, and is
+// not set apart.
+func (e *Engine) hasSlot() bool { return e.most == 0 && e.hasRoom() }
+
+// hasRoom says whether an engine has a slot that is neither taken nor kept for a run.
+func (e *Engine) hasRoom() bool { return e.Running+e.reserved < e.Slots }
 
 // serves says whether an engine is of the item's share and its weights fit.
 func (e *Engine) serves(w *Work) bool {
--- a/core/cfrollout/planner.go
+++ b/core/cfrollout/planner.go
@@ -50,9 +50,9 @@
 		// Affinity makes an engine that has read a group's prompt count as
 		// so much faster for the group's other items.
 		Affinity float64
-		// Admit says whether an item may be sent to an engine now, and if not,
-		// whether it may to another; nil lets all.
-		Admit func(w *Work, engine cf.Target) (ok, elsewhere bool)
+		// Admit says whether an item may be sent to an engine now; apart says that the
+		// engine is set apart, or that none can be. nil lets all.
+		Admit func(w *Work, engine cf.Target, apart bool) Admission
 		// LongOnSlow, SwapWhenIdle, AllGroups and NoSlowPeriods turn decisions off, to
 		// measure them, and LoadUnderRuns that engines wait with loads for runs that a
 		// trainer waits for. LeastLeft puts groups off as soon as a step can't be whole in time.
@@ -110,6 +110,8 @@
 		usualAt          cf.Millis
 		// reserved are its slots that are kept for runs that move to it.
 		reserved int
+		// most is how many runs it may have while it is set apart, zero while it is not.
+		most int
 		// loadSeen is when it was last seen loading under a run.
 		loadSeen cf.Millis
 		// state is what its events show of periods of slowness.
@@ -177,6 +179,10 @@
 		Avoid      cf.InstanceID
 		avoidUntil cf.Millis
 		order      int
+		// most is how many runs an engine may have with it, as the last admission said;
+		// apart: it runs at an engine that is set apart for it.
+		most  int
+		apart bool
 		// again: a run of it has ended before its text was complete. class is that of its
 		// group, and startBy when it must start for its group, both as of the last ranking.
 		again   bool
--- a/io/cfcoord/coordinator.go
+++ b/io/cfcoord/coordinator.go
@@ -135,8 +135,8 @@
 		history    history
 		// pace is how long an event takes at a usual engine, as bits of a float.
 		pace atomic.Uint64
-		// refused are held requests whose refusal was logged; the map is bounded.
-		refused map[cf.RequestID]bool
+		// pauses are the pauses that were logged, by their ends; the map is bounded.
+		pauses map[cf.RequestID]cf.Millis
 		// checks is when instances asked last whether a step may be accepted, began when the
 		// duty began, or when that was forgotten.
 		checks map[cf.BatchID]cf.Millis
@@ -200,7 +200,7 @@
 		finished: map[cf.ItemID]finishedText{},
 		rewards:  newRewards(o.Policy),
 		named:    named{}, history: newHistory(), prepared: newPrepared(),
-		refused: map[cf.RequestID]bool{}, checks: map[cf.BatchID]cf.Millis{}, began: cf.Uptime(),
+		pauses: map[cf.RequestID]cf.Millis{}, checks: map[cf.BatchID]cf.Millis{}, began: cf.Uptime(),
 	}
 	c.orders = newOrders(o, c.reported)
 	limits.Admit = c.admit
--- a/io/cfcoord/runs.go
+++ b/io/cfcoord/runs.go
@@ -24,8 +24,8 @@
 	// runTimeout is the deadline of one run at an engine; the longest items
 	// take about 7 s on an engine at normal speed.
 	runTimeout cf.Millis = 30000
-	// refusedMost bounds the ids whose refusal is known to have been logged.
-	refusedMost = 1000
+	// pausesMost bounds the pauses that are known to have been logged.
+	pausesMost = 1000
 )
 
 var outcomeNames = map[cfrollout.Outcome]string{
@@ -50,7 +50,7 @@
 	route := c.Streams.Route(e.Target)
 	c.Log.Info("item_placed", zap.String("request_id", string(item.ID.Request())), cflog.Batch(w.Batch.Sub.ID),
 		zap.String("group_id", string(item.Group)), zap.String("target", string(e.ID)), zap.String("via", string(route.Via)), zap.Int64("version", int64(version)), zap.Int64("resume_after", int64(w.Text.Last)),
-		zap.Int("failures", w.Failures), zap.Int("running_there", e.Running), zap.Float64("event_ms_there", e.Pace()))
+		zap.Int("failures", w.Failures), zap.Int("running_there", e.Running), zap.Int("apart", w.Apart()), zap.Float64("event_ms_there", e.Pace()))
 	call := cf.TargetCall{
 		ID: item.ID.Request(), Method: http.MethodPost, Host: host, Path: item.Path, Header: itemHeader(item), Body: item.Body,
 		Urgency: cfaccess.Urgency(w.Terms.Access, class), Ranked: true, Organisation: w.Batch.Sub.ID.Organisation(),
@@ -110,21 +110,21 @@
 
 // admit asks the guard whether an item may be sent to an engine; its end is then due to
 // the guard.
-func (c *Coordinator) admit(w *cfrollout.Work, engine cf.Target) (ok, elsewhere bool) {
-	v := c.passes(w.Item.ID.Request(), cfquarantine.KeyOfItem(&w.Batch.Sub, w.Item), engine)
-	return v.Pass, v.Elsewhere
+func (c *Coordinator) admit(w *cfrollout.Work, engine cf.Target, apart bool) cfrollout.Admission {
+	v := c.admitOwed(w.Item.ID.Request(), cfquarantine.KeyOfItem(&w.Batch.Sub, w.Item), engine, apart)
+	return cfrollout.Admission{Pass: v.Pass, Elsewhere: v.Elsewhere, Until: v.Until, Most: v.Most}
 }
 
-// passes asks the guard whether a request may be sent. The planners ask again at each
-// look while it may not; only the first refusal is logged. c.mu is held.
-func (c *Coordinator) passes(id cf.RequestID, key cfquarantine.Key, target cf.Target) cfquarantine.Verdict {
-	v := c.Guard.Admit(key, target)
-	if v.Until > 0 && !c.refused[id] {
-		if len(c.refused) >= refusedMost {
-			clear(c.refused)
+// admitOwed asks the guard whether an item or a reward call may be sent. The planners ask again
+// at each look while it may not; each pause is logged once. c.mu is held.
+func (c *Coordinator) admitOwed(id cf.RequestID, key cfquarantine.Key, target cf.Target, apart bool) cfquarantine.Verdict {
+	v := c.Guard.AdmitOwed(key, target, apart)
+	if v.Until > 0 && c.pauses[id] != v.Until {
+		if len(c.pauses) >= pausesMost {
+			clear(c.pauses)
 		}
-		c.refused[id] = true
-		c.Guard.Refused(id, key, v)
+		c.pauses[id] = v.Until
+		c.Guard.Paused(id, key, v)
 	}
 	return v
 }
--- a/io/cfguard/guard.go
+++ b/io/cfguard/guard.go
@@ -11,7 +11,7 @@
 //	defer g.Close()
 //	g.Inform(source, heldByOthers)
 //	v := g.Judge(ctx, id, key)
-//	v = g.Admit(key, target)
+//	v = g.Admit(key, target) // or g.AdmitOwed(key, target, apart)
 //	if v.Pass { ... send; then g.Answered, g.Lost or g.Dropped }
 package cfguard
 
@@ -84,6 +84,7 @@
 	Metrics struct {
 		Strikes *prometheus.CounterVec
 		Refused prometheus.Counter
+		Paused  prometheus.Counter
 		Held    prometheus.Gauge
 	}
 )
@@ -95,10 +96,12 @@
 			Name: "currantford_request_strikes_total", Help: "Targets that ended under requests sent here, by how they were found gone."}, []string{"loss"}),
 		Refused: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "currantford_held_sends_total", Help: "Sends that did not happen because their request is held."}),
+		Paused: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "currantford_owed_pauses_total", Help: "Pauses of items and reward calls after targets crashed under them."}),
 		Held: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "currantford_requests_held", Help: "Requests that are held because targets crashed under them."}),
+			Name: "currantford_requests_held", Help: "Contents under which so many targets crashed that callers' requests with them are held."}),
 	}
-	reg.MustRegister(m.Strikes, m.Refused, m.Held)
+	reg.MustRegister(m.Strikes, m.Refused, m.Paused, m.Held)
 	return m
 }
 
@@ -150,6 +153,22 @@
 	return g.Table.Admit(key, cfquarantine.IncarnationOf(target), cf.Uptime())
 }
 
+// AdmitOwed is Admit for work that was handed in for later; apart says that the target runs
+// few others or nothing beside it, or that there is no such target.
+func (g *Guard) AdmitOwed(key cfquarantine.Key, target cf.Target, apart bool) cfquarantine.Verdict {
+	if g == nil || g.Off {
+		return cfquarantine.Verdict{Pass: true}
+	}
+	return g.Table.AdmitOwed(key, cfquarantine.IncarnationOf(target), apart, cf.Uptime())
+}
+
+// Paused logs that owed work waits until it is tried again, and on which evidence.
+func (g *Guard) Paused(id cf.RequestID, key cfquarantine.Key, v cfquarantine.Verdict) {
+	g.Metrics.Paused.Inc()
+	g.Log.Warn("request_paused", zap.String("request_id", string(id)), digest(key), caller(key),
+		zap.Int64("paused_ms", int64(v.Until-cf.Uptime())), zap.Any("strikes", v.Strikes))
+}
+
 // Refused logs that a request is held, and on which evidence.
 func (g *Guard) Refused(id cf.RequestID, key cfquarantine.Key, v cfquarantine.Verdict) {
 	g.Metrics.Refused.Inc()
--- a/testbed/cfreplay/crashes.go
+++ b/testbed/cfreplay/crashes.go
@@ -70,9 +70,9 @@
 func (r *Replay) GuiltyCrashes() []Crash { return r.guilty }
 
 // admit asks the quarantine whether an item may be sent to an engine.
-func (r *Replay) admit(w *cfrollout.Work, engine cf.Target) (ok, elsewhere bool) {
-	v := r.options.Crashes.Quarantine.Admit(r.Key(w.Batch.Sub.ID, w.Item), cfquarantine.IncarnationOf(engine), r.now)
-	return v.Pass, v.Elsewhere
+func (r *Replay) admit(w *cfrollout.Work, engine cf.Target, apart bool) cfrollout.Admission {
+	v := r.options.Crashes.Quarantine.AdmitOwed(r.Key(w.Batch.Sub.ID, w.Item), cfquarantine.IncarnationOf(engine), apart, r.now)
+	return cfrollout.Admission{Pass: v.Pass, Elsewhere: v.Elsewhere, Until: v.Until, Most: v.Most}
 }
 
 // follow tells the quarantine how a run ended at an engine; lost says that the engine ended.
