--- a/io/cflog/async.go
+++ b/io/cflog/async.go
@@ -12,6 +12,10 @@
 // dropped.
 const queueLines = 4096
 
+// writeMost bounds the bytes of one write, but for a single line that is longer: more than
+// that may reach the reader of a pipe in parts, among other writers' lines.
+const writeMost = 4 << 10
+
 // flushTick is how often a flush looks whether all is written.
 const flushTick = 5 * time.Millisecond
 
@@ -69,13 +73,19 @@
 // run writes lines, several in one call where several wait.
 func (a *Async) run() {
 	var buf []byte
-	for line := range a.lines {
-		buf = append(buf[:0], line...)
-		n := int64(1)
-		for ; len(a.lines) > 0 && len(buf) < 32<<10; n++ {
-			buf = append(buf, <-a.lines...)
-		}
+	n := int64(0)
+	write := func() {
 		_, _ = a.out.Write(buf) // there is nowhere else to report it
 		a.waiting.Add(-n)
+		buf, n = buf[:0], 0
+	}
+	for line := range a.lines {
+		if n > 0 && len(buf)+len(line) > writeMost {
+			write()
+		}
+		buf = append(buf, line...)
+		if n++; len(a.lines) == 0 {
+			write()
+		}
 	}
 }
