--- /dev/null
+++ b/core/cfrollout/crash_test.go
@@ -0,0 +1,89 @@
+package cfrollout_test
+
+import (
+	"fmt"
+	"testing"
+
+	cf "currantford"
+	"currantford/core/cfquarantine"
+	"currantford/core/cfrollout"
+	"currantford/testbed/cfreplay"
+)
+
+// unplacedMost is how long an item that is owed may be at no engine while there is room.
+const unplacedMost cf.Millis = 5000
+
+// bursts returns nine engines of twelve slots and a trainer, under three bursts of five
+// crashes, 0.4 s apart, of three engines in ten each.
+func bursts(seed uint64) cfreplay.Options {
+	o := cfreplay.Options{
+		Seed: seed, Limits: cfrollout.DefaultLimits,
+		Engines:  cfreplay.Engines{Count: 9, Slots: 12, Domains: 3, Alone: 42, Beside: 1.7, Load: 900, LoadsMost: 10},
+		Trainers: []cfreplay.Trainer{{Model: "a", Events: 14, Longest: 40, Least: 10, Most: 12, Size: 8, Want: 1, Every: 4000, Train: 750}},
+		Crashes:  cfreplay.Crashes{Quarantine: cfquarantine.New("i")},
+	}
+	for _, at := range []cf.Millis{5000, 11_000, 17_000} {
+		for n := range cf.Millis(5) {
+			o.Crashes.Waves = append(o.Crashes.Waves, cfreplay.Wave{At: at + 400*n, Share: 0.3, Down: 400})
+		}
+	}
+	return o
+}
+
+// Guards against: an item that is never placed again after its engines crashed in a burst.
+func TestItemsAreOwedAfterABurstOfCrashes(t *testing.T) {
+	for seed := range uint64(20) {
+		for _, equal := range []bool{false, true} {
+			t.Run(fmt.Sprint("seed ", seed, ", equal ", equal), func(t *testing.T) {
+				t.Parallel()
+				o := bursts(seed)
+				o.Crashes.EqualGroups = equal
+				r := cfreplay.New(o)
+				r.Run(60_000)
+				got := r.Outcomes()[0]
+				if n := r.Unplaced(); n >= unplacedMost {
+					t.Errorf("an item was at no engine for %d ms while there was room, want less than %d", n, unplacedMost)
+				}
+				if got.InTime < got.Owed {
+					t.Errorf("%d of %d groups in time, %d late, of %d steps", got.InTime, got.Owed, got.Late, got.Steps)
+				}
+			})
+		}
+	}
+}
+
+// An item that ends each engine which runs it costs the engines that the pauses allow, whichever
+// step it belongs to; all other items are done in time.
+func TestItemThatEndsItsEnginesIsTriedApart(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			o := bursts(seed)
+			o.Crashes.Waves = nil
+			o.Crashes.GuiltyDown = 3000
+			o.Crashes.Guilty = func(it cf.Item) bool { return it.ID == "a-3-04-02" }
+			r := cfreplay.New(o)
+			r.Run(60_000)
+			crashes := r.GuiltyCrashes()
+			// Three at once, and then after pauses of 1, 2, 4 and 4 s until its step is given up.
+			if n := len(crashes); n < 6 || n > 7 {
+				t.Errorf("%d engines ended under it, want 6 or 7", n)
+			}
+			for i := 3; i < len(crashes); i++ {
+				pause, most := []cf.Millis{1000, 2000, 4000}[min(i-3, 2)], []int{4, 2, 1}[min(i-3, 2)]
+				if waited := crashes[i].At - crashes[i-1].At; waited < pause {
+					t.Errorf("end %d comes %d ms after the one before, want %d at least", i+1, waited, pause)
+				}
+				if crashes[i].Beside >= most {
+					t.Errorf("end %d takes %d other runs with it, want fewer than %d", i+1, crashes[i].Beside, most)
+				}
+			}
+			if n := r.Unplaced(); n >= unplacedMost {
+				t.Errorf("an item was at no engine for %d ms while there was room, want less than %d", n, unplacedMost)
+			}
+			if got := r.Outcomes()[0]; got.InTime < got.Owed-1 {
+				t.Errorf("%d of %d groups in time, want all but its own", got.InTime, got.Owed)
+			}
+		})
+	}
+}
--- a/core/cfrollout/waiting_test.go
+++ b/core/cfrollout/waiting_test.go
@@ -36,7 +36,7 @@
 	for reason, play := range plays {
 		t.Run(string(reason), func(t *testing.T) {
 			sent, limits := true, cfrollout.DefaultLimits
-			limits.Admit = func(*cfrollout.Work, cf.Target) (bool, bool) { return sent, false }
+			limits.Admit = func(*cfrollout.Work, cf.Target, bool) cfrollout.Admission { return cfrollout.Admission{Pass: sent} }
 			p := cfrollout.New(limits)
 			targets := fleet(4, held)
 			for i := range targets {
--- a/io/cfcoord/coordinator.go
+++ b/io/cfcoord/coordinator.go
@@ -137,8 +137,8 @@
 		history    history
 		// pace is how long an event takes at a usual engine, as bits of a float.
 		pace atomic.Uint64
-		// refused are held requests whose refusal was logged; the map is bounded.
-		refused map[cf.RequestID]bool
+		// pauses are the pauses that were logged, by their ends; the map is bounded.
+		pauses map[cf.RequestID]cf.Millis
 		// checks is when instances asked last whether a step may be accepted, began when the
 		// duty began, or when that was forgotten.
 		checks map[cf.BatchID]cf.Millis
@@ -175,8 +175,8 @@
 		// inherited: it was there before this duty. shared: a coordinator before may have a
 		// chunk of it under way.
 		inherited, shared bool
-		loadedAt  cf.Millis
-		rereadAt  cf.Millis // when its chunks were last read again
+		loadedAt          cf.Millis
+		rereadAt          cf.Millis // when its chunks were last read again
 		// measured counts the listed results whose staleness was measured,
 		// stalest is the most of them, served that the trainer has enough.
 		measured int
@@ -205,7 +205,7 @@
 		finished: map[cf.ItemID]finishedText{},
 		rewards:  newRewards(o.Policy),
 		named:    named{}, history: newHistory(), prepared: newPrepared(),
-		refused: map[cf.RequestID]bool{}, checks: map[cf.BatchID]cf.Millis{}, began: cf.Uptime(), started: cf.Uptime(),
+		pauses: map[cf.RequestID]cf.Millis{}, checks: map[cf.BatchID]cf.Millis{}, began: cf.Uptime(), started: cf.Uptime(),
 	}
 	c.orders = newOrders(o, c.reported)
 	limits.Admit = c.admit
