--- a/io/cfcoord/history.go
+++ b/io/cfcoord/history.go
@@ -75,7 +75,7 @@
 			continue
 		}
 		size += st.batch.Size()
-		late := st.shared && !st.batch.Complete()
+		late := st.inherited && !st.batch.Complete()
 		if (late || size > keepEnded) && st.pending.Len() == 0 {
 			delete(batches, id)
 		}
--- a/io/cfcoord/history_test.go
+++ b/io/cfcoord/history_test.go
@@ -32,7 +32,7 @@
 	for i := range 3 {
 		end(i, keepEnded/2)
 	}
-	batches["late"] = &state{batch: cfbatch.New(cf.Submission{ID: "late", Items: []cf.Item{{ID: "i"}}}), shared: true}
+	batches["late"] = &state{batch: cfbatch.New(cf.Submission{ID: "late", Items: []cf.Item{{ID: "i"}}}), inherited: true}
 	h.noteEnd(batches["late"].batch)
 	h.trim(batches)
 	if batches["b0"] != nil || batches["b1"] == nil || batches["b2"] == nil {
