--- a/systemtest/rejected_test.go
+++ b/systemtest/rejected_test.go
@@ -102,7 +102,7 @@
 
 // Guards against: an accepted batch, a result that was read, or an item's body that is denied
 // by an instance which the store turns away, or an item that is left when the coordinator is
-// turned away or changes meanwhile. The configuration changes at once and engines leave.
+// turned away, or lost besides (replaced). The configuration changes meanwhile and an engine leaves.
 func TestBatchesWhileTheStoreTurnsInstancesAway(t *testing.T) {
 	for name, how := range map[string]standin.Rejection{
 		"busy": standin.RejectBusy, "limited": standin.RejectLimited, "reset": standin.RejectReset, "silent": standin.RejectSilent,
@@ -110,7 +110,13 @@
 		for _, replaced := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s/replaced=%v", name, replaced), func(t *testing.T) {
 				t.Parallel()
-				s := startSite(t, options{entries: 6, engines: 6, models: []string{"m0", "m1"}, gates: true, event: 15 * time.Millisecond})
+				o := options{entries: 6, engines: 6, models: []string{"m0", "m1"}, gates: true, event: 15 * time.Millisecond}
+				if replaced {
+					o.cores = weak // they hold streams for each other
+				} else {
+					o.policy = map[string]any{"no_store_relay": true} // nobody can pass calls on
+				}
+				s := startSite(t, o)
 				rejectedDay(t, s, how, replaced)
 			})
 		}
