cfrollout: a model without engines gets those that others hold beyond their need

What a trainer sees: no item of its steps begins, or goes on, while engines of the same service are idle.

Cause: where engines are more than the work needs, a share keeps up to 1.5 times what its model needs, so that it does not swing with the size of steps, and a model that lacks engines takes those that serve none. With a few models whose large steps are past no engine is left over: a model whose engines all leave has none from then on, until a step of another is over for long.

Change: if a model has fewer engines than serve its step, and there are no others, shares give up idle engines down to their need; this is looked at again until it has.

On the whole fleet there are thousands of spare engines, and this can't be its cause there.

--- a/core/cfrollout/leaving_test.go
+++ b/core/cfrollout/leaving_test.go
@@ -175,3 +175,43 @@
 		}
 	}
 }
+
+// Guards against: a model that has no engine, as all that do nothing are held by others beyond
+// their need.
+func TestModelWithoutEnginesGetsThoseThatOthersDoNotNeed(t *testing.T) {
+	x := newLeavingPlay(t, 120, []cf.ModelName{"a", "b", "c"})
+	random := rand.New(rand.NewPCG(1, 1))
+	play := func(until cf.Millis) {
+		for x.now < until {
+			x.tick(random)
+		}
+	}
+	count := func(m cf.ModelName) int {
+		n := 0
+		for _, has := range shares(x.p, x.targets) {
+			if has == m {
+				n++
+			}
+		}
+		return n
+	}
+	x.open("a0", "a", 1, 30)
+	x.open("b0", "b", 1, 30)
+	play(10_000)
+	of := shares(x.p, x.targets)
+	x.leave(false, func(t cf.Target) bool { return of[t.ID] == "" })
+	x.p.EndBatch("a0")
+	x.p.EndBatch("b0")
+	play(80_000) // the large steps are forgotten
+	x.open("a1", "a", 1, 10)
+	x.open("b1", "b", 1, 10)
+	x.open("c1", "c", 1, 10)
+	play(81_000)
+	t.Logf("engines: %d, %d, %d of %d", count("a"), count("b"), count("c"), len(x.targets))
+	of = shares(x.p, x.targets)
+	x.leave(false, func(t cf.Target) bool { return of[t.ID] == "c" })
+	play(86_000)
+	if n := count("c"); n == 0 || x.p.Waiting() > 0 {
+		t.Errorf("%d items wait; c has %d engines, a %d and b %d", x.p.Waiting(), n, count("a"), count("b"))
+	}
+}
--- a/core/cfrollout/need.go
+++ b/core/cfrollout/need.go
@@ -168,22 +168,32 @@
 			}
 		}
 	}
+	active, want, short := map[cf.ModelName]int{}, map[cf.ModelName]int{}, -len(f.spare)
 	for _, m := range models {
-		share := p.shares[shareKey{service, m}]
-		active := 0
-		for _, e := range share {
+		for _, e := range p.shares[shareKey{service, m}] {
 			if !e.Draining {
-				active++
+				active[m]++
 			}
 		}
-		want := shifts * p.serving(f, m)
-		switch {
-		case active < want:
-			for _, e := range p.recruits(f, m, want-active) {
+		serving := p.serving(f, m)
+		want[m] = shifts * serving
+		short += max(serving-active[m], 0)
+	}
+	for _, m := range models {
+		n := active[m] - want[m]
+		if float64(active[m]) <= slackShare*float64(want[m]) {
+			n = min(n, short) // what others lack to serve a step, and no spare engine makes up for
+		}
+		if n > 0 {
+			short -= p.release(p.shares[shareKey{service, m}], m, n)
+		}
+	}
+	p.undivided = p.undivided || short > 0 // until engines of others are idle
+	for _, m := range models {
+		if active[m] < want[m] {
+			for _, e := range p.recruits(f, m, want[m]-active[m]) {
 				p.setShare(e, m)
 			}
-		case float64(active) > slackShare*float64(want):
-			p.release(share, m, active-want)
 		}
 	}
 }
--- a/core/cfrollout/planner.go
+++ b/core/cfrollout/planner.go
@@ -222,7 +222,8 @@
 		proved map[cf.ModelName]cf.WeightVersion
 		// peaks are the most items of each model that were open at once.
 		peaks map[cf.ModelName]*cfpeak.Peak
-		// undivided: the first version of a model was named, which changes what it needs.
+		// undivided: the first version of a model was named, which changes what it needs, or
+		// a model lacks engines that others hold and do not need.
 		undivided bool
 		// replacedAt is when slow engines were looked for last.
 		replacedAt cf.Millis
--- a/core/cfrollout/recruits.go
+++ b/core/cfrollout/recruits.go
@@ -15,8 +15,8 @@
 	replaceEvery cf.Millis = 1000
 )
 
-// release lets engines go that do nothing, the least useful first.
-func (p *Planner) release(share []*Engine, m cf.ModelName, n int) {
+// release lets engines go that do nothing, the least useful first, and returns how many.
+func (p *Planner) release(share []*Engine, m cf.ModelName, n int) int {
 	var idle []*Engine
 	for _, e := range share {
 		if !e.Draining && e.Running == 0 && e.loading == 0 {
@@ -24,9 +24,11 @@
 		}
 	}
 	slices.SortFunc(idle, func(a, b *Engine) int { return p.moreUseful(b, a, m) })
-	for _, e := range idle[:min(n, len(idle))] {
+	idle = idle[:min(n, len(idle))]
+	for _, e := range idle {
 		p.setShare(e, "")
 	}
+	return len(idle)
 }
 
 // moreUseful orders engines by their use for a model: those that hold its newest weights come
