--- a/io/cfcoord/coordinator.go
+++ b/io/cfcoord/coordinator.go
@@ -170,13 +170,15 @@
 		pending cfbatch.Pending
 		changed chan struct{} // closed when a result was listed
 		added   bool          // the planner has it
+		// unrouted: it was logged that its route is not there.
+		unrouted bool
 		// succession is what it waits for before the planner has it.
 		succession cfbatch.Succession
 		// inherited: it was there before this duty. shared: a coordinator before may have a
 		// chunk of it under way.
 		inherited, shared bool
-		loadedAt  cf.Millis
-		rereadAt  cf.Millis // when its chunks were last read again
+		loadedAt          cf.Millis
+		rereadAt          cf.Millis // when its chunks were last read again
 		// measured counts the listed results whose staleness was measured,
 		// stalest is the most of them, served that the trainer has enough.
 		measured int
@@ -454,8 +456,12 @@
 func (c *Coordinator) open(config *cfsite.Config, st *state) {
 	sub := &st.batch.Sub
 	terms, ok := termsOf(config, sub)
-	if !ok {
-		return // its route is not there, now or yet
+	if !ok { // its route is not there, now or yet
+		if !st.unrouted {
+			st.unrouted = true
+			c.Log.Warn("batch_waits_for_route", cflog.Batch(sub.ID), zap.Int64("config_version", int64(config.Version)))
+		}
+		return
 	}
 	if !c.mayBegin(st) {
 		return
