--- a/core/cfhold/cfhold.go
+++ b/core/cfhold/cfhold.go
@@ -39,6 +39,8 @@
 	// uncounted is up to which size an answer is held whatever else is: a refusal by a
 	// target, an error or an empty page must go on, and a connection takes more by itself.
 	uncounted = 4 << 10
+	// unsurePart is the part of it that answers share which may have no end, as a divisor.
+	unsurePart = 2
 	// reservePart is what is kept beside it for pages of results, so that trainers can
 	// read while answers to plain requests take all the room.
 	reservePart = 8
@@ -119,6 +121,8 @@
 		PerCaller int64
 		// Small is up to which size an answer may take the last Spare of Total.
 		Small, Spare int64
+		// Unsure is what answers that may have no end take at most.
+		Unsure int64
 		// Reserve is what pages may take beyond Total.
 		Reserve int64
 	}
@@ -134,6 +138,8 @@
 		caller Caller
 		kind   Kind
 		bytes  int64
+		// unsure are those of them that were taken for an answer that may have no end.
+		unsure int64
 		// wants is what waits for room, zero if nothing does.
 		wants int64
 		cut   bool
@@ -165,6 +171,7 @@
 		bounds  Bounds
 		policy  Policy
 		total   int64
+		unsure  int64
 		last    uint64
 		callers map[Caller]int64
 		// blocked and waiting are those holds of which it is so; both are empty while
@@ -183,7 +190,7 @@
 // BoundsOf returns the bounds of a process with a memory limit in bytes, zero if it has none.
 func BoundsOf(memory int64) Bounds {
 	total := memory / heldPart
-	return Bounds{Total: total, PerCaller: total / callerPart, Small: total / smallPart, Spare: total / largePart, Reserve: total / reservePart}
+	return Bounds{Total: total, PerCaller: total / callerPart, Small: total / smallPart, Spare: total / largePart, Unsure: total / unsurePart, Reserve: total / reservePart}
 }
 
 // New returns a ledger that holds nothing.
@@ -249,6 +256,35 @@
 	return n, Granted
 }
 
+// TakeUnsure takes n more bytes for an answer that may have no end; false if they are too
+// many. It may become as large as what is left of its part of the room (a dynamic threshold),
+// so that a target that sends without end leaves room for answers of others.
+func (l *Ledger) TakeUnsure(h *Hold, n int64) bool {
+	now := plan{l, l.total, l.callers}
+	if l.bounded() && (h.unsure+n > l.bounds.Unsure-l.unsure || !now.fits(h, n)) {
+		return false
+	}
+	h.bytes += n
+	h.unsure += n
+	l.unsure += n
+	l.total += n
+	l.callers[h.caller] += n
+	return true
+}
+
+// Give gives n bytes of an answer back, those first that may have had no end.
+func (l *Ledger) Give(h *Hold, n int64) {
+	n = min(n, h.bytes) // the first bytes of an answer are not counted
+	unsure := min(n, h.unsure)
+	h.unsure -= unsure
+	l.unsure -= unsure
+	h.bytes -= n
+	l.total -= n
+	if l.callers[h.caller] -= n; l.callers[h.caller] == 0 {
+		delete(l.callers, h.caller)
+	}
+}
+
 // GiveUp notes that an answer waits for room no longer.
 func (l *Ledger) GiveUp(h *Hold) {
 	h.wants = 0
@@ -259,11 +295,7 @@
 func (l *Ledger) Close(h *Hold) {
 	l.GiveUp(h)
 	delete(l.blocked, h)
-	l.total -= h.bytes
-	if l.callers[h.caller] -= h.bytes; l.callers[h.caller] == 0 {
-		delete(l.callers, h.caller)
-	}
-	h.bytes = 0
+	l.Give(h, h.bytes)
 }
 
 // Look notes that a write to an answer's caller is under way, and how many bytes the caller's
--- a/io/cfnode/slow_test.go
+++ b/io/cfnode/slow_test.go
@@ -74,6 +74,13 @@
 		Members: alone{}, Targets: targets, Site: site, Metrics: cfingress.NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
 		Rooms: cfroom.New(cfroom.Options{MemoryBytes: slowLimit, Policy: policy, Metrics: s.metrics, Log: zap.NewNop()}),
 	})
+	s.listen(t, in)
+	return s
+}
+
+// listen serves callers.
+func (s *slowSite) listen(t *testing.T, in *cfingress.Ingress) {
+	t.Helper()
 	srv, err := listen("127.0.0.1:0", platform.NewCallers(in, zap.NewNop()), func() cf.Millis { return 0 }, in.Rooms)
 	if err != nil {
 		t.Fatal(err)
@@ -86,7 +93,6 @@
 		}
 	})
 	s.addr = srv.ln.Addr().String()
-	return s
 }
 
 // send sends a request on a connection of its own.
--- a/io/cfroom/cfroom.go
+++ b/io/cfroom/cfroom.go
@@ -315,6 +315,38 @@
 	return n, nil
 }
 
+// TakeUnsure implements currantford.Room.
+func (m *Room) TakeUnsure(n int64) error {
+	if m == nil {
+		return nil
+	}
+	r := m.rooms
+	r.mu.Lock()
+	granted := !m.closed && r.ledger.TakeUnsure(m.hold, n)
+	r.options.Metrics.Held.Set(float64(r.ledger.Held()))
+	r.mu.Unlock()
+	if !granted {
+		return m.noRoom("no_end", n)
+	}
+	return nil
+}
+
+// Give implements currantford.Room.
+func (m *Room) Give(n int64) {
+	if m == nil {
+		return
+	}
+	r := m.rooms
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m.closed {
+		return
+	}
+	r.ledger.Give(m.hold, n)
+	r.options.Metrics.Held.Set(float64(r.ledger.Held()))
+	r.wake()
+}
+
 // try takes bytes if it may; waiters is how many fewer wait by then.
 func (m *Room) try(least, most int64, waiters int) (int64, cfhold.Verdict, <-chan struct{}) {
 	r := m.rooms
