--- a/io/cfnode/slow_test.go
+++ b/io/cfnode/slow_test.go
@@ -80,6 +80,13 @@
 		Members: alone{}, Targets: targets, Site: site, Metrics: cfingress.NewMetrics(prometheus.NewRegistry()), Log: log,
 		Rooms: cfroom.New(cfroom.Options{MemoryBytes: slowLimit, Policy: policy, Metrics: s.metrics, Log: log}),
 	})
+	s.listen(t, in, log)
+	return s
+}
+
+// listen serves callers.
+func (s *slowSite) listen(t *testing.T, in *cfingress.Ingress, log *zap.Logger) {
+	t.Helper()
 	srv, err := listen("127.0.0.1:0", platform.NewCallers(in, log), func() cf.Millis { return 0 }, in.Rooms, log)
 	if err != nil {
 		t.Fatal(err)
@@ -95,7 +102,6 @@
 		}
 	})
 	s.srv, s.addr = srv, srv.ln.Addr().String()
-	return s
 }
 
 // send sends a request on a connection of its own.
