cfroom: a cut ends the answer for which it was decided, and no other

Callers could see: a request on a kept connection is passed on, and its connection ends without an answer, where the answer before it was read slowly.

Cause: a cut is decided for an answer, and made on its connection. Between the two, and between the look at the connection's room and the cut, the answer may end and the next request be read.

A connection now numbers its answers, and a cut names the one it is meant for; under the lock under which the next request is let in it either ends the connection or does nothing.

--- a/io/cfnode/server.go
+++ b/io/cfnode/server.go
@@ -72,6 +72,7 @@
 		mu      sync.Mutex
 		busy    bool // bytes of a request have been read
 		closing bool // nothing more is read: the connection is idle for too long, or cut
+		answers uint64
 		// writes counts the beginnings and the ends of writes: odd while one is under way.
 		writes atomic.Uint64
 		reader *cfroom.Conn
@@ -136,17 +137,29 @@
 	return acked
 }
 
+// Answer implements cfroom.Delivery.
+func (c *conn) Answer() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answers
+}
+
 // Cut implements cfroom.Delivery: the connection is reset, so that an answer without a
 // length does not look complete, and the system gives its buffers back at once. One whose
 // answer ends meanwhile takes no further request: the write deadline stays set.
-func (c *conn) Cut() {
+func (c *conn) Cut(answer uint64) bool {
 	c.mu.Lock()
+	if c.answers != answer {
+		c.mu.Unlock()
+		return false
+	}
 	c.closing = true
 	c.mu.Unlock()
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // it fails where the connection has been closed
 	}
 	_ = c.SetWriteDeadline(time.Unix(1, 0))
+	return true
 }
 
 // Read implements net.Conn. Bytes that arrive after the connection was closed
@@ -181,6 +194,7 @@
 func (c *conn) rest() {
 	c.mu.Lock()
 	c.busy = false
+	c.answers++
 	closing := c.closing
 	c.mu.Unlock()
 	if closing {
--- a/io/cfnode/server_test.go
+++ b/io/cfnode/server_test.go
@@ -99,9 +99,30 @@
 	ours, theirs := net.Pipe()
 	defer func() { _ = theirs.Close() }()
 	c := &conn{Conn: ours, busy: true, reader: &cfroom.Conn{}, log: zap.NewNop()}
-	c.Cut()
+	c.Cut(c.Answer())
 	c.rest() // the answer had been written whole
 	if _, err := c.Write([]byte("x")); !errors.Is(err, io.ErrClosedPipe) {
 		t.Errorf("the connection was not closed: %v", err)
 	}
 }
+
+// Guards against a cut that comes just after its answer has been written: it would break off the
+// answer to the next request, which is on its way by then.
+func TestCutOfAnAnswerThatHasEndedLeavesTheNext(t *testing.T) {
+	ours, theirs := net.Pipe()
+	defer func() { _ = theirs.Close() }()
+	c := &conn{Conn: ours, busy: true, reader: &cfroom.Conn{}, log: zap.NewNop()}
+	answer := c.Answer()
+	c.rest()
+	go func() { _, _ = theirs.Write([]byte("x")) }()
+	if _, err := c.Read(make([]byte, 1)); err != nil { // of the next request
+		t.Fatal(err)
+	}
+	if c.Cut(answer) {
+		t.Error("the next answer was cut")
+	}
+	go func() { _, _ = theirs.Read(make([]byte, 1)) }()
+	if _, err := c.Write([]byte("x")); err != nil {
+		t.Errorf("the next answer was broken off: %v", err)
+	}
+}
--- a/io/cfroom/cfroom.go
+++ b/io/cfroom/cfroom.go
@@ -35,8 +35,11 @@
 		Writing() (write uint64, ok bool)
 		// Acknowledged returns how many bytes the caller's machine has acknowledged.
 		Acknowledged() int64
-		// Cut makes writes fail, and the connection end so that the caller sees it.
-		Cut()
+		// Answer returns the number of the answer that is under way, or of the next one.
+		Answer() uint64
+		// Cut makes the writes of an answer fail, and the connection end so that the caller
+		// sees it. It returns false where that answer has ended.
+		Cut(answer uint64) bool
 	}
 
 	// Conn is a caller's connection.
@@ -89,7 +92,9 @@
 	Room struct {
 		rooms *Rooms
 		conn  *Conn
-		hold  *cfhold.Hold // of rooms.mu
+		// answer is its number on the connection.
+		answer uint64
+		hold   *cfhold.Hold // of rooms.mu
 		// seen: its caller was waited for at the last look. Only Look uses it.
 		seen bool
 		// closed: nothing is taken any more.
@@ -160,6 +165,9 @@
 
 func (r *Rooms) open(conn *Conn, caller cfhold.Caller, kind cfhold.Kind, request string) *Room {
 	room := &Room{rooms: r, conn: conn, request: request}
+	if conn != nil {
+		room.answer = conn.Answer()
+	}
 	r.mu.Lock()
 	room.hold = r.ledger.Open(caller, kind)
 	r.mu.Unlock()
@@ -240,7 +248,10 @@
 			continue // its answer has ended meanwhile, and the next may be on its way
 		}
 		c.room.cut.Store(true)
-		c.room.conn.Cut()
+		if !c.room.conn.Cut(c.room.answer) {
+			c.room.cut.Store(false)
+			continue
+		}
 		r.options.Metrics.Cut.WithLabelValues(string(c.Reason)).Inc()
 		if c.logged {
 			r.log.Warn("slow_caller_cut", zap.String("request_id", c.room.request), zap.String("reason", string(c.Reason)), zap.Int64("held_bytes", c.Bytes),
--- a/io/cfroom/cfroom_test.go
+++ b/io/cfroom/cfroom_test.go
@@ -59,7 +59,8 @@
 
 func (writing) Writing() (uint64, bool) { return 1, true }
 func (writing) Acknowledged() int64     { return 0 }
-func (writing) Cut()                    {}
+func (writing) Answer() uint64          { return 0 }
+func (writing) Cut(uint64) bool         { return true }
 
 // Guards against a look that closes the room which a request's handler has just opened.
 func TestLookLeavesTheRoomOfARequestOpen(t *testing.T) {
--- a/io/cfroom/waiters_test.go
+++ b/io/cfroom/waiters_test.go
@@ -15,7 +15,11 @@
 
 func (*stuck) Writing() (uint64, bool) { return 1, true }
 func (*stuck) Acknowledged() int64     { return 0 }
-func (s *stuck) Cut()                  { s.cuts++ }
+func (*stuck) Answer() uint64          { return 0 }
+func (s *stuck) Cut(uint64) bool {
+	s.cuts++
+	return true
+}
 
 // Guards against a search for slow callers by each of many waiters whenever room comes free.
 func TestOnlyTheFirstWaiterLooksForSlowCallers(t *testing.T) {
