cfrollout: items that have not begun wait for one reason, which is looked for once

A thousand items of six steps that wait for the loads of a version would else walk over the engines of their shares one by one, each second, under the coordinator's lock.

--- a/core/cfrollout/waiting.go
+++ b/core/cfrollout/waiting.go
@@ -80,10 +80,18 @@
 				out.add(w, WaitSilent, now)
 			}
 		}
+		fresh := WaitReason("") // of the items that have not begun, which differ in nothing here
 		for _, w := range o.waiting {
-			if w.idle > 0 && now-w.idle >= waitingFrom {
-				out.add(w, p.whyWaiting(o, w, now), now)
+			if w.idle == 0 || now-w.idle < waitingFrom {
+				continue
 			}
+			reason := fresh
+			if begun := w.Text.Last > 0 || w.Avoid != "" || w.refused; begun || fresh == "" {
+				if reason = p.whyWaiting(o, w, now); !begun {
+					fresh = reason
+				}
+			}
+			out.add(w, reason, now)
 		}
 	}
 	return out
