Equal items are back within 5 s of a crash though each waits for one that has lasted

Items of one content go on together once one of them has run for a while, which came on top of the pause: 4 s and 1 s made 5 s at no engine, which counts as lost.

TestEqualOwedWorkIsBackWithinFiveSeconds fails on the code before: 16 items of one content wait until 5000 ms after 5 crashes and more.

--- a/core/cfquarantine/owed.go
+++ b/core/cfquarantine/owed.go
@@ -16,7 +16,7 @@
 	companyFirst = 4
 	// outlives is how long a send must have been under way for others of its content to
 	// be sent beside it. A request that crashes its targets does so within some 100 ms.
-	outlives cf.Millis = 1000
+	outlives cf.Millis = 500
 	// apartFor is how long after a crash owed work avoids targets at which other strong
 	// suspects run.
 	apartFor cf.Millis = 1000
--- a/core/cfquarantine/owed_test.go
+++ b/core/cfquarantine/owed_test.go
@@ -114,6 +114,28 @@
 	}
 }
 
+// Guards against: equal items that are at no target for 5 s, though all of them are sound.
+func TestEqualOwedWorkIsBackWithinFiveSeconds(t *testing.T) {
+	const look = 50
+	for crashes := crashesMost; crashes <= 2*strikesMost; crashes++ {
+		table := New("e")
+		k := keyOf("a", "x")
+		for n := range crashes {
+			table.Lost(k, target(n), true, 0)
+			table.Checked(target(n), 0, LossRefused, 0)
+		}
+		waiting, last := 16, cf.Millis(0)
+		for now := cf.Millis(0); waiting > 0 && now < 60*second; now += look {
+			for waiting > 0 && table.AdmitOwed(k, target(100+waiting), true, now).Pass {
+				waiting, last = waiting-1, now
+			}
+		}
+		if waiting > 0 || last >= 5*second-look {
+			t.Errorf("after %d crashes %d of 16 wait, the others until %d ms, want all before 5 s", crashes, waiting, last)
+		}
+	}
+}
+
 // Guards against: items that wait for an engine at which no other item runs that has lost two.
 func TestOwedWorkDoesNotWaitForOtherSuspects(t *testing.T) {
 	table := New("e")
--- a/core/cfrollout/crash_test.go
+++ b/core/cfrollout/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	cf "currantford"
@@ -32,12 +33,17 @@
 
 // Guards against: an item that is never placed again after its engines crashed in a burst.
 func TestItemsAreOwedAfterABurstOfCrashes(t *testing.T) {
-	for seed := range uint64(20) {
-		for _, equal := range []bool{false, true} {
-			t.Run(fmt.Sprint("seed ", seed, ", equal ", equal), func(t *testing.T) {
+	for name, body := range map[string]func(cf.Item) string{
+		"bodies of their own": nil,
+		"one for a group":     func(it cf.Item) string { return string(it.Group) },
+		"one for a step":      func(it cf.Item) string { return string(it.Group[:strings.LastIndex(string(it.Group), "-")]) },
+		"one for all":         func(cf.Item) string { return "x" },
+	} {
+		for seed := range uint64(20) {
+			t.Run(fmt.Sprint(name, ", seed ", seed), func(t *testing.T) {
 				t.Parallel()
 				o := bursts(seed)
-				o.Crashes.EqualGroups = equal
+				o.Crashes.Body = body
 				r := cfreplay.New(o)
 				r.Run(60_000)
 				got := r.Outcomes()[0]
--- a/testbed/cfreplay/crashes.go
+++ b/testbed/cfreplay/crashes.go
@@ -34,8 +34,8 @@
 		// after GuiltyDown.
 		Guilty     func(cf.Item) bool
 		GuiltyDown cf.Millis
-		// EqualGroups: the items of a group have one body.
-		EqualGroups bool
+		// Body returns the body of an item; each has one of its own if it is nil.
+		Body func(cf.Item) string
 	}
 
 	// Crash is an end of an engine under a guilty item.
@@ -56,8 +56,9 @@
 
 // Key returns the quarantine's key of an item.
 func (r *Replay) Key(b cf.BatchID, it cf.Item) cfquarantine.Key {
-	if it.Body = []byte(it.ID); r.options.Crashes.EqualGroups {
-		it.Body = []byte(it.Group)
+	it.Body = []byte(it.ID)
+	if body := r.options.Crashes.Body; body != nil {
+		it.Body = []byte(body(it))
 	}
 	return cfquarantine.KeyOfItem(&cf.Submission{ID: b, Host: host}, it)
 }
