Items that lost the same engines do not meet again at one that is set apart

Trace: it met the other at three engines, so both paused for the same time and were tried at the same engine, which was set apart and had room, after the third, the fourth and the fifth crash.

An engine whose memory would not hold the item to its end is passed over as for other items.

--- a/core/cfrollout/apart.go
+++ b/core/cfrollout/apart.go
@@ -49,9 +49,11 @@
 	return nil
 }
 
-// setApart returns the engine for an item that is to have few others beside it, or none: one
-// that is set apart already and has room, else the one that runs least, which is then set apart.
-// Where as many are as may be, the item goes where there is room, as it would wait for too long.
+// setApart returns the engine for an item that is to have few others beside it, or none: the one
+// that runs least, which is then set apart. Where as many are as may be, the item joins others at
+// one of them; where it can't, it goes wherever there is room, as it would wait for too long. Two
+// items that lost the same engines are tried at the same time, and must not meet again as long as
+// that can be helped.
 func (p *Planner) setApart(engines []*Engine, q queue, w *Work, typical float64, now cf.Millis) *Engine {
 	var joined, emptiest *Engine
 	apart := 0
@@ -59,7 +61,7 @@
 		if e.most > 0 {
 			apart++
 		}
-		if !e.open(w, now) || !e.hasRoom() {
+		if !e.open(w, now) || !e.hasRoom() || !p.fits(e, w) {
 			continue
 		}
 		switch {
@@ -78,11 +80,10 @@
 		most = max(int(apartPart*float64(len(engines))), 1)
 	}
 	e, alone := joined, true
-	switch {
-	case e != nil:
-	case apart < most:
+	if emptiest != nil && apart < most {
 		e = emptiest
-	default:
+	}
+	if e == nil {
 		e, alone = p.choose(engines, w, typical, now), false
 	}
 	if e == nil {
