cfcoord: a test follows an item from its crashes through its pause in the log

One request_paused for a pause, each of its strikes with a request_lost of the item, each run with its lines.

--- a/io/cfcoord/guard_test.go
+++ b/io/cfcoord/guard_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	cf "currantford"
 	"currantford/core/cfbatch"
@@ -37,7 +38,7 @@
 
 // itemWithGuard starts a coordinator with eight engines, which hands an item to them as far as
 // the guard that it returns lets it.
-func itemWithGuard(t *testing.T, targets cf.Targets) (*cfguard.Guard, cf.Submission) {
+func itemWithGuard(t *testing.T, targets cf.Targets, log *zap.Logger) (*cfguard.Guard, cf.Submission) {
 	t.Helper()
 	store, site := cfstandin.NewMemStore(), engineSite(t)
 	var engines []cf.Target
@@ -49,12 +50,12 @@
 	site.ReplaceTargets(engines, 2, 0)
 	guard := cfguard.New(cfguard.Options{
 		Self: "i", Targets: targets, Site: site, Share: func([]cfquarantine.Strike) {},
-		Metrics: cfguard.NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
+		Metrics: cfguard.NewMetrics(prometheus.NewRegistry()), Log: log,
 	})
 	t.Cleanup(func() { _ = guard.Close() })
 	c := New(Options{
 		Store: store, Targets: targets, Site: site, Codec: cfstandin.Codec{}, Duty: held{}, Policy: Policy{NoTextCopies: true},
-		Guard: guard, KeepResults: 120_000, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
+		Guard: guard, KeepResults: 120_000, Metrics: NewMetrics(prometheus.NewRegistry()), Log: log,
 	})
 	c.Start(noTexts)
 	t.Cleanup(func() { _ = c.Close() })
@@ -68,7 +69,7 @@
 // Guards against: a coordinator that has just started and runs items which are held.
 func TestNothingRunsBeforeItIsKnownWhatIsHeld(t *testing.T) {
 	targets := &deadTargets{}
-	guard, _ := itemWithGuard(t, targets)
+	guard, _ := itemWithGuard(t, targets, zap.NewNop())
 	time.Sleep(300 * time.Millisecond)
 	if n := targets.runs.Load(); n > 0 {
 		t.Errorf("%d runs before it is known what is held", n)
@@ -89,7 +90,7 @@
 	for _, sent := range []bool{false, true} {
 		t.Run(fmt.Sprint("sent ", sent), func(t *testing.T) {
 			targets := &deadTargets{sent: sent}
-			guard, sub := itemWithGuard(t, targets)
+			guard, sub := itemWithGuard(t, targets, zap.NewNop())
 			guard.Inform("store", nil)
 			for deadline := time.Now().Add(20 * time.Second); targets.runs.Load() < 3; time.Sleep(5 * time.Millisecond) {
 				if time.Now().After(deadline) {
@@ -129,14 +130,40 @@
 	return cf.ErrNoProcess
 }
 
-// Guards against: an item that is never placed again after three of its engines crashed.
+// Guards against: an item that is never placed again after three of its engines crashed, and one
+// that can't be followed in the log.
 func TestItemIsOwedAfterCrashes(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
 	targets := &unluckyTargets{}
-	guard, _ := itemWithGuard(t, targets)
+	guard, sub := itemWithGuard(t, targets, zap.New(core))
 	guard.Inform("store", nil)
-	for deadline := time.Now().Add(20 * time.Second); targets.done.Load() == 0; time.Sleep(5 * time.Millisecond) {
+	for deadline := time.Now().Add(20 * time.Second); logs.FilterField(zap.String("outcome", "done")).Len() == 0; time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatalf("%d runs, none of them to its end", targets.runs.Load())
 		}
 	}
+	id := zap.String("request_id", string(sub.Items[0].ID.Request()))
+	count := map[string]int{}
+	lost := map[string]bool{}
+	for _, line := range logs.FilterField(id).All() {
+		count[line.Message]++
+		if line.Message == "request_lost" {
+			lost[fmt.Sprint(line.ContextMap()["target"])] = true
+		}
+	}
+	want := map[string]int{"item_placed": 4, "item_run": 4, "request_lost": 3, "request_paused": 1}
+	if fmt.Sprint(count) != fmt.Sprint(want) {
+		t.Errorf("lines of the item: %v, want %v", count, want)
+	}
+	for _, line := range logs.FilterMessage("request_paused").All() {
+		strikes, _ := line.ContextMap()["strikes"].([]cfquarantine.Strike)
+		for i := range strikes {
+			if !lost[string(strikes[i].Target.ID)] {
+				t.Errorf("no line on the loss of %s, which counts against the item", strikes[i].Target.ID)
+			}
+		}
+		if len(strikes) != 3 {
+			t.Errorf("%d strikes in the line of the pause", len(strikes))
+		}
+	}
 }
