cflog: messages of libraries are lines of the log, cut short

An answer without end that comes after a whole one makes net/http quote up to 4 KB of it on standard error, once for each connection. Those are no lines of ours, and a write there waits until it is read, which must not stop the process. They now go the way of all lines, with their first 256 bytes.

--- a/nodecommands/commands.go
+++ b/nodecommands/commands.go
@@ -104,6 +104,7 @@
 	}
 	log, out := cflog.NewStdout("entry", string(s.Entry))
 	defer func() { _ = out.Close() }()
+	cflog.TakeStandard(log)
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "currantford_log_lines_dropped_total", Help: "Log lines dropped because standard output was not read.",
