cfrunner: what a host holds of its streams is bounded, and so is a report

What callers saw: nothing yet; found by a test of our own. A host kept whatever its streams brought until the coordinator asked, in any order and without a number, and sent all of it in one message. One over 8 MiB ends the link; the report is given again as it was, so the runs of all that host's engines are lost.

Why it works: events are taken in order, as the coordinator's own sinks do; what no report has is in a cfhold.Pool of 2 MiB, of which streams of usual size take nothing (a kilobyte between two reports); a report ends at 2 MiB, and the next one follows at once. A stream that finds no room ends as broken, and its item runs on elsewhere.

--- a/io/cfrunner/cfrunner_test.go
+++ b/io/cfrunner/cfrunner_test.go
@@ -353,3 +353,75 @@
 		t.Errorf("error %v, want one that says it was not run", err)
 	}
 }
+
+// flood is a target whose streams send events of a kilobyte without end.
+type flood struct {
+	cf.Targets
+	numbered bool
+	sent     chan int
+}
+
+func (f flood) Stream(ctx context.Context, _ cf.Target, _ cf.TargetCall, sink cf.StreamSink) (cf.TargetAnswer, error) {
+	for n := 1; ctx.Err() == nil; n++ {
+		ev := cf.StreamEvent{Data: string(make([]byte, 1<<10))}
+		if f.numbered {
+			ev.ID = cf.EventID(n)
+		}
+		if err := sink.Event(ev); err != nil || n == 100_000 {
+			f.sent <- n
+			return cf.TargetAnswer{}, err
+		}
+	}
+	return cf.TargetAnswer{}, ctx.Err()
+}
+
+// Guards against a stream without end that takes its host's memory, and makes a report too large
+// for the link, so that the runs of all its engines are lost.
+func TestStreamsWithoutEndLeaveRoomForReports(t *testing.T) {
+	for _, numbered := range []bool{false, true} {
+		f := flood{numbered: numbered, sent: make(chan int, 100)}
+		host := NewHost(f, zap.NewNop())
+		defer func() { _ = host.Close() }()
+		duty := Duty{Term: 5, Number: 1}
+		first, err := host.Collect(t.Context(), Collect{Duty: duty})
+		if err != nil {
+			t.Fatal(err)
+		}
+		starts := make([]Start, 50)
+		for i := range starts {
+			starts[i] = Start{Run: RunID(i + 1), Call: cf.TargetCall{ID: "r"}}
+		}
+		if _, err := host.Orders(t.Context(), Orders{Duty: duty, Session: first.Session, Clock: cf.Uptime(), Starts: starts}); err != nil {
+			t.Fatal(err)
+		}
+		most, ends, got := 0, 0, first.Number
+		for ends < len(starts) {
+			r, err := host.Collect(t.Context(), Collect{Duty: duty, Session: first.Session, Got: got, Clock: cf.Uptime()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			got = r.Number
+			size := 0
+			for _, n := range r.Runs {
+				for _, ev := range n.Events {
+					size += len(ev.Data)
+				}
+				if n.End != nil {
+					ends++
+					if n.End.Error == "" {
+						t.Errorf("numbered %t: run %d ended as if it were whole", numbered, n.Run)
+					}
+				}
+			}
+			most = max(most, size)
+		}
+		events := 0
+		for range starts {
+			events = max(events, <-f.sent)
+		}
+		t.Logf("numbered %t: %d bytes in a report, %d events of a stream", numbered, most, events)
+		if most > 4<<20 {
+			t.Errorf("numbered %t: %d bytes in a report, over half of what the link takes", numbered, most)
+		}
+	}
+}
--- a/io/cfrunner/host.go
+++ b/io/cfrunner/host.go
@@ -11,11 +11,21 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
+	"currantford/core/cfhold"
 	"currantford/io/cflog"
 )
 
-// watchEvery is how often a host looks whether its coordinator still asks.
-const watchEvery = 100 * time.Millisecond
+const (
+	// watchEvery is how often a host looks whether its coordinator still asks.
+	watchEvery = 100 * time.Millisecond
+	// unsentMost bounds the events that a host holds for a coordinator, and reportMost those
+	// of a report: together they are under half of what the link takes in a message. A usual
+	// stream brings a kilobyte between two reports.
+	unsentMost = 2 << 20
+	reportMost = 2 << 20
+	// eventExtra is what an event takes beside its data.
+	eventExtra = 64
+)
 
 type (
 	// Host holds streams for the coordinator. It is safe for concurrent use.
@@ -51,7 +61,9 @@
 		// to have arrived.
 		sent  Report
 		acked int64
-		ended chan struct{} // wakes a question for news
+		// unsent is what events take that no report has.
+		unsent *cfhold.Pool
+		ended  chan struct{} // wakes a question for news
 	}
 
 	// hosted is a run of a session.
@@ -59,6 +71,9 @@
 		cancel context.CancelFunc
 		events []Event
 		end    *End
+		// last is the last event, held what those take that no report has.
+		last cf.EventID
+		held int64
 	}
 )
 
@@ -113,7 +128,7 @@
 		ctx, cancel := context.WithCancel(h.ctx)
 		h.session = &session{
 			id: SessionID(rand.Uint64()), duty: d, ctx: ctx, cancel: cancel, asked: cf.Uptime(),
-			runs: map[RunID]*hosted{}, ended: make(chan struct{}, 1),
+			runs: map[RunID]*hosted{}, unsent: cfhold.NewPool(unsentMost), ended: make(chan struct{}, 1),
 		}
 		s := h.session
 		h.wg.Go(func() { h.watch(s) })
@@ -177,7 +192,7 @@
 // start runs a stream. s.mu is held.
 func (h *Host) start(s *session, st Start) {
 	ctx, cancel := context.WithCancel(s.ctx)
-	r := &hosted{cancel: cancel}
+	r := &hosted{cancel: cancel, last: st.Call.ResumeAfter}
 	s.runs[st.Run] = r
 	h.wg.Go(func() {
 		defer cancel()
@@ -204,6 +219,14 @@
 func (k hostSink) Event(ev cf.StreamEvent) error {
 	k.s.mu.Lock()
 	defer k.s.mu.Unlock()
+	if ev.ID != k.r.last+1 {
+		return eris.Wrapf(cf.ErrBadAnswer, "event %d after %d", ev.ID, k.r.last)
+	}
+	size := k.r.held + int64(len(ev.Data)) + eventExtra
+	if !k.s.unsent.Grow(k.r.held, size) {
+		return eris.Wrapf(cf.ErrBadAnswer, "events of %d bytes between two reports", size)
+	}
+	k.r.last, k.r.held = ev.ID, size
 	k.r.events = append(k.r.events, Event{ID: ev.ID, Data: ev.Data, Version: ev.Version, At: cf.Uptime()})
 	return nil
 }
@@ -273,10 +296,18 @@
 	}
 	out := Report{Session: s.id, Number: s.sent.Number + 1, Clock: cf.Uptime(), Runs: s.news}
 	s.news = nil
+	size := int64(0)
 	for id, r := range s.runs {
 		if len(r.events) == 0 && r.end == nil {
 			continue
 		}
+		if size > 0 && size+r.held > reportMost {
+			s.wake() // the next report has it
+			continue
+		}
+		size += r.held
+		s.unsent.Free(r.held)
+		r.held = 0
 		out.Runs = append(out.Runs, News{Run: id, Events: r.events, End: r.end})
 		r.events = nil
 		if r.end != nil {
