Soak: targets that answer without end

Seeds from 7000 on. All targets of a kind answer every request so for 0.5 to 2 s, in one of ten shapes; no process may take more than the smallest instances have, 134 MB, which is their limit there too. Earlier seeds play what they did.

Seen failing with the bounds off (the adapter, cfhold, cfroom and cfrunner of, seeds 7000 to 7003 cut short): a process took 548,622,336 bytes.

--- a/systemtest/site_test.go
+++ b/systemtest/site_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
@@ -91,6 +92,8 @@
 		autoscale bool
 		// hubsFrom is from how many entries on some pass the coordinator's news on.
 		hubsFrom int
+		// memoryMB is the entries' memory limit, 200 if it is not given.
+		memoryMB int
 		load     time.Duration
 		event    time.Duration
 	}
@@ -118,6 +121,7 @@
 		cores      []float64
 		linkMbps   float64
 		hubsFrom   int
+		memoryMB   int
 	}
 
 	// entry is one process.
@@ -233,7 +237,7 @@
 	if o.valueBytes == 0 {
 		o.valueBytes = 1 << 20
 	}
-	s := &site{t: t, store: standin.NewStore(), valueBytes: o.valueBytes, links: o.links, policy: o.policy, bounds: o.bounds, usage: o.usage, autoscale: o.autoscale, cores: o.cores, linkMbps: o.linkMbps, hubsFrom: o.hubsFrom}
+	s := &site{t: t, store: standin.NewStore(), valueBytes: o.valueBytes, links: o.links, policy: o.policy, bounds: o.bounds, usage: o.usage, autoscale: o.autoscale, cores: o.cores, linkMbps: o.linkMbps, hubsFrom: o.hubsFrom, memoryMB: cmp.Or(o.memoryMB, 200)}
 	s.addr = listen(t, s.store)
 	if o.usage > 0 || o.autoscale {
 		s.control = standin.NewControl(3 * time.Second)
@@ -312,7 +316,7 @@
 		"listen": map[string]any{"callers": e.callers, "ready": e.ready, "directory": e.names, "peers": freeAddr(s.t)},
 		"store":  map[string]any{"addr": store, "value_bytes": s.valueBytes},
 		"bounds": bounds,
-		"memory": map[string]any{"limit_mb": 200},
+		"memory": map[string]any{"limit_mb": s.memoryMB},
 		"policy": s.policy,
 	}
 	if s.hubsFrom > 0 {
--- a/systemtest/soak_test.go
+++ b/systemtest/soak_test.go
@@ -18,7 +18,7 @@
 )
 
 var (
-	soakSeeds   = flag.String("soak.seeds", "1,3,36,1001,2001,3001,4001,4112,5001,6001,6011,6039", "seeds of the fault soak, such as 1,2,10-20")
+	soakSeeds   = flag.String("soak.seeds", "1,3,36,1001,2001,3001,4001,4112,5001,6001,6011,6039,7002", "seeds of the fault soak, such as 1,2,10-20")
 	soakSeconds = flag.Int("soak.seconds", 10, "length of each seed")
 )
 
@@ -46,6 +46,8 @@
 	heldBids map[string]string
 	down     map[*entry]bool // killed, stopped or frozen by the soak
 	configMu sync.Mutex      // one change of the configuration at a time
+	// mostMemory is the most that a process was seen to take, in bytes.
+	mostMemory int64
 }
 
 // TestSoak runs the programs through random faults, injected from outside, and
@@ -99,6 +101,9 @@
 	if seed >= hubSeeds {
 		o.entries, o.hubsFrom = 7, 4
 	}
+	if seed >= endlessSeeds {
+		o.memoryMB = memoryMost >> 20
+	}
 	s := &soak{
 		site:   startSite(t, o),
 		random: rand.New(rand.NewPCG(seed, 9)), bids: map[string][]int{}, heldBids: map[string]string{}, down: map[*entry]bool{},
@@ -148,6 +153,9 @@
 	if seed >= configSeeds {
 		faults = append(faults, s.changeConfig, s.changeConfig, s.lapseTargets)
 	}
+	if seed >= endlessSeeds {
+		faults = append(faults, s.answerWithoutEnd, s.answerWithoutEnd)
+	}
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for ctx.Err() == nil {
@@ -341,6 +349,7 @@
 	s.checkCrashes(t)
 	s.checkConfigs(t)
 	s.checkAccepted(t)
+	s.checkMemory(t)
 }
 
 // checkAccepted reads every batch in the store at an entry that is up: none may
