cfnode: the first read of the lease is made again while it has no answer

What was seen: an instance that starts beside a slow store finds the coordinator two seconds after its start, and has listed all targets itself by then.

Cause: the first call to the store waits 250 ms for its answer. In its first 2.25 s an instance leaves the store to others (startCalls), and so reads the lease again only after 2 s, as one does that has a coordinator. Before it has seen the lease nobody can tell it anything.

Evidence: TestStartingInstanceReadsTheLeaseAgain, before: "the lease is not seen after 1 reads" in 2 s.

--- a/core/cfmember/word.go
+++ b/core/cfmember/word.go
@@ -41,6 +41,11 @@
 	// answer for those of a coordinator that is busy with a start of all: three calls. It may
 	// not know of hubs yet.
 	startCalls = 3 * (CallWait + CallGrace)
+	// LeaseReadEvery is after how long a starting instance that has no answer from the store
+	// reads the lease once more, beside the reads under way. LeaseReadLeast spaces them where
+	// they fail sooner.
+	LeaseReadEvery cf.Millis = 300
+	LeaseReadLeast cf.Millis = 200
 )
 
 // Word is what an instance has heard of how things stand, and when, zero if never.
--- a/io/cfnode/candidate.go
+++ b/io/cfnode/candidate.go
@@ -14,6 +14,7 @@
 
 	cf "currantford"
 	"currantford/core/cflease"
+	"currantford/core/cfmember"
 	"currantford/io/cflog"
 )
 
@@ -77,7 +78,9 @@
 	mu    sync.Mutex
 	lease *cflease.Lease
 
-	probed  cf.Millis
+	probed cf.Millis
+	// asked: the lease was read, or is being read, for the first time.
+	asked   bool
 	held    bool
 	heldAt  cf.Millis // since when
 	lapsed  bool      // held, and not renewed in time
@@ -229,8 +232,15 @@
 		c.takeFree(ctx)
 		return
 	}
+	if rev == 0 {
+		if now-c.probed >= probeEvery {
+			c.probed = now
+			c.probe(ctx)
+		}
+		return
+	}
 	silent, left := now-c.word(), c.patience(now)
-	if rev > 0 && (left == 0 && !abandoned && !doubted && silent < probeEvery || silent < left) {
+	if left == 0 && !abandoned && !doubted && silent < probeEvery || silent < left {
 		return
 	}
 	if since := now - c.probed; left == 0 && (since >= probeEvery || doubted && since >= doubtEvery) || since >= leftProbeEvery {
@@ -239,7 +249,7 @@
 		c.probe(ctx)
 		return
 	}
-	if may && rev > 0 {
+	if may {
 		if !named {
 			cf.Sleep(ctx, rand.N(takeSpread))
 		}
@@ -297,7 +307,12 @@
 
 // probe reads the lease; where there is none yet it is created.
 func (c *candidate) probe(ctx context.Context) {
-	r, err := c.store.Get(ctx, cf.KindLease, leaseName)
+	get := c.get
+	if _, rev := c.holder(); rev == 0 && !c.asked {
+		c.asked = true
+		get = c.firstGet
+	}
+	r, err := get(ctx)
 	c.storeAway = err != nil && !errors.Is(err, cf.ErrNotFound)
 	switch {
 	case err == nil:
@@ -319,6 +334,51 @@
 	}
 }
 
+func (c *candidate) get(ctx context.Context) (cf.Record, error) {
+	return c.store.Get(ctx, cf.KindLease, leaseName)
+}
+
+// firstGet reads the lease until a read is answered, or refused. A slow store takes longer than
+// the first reads wait, and one whose answer is lost holds up no other.
+func (c *candidate) firstGet(ctx context.Context) (cf.Record, error) {
+	type answer struct {
+		cf.Record
+		err error
+	}
+	var reads sync.WaitGroup
+	defer reads.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan answer)
+	last, under := cf.Millis(0), 0
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for {
+		select {
+		case <-next.C:
+			last = cf.Uptime()
+			under++
+			reads.Go(func() {
+				r, err := c.get(ctx)
+				select {
+				case answers <- answer{r, err}:
+				case <-ctx.Done():
+				}
+			})
+			next.Reset(cfmember.LeaseReadEvery.Duration())
+		case a := <-answers:
+			if !errors.Is(a.err, cf.ErrUnavailable) {
+				return a.Record, a.err
+			}
+			if under--; under == 0 {
+				next.Reset((last + cfmember.LeaseReadLeast - cf.Uptime()).Duration())
+			}
+		case <-ctx.Done():
+			return cf.Record{}, cf.ErrUnavailable
+		}
+	}
+}
+
 func (c *candidate) take(r cf.Record) {
 	var o leaseObject
 	if err := json.Unmarshal(r.Spec, &o); err != nil {
--- a/io/cfnode/scout_test.go
+++ b/io/cfnode/scout_test.go
@@ -96,6 +96,33 @@
 	}
 }
 
+// deafStore leaves the first read without an answer.
+type deafStore struct {
+	*cfstandin.MemStore
+	asked atomic.Int64
+}
+
+func (s *deafStore) Get(ctx context.Context, kind, name string) (cf.Record, error) {
+	if s.asked.Add(1) == 1 {
+		<-ctx.Done()
+		return cf.Record{}, cf.ErrUnavailable
+	}
+	return s.MemStore.Get(ctx, kind, name)
+}
+
+// Guards against: an instance that finds the coordinator seconds after its start, as its first
+// read of the lease had no answer.
+func TestStartingInstanceReadsTheLeaseAgain(t *testing.T) {
+	store := &deafStore{MemStore: cfstandin.NewMemStore()}
+	n := newTestNode(t, store)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	n.candidate.step(ctx)
+	if _, rev := n.candidate.holder(); rev == 0 || ctx.Err() != nil {
+		t.Errorf("the lease is not seen after %d reads", store.asked.Load())
+	}
+}
+
 // Load: a fleet with hubs, one of which hears nothing, and an instance that starts and finds
 // no coordinator. Each looks after the store by itself when its word is too old.
 func TestOneWithoutWordListsForItself(t *testing.T) {
