cfmember: a start waits for a slow store to show the lease

What was seen: at a start of a fleet whose store shows the lease after 350 ms or more, each instance lists all targets: 40 lists by 40 instances, 120 by 120. The same beside load, where the answer is read late.

Cause, by the instances' logs: all turn to the store 300 ms after their start with holder_named false. "The lease names nobody" and "the lease is not read yet" were one case of cfmember.Word.

Change: while the first read of the lease has no answer, an instance waits for it, and for the first call of the coordinator that the lease names, until 1.5 s after its start in all. Where the lease is read and names nobody, is refused, or is never answered, it lists as before, in the last case at 1.5 s. A list is larger than the lease, so a store that is slow to show one is later still with the other.

Evidence: TestSlowLeaseMakesNobodyList, before: "the targets were listed 40 times, by 40 instances with 8 scouts" at each of 350, 600 and 900 ms.

--- a/core/cfmember/word.go
+++ b/core/cfmember/word.go
@@ -41,6 +41,9 @@
 	// answer for those of a coordinator that is busy with a start of all: three calls. It may
 	// not know of hubs yet.
 	startCalls = 3 * (CallWait + CallGrace)
+	// startLate bounds the wait for the lease and for the first answer of the coordinator that
+	// it names, where the store is slow.
+	startLate = leaveSilent
 	// LeaseReadEvery is after how long a starting instance that has no answer from the store
 	// reads the lease once more, beside the reads under way. LeaseReadLeast spaces them where
 	// they fail sooner.
@@ -50,14 +53,16 @@
 
 // Word is what an instance has heard of how things stand, and when, zero if never.
 type Word struct {
-	// Started is when the instance started, Heard as of when the last current word is.
-	Started, Heard cf.Millis
+	// Started is when the instance started, Seen when it first saw the lease, and Heard as
+	// of when the last current word is.
+	Started, Seen, Heard cf.Millis
 	// Unsure is when the coordinator answered last that it knows nothing new, or that a
 	// hub is to be asked. Away is when another instance said that it asks the store itself,
 	// in vain; Denied when another said that it has current word all the same.
 	Unsure, Away, Denied cf.Millis
-	// Named says that the lease names a coordinator.
-	Named bool
+	// Named says that the lease names a coordinator, Unread that the lease is being read and
+	// has never been seen.
+	Named, Unread bool
 	// Hubs says that there are hubs, Behind that one of them is asked for news, and Scout
 	// that this instance is one of the scouts.
 	Hubs, Behind, Scout bool
@@ -117,14 +122,17 @@
 // Settled says whether the instance has had the time to learn who else looks after the store.
 func (w Word) Settled(now cf.Millis) bool { return now-w.Started >= startUnsure }
 
-// starting says whether the instance has just started, and waits for the first word of the
-// coordinator that the lease names.
+// starting says whether the instance has just started, and waits for the lease, or for the
+// first word of the coordinator that it names. A store that is slow to show one object is
+// slower still to list all targets.
 func (w Word) starting(now cf.Millis) bool {
 	since := now - w.Started
 	switch {
 	case w.Heard > 0:
 		return false
-	case w.Named && since < startGrace+CallWait+CallGrace:
+	case w.Unread:
+		return since < startLate
+	case w.Named && since < min(max(w.Seen-w.Started, 0)+startGrace+CallWait+CallGrace, startLate):
 		return true
 	default:
 		return !w.Settled(now) && (w.Behind || AnswerShared(w.Unsure, now))
--- a/core/cfmember/word_test.go
+++ b/core/cfmember/word_test.go
@@ -45,6 +45,11 @@
 		{"started, the second and the third call are late", Word{Started: now - 2200, Heard: now - 2100, Named: true, Scout: true}, false},
 		{"started, three calls do not get through", Word{Started: now - 2250, Heard: now - 2100, Named: true, Scout: true}, true},
 		{"started, the second call does not get through", Word{Started: now - 2900, Heard: now - 1500, Named: true, Scout: true}, true},
+		{"started, the lease is not read yet", Word{Started: now - 1400, Unread: true, Scout: true}, false},
+		{"started, the lease is not read for long", Word{Started: now - 1500, Unread: true, Scout: true}, true},
+		{"started, the lease was read late", Word{Started: now - 1400, Seen: now - 800, Named: true, Scout: true}, false},
+		{"started, the lease was read late, no call gets through", Word{Started: now - 1500, Seen: now - 800, Named: true, Scout: true}, true},
+		{"started, the lease was read late and names nobody", Word{Started: now - 800, Seen: now - 100, Scout: true}, true},
 	} {
 		if got := c.word.Alone(now); got != c.want {
 			t.Errorf("%s: lists all targets %v, want %v", c.name, got, c.want)
--- a/io/cfnode/candidate.go
+++ b/io/cfnode/candidate.go
@@ -77,10 +77,13 @@
 
 	mu    sync.Mutex
 	lease *cflease.Lease
+	// seenAt is when the first read of the lease showed it, zero if none has.
+	seenAt cf.Millis
 
 	probed cf.Millis
-	// asked: the lease was read, or is being read, for the first time.
+	// asked: the lease was read, or is being read, for the first time; asking: it is now.
 	asked   bool
+	asking  atomic.Bool
 	held    bool
 	heldAt  cf.Millis // since when
 	lapsed  bool      // held, and not renewed in time
@@ -198,7 +201,18 @@
 func (c *candidate) observe(rev cf.Revision, h cflease.Holder) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lease.Observe(rev, h, cf.Uptime())
+	now := cf.Uptime()
+	if c.asking.Load() && c.lease.Rev() == 0 {
+		c.seenAt = now
+	}
+	c.lease.Observe(rev, h, now)
+}
+
+// awaits says whether the lease is being read for the first time, and else when that showed it.
+func (c *candidate) awaits() (unread bool, seen cf.Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.asking.Load() && c.lease.Rev() == 0, c.seenAt
 }
 
 func (c *candidate) run(ctx context.Context) {
@@ -310,6 +324,8 @@
 	get := c.get
 	if _, rev := c.holder(); rev == 0 && !c.asked {
 		c.asked = true
+		c.asking.Store(true)
+		defer c.asking.Store(false)
 		get = c.firstGet
 	}
 	r, err := get(ctx)
--- a/io/cfnode/feed.go
+++ b/io/cfnode/feed.go
@@ -155,9 +155,10 @@
 func (n *Node) lastWord(now cf.Millis) cfmember.Word {
 	f, self := &n.feed, n.self()
 	holder, _ := n.candidate.holder()
+	unread, seen := n.candidate.awaits()
 	return cfmember.Word{
-		Started: n.started, Heard: cf.Millis(f.heard.Load()), Unsure: cf.Millis(f.unsure.Load()), Away: cf.Millis(f.away.Load()), Denied: cf.Millis(f.denied.Load()),
-		Named: holder.Entry != "", Hubs: len(n.members.Hubs(self, now)) > 0, Behind: f.upstream.Behind(), Scout: n.members.Scout(self),
+		Started: n.started, Seen: seen, Heard: cf.Millis(f.heard.Load()), Unsure: cf.Millis(f.unsure.Load()), Away: cf.Millis(f.away.Load()), Denied: cf.Millis(f.denied.Load()),
+		Named: holder.Entry != "", Unread: unread, Hubs: len(n.members.Hubs(self, now)) > 0, Behind: f.upstream.Behind(), Scout: n.members.Scout(self),
 	}
 }
 
--- a/io/cfnode/fleet_test.go
+++ b/io/cfnode/fleet_test.go
@@ -63,7 +63,14 @@
 // long are not answered.
 type gatedStore struct {
 	*countedStore
-	shut atomic.Bool
+	shut  atomic.Bool
+	delay *storeDelay
+}
+
+// storeDelay is how late a store answers.
+type storeDelay struct {
+	// lease is for reads of the lease, in nanoseconds.
+	lease atomic.Int64
 }
 
 // wait holds a call while the store is shut, for as long as its answer is waited for.
@@ -75,6 +82,13 @@
 	return cf.ErrUnavailable
 }
 
+func (s *gatedStore) Get(ctx context.Context, kind, name string) (cf.Record, error) {
+	if kind == cf.KindLease {
+		cf.Sleep(ctx, time.Duration(s.delay.lease.Load()))
+	}
+	return s.countedStore.Get(ctx, kind, name)
+}
+
 func (s *gatedStore) List(ctx context.Context, kind string) (cf.Records, error) {
 	if err := s.wait(ctx, 750*time.Millisecond); err != nil {
 		return cf.Records{}, err
@@ -98,12 +112,19 @@
 	stop  map[cf.EntryID]func()
 	gates map[cf.EntryID]*gatedStore
 	// link is the rate of an instance's link in bytes a second, zero without bound.
-	link int
+	link  int
+	delay *storeDelay
 }
 
 func newTestFleet(t *testing.T, size, link int) *testFleet {
 	t.Helper()
-	f := &testFleet{t: t, store: &countedStore{MemStore: cfstandin.NewMemStore()}, nodes: map[cf.EntryID]*Node{}, stop: map[cf.EntryID]func(){}, gates: map[cf.EntryID]*gatedStore{}, link: link}
+	return newDelayedFleet(t, size, link, &storeDelay{})
+}
+
+// newDelayedFleet returns a fleet whose store is slow from its start on.
+func newDelayedFleet(t *testing.T, size, link int, delay *storeDelay) *testFleet {
+	t.Helper()
+	f := &testFleet{t: t, store: &countedStore{MemStore: cfstandin.NewMemStore()}, nodes: map[cf.EntryID]*Node{}, stop: map[cf.EntryID]func(){}, gates: map[cf.EntryID]*gatedStore{}, link: link, delay: delay}
 	kinds := cfstandin.Codec{}.Kinds()
 	f.create(kinds.Config, "main", fleetConfig(1))
 	for i := range fleetLogs {
@@ -160,7 +181,7 @@
 	if i/fleetDomains%5 == 0 {
 		s.Machine.CPUShare = 1
 	}
-	f.gates[s.Entry] = &gatedStore{countedStore: f.store}
+	f.gates[s.Entry] = &gatedStore{countedStore: f.store, delay: f.delay}
 	n := New(s, Adapter{Store: f.gates[s.Entry], Codec: cfstandin.Codec{}, Relay: noRelay{}}, prometheus.NewRegistry(), zap.NewNop())
 	if f.link > 0 {
 		l = &sharedLink{Listener: l, rate: f.link}
@@ -267,3 +288,19 @@
 		t.Errorf("the targets were listed %d times after the loss of the coordinator, by a fleet with %d hubs", lists, hubs)
 	}
 }
+
+// Guards against: a start at which each instance lists all targets, as the store takes longer
+// to show the lease than an instance waits for it.
+func TestSlowLeaseMakesNobodyList(t *testing.T) {
+	const size = 40
+	for _, late := range []time.Duration{350 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond} {
+		delay := &storeDelay{}
+		delay.lease.Store(int64(late))
+		f := newDelayedFleet(t, size, 0, delay)
+		f.settled("start", fleetLogs)
+		scouts := len(f.holder().members.Scouts(f.holder().self()))
+		if lists := f.store.lists.Load(); lists > int64(scouts) {
+			t.Errorf("the lease is shown after %s: the targets were listed %d times, by %d instances with %d scouts", late, lists, size, scouts)
+		}
+	}
+}
