cfquarantine: strikes that displace others are not handed on as news

What operators would see: strikes_learned and strikes_not_shared without end after a wave of crashes under equal requests, and news of other requests that are dropped for them.

Cause: since a table that has all the strikes against a content that it keeps drops its oldest for any later one, which is then news for its neighbours. The time of a strike is local: when it was received, less its age, so that it grows by the way at each hop. Strikes of one moment displace each other, are handed on, come back later and displace again. With void strikes, of which one replaced another, it was so before.

What displaces another is no news now: neighbours are told by who saw it, others by the exchange that follows from the sums. Void strikes displace none, and none of the same moment displaces another.

--- a/core/cfquarantine/evidence.go
+++ b/core/cfquarantine/evidence.go
@@ -117,7 +117,9 @@
 	t.ended(k, target)
 }
 
-// add takes a strike that the table does not have, if there is room for it. t.mu is held.
+// add takes a strike that the table does not have, if there is room for it. It is news for
+// others only where it displaces none: two tables would else hand each other what each of them
+// has dropped. t.mu is held.
 func (t *Table) add(st strike) bool {
 	s := t.suspects[st.Content]
 	if s == nil {
@@ -130,12 +132,9 @@
 	if i := s.find(&st.Strike); i >= 0 {
 		return false
 	}
-	if len(s.strikes) >= strikesMost {
-		i := slices.IndexFunc(s.strikes, func(x strike) bool { return x.Standing == Void || x.doubt >= reached })
-		if i < 0 && st.at <= s.strikes[0].at {
-			return false
-		}
-		t.forget(s, max(i, 0)) // the latest decide how long it pauses
+	full := len(s.strikes) >= strikesMost
+	if full && !t.displace(s, &st) {
+		return false
 	}
 	at, _ := slices.BinarySearchFunc(s.strikes, st.at, func(x strike, at cf.Millis) int {
 		if x.at <= at {
@@ -148,6 +147,18 @@
 		t.struck[st.Target]++
 	}
 	t.refresh(s)
+	return !full
+}
+
+// displace makes room for a strike: one that does not count goes, or the first, as the latest
+// decide how long owed work pauses. Instances see the times of one moment in different orders,
+// so those do not displace each other. t.mu is held.
+func (t *Table) displace(s *suspect, st *strike) bool {
+	i := slices.IndexFunc(s.strikes, func(x strike) bool { return x.Standing == Void || x.doubt >= reached })
+	if st.Standing == Void || i < 0 && st.at <= s.strikes[0].at+moment {
+		return false
+	}
+	t.forget(s, max(i, 0))
 	return true
 }
 
