cfnode: a stop that comes before a process serves is not dropped

What operators would see: an instance that was reloaded several times while it started, and then stopped, serves on until it is killed, and its connections with it.

Cause: signals are caught from the start in one channel with room for four, and read once the process serves. A signal for which there is no room is dropped, the stop as well.

Reloads and stops have a channel of their own each, with room for one: the second of a kind adds nothing to the first.

TestStopAfterReloadsDuringAStart before: "the process was not stopped by a signal that came before it served".

--- a/io/cfnode/process.go
+++ b/io/cfnode/process.go
@@ -124,24 +124,36 @@
 	return mux
 }
 
-// Signals returns those that a process acts on. It is called first of all: until then each
-// of them ends the process, SIGHUP too.
-func Signals() <-chan os.Signal {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	return signals
+// Signals are those that a process acts on. They wait apart, as a signal for which a channel
+// has no room is dropped: reloads before a process serves would else cost it its stop.
+type Signals struct{ stop, reload chan os.Signal }
+
+// CatchSignals is called first of all: until then each of the signals ends the process, SIGHUP
+// too.
+func CatchSignals() Signals {
+	s := Signals{make(chan os.Signal, 1), make(chan os.Signal, 1)}
+	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	return s
 }
 
-// Run serves until a signal asks it to stop, then stops as planned.
-func (p *Process) Run(signals <-chan os.Signal, reload func() error) {
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			p.log.Info("stopping", zap.String("signal", sig.String()))
-			break
+// wait calls reload as often as it is asked for, until a signal asks the process to stop.
+func (s Signals) wait(reload func() error, log *zap.Logger) {
+	for {
+		select {
+		case sig := <-s.stop:
+			log.Info("stopping", zap.String("signal", sig.String()))
+			return
+		case <-s.reload:
+			err := reload()
+			log.Info("reloaded", cflog.Error(err))
 		}
-		err := reload()
-		p.log.Info("reloaded", cflog.Error(err))
 	}
+}
+
+// Run serves until a signal asks it to stop, then stops as planned.
+func (p *Process) Run(signals Signals, reload func() error) {
+	signals.wait(reload, p.log)
 	p.stop()
 }
 
@@ -183,13 +195,6 @@
 }
 
 // WaitForStop returns when a signal asks the process to stop.
-func WaitForStop(signals <-chan os.Signal, log *zap.Logger) {
-	for sig := range signals {
-		if sig == syscall.SIGHUP {
-			log.Info("reloaded")
-			continue
-		}
-		log.Info("stopping", zap.String("signal", sig.String()))
-		return
-	}
+func WaitForStop(signals Signals, log *zap.Logger) {
+	signals.wait(func() error { return nil }, log)
 }
--- a/nodecommands/commands.go
+++ b/nodecommands/commands.go
@@ -97,7 +97,7 @@
 
 // Execute implements flags.Commander.
 func (c *entryCommand) Execute([]string) error {
-	signals := cfnode.Signals()
+	signals := cfnode.CatchSignals()
 	s, err := cfnode.ReadSettings(c.Settings)
 	if err != nil {
 		return err
@@ -137,7 +137,7 @@
 
 // Execute implements flags.Commander.
 func (c *standbyCommand) Execute([]string) error {
-	signals := cfnode.Signals()
+	signals := cfnode.CatchSignals()
 	s, err := cfnode.ReadSettings(c.Settings)
 	if err != nil {
 		return err
