cfcoord: each pause is logged once, however many items pause

What operators would see: thousands of request_paused lines, each with its strikes, at each look of the coordinator (20 to 50 a second), written under its lock, and pauses counted as often.

Cause: the pauses that were logged are known up to 1,000 of them, and all of them are forgotten at that number. A burst that takes 30% of the engines three times and more leaves more items than that with three crashes on a fleet of some thousand runs.

Those that are over are forgotten first, and 10,000 are known; of more there are no lines.

TestEachOfManyPausesIsLoggedOnce before: "6000 lines of 2000 pauses in 3 looks".

--- /dev/null
+++ b/io/cfcoord/pauses_test.go
@@ -0,0 +1,52 @@
+package cfcoord
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	cf "currantford"
+	"currantford/core/cfquarantine"
+	"currantford/io/cfguard"
+	"currantford/testbed/cfstandin"
+)
+
+// Guards against: lines of all pauses at each look while many items pause at once.
+func TestEachOfManyPausesIsLoggedOnce(t *testing.T) {
+	const items, looks = 2000, 3
+	core, logs := observer.New(zap.InfoLevel)
+	targets, site := &deadTargets{}, engineSite(t)
+	guard := cfguard.New(cfguard.Options{
+		Self: "i", Targets: targets, Site: site, Share: func([]cfquarantine.Strike) {},
+		Metrics: cfguard.NewMetrics(prometheus.NewRegistry()), Log: zap.New(core),
+	})
+	t.Cleanup(func() { _ = guard.Close() })
+	key := cfquarantine.KeyOf("POST", "h", "/", "h", []byte("p"))
+	var strikes []cfquarantine.Strike
+	for n := range 6 {
+		strikes = append(strikes, cfquarantine.Strike{
+			Content: key.Content, Caller: key.Caller, Target: cfquarantine.Incarnation{ID: cf.InstanceID(fmt.Sprint("gone", n)), Born: 1}, Loss: cfquarantine.LossRefused,
+		})
+	}
+	guard.Inform("store", strikes)
+	c := New(Options{
+		Store: cfstandin.NewMemStore(), Targets: targets, Site: site, Codec: cfstandin.Codec{}, Duty: held{},
+		Guard: guard, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.New(core),
+	})
+	for range looks {
+		for n := range items {
+			c.mu.Lock()
+			v := c.admitOwed(cf.RequestID(fmt.Sprint("item-", n)), key, cf.Target{ID: "e", Born: 1}, true)
+			c.mu.Unlock()
+			if v.Pass || v.Until == 0 {
+				t.Fatalf("an item does not pause after %d crashes: %+v", len(strikes), v)
+			}
+		}
+	}
+	if n := logs.FilterMessage("request_paused").Len(); n != items {
+		t.Errorf("%d lines of %d pauses in %d looks", n, items, looks)
+	}
+}
--- a/io/cfcoord/runs.go
+++ b/io/cfcoord/runs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"strings"
 	"time"
@@ -24,8 +25,9 @@
 	// runTimeout is the deadline of one run at an engine; the longest items
 	// take about 7 s on an engine at normal speed.
 	runTimeout cf.Millis = 30000
-	// pausesMost bounds the pauses that are known to have been logged.
-	pausesMost = 1000
+	// pausesMost bounds the pauses that are known to have been logged; of more that last at
+	// once there are no lines.
+	pausesMost = 10_000
 )
 
 var outcomeNames = map[cfrollout.Outcome]string{
@@ -121,10 +123,13 @@
 	v := c.Guard.AdmitOwed(key, target, apart)
 	if v.Until > 0 && c.pauses[id] != v.Until {
 		if len(c.pauses) >= pausesMost {
-			clear(c.pauses)
+			now := cf.Uptime()
+			maps.DeleteFunc(c.pauses, func(_ cf.RequestID, until cf.Millis) bool { return until <= now })
+		}
+		if len(c.pauses) < pausesMost {
+			c.pauses[id] = v.Until
+			c.Guard.Paused(id, key, v)
 		}
-		c.pauses[id] = v.Until
-		c.Guard.Paused(id, key, v)
 	}
 	return v
 }
