cfnode: an instance that relays calls again is asked first

What callers would see while the store turns instances away: calls to it that fail although an instance is known that has just relayed one.

Cause: an instance that relayed nothing is asked after the others for 2 s, also once it has relayed a call that was under way. Two others are asked in its place, either of which may be turned away as well. The same for one that did not answer.

An instance that relays a call is kept off no longer.

TestRelayThatWorksAgainIsAskedFirst before: "the next call asks [b c], not a first".

--- a/io/cfnode/relay.go
+++ b/io/cfnode/relay.go
@@ -141,6 +141,8 @@
 	defer r.mu.Unlock()
 	first = now-r.lastAt > relayQuiet
 	r.via, r.lastAt, r.failures = addr, now, 0
+	delete(r.avoid, addr)
+	delete(r.last, addr)
 	return first
 }
 
--- a/io/cfnode/relay_test.go
+++ b/io/cfnode/relay_test.go
@@ -40,3 +40,16 @@
 		}
 	}
 }
+
+// Guards against: an instance that relays calls and is not asked, since it relayed nothing a
+// moment before.
+func TestRelayThatWorksAgainIsAskedFirst(t *testing.T) {
+	for _, err := range []error{cf.ErrRefused, cf.ErrUnavailable} {
+		var r relays
+		r.vain("a", err, 1000)
+		r.worked("a", 1100) // a call that was under way
+		if paths := r.choose([]string{"b", "c", "d"}, 1200); paths[0] != "a" {
+			t.Errorf("after %v the next call asks %v, not a first", err, paths)
+		}
+	}
+}
