--- a/io/cfroom/cfroom_test.go
+++ b/io/cfroom/cfroom_test.go
@@ -117,7 +117,7 @@
 // What an answer at usual load pays.
 func BenchmarkAnswer(b *testing.B) {
 	rooms, _ := newRooms()
-	ctx := cfroom.WithConn(context.Background(), &cfroom.Conn{})
+	ctx := cfroom.WithConn(context.Background(), &cfroom.Conn{Delivery: writing{}})
 	b.ReportAllocs()
 	for b.Loop() {
 		room := rooms.Open(ctx, "a", cfhold.Answer, "r")
