An item waits 4 s at most after its own last run, whatever its equals lose

The pause ends at the latest 4 s after the work's own last run, though not within 1 s of the last crash. For an item that has no equals nothing changes.

--- a/core/cfquarantine/owed_test.go
+++ b/core/cfquarantine/owed_test.go
@@ -9,7 +9,7 @@
 // loseOwed sends owed work that passes, and loses its target.
 func loseOwed(t *testing.T, table *Table, k Key, at Incarnation, now cf.Millis) {
 	t.Helper()
-	if v := table.AdmitOwed(k, at, true, now); !v.Pass {
+	if v := table.AdmitOwed(k, at, Owed{Apart: true, Since: now}, now); !v.Pass {
 		t.Fatalf("not sent to %s at %d: %+v", at.ID, now, v)
 	}
 	table.Lost(k, at, true, now)
@@ -27,29 +27,30 @@
 	}
 	for n := crashesMost; n < 3*strikesMost; n++ {
 		pause, most := []cf.Millis{1000, 2000, 4000}[min(n-crashesMost, 2)], []int{4, 2, 1}[min(n-crashesMost, 2)]
-		if v := table.AdmitOwed(k, anywhere, true, now+pause-1); v.Pass || v.Until != now+pause || len(v.Strikes) < crashesMost {
+		if v := table.AdmitOwed(k, anywhere, Owed{Apart: true, Since: now}, now+pause-1); v.Pass || v.Until != now+pause || len(v.Strikes) < crashesMost {
 			t.Fatalf("before its pause after %d crashes is over: %+v", n, v)
 		}
+		began := now
 		now += pause
-		if v := table.AdmitOwed(k, anywhere, false, now); v.Pass || v.Most != most {
+		if v := table.AdmitOwed(k, anywhere, Owed{Since: began}, now); v.Pass || v.Most != most {
 			t.Fatalf("after %d crashes, at any target: %+v, want to be set apart with %d at most", n, v, most)
 		}
 		if v := table.Admit(k, anywhere, now); v.Pass {
 			t.Fatalf("a caller's request of the same content passes after %d crashes: %+v", n, v)
 		}
-		if v := table.AdmitOwed(k, target(n), true, now); !v.Pass {
+		if v := table.AdmitOwed(k, target(n), Owed{Apart: true, Since: began}, now); !v.Pass {
 			t.Fatalf("not tried after %d crashes: %+v", n, v)
 		}
-		if v := table.AdmitOwed(k, anywhere, true, now); !v.Wait {
+		if v := table.AdmitOwed(k, anywhere, Owed{Apart: true, Since: began}, now); !v.Wait {
 			t.Fatalf("two tries at once after %d crashes: %+v", n, v)
 		}
 		table.Lost(k, target(n), true, now)
 		table.Checked(target(n), now, LossRefused, now)
 	}
 	now += pauseMost
-	table.AdmitOwed(k, target(99), true, now)
+	table.AdmitOwed(k, target(99), Owed{Apart: true, Since: now}, now)
 	table.Answered(k, target(99), now, now+30)
-	if v := table.AdmitOwed(k, anywhere, false, now+40); !v.Pass || v.Most != 0 {
+	if v := table.AdmitOwed(k, anywhere, Owed{Since: now}, now+40); !v.Pass || v.Most != 0 {
 		t.Errorf("after it was run to its end: %+v", v)
 	}
 }
@@ -61,13 +62,14 @@
 	tables := []*Table{New("a"), New("b"), New("c")}
 	k := keyOf("x", "1")
 	within := map[cf.Millis]int{}
-	n := 0
+	n, ended := 0, cf.Millis(0)
 	for now := cf.Millis(0); now < 60*second; now += 10 {
 		at := n % len(tables)
-		if v := tables[at].AdmitOwed(k, target(n), true, now); !v.Pass {
+		if v := tables[at].AdmitOwed(k, target(n), Owed{Apart: true, Since: ended}, now); !v.Pass {
 			continue
 		}
 		now += took
+		ended = now
 		tables[at].Lost(k, target(n), true, now)
 		strikes := tables[at].Checked(target(n), now, LossRefused, now)
 		now += news
@@ -101,37 +103,51 @@
 	for n := range crashesMost - 1 {
 		loseOwed(t, table, k, target(n), 0)
 	}
-	if v := table.AdmitOwed(k, target(5), false, 10); !v.Pass {
+	if v := table.AdmitOwed(k, target(5), Owed{}, 10); !v.Pass {
 		t.Fatalf("none is sent: %+v", v)
 	}
-	if v := table.AdmitOwed(k, target(6), false, 20); !v.Wait {
+	if v := table.AdmitOwed(k, target(6), Owed{}, 20); !v.Wait {
 		t.Errorf("a second one at once: %+v", v)
 	}
 	for n := range 8 {
-		if v := table.AdmitOwed(k, target(6+n), false, 10+outlives); !v.Pass {
+		if v := table.AdmitOwed(k, target(6+n), Owed{}, 10+outlives); !v.Pass {
 			t.Errorf("others wait though one has lasted: %+v", v)
 		}
 	}
 }
 
-// Guards against: equal items that are at no target for 5 s, though all of them are sound.
+// Guards against: equal items that are at no target for 5 s, though all of them are sound. They
+// lose their targets one after the other; what was lost before the last seconds of the crashes
+// counts from there on.
 func TestEqualOwedWorkIsBackWithinFiveSeconds(t *testing.T) {
-	const look = 50
-	for crashes := crashesMost; crashes <= 2*strikesMost; crashes++ {
-		table := New("e")
-		k := keyOf("a", "x")
-		for n := range crashes {
-			table.Lost(k, target(n), true, 0)
-			table.Checked(target(n), 0, LossRefused, 0)
-		}
-		waiting, last := 16, cf.Millis(0)
-		for now := cf.Millis(0); waiting > 0 && now < 60*second; now += look {
-			for waiting > 0 && table.AdmitOwed(k, target(100+waiting), true, now).Pass {
-				waiting, last = waiting-1, now
+	const look, items, burst = 50, 16, 3 * second
+	for crashes := crashesMost; crashes <= items; crashes++ {
+		for _, spacing := range []cf.Millis{0, 100, 400} {
+			table := New("e")
+			k := keyOf("a", "x")
+			for n := range crashes {
+				table.Lost(k, target(n), true, spacing*cf.Millis(n))
+				table.Checked(target(n), spacing*cf.Millis(n), LossRefused, spacing*cf.Millis(n))
+			}
+			calm := spacing * cf.Millis(crashes-1)
+			waiting := map[int]cf.Millis{}
+			for n := range crashes {
+				waiting[n] = spacing * cf.Millis(n)
+			}
+			for now := calm; len(waiting) > 0 && now < calm+60*second; now += look {
+				for n, since := range waiting {
+					if !table.AdmitOwed(k, target(100+n), Owed{Apart: true, Since: since}, now).Pass {
+						continue
+					}
+					delete(waiting, n)
+					if waited := now - max(since, calm-burst); waited >= 5*second-look {
+						t.Errorf("%d crashes %d ms apart: an item waits for %d ms", crashes, spacing, waited)
+					}
+				}
+			}
+			if len(waiting) > 0 {
+				t.Errorf("%d crashes %d ms apart: %d items are not sent again", crashes, spacing, len(waiting))
 			}
-		}
-		if waiting > 0 || last >= 5*second-look {
-			t.Errorf("after %d crashes %d of 16 wait, the others until %d ms, want all before 5 s", crashes, waiting, last)
 		}
 	}
 }
@@ -144,11 +160,11 @@
 		loseOwed(t, table, a, target(n), 0)
 		loseOwed(t, table, b, target(n), 0)
 	}
-	table.AdmitOwed(a, target(5), false, 10)
-	if v := table.AdmitOwed(b, target(5), false, 20); !v.Elsewhere {
+	table.AdmitOwed(a, target(5), Owed{}, 10)
+	if v := table.AdmitOwed(b, target(5), Owed{}, 20); !v.Elsewhere {
 		t.Errorf("two suspects meet at once: %+v", v)
 	}
-	if v := table.AdmitOwed(b, target(5), false, apartFor); !v.Pass {
+	if v := table.AdmitOwed(b, target(5), Owed{}, apartFor); !v.Pass {
 		t.Errorf("still waits for the other one's end: %+v", v)
 	}
 }
--- a/core/cfquarantine/table.go
+++ b/core/cfquarantine/table.go
@@ -38,7 +38,7 @@
 //	table.Merge(heldByOthers, now)
 //	table.Inform()
 //	v := table.Admit(key, target, now)
-//	v = table.AdmitOwed(key, target, apart, now) // for items and reward calls
+//	v = table.AdmitOwed(key, target, owed, now) // for items and reward calls
 //	if v.Pass { ... send; then one of: }
 //	news := table.Answered(key, target, sentAt, now)
 //	table.Lost(key, target, now); news = table.Checked(target, checkedAt, loss)
--- a/core/cfrollout/apart.go
+++ b/core/cfrollout/apart.go
@@ -118,6 +118,9 @@
 	}
 }
 
+// WaitsSince returns when the item's last run ended, or since when it waits for its first.
+func (w *Work) WaitsSince() cf.Millis { return w.waitsSince }
+
 // Apart returns how many runs an engine may have with the item while it runs, zero for no bound.
 func (w *Work) Apart() int {
 	if w.apart {
--- a/core/cfrollout/place.go
+++ b/core/cfrollout/place.go
@@ -53,6 +53,9 @@
 		rest := o.waiting[:0]
 		for _, w := range o.waiting {
 			w.restart(engines)
+			if w.waitsSince == 0 {
+				w.waitsSince = now
+			}
 			var e *Engine
 			if fresh := w.Text.Last == 0 && w.Avoid == ""; !fresh || !full {
 				e = p.choose(engines, w, typical, now)
@@ -263,7 +266,7 @@
 // listed, as done or as failed; otherwise it waits again.
 func (p *Planner) Finished(w *Work, outcome Outcome, now cf.Millis) (list bool) {
 	p.runEnded(w, outcome, now)
-	w.Engine, w.engine, w.from = "", nil, w.Text.Last
+	w.Engine, w.engine, w.from, w.waitsSince = "", nil, w.Text.Last, now
 	o := p.batches[w.Batch.Sub.ID]
 	if o != nil {
 		delete(o.running, w.Item.ID)
--- a/core/cfrollout/planner.go
+++ b/core/cfrollout/planner.go
@@ -183,6 +183,8 @@
 		// apart: it runs at an engine that is set apart for it.
 		most  int
 		apart bool
+		// waitsSince is when its last run ended, or when it was first looked at.
+		waitsSince cf.Millis
 		// again: a run of it has ended before its text was complete. class is that of its
 		// group, and startBy when it must start for its group, both as of the last ranking.
 		again   bool
--- a/io/cfcoord/rewards.go
+++ b/io/cfcoord/rewards.go
@@ -78,7 +78,7 @@
 
 // Admit implements cfreward.Site.
 func (s *rewardSite) Admit(call *cf.RewardCall, target cf.Target) bool {
-	return s.c.admitOwed(call.ID, cfquarantine.KeyOfReward(call), target, true).Pass
+	return s.c.admitOwed(call.ID, cfquarantine.KeyOfReward(call), target, cfquarantine.Owed{Apart: true, Since: cf.Uptime()}).Pass
 }
 
 // Missing implements cfreward.Site.
--- a/io/cfcoord/runs.go
+++ b/io/cfcoord/runs.go
@@ -111,14 +111,14 @@
 // admit asks the guard whether an item may be sent to an engine; its end is then due to
 // the guard.
 func (c *Coordinator) admit(w *cfrollout.Work, engine cf.Target, apart bool) cfrollout.Admission {
-	v := c.admitOwed(w.Item.ID.Request(), cfquarantine.KeyOfItem(&w.Batch.Sub, w.Item), engine, apart)
+	v := c.admitOwed(w.Item.ID.Request(), cfquarantine.KeyOfItem(&w.Batch.Sub, w.Item), engine, cfquarantine.Owed{Apart: apart, Since: w.WaitsSince()})
 	return cfrollout.Admission{Pass: v.Pass, Elsewhere: v.Elsewhere, Until: v.Until, Most: v.Most}
 }
 
 // admitOwed asks the guard whether an item or a reward call may be sent. The planners ask again
 // at each look while it may not; each pause is logged once. c.mu is held.
-func (c *Coordinator) admitOwed(id cf.RequestID, key cfquarantine.Key, target cf.Target, apart bool) cfquarantine.Verdict {
-	v := c.Guard.AdmitOwed(key, target, apart)
+func (c *Coordinator) admitOwed(id cf.RequestID, key cfquarantine.Key, target cf.Target, w cfquarantine.Owed) cfquarantine.Verdict {
+	v := c.Guard.AdmitOwed(key, target, w)
 	if v.Until > 0 && c.pauses[id] != v.Until {
 		if len(c.pauses) >= pausesMost {
 			clear(c.pauses)
--- a/io/cfguard/guard.go
+++ b/io/cfguard/guard.go
@@ -11,7 +11,7 @@
 //	defer g.Close()
 //	g.Inform(source, heldByOthers)
 //	v := g.Judge(ctx, id, key)
-//	v = g.Admit(key, target) // or g.AdmitOwed(key, target, apart)
+//	v = g.Admit(key, target) // or g.AdmitOwed(key, target, owed)
 //	if v.Pass { ... send; then g.Answered, g.Lost or g.Dropped }
 package cfguard
 
@@ -153,13 +153,12 @@
 	return g.Table.Admit(key, cfquarantine.IncarnationOf(target), cf.Uptime())
 }
 
-// AdmitOwed is Admit for work that was handed in for later; apart says that the target runs
-// few others or nothing beside it, or that there is no such target.
-func (g *Guard) AdmitOwed(key cfquarantine.Key, target cf.Target, apart bool) cfquarantine.Verdict {
+// AdmitOwed is Admit for work that was handed in for later.
+func (g *Guard) AdmitOwed(key cfquarantine.Key, target cf.Target, w cfquarantine.Owed) cfquarantine.Verdict {
 	if g == nil || g.Off {
 		return cfquarantine.Verdict{Pass: true}
 	}
-	return g.Table.AdmitOwed(key, cfquarantine.IncarnationOf(target), apart, cf.Uptime())
+	return g.Table.AdmitOwed(key, cfquarantine.IncarnationOf(target), w, cf.Uptime())
 }
 
 // Paused logs that owed work waits until it is tried again, and on which evidence.
