--- a/core/cfrollout/place.go
+++ b/core/cfrollout/place.go
@@ -54,6 +54,9 @@
 		for _, w := range o.waiting {
 			w.restart(engines)
 			w.refused = false
+			if w.waitsSince == 0 {
+				w.waitsSince = now
+			}
 			if w.idle == 0 {
 				w.idle = now
 			}
@@ -270,7 +273,7 @@
 // listed, as done or as failed; otherwise it waits again.
 func (p *Planner) Finished(w *Work, outcome Outcome, now cf.Millis) (list bool) {
 	p.runEnded(w, outcome, now)
-	w.Engine, w.engine, w.from = "", nil, w.Text.Last
+	w.Engine, w.engine, w.from, w.waitsSince = "", nil, w.Text.Last, now
 	if w.Progress.events.Load() > 0 {
 		w.idle, w.reported = now, 0
 	}
