cfmember: instances behind hubs wait for lists that are being read

What was seen: after the loss of its coordinator, each instance of a fleet with hubs lists all targets where the store takes two seconds for a list: 119 lists by 120 instances, in place of 2.

Cause, by the instances' logs: all those behind a hub turn to the store at word_age_ms 3000, with an answer of the new coordinator or a hub 0 to 200 ms old that it has no view. It was reading its list, which it begins within 1.5 s of the loss, and which is in before that of anybody who begins at 3 s. "No view yet" did not tell that from one who has none and does nothing about it.

Change: an answer without a view says whether the first lists are being read and no call for them has failed. One that hears nothing, or whose hub fails at its list, lists after 3 s as before; so do instances of a fleet without hubs after 1.5 s, and the hubs themselves.

--- a/core/cfmember/word.go
+++ b/core/cfmember/word.go
@@ -24,6 +24,9 @@
 	leaveSilent cf.Millis = 1500
 	// leaveHubs is the same where hubs are scouts, which list the targets first.
 	leaveHubs cf.Millis = 3000
+	// listingShared is how long the answer counts that the store's lists are being read: three
+	// calls. Whoever reads them began before this instance would, and tells it the result.
+	listingShared = startCalls
 	// leaveAlive is the same where the coordinator answers and only has nothing new, and
 	// another instance asks the store itself in vain: it is away then for both, for the two
 	// instances that the coordinator asks and for the scouts, of which one would replace
@@ -60,6 +63,9 @@
 	// hub is to be asked. Away is when another instance said that it asks the store itself,
 	// in vain; Denied when another said that it has current word all the same.
 	Unsure, Away, Denied cf.Millis
+	// Listing is when the coordinator or a hub answered last that the store's lists are being
+	// read there.
+	Listing cf.Millis
 	// Named says that the lease names a coordinator, Unread that the lease is being read and
 	// has never been seen.
 	Named, Unread bool
@@ -88,6 +94,8 @@
 		return 0
 	case AnswerShared(w.Unsure, now) && AnswerShared(w.Away, now):
 		return leaveAlive
+	case (w.Behind || w.Hubs) && now-w.Listing < listingShared:
+		return leaveAlive
 	case w.Behind || w.Hubs || now-w.Started < startCalls:
 		return leaveHubs
 	default:
--- a/io/cfnode/feed.go
+++ b/io/cfnode/feed.go
@@ -83,6 +83,9 @@
 		Age       cf.Millis `cbor:"age,omitempty"`
 		Unsure    bool      `cbor:"unsure,omitempty"`
 		HolderAge cf.Millis `cbor:"holder_age,omitempty"`
+		// Listing says that the store's lists are being read here, or by whom this instance
+		// asks, and that there is no current view until then.
+		Listing bool `cbor:"listing,omitempty"`
 		// Origin identifies whose counts News and Members have.
 		Origin  uint64               `cbor:"origin"`
 		Config  *cfsite.ConfigNews   `cbor:"config,omitempty"`
@@ -106,8 +109,9 @@
 		heard atomic.Int64 // Uptime as of which the last fresh answer is
 		// unsure is that of the last answer of a holder that knew nothing new, away
 		// that of the last of another instance that asks the store in vain, denied of one
-		// that has current word; askedAt is when one was asked last.
-		unsure, away, denied, askedAt atomic.Int64
+		// that has current word; askedAt is when one was asked last. listing is that of the
+		// last answer that the store's lists are being read.
+		unsure, away, denied, askedAt, listing atomic.Int64
 		// silent is the address at which the last call for news had no answer.
 		silent   atomic.Pointer[string]
 		upstream *cfmember.Upstream
@@ -145,6 +149,19 @@
 	return fresh, w.config.Behind(now)
 }
 
+// listing says whether this instance, or whom it asks, is reading the store's lists and has no
+// current view until then.
+func (n *Node) listing(now cf.Millis) bool {
+	if w := n.watching.Load(); w != nil {
+		config, configVain := w.config.Listing()
+		targets, targetsVain := w.targets.Listing()
+		if (config || targets) && !configVain && !targetsVain {
+			return true
+		}
+	}
+	return cfmember.AnswerShared(cf.Millis(n.feed.listing.Load()), now)
+}
+
 // viewFresh says whether this instance's own watches are current.
 func (n *Node) viewFresh(now cf.Millis) bool {
 	fresh, _ := n.view(now)
@@ -157,7 +174,7 @@
 	holder, _ := n.candidate.holder()
 	unread, seen := n.candidate.awaits()
 	return cfmember.Word{
-		Started: n.started, Seen: seen, Heard: cf.Millis(f.heard.Load()), Unsure: cf.Millis(f.unsure.Load()), Away: cf.Millis(f.away.Load()), Denied: cf.Millis(f.denied.Load()),
+		Started: n.started, Seen: seen, Heard: cf.Millis(f.heard.Load()), Unsure: cf.Millis(f.unsure.Load()), Away: cf.Millis(f.away.Load()), Denied: cf.Millis(f.denied.Load()), Listing: cf.Millis(f.listing.Load()),
 		Named: holder.Entry != "", Unread: unread, Hubs: len(n.members.Hubs(self, now)) > 0, Behind: f.upstream.Behind(), Scout: n.members.Scout(self),
 	}
 }
@@ -299,6 +316,9 @@
 	n.feed.mu.Unlock()
 	n.takeMembers(a.Members)
 	if !a.Fresh {
+		if a.Listing {
+			n.feed.listing.Store(int64(cf.Uptime()))
+		}
 		if a.Unsure {
 			n.feed.unsure.Store(int64(cf.Uptime()))
 			if !n.scout() {
--- a/io/cfnode/feedserve.go
+++ b/io/cfnode/feedserve.go
@@ -91,6 +91,7 @@
 		a.HolderAge = now - cf.Millis(n.candidate.answered.Load())
 		a.Unsure = !a.Fresh && cfmember.AnswerShared(cf.Millis(n.feed.unsure.Load()), now)
 	}
+	a.Listing = !a.Fresh && n.listing(now)
 	same := call.Origin == n.origin
 	a.Members = n.members.News(same, call.Members, call.MembersSum, n.self(), now)
 	if !a.Fresh {
--- a/io/cfnode/fleet_test.go
+++ b/io/cfnode/fleet_test.go
@@ -69,8 +69,8 @@
 
 // storeDelay is how late a store answers.
 type storeDelay struct {
-	// lease is for reads of the lease, in nanoseconds.
-	lease atomic.Int64
+	// lease is for reads of the lease, and lists for lists of targets, in nanoseconds.
+	lease, lists atomic.Int64
 }
 
 // wait holds a call while the store is shut, for as long as its answer is waited for.
@@ -93,6 +93,9 @@
 	if err := s.wait(ctx, 750*time.Millisecond); err != nil {
 		return cf.Records{}, err
 	}
+	if kind == (cfstandin.Codec{}).Kinds().Targets {
+		cf.Sleep(ctx, time.Duration(s.delay.lists.Load()))
+	}
 	return s.countedStore.List(ctx, kind)
 }
 
@@ -304,3 +307,24 @@
 		}
 	}
 }
+
+// Guards against: a fleet each instance of which lists all targets after the loss of its
+// coordinator, as the lists that the new one and the hubs read take their time.
+func TestSlowListsAfterTheLossOfTheCoordinator(t *testing.T) {
+	const size = 100
+	f := newTestFleet(t, size, 0)
+	f.settled("start", fleetLogs)
+	hubs := len(cfmember.Hubs(f.holder().Live(), cfmember.HubsFrom))
+	for _, n := range f.nodes {
+		for !n.lastWord(cf.Uptime()).Settled(cf.Uptime()) {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	f.delay.lists.Store(int64(2500 * time.Millisecond))
+	before := f.store.lists.Load()
+	f.kill(f.holder().settings.Entry)
+	f.settled("the coordinator is lost", fleetLogs)
+	if lists := f.store.lists.Load() - before; lists > int64(hubs)+1 {
+		t.Errorf("the targets were listed %d times after the loss of the coordinator, by a fleet with %d hubs", lists, hubs)
+	}
+}
--- a/io/cfwatch/watch.go
+++ b/io/cfwatch/watch.go
@@ -118,6 +118,11 @@
 	return int64(failed) > contact && now-failed < vainFor || due > 0 && now >= due
 }
 
+// Listing says whether the first list is being read, in vain if a call for it has failed.
+func (w *Watcher) Listing() (listing, vain bool) {
+	return w.contact.Load() == 0, w.failed.Load() > 0
+}
+
 // Current says whether the view was known to be current within fresh, or within listed while
 // it is listed again: what takes longer the more there is to list makes it no worse than it
 // was a moment before.
