cfmember: a scout that has heard news since relies on it

Cause, by the instances' logs: store_watched with scout=true, word_age_ms 0 to 60 and unsure_age_ms 300 to 410. A scout turns to the store at once where the coordinator says that it has no current view, and took that answer for valid for another second, also if a current word had come since. Three seconds after its start an instance that knows no other is a scout.

Change: the answer counts for a scout only if it is newer than the last current word.

Evidence: the new row of TestWhoListsTheTargets, before: "a scout, the coordinator has news again: lists all targets true, want false".

--- a/core/cfmember/word.go
+++ b/core/cfmember/word.go
@@ -120,7 +120,7 @@
 	switch {
 	case w.Hubs:
 		return wordFreshHub
-	case w.Scout && AnswerShared(w.Unsure, now):
+	case w.Scout && w.Unsure > w.Heard && AnswerShared(w.Unsure, now):
 		return 0 // the coordinator says itself that it can't tell
 	default:
 		return wordFresh
--- a/core/cfmember/word_test.go
+++ b/core/cfmember/word_test.go
@@ -28,6 +28,7 @@
 		{"no scout, another has news, and the coordinator too by now", Word{Started: longAgo, Heard: now - 900, Unsure: now - 1000, Denied: now - 100, Named: true}, false},
 		{"no scout, the coordinator has no news", Word{Started: longAgo, Heard: now - 1500, Unsure: now - 300, Named: true}, true},
 		{"a scout, the coordinator has no news", Word{Started: longAgo, Heard: now - 100, Unsure: now - 10, Named: true, Scout: true}, true},
+		{"a scout, the coordinator has news again", Word{Started: longAgo, Heard: now - 10, Unsure: now - 300, Named: true, Scout: true}, false},
 		{"a scout that just started, the coordinator has no news", Word{Started: now - 2000, Heard: now - 1000, Unsure: now - 10, Named: true, Scout: true}, false},
 		{"a hub leaves it to a new coordinator", Word{Started: longAgo, Heard: now - 1400, Named: true, Hubs: true, Scout: true}, false},
 		{"a hub, for longer", Word{Started: longAgo, Heard: now - 1500, Named: true, Hubs: true, Scout: true}, true},
