cfmember: a start waits for the coordinator's first list

What was seen: at a start of all whose coordinator reads its first list for 4 s, all instances list all targets themselves.

Cause: they wait for it for three seconds, whether it reads the list or not, and then all begin at the same age, after it.

Change: as long as one of its last three calls was answered that the first lists are being read and no call for them has failed, a starting instance waits, up to 8 s after its start.

Evidence: TestSlowFirstListAtAStart, before: "the targets were listed 40 times, by 40 instances with 8 scouts"; the test's store counts a list as it begins.

--- a/core/cfmember/word.go
+++ b/core/cfmember/word.go
@@ -94,7 +94,7 @@
 		return 0
 	case AnswerShared(w.Unsure, now) && AnswerShared(w.Away, now):
 		return leaveAlive
-	case (w.Behind || w.Hubs) && now-w.Listing < listingShared:
+	case (w.Behind || w.Hubs) && w.listsElsewhere(now):
 		return leaveAlive
 	case w.Behind || w.Hubs || now-w.Started < startCalls:
 		return leaveHubs
@@ -130,6 +130,9 @@
 // Settled says whether the instance has had the time to learn who else looks after the store.
 func (w Word) Settled(now cf.Millis) bool { return now-w.Started >= startUnsure }
 
+// listsElsewhere says whether the store's lists are being read where this instance asks.
+func (w Word) listsElsewhere(now cf.Millis) bool { return now-w.Listing < listingShared }
+
 // starting says whether the instance has just started, and waits for the lease, or for the
 // first word of the coordinator that it names. A store that is slow to show one object is
 // slower still to list all targets.
@@ -142,6 +145,8 @@
 		return since < startLate
 	case w.Named && since < min(max(w.Seen-w.Started, 0)+startGrace+CallWait+CallGrace, startLate):
 		return true
+	case w.listsElsewhere(now) && since < leaveAlive:
+		return true
 	default:
 		return !w.Settled(now) && (w.Behind || AnswerShared(w.Unsure, now))
 	}
--- a/core/cfmember/word_test.go
+++ b/core/cfmember/word_test.go
@@ -46,6 +46,8 @@
 		{"started, no call gets through", Word{Started: now - 1050, Named: true, Scout: true}, true},
 		{"started, the coordinator has no view yet", Word{Started: now - 2900, Unsure: now - 500, Named: true, Scout: true}, false},
 		{"started, it has none for long", Word{Started: now - 3000, Unsure: now - 500, Named: true, Scout: true}, true},
+		{"started, the coordinator reads its first list", Word{Started: now - 7900, Unsure: now - 300, Listing: now - 300, Named: true, Scout: true}, false},
+		{"started, it reads it for long", Word{Started: now - 8000, Unsure: now - 300, Listing: now - 300, Named: true, Scout: true}, true},
 		{"started, told to ask a hub", Word{Started: now - 2900, Named: true, Behind: true}, false},
 		{"started, the second call is late", Word{Started: now - 2900, Heard: now - 1400, Named: true, Scout: true}, false},
 		{"started, the second and the third call are late", Word{Started: now - 2200, Heard: now - 2100, Named: true, Scout: true}, false},
--- a/io/cfnode/fleet_test.go
+++ b/io/cfnode/fleet_test.go
@@ -93,10 +93,11 @@
 	if err := s.wait(ctx, 750*time.Millisecond); err != nil {
 		return cf.Records{}, err
 	}
-	if kind == (cfstandin.Codec{}).Kinds().Targets {
-		cf.Sleep(ctx, time.Duration(s.delay.lists.Load()))
+	list, err := s.countedStore.List(ctx, kind)
+	if kind == (cfstandin.Codec{}).Kinds().Targets && !cf.Sleep(ctx, time.Duration(s.delay.lists.Load())) {
+		return cf.Records{}, cf.ErrUnavailable
 	}
-	return s.countedStore.List(ctx, kind)
+	return list, err
 }
 
 func (s *gatedStore) Watch(ctx context.Context, kind string, since cf.Revision, wait cf.Millis) (cf.Records, error) {
@@ -328,3 +329,17 @@
 		t.Errorf("the targets were listed %d times after the loss of the coordinator, by a fleet with %d hubs", lists, hubs)
 	}
 }
+
+// Guards against: a start at which each instance lists all targets, as the coordinator's first
+// list takes longer than the others wait for it.
+func TestSlowFirstListAtAStart(t *testing.T) {
+	const size = 40
+	delay := &storeDelay{}
+	delay.lists.Store(int64(4 * time.Second))
+	f := newDelayedFleet(t, size, 0, delay)
+	f.settled("start", fleetLogs)
+	scouts := len(f.holder().members.Scouts(f.holder().self()))
+	if lists := f.store.lists.Load(); lists > int64(scouts) {
+		t.Errorf("the targets were listed %d times, by %d instances with %d scouts", lists, size, scouts)
+	}
+}
