cfcoord: a text without end is cut off at 1 MiB

What callers would see: the coordinator's process is over its memory and ends, and with it all that it had under way: a target that answers an item with events that follow each other without end is read until the run's 30 s are over, as each event keeps the watchdog from firing. At a link of 60 Mbit/s that is 225 MB; the smallest instances have 134 MB.

Cause: an event, and what lies between two, is bounded, their number is not.

A text over what an object of the store may have, in which it would be listed, is a bad answer. What was read of it is dropped, as nobody can go on with it.

TestTextWithoutEndIsCutOff before: bytes of one text were taken, all that was offered, with empty, small and large events. A stream to a caller has no such bound: its events are passed on and not kept.

--- /dev/null
+++ b/io/cfcoord/endless_test.go
@@ -0,0 +1,56 @@
+package cfcoord
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	cf "currantford"
+)
+
+// textWithoutEnd sends events that follow each other until they are not taken any more.
+type textWithoutEnd struct {
+	deadTargets
+	data  string
+	taken atomic.Int64
+	ended atomic.Bool
+}
+
+func (x *textWithoutEnd) Stream(_ context.Context, _ cf.Target, call cf.TargetCall, sink cf.StreamSink) (cf.TargetAnswer, error) {
+	answer := cf.TargetAnswer{Status: 200}
+	if err := sink.Start(answer); err != nil {
+		return answer, err
+	}
+	for id := call.ResumeAfter + 1; x.taken.Load() < 64<<20; id++ {
+		if err := sink.Event(cf.StreamEvent{ID: id, Data: x.data, Version: 1}); err != nil {
+			x.ended.Store(true)
+			return answer, err
+		}
+		x.taken.Add(int64(len("id: 1\ndata: \n\n") + len(x.data)))
+	}
+	x.ended.Store(true)
+	return answer, cf.ErrBadAnswer
+}
+
+// Guards against: a target whose text has no end, which is kept until the run's time is over.
+func TestTextWithoutEndIsCutOff(t *testing.T) {
+	for name, data := range map[string]string{"empty events": "", "events": "0123456789", "large events": strings.Repeat("x", 100<<10)} {
+		t.Run(name, func(t *testing.T) {
+			targets := &textWithoutEnd{data: data}
+			guard, _ := itemWithGuard(t, targets, zap.NewNop())
+			guard.Inform("store", nil)
+			for deadline := time.Now().Add(20 * time.Second); !targets.ended.Load(); time.Sleep(5 * time.Millisecond) {
+				if time.Now().After(deadline) {
+					t.Fatal("no run has ended")
+				}
+			}
+			if n := targets.taken.Load(); n > 8<<20 {
+				t.Errorf("%d bytes of one text were taken", n)
+			}
+		})
+	}
+}
--- a/io/cfcoord/runs.go
+++ b/io/cfcoord/runs.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	cf "currantford"
@@ -25,6 +26,10 @@
 	// runTimeout is the deadline of one run at an engine; the longest items
 	// take about 7 s on an engine at normal speed.
 	runTimeout cf.Millis = 30000
+	// textMost bounds a text: an object of the store, in which it is to be listed, has no
+	// more. eventOverhead is what an event takes beside its data.
+	textMost      = 1 << 20
+	eventOverhead = 16
 	// pausesMost bounds the pauses that are known to have been logged; of more that last at
 	// once there are no lines.
 	pausesMost = 10_000
@@ -151,14 +156,19 @@
 type collector struct {
 	work     *cfrollout.Work
 	watchdog *time.Timer
+	size     int // of the text, with what each of its events takes
 }
 
-func (k collector) Start(cf.TargetAnswer) error { return nil }
+func newCollector(w *cfrollout.Work, watchdog *time.Timer) *collector {
+	return &collector{w, watchdog, w.Text.Size() + int(w.Text.Last)*eventOverhead}
+}
+
+func (k *collector) Start(cf.TargetAnswer) error { return nil }
 
 // Seen implements cf.SeenSink.
-func (k collector) Seen(at cf.Millis) { k.work.Progress.Seen(at) }
+func (k *collector) Seen(at cf.Millis) { k.work.Progress.Seen(at) }
 
-func (k collector) Event(ev cf.StreamEvent) error {
+func (k *collector) Event(ev cf.StreamEvent) error {
 	k.watchdog.Reset(stall)
 	at := ev.At
 	if at == 0 {
@@ -167,6 +177,10 @@
 	k.work.Progress.Note(at)
 	k.work.Mu.Lock()
 	defer k.work.Mu.Unlock()
+	if k.size += len(ev.Data) + eventOverhead; k.size > textMost {
+		k.work.Text = cfrollout.Text{} // nobody can go on with it
+		return eris.Wrapf(cf.ErrBadAnswer, "a text of over %d bytes", textMost)
+	}
 	return k.work.Text.Append(ev)
 }
 
@@ -177,7 +191,7 @@
 	defer cancel()
 	watchdog := time.AfterFunc(stall, cancel)
 	defer watchdog.Stop()
-	answer, err := route.Stream(ctx, t, call, collector{w, watchdog})
+	answer, err := route.Stream(ctx, t, call, newCollector(w, watchdog))
 	if err != nil && outer.Err() != nil {
 		return runEnd{outcome: cfrollout.OutcomeStopped, reason: "ended or moved"}
 	}
