cfrunner: a host takes 1 MiB of a run's events between two reports

What callers would see: at a host of the coordinator's streams a target that sends events without end fills the memory, and the report with them is over what instances may send each other (8 MiB): reading it ends the connection with all calls on it, and the host sends it again.

Cause: events that were not reported yet had no bound.

A run over it is a bad answer. Several runs of that kind at one host may still make a report of over 8 MiB.

--- a/io/cfrunner/host.go
+++ b/io/cfrunner/host.go
@@ -14,8 +14,15 @@
 	"currantford/io/cflog"
 )
 
-// watchEvery is how often a host looks whether its coordinator still asks.
-const watchEvery = 100 * time.Millisecond
+const (
+	// watchEvery is how often a host looks whether its coordinator still asks.
+	watchEvery = 100 * time.Millisecond
+	// eventsMost bounds the events of a run that were not reported yet: a report over what
+	// instances may send each other never arrives. A text has less.
+	eventsMost = 1 << 20
+	// eventOverhead is what an event takes beside its data.
+	eventOverhead = 32
+)
 
 type (
 	// Host holds streams for the coordinator. It is safe for concurrent use.
@@ -58,6 +65,7 @@
 	hosted struct {
 		cancel context.CancelFunc
 		events []Event
+		size   int // of events
 		end    *End
 	}
 )
@@ -204,6 +212,9 @@
 func (k hostSink) Event(ev cf.StreamEvent) error {
 	k.s.mu.Lock()
 	defer k.s.mu.Unlock()
+	if k.r.size += len(ev.Data) + eventOverhead; k.r.size > eventsMost {
+		return eris.Wrapf(cf.ErrBadAnswer, "events of over %d bytes", eventsMost)
+	}
 	k.r.events = append(k.r.events, Event{ID: ev.ID, Data: ev.Data, Version: ev.Version, At: cf.Uptime()})
 	return nil
 }
@@ -278,7 +289,7 @@
 			continue
 		}
 		out.Runs = append(out.Runs, News{Run: id, Events: r.events, End: r.end})
-		r.events = nil
+		r.events, r.size = nil, 0
 		if r.end != nil {
 			delete(s.runs, id)
 		}
