--- /dev/null
+++ b/io/cfcoord/waiting_test.go
@@ -0,0 +1,41 @@
+package cfcoord
+
+import (
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	cf "currantford"
+	"currantford/core/cfbatch"
+	"currantford/core/cfrollout"
+	"currantford/testbed/cfstandin"
+)
+
+// Guards against: a report of an item that waits, which reads the text that its run appends to.
+// It needs the race detector.
+func TestReportOfASilentRunDoesNotRaceItsEvents(t *testing.T) {
+	site := engineSite(t)
+	c := New(Options{
+		Store: cfstandin.NewMemStore(), Targets: &deadTargets{}, Site: site, Codec: cfstandin.Codec{}, Duty: held{},
+		Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
+	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refreshEngines(site.Config(), true)
+	sub := cf.Submission{ID: "b", Host: "h", Path: "/", Model: "m", MinVersion: 1, Items: []cf.Item{{ID: "1", Path: "/x", Body: []byte("p")}}}
+	c.planner.AddBatch(cfbatch.New(sub), cfrollout.Terms{Service: "s", MaxAttempts: 3})
+	works := c.planner.Place(1000)
+	if len(works) != 1 {
+		t.Fatalf("%d items begin", len(works))
+	}
+	w, done := works[0], make(chan struct{})
+	go func() {
+		defer close(done)
+		w.Mu.Lock()
+		defer w.Mu.Unlock()
+		_ = w.Text.Append(cf.StreamEvent{ID: 1, Version: 1})
+	}()
+	c.noteWaiting(60_000)
+	<-done
+}
