cfquarantine: owed work does not wait for other callers' requests of its content

What callers would see: an item under which three targets crashed is never tried again while another caller's requests with the same content go on, each for less than 0.5 s.

Cause: owed work with a pause behind it waits until no send of its content is under way that may yet crash its target. Only one that has lasted for 0.5 s ended that; one that was run to its end for another caller says more, and did not.

Sends count as proved if one of their content was run to its end here since the last crash.

--- a/core/cfquarantine/evidence.go
+++ b/core/cfquarantine/evidence.go
@@ -15,6 +15,7 @@
 	t.good.note(k, now)
 	var news []Strike
 	if s := t.suspects[k.Content]; s != nil {
+		s.answered = now
 		news = t.raise(s, now, func(st *strike) Standing {
 			if st.Caller == k.Caller {
 				return Void
--- a/core/cfquarantine/owed.go
+++ b/core/cfquarantine/owed.go
@@ -73,8 +73,11 @@
 }
 
 // unproved counts the sends of a content under way that may yet crash their targets, zero
-// where one has lasted. t.mu is held.
+// where one has lasted or was run to its end since the last crash. t.mu is held.
 func (t *Table) unproved(d Digest, now cf.Millis) int {
+	if s := t.suspects[d]; s != nil && s.answered > s.lastAt() {
+		return 0
+	}
 	n := 0
 	for _, at := range t.underWay[d] {
 		if now-at.latest >= outlives {
--- a/core/cfquarantine/owed_test.go
+++ b/core/cfquarantine/owed_test.go
@@ -114,6 +114,30 @@
 	}
 }
 
+// Guards against: an item that is never tried as short requests of another caller with its
+// content are always under way.
+func TestOwedWorkDoesNotWaitForOtherCallers(t *testing.T) {
+	const took, every = 300, 100
+	table := New("e")
+	item, other := keyOf("a", "x"), keyOf("b", "x")
+	for n := range crashesMost {
+		loseOwed(t, table, item, target(n), 0)
+	}
+	for now := cf.Millis(every); now < 5*second; now += every {
+		at := target(100 + int(now/every))
+		if now > took {
+			table.Answered(other, target(100+int((now-took)/every)), now-took, now)
+		}
+		if v := table.Admit(other, at, now); !v.Pass {
+			t.Fatalf("the other caller's request at %d: %+v", now, v)
+		}
+		if table.AdmitOwed(item, target(90), true, now).Pass {
+			return
+		}
+	}
+	t.Error("the item was not tried for 5 s")
+}
+
 // Guards against: equal items that are at no target for 5 s, though all of them are sound.
 func TestEqualOwedWorkIsBackWithinFiveSeconds(t *testing.T) {
 	const look = 50
--- a/core/cfquarantine/table.go
+++ b/core/cfquarantine/table.go
@@ -131,6 +131,8 @@
 	// suspect is a content with strikes against it.
 	suspect struct {
 		strikes []strike
+		// answered is when a request of it was last run to its end here, for any caller.
+		answered cf.Millis
 		// part is its part of the table's sums.
 		part Sums
 	}
