--- a/core/cfquarantine/owed.go
+++ b/core/cfquarantine/owed.go
@@ -32,8 +32,8 @@
 
 // AdmitOwed judges work that was handed in for later, as the items of batches and their
 // reward calls are. It is not held: after crashesMost crashes it pauses, and is then tried
-// again at a target that it has to itself or with a few others. Work that passes counts as under way there until
-// Answered, Lost or Dropped.
+// again at a target that it has to itself or with a few others. Work that passes counts as
+// under way there until Answered, Lost or Dropped.
 //
 // The load it answers: several targets end in a burst, each with all that it runs, and some
 // sound items meet them all. To hold these as a caller's request is held would lose them.
@@ -82,8 +82,11 @@
 }
 
 // unproved counts the sends of a content under way that may yet crash their targets, zero
-// where one has lasted. t.mu is held.
+// where one has lasted or was run to its end since the last crash. t.mu is held.
 func (t *Table) unproved(d Digest, now cf.Millis) int {
+	if s := t.suspects[d]; s != nil && s.answered > s.lastAt() {
+		return 0
+	}
 	n := 0
 	for _, at := range t.underWay[d] {
 		if now-at.latest >= outlives {
