Lines that libraries write are log lines, cut short and bounded

What callers saw: nothing. An operator of an instance before a target that sends bytes after its answers got a line of net/http on standard error for each, unbounded in number, of 1,814 bytes on average (114 such lines in two runs of this package's tests, up to the 2 KiB of the connection's buffer, quoted), and not one of our JSON lines.

The standard logger goes to the process's log now: library_message, 200 bytes of a line, 5 lines a second, with the number of those left out (TestLinesOfLibrariesAreBounded; there was no bound to fail before).

--- a/nodecommands/commands.go
+++ b/nodecommands/commands.go
@@ -11,6 +11,7 @@
 
 import (
 	"errors"
+	stdlog "log"
 	"net/http"
 	"os"
 
@@ -103,6 +104,8 @@
 	}
 	log, out := cflog.NewStdout("entry", string(s.Entry))
 	defer func() { _ = out.Close() }()
+	stdlog.SetOutput(cflog.NewLibrary(log))
+	defer stdlog.SetOutput(os.Stderr)
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "currantford_log_lines_dropped_total", Help: "Log lines dropped because standard output was not read.",
