cfrollout: engines at which items may not run are found once in a look

Cause: two such items do not meet at an engine within a second of a crash. An item that may not go where it was to is tried at each other engine in turn, and where there are more such items than engines each is tried at all of them.

What one item may not meet at an engine others may not either. Each engine is found so once in a look, and passed over as the second choice of those that follow.

As many items are placed.

--- a/core/cfrollout/apart.go
+++ b/core/cfrollout/apart.go
@@ -29,7 +29,7 @@
 	if p.limits.Admit == nil {
 		return e
 	}
-	for rest := engines; e != nil; {
+	for e != nil {
 		a := p.limits.Admit(w, e.Target, false)
 		w.most = a.Most
 		switch {
@@ -40,7 +40,10 @@
 		case !a.Elsewhere:
 			return p.setApart(engines, q, w, typical, now)
 		}
-		rest = slices.DeleteFunc(slices.Clone(rest), func(o *Engine) bool { return o == e })
+		// What this item may not meet there others may not either: each engine is found so
+		// once in a look.
+		p.met[e] = true
+		rest := slices.DeleteFunc(slices.Clone(engines), func(o *Engine) bool { return p.met[o] })
 		e = p.choose(rest, w, typical, now)
 	}
 	if w.most > 0 {
--- a/core/cfrollout/apart_test.go
+++ b/core/cfrollout/apart_test.go
@@ -113,3 +113,34 @@
 		})
 	}
 }
+
+// Guards against: a look of seconds after a burst of crashes, in which each of many items is tried
+// at each engine, since suspects run at all of them.
+func TestItemsThatMayNotMeetAreTriedAtFewEngines(t *testing.T) {
+	const engines, items, most = 100, 300, 2*300 + 100
+	admissions, at := 0, map[cf.InstanceID]bool{}
+	limits := cfrollout.DefaultLimits
+	meet := true
+	limits.Admit = func(_ *cfrollout.Work, e cf.Target, _ bool) cfrollout.Admission {
+		admissions++
+		if meet && at[e.ID] {
+			return cfrollout.Admission{Elsewhere: true}
+		}
+		at[e.ID] = true
+		return cfrollout.Admission{Pass: true}
+	}
+	p := cfrollout.New(limits)
+	p.SetEngines(fleet(engines, cf.ModelState{Name: "a", Version: 1}), models("a"))
+	p.AddBatch(step("s", "a", 1, 1, items), terms)
+	placed := len(p.Place(0))
+	if admissions > most {
+		t.Errorf("%d admissions in a look for %d items and %d engines", admissions, items, engines)
+	}
+	if placed != engines {
+		t.Errorf("%d items placed, want one at each of %d engines", placed, engines)
+	}
+	meet = false
+	if placed += len(p.Place(1000)); placed < items {
+		t.Errorf("%d of %d items placed once they may meet", placed, items)
+	}
+}
