--- a/core/cfrollout/apart.go
+++ b/core/cfrollout/apart.go
@@ -42,8 +42,8 @@
 		}
 		// What this item may not meet there others may not either: each engine is found so
 		// once in a look.
-		p.met[e] = true
-		rest := slices.DeleteFunc(slices.Clone(engines), func(o *Engine) bool { return p.met[o] })
+		p.conflicts[e] = true
+		rest := slices.DeleteFunc(slices.Clone(engines), func(o *Engine) bool { return p.conflicts[o] })
 		e = p.choose(rest, w, typical, now)
 	}
 	if w.most > 0 {
--- a/core/cfrollout/place.go
+++ b/core/cfrollout/place.go
@@ -29,7 +29,7 @@
 // Place returns the items to start now, each with its engine set.
 func (p *Planner) Place(now cf.Millis) []*Work {
 	p.now = now
-	clear(p.met)
+	clear(p.conflicts)
 	if p.scarce || p.undivided {
 		p.divide() // the models take turns
 	}
--- a/core/cfrollout/planner.go
+++ b/core/cfrollout/planner.go
@@ -233,8 +233,8 @@
 		// undivided: the first version of a model was named, which changes what it needs, or
 		// a model lacks engines that others hold and do not need.
 		undivided bool
-		// met are the engines at which, in this look, an item might not meet what runs there.
-		met map[*Engine]bool
+		// conflicts are the engines at which, in this look, an item might not meet what runs there.
+		conflicts map[*Engine]bool
 		// replacedAt is when slow engines were looked for last.
 		replacedAt cf.Millis
 		// now is the time of the last call that brought it.
@@ -298,7 +298,7 @@
 	return &Planner{
 		limits: limits, engines: map[cf.InstanceID]*Engine{}, named: map[cf.ModelName]cf.WeightVersion{},
 		models: map[cf.ServiceName][]cf.ModelName{}, need: map[cf.ModelName]stepWork{}, batches: map[cf.BatchID]*open{},
-		fleets: map[cf.ServiceName]*fleet{}, shares: map[shareKey][]*Engine{}, loadings: map[cf.InstanceID]*Engine{}, busy: map[cf.InstanceID]*Engine{}, met: map[*Engine]bool{}, proved: map[cf.ModelName]cf.WeightVersion{}, peaks: map[cf.ModelName]*cfpeak.Peak{}, usualAt: -1,
+		fleets: map[cf.ServiceName]*fleet{}, shares: map[shareKey][]*Engine{}, loadings: map[cf.InstanceID]*Engine{}, busy: map[cf.InstanceID]*Engine{}, conflicts: map[*Engine]bool{}, proved: map[cf.ModelName]cf.WeightVersion{}, peaks: map[cf.ModelName]*cfpeak.Peak{}, usualAt: -1,
 		carry: map[cf.ItemID]*Work{}, orphans: map[cf.ItemID]*Work{}, unlisted: map[unlistedKey]*Engine{}, single: map[cf.ModelName]bool{}, loads: newLoadPace(limits.Loads, limits.Learned), trials: trials{models: map[cf.ModelName]*trial{}}, slots: slotCost{cost: slotPrior}, memory: memory{asked: map[cf.InstanceID]cf.Millis{}, told: map[cf.ServiceName]*toldMemory{}},
 	}
 }
--- a/io/cfnode/candidate.go
+++ b/io/cfnode/candidate.go
@@ -361,7 +361,7 @@
 		cf.Record
 		err error
 	}
-	var reads sync.WaitGroup
+	var reads cflog.Group
 	defer reads.Wait()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/io/cfnode/relay.go
+++ b/io/cfnode/relay.go
@@ -43,9 +43,9 @@
 	// that nobody could relay.
 	rest     cf.Millis
 	failures int
-	// avoid are instances that did not answer, last those that relayed nothing though
+	// avoid are instances that did not answer, deferred those that relayed nothing though
 	// they did, or were not reached, both with until when.
-	avoid, last map[string]cf.Millis
+	avoid, deferred map[string]cf.Millis
 }
 
 // relay passes a call to the store through another instance. The store may turn
@@ -80,7 +80,7 @@
 			}
 			return nil
 		}
-		if n.relays.vain(addr, err, cf.Uptime()) {
+		if n.relays.notRelayed(addr, err, cf.Uptime()) {
 			failure = err
 		}
 	}
@@ -124,7 +124,7 @@
 		}
 	}
 	slices.SortStableFunc(paths, func(a, b string) int {
-		return cmp.Compare(max(r.last[a], now), max(r.last[b], now))
+		return cmp.Compare(max(r.deferred[a], now), max(r.deferred[b], now))
 	})
 	return paths[:min(len(paths), relayMost)]
 }
@@ -142,25 +142,25 @@
 	first = now-r.lastAt > relayQuiet
 	r.via, r.lastAt, r.failures = addr, now, 0
 	delete(r.avoid, addr)
-	delete(r.last, addr)
+	delete(r.deferred, addr)
 	return first
 }
 
-// vain notes that an instance did not relay a call; it returns whether the call may have been
+// notRelayed notes that an instance did not relay a call; it returns whether the call may have been
 // carried out there.
-func (r *relays) vain(addr string, err error, now cf.Millis) (doubt bool) {
+func (r *relays) notRelayed(addr string, err error, now cf.Millis) (doubt bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.avoid == nil {
-		r.avoid, r.last = map[string]cf.Millis{}, map[string]cf.Millis{}
+		r.avoid, r.deferred = map[string]cf.Millis{}, map[string]cf.Millis{}
 	}
 	over := func(_ string, until cf.Millis) bool { return now >= until }
 	maps.DeleteFunc(r.avoid, over)
-	maps.DeleteFunc(r.last, over)
+	maps.DeleteFunc(r.deferred, over)
 	if doubt = !errors.Is(err, cf.ErrRefused) && !errors.Is(err, cf.ErrNotRun); doubt {
 		r.avoid[addr] = now + relayAvoid
 	} else {
-		r.last[addr] = now + relayAvoid
+		r.deferred[addr] = now + relayAvoid
 	}
 	return doubt
 }
--- a/io/cfnode/relay_test.go
+++ b/io/cfnode/relay_test.go
@@ -23,7 +23,7 @@
 					r.worked(addr, now)
 					break
 				}
-				r.vain(addr, cf.ErrRefused, now)
+				r.notRelayed(addr, cf.ErrRefused, now)
 			}
 			if !served {
 				r.failed(now)
@@ -46,7 +46,7 @@
 func TestRelayThatWorksAgainIsAskedFirst(t *testing.T) {
 	for _, err := range []error{cf.ErrRefused, cf.ErrUnavailable} {
 		var r relays
-		r.vain("a", err, 1000)
+		r.notRelayed("a", err, 1000)
 		r.worked("a", 1100) // a call that was under way
 		if paths := r.choose([]string{"b", "c", "d"}, 1200); paths[0] != "a" {
 			t.Errorf("after %v the next call asks %v, not a first", err, paths)
