--- a/review/standin/bids_test.go
+++ b/review/standin/bids_test.go
@@ -144,8 +144,8 @@
 	return broken > 0, nil
 }
 
-// caseRefused lets one of seven engines run 40% of its requests and then answer them with 503,
-// without stating that it has not run them, for five seconds. Bids are not idempotent. The rule is
+// caseRefused lets one of seven engines run 40% of its requests and then answer them with 503
+// or 429, without stating that it has not run them, for five seconds. Bids are not idempotent. The rule is
 // broken if a bid that has run is answered with 429 or 503.
 func caseRefused(rec *recorder, trouble bool) (bool, error) {
 	d, engines, err := startBids(rec, "unsafe", 7, func(r *run) (int, string) { return http.StatusOK, "recorded: " + r.body })
@@ -157,7 +157,7 @@
 	}
 	if trouble {
 		time.AfterFunc(3*time.Second, func() {
-			rec.add("%s fails 40%% of its requests after it has run them", engines[0].id)
+			rec.add("%s fails 40%% of its requests after it has run them, with 503 or 429", engines[0].id)
 			engines[0].set(0, 0.4)
 		})
 		time.AfterFunc(8*time.Second, func() {
--- a/review/standin/engine_test.go
+++ b/review/standin/engine_test.go
@@ -161,6 +161,9 @@
 	status, text := e.answer(r)
 	if fails {
 		status, text = http.StatusServiceUnavailable, "the ledger behind this server gave no confirmation"
+		if rand.IntN(2) == 0 {
+			status = http.StatusTooManyRequests
+		}
 	}
 	e.mu.Lock()
 	r.status = status
