--- a/review/standin/deployment_test.go
+++ b/review/standin/deployment_test.go
@@ -51,7 +51,7 @@
 
 	// node is one process of the project.
 	node struct {
-		name                             string
+		name, zone                       string
 		role                             string
 		callers, ready, directory, peers string
 		settings                         string
@@ -153,13 +153,27 @@
 
 // startNodes starts the programs of the deploy file: entries, and one standby, as its two roles say.
 func (d *deployment) startNodes(storeAddr string, entries int) error {
+	return d.startNodesAt(entries, func(string) (string, error) { return storeAddr, nil })
+}
+
+// startNodesAt is like startNodes, with the store's address as each process reaches it.
+func (d *deployment) startNodesAt(entries int, storeAddr func(name string) (string, error)) error {
 	zones := []string{"ring-hall", "office-shed", "yard-box"}
 	for i := range entries {
-		if err := d.addNode("entry", fmt.Sprintf("front-%d", i+1), zones[i%len(zones)], storeAddr); err != nil {
+		name := fmt.Sprintf("front-%d", i+1)
+		addr, err := storeAddr(name)
+		if err != nil {
+			return err
+		}
+		if err := d.addNode("entry", name, zones[i%len(zones)], addr); err != nil {
 			return err
 		}
 	}
-	if err := d.addNode("standby", "store-1", zones[0], storeAddr); err != nil {
+	addr, err := storeAddr("store-1")
+	if err != nil {
+		return err
+	}
+	if err := d.addNode("standby", "store-1", zones[0], addr); err != nil {
 		return err
 	}
 	for _, n := range d.nodes {
@@ -183,7 +197,7 @@
 }
 
 func (d *deployment) addNode(role, name, zone, storeAddr string) error {
-	n := &node{name: name, role: role}
+	n := &node{name: name, role: role, zone: zone}
 	var metrics string
 	for _, p := range []*string{&n.callers, &n.ready, &n.directory, &n.peers, &metrics} {
 		addr, err := d.freeAddr()
@@ -253,6 +267,15 @@
 	return out
 }
 
+func (d *deployment) zoneOf(name string) string {
+	for _, n := range d.nodes {
+		if n.name == name {
+			return n.zone
+		}
+	}
+	return ""
+}
+
 func (d *deployment) byCallers(addr string) *node {
 	for _, n := range d.entries() {
 		if n.callers == addr {
--- a/review/standin/engine_test.go
+++ b/review/standin/engine_test.go
@@ -32,6 +32,8 @@
 		mu      sync.Mutex
 		running int
 		runs    []*run
+		ln      net.Listener
+		conns   map[net.Conn]bool
 		// garble is the share of answers that come twice, the second one late.
 		garble float64
 		// fails is the share of requests that the engine begins to run and then fails.
@@ -54,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	e.addr, e.rec = l.Addr().String(), d.rec
+	e.addr, e.rec, e.ln, e.conns = l.Addr().String(), d.rec, l, map[net.Conn]bool{}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -76,6 +78,16 @@
 	e.garble, e.fails = garble, fails
 }
 
+// exit ends the engine: its channels close, and its address refuses new ones.
+func (e *engine) exit() {
+	_ = e.ln.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for c := range e.conns {
+		_ = c.Close()
+	}
+}
+
 func (e *engine) allRuns() []run {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -88,7 +100,15 @@
 
 // serve serves one request at a time on a channel, and keeps the channel.
 func (e *engine) serve(c net.Conn) {
-	defer c.Close()
+	e.mu.Lock()
+	e.conns[c] = true
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		delete(e.conns, c)
+		e.mu.Unlock()
+		_ = c.Close()
+	}()
 	in := bufio.NewReader(c)
 	var extra []byte // a second answer, due where the next answer is expected
 	for {
