--- a/systemtest/deployment_test.go
+++ b/systemtest/deployment_test.go
@@ -97,6 +97,8 @@
 		memoryMB       int
 		weightLoadTime time.Duration
 		eventInterval  time.Duration
+		// repeatAnswers lets the plain targets repeat answers; see deployment.repeats.
+		repeatAnswers bool
 	}
 
 	// deployment is a small deployment.
@@ -111,6 +113,8 @@
 		// engineLinks and plainLinks are the proxies in front of the targets, if options.links or
 		// options.crashDowntime is set.
 		engineLinks, plainLinks []*tcpProxy
+		// repeats are the listeners of the plain targets, if options.repeatAnswers is set.
+		repeats []*standin.RepeatListener
 
 		valueBytes   int
 		links        bool
@@ -166,15 +170,26 @@
 )
 
 func serve(t *testing.T, h http.Handler) string {
+	t.Helper()
+	l := listen(t)
+	serveOn(t, l, h)
+	return l.Addr().String()
+}
+
+func listen(t *testing.T) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	return l
+}
+
+func serveOn(t *testing.T, l net.Listener, h http.Handler) {
+	t.Helper()
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
 	go func() { _ = srv.Serve(l) }()
 	t.Cleanup(func() { _ = srv.Close() })
-	return l.Addr().String()
 }
 
 // nextPort counts the ports that were given out. They lie below the range from which the operating
@@ -279,7 +294,14 @@
 
 func (s *deployment) newTarget(id, svc string, models []string, o options) *standin.Engine {
 	var e *standin.Engine
-	addr := serve(s.t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.ServeHTTP(w, r) }))
+	l := listen(s.t)
+	addr := l.Addr().String()
+	if o.repeatAnswers && svc == plainService {
+		repeat := &standin.RepeatListener{Listener: l}
+		s.repeats = append(s.repeats, repeat)
+		l = repeat
+	}
+	serveOn(s.t, l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.ServeHTTP(w, r) }))
 	var setListening func(bool)
 	if o.links || o.crashDowntime > 0 {
 		link := newTCPProxy(s.t, addr)
--- a/systemtest/request_test.go
+++ b/systemtest/request_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -141,6 +142,48 @@
 	}
 }
 
+// TestRepeatedAnswersReachNoOtherCaller guards against a caller that gets the answer to another
+// caller's request.
+//
+// Targets send some of their answers twice, the second time as the answer to the next request on
+// the connection. Half of the requests are answered with 400.
+func TestRepeatedAnswersReachNoOtherCaller(t *testing.T) {
+	t.Parallel()
+	s := startDeployment(t, options{entries: 2, engines: 1, plainTargets: 2, repeatAnswers: true})
+	for _, l := range s.repeats {
+		l.SetShare(0.05)
+	}
+	var wg sync.WaitGroup
+	var answered, failed atomic.Int64
+	for c := range 4 {
+		wg.Go(func() {
+			for i := range 100 {
+				id, body, want := fmt.Sprintf("r%d-%d", c, i), fmt.Sprintf("reading %d-%d", c, i), http.StatusOK
+				if i%2 == 0 {
+					body, want = standin.RejectedBody+" "+body, http.StatusBadRequest
+				}
+				switch r := s.entries[i%2].post(plainPrefix+"a", id, body); {
+				case r.status >= http.StatusInternalServerError:
+					failed.Add(1)
+				case r.status != want || string(r.body) != "echo "+body:
+					t.Errorf("%s: status %d %q, want %d and its own body", id, r.status, r.body, want)
+				default:
+					answered.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	repeats := int64(0)
+	for _, l := range s.repeats {
+		repeats += l.Repeats()
+	}
+	t.Logf("%d answers sent twice, %d requests answered, %d failed", repeats, answered.Load(), failed.Load())
+	if repeats == 0 || answered.Load() < 4*100/2 {
+		t.Errorf("%d answers sent twice, %d of 400 requests answered; want some, and more than half", repeats, answered.Load())
+	}
+}
+
 // TestDrainingTargetGetsNoNewWork guards against new work for a target that is draining.
 func TestDrainingTargetGetsNoNewWork(t *testing.T) {
 	t.Parallel()
