A stopping instance accepts only what it can finish

Cause: an instance goes on serving for 5.2 s after the signal, as callers keep its address, and ends what is in progress 7.2 s after it. It accepted every request in that time, whatever was left of it. No choice of the two times mends this: the time for callers and the time for their streams exceed the grace period together.

Change: core/cfdrain decides at each send. A request is sent only if it will be complete before the instance ends: by its own deadline, or by the longest duration of those of its route and size that ended in the last one to two minutes, and a margin that shrinks with their number. Otherwise it is refused at once, not run, and its connection is closed; if no other instance is there, Retry-After is the end of the stop. A stream that was not sent by the end is refused, and no longer answered 504. Batches, their ends and reads are refused once less time is left than they may take; waits of reads are shortened.

--- a/batch.go
+++ b/batch.go
@@ -97,6 +97,9 @@
 		// ResumeAfter is the last event that the caller of a stream received in an earlier attempt,
 		// zero for a stream from the beginning.
 		ResumeAfter EventID
+		// MaxOutput is the maximum number of tokens that a target generates for the request, zero if
+		// it is not given.
+		MaxOutput Tokens
 	}
 )
 
--- a/io/cfingress/batches.go
+++ b/io/cfingress/batches.go
@@ -45,6 +45,9 @@
 	if err != nil {
 		return err
 	}
+	if err := in.stopRefusal(cf.Millis(submitTimeout.Milliseconds())); err != nil {
+		return err
+	}
 	assignOrganisation(&sub, access.Organisation)
 	sub.Accepted = cf.Now()
 	started := cf.Uptime()
@@ -125,8 +128,11 @@
 }
 
 func (in *Ingress) results(ctx context.Context, id cf.BatchID, after int, maxWait cf.Millis) (cf.ResultPage, error) {
+	if err := in.stopRefusal(readTimeout); err != nil {
+		return cf.ResultPage{}, err
+	}
 	started := cf.Uptime()
-	page, err := in.Coordinator.Results(ctx, id, after, maxWait)
+	page, err := in.Coordinator.Results(ctx, id, after, in.limitWait(maxWait))
 	if err == nil {
 		in.countBatch("results", "coordinator", started)
 		return page, nil
@@ -187,6 +193,9 @@
 }
 
 func (in *Ingress) itemBody(ctx context.Context, id cf.BatchID, item cf.ItemID) ([]byte, error) {
+	if err := in.stopRefusal(readTimeout); err != nil {
+		return nil, err
+	}
 	body, err := in.Coordinator.ItemBody(ctx, id, item)
 	if err == nil || errors.Is(err, cf.ErrNotFound) {
 		return body, err
@@ -216,6 +225,9 @@
 }
 
 func (in *Ingress) end(ctx context.Context, id cf.BatchID) error {
+	if err := in.stopRefusal(cf.Millis(endTimeout.Milliseconds())); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, endTimeout)
 	defer cancel()
 	for {
--- a/io/cfingress/forward.go
+++ b/io/cfingress/forward.go
@@ -15,6 +15,7 @@
 	"currantford/core/cfaccess"
 	"currantford/core/cfadmission"
 	"currantford/core/cfbalance"
+	"currantford/core/cfdrain"
 	"currantford/core/cfquarantine"
 	"currantford/core/cfsite"
 	"currantford/io/cflog"
@@ -28,9 +29,6 @@
 	// unsyncedRetry is the retry delay while this instance does not know yet which requests are
 	// held.
 	unsyncedRetry cf.Millis = 200
-	// stoppingRetry is the retry delay given by an instance that is stopping. Other instances
-	// accept the request.
-	stoppingRetry cf.Millis = 50
 )
 
 // attempt is the result of sending a request to a target once.
@@ -63,6 +61,12 @@
 	heldUntil cf.Millis
 	// unsynced is true if this instance does not know yet which requests are held.
 	unsynced bool
+	// began is when the request was ready to be sent.
+	began cf.Millis
+	// drain is the latest decision of a stop on the request. stopping is true if it was not sent
+	// because of that decision.
+	drain    cfdrain.Verdict
+	stopping bool
 	usage    requestUsage
 	room     *cfroom.Room
 	// noRoom is true if there was no memory for an answer. The request is not sent again, since
@@ -97,7 +101,7 @@
 		deadline = req.Received + req.Timeout
 	}
 	f := &forwarding{
-		in: in, req: req, key: cfquarantine.KeyOf(req.Method, req.Host, req.Path, cfquarantine.CallerOf(access, req.Credentials), req.Body), access: access,
+		in: in, req: req, began: cf.Uptime(), key: cfquarantine.KeyOf(req.Method, req.Host, req.Path, cfquarantine.CallerOf(access, req.Credentials), req.Body), access: access,
 		route: route, service: route.PickService(rand.Float64()), version: config.Version,
 		attempts: cfbalance.NewAttempts(route, deadline), tried: map[cf.InstanceID]bool{}, notRun: map[cf.InstanceID]bool{}, results: make(chan attempt, 8),
 		usage: requestUsage{count: in.CountRequests, organisation: access.Organisation}, spent: in.deadlines.Spent(route.Name, req.Timeout, req.Received),
@@ -157,8 +161,8 @@
 			switch { // the state when the wait in send ended
 			case callerLeft(ctx):
 				f.giveUp(ctx, w)
-			case errors.Is(context.Cause(ctx), cf.ErrStopping) && !f.attempts.MayHaveRun():
-				f.refuse(w, stoppingRetry, cf.ErrStopping.Error())
+			case f.refusedByStop(ctx):
+				f.refuseStopping(w)
 			default:
 				f.conclude(w)
 			}
@@ -217,7 +221,7 @@
 // how the attempt ends. It returns false if no target or no attempt is left, or if the request is
 // held.
 func (f *forwarding) chooseTarget(ctx context.Context, wait bool) (cf.Target, bool) {
-	if ctx.Err() != nil || !f.attempts.MaySend(cf.Uptime()) {
+	if !f.maySend(ctx, cf.Uptime()) {
 		return cf.Target{}, false
 	}
 	v := cfquarantine.Verdict{Pass: true}
@@ -236,7 +240,7 @@
 	for v.Pass || v.OtherTarget {
 		now := cf.Uptime() // admission may have waited
 		target, ok := f.in.balancer.Choose(f.in.Site.Usable(f.service), avoid, rand.Float64(), now)
-		if !ok || ctx.Err() != nil || !f.attempts.MaySend(now) {
+		if !ok || !f.maySend(ctx, now) {
 			return cf.Target{}, false
 		}
 		if v = f.in.Guard.Admit(f.key, target); v.Pass {
@@ -340,6 +344,7 @@
 	if f.req.Method != http.MethodHead {
 		_, err = w.Write(a.answer.Body)
 	}
+	f.observe()
 	outcome := f.deliveryOutcome(err)
 	f.in.Log.Info("request_answered", zap.String("request_id", string(f.req.ID)), zap.String("target", string(a.target.ID)),
 		zap.Int("status", a.answer.Status), zap.String("outcome", outcome), zap.Int64("took_ms", int64(cf.Uptime()-f.req.Received)))
@@ -406,7 +411,7 @@
 func (f *forwarding) refuse(w http.ResponseWriter, after cf.Millis, reason string) {
 	f.in.Log.Warn("request_refused", zap.String("request_id", string(f.req.ID)), zap.String("service", string(f.service)),
 		zap.String("reason", reason), zap.Int("tried", len(f.tried)), zap.Int64("retry_after_ms", int64(after)),
-		zap.String("organisation", string(f.access.Organisation)), zap.Int64("took_ms", int64(cf.Uptime()-f.req.Received)), zap.Inline(decisionFields(f.refusal)),
+		zap.String("organisation", string(f.access.Organisation)), zap.Int64("took_ms", int64(cf.Uptime()-f.req.Received)), zap.Inline(decisionFields(f.refusal)), zap.Inline(drainFields(f.drain)),
 		zap.Int64("config_version", int64(f.version)), zap.Int64("targets_revision", int64(f.in.Site.TargetsRevision())))
 	writeRefusal(w, after, reason)
 	f.in.countRequest("forward", "refused", f.req)
@@ -416,6 +421,7 @@
 	f.in.Log.Warn("request_failed", zap.String("request_id", string(f.req.ID)), zap.Int("status", status), zap.String("reason", reason),
 		zap.Int("tried", len(f.tried)), zap.Int64("took_ms", int64(cf.Uptime()-f.req.Received)))
 	http.Error(w, reason, status)
+	f.observe()
 	f.in.countRequest("forward", "failed", f.req)
 }
 
--- a/io/cfingress/ingress.go
+++ b/io/cfingress/ingress.go
@@ -19,6 +19,7 @@
 	cf "currantford"
 	"currantford/core/cfadmission"
 	"currantford/core/cfbalance"
+	"currantford/core/cfdrain"
 	"currantford/core/cfmember"
 	"currantford/core/cfsite"
 	"currantford/io/cfguard"
@@ -78,6 +79,8 @@
 		// began, a cf.Uptime. A negative number corrects an earlier count. CountRequests may be
 		// nil.
 		CountRequests func(o cf.Organisation, began cf.Millis, requests int64)
+		// Drain decides what is accepted while the instance stops; nil means a new one.
+		Drain *cfdrain.Drain
 		// Rooms limits the memory taken by answers; nil means no limit.
 		Rooms *cfroom.Rooms
 		// NoAdmission disables admission control.
@@ -137,14 +140,21 @@
 
 // New returns an Ingress.
 func New(o Options) *Ingress {
+	if o.Drain == nil {
+		o.Drain = cfdrain.New()
+	}
 	in := &Ingress{Options: o, balancer: cfbalance.New(), retries: cfbalance.NewRetryScheduler(), admission: cfadmission.New(), deadlines: cfadmission.NewDeadlineTracker(), bodyMemory: bodyMemory{limit: o.MemoryBytes / bodyDivisor}}
 	in.balancer.IgnorePace = o.IgnorePace
 	return in
 }
 
-// Stop makes the instance not ready. Callers are sent to other instances; requests that still
-// arrive are served.
-func (in *Ingress) Stop() { in.stopping.Store(true) }
+// Stop makes the instance not ready, so that callers are sent to other instances. Requests that
+// still arrive are served if their answers will be complete by until, an Uptime, and are refused
+// otherwise.
+func (in *Ingress) Stop(until cf.Millis) {
+	in.Drain.Begin(until)
+	in.stopping.Store(true)
+}
 
 // Ready reports whether callers may be sent to this instance. Without targets, or without knowing
 // which requests are held, the instance would refuse all requests.
--- a/io/cfingress/ready_test.go
+++ b/io/cfingress/ready_test.go
@@ -28,7 +28,7 @@
 	if !in.Ready() {
 		t.Error("not ready with routes and targets")
 	}
-	in.Stop()
+	in.Stop(cf.Uptime() + 7000)
 	if in.Ready() {
 		t.Error("ready while stopping")
 	}
--- a/io/cfingress/stream.go
+++ b/io/cfingress/stream.go
@@ -73,6 +73,10 @@
 	for {
 		target, ok := f.chooseTarget(ctx, true)
 		if !ok {
+			if f.refusedByStop(ctx) {
+				f.refuseStopping(w)
+				return
+			}
 			f.endStream(ctx, w, sink)
 			return
 		}
@@ -82,6 +86,7 @@
 			f.usage.ended(target.ID, cfbalance.Answered, a.answer.SentAt)
 			f.recordDone(a, cfbalance.Answered, cf.Uptime())
 			f.notifyGuard(a)
+			f.observe()
 			f.in.Log.Info("stream_answered", zap.String("request_id", string(f.req.ID)), zap.String("target", string(target.ID)),
 				zap.Int64("events", int64(sink.last)), zap.Int("tried", len(f.tried)))
 			f.in.countRequest("stream", "answered", f.req)
@@ -89,7 +94,7 @@
 		}
 		if sink.failed {
 			f.discard(a) // the target is not at fault, and no other target could continue
-			f.abortConnection(sink)
+			f.abortConnection(ctx, sink)
 		}
 		if a.callerGone && a.err != nil {
 			f.discard(a) // the caller disconnected between two events, so the target is not at fault
@@ -99,7 +104,7 @@
 		if a.foundNoRoom() {
 			f.discard(a)
 			if sink.started {
-				f.abortConnection(sink) // an error message written now would appear among the events
+				f.abortConnection(ctx, sink) // an error message written now would appear among the events
 			}
 			f.failNoRoom(w)
 			return
@@ -108,7 +113,7 @@
 			if sink.started {
 				// If the answer were passed on now, it would appear among the events of a stream
 				// that looks complete.
-				f.abortConnection(sink)
+				f.abortConnection(ctx, sink)
 			}
 			f.writeAnswer(w, a)
 			return
@@ -145,7 +150,7 @@
 // aborted, so that the answer does not look complete.
 func (f *forwarding) endStream(ctx context.Context, w http.ResponseWriter, sink *streamSink) {
 	if sink.started || callerLeft(ctx) {
-		f.abortConnection(sink)
+		f.abortConnection(ctx, sink)
 	}
 	if ctx.Err() != nil {
 		f.failTimeout(ctx, w)
@@ -155,8 +160,9 @@
 }
 
 // abortConnection closes the caller's connection before the answer is complete.
-func (f *forwarding) abortConnection(sink *streamSink) {
-	f.in.Log.Warn("stream_broken_off", zap.String("request_id", string(f.req.ID)), zap.Int64("events", int64(sink.last)), zap.Bool("caller_slow", f.room.WasCut()))
+func (f *forwarding) abortConnection(ctx context.Context, sink *streamSink) {
+	f.in.Log.Warn("stream_broken_off", zap.String("request_id", string(f.req.ID)), zap.Int64("events", int64(sink.last)), zap.Bool("caller_slow", f.room.WasCut()),
+		zap.Bool("stopping", errors.Is(context.Cause(ctx), cf.ErrStopping)), zap.Int64("took_ms", int64(cf.Uptime()-f.began)))
 	outcome := "broken_off"
 	if f.room.WasCut() {
 		outcome = "caller_slow"
--- a/io/cfnode/node.go
+++ b/io/cfnode/node.go
@@ -29,6 +29,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
+	"currantford/core/cfdrain"
 	"currantford/core/cflease"
 	"currantford/core/cfmember"
 	"currantford/core/cfrollout"
@@ -96,6 +97,8 @@
 		// runnerHost runs streams for the coordinator. runnerPool distributes this instance's own
 		// streams while it is the coordinator.
 		runnerHost *cfrunner.Host
+		// drain decides what is accepted while the instance stops.
+		drain *cfdrain.Drain
 		// guard decides which requests may go to targets; quarantine shares what guard learns with
 		// the other instances.
 		guard      *cfguard.Guard
@@ -144,7 +147,7 @@
 		settings: s, adapter: a, log: log, site: cfsite.New(a.Codec), metrics: cfcoord.NewMetrics(reg),
 		peers: cfpeer.NewClient(), peerSrv: cfpeer.NewServer(), ctx: ctx, cancel: cancel,
 		startedAt: cf.Uptime(), origin: rand.Uint64(), members: cfmember.NewMembership(s.Members.HubThreshold), candidateDone: make(chan struct{}), linkBudget: cfcoord.NewLinkBudget(s.Machine.LinkMbps),
-		runnerHost: cfrunner.NewHost(a.Targets, log), watchMetrics: cfwatch.NewMetrics(reg),
+		runnerHost: cfrunner.NewHost(a.Targets, log), drain: cfdrain.New(), watchMetrics: cfwatch.NewMetrics(reg),
 	}
 	n.feedMetrics = newFeedMetrics(reg, n)
 	n.quarantine = newQuarantine(n)
@@ -169,7 +172,7 @@
 	}
 	n.ingress = cfingress.New(cfingress.Options{
 		Store: a.Store, Targets: a.Targets, Site: n.site, Coordinator: coordinatorClient{n}, Members: n, Guard: n.guard, Feasibility: n.feasibility(),
-		ConfigStatus: n.configStatus, CountRequests: n.usage.count, Rooms: newRooms(s, reg, log), NoAdmission: s.Policy.NoAdmission,
+		ConfigStatus: n.configStatus, CountRequests: n.usage.count, Drain: n.drain, Rooms: newRooms(s, reg, log), NoAdmission: s.Policy.NoAdmission,
 		ValueBytes: s.Store.ValueBytes, MemoryBytes: s.Memory.LimitMB << 20,
 		IgnorePace: s.Policy.IgnorePace, Metrics: cfingress.NewMetrics(reg), Log: log,
 	})
@@ -229,11 +232,11 @@
 }
 
 // Leave removes the instance from the address lists of callers and from the instances that may take
-// over the coordinator's duty. Requests are still served.
-func (n *Node) Leave() {
+// over the coordinator's duty. Whatever will be complete by until, an Uptime, is still accepted.
+func (n *Node) Leave(until cf.Millis) {
 	n.leaving.Store(true)
 	n.candidate.leaving.Store(true)
-	n.ingress.Stop()
+	n.ingress.Stop(until)
 	n.recordReport(feedCall{Entry: n.self(), Leaving: true}, true)
 }
 
--- a/io/cfnode/process.go
+++ b/io/cfnode/process.go
@@ -162,7 +162,7 @@
 func (p *Process) stop() {
 	began := time.Now()
 	grace := time.Duration(p.settings.Bounds.GraceS*float64(time.Second)) - graceReserve
-	p.node.Leave()
+	p.node.Leave(cf.Uptime() + cf.Millis((grace - finalAnswerTime).Milliseconds()))
 	leave := min(leaveTime, grace*3/4)
 	if p.callers != nil {
 		time.Sleep(max(0, min(keepAliveTime, grace/2)-time.Since(began)))
--- /dev/null
+++ b/systemtest/stop_test.go
@@ -0,0 +1,91 @@
+package systemtest
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const streamPrefix = "/write/"
+
+// withStreams adds a route for streams that must not run twice.
+func withStreams(config map[string]any) {
+	config["routes"] = append(config["routes"].([]map[string]any), map[string]any{
+		"name": "r-write", "host": host, "path-prefix": streamPrefix, "kind": "stream", "timeout-ms": 10000, "slo-ms": 2000,
+		"priority": 1, "service": engineService, "max-attempts": 3,
+	})
+}
+
+// stream requests a stream of the given number of events. It reports whether the stream was
+// complete.
+func (e *entry) stream(id string, events int) (r reply, complete bool, err error) {
+	r, err = e.do(http.MethodPost, streamPrefix+"a", id, []byte("x"), "Currantford-Model", "m0", "Currantford-Tokens-Used", fmt.Sprintf("10,%d", 58*events),
+		"Currantford-Deadline-Ms", "9000")
+	complete = err == nil && r.status == http.StatusOK && strings.Count(string(r.body), "id: ") == events
+	return r, complete, err
+}
+
+// TestPlannedStopBreaksOffNoStream guards against streams that a stopping instance accepts and
+// breaks off when its grace period ends.
+//
+// Callers that have kept an old address list start streams of 0.3 and 5 s at the stopping instance,
+// up to the end of its listener.
+func TestPlannedStopBreaksOffNoStream(t *testing.T) {
+	t.Parallel()
+	s := startDeployment(t, options{entries: 2, engines: 10, eventInterval: 100 * time.Millisecond, config: withStreams})
+	e := s.entries[1]
+	if e == s.coordinator() {
+		e = s.entries[0]
+	}
+	const short, long = 3, 50
+	var wg sync.WaitGroup
+	for i := range 20 {
+		wg.Go(func() {
+			if r, ok, err := e.stream(fmt.Sprintf("early-%d", i), short); !ok {
+				t.Errorf("stream before the stop: status %d, error %v", r.status, err)
+			}
+		})
+	}
+	wg.Wait()
+	var served, refused, shortServed, shortRefused atomic.Int64
+	send := func(id string, events int) {
+		r, complete, err := e.stream(id, events)
+		ran := countRuns(s.engines, id)
+		switch {
+		case complete && events == short:
+			shortServed.Add(1)
+		case complete:
+			served.Add(1)
+		case ran > 0:
+			t.Errorf("%s ran and was not complete: status %d, %d bytes, error %v", id, r.status, len(r.body), err)
+		case err == nil && r.status == http.StatusServiceUnavailable && events == short:
+			shortRefused.Add(1)
+		case err == nil && r.status == http.StatusServiceUnavailable:
+			refused.Add(1)
+		case err == nil:
+			t.Errorf("%s: status %d, want a complete stream or 503", id, r.status)
+		}
+	}
+	began := time.Now()
+	for i := 0; time.Since(began) < 6500*time.Millisecond; i++ {
+		if i == 10 {
+			e.signal(syscall.SIGTERM)
+		}
+		wg.Go(func() { send(fmt.Sprintf("short-%d", i), short) })
+		if i%2 == 0 {
+			wg.Go(func() { send(fmt.Sprintf("long-%d", i), long) })
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	wg.Wait()
+	<-e.done
+	t.Logf("long streams: %d served, %d refused; short ones: %d served, %d refused", served.Load(), refused.Load(), shortServed.Load(), shortRefused.Load())
+	if served.Load() == 0 || refused.Load() == 0 || shortServed.Load() == 0 || shortRefused.Load() > 0 {
+		t.Error("want long streams served before the stop and refused later, and all short streams served")
+	}
+}
