A stopping instance finishes or hands back what it does for others

Runs that it holds for the coordinator were cut when the process ended, with the events of the last 0.15 s, and the coordinator waited for the silent instance or found its address closed. Now a run that would not end in time is refused, and the coordinator sends its next runs elsewhere at once; the rest is waited for as callers' requests are, and handed back with all events 0.4 s before the end.

Store calls that it relays, and all other calls of instances, were cut with their outcome in doubt. Now a relayed call is refused if it may outlast the stop, so that the caller asks another instance, and the calls in progress are answered before the process ends.

--- a/io/cfnode/node.go
+++ b/io/cfnode/node.go
@@ -147,8 +147,9 @@
 		settings: s, adapter: a, log: log, site: cfsite.New(a.Codec), metrics: cfcoord.NewMetrics(reg),
 		peers: cfpeer.NewClient(), peerSrv: cfpeer.NewServer(), ctx: ctx, cancel: cancel,
 		startedAt: cf.Uptime(), origin: rand.Uint64(), members: cfmember.NewMembership(s.Members.HubThreshold), candidateDone: make(chan struct{}), linkBudget: cfcoord.NewLinkBudget(s.Machine.LinkMbps),
-		runnerHost: cfrunner.NewHost(a.Targets, log), drain: cfdrain.New(), watchMetrics: cfwatch.NewMetrics(reg),
+		drain: cfdrain.New(), watchMetrics: cfwatch.NewMetrics(reg),
 	}
+	n.runnerHost = cfrunner.NewHost(a.Targets, n.drain, log)
 	n.feedMetrics = newFeedMetrics(reg, n)
 	n.quarantine = newQuarantine(n)
 	if a.Metering != nil && s.Usage.WindowS > 0 {
@@ -193,7 +194,7 @@
 	n.peerSrv.Handle(opMirror, decoded(n.serveMirror))
 	n.peerSrv.Handle(cfrunner.OpOrders, decoded(func(ctx context.Context, o cfrunner.Orders) (any, error) { return n.runnerHost.ApplyOrders(ctx, o) }))
 	n.peerSrv.Handle(cfrunner.OpCollect, decoded(func(ctx context.Context, c cfrunner.CollectRequest) (any, error) { return n.runnerHost.Collect(ctx, c) }))
-	n.peerSrv.Handle(opStore, func(ctx context.Context, body cbor.RawMessage) (any, error) { return a.Relay.HandleRelayed(ctx, body) })
+	n.peerSrv.Handle(opStore, n.serveStore)
 	n.peerSrv.Handle(opStrikes, decoded(n.quarantine.serve))
 	n.peerSrv.Handle(opHeld, decoded(n.quarantine.serveHeld))
 	n.peerSrv.Handle(opReach, decoded(n.quarantine.serveReach))
@@ -325,6 +326,14 @@
 	n.handOverTo(ctx, successor)
 }
 
+// ShutdownRuns waits until the streams that this instance runs for the coordinator have ended, and
+// hands the rest back shortly before ctx ends. No more are started.
+func (n *Node) ShutdownRuns(ctx context.Context) { n.runnerHost.Shutdown(ctx) }
+
+// ShutdownPeers refuses further calls of other instances and waits until those in progress are
+// answered, or ctx ends.
+func (n *Node) ShutdownPeers(ctx context.Context) { n.peerSrv.Shutdown(ctx) }
+
 // Close stops the node and waits for everything that it has started.
 func (n *Node) Close() error {
 	n.cancel()
--- a/io/cfnode/process.go
+++ b/io/cfnode/process.go
@@ -178,14 +178,20 @@
 	if p.callers != nil {
 		time.Sleep(max(0, leave-time.Since(began)))
 		ctx, cancel = context.WithTimeout(context.Background(), max(0, grace-time.Since(began)))
+		var runs cflog.Group
+		runs.Go(func() { p.node.ShutdownRuns(ctx) })
 		if err := p.callers.Shutdown(ctx); err != nil {
 			p.log.Warn("requests_cut_off", cflog.Error(err))
 		}
+		runs.Wait()
 		cancel()
 	}
 	ctx, cancel = context.WithTimeout(context.Background(), min(flushTimeout, max(0, grace-time.Since(began))))
 	p.node.usage.flush(ctx)
 	cancel()
+	ctx, cancel = context.WithTimeout(context.Background(), max(0, grace-time.Since(began)))
+	p.node.ShutdownPeers(ctx)
+	cancel()
 	_ = p.node.Close()
 	ctx, cancel = context.WithTimeout(context.Background(), graceReserve/3)
 	defer cancel()
--- a/io/cfnode/relay.go
+++ b/io/cfnode/relay.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 
+	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	cf "currantford"
@@ -170,3 +171,14 @@
 	r.last, r.pausedUntil = "", now+relayPause.Backoff(r.failures, maxRelayPause)
 	r.failures++
 }
+
+// serveStore makes a store call for another instance. While this instance stops, it accepts only
+// calls that will be answered in time.
+func (n *Node) serveStore(ctx context.Context, body cbor.RawMessage) (any, error) {
+	if left, stopping := n.drain.Left(cf.Uptime()); stopping {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, left.Duration())
+		defer cancel()
+	}
+	return n.adapter.Relay.HandleRelayed(ctx, body)
+}
--- a/io/cfpeer/peer.go
+++ b/io/cfpeer/peer.go
@@ -41,6 +41,8 @@
 	// dialTimeout allows for a few round trips between failure domains, of at most 16 ms each, and
 	// one retransmitted packet.
 	dialTimeout = 1200 * time.Millisecond
+	// shutdownInterval is how often a shutdown checks whether all calls are answered.
+	shutdownInterval = 5 * time.Millisecond
 )
 
 type (
@@ -62,6 +64,8 @@
 		ctx      context.Context
 		cancel   context.CancelFunc
 		wg       cflog.Group
+		running  atomic.Int64 // calls that are not answered yet
+		closing  atomic.Bool  // further calls are refused
 	}
 
 	// Client keeps one connection per peer address. Close waits for its goroutines to end.
@@ -122,6 +126,15 @@
 // serve.
 func (s *Server) Handle(op string, h HandlerFunc) { s.handlers[op] = h }
 
+// Shutdown refuses further calls with ErrRefused, and waits until those in progress are answered or
+// ctx ends. The connections stay open until Close.
+func (s *Server) Shutdown(ctx context.Context) {
+	s.closing.Store(true)
+	for s.running.Load() > 0 && cf.Sleep(ctx, shutdownInterval) {
+		continue
+	}
+}
+
 // Close closes all connections and waits for running handlers.
 func (s *Server) Close() error {
 	s.cancel()
@@ -146,7 +159,11 @@
 		if err := cbor.Unmarshal(data, &m); err != nil {
 			return
 		}
-		s.wg.Go(func() { s.answer(ws, m) })
+		s.running.Add(1)
+		s.wg.Go(func() {
+			defer s.running.Add(-1)
+			s.answer(ws, m)
+		})
 	}
 }
 
@@ -155,9 +172,12 @@
 	h, ok := s.handlers[m.Op]
 	var out any
 	var err error
-	if !ok {
+	switch {
+	case !ok:
 		err = eris.Wrapf(cf.ErrNotFound, "peer op %q", m.Op)
-	} else {
+	case s.closing.Load():
+		err = eris.Wrap(cf.ErrRefused, "the instance is stopping")
+	default:
 		out, err = h(s.ctx, m.Body)
 	}
 	if err != nil {
--- a/io/cfrunner/cfrunner.go
+++ b/io/cfrunner/cfrunner.go
@@ -19,7 +19,7 @@
 //
 // Usage:
 //
-//	host := cfrunner.NewHost(targets, log) // on every instance
+//	host := cfrunner.NewHost(targets, drain, log) // on every instance
 //	report, err := host.Collect(ctx, call)
 //
 //	pool := cfrunner.NewPool(options) // at the coordinator
@@ -124,6 +124,8 @@
 		NotSent bool `cbor:"not_sent,omitempty"`
 		// Alive has the value of the target's answer.
 		Alive bool `cbor:"heard,omitempty"`
+		// Stopping means that the host is stopping and has not executed the run, or not to its end.
+		Stopping bool `cbor:"stopping,omitempty"`
 		// UnknownRun means that the host does not execute such a run.
 		UnknownRun bool `cbor:"not_held,omitempty"`
 	}
--- a/io/cfrunner/cfrunner_test.go
+++ b/io/cfrunner/cfrunner_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
+	"currantford/core/cfdrain"
 	"currantford/core/cfmember"
 )
 
@@ -144,7 +145,7 @@
 // newTestPool returns a Pool that runs nothing locally, and the fake peer with its only host.
 func newTestPool(t *testing.T, targets cf.Targets) (*Pool, *fakePeer) {
 	t.Helper()
-	w := &fakePeer{host: NewHost(targets, zap.NewNop())}
+	w := &fakePeer{host: NewHost(targets, cfdrain.New(), zap.NewNop())}
 	t.Cleanup(func() { _ = w.host.Close() })
 	p := NewPool(Options{
 		Self: cfmember.Entry{ID: "self", Capacity: 0.001}, Term: 5, Local: targets, Peers: w, Log: zap.NewNop(),
@@ -271,7 +272,7 @@
 	p, w := newTestPool(t, g)
 	done := startRun(context.Background(), p, "r", &recordingSink{})
 	eventually(t, "the start of the run", func() bool { return g.startCount("r") == 1 })
-	again := NewHost(g, zap.NewNop())
+	again := NewHost(g, cfdrain.New(), zap.NewNop())
 	t.Cleanup(func() { _ = again.Close() })
 	w.set(func(w *fakePeer) { w.host = again })
 	if e := <-done; !errors.Is(e.err, cf.ErrUnavailable) {
@@ -284,7 +285,7 @@
 // an earlier term.
 func TestStaleOrdersStartNothing(t *testing.T) {
 	g := newFake()
-	h := NewHost(g, zap.NewNop())
+	h := NewHost(g, cfdrain.New(), zap.NewNop())
 	t.Cleanup(func() { _ = h.Close() })
 	coordinator := Incarnation{Term: 5, Number: 1}
 	first, err := h.Collect(context.Background(), CollectRequest{Incarnation: coordinator})
@@ -374,7 +375,7 @@
 func TestUnboundedStreamsStayWithinReportLimit(t *testing.T) {
 	for _, numbered := range []bool{false, true} {
 		f := floodTargets{numbered: numbered, sentEvents: make(chan int, 100)}
-		host := NewHost(f, zap.NewNop())
+		host := NewHost(f, cfdrain.New(), zap.NewNop())
 		defer func() { _ = host.Close() }()
 		coordinator := Incarnation{Term: 5, Number: 1}
 		first, err := host.Collect(t.Context(), CollectRequest{Incarnation: coordinator})
--- a/io/cfrunner/host.go
+++ b/io/cfrunner/host.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
+	"currantford/core/cfdrain"
 	"currantford/core/cfhold"
 	"currantford/io/cflog"
 )
@@ -25,6 +26,11 @@
 	maxReportBytes = 2 << 20
 	// eventOverhead is the size of an event in addition to its data.
 	eventOverhead = 64
+	// handBackTime is how long before the end of a shutdown the runs in progress are stopped, so
+	// that the coordinator receives their events and resumes them elsewhere at once.
+	handBackTime = 400 * time.Millisecond
+	// drainInterval is how often a shutdown checks whether all runs have been reported.
+	drainInterval = 10 * time.Millisecond
 )
 
 type (
@@ -32,15 +38,19 @@
 	// and waits for them.
 	Host struct {
 		targets cf.Targets
-		log     *zap.Logger
-		ctx     context.Context
-		cancel  context.CancelFunc
-		wg      cflog.Group
+		// drain decides which runs are started while the instance stops.
+		drain  *cfdrain.Drain
+		log    *zap.Logger
+		ctx    context.Context
+		cancel context.CancelFunc
+		wg     cflog.Group
 
 		mu sync.Mutex
 		// term is the highest known term; orders with a lower one are rejected.
 		term    cf.Revision
 		session *session
+		// draining is set once no run is started any more.
+		draining bool
 	}
 
 	// session comprises the runs that a host executes for one coordinator.
@@ -63,6 +73,8 @@
 		// unsent accounts for the size of the events that are not in any report yet.
 		unsent *cfhold.Pool
 		wakeup chan struct{} // ends the wait of a poll
+		// stopping is set when the runs are stopped because the instance stops.
+		stopping bool
 	}
 
 	// hostedRun is a run of a session.
@@ -77,10 +89,59 @@
 	}
 )
 
-// NewHost returns a Host without runs.
-func NewHost(targets cf.Targets, log *zap.Logger) *Host {
+// NewHost returns a Host without runs. It starts a run only if drain accepts it.
+func NewHost(targets cf.Targets, drain *cfdrain.Drain, log *zap.Logger) *Host {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Host{targets: targets, log: log, ctx: ctx, cancel: cancel}
+	return &Host{targets: targets, drain: drain, log: log, ctx: ctx, cancel: cancel}
+}
+
+// Shutdown starts no further run and waits until the coordinator has received the events and the
+// ends of all runs. Shortly before ctx ends, it stops those in progress.
+func (h *Host) Shutdown(ctx context.Context) {
+	h.mu.Lock()
+	h.draining = true
+	h.mu.Unlock()
+	end, limited := ctx.Deadline()
+	for !h.drained() && cf.Sleep(ctx, drainInterval) {
+		if limited && time.Until(end) < handBackTime {
+			h.handBack()
+		}
+	}
+}
+
+// drained reports whether the coordinator has received the ends of all runs.
+func (h *Host) drained() bool {
+	s := h.currentSession()
+	if s == nil {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.runs) == 0 && len(s.endsWithoutRun) == 0 && s.acked >= s.lastReport.Number
+}
+
+// handBack stops the runs in progress. They are reported as stopped.
+func (h *Host) handBack() {
+	s := h.currentSession()
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return
+	}
+	s.stopping = true
+	h.log.Info("runs_handed_back", zap.Int("runs", len(s.runs)), zap.Int64("term", int64(s.coordinator.Term)))
+	for _, r := range s.runs {
+		r.cancel()
+	}
+}
+
+func (h *Host) currentSession() *session {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.session
 }
 
 // Close stops the runs and waits for them.
@@ -164,6 +225,9 @@
 		return false, eris.Wrapf(cf.ErrConflict, "session %d, not %d", s.id, o.Session)
 	}
 	age := cf.Uptime() - o.HostClock
+	h.mu.Lock()
+	draining := h.draining
+	h.mu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, st := range o.Starts {
@@ -177,6 +241,12 @@
 			s.reportEnd(st.Run, RunEnd{NotRun: true})
 			continue
 		}
+		if v := h.drain.Judge(runClass(st), st.Call.Timeout, cf.Uptime()); !v.Accept || draining {
+			h.log.Info("run_refused", zap.String("request_id", string(st.Call.ID)), zap.String("target", string(st.Target.ID)),
+				zap.Int64("stop_left_ms", int64(v.Left)), zap.Int64("expected_ms", int64(v.Expected)))
+			s.reportEnd(st.Run, RunEnd{Stopping: true})
+			continue
+		}
 		h.start(s, st)
 	}
 	for _, id := range o.Stops {
@@ -189,6 +259,11 @@
 	return true, nil
 }
 
+// runClass returns the class of the durations of a run.
+func runClass(st StartOrder) cfdrain.Class {
+	return cfdrain.Class{Kind: "run", Name: string(st.Target.Service)}
+}
+
 // start executes a run in a goroutine. s.mu must be held.
 func (h *Host) start(s *session, st StartOrder) {
 	ctx, cancel := context.WithCancel(s.ctx)
@@ -196,13 +271,21 @@
 	s.runs[st.Run] = r
 	h.wg.Go(func() {
 		defer cancel()
+		began := cf.Uptime()
 		answer, err := h.targets.Stream(ctx, st.Target, st.Call, hostSink{s, r})
 		end := &RunEnd{Status: answer.Status, NotRun: answer.NotRun, Alive: answer.Alive}
 		if err != nil {
 			end.Error, end.NotSent = err.Error(), errors.Is(err, cf.ErrNotRun)
 		}
+		now := cf.Uptime()
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		switch {
+		case err == nil:
+			h.drain.Observe(runClass(st), now-began, now)
+		case s.stopping:
+			end = &RunEnd{Stopping: true}
+		}
 		r.end = end
 		s.wake()
 	})
--- a/io/cfrunner/link.go
+++ b/io/cfrunner/link.go
@@ -336,6 +336,9 @@
 		case end == nil:
 		case sinkErr != nil:
 			return cf.TargetAnswer{}, sinkErr
+		case end.Stopping:
+			r.link.pool.excludeHost(r.link.id)
+			return cf.TargetAnswer{}, eris.Wrapf(cf.ErrUnavailable, "instance %s is stopping", r.link.id)
 		case end.UnknownRun:
 			return cf.TargetAnswer{}, eris.Wrap(cf.ErrUnavailable, "the host has no such run")
 		case end.NotSent:
--- a/io/cfrunner/unboundedstream_test.go
+++ b/io/cfrunner/unboundedstream_test.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
+	"currantford/core/cfdrain"
 )
 
 // endlessTargets is a Targets implementation whose streams send events without end. It reports the
@@ -34,7 +35,7 @@
 // or makes a report too long for the link.
 func TestUnboundedStreamIsCutOffAtHost(t *testing.T) {
 	targets := endlessTargets{accepted: make(chan int, 1)}
-	h := NewHost(targets, zap.NewNop())
+	h := NewHost(targets, cfdrain.New(), zap.NewNop())
 	defer func() { _ = h.Close() }()
 	s, err := h.sessionOf(Incarnation{Term: 1})
 	if err != nil {
--- a/systemtest/stop_test.go
+++ b/systemtest/stop_test.go
@@ -89,3 +89,35 @@
 		t.Error("want long streams served before the stop and refused later, and all short streams served")
 	}
 }
+
+// TestStoppedHostHandsItsStreamsBack guards against items that wait for a silent instance, or lose
+// events, when an instance that holds streams for the coordinator stops.
+//
+// Instances of low capacity hold streams that take longer than the grace period.
+func TestStoppedHostHandsItsStreamsBack(t *testing.T) {
+	t.Parallel()
+	s := startDeployment(t, options{entries: 4, engines: 4, eventInterval: 20 * time.Millisecond, cores: weakCores})
+	s.awaitCoordinatorMembership()
+	b := newStep("b1", "m0", 1, 4, 500)
+	s.submitUntilAccepted(b)
+	eventually(t, "runs with streams at other entries", func() bool { return len(s.engineRuns()) == 4 && len(s.streamHosts()) > 0 })
+	c, stopped := s.coordinator(), s.streamHosts()[0]
+	stopped.signal(syscall.SIGTERM)
+	<-stopped.done
+	s.readAll(b)
+	if lost := c.logField("runner_lost", "runs"); lost != "" && lost != "0" {
+		t.Errorf("the coordinator lost %s runs with the instance that was stopped", lost)
+	}
+	moved := 0
+	for id, runs := range s.engineRuns() {
+		for i := 1; i < len(runs); i++ {
+			moved++
+			if missing := runs[i-1].LastEvent - runs[i].ResumeAfter; missing > 3 {
+				t.Errorf("item %s: %d events of the run before were lost", id, missing)
+			}
+		}
+	}
+	if moved == 0 {
+		t.Error("no run went on elsewhere")
+	}
+}
