Soak: streams that must not run twice, answers sent twice, stops in series

Checked: no stream runs twice or after a refusal, a stream that looks complete has all its events, nobody gets another caller's answer.

--- a/systemtest/soak_test.go
+++ b/systemtest/soak_test.go
@@ -18,7 +18,7 @@
 )
 
 var (
-	soakSeeds   = flag.String("soak.seeds", "1,3,36,1001,2001,3001,4001,4112,5001,6001,6011,6039,7002", "seeds of the fault soak, such as 1,2,10-20")
+	soakSeeds   = flag.String("soak.seeds", "1,3,36,1001,2001,3001,4001,4112,5001,6001,6011,6039,7002,8001", "seeds of the fault soak, such as 1,2,10-20")
 	soakSeconds = flag.Int("soak.seconds", 10, "length of each seed")
 )
 
@@ -45,6 +45,10 @@
 	bids   map[string][]int // statuses of the attempts at each bid
 	// heldBids are the answers that report a bid as quarantined, by bid.
 	heldBids map[string]string
+	// streams are the outcomes of streams, by ID. foreign lists answers that callers got to requests
+	// of others.
+	streams  map[string]streamOutcome
+	foreign  []string
 	down     map[*entry]bool // killed, stopped or frozen by the soak
 	configMu sync.Mutex      // serializes changes of the configuration
 	// peakMemory is the highest memory use seen in any process, in bytes.
@@ -107,9 +111,12 @@
 	if seed >= firstEndlessSeed {
 		o.memoryMB = maxMemory >> 20
 	}
+	if seed >= firstStreamSeed {
+		o.config, o.repeatAnswers = withStreams, true
+	}
 	s := &soak{
 		deployment: startDeployment(t, o),
-		random:     rand.New(rand.NewPCG(seed, 9)), bids: map[string][]int{}, heldBids: map[string]string{}, down: map[*entry]bool{},
+		random:     rand.New(rand.NewPCG(seed, 9)), bids: map[string][]int{}, streams: map[string]streamOutcome{}, heldBids: map[string]string{}, down: map[*entry]bool{},
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(*soakSeconds)*time.Second)
 	defer cancel()
@@ -136,6 +143,9 @@
 	if seed >= firstCrashSeed {
 		wg.Go(func() { s.sendCrashing(ctx) })
 	}
+	if seed >= firstStreamSeed {
+		wg.Go(func() { s.sendStreams(ctx, seed) })
+	}
 	s.injectFaults(ctx, seed)
 	wg.Wait()
 	s.clearFaults()
@@ -159,6 +169,9 @@
 	if seed >= firstEndlessSeed {
 		faults = append(faults, s.answerEndlessly, s.answerEndlessly)
 	}
+	if seed >= firstStreamSeed {
+		faults = append(faults, s.repeatAnswers, s.repeatAnswers, s.stopSeries, s.stopSeries)
+	}
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for ctx.Err() == nil {
@@ -353,6 +366,7 @@
 	s.checkConfigs(t)
 	s.checkAccepted(t)
 	s.checkMemory(t)
+	s.checkStreams(t)
 }
 
 // checkAccepted reads every batch in the store at an entry that is up: no batch may be lost, and
