A failure of a target that may have run a request is no refusal

Cause: Attempts.Classify noted that the bid may have run, so it was not sent again here, but the target's answer was passed on with its status: a 503 through conclude, a 408 or 429 as an answer like any other. What a status promises was kept for the instance's own answers only.

Change: where a request must not run twice, a status that promises "not run" (408, 421, 429, 503) is passed on only if the target states that it has not run the request; otherwise the caller gets 502 without the target's headers. Attempts.MayForward decides. Related paths: streams take the same way; items, reward calls, batches, hosts and relays go by the target's or the store's own statement already.

--- a/core/cfbalance/attempts.go
+++ b/core/cfbalance/attempts.go
@@ -53,7 +53,7 @@
 		return Failed, false
 	case answer.NotRun:
 		return NotRun, false
-	case answer.Failed():
+	case answer.Failed() || !a.MayForward(answer):
 		a.mayHaveRun = true
 		return Failed, false
 	default:
@@ -61,6 +61,13 @@
 	}
 }
 
+// MayForward reports whether a target's answer may be returned to the caller as it is. A status that
+// promises that the request has not run may not, unless the target states it or the request may be
+// repeated: the caller would send the request again.
+func (a *Attempts) MayForward(answer cf.TargetAnswer) bool {
+	return answer.NotRun || !answer.PromisesNotRun() || a.route.Idempotent()
+}
+
 // HedgeAfter returns how long to wait for an answer before the request is also sent to another
 // target, and false if that is not allowed.
 func (a *Attempts) HedgeAfter() (cf.Millis, bool) {
--- a/io/cfingress/forward.go
+++ b/io/cfingress/forward.go
@@ -364,6 +364,8 @@
 			reason = string(f.refusal.Reason)
 		}
 		f.refuse(w, f.retryAfter(), reason)
+	case f.lastFailure != nil && !f.attempts.MayForward(f.lastFailure.answer):
+		f.fail(w, http.StatusBadGateway, "a target failed, and may have run the request")
 	case f.lastFailure != nil:
 		f.writeAnswer(w, *f.lastFailure)
 	default:
--- a/systemtest/request_test.go
+++ b/systemtest/request_test.go
@@ -125,6 +125,24 @@
 	}
 }
 
+// TestFailedBidIsNotRefused guards against a bid that is sent again after it was recorded, because the
+// target failed with a status that promises the opposite.
+func TestFailedBidIsNotRefused(t *testing.T) {
+	t.Parallel()
+	s := startForRequests(t, 2)
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		for _, e := range s.plainTargets {
+			e.SetFaults(standin.EngineFaults{Status: status})
+		}
+		id := fmt.Sprintf("bid-%d", status)
+		r := s.entries[0].post("/bids/a", id, "100")
+		if n := countRuns(s.plainTargets, id); n != 1 || r.status != http.StatusBadGateway || r.header.Get("Currantford-Response-Stamp") != "" {
+			t.Errorf("target failed with %d: status %d, stamp %q, ran %d times; want 502 without a stamp, and one run",
+				status, r.status, r.header.Get("Currantford-Response-Stamp"), n)
+		}
+	}
+}
+
 // TestMismatchedAnswersAreNotForwarded guards against a caller that gets another caller's answer.
 //
 // One of two targets answers with the ids of other requests. Log readings may be repeated, so each
--- a/systemtest/soak_stream_test.go
+++ b/systemtest/soak_stream_test.go
@@ -66,6 +66,16 @@
 	}
 }
 
+// failWithPromise lets a plain target run requests and fail them with a status that promises the
+// opposite, for a while.
+func (s *soak) failWithPromise() {
+	statuses := []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+	e := s.plainTargets[s.intN(len(s.plainTargets))]
+	e.SetFaults(standin.EngineFaults{Status: statuses[s.intN(len(statuses))]})
+	time.Sleep(s.duration(500, 3000))
+	e.SetFaults(standin.EngineFaults{})
+}
+
 // stopSeries stops two instances one after the other, so that their stops overlap.
 func (s *soak) stopSeries() {
 	var wg sync.WaitGroup
--- a/systemtest/soak_test.go
+++ b/systemtest/soak_test.go
@@ -170,7 +170,7 @@
 		faults = append(faults, s.answerEndlessly, s.answerEndlessly)
 	}
 	if seed >= firstStreamSeed {
-		faults = append(faults, s.repeatAnswers, s.repeatAnswers, s.stopSeries, s.stopSeries)
+		faults = append(faults, s.repeatAnswers, s.repeatAnswers, s.stopSeries, s.stopSeries, s.failWithPromise)
 	}
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -357,8 +357,8 @@
 		if n > 1 {
 			t.Errorf("%s ran %d times", id, n)
 		}
-		if n > 0 && statuses[0] == http.StatusServiceUnavailable {
-			t.Errorf("%s was refused as not run, but ran", id)
+		if n > 0 && promisesNotRun(statuses[0]) {
+			t.Errorf("%s was refused as not run with %d, but ran", id, statuses[0])
 		}
 	}
 	checkWeightOrders(t, s.deployment)
@@ -369,6 +369,15 @@
 	s.checkStreams(t)
 }
 
+// promisesNotRun reports whether a status promises that the request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // checkAccepted reads every batch in the store at an entry that is up: no batch may be lost, and
 // none may list an item twice.
 func (s *soak) checkAccepted(t *testing.T) {
--- a/target.go
+++ b/target.go
@@ -200,5 +200,16 @@
 	ErrBadAnswer = errors.New("bad answer from target")
 )
 
+// PromisesNotRun reports whether the status of the answer would promise a caller that the request
+// has not run and never will, so that the caller may send it again. A target's own statement is
+// NotRun.
+func (a *TargetAnswer) PromisesNotRun() bool {
+	switch a.Status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Failed reports whether the target answered with a server error.
 func (a *TargetAnswer) Failed() bool { return a.Status >= http.StatusInternalServerError }
