Soak: say how long after a heal of its link a late order arrived

The first was sent 1.3 s before it arrived, on a link that may have been held; the failure did not say when the link healed. No check changes.

--- a/systemtest/batch_test.go
+++ b/systemtest/batch_test.go
@@ -260,7 +260,7 @@
 // arrival time counts, because an engine may execute an order late.
 func checkWeightOrders(t *testing.T, s *deployment) {
 	t.Helper()
-	for _, e := range s.engines {
+	for n, e := range s.engines {
 		orders := e.Orders()
 		for i := 1; i < len(orders); i++ {
 			a, b := orders[i-1], orders[i]
@@ -268,7 +268,12 @@
 				t.Errorf("%s: fencing number %d after %d", e.ID, b.Fence, a.Fence)
 			}
 			if a.Owner != b.Owner && (a.Fence == b.Fence || b.ReceivedAt.Sub(a.ReceivedAt) < 3*time.Second) {
-				t.Errorf("%s: orders %+v and %+v: %s between executions, %s between arrivals", e.ID, a, b, b.ExecutedAt.Sub(a.ExecutedAt), b.ReceivedAt.Sub(a.ReceivedAt))
+				healed := time.Duration(0)
+				if n < len(s.engineLinks) {
+					healed = s.engineLinks[n].sinceHeal(a.ReceivedAt)
+				}
+				t.Errorf("%s: orders %+v and %+v: %s between executions, %s between arrivals; the first one came %s after its link healed (0s: no heal before)",
+					e.ID, a, b, b.ExecutedAt.Sub(a.ExecutedAt), b.ReceivedAt.Sub(a.ReceivedAt), healed)
 			}
 		}
 	}
--- a/systemtest/proxy_test.go
+++ b/systemtest/proxy_test.go
@@ -29,6 +29,8 @@
 		faultsChanged chan struct{} // closed at each change of faults
 		conns         map[*net.TCPConn]bool
 		closed        bool
+		// heals are the times at which the link stopped to hold bytes.
+		heals []time.Time
 	}
 )
 
@@ -112,11 +114,27 @@
 func (p *tcpProxy) setFaults(f linkFaults) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if (p.faults.HoldUp || p.faults.HoldDown) && !f.HoldUp && !f.HoldDown {
+		p.heals = append(p.heals, time.Now())
+	}
 	p.faults = f
 	close(p.faultsChanged)
 	p.faultsChanged = make(chan struct{})
 }
 
+// sinceHeal returns how long before at the link last stopped to hold bytes, zero if it did not.
+func (p *tcpProxy) sinceHeal(at time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	since := time.Duration(0)
+	for _, h := range p.heals {
+		if !h.After(at) {
+			since = at.Sub(h)
+		}
+	}
+	return since
+}
+
 // reset resets the open connections and discards the bytes held in them.
 func (p *tcpProxy) reset() {
 	p.mu.Lock()
