--- a/io/cfingress/batches.go
+++ b/io/cfingress/batches.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	if err := in.stopRefusal(cf.Millis(submitTimeout.Milliseconds())); err != nil {
+	if err := in.stopRefusal(submitTimeout); err != nil {
 		return err
 	}
 	assignOrganisation(&sub, access.Organisation)
@@ -128,7 +128,7 @@
 }
 
 func (in *Ingress) results(ctx context.Context, id cf.BatchID, after int, maxWait cf.Millis) (cf.ResultPage, error) {
-	if err := in.stopRefusal(readTimeout); err != nil {
+	if err := in.stopRefusal(readTimeout.Duration()); err != nil {
 		return cf.ResultPage{}, err
 	}
 	started := cf.Uptime()
@@ -193,7 +193,7 @@
 }
 
 func (in *Ingress) itemBody(ctx context.Context, id cf.BatchID, item cf.ItemID) ([]byte, error) {
-	if err := in.stopRefusal(readTimeout); err != nil {
+	if err := in.stopRefusal(readTimeout.Duration()); err != nil {
 		return nil, err
 	}
 	body, err := in.Coordinator.ItemBody(ctx, id, item)
@@ -225,7 +225,7 @@
 }
 
 func (in *Ingress) end(ctx context.Context, id cf.BatchID) error {
-	if err := in.stopRefusal(cf.Millis(endTimeout.Milliseconds())); err != nil {
+	if err := in.stopRefusal(endTimeout); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, endTimeout)
--- a/io/cfingress/drain.go
+++ b/io/cfingress/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"go.uber.org/zap/zapcore"
 
@@ -80,8 +81,8 @@
 
 // stopRefusal returns a Refusal if the instance stops before a call that may take the given time
 // would be complete, and nil otherwise.
-func (in *Ingress) stopRefusal(timeout cf.Millis) error {
-	if left, stopping := in.Drain.Left(cf.Uptime()); stopping && left < timeout {
+func (in *Ingress) stopRefusal(timeout time.Duration) error {
+	if left, stopping := in.Drain.Left(cf.Uptime()); stopping && left.Duration() < timeout {
 		return &cf.Refusal{RetryAfter: in.stopRetry(), Reason: cf.ErrStopping.Error()}
 	}
 	return nil
--- a/io/cfingress/refusalstatus_test.go
+++ b/io/cfingress/refusalstatus_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 
 	cf "currantford"
@@ -34,7 +35,7 @@
 			forwarded := w.Code == status && w.Header().Get("Stamp") == "s" && w.Body.String() == "failed"
 			replaced := w.Code == http.StatusBadGateway && w.Header().Get("Stamp") == "" && w.Header().Get("Retry-After") == ""
 			want := forwarded
-			if answer.PromisesNotRun() && !route.Idempotent() {
+			if slices.Contains(promises, status) && !route.Idempotent() {
 				want = replaced
 			}
 			if !want || sends != 1 {
--- a/io/cfingress/stream.go
+++ b/io/cfingress/stream.go
@@ -162,7 +162,7 @@
 // abortConnection closes the caller's connection before the answer is complete.
 func (f *forwarding) abortConnection(ctx context.Context, sink *streamSink) {
 	f.in.Log.Warn("stream_broken_off", zap.String("request_id", string(f.req.ID)), zap.Int64("events", int64(sink.last)), zap.Bool("caller_slow", f.room.WasCut()),
-		zap.Bool("stopping", errors.Is(context.Cause(ctx), cf.ErrStopping)), zap.Int64("took_ms", int64(cf.Uptime()-f.began)))
+		zap.Bool("stopping", errors.Is(context.Cause(ctx), cf.ErrStopping)), zap.Int64("took_ms", int64(cf.Uptime()-f.req.Received)))
 	outcome := "broken_off"
 	if f.room.WasCut() {
 		outcome = "caller_slow"
--- a/io/cfrunner/host.go
+++ b/io/cfrunner/host.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -39,18 +40,18 @@
 	Host struct {
 		targets cf.Targets
 		// drain decides which runs are started while the instance stops.
-		drain  *cfdrain.Drain
-		log    *zap.Logger
-		ctx    context.Context
-		cancel context.CancelFunc
-		wg     cflog.Group
+		drain *cfdrain.Drain
+		// draining is set once no run is started any more.
+		draining atomic.Bool
+		log      *zap.Logger
+		ctx      context.Context
+		cancel   context.CancelFunc
+		wg       cflog.Group
 
 		mu sync.Mutex
 		// term is the highest known term; orders with a lower one are rejected.
 		term    cf.Revision
 		session *session
-		// draining is set once no run is started any more.
-		draining bool
 	}
 
 	// session comprises the runs that a host executes for one coordinator.
@@ -98,9 +99,7 @@
 // Shutdown starts no further run and waits until the coordinator has received the events and the
 // ends of all runs. Shortly before ctx ends, it stops those in progress.
 func (h *Host) Shutdown(ctx context.Context) {
-	h.mu.Lock()
-	h.draining = true
-	h.mu.Unlock()
+	h.draining.Store(true)
 	end, limited := ctx.Deadline()
 	for !h.drained() && cf.Sleep(ctx, drainInterval) {
 		if limited && time.Until(end) < handBackTime {
@@ -225,9 +224,6 @@
 		return false, eris.Wrapf(cf.ErrConflict, "session %d, not %d", s.id, o.Session)
 	}
 	age := cf.Uptime() - o.HostClock
-	h.mu.Lock()
-	draining := h.draining
-	h.mu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, st := range o.Starts {
@@ -241,7 +237,7 @@
 			s.reportEnd(st.Run, RunEnd{NotRun: true})
 			continue
 		}
-		if v := h.drain.Judge(runClass(st), st.Call.Timeout, cf.Uptime()); !v.Accept || draining {
+		if v := h.drain.Judge(runClass(st), st.Call.Timeout, cf.Uptime()); !v.Accept || h.draining.Load() {
 			h.log.Info("run_refused", zap.String("request_id", string(st.Call.ID)), zap.String("target", string(st.Target.ID)),
 				zap.Int64("stop_left_ms", int64(v.Left)), zap.Int64("expected_ms", int64(v.Expected)))
 			s.reportEnd(st.Run, RunEnd{Stopping: true})
--- a/systemtest/soak_stream_test.go
+++ b/systemtest/soak_stream_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -78,9 +77,7 @@
 func (s *soak) failWithPromise() {
 	statuses := []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable}
 	e := s.plainTargets[s.intN(len(s.plainTargets))]
-	e.SetFaults(standin.EngineFaults{Status: statuses[s.intN(len(statuses))]})
-	time.Sleep(s.duration(500, 3000))
-	e.SetFaults(standin.EngineFaults{})
+	s.disturbTarget(e, standin.EngineFaults{Status: statuses[s.intN(len(statuses))]})
 }
 
 // stopSeries stops two instances one after the other, so that their stops overlap.
@@ -88,14 +85,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for range 2 {
-		if e := s.claimEntry(); e != nil {
-			e.signal(syscall.SIGTERM)
-			wg.Go(func() {
-				<-e.done
-				e.start()
-				s.releaseEntry(e)
-			})
-		}
+		wg.Go(s.stopOne)
 		time.Sleep(s.duration(200, 2000))
 	}
 }
--- a/systemtest/soak_test.go
+++ b/systemtest/soak_test.go
@@ -266,7 +266,11 @@
 	faults := []standin.EngineFaults{
 		{AbortAfterEvents: 5}, {AtCapacity: true}, {Unresponsive: true}, {WrongRequestID: true}, {SlowFactor: 4}, {Status: http.StatusInternalServerError},
 	}
-	f := faults[s.intN(len(faults))]
+	s.disturbTarget(e, faults[s.intN(len(faults))])
+}
+
+// disturbTarget lets a target have faults for a while.
+func (s *soak) disturbTarget(e *standin.Engine, f standin.EngineFaults) {
 	e.SetFaults(f)
 	time.Sleep(s.duration(500, 3000))
 	e.SetFaults(standin.EngineFaults{})
