--- a/core/cfadmission/deadlinetracker.go
+++ b/core/cfadmission/deadlinetracker.go
@@ -4,33 +4,27 @@
 	"sync"
 
 	cf "currantford"
+	"currantford/core/cfpeak"
 )
 
-type (
-	// DeadlineTracker derives from the deadlines of requests how much of their time the callers
-	// have already used: a caller that was refused and comes back sends its remaining time. The
-	// longest deadline seen recently on a route is taken as the full time of a caller. A caller
-	// that allows less time than others is mistaken for one that has come back. DeadlineTracker is
-	// safe for concurrent use.
-	DeadlineTracker struct {
-		mu     sync.Mutex
-		routes map[string]*window
-	}
-
-	// window holds the longest deadline of a route's requests in the current and in the previous
-	// time span.
-	window struct {
-		current, previous cf.Millis
-		startedAt         cf.Millis
-	}
-)
+// DeadlineTracker derives from the deadlines of requests how much of their time the callers have
+// already used: a caller that was refused and comes back sends its remaining time. The longest
+// deadline seen recently on a route is taken as the full time of a caller. A caller that allows less
+// time than others is mistaken for one that has come back. DeadlineTracker is safe for concurrent
+// use.
+type DeadlineTracker struct {
+	mu        sync.Mutex
+	deadlines *cfpeak.Longest[string] // by route
+}
 
 // windowSpan is how long a deadline counts, at least: at the usual load one of fifty instances
 // receives a request of a route every few seconds.
 const windowSpan cf.Millis = 15000
 
 // NewDeadlineTracker returns a tracker that has seen no requests.
-func NewDeadlineTracker() *DeadlineTracker { return &DeadlineTracker{routes: map[string]*window{}} }
+func NewDeadlineTracker() *DeadlineTracker {
+	return &DeadlineTracker{deadlines: cfpeak.NewLongest[string](windowSpan)}
+}
 
 // Spent returns the time that a caller had used before it sent a request with a deadline on a
 // route, zero if the request has no deadline.
@@ -40,19 +34,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	w := d.routes[route]
-	if w == nil {
-		w = &window{startedAt: now}
-		d.routes[route] = w
-	}
-	if now-w.startedAt >= 2*windowSpan {
-		w.current = 0
-	}
-	if now-w.startedAt >= windowSpan {
-		w.previous, w.current, w.startedAt = w.current, 0, now
-	}
-	w.current = max(w.current, deadline)
-	return max(w.current, w.previous) - deadline
+	d.deadlines.Observe(route, deadline, now)
+	longest, _ := d.deadlines.Get(route, now)
+	return longest - deadline
 }
 
 // ReopenTargets makes a request that may have run, and therefore can't be refused, eligible again
--- a/core/cfdrain/cfdrain.go
+++ b/core/cfdrain/cfdrain.go
@@ -19,11 +19,11 @@
 package cfdrain
 
 import (
-	"maps"
 	"math/bits"
 	"sync"
 
 	cf "currantford"
+	"currantford/core/cfpeak"
 )
 
 const (
@@ -43,9 +43,9 @@
 	// Drain tracks the durations of work by class and the end of the instance. It is safe for
 	// concurrent use.
 	Drain struct {
-		mu      sync.Mutex
-		classes map[Class]*durations
-		until   cf.Millis // zero while the instance is not stopping
+		mu        sync.Mutex
+		durations *cfpeak.Longest[Class]
+		until     cf.Millis // zero while the instance is not stopping
 	}
 
 	// Class identifies work of similar duration, such as the requests of a route. Size is that of
@@ -61,21 +61,10 @@
 		Accept         bool
 		Left, Expected cf.Millis
 	}
-
-	// durations summarizes the work of a class that ended in the current and in the previous span.
-	durations struct {
-		current, previous summary
-		startedAt         cf.Millis
-	}
-
-	summary struct {
-		longest cf.Millis
-		count   int
-	}
 )
 
 // New returns a Drain without observations, of an instance that is not stopping.
-func New() *Drain { return &Drain{classes: map[Class]*durations{}} }
+func New() *Drain { return &Drain{durations: cfpeak.NewLongest[Class](span)} }
 
 // Begin begins the stop: all work must be complete by until, an Uptime.
 func (d *Drain) Begin(until cf.Millis) {
@@ -95,16 +84,7 @@
 func (d *Drain) Observe(class Class, took, now cf.Millis) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	c := d.classes[class]
-	if c == nil {
-		// The routes of a deployment change many times a day.
-		maps.DeleteFunc(d.classes, func(_ Class, c *durations) bool { return now-c.startedAt >= 2*span })
-		c = &durations{startedAt: now}
-		d.classes[class] = c
-	}
-	c.advance(now)
-	c.current.longest = max(c.current.longest, took)
-	c.current.count++
+	d.durations.Observe(class, took, now)
 }
 
 // Judge decides whether work of a class is accepted. The work ends by itself after limit, at the
@@ -145,25 +125,9 @@
 // bound returns how long work of exactly one class takes at most, zero if that is unknown. d.mu must
 // be held.
 func (d *Drain) bound(class Class, now cf.Millis) cf.Millis {
-	c := d.classes[class]
-	if c == nil {
-		return 0
-	}
-	c.advance(now)
-	n := c.current.count + c.previous.count
+	longest, n := d.durations.Get(class, now)
 	if n == 0 {
 		return 0
 	}
-	longest := max(c.current.longest, c.previous.longest, 1)
-	return cf.Millis(float64(longest) * (1 + tailMargin + fewMargin/float64(n)))
-}
-
-// advance begins a new span if the current one is over.
-func (c *durations) advance(now cf.Millis) {
-	switch age := now - c.startedAt; {
-	case age >= 2*span:
-		c.previous, c.current, c.startedAt = summary{}, summary{}, now
-	case age >= span:
-		c.previous, c.current, c.startedAt = c.current, summary{}, now
-	}
+	return cf.Millis(float64(max(longest, 1)) * (1 + tailMargin + fewMargin/float64(n)))
 }
--- a/core/cfpeak/cfpeak.go
+++ b/core/cfpeak/cfpeak.go
@@ -1,10 +1,14 @@
-// Package cfpeak tracks the maximum of a number over a time window.
+// Package cfpeak tracks the maximum of a number, or of durations by key, over a time window.
 //
 // Usage:
 //
 //	var p cfpeak.Peak
 //	p.Observe(running, now)
 //	highest := p.Max(now)
+//
+//	l := cfpeak.NewLongest[string](span)
+//	l.Observe("route", took, now)
+//	longest, count := l.Get("route", now)
 package cfpeak
 
 import cf "currantford"
