Requests are charged by what they cost, before their heads are parsed

Callers saw: a process killed for its memory, with the requests of all callers, when clients sent heads of very many short lines, heads without end or empty lines without end.

Cause: net/http parses a head while it reads it, before any handler runs. 16 KB of short lines take 250 KB parsed, and the copy that is forwarded as much again, for as long as the request waits. Nothing counted that; only bodies were counted. The configured limit of a head was not applied, 64 KiB were. Connections were not counted either, so idle ones took the descriptors.

Change: cfintake keeps one account of connections, heads and bodies, and decides whom to close; cfgate sits between a connection and net/http. It keeps the bytes of a head until it is complete, charges what it will cost, and only then passes it on. It follows the framing of bodies to find the next head. All addresses of a process share one account. Heads over the configured limit get 431, late ones 408, those without memory 503. The connection that has held the most for the longest without completing a request is closed first; a request that was read is never given up. Connections are at most half of the descriptors. Settings: intake.*, machine.max_fds.

Ruled out: MaxHeaderBytes alone, as half a head costs as much as a whole one; a limit on lines, as single requests inside the limits meet it.

--- a/core/cfsite/config.go
+++ b/core/cfsite/config.go
@@ -91,7 +91,9 @@
 
 	// Limits bounds what a caller may send.
 	Limits struct {
-		BodyBytes   int64
+		BodyBytes int64
+		// HeaderBytes is the largest size of a request's headers, zero if it is not known.
+		HeaderBytes int64
 		IdleTimeout cf.Millis
 	}
 
--- a/ingress.go
+++ b/ingress.go
@@ -14,6 +14,14 @@
 		Reason     string
 	}
 
+	// RequestMemory accounts for the memory that a request takes until it is answered.
+	RequestMemory interface {
+		// Reserve reserves n more bytes. It returns a Refusal if there is not enough memory.
+		Reserve(n int64) error
+		// Release returns n bytes.
+		Release(n int64)
+	}
+
 	// CallerLimits holds the limits on what a caller may send.
 	CallerLimits struct {
 		BodyBytes int64
@@ -29,9 +37,8 @@
 		Resolve(domain FailureDomain) (addrs []string, ttl Millis)
 		// Limits returns the limits for callers. It returns false until a configuration is known.
 		Limits() (CallerLimits, bool)
-		// ReserveBody reserves memory for a request body of n bytes, or of unknown length if n is
-		// -1, until release is called.
-		ReserveBody(n int64) (release func(), err error)
+		// RequestMemory returns the memory accounting of the request of a context.
+		RequestMemory(ctx context.Context) RequestMemory
 		// OpenRoom returns the memory accounting of an answer to a caller about the batch id.
 		OpenRoom(ctx context.Context, who Credentials, id BatchID) Room
 		// AcceptsBatches reports whether requests to host and path submit batches.
--- a/io/cfingress/ingress.go
+++ b/io/cfingress/ingress.go
@@ -87,8 +87,6 @@
 		NoAdmission bool
 		// ValueBytes is the store's size limit for one object.
 		ValueBytes int64
-		// MemoryBytes is the process's memory limit, zero if there is none.
-		MemoryBytes int64
 		// IgnorePace disregards the pace that targets report.
 		IgnorePace bool
 		Metrics    *Metrics
@@ -98,12 +96,11 @@
 	// Ingress implements currantford.Ingress.
 	Ingress struct {
 		Options
-		balancer   *cfbalance.Balancer
-		retries    *cfbalance.RetryScheduler
-		admission  *cfadmission.Controller
-		deadlines  *cfadmission.DeadlineTracker
-		bodyMemory bodyMemory
-		stopping   atomic.Bool
+		balancer  *cfbalance.Balancer
+		retries   *cfbalance.RetryScheduler
+		admission *cfadmission.Controller
+		deadlines *cfadmission.DeadlineTracker
+		stopping  atomic.Bool
 	}
 
 	// Metrics are the metrics of an Ingress.
@@ -143,7 +140,7 @@
 	if o.Drain == nil {
 		o.Drain = cfdrain.New()
 	}
-	in := &Ingress{Options: o, balancer: cfbalance.New(), retries: cfbalance.NewRetryScheduler(), admission: cfadmission.New(), deadlines: cfadmission.NewDeadlineTracker(), bodyMemory: bodyMemory{limit: o.MemoryBytes / bodyDivisor}}
+	in := &Ingress{Options: o, balancer: cfbalance.New(), retries: cfbalance.NewRetryScheduler(), admission: cfadmission.New(), deadlines: cfadmission.NewDeadlineTracker()}
 	in.balancer.IgnorePace = o.IgnorePace
 	return in
 }
--- a/io/cfnode/node.go
+++ b/io/cfnode/node.go
@@ -174,7 +174,7 @@
 	n.ingress = cfingress.New(cfingress.Options{
 		Store: a.Store, Targets: a.Targets, Site: n.site, Coordinator: coordinatorClient{n}, Members: n, Guard: n.guard, Feasibility: n.feasibility(),
 		ConfigStatus: n.configStatus, CountRequests: n.usage.count, Drain: n.drain, Rooms: newRooms(s, reg, log), NoAdmission: s.Policy.NoAdmission,
-		ValueBytes: s.Store.ValueBytes, MemoryBytes: s.Memory.LimitMB << 20,
+		ValueBytes: s.Store.ValueBytes,
 		IgnorePace: s.Policy.IgnorePace, Metrics: cfingress.NewMetrics(reg), Log: log,
 	})
 	n.peerSrv.Handle(opFeed, decoded(n.serveFeed))
--- a/io/cfnode/process.go
+++ b/io/cfnode/process.go
@@ -16,6 +16,7 @@
 
 	cf "currantford"
 	"currantford/core/cfhold"
+	"currantford/io/cfgate"
 	"currantford/io/cflog"
 	"currantford/io/cfroom"
 )
@@ -72,27 +73,29 @@
 	unlimited := func() cf.Millis { return 0 }
 	peers := http.NewServeMux()
 	peers.Handle("/v1/peer", node.PeerHandler())
+	gate := newGate(s, node, reg, log)
 	listeners := []struct {
+		name    string
 		addr    string
 		handler http.Handler
 	}{
-		{s.Listen.Peers, peers},
-		{s.Listen.Ready, h.Ready},
-		{s.Listen.Directory, h.Directory},
-		{s.Listen.Metrics, metricsHandler(reg, s.Listen.Profiles)},
+		{"peers", s.Listen.Peers, peers},
+		{"ready", s.Listen.Ready, h.Ready},
+		{"directory", s.Listen.Directory, h.Directory},
+		{"metrics", s.Listen.Metrics, metricsHandler(reg, s.Listen.Profiles)},
 	}
 	for _, l := range listeners {
 		if l.addr == "" {
 			continue
 		}
-		srv, err := Serve(l.addr, l.handler, unlimited)
+		srv, err := listen(l.addr, l.handler, serverOptions{address: l.name, idle: unlimited, gate: gate, log: zap.NewNop()})
 		if err != nil {
 			return nil, err
 		}
 		p.otherServers = append(p.otherServers, srv)
 	}
 	if s.Listen.Callers != "" {
-		srv, err := listen(s.Listen.Callers, h.Callers, idle, node.ingress.Rooms, log)
+		srv, err := listen(s.Listen.Callers, h.Callers, serverOptions{address: "callers", idle: idle, rooms: node.ingress.Rooms, gate: gate, log: log})
 		if err != nil {
 			return nil, err
 		}
@@ -111,6 +114,20 @@
 	})
 }
 
+// newGate returns the limiter of what requests take until they are answered.
+func newGate(s Settings, node *Node, reg prometheus.Registerer, log *zap.Logger) *cfgate.Gate {
+	return cfgate.New(cfgate.Options{
+		Bounds: s.intakeBounds(),
+		HeaderLimit: func() int64 {
+			if c := node.site.Config(); c != nil {
+				return c.Limits.HeaderBytes
+			}
+			return 0
+		},
+		HeadTimeout: s.Intake.HeadTimeoutMs, BodyTimeout: s.Intake.BodyTimeoutMs, Metrics: cfgate.NewMetrics(reg), Log: log,
+	})
+}
+
 // metricsHandler serves the metrics at any path and, if enabled, profiles at their usual paths.
 // Profiles reveal what the process holds in memory.
 func metricsHandler(reg *prometheus.Registry, profiles bool) http.Handler {
--- a/io/cfnode/server.go
+++ b/io/cfnode/server.go
@@ -17,16 +17,20 @@
 
 	cf "currantford"
 	"currantford/core/cfhold"
+	"currantford/io/cfgate"
 	"currantford/io/cflog"
 	"currantford/io/cfroom"
 )
 
 const (
-	// readHeaderTimeout bounds the time to read a request's header; callers are told to send it
-	// within three seconds.
+	// readHeaderTimeout bounds the time to read a request's header if there is no cfgate.Gate;
+	// callers are told to send it within three seconds.
 	readHeaderTimeout = 10 * time.Second
-	// maxHeaderBytes is larger than any configured limit; targets accept less.
+	// maxHeaderBytes applies without a cfgate.Gate. It is larger than any configured limit; targets
+	// accept less.
 	maxHeaderBytes = 64 << 10
+	// maxParsedHeaderBytes applies beside a cfgate.Gate, which has limited the header before.
+	maxParsedHeaderBytes = 16 << 20
 	// reapInterval is how often connections are checked for the idle timeout.
 	reapInterval = 1 * time.Second
 	// idleMargin is added to the configured idle timeout, as a caller may send a request on a kept
@@ -53,6 +57,7 @@
 		ln      net.Listener
 		idle    func() cf.Millis
 		rooms   *cfroom.Rooms // nil if slow readers are not detected
+		gate    *cfgate.Gate  // nil if requests are not limited
 		closing atomic.Bool   // set once answers end their connections
 		// cancelRequests cancels the contexts of all requests.
 		cancelRequests context.CancelCauseFunc
@@ -75,25 +80,49 @@
 		// writes counts the starts and the ends of writes; it is odd while a write is in progress.
 		writes atomic.Uint64
 		reader *cfroom.Conn
+		// intake reads the requests; it is nil if they are not limited.
+		intake *cfgate.Conn
 		log    *zap.Logger
 	}
 
 	// listener wraps the connections that it accepts in conn.
 	listener struct {
 		net.Listener
-		log *zap.Logger
+		gate    *cfgate.Gate
+		address string
+		log     *zap.Logger
+	}
+
+	// serverOptions configure a Server.
+	serverOptions struct {
+		// address names the server in logs and metrics.
+		address string
+		// idle returns the idle timeout, or zero if it is not known.
+		idle func() cf.Millis
+		// rooms detects slow readers, if it is enabled.
+		rooms *cfroom.Rooms
+		// gate limits requests and connections, if it is not nil.
+		gate *cfgate.Gate
+		log  *zap.Logger
 	}
 )
 
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		intake, ok := l.gate.Open(c, l.address)
+		if !ok {
+			_ = c.Close()
+			continue
+		}
+		out := &conn{Conn: c, intake: intake, log: l.log}
+		out.reader = &cfroom.Conn{Delivery: out}
+		return out, nil
 	}
-	out := &conn{Conn: c, log: l.log}
-	out.reader = &cfroom.Conn{Delivery: out}
-	return out, nil
 }
 
 // Write implements net.Conn. A write that blocks because the caller does not read is detected by
@@ -164,7 +193,11 @@
 // Read implements net.Conn. Bytes that arrive after the connection was closed as idle are dropped,
 // so that a request that crosses the close is not forwarded.
 func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
+	read := c.Conn.Read
+	if c.intake != nil {
+		read = c.intake.Read
+	}
+	n, err := read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
@@ -180,8 +213,10 @@
 // closeIdle closes the connection if no byte of a request has been read; otherwise the connection
 // ends after its answer.
 func (c *conn) closeIdle() {
+	reading := c.intake.Reading()
 	c.mu.Lock()
 	c.closing = true
+	c.busy = c.busy || reading
 	busy := c.busy
 	c.mu.Unlock()
 	if !busy {
@@ -203,14 +238,13 @@
 
 // Serve listens on addr and serves h. idle returns the idle timeout, or zero if it is not known.
 func Serve(addr string, h http.Handler, idle func() cf.Millis) (*Server, error) {
-	return listen(addr, h, idle, nil, zap.NewNop())
+	return listen(addr, h, serverOptions{idle: idle, log: zap.NewNop()})
 }
 
-// listen is like Serve and also detects slow readers if rooms are enabled. It logs each answer that
-// could not be written.
-func listen(addr string, h http.Handler, idle func() cf.Millis, rooms *cfroom.Rooms, log *zap.Logger) (*Server, error) {
+// listen is like Serve, with options. It logs each answer that could not be written.
+func listen(addr string, h http.Handler, o serverOptions) (*Server, error) {
 	var config net.ListenConfig
-	if rooms.Enabled() {
+	if o.rooms.Enabled() {
 		config.Control = setSendBuffer
 	}
 	ln, err := config.Listen(context.Background(), "tcp", addr)
@@ -218,18 +252,20 @@
 		return nil, eris.Wrapf(err, "listen on %s", addr)
 	}
 	ctx, end := context.WithCancelCause(context.Background())
-	s := &Server{ln: ln, idle: idle, rooms: rooms, cancelRequests: end, conns: map[*conn]cf.Millis{}, stop: make(chan struct{})}
+	s := &Server{ln: ln, idle: o.idle, rooms: o.rooms, gate: o.gate, cancelRequests: end, conns: map[*conn]cf.Millis{}, stop: make(chan struct{})}
 	s.http = &http.Server{
-		Handler: cflog.PanicHandler(s.withConnectionClose(h)), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.track,
+		Handler: cflog.PanicHandler(s.prepare(h)), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.track, ConnContext: connContext,
 		BaseContext: func(net.Listener) context.Context { return ctx },
 	}
-	if rooms.Enabled() {
-		s.http.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
-			return cfroom.WithConn(ctx, nc.(*conn).reader)
-		}
+	if o.gate != nil {
+		s.http.MaxHeaderBytes = maxParsedHeaderBytes
+		s.http.ReadHeaderTimeout = 0               // the gate has its own
+		s.http.DisableGeneralOptionsHandler = true // each request must reach prepare
+	}
+	if o.rooms.Enabled() {
 		s.wg.Go(s.watchReaders)
 	}
-	s.wg.Go(func() { _ = s.http.Serve(listener{ln, log}) }) // ends with the listener
+	s.wg.Go(func() { _ = s.http.Serve(listener{ln, o.gate, o.address, o.log}) }) // ends with the listener
 	s.wg.Go(s.closeExpired)
 	return s, nil
 }
@@ -241,9 +277,20 @@
 	return errors.Join(err, optErr)
 }
 
-// withConnectionClose makes answers end their connections once keep-alives are disabled.
-func (s *Server) withConnectionClose(h http.Handler) http.Handler {
+// connContext adds the accounts of a connection to the context of its requests.
+func connContext(ctx context.Context, nc net.Conn) context.Context {
+	c := nc.(*conn)
+	return cfgate.WithConn(cfroom.WithConn(ctx, c.reader), c.intake)
+}
+
+// prepare tells the gate how the body of a request is framed, and makes answers end their
+// connections once keep-alives are disabled.
+func (s *Server) prepare(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := cfgate.FromContext(r.Context()).Serve(r.ContentLength); err != nil {
+			cfgate.WriteRefusal(w, err)
+			return
+		}
 		if s.closing.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -266,9 +313,11 @@
 	default: // closed or hijacked
 		delete(s.conns, c)
 		c.reader.Closed()
+		c.intake.Close()
 	}
 	s.mu.Unlock()
 	if st == http.StateIdle {
+		c.intake.End()
 		c.endAnswer()
 	}
 }
--- a/io/cfnode/settings.go
+++ b/io/cfnode/settings.go
@@ -5,13 +5,16 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"slices"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 
 	cf "currantford"
+	"currantford/core/cfintake"
 	"currantford/core/cfmember"
 	"currantford/io/cfcoord"
 )
@@ -25,6 +28,7 @@
 		Store  StoreSettings    `json:"store"`
 		Bounds Bounds           `json:"bounds"`
 		Memory MemorySettings   `json:"memory"`
+		Intake IntakeSettings   `json:"intake"`
 		// Machine describes the machine of the instance. A missing value counts as one core, or as
 		// no limit.
 		Machine MachineSettings `json:"machine"`
@@ -61,6 +65,9 @@
 		NoAutoscale bool `json:"no_autoscale"`
 		// NoHoldBounds buffers answers without a limit and waits for slow callers.
 		NoHoldBounds bool `json:"no_hold_bounds"`
+		// NoIntakeBounds accepts requests and connections whatever they take. The size of a head
+		// stays limited.
+		NoIntakeBounds bool `json:"no_intake_bounds"`
 		// NoAdmission forwards plain requests until targets refuse them.
 		NoAdmission bool `json:"no_admission"`
 		// IgnorePace chooses targets by past answers only and ignores the pace that targets report.
@@ -109,6 +116,24 @@
 		Cores    float64 `json:"cores"`
 		// LinkMbps is the rate of the machine's link in Mbit/s.
 		LinkMbps float64 `json:"link_mbps"`
+		// MaxFDs is the number of descriptors that the process may have open; by default it is the
+		// limit that the operating system sets.
+		MaxFDs int `json:"max_fds"`
+	}
+
+	// IntakeSettings limits what requests take until they have been read and answered. A zero
+	// selects the default.
+	IntakeSettings struct {
+		// Connections is the number of connections that may be open together at the addresses on
+		// which the instance listens; by default half of machine.max_fds.
+		Connections int `json:"connections"`
+		// MemoryMB is the memory that requests and their connections may take, in MB; by default a
+		// quarter of memory.limit_mb. Small requests may take a quarter of it in addition.
+		MemoryMB int64 `json:"memory_mb"`
+		// HeadTimeoutMs is how long the head of a request may take, BodyTimeoutMs how long its body
+		// may take if the request and its route have no deadline.
+		HeadTimeoutMs cf.Millis `json:"head_timeout_ms"`
+		BodyTimeoutMs cf.Millis `json:"body_timeout_ms"`
 	}
 
 	// ControlSettings configures the connection to the platform's API.
@@ -211,6 +236,18 @@
 	if s.Machine.CPUShare < 0 || s.Machine.Cores < 0 || s.Machine.LinkMbps < 0 {
 		addError("machine", "must not be under 0")
 	}
+	if s.Machine.MaxFDs < 0 || s.Machine.MaxFDs > 0 && s.Machine.MaxFDs < minFDs {
+		addError("machine.max_fds", "must be 0 or at least %d", minFDs)
+	}
+	if s.Intake.Connections < 0 || s.Machine.MaxFDs > 0 && s.Intake.Connections > s.Machine.MaxFDs-ownFDs {
+		addError("intake.connections", "must not be under 0, and must leave %d of machine.max_fds", ownFDs)
+	}
+	if s.Intake.MemoryMB < 0 || s.Memory.LimitMB > 0 && s.Intake.MemoryMB > s.Memory.LimitMB/2 {
+		addError("intake.memory_mb", "must not be under 0, nor over half of memory.limit_mb")
+	}
+	if s.Intake.HeadTimeoutMs < 0 || s.Intake.BodyTimeoutMs < 0 {
+		addError("intake", "timeouts must not be under 0")
+	}
 	if s.Store.ValueBytes <= 0 {
 		addError("store.value_bytes", "must be over 0")
 	}
@@ -224,6 +261,44 @@
 // minutes as a group of a step earns.
 var defaultScaling = ScalingSettings{EnginePrice: 0.0055, GroupValue: 2}
 
+const (
+	// minFDs is the least number of descriptors with which an instance can work.
+	minFDs = 128
+	// ownFDs is the number of descriptors for calls to targets, other instances and the store that
+	// connections of callers must leave in any case.
+	ownFDs = 64
+	// connectionsDivisor divides the descriptors of the process: connections of callers may take
+	// that part.
+	connectionsDivisor = 2
+)
+
+// intakeBounds returns the limits for requests and connections.
+func (s *Settings) intakeBounds() cfintake.Bounds {
+	if s.Policy.NoIntakeBounds {
+		return cfintake.Bounds{}
+	}
+	connections := s.Intake.Connections
+	if connections == 0 {
+		connections = maxFDs(s.Machine.MaxFDs) / connectionsDivisor
+	}
+	if s.Intake.MemoryMB > 0 {
+		return cfintake.WithSpare(s.Intake.MemoryMB<<20, connections)
+	}
+	return cfintake.BoundsFor(s.Memory.LimitMB<<20, connections)
+}
+
+// maxFDs returns the number of descriptors that the process may have open, zero if it is unknown.
+func maxFDs(setting int) int {
+	if setting > 0 {
+		return setting
+	}
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return 0
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
+
 // autoscales reports whether this deployment orders engines.
 func (s *Settings) autoscales() bool {
 	return slices.Contains(s.Control.Duties, DutyAutoscale) && !s.Policy.NoAutoscale
--- a/io/cfnode/slowreader_test.go
+++ b/io/cfnode/slowreader_test.go
@@ -41,6 +41,7 @@
 		addr    string
 		metrics *cfroom.Metrics
 		srv     *Server
+		ingress *cfingress.Ingress
 		stopped bool
 		logs    *observer.ObservedLogs
 	}
@@ -87,7 +88,7 @@
 // listen starts the server for callers.
 func (s *testSite) listen(t *testing.T, in *cfingress.Ingress, log *zap.Logger) {
 	t.Helper()
-	srv, err := listen("127.0.0.1:0", platform.NewCallerAPI(in, log), func() cf.Millis { return 0 }, in.Rooms, log)
+	srv, err := listen("127.0.0.1:0", platform.NewCallerAPI(in, log), serverOptions{idle: func() cf.Millis { return 0 }, rooms: in.Rooms, log: log})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -101,6 +102,7 @@
 			t.Error(err)
 		}
 	})
+	s.ingress = in
 	s.srv, s.addr = srv, srv.ln.Addr().String()
 }
 
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -9,5 +9,8 @@
 if [ -s KNOWN-RED.txt ] && names=$(grep -oE '^(Test|Fuzz)[A-Za-z0-9_]+' KNOWN-RED.txt); then
   skip="^($(paste -sd'|' - <<<"$names"))\$"
 fi
-go test -count=1 -skip "$skip" ./...
+# These fill a process's memory and descriptors, each apart from other load.
+alone='^(TestMisbehavingClients|TestMisbehavingClientsOfOtherAddresses|TestBatchesWithManyItemHeaders)$'
+go test -count=1 -skip "$skip|$alone" ./...
+go test -count=1 -run "$alone" -skip "$skip" ./systemtest
 go test -count=1 -run '^$' -bench . -benchtime=1x ./... >/dev/null
--- a/systemtest/deployment_test.go
+++ b/systemtest/deployment_test.go
@@ -94,7 +94,9 @@
 		// hubThreshold is the number of entries from which on hubs relay the coordinator's updates.
 		hubThreshold int
 		// memoryMB is the memory limit of the entries, 200 if it is 0.
-		memoryMB       int
+		memoryMB int
+		// maxFDs is the limit of open descriptors in the settings of the entries.
+		maxFDs         int
 		weightLoadTime time.Duration
 		eventInterval  time.Duration
 		// repeatAnswers lets the plain targets repeat answers; see deployment.repeats.
@@ -129,6 +131,7 @@
 		linkMbps     float64
 		hubThreshold int
 		memoryMB     int
+		maxFDs       int
 	}
 
 	// entry is one entry instance, which runs as a process.
@@ -138,6 +141,8 @@
 		callerAddr    string
 		readyAddr     string
 		directoryAddr string // the address of the directory
+		metricsAddr   string
+		peerAddr      string
 		settingsPath  string
 		logPath       string
 		// storeLink is the proxy in front of the store, if options.links is set.
@@ -259,7 +264,7 @@
 	if o.valueBytes == 0 {
 		o.valueBytes = 1 << 20
 	}
-	s := &deployment{t: t, store: standin.NewStore(), valueBytes: o.valueBytes, links: o.links, storeProxies: o.storeProxies, policy: o.policy, bounds: o.bounds, usageWindowS: o.usageWindowS, autoscale: o.autoscale, cores: o.cores, linkMbps: o.linkMbps, hubThreshold: o.hubThreshold, memoryMB: cmp.Or(o.memoryMB, 200)}
+	s := &deployment{t: t, store: standin.NewStore(), valueBytes: o.valueBytes, links: o.links, storeProxies: o.storeProxies, policy: o.policy, bounds: o.bounds, usageWindowS: o.usageWindowS, autoscale: o.autoscale, cores: o.cores, linkMbps: o.linkMbps, hubThreshold: o.hubThreshold, memoryMB: cmp.Or(o.memoryMB, 200), maxFDs: o.maxFDs}
 	s.storeAddr = serve(t, s.store)
 	if o.usageWindowS > 0 || o.autoscale {
 		s.control = standin.NewControlPlane(3 * time.Second)
@@ -323,7 +328,7 @@
 }
 
 func (s *deployment) newEntry(i int) *entry {
-	e := &entry{t: s.t, id: fmt.Sprintf("entry-%d", i), callerAddr: freeAddr(s.t), readyAddr: freeAddr(s.t), directoryAddr: freeAddr(s.t)}
+	e := &entry{t: s.t, id: fmt.Sprintf("entry-%d", i), callerAddr: freeAddr(s.t), readyAddr: freeAddr(s.t), directoryAddr: freeAddr(s.t), metricsAddr: freeAddr(s.t), peerAddr: freeAddr(s.t)}
 	store := s.storeAddr
 	if s.links {
 		e.storeLink = newTCPProxy(s.t, s.storeAddr)
@@ -342,11 +347,14 @@
 	if s.linkMbps > 0 {
 		machine["link_mbps"] = s.linkMbps
 	}
+	if s.maxFDs > 0 {
+		machine["max_fds"] = s.maxFDs
+	}
 	bounds := map[string]any{"grace_s": 8, "keep_results_s": 120, "lease_ms": 3000}
 	maps.Copy(bounds, s.bounds)
 	settings := map[string]any{
 		"machine": machine, "entry": e.id, "failure_domain": fmt.Sprintf("domain-%c", 'a'+i%2),
-		"listen": map[string]any{"callers": e.callerAddr, "ready": e.readyAddr, "directory": e.directoryAddr, "peers": freeAddr(s.t)},
+		"listen": map[string]any{"callers": e.callerAddr, "ready": e.readyAddr, "directory": e.directoryAddr, "metrics": e.metricsAddr, "peers": e.peerAddr},
 		"store":  map[string]any{"addr": store, "value_bytes": s.valueBytes},
 		"bounds": bounds,
 		"memory": map[string]any{"limit_mb": s.memoryMB},
