--- a/io/cfnode/intake_test.go
+++ b/io/cfnode/intake_test.go
@@ -22,8 +22,10 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
+	"currantford/core/cfhold"
 	"currantford/core/cfintake"
 	"currantford/io/cfgate"
+	"currantford/platform"
 )
 
 // intakeServer is a server whose requests are limited.
@@ -186,6 +188,40 @@
 	}
 }
 
+// TestUnsizedBodiesAreCounted guards against bodies without a length that take more memory than is
+// left.
+func TestUnsizedBodiesAreCounted(t *testing.T) {
+	site := newIntakeSite(t, cfgate.Options{Bounds: cfintake.WithSpare(4<<20, 100)})
+	const head = "POST /x/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", 3<<20, strings.Repeat("x", 3<<20))
+	first := site.dial(t, head+chunk)
+	for {
+		if n, _ := site.gate.Used(); n > 3<<20 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	second := site.dial(t, head)
+	go func() { _, _ = io.WriteString(second, chunk+"0\r\n\r\n") }() // it fails once the request is refused
+	got, header := status(t, second)
+	if got != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q, want 503 with a retry delay", got, header.Get("Retry-After"))
+	}
+	if _, err := io.WriteString(first, "0\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if got, _ := status(t, first); got != http.StatusOK {
+		t.Errorf("the first request: status %d, want 200", got)
+	}
+}
+
+// newIntakeSite starts an instance with a gate, whose target answers at once.
+func newIntakeSite(t *testing.T, o cfgate.Options) *intakeServer {
+	t.Helper()
+	s := newTestSite(t, cfhold.Policy{}, answerOK)
+	return startIntake(t, o, platform.NewCallerAPI(s.ingress, zap.NewNop()))
+}
+
 // TestRefusedHeadIsNotRun guards against a refusal for want of memory without a retry delay, and one
 // of a request that is run all the same.
 func TestRefusedHeadIsNotRun(t *testing.T) {
--- a/io/cfnode/slowreader_test.go
+++ b/io/cfnode/slowreader_test.go
@@ -64,7 +64,7 @@
 		{Host: "h", Prefix: "/s/", Kind: cfsite.KindStream, Split: []cfsite.Share{{Service: "s", Weight: 1}}, Timeout: 20000, MaxAttempts: 1},
 	}
 	config := cfsite.Config{Version: 1, Routes: routes}
-	config.Limits.BodyBytes = 1 << 20
+	config.Limits.BodyBytes = 8 << 20
 	if _, err := site.ApplyConfig(cfstandin.Record("main", 1, config)); err != nil {
 		t.Fatal(err)
 	}
--- a/systemtest/misbehavingclients_test.go
+++ b/systemtest/misbehavingclients_test.go
@@ -97,6 +97,33 @@
 		}
 		return err
 	}},
+	{name: "ChunkedBodies", send: func(conn net.Conn, n int) error {
+		const chunk = 64 << 10
+		if err := write(conn, head(n, "Transfer-Encoding: chunked\r\n", 0, nil)); err != nil {
+			return err
+		}
+		for range 15 {
+			if err := write(conn, fmt.Sprintf("%x\r\n%s\r\n", chunk, strings.Repeat("x", chunk))); err != nil {
+				return err
+			}
+		}
+		return nil
+	}},
+	{name: "LargeChunkedBodies", send: func(conn net.Conn, n int) error {
+		const chunk = 1 << 20
+		if n >= 8 {
+			return nil
+		}
+		if err := write(conn, head(n, "Transfer-Encoding: chunked\r\n", 0, nil)); err != nil {
+			return err
+		}
+		for range 23 {
+			if err := write(conn, fmt.Sprintf("%x\r\n%s\r\n", chunk, strings.Repeat("x", chunk))); err != nil {
+				return err
+			}
+		}
+		return nil
+	}, config: func(config map[string]any) { config["limits"].(map[string]any)["max-body-bytes"] = 24 << 20 }},
 	{name: "OneByteChunks", send: func(conn net.Conn, n int) error {
 		if err := write(conn, head(n, "Transfer-Encoding: chunked\r\n", headLimit-900, shortLine)); err != nil {
 			return err
