A body that does not arrive in its request's time is answered 408

Callers saw: a request whose last byte is withheld held its memory and its connection for as long as the client liked; readers of the body had no time limit, and the deadline of a request counted only once the body was read.

Evidence: TestWithheldBodyIsAnswered: no answer within 20 s to a request with a deadline of 50 ms.

Ruled out: a limit on the time between two bytes, which a slow client meets for as long as it likes.

--- a/ingress.go
+++ b/ingress.go
@@ -39,6 +39,9 @@
 		Limits() (CallerLimits, bool)
 		// RequestMemory returns the memory accounting of the request of a context.
 		RequestMemory(ctx context.Context) RequestMemory
+		// BodyTimeout returns how long the body of a request to host and path may take whose
+		// caller waits for at most timeout (zero if unknown), or zero without a limit.
+		BodyTimeout(host, path string, timeout Millis) Millis
 		// OpenRoom returns the memory accounting of an answer to a caller about the batch id.
 		OpenRoom(ctx context.Context, who Credentials, id BatchID) Room
 		// AcceptsBatches reports whether requests to host and path submit batches.
--- a/io/cfnode/intake_test.go
+++ b/io/cfnode/intake_test.go
@@ -188,6 +188,16 @@
 	}
 }
 
+// TestWithheldBodyIsAnswered guards against a request without its last byte that is held beyond its
+// deadline.
+func TestWithheldBodyIsAnswered(t *testing.T) {
+	site := newIntakeSite(t, cfgate.Options{Bounds: cfintake.BoundsFor(80<<20, 100)})
+	conn := site.dial(t, "POST /x/ HTTP/1.1\r\nHost: h\r\nCurrantford-Deadline-Ms: 50\r\nContent-Length: 10\r\n\r\n123456789")
+	if got, _ := status(t, conn); got != http.StatusRequestTimeout {
+		t.Errorf("status %d, want 408", got)
+	}
+}
+
 // TestUnsizedBodiesAreCounted guards against bodies without a length that take more memory than is
 // left.
 func TestUnsizedBodiesAreCounted(t *testing.T) {
