--- a/io/cfnode/intake_test.go
+++ b/io/cfnode/intake_test.go
@@ -198,6 +198,27 @@
 	}
 }
 
+// TestTimeOfBodyEndsWithIt guards against the time limit of a body that breaks off the connection
+// while the request waits for its target.
+func TestTimeOfBodyEndsWithIt(t *testing.T) {
+	s := newTestSite(t, cfhold.Policy{}, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		select {
+		case <-r.Context().Done():
+		case <-time.After(5 * time.Second):
+		}
+	})
+	gated := startIntake(t, cfgate.Options{Bounds: cfintake.BoundsFor(80<<20, 100)}, platform.NewCallerAPI(s.ingress, zap.NewNop()))
+	for _, addr := range []string{gated.addr, s.addr} {
+		for _, body := range []string{"\r\n", "Content-Length: 1\r\n\r\nx", "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"} {
+			conn := (&intakeServer{addr: addr}).dial(t, "POST /x/ HTTP/1.1\r\nHost: h\r\nCurrantford-Deadline-Ms: 100\r\n"+body)
+			if got, _ := status(t, conn); got != http.StatusGatewayTimeout {
+				t.Errorf("%q: status %d, want 504", body, got)
+			}
+		}
+	}
+}
+
 // TestUnsizedBodiesAreCounted guards against bodies without a length that take more memory than is
 // left.
 func TestUnsizedBodiesAreCounted(t *testing.T) {
