Batches are charged for their items before they are accepted

Callers saw: a coordinator killed for its memory, with the requests of all callers, when batches had items with very many short headers.

Cause: what the items of accepted batches take was not counted, and is kept until the batch ends, at the coordinator and at the instance that decodes it. A header of 8 bytes of JSON takes 100 bytes in a map. Sixteen batches that wait for their acceptance were kept whatever their size, and ended ones until their texts took 16 MB.

Change: the coordinator's check of a step, which instances make before they accept it, also counts what the items take. Open batches may take a fifth of the memory limit, those that wait for their acceptance a sixteenth, ended ones a twentieth. A batch beyond that is refused with 503 and when to come back. If another instance may be accepting it, the answer is 504, which promises nothing, and nothing is written. A batch that was accepted before is accepted again. All batches are checked now, those without a due time too.

Ruled out: headers in a compact form, as the number of batches is not bounded; a limit on headers of an item, as single batches inside the limits meet it.

Open: a batch is accepted as before if the coordinator does not answer within 0.1 s.

--- a/io/cfcoord/batches.go
+++ b/io/cfcoord/batches.go
@@ -144,9 +144,9 @@
 	for {
 		b, err := cfbatch.Fetch(c.ctx, c.Store, r, predecessorMayWrite)
 		if err == nil {
-			return &batchState{
-				batch: b, changed: make(chan struct{}), inherited: inherited, predecessorMayWrite: predecessorMayWrite, loadedAt: cf.Uptime(), measured: b.ListedCount(),
-			}, nil
+			st := newBatchState(b)
+			st.inherited, st.predecessorMayWrite, st.measured = inherited, predecessorMayWrite, b.ListedCount()
+			return st, nil
 		}
 		if errors.Is(err, cf.ErrInvalid) {
 			return nil, err
@@ -251,5 +251,5 @@
 		zap.Int("groups_whole", st.batch.CompleteGroups()), zap.Bool("complete", st.batch.Complete()),
 		zap.Int64("took_ms", int64(cf.Now()-st.batch.Sub.Accepted)))
 	c.history.recordEnd(st.batch)
-	c.history.trim(c.batches)
+	c.history.trim(c.batches, c.MemoryBytes/endedBatchDivisor)
 }
--- a/io/cfcoord/chunks.go
+++ b/io/cfcoord/chunks.go
@@ -49,7 +49,7 @@
 	c.measureListed(st)
 	st.notifyReaders()
 	if st.batch.Ended {
-		c.history.trim(c.batches)
+		c.history.trim(c.batches, c.MemoryBytes/endedBatchDivisor)
 	}
 	c.Wake()
 }
--- a/io/cfcoord/coordinator.go
+++ b/io/cfcoord/coordinator.go
@@ -101,6 +101,8 @@
 		MaxLoads int
 		// HasPredecessor is set if another instance may have been the coordinator before.
 		HasPredecessor bool
+		// MemoryBytes is the process's memory limit, zero if there is none.
+		MemoryBytes int64
 		// PageBudget limits the result pages sent over this machine's link. Nil means no limit.
 		PageBudget *LinkBudget
 		Metrics    *Metrics
@@ -186,7 +188,9 @@
 		// previous coordinator may still be writing a chunk of its results.
 		inherited, predecessorMayWrite bool
 		loadedAt                       cf.Millis
-		rereadAt                       cf.Millis // time of the last repeated read of its chunks
+		// cost is the memory in bytes that its items take.
+		cost     int64
+		rereadAt cf.Millis // time of the last repeated read of its chunks
 		// measured is the number of listed results whose staleness has been measured, and
 		// maxStaleness is the highest of these values. served is set once the trainer has as many
 		// results as it asked for.
@@ -215,7 +219,7 @@
 		runs:         map[*cfrollout.Work]context.CancelFunc{},
 		unlisted:     map[cf.ItemID]unlistedText{},
 		rewards:      newRewards(o.Policy),
-		versionTimes: versionTimes{}, history: newHistory(), prepared: newPreparedBatches(),
+		versionTimes: versionTimes{}, history: newHistory(), prepared: newPreparedBatches(o.MemoryBytes / preparedDivisor),
 		loggedPauses: map[cf.RequestID]cf.Millis{}, stepChecks: map[cf.BatchID]cf.Millis{}, checksSince: cf.Uptime(), startedAt: cf.Uptime(),
 	}
 	c.orders = newOrderExecutor(o, c.engineReported)
--- a/io/cfcoord/history.go
+++ b/io/cfcoord/history.go
@@ -62,19 +62,20 @@
 // requestedBefore reports whether a group was requested in a batch that has ended.
 func (h *history) requestedBefore(g cf.GroupID) bool { return g != "" && h.groups[g] > 0 }
 
-// trim removes from batches the oldest ended ones beyond maxEndedBytes, and inherited ones for
-// which the predecessor's writes may still add a chunk to the store: readers of the store would see
+// trim removes from batches the oldest ended ones beyond maxEndedBytes or beyond itemBytes (zero for
+// no limit) of memory for their items, and inherited ones for which the predecessor's writes may still add a chunk to the store: readers of the store would see
 // that chunk, and readers of the memory would not.
-func (h *history) trim(batches map[cf.BatchID]*batchState) {
-	size := 0
+func (h *history) trim(batches map[cf.BatchID]*batchState, itemBytes int64) {
+	size, cost := 0, int64(0)
 	for _, id := range slices.Backward(h.endedInMemory) {
 		st := batches[id]
 		if st == nil {
 			continue
 		}
 		size += st.batch.Size()
+		cost += st.cost
 		mayGrow := st.inherited && !st.batch.Complete()
-		if (mayGrow || size > maxEndedBytes) && st.pending.Len() == 0 {
+		if (mayGrow || size > maxEndedBytes || itemBytes > 0 && cost > itemBytes) && st.pending.Len() == 0 {
 			delete(batches, id)
 		}
 	}
--- a/io/cfcoord/history_test.go
+++ b/io/cfcoord/history_test.go
@@ -34,7 +34,7 @@
 	}
 	batches["late"] = &batchState{batch: cfbatch.New(cf.Submission{ID: "late", Items: []cf.Item{{ID: "i"}}}), inherited: true}
 	h.recordEnd(batches["late"].batch)
-	h.trim(batches)
+	h.trim(batches, 0)
 	if batches["b0"] != nil || batches["b1"] == nil || batches["b2"] == nil {
 		t.Errorf("batches in memory: %v, want the two newest", h.endedInMemory)
 	}
--- a/io/cfcoord/prepared.go
+++ b/io/cfcoord/prepared.go
@@ -20,19 +20,28 @@
 type preparedBatches struct {
 	batches  map[cf.BatchID]cf.Submission
 	accepted map[cf.BatchID]cf.Millis
+	// cost is the memory in bytes that the batches take, maxCost its limit, zero for none.
+	cost, maxCost int64
 }
 
-func newPreparedBatches() preparedBatches {
-	return preparedBatches{batches: map[cf.BatchID]cf.Submission{}, accepted: map[cf.BatchID]cf.Millis{}}
+func newPreparedBatches(maxCost int64) preparedBatches {
+	return preparedBatches{batches: map[cf.BatchID]cf.Submission{}, accepted: map[cf.BatchID]cf.Millis{}, maxCost: maxCost}
 }
 
 // add adds a batch that is about to be accepted. It returns the time of its acceptance if that is
 // already known.
 func (p *preparedBatches) add(sub cf.Submission) (cf.Millis, bool) {
-	if len(p.batches) >= maxPrepared {
+	p.remove(sub.ID)
+	cost := cfbatch.Cost(&sub)
+	if len(p.batches) >= maxPrepared || p.maxCost > 0 && p.cost+cost > p.maxCost {
 		clear(p.batches) // those that are accepted arrive through the store
+		p.cost = 0
+	}
+	if p.maxCost > 0 && cost > p.maxCost {
+		return 0, false
 	}
 	p.batches[sub.ID] = sub
+	p.cost += cost
 	at, known := p.accepted[sub.ID]
 	return at, known
 }
@@ -53,11 +62,19 @@
 	if !known || sub.Accepted != at {
 		return cf.Submission{}, false
 	}
-	delete(p.batches, id)
+	p.remove(id)
 	delete(p.accepted, id)
 	return sub, true
 }
 
+// remove removes a prepared batch, if there is one.
+func (p *preparedBatches) remove(id cf.BatchID) {
+	if sub, known := p.batches[id]; known {
+		p.cost -= cfbatch.Cost(&sub)
+		delete(p.batches, id)
+	}
+}
+
 // PrepareBatch receives a batch that an instance is about to accept. Through the store the batch
 // arrives later, after a watch and a read of its items: some tens of ms if the store works, seconds
 // while this instance cannot reach it. The batch is not started before its acceptance is known, as
@@ -100,7 +117,9 @@
 	if !ok {
 		return false
 	}
-	c.batches[id] = &batchState{batch: cfbatch.New(sub), changed: make(chan struct{}), loadedAt: cf.Uptime(), predecessorMayWrite: c.predecessorMayRun()}
+	st := newBatchState(cfbatch.New(sub))
+	st.predecessorMayWrite = c.predecessorMayRun()
+	c.batches[id] = st
 	c.Wake()
 	return true
 }
--- a/io/cfcoord/prepared_test.go
+++ b/io/cfcoord/prepared_test.go
@@ -8,7 +8,7 @@
 )
 
 func TestPreparedBatchAndAcceptanceInEitherOrder(t *testing.T) {
-	p := newPreparedBatches()
+	p := newPreparedBatches(0)
 	sub := cf.Submission{ID: "b", Accepted: 7}
 	if _, known := p.add(sub); known {
 		t.Error("the batch counts as accepted before its acceptance")
--- a/io/cfcoord/refusal.go
+++ b/io/cfcoord/refusal.go
@@ -4,6 +4,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
+	"currantford/core/cfbatch"
 	"currantford/core/cfrollout"
 	"currantford/io/cflog"
 )
@@ -25,30 +26,41 @@
 	at        cf.Millis
 }
 
-// Infeasible reports whether a step that is about to be accepted should be refused, and when the
-// submitter should retry. It records only the time of the check.
-func (c *Coordinator) Infeasible(sub cf.Submission) (retryAfter cf.Millis, infeasible bool) {
+// CheckBatch decides whether a batch that is about to be accepted should be refused: because there
+// is no memory for its items, which take cost bytes, or because not one group of it could be
+// complete in time. It records only the time of the check. The bodies and headers of the items are
+// not needed.
+func (c *Coordinator) CheckBatch(sub cf.Submission, cost int64) cfbatch.Admission {
 	config := c.Site.Config()
-	if config == nil || c.Policy.NoRefusals {
-		return 0, false
+	if config == nil {
+		return cfbatch.Admission{}
 	}
 	terms, ok := termsOf(config, &sub)
 	if !ok {
-		return 0, false
+		return cfbatch.Admission{}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := cf.Uptime()
-	if c.checkedRecently(sub.ID, now) || !c.Lease.Valid() || !c.takeover.done || now-c.checksSince < checkGrace || c.announced(sub.ID) {
-		return 0, false
+	recent := c.checkedRecently(sub.ID, now)
+	if c.announced(sub.ID) {
+		return cfbatch.Admission{}
+	}
+	inDoubt := recent || !c.Lease.Valid() || !c.takeover.done || now-c.checksSince < checkGrace
+	if c.lacksMemory(cost) {
+		c.Log.Warn("batch_without_memory", cflog.Batch(sub.ID), zap.Int64("cost_bytes", cost), zap.Int64("open_bytes", c.openBatchCost()), zap.Bool("in_doubt", inDoubt))
+		return cfbatch.Admission{Refused: true, InDoubt: inDoubt, RetryAfter: batchMemoryRetry, Reason: "no memory for the batch now"}
+	}
+	if inDoubt || c.Policy.NoRefusals || c.Policy.AllGroups || terms.Due == 0 {
+		return cfbatch.Admission{}
 	}
 	est := c.planner.EstimateStep(sub, terms, now)
 	if !est.Infeasible {
-		return 0, false
+		return cfbatch.Admission{}
 	}
 	c.Log.Info("step_infeasible", cflog.Batch(sub.ID), zap.String("model", string(sub.Model)), zap.Int("items", len(sub.Items)),
 		zap.Int64("quickest_group_ms", int64(est.FirstGroup)), zap.Int64("left_ms", int64(est.TimeLeft)), zap.Int64("retry_ms", int64(est.RetryAfter)))
-	return est.RetryAfter, true
+	return cfbatch.Admission{Refused: true, RetryAfter: est.RetryAfter, Reason: "no group of the step could be whole in time"}
 }
 
 // checkedRecently records a check of a step, and reports whether there was an earlier one within
--- a/io/cfcoord/refusal_test.go
+++ b/io/cfcoord/refusal_test.go
@@ -45,8 +45,8 @@
 		n++
 		id := cf.BatchID(fmt.Sprint("s", n))
 		prepare(id)
-		if _, infeasible := c.Infeasible(long(id)); infeasible != want {
-			t.Errorf("%s: infeasible %v", name, infeasible)
+		if a := c.CheckBatch(long(id), 0); a.Refused != want {
+			t.Errorf("%s: refused %v", name, a.Refused)
 		}
 	}
 	nothing := func(cf.BatchID) {}
@@ -54,7 +54,7 @@
 	check("before the takeover is done", false, nothing)
 	c.takeover.done = true
 	check("an infeasible step", true, nothing)
-	check("checked shortly before", false, func(id cf.BatchID) { c.Infeasible(long(id)) })
+	check("checked shortly before", false, func(id cf.BatchID) { c.CheckBatch(long(id), 0) })
 	check("announced", false, func(id cf.BatchID) { c.PrepareBatch(long(id)) })
 	check("known", false, func(id cf.BatchID) { c.batches[id] = &batchState{} })
 	check("ended", false, func(id cf.BatchID) { c.history.markClosed(id) })
--- a/io/cfingress/batches.go
+++ b/io/cfingress/batches.go
@@ -53,11 +53,11 @@
 	started := cf.Uptime()
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
-	if refusal := in.infeasible(ctx, sub, route.ResultsSLO); refusal != nil {
-		in.Log.Info("batch_refused", cflog.Batch(sub.ID), zap.Int("items", len(sub.Items)), zap.Int64("after_ms", int64(refusal.RetryAfter)),
-			zap.String("reason", refusal.Reason), zap.Int64("took_ms", int64(cf.Uptime()-started)))
+	if err := in.checkBatch(ctx, sub); err != nil {
+		in.Log.Info("batch_refused", cflog.Batch(sub.ID), zap.Int("items", len(sub.Items)),
+			zap.Int64("took_ms", int64(cf.Uptime()-started)), cflog.Error(err))
 		in.countBatch("submit", "refused", started)
-		return refusal
+		return err
 	}
 	// Sending the batch to the coordinator takes as long as writing it. Both start at the same
 	// time, so that the coordinator has the batch when it is accepted.
--- a/io/cfingress/feasibility.go
+++ b/io/cfingress/feasibility.go
@@ -5,9 +5,11 @@
 	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	cf "currantford"
+	"currantford/core/cfbatch"
 	"currantford/io/cflog"
 )
 
@@ -18,18 +20,18 @@
 	storeReadTimeout = 400 * time.Millisecond
 )
 
-// infeasible returns a Refusal if the coordinator reports that not one group of a step could be
-// complete in time. The step is accepted if the coordinator does not answer in time, or if the
-// store does not confirm that it lacks the batch.
-func (in *Ingress) infeasible(ctx context.Context, sub cf.Submission, slo cf.Millis) *cf.Refusal {
-	if slo <= 0 || in.Feasibility == nil {
+// checkBatch returns a Refusal if the coordinator reports that a batch can't be accepted now, or
+// ErrUnavailable if it can't be and another instance may have accepted it. The batch is accepted if
+// the coordinator does not answer in time, or if the store does not confirm that it lacks the batch.
+func (in *Ingress) checkBatch(ctx context.Context, sub cf.Submission) error {
+	if in.Feasibility == nil {
 		return nil
 	}
 	check, cancel := context.WithTimeout(ctx, checkTimeout)
-	retryAfter, infeasible := in.Feasibility.Infeasible(check, withoutBodies(sub))
+	a := in.Feasibility.CheckBatch(check, withoutBodies(sub), cfbatch.Cost(&sub))
 	late := check.Err() != nil
 	cancel()
-	if !infeasible || late {
+	if !a.Refused || late {
 		return nil
 	}
 	read, cancel := context.WithTimeout(ctx, storeReadTimeout)
@@ -38,7 +40,10 @@
 		in.Log.Info("step_not_refused", cflog.Batch(sub.ID), zap.Bool("in_store", err == nil), cflog.Error(err))
 		return nil
 	}
-	return &cf.Refusal{RetryAfter: retryAfter, Reason: "no group of the step could be whole in time"}
+	if a.InDoubt {
+		return eris.Wrap(cf.ErrUnavailable, a.Reason)
+	}
+	return &cf.Refusal{RetryAfter: a.RetryAfter, Reason: a.Reason}
 }
 
 // withoutBodies returns the part of a step that the coordinator needs to estimate whether the step
--- a/io/cfingress/feasibility_test.go
+++ b/io/cfingress/feasibility_test.go
@@ -21,17 +21,17 @@
 	discardingCoordinator struct{ cfingress.Coordinator }
 
 	// infeasible reports that no step can be complete in time, either at once or after the timeout.
-	infeasible struct{ late bool }
+	infeasible struct{ late, inDoubt bool }
 )
 
 func (discardingCoordinator) Prepare(cf.Submission)          {}
 func (discardingCoordinator) Accepted(cf.BatchID, cf.Millis) {}
 func (discardingCoordinator) Changed(cf.BatchID, bool)       {}
-func (f infeasible) Infeasible(ctx context.Context, sub cf.Submission) (cf.Millis, bool) {
+func (f infeasible) CheckBatch(ctx context.Context, _ cf.Submission, _ int64) cfbatch.Admission {
 	if f.late {
 		<-ctx.Done()
 	}
-	return 3000, true
+	return cfbatch.Admission{Refused: true, RetryAfter: 3000, InDoubt: f.inDoubt}
 }
 
 // TestInfeasibleStepIsRefusedOnlyBeforeItIsWritten guards against refusing steps that are in the
@@ -49,7 +49,7 @@
 			t.Fatal(err)
 		}
 		in := cfingress.New(cfingress.Options{
-			Store: store, Members: noMembers{}, Site: site, Coordinator: discardingCoordinator{}, Feasibility: infeasible{c.late}, ValueBytes: 1 << 20,
+			Store: store, Members: noMembers{}, Site: site, Coordinator: discardingCoordinator{}, Feasibility: infeasible{late: c.late}, ValueBytes: 1 << 20,
 			Metrics: cfingress.NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
 		})
 		ctx := context.Background()
@@ -69,3 +69,26 @@
 		}
 	}
 }
+
+// TestBatchInDoubtIsNotRefused guards against the promise that a batch will not run which another
+// instance may have accepted, and against a batch that is accepted without memory for it.
+func TestBatchInDoubtIsNotRefused(t *testing.T) {
+	store := cfstandin.NewMemStore()
+	site := cfsite.New(cfstandin.Codec{})
+	route := cfsite.Route{Host: host, Prefix: "/", Kind: cfsite.KindBatch, Split: []cfsite.Share{{Service: "s", Weight: 1}}}
+	if _, err := site.ApplyConfig(cfstandin.Record("main", 1, cfsite.Config{Version: 1, Routes: []cfsite.Route{route}})); err != nil {
+		t.Fatal(err)
+	}
+	in := cfingress.New(cfingress.Options{
+		Store: store, Members: noMembers{}, Site: site, Coordinator: discardingCoordinator{}, Feasibility: infeasible{inDoubt: true}, ValueBytes: 1 << 20,
+		Metrics: cfingress.NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
+	})
+	ctx := context.Background()
+	err := in.Submit(ctx, cf.Credentials{}, cf.Submission{ID: "b", Host: host, Path: "/", Model: "m", MinVersion: 1, Items: []cf.Item{{ID: "1"}}})
+	if !errors.Is(err, cf.ErrUnavailable) || errors.Is(err, cf.ErrRefused) {
+		t.Errorf("error %v, want one that promises nothing", err)
+	}
+	if _, err := store.Get(ctx, cf.KindBatch, "b"); !errors.Is(err, cf.ErrNotFound) {
+		t.Errorf("the store returned %v, want no batch", err)
+	}
+}
--- a/io/cfingress/ingress.go
+++ b/io/cfingress/ingress.go
@@ -19,6 +19,7 @@
 	cf "currantford"
 	"currantford/core/cfadmission"
 	"currantford/core/cfbalance"
+	"currantford/core/cfbatch"
 	"currantford/core/cfdrain"
 	"currantford/core/cfmember"
 	"currantford/core/cfsite"
@@ -49,11 +50,11 @@
 		Changed(id cf.BatchID, ended bool)
 	}
 
-	// Feasibility asks the coordinator whether a step that is about to be accepted is infeasible,
-	// which means that not one of its groups could be complete in time, and when to retry. A step
-	// is a batch whose items form groups.
+	// Feasibility asks the coordinator whether a batch may be accepted: whether there is memory for
+	// its items, which take cost bytes, and whether at least one of its groups could be complete in
+	// time.
 	Feasibility interface {
-		Infeasible(ctx context.Context, sub cf.Submission) (retryAfter cf.Millis, infeasible bool)
+		CheckBatch(ctx context.Context, sub cf.Submission, cost int64) cfbatch.Admission
 	}
 
 	// Members lists the instances that accept callers.
@@ -67,7 +68,7 @@
 		Targets     cf.Targets
 		Site        *cfsite.Site
 		Coordinator Coordinator
-		// Feasibility may be nil; then no step is refused as infeasible.
+		// Feasibility may be nil; then all batches are accepted.
 		Feasibility Feasibility
 		Members     Members
 		// Guard decides which requests may be sent, and is told how they ended.
--- a/io/cfnode/node.go
+++ b/io/cfnode/node.go
@@ -172,7 +172,7 @@
 		watchDelay: n.watchDelay, strongerExists: n.strongerExists, handOverToStronger: n.handOverToStronger, dutyState: n.dutyState,
 	}
 	n.ingress = cfingress.New(cfingress.Options{
-		Store: a.Store, Targets: a.Targets, Site: n.site, Coordinator: coordinatorClient{n}, Members: n, Guard: n.guard, Feasibility: n.feasibility(),
+		Store: a.Store, Targets: a.Targets, Site: n.site, Coordinator: coordinatorClient{n}, Members: n, Guard: n.guard, Feasibility: coordinatorClient{n},
 		ConfigStatus: n.configStatus, CountRequests: n.usage.count, Drain: n.drain, Rooms: newRooms(s, reg, log), NoAdmission: s.Policy.NoAdmission,
 		ValueBytes: s.Store.ValueBytes,
 		IgnorePace: s.Policy.IgnorePace, Metrics: cfingress.NewMetrics(reg), Log: log,
@@ -180,6 +180,7 @@
 	n.peerSrv.Handle(opFeed, decoded(n.serveFeed))
 	n.peerSrv.Handle(opResults, atCoordinator(n, n.serveResults))
 	n.peerSrv.Handle(opItem, atCoordinator(n, n.serveItem))
+	n.peerSrv.Handle(opInfeasible, atCoordinator(n, n.serveInfeasible))
 	n.peerSrv.Handle(opPrepare, atCoordinator(n, n.servePrepare))
 	n.peerSrv.Handle(opAccepted, atCoordinator(n, n.serveAccepted))
 	n.peerSrv.Handle(opChanged, atCoordinator(n, n.serveChanged))
@@ -387,7 +388,7 @@
 	n.runnerPool.Store(pool)
 	c := cfcoord.New(cfcoord.Options{
 		Self: n.settings.Entry, Store: n.adapter.Store, Targets: n.adapter.Targets, StreamRouter: pool, Site: n.site, Codec: n.adapter.Codec, Guard: n.guard,
-		Lease: n.candidate, KeepResults: cf.Millis(n.settings.Bounds.KeepResultsS * 1000), MirrorPeers: mirrorPeers{n}, Metrics: n.metrics, Log: n.log,
+		Lease: n.candidate, KeepResults: cf.Millis(n.settings.Bounds.KeepResultsS * 1000), MirrorPeers: mirrorPeers{n}, MemoryBytes: n.settings.batchMemory(), Metrics: n.metrics, Log: n.log,
 		PageBudget: n.linkBudget, MaxLoads: previous.MaxLoads, HasPredecessor: previous.Entry != "", Policy: n.settings.Policy.Policy,
 	})
 	n.coord.Store(c)
--- a/io/cfnode/settings.go
+++ b/io/cfnode/settings.go
@@ -287,6 +287,14 @@
 	return cfintake.BoundsFor(s.Memory.LimitMB<<20, connections)
 }
 
+// batchMemory returns the memory limit in bytes that applies to batches, zero if there is none.
+func (s *Settings) batchMemory() int64 {
+	if s.Policy.NoIntakeBounds {
+		return 0
+	}
+	return s.Memory.LimitMB << 20
+}
+
 // maxFDs returns the number of descriptors that the process may have open, zero if it is unknown.
 func maxFDs(setting int) int {
 	if setting > 0 {
--- a/systemtest/misbehavingclients_test.go
+++ b/systemtest/misbehavingclients_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -437,3 +438,28 @@
 		}
 	}
 }
+
+// TestBatchesWithManyItemHeaders guards against a coordinator that exceeds its memory because of
+// accepted batches whose items have very many short headers.
+func TestBatchesWithManyItemHeaders(t *testing.T) {
+	_, e := startForCrowd(t, nil)
+	pid := e.cmd.Process.Pid
+	for i := range 60 {
+		b := newStep(fmt.Sprintf("step%d", i), "m0", 1, 8, 400)
+		for j := range b.Items {
+			for k := range 6000 {
+				b.Items[j].Headers[strconv.FormatInt(int64(k), 36)] = ""
+			}
+		}
+		e.submit(b) // it may be refused
+	}
+	e.answerOrdinary("afterwards")
+	if mb := peakMemoryMB(t, pid); mb > crowdMemoryMB && !*race {
+		t.Errorf("%d MB of memory, %d are allowed", mb, crowdMemoryMB)
+	}
+	raw, err := os.ReadFile(e.logPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d batches accepted", bytes.Count(raw, []byte(`"batch_accepted"`)))
+}
