Connections of other instances and the platform find room beside busy callers

Cause, found by reading: all addresses share one limit of connections, and a request that was read is never given up. With a request in progress on each of them, an instance would refuse the platform's readiness checks and the first connection of another instance, and could lose its lease to a crowd.

Change: the addresses of readiness, directory, metrics and other instances may have an eighth more connections. The kept part of a head is charged before its last bytes are added, and callers that are refused together for want of memory come back at different times.

Evidence: TestNewConnectionsReplaceIdleOnes asks for it and fails without; no run with processes shows the case.

--- a/core/cfintake/cfintake.go
+++ b/core/cfintake/cfintake.go
@@ -12,12 +12,12 @@
 // Usage:
 //
 //	l := cfintake.New(cfintake.BoundsFor(memory, connections))
-//	conn, evicted, ok := l.Open(now)     // for each connection; evicted ones are to be closed
-//	l.Begin(conn, now)                   // the first byte of a request was read
-//	evicted, ok = l.Reserve(conn, n, now) // before n bytes of memory are spent on it
-//	l.Received(conn, n)                  // n bytes of its body were read
-//	l.Complete(conn)                     // the whole request was read
-//	l.End(conn, now)                     // it was answered
+//	conn, evicted, ok := l.Open(false, now) // for each connection; evicted ones are to be closed
+//	l.Begin(conn, now)                      // the first byte of a request was read
+//	evicted, ok = l.Reserve(conn, n, now)   // before n bytes of memory are spent on it
+//	l.Received(conn, n)                     // n bytes of its body were read
+//	l.Complete(conn)                        // the whole request was read
+//	l.End(conn, now)                        // it was answered
 //	l.Close(conn)
 package cfintake
 
@@ -33,6 +33,9 @@
 	// spareDivisor divides the total for requests: requests of up to SmallRequest may take that
 	// much in addition, so that large ones leave room for them.
 	spareDivisor = 4
+	// reservedDivisor divides the limit of connections: reserved connections may take that many in
+	// addition.
+	reservedDivisor = 8
 	// smallRequest is the memory of a usual request with a body of some kilobytes.
 	smallRequest = 32 << 10
 	// ConnectionBytes is what a connection takes without a request: the stack of its goroutine and
@@ -106,15 +109,16 @@
 }
 
 // Open adds a connection. It returns the connections to be closed for it, and false if there is no
-// room for it.
-func (l *Ledger) Open(now cf.Millis) (c *Connection, evicted []*Connection, ok bool) {
+// room for it. A reserved connection, of other instances or the platform, finds room although
+// requests of callers are served on all others.
+func (l *Ledger) Open(reserved bool, now cf.Millis) (c *Connection, evicted []*Connection, ok bool) {
 	c = &Connection{since: now}
-	if l.bounds.Connections > 0 && len(l.connections) >= l.bounds.Connections {
-		victim := l.choose(c, now, 0)
-		if victim == nil {
+	if limit := l.bounds.Connections; limit > 0 && len(l.connections) >= limit {
+		if victim := l.choose(c, now, 0); victim != nil {
+			evicted = append(evicted, l.evict(victim))
+		} else if !reserved || len(l.connections) >= limit+max(limit/reservedDivisor, 1) {
 			return nil, nil, false
 		}
-		evicted = append(evicted, l.evict(victim))
 	}
 	l.connections[c] = struct{}{}
 	more, ok := l.Reserve(c, 0, now)
--- a/core/cfintake/cfintake_test.go
+++ b/core/cfintake/cfintake_test.go
@@ -16,7 +16,7 @@
 // open opens a connection that has begun a request.
 func open(t *testing.T, l *Ledger, now cf.Millis) *Connection {
 	t.Helper()
-	c, _, ok := l.Open(now)
+	c, _, ok := l.Open(false, now)
 	if !ok {
 		t.Fatal("a connection was refused")
 	}
@@ -145,26 +145,29 @@
 	l := New(Bounds{Connections: 10})
 	var conns []*Connection
 	for i := range 10 {
-		c, _, _ := l.Open(cf.Millis(i))
+		c, _, _ := l.Open(false, cf.Millis(i))
 		conns = append(conns, c)
 	}
 	l.Begin(conns[0], 100)
 	l.Complete(conns[0])
 	for i := 1; i < 10; i++ {
-		_, evicted, ok := l.Open(1000)
+		_, evicted, ok := l.Open(false, 1000)
 		if !ok || !slices.Equal(evicted, conns[i:i+1]) {
 			t.Fatalf("new connection %d: %v, %d evicted, want the oldest idle one", i, ok, len(evicted))
 		}
 	}
 	busy := New(Bounds{Connections: 2})
 	for range 2 {
-		c, _, _ := busy.Open(0)
+		c, _, _ := busy.Open(false, 0)
 		busy.Begin(c, 0)
 		busy.Complete(c)
 	}
-	if _, evicted, ok := busy.Open(9000); ok || len(evicted) > 0 {
+	if _, evicted, ok := busy.Open(false, 9000); ok || len(evicted) > 0 {
 		t.Error("a connection whose request was read was given up for a new one")
 	}
+	if _, evicted, ok := busy.Open(true, 9000); !ok || len(evicted) > 0 {
+		t.Error("another instance found no connection beside busy callers")
+	}
 }
 
 // TestOrdinaryRequestsAmongCrowd replays a crowd that withholds the last byte of its requests and
@@ -184,7 +187,7 @@
 	}
 	for now := cf.Millis(0); now < 20000; now++ {
 		for range rng.IntN(3) {
-			c, evicted, ok := l.Open(now)
+			c, evicted, ok := l.Open(false, now)
 			count(evicted)
 			if !ok {
 				continue
@@ -199,7 +202,7 @@
 		if now%10 != 0 {
 			continue
 		}
-		c, evicted, ok := l.Open(now)
+		c, evicted, ok := l.Open(false, now)
 		count(evicted)
 		if !ok {
 			refused++
@@ -234,7 +237,7 @@
 			if len(conns) == 0 || rng.IntN(4) == 0 {
 				var c *Connection
 				var ok bool
-				if c, evicted, ok = l.Open(now); ok {
+				if c, evicted, ok = l.Open(false, now); ok {
 					conns = append(conns, c)
 				}
 			} else {
--- a/io/cfgate/cfgate.go
+++ b/io/cfgate/cfgate.go
@@ -11,11 +11,11 @@
 // Usage:
 //
 //	gate := cfgate.New(cfgate.Options{Bounds: bounds, HeaderLimit: limit, Metrics: cfgate.NewMetrics(reg), Log: log})
-//	conn, ok := gate.Open(netConn, "callers") // net/http reads from it
-//	conn.Serve(r.ContentLength)               // when a handler is called
-//	request := cfgate.FromContext(ctx)        // Reserve and Release memory for its body
-//	conn.End()                                // the request was answered
-//	conn.Close()                              // the connection has ended
+//	conn, ok := gate.Open(netConn, "callers", false) // net/http reads from it
+//	err := conn.Serve(r.ContentLength)               // when a handler is called
+//	request := cfgate.FromContext(ctx)               // Reserve and Release memory for its body
+//	conn.End()                                       // the request was answered
+//	conn.Close()                                     // the connection has ended
 package cfgate
 
 import (
@@ -39,8 +39,8 @@
 	DefaultBodyTimeout cf.Millis = 60000
 	// defaultHeaderLimit applies until a configuration is known.
 	defaultHeaderLimit = 64 << 10
-	// refusalRetry is the retry delay for a caller if there is no memory for its request. Requests
-	// are held for a fraction of a second.
+	// refusalRetry is the mean retry delay for a caller if there is no memory for its request.
+	// Requests are held for a fraction of a second.
 	refusalRetry cf.Millis = 300
 	// closingDivisor divides the limit of connections: that many more, and at least minClosing, may
 	// be open while their callers are told that they were evicted.
@@ -130,14 +130,15 @@
 }
 
 // Open adds an accepted connection. It returns false if there is no room for it; the caller then
-// closes it. address names the listener in logs and metrics.
-func (g *Gate) Open(nc net.Conn, address string) (*Conn, bool) {
+// closes it. address names the listener in logs and metrics. Connections that are reserved find room
+// while requests are served on all others.
+func (g *Gate) Open(nc net.Conn, address string, reserved bool) (*Conn, bool) {
 	if g == nil {
 		return nil, true
 	}
 	c := &Conn{gate: g, raw: nc, address: address, framing: framingHead}
 	g.mu.Lock()
-	account, evicted, ok := g.ledger.Open(cf.Uptime())
+	account, evicted, ok := g.ledger.Open(reserved, cf.Uptime())
 	if ok {
 		c.account = account
 		g.conns[account] = c
--- a/io/cfgate/conn.go
+++ b/io/cfgate/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -75,8 +76,6 @@
 		chunks chunkScanner
 		// cost is what the head of the last request takes, in bytes.
 		cost int64
-		// bodyDone is set once the whole body was read.
-		bodyDone bool
 	}
 )
 
@@ -211,7 +210,8 @@
 	return done, copy(b, b[skip:read]), nil
 }
 
-// keep keeps a part of a head that is not complete. It returns a Refusal if there is no memory.
+// keep keeps a part of a head that does not arrive at once. It returns a Refusal if there is no
+// memory.
 func (c *Conn) keep(b []byte) error {
 	if len(c.head) == 0 {
 		c.setDeadline(c.gate.options.HeadTimeout)
@@ -236,12 +236,14 @@
 	if err := c.reserve(c.cost); err != nil {
 		return 0, c.refuse(err)
 	}
-	c.complete = true
 	if len(c.head) == 0 {
 		c.endHead()
 		return n, nil
 	}
-	c.head = append(c.head, p[:n]...)
+	if err := c.keep(p[:n]); err != nil {
+		return 0, c.refuse(err)
+	}
+	c.complete = true
 	return c.deliver(p), nil
 }
 
@@ -276,9 +278,9 @@
 	case length > 0:
 		c.framing, c.left = framingLength, length
 	default:
-		c.framing, c.bodyDone = framingEnd, true
+		c.framing = framingEnd
 	}
-	done := c.bodyDone
+	done := c.framing == framingEnd
 	arrived := c.framing == framingLength && int64(len(c.ahead)) >= c.left
 	c.mu.Unlock()
 	if done {
@@ -330,7 +332,7 @@
 		}
 	}
 	if done {
-		c.framing, c.bodyDone = framingEnd, true
+		c.framing = framingEnd
 	}
 	c.mu.Unlock()
 	if done {
@@ -361,7 +363,7 @@
 	if c.framing != framingNone {
 		c.framing = framingHead
 	}
-	c.begun, c.scanning, c.complete, c.bodyDone, c.served = false, false, false, false, true
+	c.begun, c.scanning, c.complete, c.served = false, false, false, true
 	c.mu.Unlock()
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
@@ -417,7 +419,8 @@
 	c.gate.evict(evicted)
 	c.gate.mu.Unlock()
 	if !ok {
-		return &cf.Refusal{RetryAfter: refusalRetry, Reason: "no memory for the request now"}
+		// Callers that were refused together come back one after the other.
+		return &cf.Refusal{RetryAfter: refusalRetry/2 + rand.N(refusalRetry), Reason: "no memory for the request now"}
 	}
 	return nil
 }
--- a/io/cfnode/process.go
+++ b/io/cfnode/process.go
@@ -88,7 +88,7 @@
 		if l.addr == "" {
 			continue
 		}
-		srv, err := listen(l.addr, l.handler, serverOptions{address: l.name, idle: unlimited, gate: gate, log: zap.NewNop()})
+		srv, err := listen(l.addr, l.handler, serverOptions{address: l.name, idle: unlimited, gate: gate, reserved: true, log: zap.NewNop()})
 		if err != nil {
 			return nil, err
 		}
--- a/io/cfnode/server.go
+++ b/io/cfnode/server.go
@@ -88,9 +88,10 @@
 	// listener wraps the connections that it accepts in conn.
 	listener struct {
 		net.Listener
-		gate    *cfgate.Gate
-		address string
-		log     *zap.Logger
+		gate     *cfgate.Gate
+		address  string
+		reserved bool
+		log      *zap.Logger
 	}
 
 	// serverOptions configure a Server.
@@ -103,7 +104,9 @@
 		rooms *cfroom.Rooms
 		// gate limits requests and connections, if it is not nil.
 		gate *cfgate.Gate
-		log  *zap.Logger
+		// reserved lets connections find room beside busy ones of callers.
+		reserved bool
+		log      *zap.Logger
 	}
 )
 
@@ -114,7 +117,7 @@
 		if err != nil {
 			return nil, err
 		}
-		intake, ok := l.gate.Open(c, l.address)
+		intake, ok := l.gate.Open(c, l.address, l.reserved)
 		if !ok {
 			_ = c.Close()
 			continue
@@ -265,7 +268,7 @@
 	if o.rooms.Enabled() {
 		s.wg.Go(s.watchReaders)
 	}
-	s.wg.Go(func() { _ = s.http.Serve(listener{ln, o.gate, o.address, o.log}) }) // ends with the listener
+	s.wg.Go(func() { _ = s.http.Serve(listener{ln, o.gate, o.address, o.reserved, o.log}) }) // ends with the listener
 	s.wg.Go(s.closeExpired)
 	return s, nil
 }
