--- a/io/cfnode/intake_test.go
+++ b/io/cfnode/intake_test.go
@@ -356,7 +356,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	go func() {
 		for b := raw; len(b) > 0; b = b[min(part, len(b)):] {
 			if _, err := conn.Write(b[:min(part, len(b))]); err != nil {
@@ -445,7 +445,7 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			defer conn.Close()
+			defer func() { _ = conn.Close() }()
 			r := bufio.NewReader(conn)
 			b.ReportAllocs()
 			for b.Loop() {
--- a/systemtest/misbehavingclients_test.go
+++ b/systemtest/misbehavingclients_test.go
@@ -254,7 +254,7 @@
 		sent()
 		return
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	closed := make(chan struct{})
 	defer close(closed)
 	go func() {
