--- a/systemtest/soak_test.go
+++ b/systemtest/soak_test.go
@@ -18,7 +18,7 @@
 )
 
 var (
-	soakSeeds   = flag.String("soak.seeds", "1,3,36,1001,2001,3001,4001,4112,5001,6001,6011,6039,7002,8001", "seeds of the fault soak, such as 1,2,10-20")
+	soakSeeds   = flag.String("soak.seeds", "1,3,36,1001,2001,3001,4001,4112,5001,6001,6011,6039,7002,8001,9001", "seeds of the fault soak, such as 1,2,10-20")
 	soakSeconds = flag.Int("soak.seconds", 10, "length of each seed")
 )
 
@@ -172,6 +172,9 @@
 	if seed >= firstStreamSeed {
 		faults = append(faults, s.repeatAnswers, s.repeatAnswers, s.stopSeries, s.stopSeries, s.failWithPromise)
 	}
+	if seed >= firstMisbehavingSeed {
+		faults = append(faults, s.misbehave, s.misbehave, s.misbehave)
+	}
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for ctx.Err() == nil {
