A request that crosses the close of its connection is dropped, whatever follows

Callers saw: a request on a kept connection reaches its target and gets no answer, if its first bytes arrive just as the connection is closed as idle and the close is repeated, as each 10 ms of a planned stop.

Cause: since a connection also counts as in use while the gate reads a part of a request. The second close set that for a connection that had been closed as unused, so that conn.Read passed the request on.

A trace of each failed write showed a connection that closeIdle had closed, marked as in use. The test passed before, since it and two others ran servers without a gate, which no process has.

Change: a closed connection is not marked as in use any more. The three tests run with a gate as processes do; Serve, which only they called, is gone, and so is a field of Server that nothing read.

Ruled out, by the trace: evictions, read deadlines and the end of an answer.

--- a/io/cfnode/fuzz_test.go
+++ b/io/cfnode/fuzz_test.go
@@ -80,7 +80,7 @@
 	callers := platform.NewCallerAPI(cfingress.New(cfingress.Options{
 		Members: noMembers{}, Targets: targets, Site: site, Metrics: cfingress.NewMetrics(prometheus.NewRegistry()), NoAdmission: true, Log: zap.NewNop(),
 	}), zap.NewNop())
-	srv, err := Serve("127.0.0.1:0", callers, func() cf.Millis { return 0 })
+	srv, err := listen("127.0.0.1:0", callers, gatedOptions())
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/io/cfnode/intake_test.go
+++ b/io/cfnode/intake_test.go
@@ -63,6 +63,15 @@
 	return srv.ln.Addr().String()
 }
 
+// gatedOptions returns options like those of a process, with a gate.
+func gatedOptions() serverOptions {
+	gate := cfgate.New(cfgate.Options{
+		Bounds: cfintake.BoundsFor(memoryLimit, 2000), HeaderLimit: func() int64 { return 0 },
+		Metrics: cfgate.NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
+	})
+	return serverOptions{address: "callers", idle: func() cf.Millis { return 0 }, gate: gate, log: zap.NewNop()}
+}
+
 // dial connects to the server and sends raw bytes.
 func (s *intakeServer) dial(t testing.TB, raw string) net.Conn {
 	t.Helper()
--- a/io/cfnode/keepalive_test.go
+++ b/io/cfnode/keepalive_test.go
@@ -25,7 +25,7 @@
 func TestIdleTimeoutClosesNoConnectionWithARequest(t *testing.T) {
 	var handled, answered atomic.Int64
 	large := strings.Repeat("x", 64<<10)
-	srv, err := Serve("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	srv, err := listen("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		handled.Add(1)
 		_, _ = io.Copy(io.Discard, r.Body)
 		if r.URL.Path == "/large" {
@@ -33,7 +33,7 @@
 			return
 		}
 		_, _ = io.WriteString(w, "ok")
-	}), func() cf.Millis { return 0 })
+	}), gatedOptions())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/cfnode/server.go
+++ b/io/cfnode/server.go
@@ -57,7 +57,6 @@
 		ln      net.Listener
 		idle    func() cf.Millis
 		rooms   *cfroom.Rooms // nil if slow readers are not detected
-		gate    *cfgate.Gate  // nil if requests are not limited
 		closing atomic.Bool   // set once answers end their connections
 		// cancelRequests cancels the contexts of all requests.
 		cancelRequests context.CancelCauseFunc
@@ -218,8 +217,9 @@
 func (c *conn) closeIdle() {
 	reading := c.intake.Reading()
 	c.mu.Lock()
+	// Once it was closed as idle, a request that is still read must be dropped.
+	c.busy = c.busy || reading && !c.closing
 	c.closing = true
-	c.busy = c.busy || reading
 	busy := c.busy
 	c.mu.Unlock()
 	if !busy {
@@ -239,12 +239,7 @@
 	}
 }
 
-// Serve listens on addr and serves h. idle returns the idle timeout, or zero if it is not known.
-func Serve(addr string, h http.Handler, idle func() cf.Millis) (*Server, error) {
-	return listen(addr, h, serverOptions{idle: idle, log: zap.NewNop()})
-}
-
-// listen is like Serve, with options. It logs each answer that could not be written.
+// listen listens on addr and serves h. It logs each answer that could not be written.
 func listen(addr string, h http.Handler, o serverOptions) (*Server, error) {
 	var config net.ListenConfig
 	if o.rooms.Enabled() {
@@ -255,7 +250,7 @@
 		return nil, eris.Wrapf(err, "listen on %s", addr)
 	}
 	ctx, end := context.WithCancelCause(context.Background())
-	s := &Server{ln: ln, idle: o.idle, rooms: o.rooms, gate: o.gate, cancelRequests: end, conns: map[*conn]cf.Millis{}, stop: make(chan struct{})}
+	s := &Server{ln: ln, idle: o.idle, rooms: o.rooms, cancelRequests: end, conns: map[*conn]cf.Millis{}, stop: make(chan struct{})}
 	s.http = &http.Server{
 		Handler: cflog.PanicHandler(s.prepare(h)), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.track, ConnContext: connContext,
 		BaseContext: func(net.Listener) context.Context { return ctx },
--- a/io/cfnode/server_test.go
+++ b/io/cfnode/server_test.go
@@ -15,7 +15,6 @@
 
 	"go.uber.org/zap"
 
-	cf "currantford"
 	"currantford/io/cfroom"
 )
 
@@ -45,10 +44,10 @@
 	}
 	addr := l.Addr().String()
 	_ = l.Close()
-	srv, err := Serve(addr, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	srv, err := listen(addr, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		handled.Add(1)
 		_, _ = fmt.Fprint(w, "ok")
-	}), func() cf.Millis { return 0 })
+	}), gatedOptions())
 	if err != nil {
 		t.Fatal(err)
 	}
