--- a/clock.go
+++ b/clock.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -45,3 +46,6 @@
 	}
 	return Millis(ts.Nano() / 1e6)
 }
+
+// FormatSeconds returns the duration in seconds, with three decimals, as in a Retry-After header.
+func (m Millis) FormatSeconds() string { return strconv.FormatFloat(float64(m)/1000, 'f', 3, 64) }
--- a/core/cfintake/cfintake.go
+++ b/core/cfintake/cfintake.go
@@ -30,7 +30,7 @@
 	// take that part. Answers may take another quarter and a bit (cfhold), the process itself needs
 	// up to 40 MB, and the garbage collector as much as is left.
 	memoryDivisor = 4
-	// spareDivisor divides the total for requests: requests of up to SmallRequest may take that
+	// spareDivisor divides the total for requests: requests of up to smallRequest may take that
 	// much in addition, so that large ones leave room for them.
 	spareDivisor = 4
 	// reservedDivisor divides the limit of connections: reserved connections may take that many in
@@ -277,8 +277,5 @@
 	return c
 }
 
-// Evicted reports whether the connection is to be closed for others.
-func (c *Connection) Evicted() bool { return c.evicted }
-
 // Reading reports whether a part of a request has been read, and not the whole.
 func (c *Connection) Reading() bool { return c.stage == reading }
--- a/core/cfintake/head.go
+++ b/core/cfintake/head.go
@@ -79,9 +79,6 @@
 	return len(b), skip, false, nil
 }
 
-// Begun reports whether the first byte of the request line was read.
-func (s *HeadScanner) Begun() bool { return s.requestLine > 0 }
-
 // Cost returns the memory in bytes that the head takes once it is parsed and forwarded.
 func (s *HeadScanner) Cost() int64 {
 	return copiesPerByte*(s.requestLine+s.headerBytes) + bytesPerLine*s.lines
--- a/io/cfcoord/history.go
+++ b/io/cfcoord/history.go
@@ -62,9 +62,10 @@
 // requestedBefore reports whether a group was requested in a batch that has ended.
 func (h *history) requestedBefore(g cf.GroupID) bool { return g != "" && h.groups[g] > 0 }
 
-// trim removes from batches the oldest ended ones beyond maxEndedBytes or beyond itemBytes (zero for
-// no limit) of memory for their items, and inherited ones for which the predecessor's writes may still add a chunk to the store: readers of the store would see
-// that chunk, and readers of the memory would not.
+// trim removes from batches the oldest ended ones beyond maxEndedBytes, or beyond itemBytes of memory
+// for their items (zero for no limit), and inherited ones for which the predecessor's writes may
+// still add a chunk to the store: readers of the store would see that chunk, and readers of the
+// memory would not.
 func (h *history) trim(batches map[cf.BatchID]*batchState, itemBytes int64) {
 	size, cost := 0, int64(0)
 	for _, id := range slices.Backward(h.endedInMemory) {
--- a/io/cfgate/conn.go
+++ b/io/cfgate/conn.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"os"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -440,16 +439,12 @@
 func WriteRefusal(w http.ResponseWriter, err error) {
 	var refusal *cf.Refusal
 	if errors.As(err, &refusal) {
-		w.Header().Set("Retry-After", retryAfter(refusal))
+		w.Header().Set("Retry-After", refusal.RetryAfter.FormatSeconds())
 	}
 	w.Header().Set("Connection", "close")
 	http.Error(w, err.Error(), http.StatusServiceUnavailable)
 }
 
-func retryAfter(r *cf.Refusal) string {
-	return strconv.FormatFloat(float64(r.RetryAfter)/1000, 'f', 3, 64)
-}
-
 // refuse ends the connection of a request whose head was not read. If bytes of it were read, the
 // caller is answered. net/http closes the connection silently on the error that is returned.
 func (c *Conn) refuse(err error) error {
@@ -483,7 +478,7 @@
 	retry := ""
 	var refusal *cf.Refusal
 	if errors.As(cause, &refusal) {
-		retry = "Retry-After: " + retryAfter(refusal) + "\r\n"
+		retry = "Retry-After: " + refusal.RetryAfter.FormatSeconds() + "\r\n"
 	}
 	_ = c.raw.SetWriteDeadline(time.Now().Add(lingerTimeout)) // fails if the connection has been closed
 	_, err := fmt.Fprintf(c.raw, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n%sConnection: close\r\n\r\n%s",
--- a/io/cfingress/forward.go
+++ b/io/cfingress/forward.go
@@ -145,7 +145,7 @@
 
 // writeRefusal answers that a request has not run, and when the caller should retry.
 func writeRefusal(w http.ResponseWriter, after cf.Millis, reason string) {
-	w.Header().Set("Retry-After", strconv.FormatFloat(float64(after)/1000, 'f', 3, 64))
+	w.Header().Set("Retry-After", after.FormatSeconds())
 	http.Error(w, reason, http.StatusServiceUnavailable)
 }
 
--- a/systemtest/misbehavingclients_test.go
+++ b/systemtest/misbehavingclients_test.go
@@ -303,21 +303,11 @@
 // peakMemoryMB returns the most resident memory that a process has had.
 func peakMemoryMB(t *testing.T, pid int) int {
 	t.Helper()
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	peak, err := peakMemory(pid)
 	if err != nil {
 		t.Fatal(err)
 	}
-	for line := range strings.Lines(string(raw)) {
-		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
-			kb, err := strconv.Atoi(strings.Fields(value)[0])
-			if err != nil {
-				t.Fatal(err)
-			}
-			return kb >> 10
-		}
-	}
-	t.Fatal("no peak memory in the status of the process")
-	return 0
+	return int(peak >> 20)
 }
 
 // startForCrowd starts an entry on a small machine.
--- a/systemtest/soak_endless_test.go
+++ b/systemtest/soak_endless_test.go
@@ -48,21 +48,30 @@
 		if down {
 			continue // the process may be about to start
 		}
-		raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", e.cmd.Process.Pid))
+		peak, err := peakMemory(e.cmd.Process.Pid)
 		if err != nil {
-			continue // the process has just ended
-		}
-		_, line, _ := strings.Cut(string(raw), "VmHWM:")
-		var kb int64
-		if _, err := fmt.Sscan(line, &kb); err != nil {
-			continue // the process is ending
+			continue // the process has just ended, or is ending
 		}
 		s.mu.Lock()
-		s.peakMemory = max(s.peakMemory, kb<<10)
+		s.peakMemory = max(s.peakMemory, peak)
 		s.mu.Unlock()
 	}
 }
 
+// peakMemory returns the most resident memory that a process has had, in bytes.
+func peakMemory(pid int) (int64, error) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	_, line, _ := strings.Cut(string(raw), "VmHWM:")
+	var kb int64
+	if _, err := fmt.Sscan(line, &kb); err != nil {
+		return 0, err
+	}
+	return kb << 10, nil
+}
+
 // checkMemory checks that no process took more memory than the smallest instances have.
 func (s *soak) checkMemory(t *testing.T) {
 	t.Helper()
