--- a/review/cases/harness_test.go
+++ b/review/cases/harness_test.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -160,14 +161,17 @@
 	return l.Addr().String(), nil
 }
 
-// freeAddr returns an address on which nothing listens.
+// freeAddr returns an address on which nothing listens. Its port lies below the range from which the
+// operating system assigns ports to connections.
 func freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return ""
+	for range 1000 {
+		addr := fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000))
+		if l, err := net.Listen("tcp", addr); err == nil {
+			_ = l.Close()
+			return addr
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return ""
 }
 
 // start starts n entries with the settings that deploy/node.json.tmpl gives a small deployment, and
