An answer without a length is complete only if its connection was not reset

Callers saw: a 200 with a part of the answer, as a complete answer with a length of its own, where the engine had answered a long upload at once, without a length, and had reset the connection while the upload was being written. Streams ended as complete in the same way, and failures were passed on with a part of their text.

Cause: the kernel reports a reset once. If the write of the request gets the error, the read of the answer sees an orderly end, and that is where an answer without a length ends. net/http has no other sign of it.

Change: net/cfhttp holds the connections of requests to targets and the platform. The end of a read counts only if no write on the connection has failed; a write in progress is waited for, as it may have taken the error. Why this is enough: a write that begins after the read's end cannot have taken an error that came before it. A peer that has ended its side in order while the upload goes on is recognised by the state of the connection (TCP_INFO), so nobody waits for a target that reads on slowly or not at all; where the state is not to be had, the write's outcome decides.

Ruled out: "request written in full" as httptrace reports it.

Answers with a length or in chunks were sound before. The package is apart from platform/ because the links between instances and the older interface send requests too; scripts/check-layout.sh holds that it imports no other.

--- /dev/null
+++ b/net/cfhttp/cfhttp.go
@@ -0,0 +1,107 @@
+// Package cfhttp is the HTTP/1.1 client of all processes: calls to targets and to the platform, the
+// handshakes of links between instances, and the calls of the older interface go through its
+// Transport. It judges a response once, for all of them: what it returns as complete is the whole
+// response as its server sent it.
+//
+// It adds to net/http what a proxy needs. A response without a length ends with its connection, and
+// net/http takes any end of a read for that end, also the one that follows a reset.
+//
+// Usage:
+//
+//	t := cfhttp.NewTransport(&http.Transport{MaxResponseHeaderBytes: 32 << 10})
+//	x := &cfhttp.Exchange{}
+//	resp, err := t.Do(req, x)
+//	if err != nil && !x.Connected() {
+//		// the request was not sent
+//	}
+package cfhttp
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+
+	cf "currantford"
+)
+
+type (
+	// Transport sends requests and judges their responses. It is safe for concurrent use.
+	Transport struct{ *http.Transport }
+
+	// Exchange is one request on one connection. Its methods are safe for concurrent use, also while
+	// the request is under way.
+	Exchange struct {
+		connected, newConn atomic.Bool
+		wroteAt            atomic.Int64
+		mu                 sync.Mutex
+		conn               *clientConn
+	}
+)
+
+var _ http.RoundTripper = (*Transport)(nil)
+
+// NewTransport returns a Transport that uses t, and connections that t opens. The caller must not
+// send requests with t itself.
+func NewTransport(t *http.Transport) *Transport {
+	dial := t.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &clientConn{Conn: conn}, nil
+	}
+	return &Transport{t}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	return t.Do(req, &Exchange{})
+}
+
+// Do sends a request and returns its response. It records in x how the request was sent.
+func (t *Transport) Do(req *http.Request, x *Exchange) (*http.Response, error) {
+	return t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), x.trace())))
+}
+
+func (x *Exchange) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			conn, _ := info.Conn.(*clientConn)
+			x.mu.Lock()
+			x.conn = conn
+			x.mu.Unlock()
+			x.newConn.Store(!info.Reused)
+			x.connected.Store(true)
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if info.Err == nil {
+				x.wroteAt.Store(int64(cf.Uptime()))
+			}
+		},
+	}
+}
+
+// Connected reports whether a connection was obtained. From then on, the request may run.
+func (x *Exchange) Connected() bool { return x.connected.Load() }
+
+// NewConn reports whether the connection was opened for this request.
+func (x *Exchange) NewConn() bool { return x.newConn.Load() }
+
+// WroteAt returns the time at which the request had been written, zero if it has not.
+func (x *Exchange) WroteAt() cf.Millis { return cf.Millis(x.wroteAt.Load()) }
+
+// CloseConn closes the connection.
+func (x *Exchange) CloseConn() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.conn != nil {
+		_ = x.conn.Close()
+	}
+}
--- a/scripts/check-layout.sh
+++ b/scripts/check-layout.sh
@@ -2,7 +2,7 @@
 # Fails if a package imports another one that the rules for its folder forbid.
 # Imports of tests are not checked. core/ uses no sockets, files, clock, logger or
 # metrics. core/ and io/ import neither the platform adapter nor a stand-in. Only
-# the packages that assemble the programs import both.
+# the packages that assemble the programs import both. net/ is below all of them.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 check() { # FOLDER FORBIDDEN_IMPORTS_REGEXP
@@ -12,6 +12,7 @@
 found=$(
   check core 'net|net/.*|os|os/.*|syscall|time|log|log/.*|go\.uber\.org/zap.*|github\.com/prometheus/.*|currantford/(io|platform|older|testbed|nodecommands)(/.*)?'
   check io 'currantford/(platform|older|testbed|nodecommands)(/.*)?'
+  check net 'currantford/(core|io|platform|older|testbed|nodecommands)(/.*)?'
   check platform 'currantford/(io|older|testbed|nodecommands|platform/standin)(/.*)?'
   check older 'currantford/(core|io|platform|nodecommands)(/.*)?' | grep -vE ' currantford/io/(cfpeer|cflog)$' || true
 )
