The older interface judges answers as the deployed one does

Callers saw: the first megabyte of a service's longer answer, with status 200.

Cause: older/cfentry read a megabyte of an answer and took that for all of it. Its calls, and those of older/cfplatform, used the client of net/http, which takes the end after a reset for the end of an answer, and reads heads of up to 10 MB and JSON of any size.

Change: both use net/cfhttp, and what they decode is bounded.

--- a/net/cfhttp/cfhttp.go
+++ b/net/cfhttp/cfhttp.go
@@ -41,8 +41,18 @@
 	}
 )
 
+// maxHeaderBytes bounds the headers of responses to a client of NewClient.
+const maxHeaderBytes = 64 << 10
+
 var _ http.RoundTripper = (*Transport)(nil)
 
+// NewClient returns a client that sends its requests with a Transport of net/http's defaults.
+func NewClient() *http.Client {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxResponseHeaderBytes = maxHeaderBytes
+	return &http.Client{Transport: NewTransport(t)}
+}
+
 // NewTransport returns a Transport that uses t, and connections that t opens. The caller must not
 // send requests with t itself.
 func NewTransport(t *http.Transport) *Transport {
--- a/older/cfentry/engines.go
+++ b/older/cfentry/engines.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
+	"currantford/net/cfhttp"
 	"currantford/older/cfconfig"
 )
 
@@ -56,7 +57,7 @@
 )
 
 func newEngineSet(site cfconfig.Site, e *Entry) *engineSet {
-	s := &engineSet{entry: e, scorerURL: "http://" + site.Scorer.Addr, client: &http.Client{}, engines: map[cf.EngineID]*engineState{}}
+	s := &engineSet{entry: e, scorerURL: "http://" + site.Scorer.Addr, client: cfhttp.NewClient(), engines: map[cf.EngineID]*engineState{}}
 	for _, en := range site.Engines {
 		s.engines[en.ID] = &engineState{settings: en, load: cf.Load{Engine: en.ID, Addr: en.Addr, Domain: en.Domain}}
 	}
@@ -238,7 +239,7 @@
 	case out == nil:
 		return nil
 	}
-	return json.NewDecoder(resp.Body).Decode(out)
+	return json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxBodyBytes)).Decode(out)
 }
 
 // handleCompletions serves the OpenAI-compatible completions API. The caller's body is forwarded
--- a/older/cfentry/services.go
+++ b/older/cfentry/services.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	cf "currantford"
+	"currantford/net/cfhttp"
 	"currantford/older/cfconfig"
 	"currantford/older/cfplatform"
 )
@@ -63,7 +64,7 @@
 )
 
 func newServiceSet(_ cfconfig.Site, e *Entry) *serviceSet {
-	return &serviceSet{entry: e, client: &http.Client{}, results: map[string]*callResult{}}
+	return &serviceSet{entry: e, client: cfhttp.NewClient(), results: map[string]*callResult{}}
 }
 
 // handleService forwards a call to a service. Calls that repeat an idempotency key get the first
@@ -250,7 +251,7 @@
 		return 0, nil, err
 	}
 	defer resp.Body.Close()
-	out, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	out, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxBodyBytes))
 	if err != nil {
 		return 0, nil, err
 	}
--- a/older/cfplatform/client.go
+++ b/older/cfplatform/client.go
@@ -21,6 +21,7 @@
 	"github.com/rotisserie/eris"
 
 	cf "currantford"
+	"currantford/net/cfhttp"
 )
 
 // KindInstance is the kind of the objects that form the instance list.
@@ -31,6 +32,9 @@
 // controller but does not block it.
 const callTimeout = 3 * time.Second
 
+// maxResponse bounds the size of a response.
+const maxResponse = 64 << 20
+
 // Client calls the object API over HTTP. It implements currantford.ObjectStore and is safe for
 // concurrent use.
 type Client struct {
@@ -42,7 +46,7 @@
 
 // NewClient returns a client of the object API at the URL base, such as "http://127.0.0.1:7000".
 func NewClient(base string) *Client {
-	return &Client{base: base, http: &http.Client{}}
+	return &Client{base: base, http: cfhttp.NewClient()}
 }
 
 // Get returns one object. The error is ErrNotFound if the object does not exist, and ErrUnavailable
@@ -112,13 +116,14 @@
 		return eris.Wrapf(cf.ErrUnavailable, "platform %s: %v", method, err)
 	}
 	defer resp.Body.Close()
+	decoder := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxResponse))
 	switch resp.StatusCode {
 	case http.StatusOK:
 	case http.StatusNotFound:
 		return eris.Wrapf(cf.ErrNotFound, "platform %s", u)
 	case http.StatusConflict:
 		if out != nil {
-			_ = json.NewDecoder(resp.Body).Decode(out)
+			_ = decoder.Decode(out)
 		}
 		return eris.Wrapf(cf.ErrConflict, "platform %s", u)
 	default:
@@ -127,7 +132,7 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+	if err := decoder.Decode(out); err != nil {
 		return eris.Wrapf(cf.ErrUnavailable, "platform answer: %v", err)
 	}
 	return nil
