An answer with a field name that is no token is no answer

Callers saw: an answer whose head holds "X Y: z", with that line; and one with "Content-Length : 4" or "Transfer-Encoding : chunked", with another body than the engine's: all that came until the connection ended.

Cause: net/http accepts a blank in a field's name, on purpose, and keeps the line as a field of that name. What it says about the body is then not known. So did trailers, informational heads, reports, orders, the store's answers and the control plane's. A control byte or any other byte that no token holds is refused by net/http; the tests keep that.

Evidence: TestMalformedAnswerIsNoAnswer on: each answer with a blank in a name was taken, by requests, streams and the calls of the instance's own.

Change: cfhttp.Transport checks the names of a response's head, of informational heads and of trailers, in the one place that all calls pass; RFC 9110 asks a proxy for no less. "HTTP status that is not final" moves there too, so calls of the instance's own are as strict as requests. The caller gets what a broken answer gives on the kind of route: another attempt where the request may be repeated, else 502.

The connection of an answer that was read whole may be in use by another request when the answer is judged; Exchange.CloseConn leaves it alone then.

Status 000 was refused before, on requests; its tests stay.

--- a/net/cfhttp/cfhttp.go
+++ b/net/cfhttp/cfhttp.go
@@ -4,7 +4,9 @@
 // response as its server sent it.
 //
 // It adds to net/http what a proxy needs. A response without a length ends with its connection, and
-// net/http takes any end of a read for that end, also the one that follows a reset.
+// net/http takes any end of a read for that end, also the one that follows a reset. It accepts any
+// number as a status, and blanks in the names of fields: a Content-Length that is not recognised as
+// such gives the body another end than the server's.
 //
 // Usage:
 //
@@ -21,9 +23,12 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 	"sync/atomic"
 
+	"github.com/rotisserie/eris"
+
 	cf "currantford"
 )
 
@@ -41,21 +46,22 @@
 	}
 )
 
-// maxHeaderBytes bounds the headers of responses to a client of NewClient.
+// maxHeaderBytes is the default bound on the headers of a response.
 const maxHeaderBytes = 64 << 10
 
 var _ http.RoundTripper = (*Transport)(nil)
 
 // NewClient returns a client that sends its requests with a Transport of net/http's defaults.
 func NewClient() *http.Client {
-	t := http.DefaultTransport.(*http.Transport).Clone()
-	t.MaxResponseHeaderBytes = maxHeaderBytes
-	return &http.Client{Transport: NewTransport(t)}
+	return &http.Client{Transport: NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
 }
 
 // NewTransport returns a Transport that uses t, and connections that t opens. The caller must not
 // send requests with t itself.
 func NewTransport(t *http.Transport) *Transport {
+	if t.MaxResponseHeaderBytes == 0 {
+		t.MaxResponseHeaderBytes = maxHeaderBytes
+	}
 	dial := t.DialContext
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
@@ -75,15 +81,42 @@
 	return t.Do(req, &Exchange{})
 }
 
-// Do sends a request and returns its response. It records in x how the request was sent.
+// Do sends a request and returns its response. It records in x how the request was sent. The error
+// is ErrMalformed if the head of the response is malformed; the body returns it if the trailers are.
 func (t *Transport) Do(req *http.Request, x *Exchange) (*http.Response, error) {
-	return t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), x.trace())))
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), x.trace(t.MaxResponseHeaderBytes)))
+	resp, err := t.Transport.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(req, resp); err != nil {
+		x.CloseConn()
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	if len(resp.TransferEncoding) > 0 {
+		resp.Body = &trailerBody{resp.Body, resp}
+	}
+	return resp, nil
 }
 
-func (x *Exchange) trace() *httptrace.ClientTrace {
+// trace returns the hooks that observe a request. maxHeader bounds the headers of the informational
+// responses, as net/http leaves that to the hook.
+func (x *Exchange) trace(maxHeader int64) *httptrace.ClientTrace {
+	informational := int64(0)
 	return &httptrace.ClientTrace{
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
+			informational += headSize(header)
+			if informational > maxHeader {
+				return eris.Wrapf(ErrMalformed, "informational responses of over %d bytes", maxHeader)
+			}
+			return checkNames(http.Header(header))
+		},
 		GotConn: func(info httptrace.GotConnInfo) {
 			conn, _ := info.Conn.(*clientConn)
+			if conn != nil {
+				conn.user.Store(x)
+			}
 			x.mu.Lock()
 			x.conn = conn
 			x.mu.Unlock()
@@ -107,11 +140,11 @@
 // WroteAt returns the time at which the request had been written, zero if it has not.
 func (x *Exchange) WroteAt() cf.Millis { return cf.Millis(x.wroteAt.Load()) }
 
-// CloseConn closes the connection.
+// CloseConn closes the connection, unless another exchange uses it by now.
 func (x *Exchange) CloseConn() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.conn != nil {
+	if x.conn != nil && x.conn.user.Load() == x {
 		_ = x.conn.Close()
 	}
 }
