A status that is no HTTP status is no answer

Callers saw: an engine's answer with status 600 or 999, as an answer. Status 000 was refused on requests before, but calls of the instance's own took it, and a 999 of the store, for a definite refusal of the call.

Cause: net/http accepts any three digits; only statuses under 200 were refused, and only on requests.

Evidence: TestMalformedAnswerIsNoAnswer on, "status 600", "status 999", and for calls to the store "status 000", "042", "099"; with processes TestBrokenAnswersReachNoCaller, "status 600": 14 of 80 callers got it.

What is no number of three digits is refused by net/http; the test keeps it.

--- a/net/cfhttp/response.go
+++ b/net/cfhttp/response.go
@@ -10,6 +10,8 @@
 )
 
 const (
+	// maxStatus is the largest status that RFC 9110 defines a class for.
+	maxStatus = 599
 	// informationalSize is the approximate size of an informational response without headers.
 	informationalSize = 16
 )
@@ -39,7 +41,7 @@
 // protocol.
 func checkHead(req *http.Request, resp *http.Response) error {
 	switched := resp.StatusCode == http.StatusSwitchingProtocols && req.Header.Get("Upgrade") != ""
-	if resp.StatusCode < http.StatusOK && !switched {
+	if resp.StatusCode < http.StatusOK && !switched || resp.StatusCode > maxStatus {
 		return eris.Wrapf(ErrMalformed, "status %q", resp.Status)
 	}
 	if err := checkNames(resp.Header); err != nil {
