Handshakes of links between instances have bounded heads

Callers would see: requests of all clients end, as the process is killed for its memory, when the address of another instance belongs to something by now that answers without end.

Cause: links were opened with net/http's default client, which reads heads of up to 10 MB and keeps them at many times their size.

Change: links are opened with net/http's defaults by way of net/cfhttp, which reads 64 KB of a head. Messages had a bound before (8 MB).

--- /dev/null
+++ b/io/cfpeer/endless_test.go
@@ -0,0 +1,75 @@
+package cfpeer
+
+import (
+	"context"
+	"runtime"
+	"runtime/metrics"
+	"sync"
+	"testing"
+	"time"
+
+	"currantford/platform/standin"
+)
+
+// TestEndlessHandshakeBoundsMemory guards against running out of memory, when addresses of other
+// instances belong to something else by now that answers the handshakes without end.
+func TestEndlessHandshakeBoundsMemory(t *testing.T) {
+	const peers, most = 8, 16 << 20
+	for _, shape := range []standin.EndlessShape{
+		standin.EndlessStatus, standin.EndlessHeader, standin.EndlessHeaders, standin.EndlessInformational, standin.EndlessBody, standin.EndlessSwitch,
+	} {
+		t.Run(string(shape), func(t *testing.T) {
+			c := NewClient()
+			defer c.Close()
+			var wg sync.WaitGroup
+			peak := heapPeak(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				for range peers {
+					e, err := standin.NewEndlessServer(shape, 0)
+					if err != nil {
+						t.Fatal(err)
+					}
+					t.Cleanup(e.Close)
+					wg.Go(func() {
+						if err := c.Call(ctx, e.Addr(), "op", nil, nil); err == nil {
+							t.Error("the call was answered")
+						}
+					})
+				}
+				wg.Wait()
+			})
+			t.Logf("the heap grew by %.1f MB", float64(peak)/(1<<20))
+			if peak > most {
+				t.Errorf("the heap grew by %d bytes, want at most %d", peak, most)
+			}
+		})
+	}
+}
+
+// heapPeak returns the largest growth of the heap in bytes while f runs.
+func heapPeak(f func()) int64 {
+	sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+	read := func() int64 {
+		metrics.Read(sample)
+		return int64(sample[0].Value.Uint64())
+	}
+	runtime.GC()
+	before, peak := read(), int64(0)
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(time.Millisecond):
+				peak = max(peak, read()-before)
+			}
+		}
+	})
+	f()
+	close(done)
+	wg.Wait()
+	return peak
+}
--- a/io/cfpeer/peer.go
+++ b/io/cfpeer/peer.go
@@ -31,6 +31,7 @@
 
 	cf "currantford"
 	"currantford/io/cflog"
+	"currantford/net/cfhttp"
 )
 
 const (
@@ -70,6 +71,7 @@
 
 	// Client keeps one connection per peer address. Close waits for its goroutines to end.
 	Client struct {
+		http  *http.Client
 		mu    sync.Mutex
 		peers map[string]*peer
 		wg    cflog.Group
@@ -199,7 +201,7 @@
 }
 
 // NewClient returns a Client without connections.
-func NewClient() *Client { return &Client{peers: map[string]*peer{}} }
+func NewClient() *Client { return &Client{http: cfhttp.NewClient(), peers: map[string]*peer{}} }
 
 // Close closes all connections and waits for their goroutines to end.
 func (c *Client) Close() error {
@@ -213,6 +215,7 @@
 	}
 	c.mu.Unlock()
 	c.wg.Wait()
+	c.http.CloseIdleConnections()
 	return nil
 }
 
@@ -288,7 +291,7 @@
 	if p.dialErr != nil && p.dials.Load() > before {
 		return nil, p.dialErr
 	}
-	ws, err := p.dial(ctx, addr)
+	ws, err := c.dial(ctx, p, addr)
 	if err != nil {
 		return nil, err
 	}
@@ -314,10 +317,10 @@
 // dial connects to the peer. The semaphore must be held. dialTimeout limits the dial because a call
 // may have a timeout of seconds, and would otherwise delay a coordinator's lease renewals and
 // watches for as long.
-func (p *peer) dial(ctx context.Context, addr string) (*websocket.Conn, error) {
+func (c *Client) dial(ctx context.Context, p *peer, addr string) (*websocket.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	ws, _, err := websocket.Dial(ctx, "ws://"+addr+"/v1/peer", nil) //nolint:bodyclose // the library closes the handshake body itself
+	ws, _, err := websocket.Dial(ctx, "ws://"+addr+"/v1/peer", &websocket.DialOptions{HTTPClient: c.http}) //nolint:bodyclose // the library closes the handshake body itself
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		p.dialErr = eris.Wrapf(cf.ErrNoProcess, "dial peer %s", addr)
