Late in a stop, lossy work is judged by its deadline

Callers saw: after one SIGTERM, in calm, streams that a stopping instance had taken 3.2 to 4.0 s after the signal end in the middle at 7.2 s. They may not run twice, so they are lost; other instances would have served them.

Cause: cfdrain accepts what it expects to end in time, and expects no more than the longest of the route and size that ended in the last minutes, and a margin. Durations have no such bound.

Change: from 2.8 s after the signal on, streams and requests that may not be repeated are accepted if their deadline lies before the end of the instance, or if they are small: they state so few tokens that 2 ms are left for each, and would end in time even at four times the estimate. Where no other instance lives the estimate decides, as before, and so it does for requests that may be repeated, whose callers get an answer at the end, and for runs that hosts hand back.

--- a/core/cfdrain/cfdrain.go
+++ b/core/cfdrain/cfdrain.go
@@ -5,15 +5,17 @@
 // It is built for these conditions: callers keep sending for seconds after the instance has been
 // taken out of the address lists, and some of their requests are streams that take longer than what
 // is left of the grace period. Another instance would serve them, but a stream that is broken off
-// is lost to a caller that may not repeat it.
+// is lost to a caller that may not repeat it. An estimate is too short now and then, as a stream may
+// take longer than any before. Therefore, work that would be lost is judged by its time limit once
+// the first seconds of a stop are over.
 //
 // Usage:
 //
 //	d := cfdrain.New()
 //	class := cfdrain.Class{Kind: "route", Name: name}
 //	d.Observe(class, took, now) // whenever a request has ended
-//	d.Begin(until)              // when the stop begins
-//	if v := d.Judge(class, timeout, now); !v.Accept {
+//	d.BeginAt(now, until)       // when the stop begins
+//	if v := d.JudgeLossy(class, timeout, now); !v.Accept {
 //		// refuse the request; callers find another instance
 //	}
 package cfdrain
@@ -35,6 +37,15 @@
 	// it: a few observations say little about the longest duration.
 	tailMargin = 0.2
 	fewMargin  = 5.0
+	// estimatePeriod is how long after the beginning of a stop lossy work is accepted by an estimate.
+	// Callers accept that the end of the grace period breaks off what they sent in the first three
+	// seconds; the process learns of the stop a little later than they do.
+	estimatePeriod cf.Millis = 2800
+	// After that, only small work is accepted by an estimate, and only if it may take lateFactor
+	// times as long: its size bounds it, unless it is so large that fewer than tokenTime are left
+	// for each token.
+	lateFactor           = 4
+	tokenTime  cf.Millis = 2
 	// maxSize is the largest size of work that is looked up: a thousand million tokens.
 	maxSize = 30
 )
@@ -45,6 +56,7 @@
 	Drain struct {
 		mu        sync.Mutex
 		durations *cfpeak.Longest[Class]
+		began     cf.Millis
 		until     cf.Millis // zero while the instance is not stopping
 	}
 
@@ -66,11 +78,15 @@
 // New returns a Drain without observations, of an instance that is not stopping.
 func New() *Drain { return &Drain{durations: cfpeak.NewLongest[Class](span)} }
 
-// Begin begins the stop: all work must be complete by until, an Uptime.
-func (d *Drain) Begin(until cf.Millis) {
+// Begin begins the stop: all work must be complete by until, an Uptime. Its first seconds count as
+// over.
+func (d *Drain) Begin(until cf.Millis) { d.BeginAt(0, until) }
+
+// BeginAt begins the stop at the Uptime now: all work must be complete by until.
+func (d *Drain) BeginAt(now, until cf.Millis) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.until = until
+	d.began, d.until = now, until
 }
 
 // Left returns the time that is left for work, and false if the instance is not stopping.
@@ -92,15 +108,33 @@
 func (d *Drain) Judge(class Class, limit, now cf.Millis) Verdict {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.judge(d.expected(class, now), limit, now)
+}
+
+// JudgeLossy is Judge for work that is lost if it is broken off, and that another instance would do.
+func (d *Drain) JudgeLossy(class Class, limit, now cf.Millis) Verdict {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	expected := d.expected(class, now)
+	if now-d.began > estimatePeriod {
+		expected *= lateFactor
+		if class.Size == 0 || class.Size > maxSize || tokenTime<<class.Size > d.until-now {
+			expected = 0
+		}
+	}
+	return d.judge(expected, limit, now)
+}
+
+// judge decides by the expected duration, zero if that is unknown. d.mu must be held.
+func (d *Drain) judge(expected, limit, now cf.Millis) Verdict {
 	if d.until == 0 {
 		return Verdict{Accept: true}
 	}
-	v := Verdict{Left: d.until - now, Expected: d.expected(class, now)}
-	if limit > 0 && (v.Expected == 0 || limit < v.Expected) {
-		v.Expected = limit
+	if limit > 0 && (expected == 0 || limit < expected) {
+		expected = limit
 	}
-	v.Accept = v.Expected > 0 && v.Expected <= v.Left
-	return v
+	left := d.until - now
+	return Verdict{Accept: expected > 0 && expected <= left, Left: left, Expected: expected}
 }
 
 // SizeOf returns the size of a request that generates up to the given number of tokens: its order
--- a/io/cfingress/drain.go
+++ b/io/cfingress/drain.go
@@ -10,6 +10,7 @@
 
 	cf "currantford"
 	"currantford/core/cfdrain"
+	"currantford/core/cfsite"
 )
 
 const (
@@ -54,11 +55,21 @@
 	if f.pending > 0 || f.attempts.MayHaveRun() {
 		return true
 	}
-	f.drain = f.in.Drain.Judge(f.drainClass(), f.attempts.Remaining(now), now)
+	judge := f.in.Drain.Judge
+	if f.isLossy() {
+		judge = f.in.Drain.JudgeLossy
+	}
+	f.drain = judge(f.drainClass(), f.attempts.Remaining(now), now)
 	f.stopping = !f.drain.Accept
 	return !f.stopping
 }
 
+// isLossy reports whether the request is lost if the instance breaks it off, while another instance
+// would serve it: one that may not be repeated, or a stream, part of which the caller has by then.
+func (f *forwarding) isLossy() bool {
+	return (!f.route.Idempotent() || f.route.Kind == cfsite.KindStream) && len(f.in.Members.Live()) > 0
+}
+
 // refusedByStop reports whether the request has not run, and will not because the instance stops.
 func (f *forwarding) refusedByStop(ctx context.Context) bool {
 	return (f.stopping || errors.Is(context.Cause(ctx), cf.ErrStopping)) && !f.attempts.MayHaveRun()
--- a/io/cfingress/drain_test.go
+++ b/io/cfingress/drain_test.go
@@ -62,6 +62,44 @@
 	}
 }
 
+// TestStoppingInstanceSendsLateLossyRequestsElsewhere guards against requests that a stopping instance
+// accepts late, because those before were short, and breaks off when it ends.
+func TestStoppingInstanceSendsLateLossyRequestsElsewhere(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		route   cfsite.Route
+		members cfingress.Members
+		want    int
+	}{
+		{"stream", cfsite.Route{Kind: cfsite.KindStream}, oneMember{}, http.StatusServiceUnavailable},
+		{"resumable stream", cfsite.Route{Kind: cfsite.KindStream, Resumable: true}, oneMember{}, http.StatusServiceUnavailable},
+		{"request that may not be repeated", cfsite.Route{Kind: cfsite.KindOnce}, oneMember{}, http.StatusServiceUnavailable},
+		{"request that may be repeated", cfsite.Route{Kind: cfsite.KindIdempotent}, oneMember{}, http.StatusOK},
+		{"stream at the last instance", cfsite.Route{Kind: cfsite.KindStream}, noMembers{}, http.StatusOK},
+		{"request at the last instance", cfsite.Route{Kind: cfsite.KindOnce}, noMembers{}, http.StatusOK},
+	} {
+		sends := 0
+		c.route.MaxAttempts, c.route.Timeout = 3, 10000
+		in := newIngress(t, countingTargets(&sends), c.route, "a", "b")
+		in.Members = c.members
+		for range 50 {
+			_, _ = ask(in, cf.Request{ID: "before"})
+		}
+		now := cf.Uptime()
+		in.Stop(now + 7200)
+		if w, _ := ask(in, cf.Request{ID: "early"}); w.Code != http.StatusOK {
+			t.Errorf("%s: status %d at the beginning of the stop, want 200", c.name, w.Code)
+		}
+		in.Drain.BeginAt(now-3000, now+4200)
+		if w, _ := ask(in, cf.Request{ID: "late"}); w.Code != c.want {
+			t.Errorf("%s: status %d, want %d", c.name, w.Code, c.want)
+		}
+		if w, _ := ask(in, cf.Request{ID: "late with a short deadline", Timeout: 2000}); w.Code != http.StatusOK {
+			t.Errorf("%s: status %d for a request that ends in time, want 200", c.name, w.Code)
+		}
+	}
+}
+
 // TestLastInstanceNamesItsEnd guards against callers that come back at once, again and again, to the
 // only instance, while it stops.
 func TestLastInstanceNamesItsEnd(t *testing.T) {
--- a/io/cfingress/ingress.go
+++ b/io/cfingress/ingress.go
@@ -150,7 +150,7 @@
 // still arrive are served if their answers will be complete by until, an Uptime, and are refused
 // otherwise.
 func (in *Ingress) Stop(until cf.Millis) {
-	in.Drain.Begin(until)
+	in.Drain.BeginAt(cf.Uptime(), until)
 	in.stopping.Store(true)
 }
 
--- a/systemtest/stop_test.go
+++ b/systemtest/stop_test.go
@@ -90,6 +90,57 @@
 	}
 }
 
+// TestPlannedStopBreaksOffNoUnseenStream guards against streams that a stopping instance accepts late
+// and breaks off, because they take longer than any that it has seen.
+func TestPlannedStopBreaksOffNoUnseenStream(t *testing.T) {
+	t.Parallel()
+	s := startDeployment(t, options{entries: 2, engines: 10, eventInterval: 100 * time.Millisecond, config: withStreams})
+	e := s.entries[1]
+	if e == s.coordinator() {
+		e = s.entries[0]
+	}
+	// Streams of both lengths ask for tokens of the same order of magnitude.
+	const usual, long = 18, 35
+	var wg sync.WaitGroup
+	for i := range 30 {
+		wg.Go(func() {
+			if r, ok, err := e.stream(fmt.Sprintf("before-%d", i), usual); !ok {
+				t.Errorf("stream before the stop: status %d, error %v", r.status, err)
+			}
+		})
+	}
+	wg.Wait()
+	var served, refused atomic.Int64
+	e.signal(syscall.SIGTERM)
+	for began := time.Now(); time.Since(began) < 4900*time.Millisecond; time.Sleep(100 * time.Millisecond) {
+		after := time.Since(began)
+		events := usual
+		if after > 3*time.Second {
+			events = long
+		}
+		id := fmt.Sprintf("after-%d-ms", after.Milliseconds())
+		wg.Go(func() {
+			r, complete, err := e.stream(id, events)
+			switch {
+			case complete:
+				served.Add(1)
+			case countRuns(s.engines, id) > 0:
+				t.Errorf("%s ran and was not complete: status %d, %d bytes, error %v", id, r.status, len(r.body), err)
+			case err == nil && r.status == http.StatusServiceUnavailable && after > 2500*time.Millisecond:
+				refused.Add(1)
+			default:
+				t.Errorf("%s: status %d, error %v; want a complete stream, or 503 after 2.5 s", id, r.status, err)
+			}
+		})
+	}
+	wg.Wait()
+	<-e.done
+	t.Logf("%d served, %d refused", served.Load(), refused.Load())
+	if served.Load() == 0 || refused.Load() == 0 {
+		t.Error("want streams served early and refused late")
+	}
+}
+
 // TestStoppedHostHandsItsStreamsBack guards against items that wait for a silent instance, or lose
 // events, when an instance that holds streams for the coordinator stops.
 //
