--- a/nodecommands/commands.go
+++ b/nodecommands/commands.go
@@ -112,6 +112,7 @@
 		Name: "currantford_log_lines_dropped_total", Help: "Log lines dropped because standard output was not read.",
 	}, func() float64 { return float64(out.Dropped()) }))
 	store := platform.NewStore(s.Store.Addr, reg)
+	store.Log = log
 	defer func() { _ = store.Close() }()
 	targets := platform.NewTargets(maxIdleConnsPerTarget, reg)
 	defer func() { _ = targets.Close() }()
