--- a/io/cfpeer/endless_test.go
+++ b/io/cfpeer/endless_test.go
@@ -20,7 +20,7 @@
 	} {
 		t.Run(string(shape), func(t *testing.T) {
 			c := NewClient()
-			defer c.Close()
+			defer func() { _ = c.Close() }()
 			var wg sync.WaitGroup
 			peak := heapPeak(func() {
 				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
