--- a/io/cfpeer/endless_test.go
+++ b/io/cfpeer/endless_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"runtime"
-	"runtime/metrics"
 	"sync"
 	"testing"
 	"time"
@@ -22,7 +20,7 @@
 			c := NewClient()
 			defer func() { _ = c.Close() }()
 			var wg sync.WaitGroup
-			peak := heapPeak(func() {
+			peak := standin.HeapPeak(func() {
 				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 				defer cancel()
 				for range peers {
@@ -46,30 +44,3 @@
 		})
 	}
 }
-
-// heapPeak returns the largest growth of the heap in bytes while f runs.
-func heapPeak(f func()) int64 {
-	sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
-	read := func() int64 {
-		metrics.Read(sample)
-		return int64(sample[0].Value.Uint64())
-	}
-	runtime.GC()
-	before, peak := read(), int64(0)
-	done := make(chan struct{})
-	var wg sync.WaitGroup
-	wg.Go(func() {
-		for {
-			select {
-			case <-done:
-				return
-			case <-time.After(time.Millisecond):
-				peak = max(peak, read()-before)
-			}
-		}
-	})
-	f()
-	close(done)
-	wg.Wait()
-	return peak
-}
--- a/net/cfhttp/cfhttp.go
+++ b/net/cfhttp/cfhttp.go
@@ -12,7 +12,7 @@
 //
 //	t := cfhttp.NewTransport(&http.Transport{MaxResponseHeaderBytes: 32 << 10})
 //	x := &cfhttp.Exchange{}
-//	resp, err := t.Do(req, x)
+//	resp, err := t.Do(ctx, req, x)
 //	if err != nil && !x.Connected() {
 //		// the request was not sent
 //	}
@@ -78,14 +78,14 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	return t.Do(req, &Exchange{})
+	return t.Do(req.Context(), req, &Exchange{})
 }
 
-// Do sends a request and returns its response. It records in x how the request was sent. The error
-// is ErrMalformed if the head of the response is malformed; the body returns it if the trailers are.
-func (t *Transport) Do(req *http.Request, x *Exchange) (*http.Response, error) {
-	req = req.WithContext(httptrace.WithClientTrace(req.Context(), x.trace(t.MaxResponseHeaderBytes)))
-	resp, err := t.Transport.RoundTrip(req)
+// Do sends a request in the given context and returns its response. It records in x how the request
+// was sent. The error is ErrMalformed if the head of the response is malformed; the body returns it
+// if the trailers are.
+func (t *Transport) Do(ctx context.Context, req *http.Request, x *Exchange) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, x.trace(t.MaxResponseHeaderBytes))))
 	if err != nil {
 		return nil, err
 	}
@@ -115,7 +115,7 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			conn, _ := info.Conn.(*clientConn)
 			if conn != nil {
-				conn.user.Store(x)
+				conn.exchange.Store(x)
 			}
 			x.mu.Lock()
 			x.conn = conn
@@ -144,7 +144,7 @@
 func (x *Exchange) CloseConn() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.conn != nil && x.conn.user.Load() == x {
+	if x.conn != nil && x.conn.exchange.Load() == x {
 		_ = x.conn.Close()
 	}
 }
--- a/net/cfhttp/conn.go
+++ b/net/cfhttp/conn.go
@@ -26,7 +26,7 @@
 // has failed.
 type clientConn struct {
 	net.Conn
-	user atomic.Pointer[Exchange] // the latest exchange on the connection
+	exchange atomic.Pointer[Exchange] // the latest on the connection
 
 	writeMu  sync.Mutex // held during a write
 	writeErr error
--- a/net/cfhttp/response.go
+++ b/net/cfhttp/response.go
@@ -42,7 +42,7 @@
 func checkHead(req *http.Request, resp *http.Response) error {
 	switched := resp.StatusCode == http.StatusSwitchingProtocols && req.Header.Get("Upgrade") != ""
 	if resp.StatusCode < http.StatusOK && !switched || resp.StatusCode > maxStatus {
-		return eris.Wrapf(ErrMalformed, "status %q", resp.Status)
+		return eris.Wrapf(ErrMalformed, "status %.40q", resp.Status)
 	}
 	if err := checkNames(resp.Header); err != nil {
 		return err
