--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,6 +11,9 @@
 fi
 # These fill a process's memory and descriptors, each apart from other load.
 alone='^(TestMisbehavingClients|TestMisbehavingClientsOfOtherAddresses|TestBatchesWithManyItemHeaders)$'
-go test -count=1 -skip "$skip|$alone" ./...
+# This one fails beside other load, as KNOWN-RED.txt says; alone its check holds.
+alone_fleet='^TestSlowFirstTargetListAtStartup$'
+go test -count=1 -skip "$skip|$alone|$alone_fleet" ./...
 go test -count=1 -run "$alone" -skip "$skip" ./systemtest
+go test -count=1 -run "$alone_fleet" -skip "$skip" ./io/cfnode
 go test -count=1 -run '^$' -bench . -benchtime=1x ./... >/dev/null
