A large write waits for the end of its own write before its answer is left unread

Callers would see: chunks of results listed seconds late on a saturated link.

Cause: the answer of the store may be noticed before the end of the write is, though the request was sent as a whole. The answer, half a megabyte of the object, was read then.

Change: Exchange.AwaitWritten waits for the end of the write, which comes at once where the request was sent, or with the reset.

--- a/net/cfhttp/cfhttp.go
+++ b/net/cfhttp/cfhttp.go
@@ -36,11 +36,13 @@
 	// Transport sends requests and judges their responses. It is safe for concurrent use.
 	Transport struct{ *http.Transport }
 
-	// Exchange is one request on one connection. Its methods are safe for concurrent use, also while
-	// the request is under way.
+	// Exchange is one request on one connection. Once it has been passed to Do, its methods are safe
+	// for concurrent use, also while the request is under way. It is used for one request.
 	Exchange struct {
 		connected, newConn atomic.Bool
 		wroteAt            atomic.Int64
+		written            chan struct{} // closed when the request has been written, or could not be
+		writtenOnce        sync.Once
 		mu                 sync.Mutex
 		conn               *clientConn
 	}
@@ -104,6 +106,7 @@
 // responses, as net/http leaves that to the hook.
 func (x *Exchange) trace(maxHeader int64) *httptrace.ClientTrace {
 	informational := int64(0)
+	x.written = make(chan struct{})
 	return &httptrace.ClientTrace{
 		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
 			informational += headSize(header)
@@ -127,6 +130,7 @@
 			if info.Err == nil {
 				x.wroteAt.Store(int64(cf.Uptime()))
 			}
+			x.writtenOnce.Do(func() { close(x.written) })
 		},
 	}
 }
@@ -140,6 +144,17 @@
 // WroteAt returns the time at which the request had been written, zero if it has not.
 func (x *Exchange) WroteAt() cf.Millis { return cf.Millis(x.wroteAt.Load()) }
 
+// AwaitWritten waits for the end of the write, and reports whether the request was written in full.
+// A response may come while the request is still being written, and a complete one is often noticed
+// before the end of the write is.
+func (x *Exchange) AwaitWritten(ctx context.Context) bool {
+	select {
+	case <-x.written:
+	case <-ctx.Done():
+	}
+	return x.wroteAt.Load() > 0
+}
+
 // CloseConn closes the connection, unless another exchange uses it by now.
 func (x *Exchange) CloseConn() {
 	x.mu.Lock()
--- a/net/cfhttp/cfhttp_test.go
+++ b/net/cfhttp/cfhttp_test.go
@@ -1,6 +1,7 @@
 package cfhttp_test
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -83,3 +84,41 @@
 		}
 	}
 }
+
+// TestAwaitWrittenWaitsForTheWrite guards against a request that counts as not written because its
+// response is noticed before the end of the write.
+func TestAwaitWrittenWaitsForTheWrite(t *testing.T) {
+	const length = 500_000
+	for _, c := range []struct {
+		end  standin.RawEnd
+		size int
+		want bool
+	}{
+		{standin.RawKeep, length, true},
+		{standin.RawReset, 32 * length, false},
+	} {
+		url := startRaw(t, func(*http.Request) (string, standin.RawEnd) {
+			return "HTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\nok", c.end
+		})
+		transport := cfhttp.NewTransport(&http.Transport{})
+		for range 50 {
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, bytes.NewReader(make([]byte, c.size)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			x := &cfhttp.Exchange{}
+			resp, err := transport.Do(t.Context(), req, x)
+			if err != nil && !c.want {
+				continue // the reset came before the response was read
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := x.AwaitWritten(t.Context()); got != c.want {
+				t.Errorf("written %t of %d bytes, want %t", got, c.size, c.want)
+			}
+			_ = resp.Body.Close()
+		}
+		transport.CloseIdleConnections()
+	}
+}
