Late in a stop, the size of lossy work is no reason to accept it

Callers saw: streams that a stopping instance takes more than 3 s after its SIGTERM end in the middle, 7.2 s after it, though their engines work on and another instance would have served them. They may not run twice, so they are lost (LOST).

Cause: from 2.8 s after the signal on, lossy work is judged by its deadline, but for small work: few tokens stated, and four times the estimate before the end. That is an estimate again. Neither a multiple of what was seen nor a time for each token bounds a duration: engines pause, batches slow them, and texts of one stated size differ by ten times.

Change: the exemption is gone. What may outlast the stop by its own time limit is refused at once, not run, whatever its size, and another instance serves it. As before, the estimate decides in the first 2.8 s, and where no other instance lives.

TestPlannedStopBreaksOffNoStream asked that no stream of 0.3 s is refused at any time of a stop, which contradicts the rule for those that state a deadline of 9 s. In its place: none is refused in the first 2.5 s, none whose deadline lies before the end as long as the instance listens, and each that is refused was not run and is served at once by another instance. In TestLossyWorkIsAcceptedWhileItMayEnd small work late in a stop is expected to be refused unless its limit lies before the end.

Ruled out: a larger factor, or more time for a token, which are estimates too.

--- a/core/cfdrain/cfdrain.go
+++ b/core/cfdrain/cfdrain.go
@@ -5,9 +5,9 @@
 // It is built for these conditions: callers keep sending for seconds after the instance has been
 // taken out of the address lists, and some of their requests are streams that take longer than what
 // is left of the grace period. Another instance would serve them, but a stream that is broken off
-// is lost to a caller that may not repeat it. An estimate is too short now and then, as a stream may
-// take longer than any before. Therefore, work that would be lost is judged by its time limit once
-// the first seconds of a stop are over.
+// is lost to a caller that may not repeat it. An estimate is too short now and then: a stream may take
+// longer than any before, whatever size it states, as engines pause and batches slow them. Therefore,
+// work that would be lost is judged by its time limit alone once the first seconds of a stop are over.
 //
 // Usage:
 //
@@ -38,14 +38,9 @@
 	tailMargin = 0.2
 	fewMargin  = 5.0
 	// estimatePeriod is how long after the beginning of a stop lossy work is accepted by an estimate.
-	// Callers accept that the end of the grace period breaks off what they sent in the first three
+	// After that, its time limit decides. Callers accept that the end of the grace period breaks off what they sent in the first three
 	// seconds; the process learns of the stop a little later than they do.
 	estimatePeriod cf.Millis = 2800
-	// After that, only small work is accepted by an estimate, and only if it may take lateFactor
-	// times as long: its size bounds it, unless it is so large that fewer than tokenTime are left
-	// for each token.
-	lateFactor           = 4
-	tokenTime  cf.Millis = 2
 	// maxSize is the largest size of work that is looked up: a thousand million tokens.
 	maxSize = 30
 )
@@ -117,10 +112,7 @@
 	defer d.mu.Unlock()
 	expected := d.expected(class, now)
 	if now-d.began > estimatePeriod {
-		expected *= lateFactor
-		if class.Size == 0 || class.Size > maxSize || tokenTime<<class.Size > d.until-now {
-			expected = 0
-		}
+		expected = 0
 	}
 	return d.judge(expected, limit, now)
 }
--- a/core/cfdrain/lossy_test.go
+++ b/core/cfdrain/lossy_test.go
@@ -75,6 +75,7 @@
 		{"streams of 0.6 s and 8,000 tokens", 600, 8000},
 		{"streams of 0.6 s and 1,000 tokens", 600, 1000},
 		{"streams of 0.2 s and 8,000 tokens", 200, 8000},
+		{"streams of 0.2 s and 150 tokens", 200, 150},
 		{"streams of 0.2 s that state no tokens", 200, 0},
 	} {
 		var lossy, estimated outcome
@@ -94,7 +95,7 @@
 }
 
 // TestLossyWorkIsAcceptedWhileItMayEnd guards against refusals of work in the first seconds of a stop,
-// or of short work at any time of it.
+// or of work whose limit lies before its end at any time of it.
 func TestLossyWorkIsAcceptedWhileItMayEnd(t *testing.T) {
 	d := New()
 	const late = estimatePeriod + 2
@@ -120,9 +121,10 @@
 		{route, late, grace - late, true},
 		{route, late, grace - late + 1, false},
 		{large, grace - 2000, 2000, true},
-		{small, late, 9000, true},
-		{small, grace - 2000, 9000, true},
-		{small, grace - 1000, 9000, false},
+		{small, estimatePeriod, 9000, true},
+		{small, late, 9000, false},
+		{small, late, grace - late, true},
+		{small, grace - 1000, 1000, true},
 	} {
 		if v := d.JudgeLossy(c.class, c.limit, c.now); v.Accept != c.want {
 			t.Errorf("size %d, at %d, limit %d: %+v, want %t", c.class.Size, c.now, c.limit, v, c.want)
--- a/systemtest/stop_test.go
+++ b/systemtest/stop_test.go
@@ -3,12 +3,15 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
+
+	"currantford/platform/standin"
 )
 
 const streamPrefix = "/write/"
@@ -21,11 +24,23 @@
 	})
 }
 
+// leaveTime is the time of a stop in which an instance surely still listens.
+const leaveTime = 5 * time.Second
+
+// usualDeadline is the deadline that streams state unless a test needs another.
+const usualDeadline = 9 * time.Second
+
 // stream requests a stream of the given number of events. It reports whether the stream was
 // complete.
 func (e *entry) stream(id string, events int) (r reply, complete bool, err error) {
-	r, err = e.do(http.MethodPost, streamPrefix+"a", id, []byte("x"), "Currantford-Model", "m0", "Currantford-Tokens-Used", fmt.Sprintf("10,%d", 58*events),
-		"Currantford-Deadline-Ms", "9000")
+	return e.sizedStream(id, events, 58*events, usualDeadline)
+}
+
+// sizedStream is stream with the number of tokens and the deadline that the request states.
+func (e *entry) sizedStream(id string, events, tokens int, deadline time.Duration) (r reply, complete bool, err error) {
+	body := fmt.Appendf(nil, "%s%d", standin.EventsBody, events)
+	r, err = e.do(http.MethodPost, streamPrefix+"a", id, body, "Currantford-Model", "m0", "Currantford-Tokens-Used", fmt.Sprintf("10,%d", tokens),
+		"Currantford-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	complete = err == nil && r.status == http.StatusOK && strings.Count(string(r.body), "id: ") == events
 	return r, complete, err
 }
@@ -34,15 +49,21 @@
 // breaks off when its grace period ends.
 //
 // Callers that have kept an old address list start streams of 0.3 and 5 s at the stopping instance,
-// up to the end of its listener.
+// up to the end of its listener. Some streams of 0.3 s have a deadline that lies before the end of the
+// instance.
 func TestPlannedStopBreaksOffNoStream(t *testing.T) {
 	t.Parallel()
 	s := startDeployment(t, options{entries: 2, engines: 10, eventInterval: 100 * time.Millisecond, config: withStreams})
-	e := s.entries[1]
+	e, other := s.entries[1], s.entries[0]
 	if e == s.coordinator() {
-		e = s.entries[0]
+		e, other = other, e
 	}
-	const short, long = 3, 50
+	const (
+		short, long   = 3, 50
+		shortDeadline = 1500 * time.Millisecond
+		// estimated is the time of a stop in which streams like those before are accepted.
+		estimated = 2500 * time.Millisecond
+	)
 	var wg sync.WaitGroup
 	for i := range 20 {
 		wg.Go(func() {
@@ -52,59 +73,94 @@
 		})
 	}
 	wg.Wait()
-	var served, refused, shortServed, shortRefused atomic.Int64
-	send := func(id string, events int) {
-		r, complete, err := e.stream(id, events)
-		ran := countRuns(s.engines, id)
+	type stream struct {
+		id       string
+		events   int
+		deadline time.Duration
+	}
+	var served, refused, shortServed, sentOn atomic.Int64
+	// send requests a stream. A short one may be refused, unless it must be served here; another
+	// instance then serves it at once.
+	send := func(x stream, mustServe bool) {
+		r, complete, err := e.sizedStream(x.id, x.events, 58*x.events, x.deadline)
+		ran := countRuns(s.engines, x.id)
 		switch {
-		case complete && events == short:
+		case complete && x.events == short:
 			shortServed.Add(1)
 		case complete:
 			served.Add(1)
 		case ran > 0:
-			t.Errorf("%s ran and was not complete: status %d, %d bytes, error %v", id, r.status, len(r.body), err)
-		case err == nil && r.status == http.StatusServiceUnavailable && events == short:
-			shortRefused.Add(1)
-		case err == nil && r.status == http.StatusServiceUnavailable:
+			t.Errorf("%s ran and was not complete: status %d, %d bytes, error %v", x.id, r.status, len(r.body), err)
+		case err != nil && !mustServe:
+			// The listener is closed.
+		case err != nil || r.status != http.StatusServiceUnavailable || mustServe:
+			t.Errorf("%s: status %d, error %v; want a complete stream, or 503 unless it is to end in time (%t)", x.id, r.status, err, mustServe)
+		case x.events == long:
 			refused.Add(1)
-		case err == nil:
-			t.Errorf("%s: status %d, want a complete stream or 503", id, r.status)
+		default:
+			if r.header.Get("Retry-After") == "" {
+				t.Errorf("%s was refused without a Retry-After: %v", x.id, r.header)
+			}
+			if r, complete, err := other.sizedStream(x.id, x.events, 58*x.events, x.deadline); !complete {
+				t.Errorf("%s at another instance: status %d, error %v", x.id, r.status, err)
+			}
+			sentOn.Add(1)
 		}
 	}
+	var stopAt time.Time
 	began := time.Now()
 	for i := 0; time.Since(began) < 6500*time.Millisecond; i++ {
 		if i == 10 {
 			e.signal(syscall.SIGTERM)
+			stopAt = time.Now()
 		}
-		wg.Go(func() { send(fmt.Sprintf("short-%d", i), short) })
+		after := time.Duration(0)
+		if i >= 10 {
+			after = time.Since(stopAt)
+		}
+		wg.Go(func() { send(stream{fmt.Sprintf("short-%d", i), short, usualDeadline}, after < estimated) })
+		wg.Go(func() { send(stream{fmt.Sprintf("due-%d", i), short, shortDeadline}, after < leaveTime) })
 		if i%2 == 0 {
-			wg.Go(func() { send(fmt.Sprintf("long-%d", i), long) })
+			wg.Go(func() { send(stream{fmt.Sprintf("long-%d", i), long, usualDeadline}, false) })
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
 	wg.Wait()
 	<-e.done
-	t.Logf("long streams: %d served, %d refused; short ones: %d served, %d refused", served.Load(), refused.Load(), shortServed.Load(), shortRefused.Load())
-	if served.Load() == 0 || refused.Load() == 0 || shortServed.Load() == 0 || shortRefused.Load() > 0 {
-		t.Error("want long streams served before the stop and refused later, and all short streams served")
+	t.Logf("long streams: %d served, %d refused; short ones: %d served, %d sent to another instance", served.Load(), refused.Load(), shortServed.Load(), sentOn.Load())
+	if served.Load() == 0 || refused.Load() == 0 || shortServed.Load() == 0 {
+		t.Error("want long streams served before the stop and refused later, and short streams served")
 	}
 }
 
 // TestPlannedStopBreaksOffNoUnseenStream guards against streams that a stopping instance accepts late
-// and breaks off, because they take longer than any that it has seen.
+// and breaks off, because they take longer than any that it has seen, whatever size they state.
 func TestPlannedStopBreaksOffNoUnseenStream(t *testing.T) {
 	t.Parallel()
+	for _, c := range []struct {
+		name                string
+		usual, long, tokens int // streams of both lengths state the same number of tokens
+	}{
+		{"2,000 tokens", 18, 35, 2000},
+		{"150 tokens", 3, 50, 150},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			unseenStreams(t, c.usual, c.long, c.tokens)
+		})
+	}
+}
+
+func unseenStreams(t *testing.T, usual, long, tokens int) {
 	s := startDeployment(t, options{entries: 2, engines: 10, eventInterval: 100 * time.Millisecond, config: withStreams})
 	e := s.entries[1]
 	if e == s.coordinator() {
 		e = s.entries[0]
 	}
-	// Streams of both lengths ask for tokens of the same order of magnitude.
-	const usual, long = 18, 35
 	var wg sync.WaitGroup
 	for i := range 30 {
 		wg.Go(func() {
-			if r, ok, err := e.stream(fmt.Sprintf("before-%d", i), usual); !ok {
+			if r, ok, err := e.sizedStream(fmt.Sprintf("before-%d", i), usual, tokens, usualDeadline); !ok {
 				t.Errorf("stream before the stop: status %d, error %v", r.status, err)
 			}
 		})
@@ -120,7 +176,7 @@
 		}
 		id := fmt.Sprintf("after-%d-ms", after.Milliseconds())
 		wg.Go(func() {
-			r, complete, err := e.stream(id, events)
+			r, complete, err := e.sizedStream(id, events, tokens, usualDeadline)
 			switch {
 			case complete:
 				served.Add(1)
