A failed call to the store keeps no target that has left

Callers saw: targets that have left get requests for 2.3 s after the store has removed their entries, where 2 s are allowed, up to the targets' exit; some of the late ones end 502 and may not be sent again (DRAIN, LOST).

Cause: entries lapse while the store is unavailable, so entries that vanish just after its return are kept for 2.2 s. The first answer to a watch after a failed one passed for that return. One watch that is cut off, or turned away, is no evidence of an outage; the store served all the time, and the coordinator passed the kept target on to all.

Change: a site tells outages by all calls to the store that the instance makes, directly or through others (cfwatch.MonitorStore). Only a time without any answer of at least one heartbeat counts, as an entry lapses after three missed ones; the interval is the new setting bounds.heartbeat_ms, 1,200 if not given. A target that was seen to write its entry after the outage has left if it vanishes. An instance that takes its view from another one keeps nothing on its own.

--- a/core/cfsite/site.go
+++ b/core/cfsite/site.go
@@ -24,9 +24,8 @@
 	versions     map[cf.ModelName]cf.WeightVersion
 	changed      chan struct{}
 	changes      int64
-	// graceUntil is when the grace period ends in which an entry that vanishes is kept as lapsed.
-	graceUntil cf.Millis
-	relay      relay
+	outages      outages
+	relay        relay
 	// configs creates configuration updates for other instances. partialConfig is the received part
 	// of such an update. needFullConfig is set when updates against the configuration in force
 	// can't be applied, so that the full one is requested.
@@ -44,6 +43,9 @@
 type targetEntry struct {
 	target cf.Target
 	rev    cf.Revision
+	// written is the revision at which the target itself was last seen to write its entry.
+	written cf.Revision
+	// lapsed is set while the entry is missing from the store and kept.
 	lapsed bool
 	// checksum is the target's contribution to the checksum of its service.
 	checksum uint64
@@ -58,16 +60,14 @@
 	Removed []cf.InstanceID
 }
 
-// lapseGrace is how long after the store's return an entry may be missing. Entries lapse while the
-// store is unavailable, and live targets are listed again within two seconds. Dropping the entries
-// at once would leave services without targets just after each outage.
-const lapseGrace cf.Millis = 2200
+// defaultHeartbeat is the interval between a target's heartbeats unless SetHeartbeat states another.
+const defaultHeartbeat cf.Millis = 1200
 
 // New returns an empty view.
 func New(codec Codec) *Site {
 	return &Site{
 		codec: codec, targets: map[cf.InstanceID]targetEntry{}, versions: map[cf.ModelName]cf.WeightVersion{},
-		changed: make(chan struct{}), relay: newRelay(),
+		changed: make(chan struct{}), relay: newRelay(), outages: outages{shortest: defaultHeartbeat},
 		serviceTargets: map[cf.ServiceName]map[cf.InstanceID]bool{}, usable: map[cf.ServiceName][]cf.Target{},
 	}
 }
@@ -138,39 +138,9 @@
 	s.relay.noteChange(service, e.target.ID)
 }
 
-// StoreReconnected records that the store answers again after an outage.
-func (s *Site) StoreReconnected(now cf.Millis) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.graceUntil = now + lapseGrace
-}
-
-// DropLapsed removes the lapsed entries that were not listed again during the grace period. It
-// returns them.
-func (s *Site) DropLapsed(now cf.Millis) []cf.Target {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if now < s.graceUntil {
-		return nil
-	}
-	var removed []cf.Target
-	for id, e := range s.targets {
-		if e.lapsed {
-			removed = append(removed, e.target)
-			s.removeTarget(id)
-		}
-	}
-	if len(removed) > 0 {
-		s.notify()
-		s.relay.flush()
-	}
-	return removed
-}
-
-// keepLapsed reports whether a vanished entry is kept for now. s.mu is held.
-func (s *Site) keepLapsed(e targetEntry, now cf.Millis) bool {
-	return now < s.graceUntil && !e.target.Draining
-}
+// SetHeartbeat sets the interval between a target's heartbeats. It must be called before the site is
+// used.
+func (s *Site) SetHeartbeat(interval cf.Millis) { s.outages.shortest = interval }
 
 // Config returns the configuration in force, or nil if none is known yet.
 func (s *Site) Config() *Config {
@@ -265,19 +235,24 @@
 		return t, false, nil
 	}
 	if known && !old.lapsed && reflect.DeepEqual(old.target, t) {
-		old.rev = r.Rev
+		old.rev, old.written = r.Rev, r.Rev
 		s.targets[id] = old
 		return t, false, nil // only a heartbeat
 	}
-	s.putTarget(targetEntry{target: t, rev: r.Rev})
+	s.putTarget(targetEntry{target: t, rev: r.Rev, written: r.Rev})
 	s.notify()
 	s.relay.flush()
 	return t, true, nil
 }
 
-// ReplaceTargets applies a complete list of targets as of a revision. A list that is older than the
-// view is ignored. It returns the targets that were removed.
+// ReplaceTargets applies a complete list of targets as of a revision, as read from the store. A list
+// that is older than the view is ignored. It returns the targets that were removed.
 func (s *Site) ReplaceTargets(list []cf.Target, rev cf.Revision, now cf.Millis) (removed []cf.Target, applied bool) {
+	return s.replaceTargets(list, rev, func(e targetEntry) bool { return s.keepLapsed(e, now) })
+}
+
+// replaceTargets is ReplaceTargets with the decision whether a vanished entry is kept.
+func (s *Site) replaceTargets(list []cf.Target, rev cf.Revision, keep func(targetEntry) bool) (removed []cf.Target, applied bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if rev < s.targetsRev {
@@ -287,14 +262,14 @@
 	for _, t := range list {
 		listed[t.ID] = true
 		if old, ok := s.targets[t.ID]; !ok || old.rev <= rev {
-			s.putTarget(targetEntry{target: t, rev: rev})
+			s.putTarget(targetEntry{target: t, rev: rev, written: old.written})
 		}
 	}
 	for id, old := range s.targets {
 		if listed[id] {
 			continue
 		}
-		if s.keepLapsed(old, now) {
+		if keep(old) {
 			old.lapsed = true
 			s.targets[id] = old
 			continue
@@ -308,7 +283,7 @@
 	return removed, true
 }
 
-// Advance records that the view of targets is current as of a revision.
+// Advance records that the view of targets is current as of a revision of the store.
 func (s *Site) Advance(rev cf.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/core/cfsite/site_test.go
+++ b/core/cfsite/site_test.go
@@ -86,16 +86,19 @@
 	s := cfsite.New(cfstandin.Codec{})
 	a, b := cf.Target{ID: "a", Service: "x"}, cf.Target{ID: "b", Service: "x"}
 	s.ReplaceTargets([]cf.Target{a, b}, 10, 0)
-	s.StoreReconnected(1000)
-	s.ReplaceTargets(nil, 20, 1000)
+	s.StoreFailed(1000)
+	if outage := s.StoreAnswered(0, 5000); outage != 4000 {
+		t.Fatalf("an outage of %d ms, want 4000", outage)
+	}
+	s.ReplaceTargets(nil, 20, 5000)
 	if n := len(s.Usable("x")); n != 2 {
 		t.Fatalf("%d usable targets right after the store's return", n)
 	}
-	_, _, _ = s.ApplyTarget(cfstandin.Record("a", 21, a), 2000)
-	if gone := s.DropLapsed(2500); len(gone) != 0 {
+	_, _, _ = s.ApplyTarget(cfstandin.Record("a", 21, a), 6000)
+	if gone := s.DropLapsed(6500); len(gone) != 0 {
 		t.Errorf("dropped during the grace period: %v", gone)
 	}
-	if gone := s.DropLapsed(3300); len(gone) != 1 || gone[0].ID != "b" {
+	if gone := s.DropLapsed(7300); len(gone) != 1 || gone[0].ID != "b" {
 		t.Errorf("dropped %v, want the one that was not listed again", gone)
 	}
 	if got := s.Usable("x"); len(got) != 1 || got[0].ID != "a" {
@@ -103,6 +106,60 @@
 	}
 }
 
+// TestFailedCallsAreNoOutage guards against targets that have left and are kept, because calls to the
+// store failed while it served others.
+func TestFailedCallsAreNoOutage(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// failed and answered hold the times of failed and answered calls.
+		failed, answered []cf.Millis
+		want             bool
+	}{
+		{"one call failed", []cf.Millis{10_000}, []cf.Millis{10_200}, false},
+		{"calls fail for seconds, others are answered", []cf.Millis{10_000, 11_000, 12_000, 13_000}, []cf.Millis{10_900, 11_900, 12_900, 13_900}, false},
+		{"no call is answered for seconds", []cf.Millis{10_000, 11_000, 12_000, 13_000}, []cf.Millis{13_900}, true},
+		{"the first call after the outage is answered", []cf.Millis{10_000, 13_000}, []cf.Millis{13_800, 13_900}, true},
+		{"a call that began before another was answered", []cf.Millis{12_900, 10_000}, []cf.Millis{12_800, 13_000}, false},
+	} {
+		s := cfsite.New(cfstandin.Codec{})
+		s.ReplaceTargets([]cf.Target{{ID: "a", Service: "x"}}, 10, 0)
+		failed, answered := c.failed, c.answered
+		for len(answered) > 0 {
+			if len(failed) > 0 && failed[0] < answered[0] || len(failed) > len(answered) {
+				s.StoreFailed(failed[0])
+				failed = failed[1:]
+				continue
+			}
+			s.StoreAnswered(0, answered[0])
+			answered = answered[1:]
+		}
+		removal := cfstandin.Record("a", 20, cf.Target{})
+		removal.Deleted = true
+		if _, _, err := s.ApplyTarget(removal, 14_000); err != nil {
+			t.Fatal(err)
+		}
+		if kept := len(s.Usable("x")) == 1; kept != c.want {
+			t.Errorf("%s: kept %t, want %t", c.name, kept, c.want)
+		}
+	}
+}
+
+// TestUpdateKeepsNoTargetThatItsSenderDropped guards against an instance that uses a target which has
+// left, because its own calls to the store failed for a while: it receives updates from an instance
+// that the store served.
+func TestUpdateKeepsNoTargetThatItsSenderDropped(t *testing.T) {
+	source, follower := cfsite.New(cfstandin.Codec{}), cfsite.New(cfstandin.Codec{})
+	a, b := cf.Target{ID: "a", Service: "x"}, cf.Target{ID: "b", Service: "x"}
+	source.ReplaceTargets([]cf.Target{a, b}, 10, 0)
+	follower.ReplaceTargets([]cf.Target{a, b}, 10, 0)
+	follower.StoreFailed(1000)
+	follower.StoreAnswered(0, 9000)
+	source.ReplaceTargets([]cf.Target{a}, 20, 9000)
+	if same := follower.ApplyTargetUpdate(source.FullTargetUpdate(follower.Checksum())); !same || len(follower.Usable("x")) != 1 {
+		t.Errorf("usable targets %v, equal views %t; want those of the sender", follower.Usable("x"), same)
+	}
+}
+
 // TestWeightVersionsOnlyRise checks that the weight versions that trainers name only rise.
 func TestWeightVersionsOnlyRise(t *testing.T) {
 	s := cfsite.New(cfstandin.Codec{})
--- a/core/cfsite/targetupdate.go
+++ b/core/cfsite/targetupdate.go
@@ -224,10 +224,11 @@
 
 // ApplyTargetUpdate applies an update from an instance that watches the store, or that received it
 // from one that does, unless the update is older than the view. It returns false if the view then
-// differs from the sender's; the sender must then send the full view.
-func (s *Site) ApplyTargetUpdate(u TargetUpdate, now cf.Millis) (same bool) {
+// differs from the sender's; the sender must then send the full view. What vanishes is not kept: the
+// sender keeps it, and sends it, if it may have lapsed in an outage.
+func (s *Site) ApplyTargetUpdate(u TargetUpdate) (same bool) {
 	if u.Full {
-		s.ReplaceTargets(u.Targets, u.Rev, now)
+		s.replaceTargets(u.Targets, u.Rev, func(targetEntry) bool { return false })
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -236,7 +237,7 @@
 	}
 	if !u.Full {
 		for _, t := range u.Targets {
-			s.putTarget(targetEntry{target: t, rev: u.Rev})
+			s.putTarget(targetEntry{target: t, rev: u.Rev, written: s.targets[t.ID].written})
 		}
 		for _, id := range u.Removed {
 			if _, known := s.targets[id]; known {
--- a/core/cfsite/targetupdate_test.go
+++ b/core/cfsite/targetupdate_test.go
@@ -38,7 +38,7 @@
 			if known {
 				update = source.TargetUpdateSince(count)
 			}
-			if !follower.ApplyTargetUpdate(update, 0) {
+			if !follower.ApplyTargetUpdate(update) {
 				t.Fatalf("seed %d: the views differ after update %+v", seed, update)
 			}
 			count, known = update.Count, random.IntN(20) > 0 // sometimes the follower loses its count and asks for the full view
@@ -74,7 +74,7 @@
 	}
 	source.ReplaceTargets(list, 1, 0)
 	first := source.FullTargetUpdate(follower.Checksum())
-	if !first.Full || !follower.ApplyTargetUpdate(first, 0) {
+	if !first.Full || !follower.ApplyTargetUpdate(first) {
 		t.Fatal("the first update is not the full view")
 	}
 	for i := range 5000 {
@@ -84,7 +84,7 @@
 			t.Fatal(err)
 		}
 	}
-	if update := source.TargetUpdateSince(first.Count); !update.Full || !follower.ApplyTargetUpdate(update, 0) || !sameTargets(source, follower) {
+	if update := source.TargetUpdateSince(first.Count); !update.Full || !follower.ApplyTargetUpdate(update) || !sameTargets(source, follower) {
 		t.Errorf("full %t, %d targets left at the follower", update.Full, len(follower.Targets()))
 	}
 }
@@ -97,12 +97,12 @@
 	list := []cf.Target{{ID: "a", Service: "s", Slots: 4}, {ID: "b", Service: "s", Slots: 4}}
 	source.ReplaceTargets(list, 5, 0)
 	follower.ReplaceTargets(list, 4, 0)
-	if update := source.FullTargetUpdate(follower.Checksum()); update.Full || len(update.Targets) > 0 || !follower.ApplyTargetUpdate(update, 0) {
+	if update := source.FullTargetUpdate(follower.Checksum()); update.Full || len(update.Targets) > 0 || !follower.ApplyTargetUpdate(update) {
 		t.Errorf("equal views: update %+v", update)
 	}
 	follower.ReplaceTargets(list[:1], 6, 0)
 	source.Advance(7)
-	if update := source.FullTargetUpdate(follower.Checksum()); !update.Full || !follower.ApplyTargetUpdate(update, 0) || !sameTargets(source, follower) {
+	if update := source.FullTargetUpdate(follower.Checksum()); !update.Full || !follower.ApplyTargetUpdate(update) || !sameTargets(source, follower) {
 		t.Errorf("differing views: update %+v", update)
 	}
 }
@@ -150,7 +150,7 @@
 	configure(1, "log")
 	source.ReplaceTargets(list, 5, 0)
 	update := source.FullTargetUpdate(follower.Checksum())
-	if !follower.ApplyTargetUpdate(update, 0) || len(follower.Targets()) != 2 {
+	if !follower.ApplyTargetUpdate(update) || len(follower.Targets()) != 2 {
 		t.Fatalf("the follower has %d targets, want 2", len(follower.Targets()))
 	}
 	count := update.Count
@@ -165,18 +165,18 @@
 	}
 	change(7, cf.Target{ID: "log-1", Service: "log", Draining: true})
 	update = source.TargetUpdateSince(count)
-	if !follower.ApplyTargetUpdate(update, 0) || len(update.Targets) != 1 || len(follower.Usable("log")) != 1 {
+	if !follower.ApplyTargetUpdate(update) || len(update.Targets) != 1 || len(follower.Usable("log")) != 1 {
 		t.Errorf("update %+v", update)
 	}
 	// The targets of a service that a new route leads to are sent with the configuration.
 	configure(8, "log mail")
 	update = source.TargetUpdateSince(update.Count)
-	if !follower.ApplyTargetUpdate(update, 0) || update.Full || len(follower.Usable("mail")) != 1 {
+	if !follower.ApplyTargetUpdate(update) || update.Full || len(follower.Usable("mail")) != 1 {
 		t.Errorf("update %+v after a route to another service", update)
 	}
 	configure(9, "")
 	update = source.TargetUpdateSince(update.Count)
-	if !follower.ApplyTargetUpdate(update, 0) || update.Full {
+	if !follower.ApplyTargetUpdate(update) || update.Full {
 		t.Errorf("update %+v without any route for single requests", update)
 	}
 	// The id of an engine is reused by a forwarded service, and then by the engines again.
@@ -184,7 +184,7 @@
 	for i, service := range []cf.ServiceName{"log", "engines"} {
 		change(cf.Revision(11+i), cf.Target{ID: "e00009", Service: service})
 		update = source.TargetUpdateSince(update.Count)
-		if !follower.ApplyTargetUpdate(update, 0) || update.Full {
+		if !follower.ApplyTargetUpdate(update) || update.Full {
 			t.Errorf("update %+v of a target that now belongs to %s", update, service)
 		}
 	}
--- a/io/cfnode/feed.go
+++ b/io/cfnode/feed.go
@@ -380,7 +380,7 @@
 	if update == nil {
 		return
 	}
-	same := n.site.ApplyTargetUpdate(*update, cf.Uptime())
+	same := n.site.ApplyTargetUpdate(*update)
 	n.log.Info("targets_relayed", zap.Int("targets", len(update.Targets)), zap.Int("gone", len(update.Removed)), zap.Bool("whole", update.Full),
 		zap.Bool("same", same), zap.Int64("revision", int64(update.Rev)))
 	n.feed.mu.Lock()
--- a/io/cfnode/node.go
+++ b/io/cfnode/node.go
@@ -143,8 +143,13 @@
 // New returns a node that has not been started.
 func New(s Settings, a Adapter, reg prometheus.Registerer, log *zap.Logger) *Node {
 	ctx, cancel := context.WithCancel(context.Background())
+	site := cfsite.New(a.Codec)
+	if s.Bounds.HeartbeatMs > 0 {
+		site.SetHeartbeat(s.Bounds.HeartbeatMs)
+	}
+	a.Store = cfwatch.MonitorStore(a.Store, site, log)
 	n := &Node{
-		settings: s, adapter: a, log: log, site: cfsite.New(a.Codec), metrics: cfcoord.NewMetrics(reg),
+		settings: s, adapter: a, log: log, site: site, metrics: cfcoord.NewMetrics(reg),
 		peers: cfpeer.NewClient(), peerSrv: cfpeer.NewServer(), ctx: ctx, cancel: cancel,
 		startedAt: cf.Uptime(), origin: rand.Uint64(), members: cfmember.NewMembership(s.Members.HubThreshold), candidateDone: make(chan struct{}), linkBudget: cfcoord.NewLinkBudget(s.Machine.LinkMbps),
 		drain: cfdrain.New(), watchMetrics: cfwatch.NewMetrics(reg),
--- a/io/cfnode/settings.go
+++ b/io/cfnode/settings.go
@@ -101,6 +101,9 @@
 		KeepResultsS float64 `json:"keep_results_s"`
 		// LeaseMs is the minimum time between the orders of two holders.
 		LeaseMs cf.Millis `json:"lease_ms"`
+		// HeartbeatMs is the interval at which targets renew their entries of the instance list; by
+		// default 1200.
+		HeartbeatMs cf.Millis `json:"heartbeat_ms"`
 		// KeyTrustMs is how long an instance without configuration updates continues to accept the
 		// keys that it knows; zero means without a limit. StrictKeys applies this limit also while
 		// no other instance has updates either.
@@ -221,6 +224,9 @@
 	if s.Bounds.LeaseMs <= 0 {
 		addError("bounds.lease_ms", "must be over 0")
 	}
+	if s.Bounds.HeartbeatMs < 0 {
+		addError("bounds.heartbeat_ms", "must not be under 0")
+	}
 	if s.Bounds.KeyTrustMs < 0 {
 		addError("bounds.key_trust_ms", "must not be under 0")
 	}
--- a/io/cfwatch/site.go
+++ b/io/cfwatch/site.go
@@ -55,9 +55,12 @@
 		Store: store, Kind: kinds.Targets, Wait: siteWatchWait, CoalesceDelay: targetCoalesceDelay, Log: log, Metrics: metrics,
 		OnChange: func(r cf.Record) error {
 			t, changed, err := site.ApplyTarget(r, cf.Uptime())
-			if changed {
+			switch {
+			case changed:
 				log.Info("target_changed", zap.String("target", r.Name), zap.String("service", string(t.Service)),
 					zap.Bool("draining", t.Draining), zap.Bool("gone", r.Deleted), zap.Int64("revision", int64(r.Rev)))
+			case r.Deleted && t.ID != "":
+				log.Info("target_kept", zap.String("target", r.Name), zap.String("service", string(t.Service)), zap.Int64("revision", int64(r.Rev)))
 			}
 			return err
 		},
@@ -77,8 +80,7 @@
 				zap.Int64("revision", int64(list.Rev)))
 			return errors.Join(errs...)
 		},
-		OnRevision:  site.Advance,
-		OnReconnect: func() { site.StoreReconnected(cf.Uptime()) },
+		OnRevision: site.Advance,
 	}
 	return config, targets
 }
--- a/io/cfwatch/watch.go
+++ b/io/cfwatch/watch.go
@@ -57,8 +57,6 @@
 	OnCaughtUp func()
 	// OnRevision is called after each answer, with the revision as of which the view is current.
 	OnRevision func(at cf.Revision)
-	// OnReconnect is called before the first answer after failed calls is handled.
-	OnReconnect func()
 	// MaxRetryDelay is the longest delay after failed calls if it exceeds maxRetryDelay.
 	MaxRetryDelay time.Duration
 	Log           *zap.Logger
@@ -162,9 +160,6 @@
 	}
 	w.failing = false
 	w.Log.Info("store_regained", zap.String("kind", w.Kind))
-	if w.OnReconnect != nil {
-		w.OnReconnect()
-	}
 }
 
 func (w *Watcher) step(ctx context.Context) error {
