Tests of answers that are cut within their heads

It does not happen here; no product code is changed. With processes: TestCutHeadsReachNoCaller, streams and items of a step, and three cases more of TestBrokenAnswersReachNoCaller, plain requests. Reward calls are sent as plain requests are.

net/http repeats a request by itself if a reused connection ends before the first byte of the answer and the request has no body and a safe method. Requests that may not be repeated have connections of their own, so it repeats none of them.

--- a/older/cfentry/brokenanswer_test.go
+++ b/older/cfentry/brokenanswer_test.go
@@ -13,6 +13,10 @@
 // brokenAnswers are answers of a service that are not complete, each after its head's status.
 var brokenAnswers = map[string]string{
 	"reset during the upload": " 200 OK\r\n\r\npart of the answer",
+	"cut in the status":       " 200",
+	"cut in a name":           " 200 OK\r\nContent-Le",
+	"cut before the length":   " 200 OK\r\nContent-Type: text/plain\r\n",
+	"cut in the blank line":   " 200 OK\r\nContent-Length: 0\r\n\r",
 	"longer than the bound":   " 200 OK\r\n\r\n" + strings.Repeat("x", 2<<20),
 }
 
--- a/systemtest/brokenanswer_test.go
+++ b/systemtest/brokenanswer_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"currantford/platform/standin"
 )
@@ -22,6 +24,77 @@
 	})
 }
 
+// addRawEngine adds a target with answers of its own to the service of the model engines. It answers
+// reports and orders like the others.
+func (s *deployment) addRawEngine(id, model, answer string, end standin.RawEnd) (requests *atomic.Int64) {
+	s.t.Helper()
+	requests = &atomic.Int64{}
+	const ok = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+	report := fmt.Sprintf(`{"phase":"both","models":[{"name":%q,"version":1,"adapters":[]}],"busy":false,"seq":0,"num-waiting":0,"num-running":0,"kv-used":0,"kv-total":90000,"handles":0}`, model)
+	raw, err := standin.NewRawServer(func(r *http.Request) (string, standin.RawEnd) {
+		if strings.HasPrefix(r.URL.Path, "/currantford/") {
+			return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", ok, len(report), report), standin.RawKeep
+		}
+		requests.Add(1)
+		return answer, end
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(raw.Close)
+	s.store.Put("servers", id, map[string]any{
+		"service": engineService, "addr": raw.Addr(), "zone": "domain-a", "version": "v1", "slots": slots, "state": "ready", "cold-left-ms": 0,
+		"phase": "both", "models": []map[string]any{{"name": model, "version": 1, "adapters": []string{}}}, "seq": 1,
+	})
+	return requests
+}
+
+// TestCutHeadsReachNoCaller guards against streams and items that end as complete, with no text or a part
+// of it, because the connection to a target ended within the head of its answer.
+func TestCutHeadsReachNoCaller(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nCurrantford-Request-Id: {id}\r\nCurrantford-Response-Stamp: s\r\n"
+	for name, c := range map[string]struct {
+		answer string
+		end    standin.RawEnd
+	}{
+		"after the status line": {"HTTP/1.1 200 OK\r\n", standin.RawHalfClose},
+		"in a name":             {head + "Content-Le", standin.RawHalfClose},
+		"in a length":           {head + "Content-Type: text/event-stream\r\nContent-Length: 1", standin.RawHalfClose},
+		"before the blank line": {head + "Content-Type: text/event-stream\r\n", standin.RawHalfClose},
+		"in the blank line":     {head + "Content-Type: text/event-stream\r\n\r", standin.RawReset},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startDeployment(t, options{entries: 2, engines: 3, eventInterval: time.Millisecond, config: withStreams})
+			var cut []*atomic.Int64
+			for i := range 2 {
+				cut = append(cut, s.addRawEngine(fmt.Sprintf("i-raw-%d", i), "m0", c.answer, c.end))
+			}
+			statuses := map[int]int{}
+			for i := range 40 {
+				id := fmt.Sprintf("s-%d", i)
+				r, complete, err := s.entries[i%2].stream(id, 4)
+				statuses[r.status]++
+				if err != nil || !complete && r.status != http.StatusBadGateway && r.status != http.StatusServiceUnavailable {
+					t.Errorf("%s: status %d, %.40q, error %v; want the whole stream or a failure", id, r.status, r.body, err)
+				}
+				if r.status == http.StatusServiceUnavailable && countRuns(s.engines, id) > 0 {
+					t.Errorf("%s: refused, and ran", id)
+				}
+			}
+			streams := cut[0].Load() + cut[1].Load()
+			b := newStep("b1", "m0", 12, 4, 4)
+			s.submitUntilAccepted(b)
+			s.readAll(b)
+			items := cut[0].Load() + cut[1].Load() - streams
+			t.Logf("streams by status: %v; %d streams and %d runs of items had an answer that was cut", statuses, streams, items)
+			if streams == 0 || items == 0 {
+				t.Error("want streams and items at targets whose answers are cut")
+			}
+		})
+	}
+}
+
 // TestBrokenAnswersReachNoCaller guards against broken answers of some targets that callers get as
 // successes. One of the targets is sound.
 func TestBrokenAnswersReachNoCaller(t *testing.T) {
@@ -31,6 +104,9 @@
 		end    standin.RawEnd
 	}{
 		"reset during the upload": {"HTTP/1.1 200 OK\r\n" + head + "\r\npart of the answer", standin.RawReset},
+		"cut in the status line":  {"HTTP/1.1 200", standin.RawHalfClose},
+		"cut before the end":      {"HTTP/1.1 200 OK\r\n" + head + "Content-Length: 0\r\n", standin.RawHalfClose},
+		"cut during the upload":   {"HTTP/1.1 200 OK\r\n" + head, standin.RawReset},
 		"blank before the colon":  {"HTTP/1.1 200 OK\r\n" + head + "Content-Length : 4\r\n\r\npart of the answer", standin.RawHalfClose},
 		"blank in a name":         {"HTTP/1.1 200 OK\r\n" + head + "X Y: z\r\nContent-Length: 4\r\n\r\nbody", standin.RawKeep},
 		"control byte in a name":  {"HTTP/1.1 200 OK\r\n" + head + "X\x01Y: z\r\nContent-Length: 4\r\n\r\nbody", standin.RawKeep},
