Answers of HTTP/1.0 with a transfer encoding are rejected

Callers saw: a 200 whose body is not the engine's, but "4\r\nbody\r\n0\r\n\r\n": the chunks with their lengths (MIXED).

Cause: net/http passes over a Transfer-Encoding in a response of HTTP/1.0, removes it from the head, and takes the rest of the connection for the body. RFC 9112, 6.1: the framing of such a message is faulty, even if a length is stated.

Change: the connection looks at the head of each response while it is read, and checkHead, which judges all answers, rejects it. It stops at the first line unless the version is before 1.1 or the head is informational. A response whose major version is not 1 is rejected too (RFC 9110, 2.5); later minor versions and two blanks before the status are allowed (RFC 9112, 4) and accepted as before.

HTTP/1.0 with a length, or up to the end of the connection, is accepted as before.

--- a/net/cfhttp/cfhttp.go
+++ b/net/cfhttp/cfhttp.go
@@ -6,7 +6,8 @@
 // It adds to net/http what a proxy needs. A response without a length ends with its connection, and
 // net/http takes any end of a read for that end, also the one that follows a reset. It accepts any
 // number as a status, and blanks in the names of fields: a Content-Length that is not recognised as
-// such gives the body another end than the server's.
+// such gives the body another end than the server's. It passes over a Transfer-Encoding in a response of
+// HTTP/1.0, whose chunks it takes for the body.
 //
 // Usage:
 //
@@ -40,6 +41,7 @@
 	// for concurrent use, also while the request is under way. It is used for one request.
 	Exchange struct {
 		connected, newConn atomic.Bool
+		faultyFraming      atomic.Bool // of the response
 		wroteAt            atomic.Int64
 		written            chan struct{} // closed when the request has been written, or could not be
 		writtenOnce        sync.Once
@@ -91,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkHead(req, resp); err != nil {
+	if err := checkHead(req, resp, x); err != nil {
 		x.CloseConn()
 		_ = resp.Body.Close()
 		return nil, err
--- a/net/cfhttp/conn.go
+++ b/net/cfhttp/conn.go
@@ -28,6 +28,10 @@
 	net.Conn
 	exchange atomic.Pointer[Exchange] // the latest on the connection
 
+	// scanner looks at the head of the response to the exchange scanned. Only Read uses them.
+	scanned *Exchange
+	scanner headScanner
+
 	writeMu  sync.Mutex // held during a write
 	writeErr error
 }
@@ -46,6 +50,7 @@
 // Read implements net.Conn. It returns ErrReset instead of io.EOF if the connection was reset.
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.scan(p[:n])
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
@@ -62,6 +67,20 @@
 	return n, err
 }
 
+// scan looks for a faulty framing in what was read.
+func (c *clientConn) scan(p []byte) {
+	x := c.exchange.Load()
+	if x == nil {
+		return
+	}
+	if x != c.scanned {
+		c.scanned, c.scanner = x, headScanner{}
+	}
+	if c.scanner.scan(p); c.scanner.faulty {
+		x.faultyFraming.Store(true)
+	}
+}
+
 // peerEnded reports whether the peer has ended its side in order. It returns false if the state of
 // the connection is not available.
 func (c *clientConn) peerEnded() bool {
--- /dev/null
+++ b/net/cfhttp/head.go
@@ -0,0 +1,71 @@
+package cfhttp
+
+import (
+	"net/http"
+	"strings"
+)
+
+// maxScannedLine is how much of a line of a head is looked at: more than a version and a status, or
+// the name of the field that is looked for.
+const maxScannedLine = 32
+
+// These are the states of a headScanner.
+const (
+	scanStatus headState = iota
+	scanFields
+	scanDone
+)
+
+type (
+	headState int
+
+	// headScanner finds a Transfer-Encoding in the head of a response of HTTP/1.0 while the head is
+	// read. The framing of such a message is faulty, whatever else it says; net/http removes the field
+	// and takes the chunks for the body.
+	headScanner struct {
+		state headState
+		line  []byte // the beginning of the current line
+		// informational is set in the head of a response that another one follows, old in one of a
+		// version before 1.1.
+		informational, old bool
+		faulty             bool
+	}
+)
+
+// scan reads the next bytes of a connection.
+func (s *headScanner) scan(p []byte) {
+	for _, b := range p {
+		switch {
+		case s.state == scanDone:
+			return
+		case b == '\n':
+			s.endLine(strings.TrimSuffix(string(s.line), "\r"))
+			s.line = s.line[:0]
+		case len(s.line) < maxScannedLine:
+			s.line = append(s.line, b)
+		}
+	}
+}
+
+func (s *headScanner) endLine(line string) {
+	if s.state == scanStatus {
+		version, status, _ := strings.Cut(line, " ")
+		major, minor, ok := http.ParseHTTPVersion(version)
+		s.old = ok && (major < 1 || major == 1 && minor < 1)
+		s.informational = strings.HasPrefix(strings.TrimLeft(status, " "), "1")
+		s.state = scanFields
+		if !s.old && !s.informational {
+			s.state = scanDone
+		}
+		return
+	}
+	if line == "" {
+		s.state = scanDone
+		if s.informational {
+			s.state = scanStatus
+		}
+		return
+	}
+	name, _, _ := strings.Cut(line, ":")
+	s.faulty = s.faulty || s.old && strings.EqualFold(name, "Transfer-Encoding")
+}
--- a/net/cfhttp/response.go
+++ b/net/cfhttp/response.go
@@ -39,7 +39,13 @@
 // checkHead returns an error if the head of a response is malformed. A response that is not final is
 // one too: forwarding it would panic in the server or switch the caller's connection to another
 // protocol.
-func checkHead(req *http.Request, resp *http.Response) error {
+func checkHead(req *http.Request, resp *http.Response, x *Exchange) error {
+	if resp.ProtoMajor != 1 && resp.TLS == nil {
+		return eris.Wrapf(ErrMalformed, "version %.40q", resp.Proto)
+	}
+	if x.faultyFraming.Load() {
+		return eris.Wrapf(ErrMalformed, "transfer encoding in %s", resp.Proto)
+	}
 	switched := resp.StatusCode == http.StatusSwitchingProtocols && req.Header.Get("Upgrade") != ""
 	if resp.StatusCode < http.StatusOK && !switched || resp.StatusCode > maxStatus {
 		return eris.Wrapf(ErrMalformed, "status %.40q", resp.Status)
--- a/systemtest/brokenanswer_test.go
+++ b/systemtest/brokenanswer_test.go
@@ -111,6 +111,7 @@
 		"blank in a name":         {"HTTP/1.1 200 OK\r\n" + head + "X Y: z\r\nContent-Length: 4\r\n\r\nbody", standin.RawKeep},
 		"control byte in a name":  {"HTTP/1.1 200 OK\r\n" + head + "X\x01Y: z\r\nContent-Length: 4\r\n\r\nbody", standin.RawKeep},
 		"blank in a trailer":      {"HTTP/1.1 200 OK\r\n" + head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX Y: z\r\n\r\n", standin.RawKeep},
+		"chunks of HTTP/1.0":      {"HTTP/1.0 200 OK\r\n" + head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", standin.RawHalfClose},
 		"status 000":              {"HTTP/1.1 000 None\r\n" + head + "Content-Length: 4\r\n\r\nbody", standin.RawKeep},
 		"status 600":              {"HTTP/1.1 600 None\r\n" + head + "Content-Length: 4\r\n\r\nbody", standin.RawKeep},
 	} {
