A follower's failed call is no outage while the coordinator's are answered

Callers would see: targets that have left get requests for up to 2.2 s more, when an instance takes the coordinator's duty over, or begins to watch the store itself, after one of its few calls to the store had failed earlier.

Cause: an outage is the time between a failed call and the next that is answered. An instance that follows the coordinator makes few calls, so one failure and the next answer, seconds or minutes later, made an outage, though the coordinator's calls were answered all the time.

Evidence: TestFailedCallOfFollowerIsNoOutage fails before the change: the follower keeps a target whose entry is removed after its second call.

Change: an update with a current view, which shows that the store answered its sender, counts as an answer of the store, as of the age that the update states.

--- a/core/cfsite/outage.go
+++ b/core/cfsite/outage.go
@@ -48,7 +48,7 @@
 		outage = now - o.since
 		o.endedAt, o.endRev = now, 0
 	}
-	o.failing = false
+	o.failing = o.failing && now < o.since // an answer to another instance may be reported late
 	o.answeredAt = max(o.answeredAt, now)
 	if o.endRev == 0 {
 		o.endRev = rev
@@ -74,8 +74,8 @@
 // unavailable since the given time.
 func (s *Site) StoreFailed(since cf.Millis) { s.outages.failed(since) }
 
-// StoreAnswered records that the store has answered a call, and its revision, zero if the answer does
-// not state it. It returns the duration of the outage that this ends, zero if there was none in which
+// StoreAnswered records that the store has answered a call, of this instance or of another one, and its
+// revision, zero if the answer does not state it. It returns the duration of the outage that this ends, zero if there was none in which
 // entries of live targets may have lapsed.
 func (s *Site) StoreAnswered(rev cf.Revision, now cf.Millis) (outage cf.Millis) {
 	return s.outages.answered(rev, now)
--- a/io/cfnode/feed.go
+++ b/io/cfnode/feed.go
@@ -342,6 +342,9 @@
 		answeredAt = askedAt
 	}
 	n.feed.asOf.Store(int64(answeredAt - a.Age))
+	// A follower makes few calls of its own. A failed one is no outage while the coordinator's are
+	// answered.
+	cfwatch.ReportAnswer(n.site, 0, answeredAt-a.Age, n.log)
 	return nil
 }
 
--- a/io/cfnode/outage_test.go
+++ b/io/cfnode/outage_test.go
@@ -261,3 +261,32 @@
 		return fresh && age > 0
 	})
 }
+
+// TestFailedCallOfFollowerIsNoOutage guards against an instance that keeps targets which have left: one of
+// its few calls to the store failed, and it made no other for seconds, while the coordinator's calls were
+// answered.
+func TestFailedCallOfFollowerIsNoOutage(t *testing.T) {
+	f := newTestFleet(t, 6, 0)
+	f.awaitSettled("start", fleetLogs)
+	f.awaitStrongHolder()
+	for id, n := range f.nodes {
+		if n.coord.Load() != nil || n.watchers.Load() != nil {
+			continue
+		}
+		f.stores[id].unavailable.Store(true)
+		if _, err := n.adapter.Store.List(t.Context(), cf.KindUsage); err == nil {
+			t.Fatal("the store answered, though it is unavailable to the instance")
+		}
+		f.stores[id].unavailable.Store(false)
+		time.Sleep(2 * time.Second)
+		if _, err := n.adapter.Store.List(t.Context(), cf.KindUsage); err != nil {
+			t.Fatal(err)
+		}
+		removal := cf.Record{Name: "log-000", Rev: n.site.TargetsRevision() + 1, Deleted: true}
+		if _, dropped, err := n.site.ApplyTarget(removal, cf.Uptime()); err != nil || !dropped {
+			t.Errorf("%s keeps a target that has left: error %v", id, err)
+		}
+		return
+	}
+	t.Fatal("no instance follows the coordinator")
+}
--- a/io/cfwatch/monitor.go
+++ b/io/cfwatch/monitor.go
@@ -24,6 +24,14 @@
 	return &monitoredStore{store, site, log}
 }
 
+// ReportAnswer reports to the site that the store answered a call at the Uptime at, with its revision,
+// zero if that is unknown. It logs an outage that this ends.
+func ReportAnswer(site *cfsite.Site, rev cf.Revision, at cf.Millis, log *zap.Logger) {
+	if outage := site.StoreAnswered(rev, at); outage > 0 {
+		log.Info("store_outage_ended", zap.Int64("outage_ms", int64(outage)))
+	}
+}
+
 // observe records the outcome of a call that began at the given time and may have waited for changes.
 // rev is the store's revision that its answer states, zero if it states none.
 func (s *monitoredStore) observe(ctx context.Context, began, wait cf.Millis, rev cf.Revision, err error) {
@@ -33,9 +41,7 @@
 		if err != nil {
 			rev = 0 // that of an object, if any
 		}
-		if outage := s.site.StoreAnswered(rev, now); outage > 0 {
-			s.log.Info("store_outage_ended", zap.Int64("outage_ms", int64(outage)))
-		}
+		ReportAnswer(s.site, rev, now, s.log)
 	case errors.Is(ctx.Err(), context.Canceled):
 		// The caller has given the call up.
 	case !errors.Is(err, cf.ErrUnavailable) && !errors.Is(err, cf.ErrRefused):
