Lapsed entries are kept while the store is away again

Callers would see: a service without targets, when the store goes away once more within two seconds of its return.

Cause: entries that lapsed in an outage are kept for 2.2 s after it, also if the store is away by then and live targets cannot be listed again.

Evidence: TestLapsedTargetsAreKeptInNextOutage fails before the change: both targets are dropped while no call is answered.

Change: nothing is dropped while an outage is in progress; its end begins a new grace period.

Result: the test passes, as do those of cfsite and cfwatch.

--- a/core/cfsite/outage.go
+++ b/core/cfsite/outage.go
@@ -63,6 +63,13 @@
 	return o.endedAt > 0 && now < o.endedAt+lapseGrace
 }
 
+// inProgress reports whether the store has answered no call for as long as an entry needs to lapse.
+func (o *outages) inProgress(now cf.Millis) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.failing && now-o.since >= o.shortest
+}
+
 // endedBefore reports whether a revision is known to be later than the last outage.
 func (o *outages) endedBefore(rev cf.Revision) bool {
 	o.mu.Lock()
@@ -81,12 +88,12 @@
 	return s.outages.answered(rev, now)
 }
 
-// DropLapsed removes the lapsed entries that were not listed again during the grace period. It
-// returns them.
+// DropLapsed removes the lapsed entries that were not listed again during the grace period, unless
+// the store is away again. It returns them.
 func (s *Site) DropLapsed(now cf.Millis) []cf.Target {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.outages.inGrace(now) {
+	if s.outages.inGrace(now) || s.outages.inProgress(now) {
 		return nil
 	}
 	var removed []cf.Target
--- a/core/cfsite/site_test.go
+++ b/core/cfsite/site_test.go
@@ -106,6 +106,29 @@
 	}
 }
 
+// TestLapsedTargetsAreKeptInNextOutage guards against services that have no targets, because the store is
+// away again before live targets have been listed again.
+func TestLapsedTargetsAreKeptInNextOutage(t *testing.T) {
+	s := cfsite.New(cfstandin.Codec{})
+	a, b := cf.Target{ID: "a", Service: "x"}, cf.Target{ID: "b", Service: "x"}
+	s.ReplaceTargets([]cf.Target{a, b}, 10, 0)
+	s.StoreFailed(1000)
+	s.StoreAnswered(20, 5000)
+	s.ReplaceTargets(nil, 20, 5000)
+	s.StoreFailed(5300)
+	if gone := s.DropLapsed(8000); len(gone) != 0 {
+		t.Errorf("dropped while the store is away: %v", gone)
+	}
+	s.StoreAnswered(30, 9000)
+	_, _, _ = s.ApplyTarget(cfstandin.Record("a", 31, a), 10_000)
+	if gone := s.DropLapsed(11_000); len(gone) != 0 {
+		t.Errorf("dropped during the grace period: %v", gone)
+	}
+	if gone := s.DropLapsed(11_300); len(gone) != 1 || gone[0].ID != "b" {
+		t.Errorf("dropped %v, want the one that was not listed again", gone)
+	}
+}
+
 // TestFailedCallsAreNoOutage guards against targets that have left and are kept, because calls to the
 // store failed while it served others.
 func TestFailedCallsAreNoOutage(t *testing.T) {
