A stopping instance leaves the lease of its successor alone

Cause: a coordinator that was replaced while alive carries on with its batches and hears of its successor's lease. If it is stopped then, it releases the lease on the object that it last observed, the successor's, whose revision is current. A third instance takes the lease and orders while the second one still does.

Change: the lease is released only if it names the instance itself.

--- a/io/cfnode/candidate.go
+++ b/io/cfnode/candidate.go
@@ -473,6 +473,11 @@
 	c.mu.Lock()
 	next, rev := c.lease.Release(successor, cf.Uptime()), c.lease.Rev()
 	c.mu.Unlock()
+	if next.Entry != c.self {
+		// The duty was taken while this instance still carried it out.
+		c.log.Warn("lease_not_released", zap.String("holder", string(next.Entry)), zap.Int64("term", int64(next.Term)))
+		return false
+	}
 	c.log.Info("lease_released", zap.String("successor", string(successor)), zap.Int64("ordered_ago_ms", int64(next.SinceLastOrder)))
 	r, err := c.put(ctx, rev, leaseObject{next, state})
 	if errors.Is(err, cf.ErrConflict) {
--- a/io/cfnode/duty_test.go
+++ b/io/cfnode/duty_test.go
@@ -56,6 +56,33 @@
 	}
 }
 
+// TestReleaseLeavesTheLeaseOfAnother guards against two instances that order the same engines: one that
+// was replaced while it lived releases the lease of its successor when it stops, and a third one takes it.
+func TestReleaseLeavesTheLeaseOfAnother(t *testing.T) {
+	ctx := t.Context()
+	store := cfstandin.NewMemStore()
+	n := newTestNode(t, store)
+	n.candidate.write(ctx)
+	held, err := store.Get(ctx, cf.KindLease, leaseName)
+	if err != nil {
+		t.Fatal(err)
+	}
+	taken, err := store.Replace(ctx, cf.KindLease, leaseName, held.Rev, leaseObject{Holder: cflease.Holder{Entry: "b", Term: held.Rev + 1, Addr: "127.0.0.1:2"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.candidate.applyRecord(taken) // by an answer of another instance, for example
+	if !n.candidate.held {
+		t.Fatal("the instance has given the duty up by itself")
+	}
+	if n.candidate.release(ctx, "c") {
+		t.Error("the lease counts as released")
+	}
+	if now, err := store.Get(ctx, cf.KindLease, leaseName); err != nil || now.Rev != taken.Rev {
+		t.Errorf("the lease is now %s, error %v; want it as its holder wrote it", now.Spec, err)
+	}
+}
+
 // TestDeadInstancesStayRemovedWhenTheDutyReturns guards against callers being sent to a machine
 // that has been off for fifteen seconds. An instance takes the duty over with the previous holder's
 // list; a dead instance in it is removed; the instance loses the duty and takes it again. It must
