--- a/core/cfdrain/cfdrain.go
+++ b/core/cfdrain/cfdrain.go
@@ -38,7 +38,7 @@
 	tailMargin = 0.2
 	fewMargin  = 5.0
 	// estimatePeriod is how long after the beginning of a stop lossy work is accepted by an estimate.
-	// After that, its time limit decides. Callers accept that the end of the grace period breaks off what they sent in the first three
+	// Callers accept that the end of the grace period breaks off what they sent in the first three
 	// seconds; the process learns of the stop a little later than they do.
 	estimatePeriod cf.Millis = 2800
 	// maxSize is the largest size of work that is looked up: a thousand million tokens.
@@ -110,9 +110,9 @@
 func (d *Drain) JudgeLossy(class Class, limit, now cf.Millis) Verdict {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	expected := d.expected(class, now)
-	if now-d.began > estimatePeriod {
-		expected = 0
+	expected := cf.Millis(0) // unknown, so that the limit decides
+	if now-d.began <= estimatePeriod {
+		expected = d.expected(class, now)
 	}
 	return d.judge(expected, limit, now)
 }
--- a/core/cfsite/outage.go
+++ b/core/cfsite/outage.go
@@ -16,9 +16,9 @@
 // directly or through another instance. It is safe for concurrent use.
 type outages struct {
 	mu sync.Mutex
-	// shortest is the duration of the shortest outage in which an entry can lapse. A target is
-	// listed as long as not all of its heartbeats within three intervals fail, so its entry cannot
-	// lapse in an outage that is shorter than one interval.
+	// shortest is the duration of the shortest outage in which an entry can lapse, one interval
+	// between heartbeats. An entry lapses three intervals after the last heartbeat that the store
+	// accepted, so at least two in a row must fail.
 	shortest cf.Millis
 	// failing is set while no call is answered, since that time.
 	failing bool
@@ -81,9 +81,9 @@
 // unavailable since the given time.
 func (s *Site) StoreFailed(since cf.Millis) { s.outages.failed(since) }
 
-// StoreAnswered records that the store has answered a call, of this instance or of another one, and its
-// revision, zero if the answer does not state it. It returns the duration of the outage that this ends, zero if there was none in which
-// entries of live targets may have lapsed.
+// StoreAnswered records that the store has answered a call, of this instance or of another one, and
+// its revision, zero if the answer does not state it. It returns the duration of the outage that this
+// ends, zero if there was none in which entries of live targets may have lapsed.
 func (s *Site) StoreAnswered(rev cf.Revision, now cf.Millis) (outage cf.Millis) {
 	return s.outages.answered(rev, now)
 }
--- a/io/cfwatch/monitor.go
+++ b/io/cfwatch/monitor.go
@@ -39,7 +39,7 @@
 	switch {
 	case err == nil, errors.Is(err, cf.ErrNotFound), errors.Is(err, cf.ErrConflict), errors.Is(err, cf.ErrHistoryGone):
 		if err != nil {
-			rev = 0 // that of an object, if any
+			rev = 0 // the answer states at most the revision of an object
 		}
 		ReportAnswer(s.site, rev, now, s.log)
 	case errors.Is(ctx.Err(), context.Canceled):
--- a/io/cfwatch/watch.go
+++ b/io/cfwatch/watch.go
@@ -4,6 +4,7 @@
 //
 // Usage:
 //
+//	store = cfwatch.MonitorStore(store, site, log) // all calls go through it
 //	w := cfwatch.Watcher{Store: store, Kind: "config", Wait: 2000, OnList: ..., OnChange: ...}
 //	go w.Run(ctx)
 //	age := w.Age(currantford.Uptime())
--- a/net/cfhttp/head.go
+++ b/net/cfhttp/head.go
@@ -24,7 +24,9 @@
 	// and takes the chunks for the body.
 	headScanner struct {
 		state headState
-		line  []byte // the beginning of the current line
+		// line holds the first n bytes of the current line.
+		line [maxScannedLine]byte
+		n    int
 		// informational is set in the head of a response that another one follows, old in one of a
 		// version before 1.1.
 		informational, old bool
@@ -39,10 +41,11 @@
 		case s.state == scanDone:
 			return
 		case b == '\n':
-			s.endLine(strings.TrimSuffix(string(s.line), "\r"))
-			s.line = s.line[:0]
-		case len(s.line) < maxScannedLine:
-			s.line = append(s.line, b)
+			s.endLine(strings.TrimSuffix(string(s.line[:s.n]), "\r"))
+			s.n = 0
+		case s.n < maxScannedLine:
+			s.line[s.n] = b
+			s.n++
 		}
 	}
 }
@@ -52,7 +55,8 @@
 		version, status, _ := strings.Cut(line, " ")
 		major, minor, ok := http.ParseHTTPVersion(version)
 		s.old = ok && (major < 1 || major == 1 && minor < 1)
-		s.informational = strings.HasPrefix(strings.TrimLeft(status, " "), "1")
+		status = strings.TrimLeft(status, " ")
+		s.informational = strings.HasPrefix(status, "1") && !strings.HasPrefix(status, "101")
 		s.state = scanFields
 		if !s.old && !s.informational {
 			s.state = scanDone
--- a/net/cfhttp/response.go
+++ b/net/cfhttp/response.go
@@ -40,7 +40,7 @@
 // one too: forwarding it would panic in the server or switch the caller's connection to another
 // protocol.
 func checkHead(req *http.Request, resp *http.Response, x *Exchange) error {
-	if resp.ProtoMajor != 1 && resp.TLS == nil {
+	if resp.ProtoMajor != 1 && resp.TLS == nil { // HTTP/2 is negotiated with TLS only
 		return eris.Wrapf(ErrMalformed, "version %.40q", resp.Proto)
 	}
 	if x.faultyFraming.Load() {
