systemtest: an error of a stopping instance passes only once its listener may be closed

TestPlannedStopBreaksOffNoStream passed over a connection that ended without an answer at any time after 2.5 s of the stop, if nothing had run.

--- a/systemtest/stop_test.go
+++ b/systemtest/stop_test.go
@@ -79,9 +79,9 @@
 		deadline time.Duration
 	}
 	var served, refused, shortServed, sentOn atomic.Int64
-	// send requests a stream. A short one may be refused, unless it must be served here; another
-	// instance then serves it at once.
-	send := func(x stream, mustServe bool) {
+	// send requests a stream at a time of the stop. A short one may be refused, unless it must be served
+	// here; another instance then serves it at once.
+	send := func(x stream, after time.Duration, mustServe bool) {
 		r, complete, err := e.sizedStream(x.id, x.events, 58*x.events, x.deadline)
 		ran := countRuns(s.engines, x.id)
 		switch {
@@ -91,8 +91,8 @@
 			served.Add(1)
 		case ran > 0:
 			t.Errorf("%s ran and was not complete: status %d, %d bytes, error %v", x.id, r.status, len(r.body), err)
-		case err != nil && !mustServe:
-			// The listener is closed.
+		case err != nil && after >= leaveTime:
+			// The listener may be closed.
 		case err != nil || r.status != http.StatusServiceUnavailable || mustServe:
 			t.Errorf("%s: status %d, error %v; want a complete stream, or 503 unless it is to end in time (%t)", x.id, r.status, err, mustServe)
 		case x.events == long:
@@ -118,10 +118,10 @@
 		if i >= 10 {
 			after = time.Since(stopAt)
 		}
-		wg.Go(func() { send(stream{fmt.Sprintf("short-%d", i), short, usualDeadline}, after < estimated) })
-		wg.Go(func() { send(stream{fmt.Sprintf("due-%d", i), short, shortDeadline}, after < leaveTime) })
+		wg.Go(func() { send(stream{fmt.Sprintf("short-%d", i), short, usualDeadline}, after, after < estimated) })
+		wg.Go(func() { send(stream{fmt.Sprintf("due-%d", i), short, shortDeadline}, after, after < leaveTime) })
 		if i%2 == 0 {
-			wg.Go(func() { send(stream{fmt.Sprintf("long-%d", i), long, usualDeadline}, false) })
+			wg.Go(func() { send(stream{fmt.Sprintf("long-%d", i), long, usualDeadline}, after, false) })
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
@@ -146,12 +146,14 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			unseenStreams(t, c.usual, c.long, c.tokens)
+			checkUnseenStreams(t, c.usual, c.long, c.tokens)
 		})
 	}
 }
 
-func unseenStreams(t *testing.T, usual, long, tokens int) {
+// checkUnseenStreams sends streams of the usual number of events before and early in a stop, and long ones
+// late in it. All state the same number of tokens.
+func checkUnseenStreams(t *testing.T, usual, long, tokens int) {
 	s := startDeployment(t, options{entries: 2, engines: 10, eventInterval: 100 * time.Millisecond, config: withStreams})
 	e := s.entries[1]
 	if e == s.coordinator() {
