cflease decides whether a lease may be released

Whether the lease that was last observed is this instance's own was checked by the caller of Release, beside the decision. Lease.Release says so now, like the other decisions on a lease. Behaviour is unchanged; TestReleaseLeavesTheLeaseOfAnother and those of cflease pass.

--- a/core/cflease/explore_test.go
+++ b/core/cflease/explore_test.go
@@ -118,7 +118,7 @@
 		if !l.Held() {
 			return w, false
 		}
-		h := l.Release("", w.now)
+		h, _ := l.Release("", w.now)
 		if timing == forgetsOrders {
 			h.SinceLastOrder = timing.HandoverDelay
 		}
--- a/core/cflease/lease.go
+++ b/core/cflease/lease.go
@@ -225,12 +225,16 @@
 func (l *Lease) RecordOrder(now cf.Millis) { l.lastOrderAt = max(l.lastOrderAt, now) }
 
 // Release returns the object to write in order to release the lease at now, to successor unless
-// that is empty. All calls of the holder must have ended.
-func (l *Lease) Release(successor cf.EntryID, now cf.Millis) Holder {
+// that is empty, and false if the lease is known to be another's. All calls of the holder must have
+// ended.
+func (l *Lease) Release(successor cf.EntryID, now cf.Millis) (Holder, bool) {
 	h := l.holder
+	if h.Entry != l.self {
+		return h, false
+	}
 	h.Released, h.Successor = true, successor
 	h.SinceLastOrder = max(now-l.lastOrderAt, 0)
-	return h
+	return h, true
 }
 
 // RenewDue reports whether the holder should renew the lease at now.
--- a/core/cflease/lease_test.go
+++ b/core/cflease/lease_test.go
@@ -211,7 +211,10 @@
 			}
 		case 4: // a planned stop, for one value in four, so that stops are no more frequent than other writes
 			if l.Held() && s%4 == 0 {
-				h := l.Release(ids[1-i], now)
+				h, own := l.Release(ids[1-i], now)
+				if !own {
+					t.Fatalf("the lease is held, and is that of %s", h.Entry)
+				}
 				l.Lost()
 				r.write(l.Rev(), h)
 			}
--- a/io/cfnode/candidate.go
+++ b/io/cfnode/candidate.go
@@ -471,9 +471,10 @@
 	_, _, state := c.dutyState()
 	c.stepDown("planned stop")
 	c.mu.Lock()
-	next, rev := c.lease.Release(successor, cf.Uptime()), c.lease.Rev()
+	next, own := c.lease.Release(successor, cf.Uptime())
+	rev := c.lease.Rev()
 	c.mu.Unlock()
-	if next.Entry != c.self {
+	if !own {
 		// The duty was taken while this instance still carried it out.
 		c.log.Warn("lease_not_released", zap.String("holder", string(next.Entry)), zap.Int64("term", int64(next.Term)))
 		return false
