--- a/core/cfsite/outage.go
+++ b/core/cfsite/outage.go
@@ -44,8 +44,7 @@
 func (o *outages) answered(rev cf.Revision, now cf.Millis) (outage cf.Millis) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.failing && now-o.since >= o.shortest {
-		outage = now - o.since
+	if outage = o.current(now); outage > 0 {
 		o.endedAt, o.endRev = now, 0
 	}
 	o.failing = o.failing && now < o.since // an answer to another instance may be reported late
@@ -56,6 +55,14 @@
 	return outage
 }
 
+// current returns the duration of the outage that is in progress, zero if there is none. o.mu is held.
+func (o *outages) current(now cf.Millis) cf.Millis {
+	if !o.failing || now-o.since < o.shortest {
+		return 0
+	}
+	return now - o.since
+}
+
 // inGrace reports whether the grace period after an outage is in progress.
 func (o *outages) inGrace(now cf.Millis) bool {
 	o.mu.Lock()
@@ -63,11 +70,11 @@
 	return o.endedAt > 0 && now < o.endedAt+lapseGrace
 }
 
-// inProgress reports whether the store has answered no call for as long as an entry needs to lapse.
+// inProgress reports whether an outage is in progress.
 func (o *outages) inProgress(now cf.Millis) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.failing && now-o.since >= o.shortest
+	return o.current(now) > 0
 }
 
 // endedBefore reports whether a revision is known to be later than the last outage.
--- a/core/cfsite/site_test.go
+++ b/core/cfsite/site_test.go
@@ -132,29 +132,33 @@
 // TestFailedCallsAreNoOutage guards against targets that have left and are kept, because calls to the
 // store failed while it served others.
 func TestFailedCallsAreNoOutage(t *testing.T) {
+	type call struct {
+		answered bool
+		at       cf.Millis // when it was answered, or since when it had no answer
+	}
+	const failed, answered = false, true
 	for _, c := range []struct {
-		name string
-		// failed and answered hold the times of failed and answered calls.
-		failed, answered []cf.Millis
-		want             bool
+		name  string
+		calls []call
+		want  bool
 	}{
-		{"one call failed", []cf.Millis{10_000}, []cf.Millis{10_200}, false},
-		{"calls fail for seconds, others are answered", []cf.Millis{10_000, 11_000, 12_000, 13_000}, []cf.Millis{10_900, 11_900, 12_900, 13_900}, false},
-		{"no call is answered for seconds", []cf.Millis{10_000, 11_000, 12_000, 13_000}, []cf.Millis{13_900}, true},
-		{"the first call after the outage is answered", []cf.Millis{10_000, 13_000}, []cf.Millis{13_800, 13_900}, true},
-		{"a call that began before another was answered", []cf.Millis{12_900, 10_000}, []cf.Millis{12_800, 13_000}, false},
+		{"one call failed", []call{{failed, 10_000}, {answered, 10_200}}, false},
+		{"calls fail for seconds, others are answered", []call{
+			{failed, 10_000}, {answered, 10_900}, {failed, 11_000}, {answered, 11_900},
+			{failed, 12_000}, {answered, 12_900}, {failed, 13_000}, {answered, 13_900},
+		}, false},
+		{"no call is answered for seconds", []call{{failed, 10_000}, {failed, 11_000}, {failed, 12_000}, {failed, 13_000}, {answered, 13_900}}, true},
+		{"the first call after the outage is answered", []call{{failed, 10_000}, {failed, 13_000}, {answered, 13_800}, {answered, 13_900}}, true},
+		{"a call that began before another was answered", []call{{answered, 12_800}, {failed, 12_900}, {failed, 10_000}, {answered, 13_000}}, false},
 	} {
 		s := cfsite.New(cfstandin.Codec{})
 		s.ReplaceTargets([]cf.Target{{ID: "a", Service: "x"}}, 10, 0)
-		failed, answered := c.failed, c.answered
-		for len(answered) > 0 {
-			if len(failed) > 0 && failed[0] < answered[0] || len(failed) > len(answered) {
-				s.StoreFailed(failed[0])
-				failed = failed[1:]
-				continue
+		for _, call := range c.calls {
+			if call.answered {
+				s.StoreAnswered(0, call.at)
+			} else {
+				s.StoreFailed(call.at)
 			}
-			s.StoreAnswered(0, answered[0])
-			answered = answered[1:]
 		}
 		removal := cfstandin.Record("a", 20, cf.Target{})
 		removal.Deleted = true
--- a/net/cfhttp/cuthead_test.go
+++ b/net/cfhttp/cuthead_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"io"
 	"net/http"
-	"strings"
 	"testing"
 
 	"currantford/net/cfhttp"
@@ -70,11 +69,11 @@
 					}
 					check("new connection", http.MethodPost, []byte("x"))
 					check("during an upload", http.MethodPost, upload)
-					for _, method := range []string{http.MethodGet, http.MethodPost} {
+					for method, body := range map[string][]byte{http.MethodGet: nil, http.MethodPost: []byte("x")} {
 						if _, _, err := send(http.MethodPost, "/whole", []byte("x")); err != nil {
 							t.Fatal(err)
 						}
-						check("reused connection, "+method, method, []byte(strings.Repeat("x", len(method)-3)))
+						check("reused connection, "+method, method, body)
 					}
 					transport.CloseIdleConnections()
 				}
--- a/net/cfhttp/head.go
+++ b/net/cfhttp/head.go
@@ -1,9 +1,6 @@
 package cfhttp
 
-import (
-	"net/http"
-	"strings"
-)
+import "strings"
 
 // maxScannedLine is how much of a line of a head is looked at: more than a version and a status, or
 // the name of the field that is looked for.
@@ -27,10 +24,10 @@
 		// line holds the first n bytes of the current line.
 		line [maxScannedLine]byte
 		n    int
-		// informational is set in the head of a response that another one follows, old in one of a
-		// version before 1.1.
-		informational, old bool
-		faulty             bool
+		// informational is set in the head of a response that another one follows, http10 in one of
+		// HTTP/1.0.
+		informational, http10 bool
+		faulty                bool
 	}
 )
 
@@ -53,12 +50,11 @@
 func (s *headScanner) endLine(line string) {
 	if s.state == scanStatus {
 		version, status, _ := strings.Cut(line, " ")
-		major, minor, ok := http.ParseHTTPVersion(version)
-		s.old = ok && (major < 1 || major == 1 && minor < 1)
+		s.http10 = version == "HTTP/1.0"
 		status = strings.TrimLeft(status, " ")
 		s.informational = strings.HasPrefix(status, "1") && !strings.HasPrefix(status, "101")
 		s.state = scanFields
-		if !s.old && !s.informational {
+		if !s.http10 && !s.informational {
 			s.state = scanDone
 		}
 		return
@@ -71,5 +67,5 @@
 		return
 	}
 	name, _, _ := strings.Cut(line, ":")
-	s.faulty = s.faulty || s.old && strings.EqualFold(name, "Transfer-Encoding")
+	s.faulty = s.faulty || s.http10 && strings.EqualFold(name, "Transfer-Encoding")
 }
--- a/systemtest/brokenanswer_test.go
+++ b/systemtest/brokenanswer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -11,17 +12,25 @@
 	"currantford/platform/standin"
 )
 
-// addRawTarget adds a target with answers of its own to the plain service.
-func (s *deployment) addRawTarget(id, answer string, end standin.RawEnd) {
+// addRaw adds a target with answers of its own to a service. The entry also has the given fields.
+func (s *deployment) addRaw(id, service string, answer func(*http.Request) (string, standin.RawEnd), fields map[string]any) {
 	s.t.Helper()
-	raw, err := standin.NewRawServer(func(*http.Request) (string, standin.RawEnd) { return answer, end })
+	raw, err := standin.NewRawServer(answer)
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(raw.Close)
-	s.store.Put("servers", id, map[string]any{
-		"service": plainService, "addr": raw.Addr(), "zone": "domain-a", "version": "v1", "slots": slots, "state": "ready", "cold-left-ms": 0, "seq": 1,
-	})
+	entry := map[string]any{
+		"service": service, "addr": raw.Addr(), "zone": "domain-a", "version": "v1", "slots": slots, "state": "ready", "cold-left-ms": 0, "seq": 1,
+	}
+	maps.Copy(entry, fields)
+	s.store.Put("servers", id, entry)
+}
+
+// addRawTarget adds a target with answers of its own to the plain service.
+func (s *deployment) addRawTarget(id, answer string, end standin.RawEnd) {
+	s.t.Helper()
+	s.addRaw(id, plainService, func(*http.Request) (string, standin.RawEnd) { return answer, end }, nil)
 }
 
 // addRawEngine adds a target with answers of its own to the service of the model engines. It answers
@@ -31,21 +40,13 @@
 	requests = &atomic.Int64{}
 	const ok = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
 	report := fmt.Sprintf(`{"phase":"both","models":[{"name":%q,"version":1,"adapters":[]}],"busy":false,"seq":0,"num-waiting":0,"num-running":0,"kv-used":0,"kv-total":90000,"handles":0}`, model)
-	raw, err := standin.NewRawServer(func(r *http.Request) (string, standin.RawEnd) {
+	s.addRaw(id, engineService, func(r *http.Request) (string, standin.RawEnd) {
 		if strings.HasPrefix(r.URL.Path, "/currantford/") {
 			return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", ok, len(report), report), standin.RawKeep
 		}
 		requests.Add(1)
 		return answer, end
-	})
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	s.t.Cleanup(raw.Close)
-	s.store.Put("servers", id, map[string]any{
-		"service": engineService, "addr": raw.Addr(), "zone": "domain-a", "version": "v1", "slots": slots, "state": "ready", "cold-left-ms": 0,
-		"phase": "both", "models": []map[string]any{{"name": model, "version": 1, "adapters": []string{}}}, "seq": 1,
-	})
+	}, map[string]any{"phase": "both", "models": []map[string]any{{"name": model, "version": 1, "adapters": []string{}}}})
 	return requests
 }
 
--- a/systemtest/stop_test.go
+++ b/systemtest/stop_test.go
@@ -54,10 +54,8 @@
 func TestPlannedStopBreaksOffNoStream(t *testing.T) {
 	t.Parallel()
 	s := startDeployment(t, options{entries: 2, engines: 10, eventInterval: 100 * time.Millisecond, config: withStreams})
-	e, other := s.entries[1], s.entries[0]
-	if e == s.coordinator() {
-		e, other = other, e
-	}
+	other := s.awaitCoordinator("")
+	e := s.nonCoordinator()
 	const (
 		short, long   = 3, 50
 		shortDeadline = 1500 * time.Millisecond
@@ -155,10 +153,7 @@
 // late in it. All state the same number of tokens.
 func checkUnseenStreams(t *testing.T, usual, long, tokens int) {
 	s := startDeployment(t, options{entries: 2, engines: 10, eventInterval: 100 * time.Millisecond, config: withStreams})
-	e := s.entries[1]
-	if e == s.coordinator() {
-		e = s.entries[0]
-	}
+	e := s.nonCoordinator()
 	var wg sync.WaitGroup
 	for i := range 30 {
 		wg.Go(func() {
